--- /dev/null
+++ b/cmd/jayfordctl/main.go
@@ -0,0 +1,6 @@
+// Command jayfordctl.
+package main
+
+import "net"
+
+func main() { _ = net.IPv4len }
--- /dev/null
+++ b/cmd/jayfordd/main.go
@@ -0,0 +1,6 @@
+// Command jayfordd.
+package main
+
+import "net"
+
+func main() { _ = net.IPv4len }
--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,30 @@
+// Package deps holds requirements until the packages that use them land.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/VictoriaMetrics/metrics"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/jessevdk/go-flags"
+	_ "github.com/rotisserie/eris"
+	_ "github.com/sirupsen/logrus"
+	_ "github.com/tailscale/hujson"
+	_ "github.com/valyala/fasthttp"
+	_ "github.com/valyala/fasthttp/fasthttputil"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/sys/unix"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/plotutil"
+	_ "gonum.org/v1/plot/vg/vgimg"
+	_ "gonum.org/v1/plot/vg/vgsvg"
+	_ "google.golang.org/grpc"
+	_ "google.golang.org/grpc/codes"
+	_ "google.golang.org/grpc/credentials/insecure"
+	_ "google.golang.org/grpc/status"
+	_ "google.golang.org/protobuf/proto"
+	_ "gotest.tools/v3/assert"
+	_ "pgregory.net/rapid"
+)
