Read settings strictly from JSON with comments

Cause: the daemon needs its settings checked whole before it starts; a slip in a unit or key must be told with its line.

Change: internal/strictjson decodes a hujson tree into structs, refuses unknown and repeated keys and wrong types, and lists every problem as FILE:LINE: KEY: what is expected. settings.LoadEntry and LoadAgent use it with checks of ids, addresses and ranges. Seeds may be left out when written.

Ruled out: encoding/json with DisallowUnknownFields, which stops at the first fault and gives no line.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,7 +26,7 @@
 	// Platform is the "ip:port" of the platform's services.
 	Platform string `json:"platform"`
 	// Seeds are peer addresses of entries, asked when the platform is silent.
-	Seeds []string `json:"seeds"`
+	Seeds []string `json:"seeds,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"logLevel"`
 	// StopWithin bounds a graceful stop.
--- /dev/null
+++ b/internal/strictjson/check.go
@@ -0,0 +1,59 @@
+package strictjson
+
+import (
+	"cmp"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// idPattern bounds names that travel in headers, metrics and object keys.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// IsID reports whether s can name an instance, object or organisation.
+func IsID(s string) bool { return idPattern.MatchString(s) }
+
+// ID rejects the value of key unless it can name an instance or object.
+func (d *Document) ID(key, value string) {
+	if !IsID(value) {
+		d.Reject(key, "expected 1 to 128 letters, digits, '.', '_' or '-', beginning with a letter or digit")
+	}
+}
+
+// IsAddress reports whether s is "ip:port". Port 0 is accepted for listeners
+// only, which is what anyPort says.
+func IsAddress(s string, anyPort bool) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && (anyPort || a.Port() != 0)
+}
+
+// Address rejects the value of key unless it is "ip:port" with a port over 0.
+func (d *Document) Address(key, value string) {
+	if !IsAddress(value, false) {
+		d.Reject(key, `expected "ip:port" with an IP number, no DNS name`)
+	}
+}
+
+// Listener rejects the value of key unless it is "ip:port". Port 0 lets the
+// kernel choose.
+func (d *Document) Listener(key, value string) {
+	if !IsAddress(value, true) {
+		d.Reject(key, `expected "ip:port" with an IP number, no DNS name`)
+	}
+}
+
+// OneOf rejects the value of key unless it is in allowed.
+func (d *Document) OneOf(key, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		d.Reject(key, "expected one of %s", strings.Join(allowed, ", "))
+	}
+}
+
+// Range rejects the value of key unless it is from lo to hi.
+func Range[T cmp.Ordered](d *Document, key string, value, lo, hi T) {
+	inside := value >= lo && value <= hi // NaN isn't inside.
+	if !inside {
+		d.Reject(key, "expected %v to %v", lo, hi)
+	}
+}
