--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -84,6 +84,9 @@
 	Token    *Token `json:"token,omitempty"`
 	// Finish is set on the last line: "stop" or "length".
 	Finish string `json:"finish,omitempty"`
+	// Tokens stands beside Finish: the index after the last token. Without it
+	// a lost last token would pass for a whole answer.
+	Tokens int `json:"tokens,omitempty"`
 	// Error is set on the last line of a stream that failed.
 	Error string `json:"error,omitempty"`
 }
