Add the platform's client and its stand-in

The client tells what is known of a call: a refused dial, a 429 or a 503 is unavailable (nothing done); a write without a reply is unclear. fasthttp repeats a GET or PUT whose connection closed, so its retries are off. PutSettled reads back the operation id of an unclear write and sends it again only where the expected version is still stored.

A watch asks for its reply before the caller's deadline, so that a silent connection is told from a platform without changes.

The stand-in meters calls by kind, and has the rate limits, outages, slowness, lost replies, compaction and the lag of the list of instances.

--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,282 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// MaxValueBytes is the largest spec that the object API holds.
+	MaxValueBytes = 1 << 20
+	// MaxWatch is how long the platform lets a watch wait.
+	MaxWatch = 25 * time.Second
+
+	maxResponseBytes = 256 << 20
+	maxConnections   = 64
+	dialTimeout      = time.Second
+	idleConnection   = 10 * time.Second
+	maxFetch         = 30 * time.Minute
+)
+
+// errNotSent marks an error before the first byte of the request was written.
+var errNotSent = errors.New("platform: not sent")
+
+// HTTP is a client of the platform's services. It implements Store, Directory
+// and Weights, and repeats nothing by itself.
+type HTTP struct {
+	base    string
+	timeout time.Duration
+	client  *fasthttp.HostClient
+}
+
+// NewHTTP returns a client of the platform at addr ("ip:port"). Each call but
+// Watch and Fetch ends within timeout.
+func NewHTTP(addr string, timeout time.Duration) *HTTP {
+	return &HTTP{
+		base:    "http://" + addr,
+		timeout: timeout,
+		client: &fasthttp.HostClient{
+			Addr:                     addr,
+			Name:                     "jayford",
+			NoDefaultUserAgentHeader: true,
+			Dial:                     dial,
+			MaxConns:                 maxConnections,
+			MaxIdleConnDuration:      idleConnection,
+			MaxResponseBodySize:      maxResponseBytes,
+			// The library repeats a GET or PUT whose connection closed without
+			// a reply. A write that had taken effect would then come back as a
+			// conflict and pass for not written.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+	}
+}
+
+func dial(addr string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotSent, err)
+	}
+	return c, nil
+}
+
+// call is one exchange with the platform.
+type call struct {
+	kind   string
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	limit  time.Duration
+	// write: the call may change the store, so that no reply is unclear.
+	write bool
+}
+
+type reply struct {
+	status int
+	body   []byte
+	err    error
+}
+
+// do runs a call and decodes its reply into out, which may be nil.
+func (h *HTTP) do(ctx context.Context, c call, out any) error {
+	limit := c.limit
+	if d, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(d))
+	}
+	if ctx.Err() != nil || limit <= 0 {
+		return fmt.Errorf("%w: the caller's time is over", ErrUnavailable)
+	}
+	count(c.kind)
+	// The exchange goes on alone if ctx is cancelled first; limit ends it.
+	replies := make(chan reply, 1)
+	go func() { replies <- h.exchange(c, limit) }()
+	var r reply
+	select {
+	case r = <-replies:
+	case <-ctx.Done():
+		r = reply{err: ctx.Err()}
+	}
+	if err := c.outcome(r); err != nil {
+		countFailure(c.kind)
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(r.body, out); err != nil {
+		return c.noReply(eris.Wrap(err, "reply isn't JSON"))
+	}
+	return nil
+}
+
+func (h *HTTP) exchange(c call, limit time.Duration) reply {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(c.method)
+	req.SetRequestURI(h.base + c.path + "?" + c.query.Encode())
+	req.SetBodyRaw(c.body)
+	if err := h.client.DoTimeout(req, resp, limit); err != nil {
+		return reply{err: err}
+	}
+	return reply{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+}
+
+// outcome maps a reply to the package's errors. What isn't known to have been
+// refused before it did anything is unclear for a write.
+func (c call) outcome(r reply) error {
+	switch {
+	case errors.Is(r.err, errNotSent), errors.Is(r.err, fasthttp.ErrNoFreeConns):
+		return fmt.Errorf("%w: %w", ErrUnavailable, r.err)
+	case r.err != nil:
+		return c.noReply(r.err)
+	}
+	switch r.status {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusNotFound:
+		return ErrNotFound
+	case fasthttp.StatusConflict:
+		return ErrConflict
+	case fasthttp.StatusGone:
+		return ErrCompacted
+	case fasthttp.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
+	case fasthttp.StatusBadRequest:
+		return eris.Errorf("platform: bad request: %s", r.body)
+	default:
+		return c.noReply(eris.Errorf("status %d", r.status))
+	}
+}
+
+func (c call) noReply(err error) error {
+	if c.write {
+		return fmt.Errorf("%w: %w", ErrUnclear, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+func count(kind string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_platform_calls_total{kind=%q}", kind)).Inc()
+}
+
+func countFailure(kind string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_platform_failed_calls_total{kind=%q}", kind)).Inc()
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+// Get returns an object; ErrNotFound if there is none.
+func (h *HTTP) Get(ctx context.Context, kind, name string) (Object, error) {
+	var o Object
+	c := call{kind: "get", method: fasthttp.MethodGet, path: objectPath(kind, name), limit: h.timeout}
+	err := h.do(ctx, c, &o)
+	return o, err
+}
+
+// List returns the live objects of a kind.
+func (h *HTTP) List(ctx context.Context, kind string) (Listing, error) {
+	var l Listing
+	c := call{
+		kind: "list", method: fasthttp.MethodGet, path: "/objects",
+		query: url.Values{"kind": {kind}}, limit: h.timeout,
+	}
+	err := h.do(ctx, c, &l)
+	return l, err
+}
+
+// Watch waits for changes after revision, deletions among them. It asks the
+// platform to reply, empty if need be, one call's timeout before ctx's
+// deadline. So no reply by then is ErrUnavailable, not rest: the connection
+// may have gone silent. Only a cancelled ctx gives an empty listing.
+func (h *HTTP) Watch(ctx context.Context, kind string, revision uint64) (Listing, error) {
+	wait := MaxWatch
+	if d, ok := ctx.Deadline(); ok {
+		left := time.Until(d)
+		wait = min(wait, max(left-h.timeout, left/2))
+	}
+	c := call{
+		kind: "watch", method: fasthttp.MethodGet, path: "/watch", limit: wait + h.timeout,
+		query: url.Values{
+			"kind":     {kind},
+			"revision": {strconv.FormatUint(revision, 10)},
+			"wait":     {strconv.FormatInt(max(wait.Milliseconds(), 1), 10)},
+		},
+	}
+	l := Listing{Revision: revision}
+	err := h.do(ctx, c, &l)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return Listing{Revision: revision}, nil
+	}
+	return l, err
+}
+
+type written struct {
+	Version uint64 `json:"version"`
+}
+
+// Put writes o if the stored version is o.Version; see Store.
+func (h *HTTP) Put(ctx context.Context, o Object) (uint64, error) {
+	if len(o.Spec) > MaxValueBytes {
+		return 0, ErrTooLarge
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		return 0, eris.Wrap(err, "platform: spec isn't JSON")
+	}
+	c := call{
+		kind: "put", method: fasthttp.MethodPut, path: objectPath(o.Kind, o.Name),
+		body: body, limit: h.timeout, write: true,
+	}
+	var w written
+	err = h.do(ctx, c, &w)
+	return w.Version, err
+}
+
+// Delete removes the object if its version is version.
+func (h *HTTP) Delete(ctx context.Context, kind, name string, version uint64) error {
+	c := call{
+		kind: "delete", method: fasthttp.MethodDelete, path: objectPath(kind, name),
+		query: url.Values{"version": {strconv.FormatUint(version, 10)}}, limit: h.timeout, write: true,
+	}
+	return h.do(ctx, c, nil)
+}
+
+// Instances returns the lagging list of instances.
+func (h *HTTP) Instances(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	c := call{kind: "instances", method: fasthttp.MethodGet, path: "/instances", limit: h.timeout}
+	err := h.do(ctx, c, &list)
+	return list, err
+}
+
+type fetched struct {
+	Bytes int64 `json:"bytes"`
+}
+
+// Fetch waits until the weights of a model's version have been read. It ends
+// with ctx, and within half an hour in any case.
+func (h *HTTP) Fetch(ctx context.Context, model, version string) (int64, error) {
+	var f fetched
+	c := call{
+		kind: "fetch", method: fasthttp.MethodGet, limit: maxFetch,
+		path: "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version),
+	}
+	err := h.do(ctx, c, &f)
+	return f.Bytes, err
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,255 @@
+// Package platform is a stand-in for the platform's services, for tests and
+// the role dev: the object API, the lagging list of instances and the weight
+// store, with the platform's limits and the faults that it is known for.
+//
+// Beside the services it answers GET /record (all accepted writes in order),
+// GET /meter (calls by kind) and POST /control (faults); these are neither
+// metered nor subject to faults.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	api "jayford.example/jayford/internal/platform"
+)
+
+// Kinds of outage.
+const (
+	// OutageRefuse answers each call with status 503 before doing anything.
+	OutageRefuse = "refuse"
+	// OutageHang answers no call until the outage ends; the call is then
+	// dropped without having done anything.
+	OutageHang = "hang"
+)
+
+const (
+	stopWithin      = 2 * time.Second
+	maxRequestBytes = 2 << 20
+	maxHang         = time.Hour
+)
+
+// Options are the platform's limits. The zero value has no rate limits.
+type Options struct {
+	// Calls above ReadsPerSecond and WritesPerSecond are refused; 0 for no
+	// limit. A waiting watch is one read.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// WatchLimit is the longest wait of a watch; 0 for api.MaxWatch.
+	WatchLimit time.Duration
+	// InstanceLag is how long a changed list of instances stays unseen.
+	InstanceLag time.Duration
+	// WeightBytes is the size of a model's weights; WeightBytesPerSecond is
+	// the rate for all readers together, 0 for no limit.
+	WeightBytes          int64
+	WeightBytesPerSecond float64
+}
+
+// Control sets the faults, as a whole, by POST /control.
+type Control struct {
+	// Outage is "", OutageRefuse or OutageHang.
+	Outage string `json:"outage,omitempty"`
+	// SlowMilliseconds is added to each call.
+	SlowMilliseconds int `json:"slowMilliseconds,omitempty"`
+	// LoseReplies is how many of the next writes take effect but have their
+	// connection closed instead of a reply.
+	LoseReplies int `json:"loseReplies,omitempty"`
+	// Compact forgets the changes so far for watches, once.
+	Compact bool `json:"compact,omitempty"`
+}
+
+// Meter counts calls by kind.
+type Meter struct {
+	Get, List, Watch, Put, Delete, Instances, Fetch, Refused uint64
+	// Waiting is how many watches wait now.
+	Waiting int
+}
+
+type timedInstances struct {
+	visible time.Time
+	list    []api.Instance
+}
+
+// Platform is one stand-in.
+type Platform struct {
+	opts    Options
+	store   *store
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	weights *rate.Limiter
+	stop    chan struct{}
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	control Control
+	// outageChange closes when an outage begins or ends.
+	outageChange chan struct{}
+	meter        Meter
+	instances    []timedInstances
+}
+
+// New returns a stand-in with an empty store.
+func New(o Options) *Platform {
+	if o.WatchLimit == 0 {
+		o.WatchLimit = api.MaxWatch
+	}
+	return &Platform{
+		opts:         o,
+		store:        newStore(),
+		reads:        limiter(o.ReadsPerSecond),
+		writes:       limiter(o.WritesPerSecond),
+		weights:      limiter(o.WeightBytesPerSecond),
+		stop:         make(chan struct{}),
+		outageChange: make(chan struct{}),
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Serve answers on ln until ctx ends. It may be called once.
+func (p *Platform) Serve(ctx context.Context, ln net.Listener) error {
+	s := &fasthttp.Server{
+		Handler:            p.handle,
+		Name:               "platform stand-in",
+		MaxRequestBodySize: maxRequestBytes,
+		// Calls in a hang are many by design.
+		Concurrency: fasthttp.DefaultConcurrency,
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return eris.Wrap(s.Serve(ln), "platform stand-in") })
+	g.Go(func() error {
+		<-ctx.Done()
+		close(p.stop)
+		bound, cancel := context.WithTimeout(context.Background(), stopWithin)
+		defer cancel()
+		// Connections that clients keep open past the bound are left to them.
+		_ = s.ShutdownWithContext(bound)
+		return nil
+	})
+	return g.Wait()
+}
+
+// SetControl sets the faults as POST /control does.
+func (p *Platform) SetControl(c Control) {
+	if c.Compact {
+		p.store.compact()
+		c.Compact = false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.control.Outage != c.Outage {
+		close(p.outageChange)
+		p.outageChange = make(chan struct{})
+	}
+	p.control = c
+}
+
+// SetInstances replaces the list of instances; it is seen after the lag.
+func (p *Platform) SetInstances(list []api.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = append(p.instances, timedInstances{time.Now().Add(p.opts.InstanceLag), list})
+}
+
+// Meter returns the counts so far.
+func (p *Platform) Meter() Meter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.meter
+}
+
+// Record returns all accepted writes in order.
+func (p *Platform) Record() []Accepted { return p.store.record() }
+
+// Put writes an object past the faults, for the set-up of a test.
+func (p *Platform) Put(o api.Object) (uint64, error) { return p.store.put(o) }
+
+func (p *Platform) visibleInstances() []api.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for len(p.instances) > 1 && !p.instances[1].visible.After(now) {
+		p.instances = p.instances[1:]
+	}
+	if len(p.instances) == 0 || p.instances[0].visible.After(now) {
+		return []api.Instance{}
+	}
+	return p.instances[0].list
+}
+
+// admit counts the call, applies the faults and the rate limit, and reports
+// whether the call may go on.
+func (p *Platform) admit(ctx *fasthttp.RequestCtx, n func(*Meter) *uint64, limit *rate.Limiter) bool {
+	p.mu.Lock()
+	*n(&p.meter)++
+	c, end := p.control, p.outageChange
+	p.mu.Unlock()
+	if c.SlowMilliseconds > 0 {
+		p.wait(time.Duration(c.SlowMilliseconds)*time.Millisecond, nil)
+	}
+	switch {
+	case c.Outage == OutageHang:
+		p.wait(maxHang, end)
+		ctx.Conn().Close()
+		return false
+	case c.Outage == OutageRefuse:
+		p.refuse(ctx, fasthttp.StatusServiceUnavailable)
+		return false
+	case !limit.Allow():
+		p.refuse(ctx, fasthttp.StatusTooManyRequests)
+		return false
+	}
+	return true
+}
+
+func (p *Platform) refuse(ctx *fasthttp.RequestCtx, status int) {
+	p.mu.Lock()
+	p.meter.Refused++
+	p.mu.Unlock()
+	ctx.Error("refused", status)
+}
+
+// wait returns after d, when until closes or when the stand-in stops.
+func (p *Platform) wait(d time.Duration, until <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-until:
+	case <-p.stop:
+	}
+}
+
+// loseReply reports whether this write's reply is to be lost.
+func (p *Platform) loseReply() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.control.LoseReplies == 0 {
+		return false
+	}
+	p.control.LoseReplies--
+	return true
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,190 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/object"
+	api "jayford.example/jayford/internal/platform"
+)
+
+const callTimeout = time.Second
+
+func start(t *testing.T, o Options) (*Platform, *api.HTTP) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := New(o)
+	done := make(chan error, 1)
+	go func() { done <- p.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return p, api.NewHTTP(ln.Addr().String(), callTimeout)
+}
+
+func organisation(name string, version uint64) api.Object {
+	return api.Object{
+		Kind: object.KindOrganisation, Name: name, Version: version, Spec: []byte(`{"format":1,"share":1}`),
+	}
+}
+
+func TestConditionalUpdates(t *testing.T) {
+	_, c := start(t, Options{})
+	ctx := context.Background()
+	v, err := c.Put(ctx, organisation("a", 0))
+	assert.NilError(t, err)
+	_, err = c.Put(ctx, organisation("a", 0))
+	assert.ErrorIs(t, err, api.ErrConflict)
+	w, err := c.Put(ctx, organisation("a", v))
+	assert.NilError(t, err)
+	assert.Assert(t, w > v)
+	assert.ErrorIs(t, c.Delete(ctx, object.KindOrganisation, "a", v), api.ErrConflict)
+	assert.NilError(t, c.Delete(ctx, object.KindOrganisation, "a", w))
+	_, err = c.Get(ctx, object.KindOrganisation, "a")
+	assert.ErrorIs(t, err, api.ErrNotFound)
+	big := organisation("b", 0)
+	big.Spec = make([]byte, api.MaxValueBytes+1)
+	_, err = c.Put(ctx, big)
+	assert.ErrorIs(t, err, api.ErrTooLarge)
+}
+
+func TestWatchSeesChangesAndDeletionsOfConfiguration(t *testing.T) {
+	p, c := start(t, Options{})
+	ctx := context.Background()
+	v, err := p.Put(organisation("a", 0))
+	assert.NilError(t, err)
+	got := make(chan api.Listing, 1)
+	go func() {
+		l, _ := c.Watch(ctx, "", v)
+		got <- l
+	}()
+	_, err = p.Put(api.Object{Kind: object.KindStatus, Name: "z"})
+	assert.NilError(t, err)
+	assert.NilError(t, c.Delete(ctx, object.KindOrganisation, "a", v))
+	l := <-got
+	assert.Equal(t, len(l.Objects), 1)
+	assert.Assert(t, l.Objects[0].Deleted)
+	assert.Equal(t, p.Meter().Watch, uint64(1))
+
+	p.SetControl(Control{Compact: true})
+	_, err = c.Watch(ctx, "", v)
+	assert.ErrorIs(t, err, api.ErrCompacted)
+}
+
+// A writer gets no reply although its write took effect. A repeat would find
+// a conflict with its own write, and an operator would be told that somebody
+// else was faster. PutSettled reads back the operation id and finds it written
+// once.
+func TestLostReplyIsSettledByReadingBack(t *testing.T) {
+	p, c := start(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	p.SetControl(Control{LoseReplies: 1})
+	_, err := c.Put(ctx, organisation("a", 0))
+	assert.ErrorIs(t, err, api.ErrUnclear)
+	p.SetControl(Control{LoseReplies: 1})
+	v, err := api.PutSettled(ctx, c, organisation("b", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, v, uint64(2))
+	assert.Equal(t, len(p.Record()), 2)
+}
+
+// fate is a store whose first write has no reply; then another writer's object
+// is found.
+type fate struct {
+	api.Store
+	puts  int
+	found api.Object
+}
+
+func (f *fate) Put(context.Context, api.Object) (uint64, error) {
+	f.puts++
+	return 0, api.ErrUnclear
+}
+
+func (f *fate) Get(context.Context, string, string) (api.Object, error) { return f.found, nil }
+
+// A write has no reply, and meanwhile another writer wrote the object. Whether
+// the first write was in force in between can't be known: the writer must hear
+// neither success nor a conflict, and the write must not be repeated.
+func TestSupersededWriteIsNotRepeated(t *testing.T) {
+	f := &fate{found: organisation("a", 9)}
+	_, err := api.PutSettled(context.Background(), f, organisation("a", 3))
+	assert.ErrorIs(t, err, api.ErrUnclear)
+	assert.ErrorIs(t, err, api.ErrSuperseded)
+	assert.Equal(t, f.puts, 1)
+}
+
+// The platform is down in three ways, and a writer must learn the truth: a
+// refused connection or a 503 proves that nothing was written, a hanging call
+// proves nothing.
+func TestOutagesAreToldTruthfully(t *testing.T) {
+	p, c := start(t, Options{})
+	ctx := context.Background()
+	p.SetControl(Control{Outage: OutageRefuse})
+	_, err := c.Put(ctx, organisation("a", 0))
+	assert.ErrorIs(t, err, api.ErrUnavailable)
+	p.SetControl(Control{Outage: OutageHang})
+	begin := time.Now()
+	_, err = c.Put(ctx, organisation("a", 0))
+	assert.ErrorIs(t, err, api.ErrUnclear)
+	assert.Assert(t, time.Since(begin) < 2*callTimeout)
+	_, err = c.Get(ctx, object.KindOrganisation, "a")
+	assert.ErrorIs(t, err, api.ErrUnavailable)
+	p.SetControl(Control{})
+	assert.Equal(t, len(p.Record()), 0)
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, ln.Close())
+	_, err = api.NewHTTP(ln.Addr().String(), callTimeout).Put(ctx, organisation("a", 0))
+	assert.ErrorIs(t, err, api.ErrUnavailable)
+}
+
+// A watch's connection goes silent. The watcher must take it for a failure at
+// its deadline, and not for a platform without changes.
+func TestSilentWatchIsAFailure(t *testing.T) {
+	p, c := start(t, Options{})
+	p.SetControl(Control{Outage: OutageHang})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := c.Watch(ctx, "", 0)
+	assert.ErrorIs(t, err, api.ErrUnavailable)
+	p.SetControl(Control{})
+	quiet, cancelQuiet := context.WithTimeout(context.Background(), callTimeout)
+	defer cancelQuiet()
+	l, err := c.Watch(quiet, "", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Objects), 0)
+}
+
+func TestRateLimitsAndLag(t *testing.T) {
+	p, c := start(t, Options{WritesPerSecond: 1, InstanceLag: 50 * time.Millisecond, WeightBytes: 150, WeightBytesPerSecond: 100})
+	ctx := context.Background()
+	_, err := c.Put(ctx, organisation("a", 0))
+	assert.NilError(t, err)
+	_, err = c.Put(ctx, organisation("b", 0))
+	assert.ErrorIs(t, err, api.ErrUnavailable)
+
+	p.SetInstances([]api.Instance{{ID: "e1", State: api.Live}})
+	list, err := c.Instances(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 0)
+	time.Sleep(60 * time.Millisecond)
+	list, err = c.Instances(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 1)
+
+	begin := time.Now()
+	n, err := c.Fetch(ctx, "m", "v")
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(150))
+	assert.Assert(t, time.Since(begin) > 300*time.Millisecond)
+}
