Add the routing decision

Cause: operators steer by selectors; each request needs one pool, and an operator needs to see why. Explain gives a typed reason for each selector and server. Ruled out: falling through to the next selector when the one that decides has only zero weights: a pool switched off by its weight would then be served by a selector that the operator ranked behind it.

--- /dev/null
+++ b/internal/policy/route/explain.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"jayford.example/jayford/internal/object"
+)
+
+// Reason says why a selector or server was taken or not.
+type Reason string
+
+// The reasons of an Explanation.
+const (
+	// Decides: the selector decides for the request.
+	Decides Reason = "decides"
+	// Shadowed: it matches, but one with a lower order or name decides.
+	Shadowed Reason = "shadowed"
+	// Mismatch: a field or label has another value.
+	Mismatch Reason = "mismatch"
+	// NoTarget: it decides, but none of its targets has a positive weight.
+	NoTarget Reason = "no-target"
+	// Selected: the server's labels match the pool's.
+	Selected Reason = "selected"
+	// NoPool: the chosen pool isn't declared.
+	NoPool Reason = "no-pool"
+	// NoLabels: the pool names no labels for the role.
+	NoLabels Reason = "no-labels"
+)
+
+// SelectorReason says why one selector decided or not.
+type SelectorReason struct {
+	Selector string `json:"selector"`
+	Order    int    `json:"order"`
+	Reason   Reason `json:"reason"`
+	// Field is set with Mismatch.
+	Field Field  `json:"field,omitempty"`
+	Got   string `json:"got,omitempty"`
+}
+
+// ServerReason says why one server belongs to a role of the pool or not.
+type ServerReason struct {
+	Server string `json:"server"`
+	Role   string `json:"role"`
+	Reason Reason `json:"reason"`
+	// Label is set with Mismatch: the label that differs.
+	Label string `json:"label,omitempty"`
+	Want  string `json:"want,omitempty"`
+	Got   string `json:"got,omitempty"`
+}
+
+// Explanation tells an operator how a request is routed.
+type Explanation struct {
+	Choice Choice `json:"choice"`
+	Routed bool   `json:"routed"`
+	// Reason is Decides if the request has a declared pool.
+	Reason Reason `json:"reason"`
+	// Selectors are in the order in which they are tried.
+	Selectors []SelectorReason `json:"selectors"`
+	// Servers are by role, then by name, for the roles that the pool has.
+	Servers []ServerReason `json:"servers"`
+}
+
+// Explain routes r as Pick does and gives the reason for each selector and for
+// each server.
+func Explain(selectors []Named, pools map[string]object.Pool, servers map[string]object.Server, r Request, u float64) Explanation {
+	var e Explanation
+	e.Choice, e.Routed = Pick(selectors, r, u)
+	e.Selectors = explainSelectors(selectors, &r, e)
+	pool, ok := pools[e.Choice.Pool]
+	switch {
+	case e.Choice.Selector == "":
+		e.Reason = Mismatch
+	case !e.Routed:
+		e.Reason = NoTarget
+	case !ok:
+		e.Reason = NoPool
+	default:
+		e.Reason = Decides
+		e.Servers = explainPool(&pool, servers)
+	}
+	return e
+}
+
+func explainSelectors(selectors []Named, r *Request, e Explanation) []SelectorReason {
+	out := make([]SelectorReason, 0, len(selectors))
+	for i := range selectors {
+		s := &selectors[i]
+		why := SelectorReason{Selector: s.Name, Order: s.Order, Reason: Shadowed}
+		field := mismatch(&s.Match, r)
+		switch {
+		case field != "":
+			why.Reason, why.Field, why.Got = Mismatch, field, r.value(field)
+		case s.Name == e.Choice.Selector && e.Routed:
+			why.Reason = Decides
+		case s.Name == e.Choice.Selector:
+			why.Reason = NoTarget
+		}
+		out = append(out, why)
+	}
+	slices.SortFunc(out, func(a, b SelectorReason) int {
+		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Selector, b.Selector))
+	})
+	return out
+}
+
+func (r *Request) value(f Field) string {
+	switch f {
+	case FieldModel:
+		return r.Model
+	case FieldOrganisation:
+		return r.Organisation
+	case FieldPriority:
+		return r.Priority
+	case FieldMethod:
+		return r.Method
+	case FieldPath:
+		return r.Path
+	case FieldAvailabilityZone:
+		return r.AvailabilityZone
+	}
+	return r.Group
+}
+
+func explainPool(p *object.Pool, servers map[string]object.Server) []ServerReason {
+	var out []ServerReason
+	if len(p.Service) > 0 {
+		return explainRole(out, object.RoleService, p.Service, servers)
+	}
+	out = explainRole(out, object.RolePrefill, p.Prefill, servers)
+	return explainRole(out, object.RoleDecode, p.Decode, servers)
+}
+
+func explainRole(out []ServerReason, role string, want map[string]string, servers map[string]object.Server) []ServerReason {
+	for _, name := range sortedKeys(servers) {
+		why := ServerReason{Server: name, Role: role, Reason: Selected}
+		labels := servers[name].Labels
+		if key, bad := labelMismatch(labels, want); bad {
+			why.Reason, why.Label = Mismatch, key
+			why.Want, why.Got = want[key], labels[key]
+		}
+		if len(want) == 0 {
+			why.Reason = NoLabels
+		}
+		out = append(out, why)
+	}
+	return out
+}
