Add placement of prefill, decode and service calls

Cause: a prefill costs as much as many tokens, its cache sits on few servers, and what an entry knows of load is old by the time it chooses. Change: rank by predicted time to the first token (queue against cached prefix), by wait for a slot, or by load; discount stale hints towards the fresh ones' mean; of a big pool look at a subset, with power-of-d choices and the two longest cached prefixes in front. An index of prefixes, bounded per server, is fed by cache events, own placements and answers; a gap in the events or an answer below the claim halves what it reports. Ruled out: scanning the whole pool for the longest prefix, as its cost grows with the fleet; dropping an index at a gap, as most of it still holds. How the default of four choices and one second half-life do under load is not measured yet.

--- /dev/null
+++ b/internal/policy/place/place.go
@@ -0,0 +1,371 @@
+// Package place ranks backend servers for one request: prefill by predicted
+// time to the first token, decode by predicted wait for a slot, plain services
+// by load. All input is a hint; the agent of the chosen server decides whether
+// the work runs, so a wrong guess costs a refusal and another try.
+//
+// The cost of a decision grows with Options.Subset, not with the pool.
+package place
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayford.example/jayford/internal/settings"
+)
+
+// Values used where a server has not yet told its own.
+const (
+	defaultPrefillPerThousand = 100 * time.Millisecond
+	defaultTokenTime          = 30 * time.Millisecond
+	defaultSlots              = 1
+)
+
+// Defaults of Options.
+const (
+	DefaultSubset   = 16
+	DefaultChoices  = 4
+	DefaultHalfLife = time.Second
+	// DefaultCrossZone is the cost of moving the KV cache of 1,000 prompt
+	// tokens to another availability zone.
+	DefaultCrossZone = 20 * time.Millisecond
+)
+
+// cachedChoices is how many servers with the longest cached prefix are looked
+// at besides the random choices, so that sampling doesn't miss the cache.
+const cachedChoices = 2
+
+// Candidate is what an entry knows of one server.
+type Candidate struct {
+	ID, AvailabilityZone string
+	Slots, Used, Queued  int
+	// QueuedTokens wait for prefill or are in it.
+	QueuedTokens                  int64
+	PrefillPerThousand, TokenTime time.Duration
+	// Age of the hint that Used, Queued and QueuedTokens come from.
+	Age time.Duration
+	// Pending and PendingTokens are the entry's own choices that the hint
+	// doesn't yet hold.
+	Pending       int
+	PendingTokens int64
+	// CachedTokens is the part of this prompt in the server's prefix cache.
+	CachedTokens int
+	// Doubted servers are ranked behind all others.
+	Doubted bool
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	PromptTokens, MaxTokens int
+	// AvailabilityZone is the preferred one: the decode server's for a
+	// prefill, the entry's otherwise. Empty means no preference.
+	AvailabilityZone string
+	// Interactive requests are ranked by time only. For others the work saved
+	// by a cached prefix counts again, by CacheWeight.
+	Interactive bool
+}
+
+// Options steer the ranking. The zero value is the policy with its defaults.
+type Options struct {
+	// Mode is settings.PlacementPolicy (or empty), PlacementRoundRobin or
+	// PlacementLeastLoaded.
+	Mode string
+	// Turn is the caller's counter for round robin.
+	Turn uint64
+	// Subset is how many servers a decision looks at; 0 for DefaultSubset.
+	Subset int
+	// Pool is the size of the whole pool that the candidates are a part of; 0
+	// if they are all of it. Pools up to Subset are looked at whole.
+	Pool int
+	// Choices is the d of power-of-d choices inside the subset of a big pool;
+	// 0 for DefaultChoices.
+	Choices int
+	// HalfLife is the age at which a hint counts half, 0 for DefaultHalfLife.
+	HalfLife time.Duration
+	// CrossZone is the cost of moving the KV cache of 1,000 prompt tokens to
+	// another availability zone, 0 for DefaultCrossZone.
+	CrossZone time.Duration
+	// CacheWeight is settings.Policy.WastedPrefillWeight.
+	CacheWeight float64
+}
+
+func (p Options) withDefaults() Options {
+	p.Subset = cmp.Or(max(0, p.Subset), DefaultSubset)
+	p.Choices = cmp.Or(max(0, p.Choices), DefaultChoices)
+	p.HalfLife = cmp.Or(max(0, p.HalfLife), DefaultHalfLife)
+	p.CrossZone = cmp.Or(max(0, p.CrossZone), DefaultCrossZone)
+	return p
+}
+
+// Prefill ranks servers for a prefill and returns their indexes, best first.
+// Of more candidates than Options.Subset only a random part is returned; a
+// caller that has used it up asks again.
+func Prefill(c []Candidate, r Request, p Options, rnd *rand.Rand) []int {
+	return rank(c, r, p.withDefaults(), rnd, prefillScore)
+}
+
+// Decode ranks servers for a decode slot as Prefill does.
+func Decode(c []Candidate, r Request, p Options, rnd *rand.Rand) []int {
+	return rank(c, r, p.withDefaults(), rnd, decodeScore)
+}
+
+// Service ranks servers for a call of a plain service as Prefill does.
+func Service(c []Candidate, r Request, p Options, rnd *rand.Rand) []int {
+	return rank(c, r, p.withDefaults(), rnd, serviceScore)
+}
+
+// PredictTTFT predicts the time to the first token of r at c: the prompt tokens
+// ahead of it, its own that aren't cached, and one decode step. It takes the
+// hint at its word; Prefill discounts a stale one first.
+func PredictTTFT(c Candidate, r Request) time.Duration {
+	ahead := c.QueuedTokens + c.PendingTokens
+	own := max(0, r.PromptTokens-c.CachedTokens)
+	return prefillTime(&c, ahead+int64(own)) + tokenTime(&c)
+}
+
+func prefillTime(c *Candidate, tokens int64) time.Duration {
+	per := cmp.Or(c.PrefillPerThousand, defaultPrefillPerThousand)
+	return time.Duration(float64(tokens) / 1000 * float64(per))
+}
+
+func tokenTime(c *Candidate) time.Duration {
+	return cmp.Or(c.TokenTime, defaultTokenTime)
+}
+
+// scorer predicts the cost of r at c, in time; the lowest is best.
+type scorer func(c *Candidate, r *Request, p *Options) time.Duration
+
+func prefillScore(c *Candidate, r *Request, p *Options) time.Duration {
+	score := PredictTTFT(*c, *r) + transferCost(c, r, p)
+	if !r.Interactive {
+		own := max(0, r.PromptTokens-c.CachedTokens)
+		score += time.Duration(p.CacheWeight * float64(prefillTime(c, int64(own))))
+	}
+	return score
+}
+
+func transferCost(c *Candidate, r *Request, p *Options) time.Duration {
+	if r.AvailabilityZone == "" || c.AvailabilityZone == r.AvailabilityZone {
+		return 0
+	}
+	return time.Duration(float64(r.PromptTokens) / 1000 * float64(p.CrossZone))
+}
+
+// decodeScore is the wait for a slot, if all are taken by answers as long as
+// this one, and the load: a fuller batch slows each token of its streams.
+func decodeScore(c *Candidate, r *Request, p *Options) time.Duration {
+	answer := time.Duration(max(1, r.MaxTokens)) * tokenTime(c)
+	slots := cmp.Or(c.Slots, defaultSlots)
+	taken := c.Used + c.Queued + c.Pending
+	wait := time.Duration(0)
+	if over := taken + 1 - slots; over > 0 {
+		wait = answer * time.Duration(over) / time.Duration(slots)
+	}
+	load := time.Duration(loadOf(c) * float64(tokenTime(c)))
+	return wait + load + transferCost(c, r, p)
+}
+
+// serviceScore counts one millisecond for each full load, so that a call
+// leaves its availability zone only for a server that is clearly freer.
+func serviceScore(c *Candidate, r *Request, _ *Options) time.Duration {
+	score := time.Duration(loadOf(c) * float64(time.Millisecond))
+	if r.AvailabilityZone != "" && c.AvailabilityZone != r.AvailabilityZone {
+		score += time.Millisecond / 4
+	}
+	return score
+}
+
+// loadOf returns the requests at c by slot.
+func loadOf(c *Candidate) float64 {
+	return float64(c.Used+c.Queued+c.Pending) / float64(cmp.Or(c.Slots, defaultSlots))
+}
+
+type scored struct {
+	index   int
+	score   float64
+	cached  int
+	doubted bool
+}
+
+func rank(c []Candidate, r Request, p Options, rnd *rand.Rand, score scorer) []int {
+	switch p.Mode {
+	case settings.PlacementRoundRobin:
+		return roundRobin(c, p.Turn)
+	case settings.PlacementLeastLoaded:
+		return leastLoaded(c, rnd)
+	}
+	list := sample(len(c), p.Subset, rnd)
+	mean := meanLoad(c, list, p.HalfLife)
+	var seen Candidate
+	for i := range list {
+		seen = mean.discount(&c[list[i].index], p.HalfLife)
+		list[i].score = float64(score(&seen, &r, &p))
+		list[i].cached = seen.CachedTokens
+		list[i].doubted = seen.Doubted
+	}
+	if max(len(c), p.Pool) <= p.Subset {
+		return indexes(byScore(list))
+	}
+	n := chooseFront(list, p.Choices)
+	byScore(list[:n])
+	byScore(list[n:])
+	slices.SortStableFunc(list, func(a, b scored) int { return doubtOrder(a.doubted, b.doubted) })
+	return indexes(list)
+}
+
+// chooseFront moves d entries of the randomly ordered list, and those with the
+// longest cached prefix, to the front and returns how many they are. Entries
+// that all ranked the whole list by the same stale hints would choose the same
+// server at once.
+func chooseFront(list []scored, d int) int {
+	n := min(d, len(list))
+	for range cachedChoices {
+		best := -1
+		for i := n; i < len(list); i++ {
+			if list[i].cached > 0 && (best < 0 || list[i].cached > list[best].cached) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		list[n], list[best] = list[best], list[n]
+		n++
+	}
+	return n
+}
+
+// sample returns min(n, k) different indexes below n in random order, so that
+// equal scores fall evenly. Floyd's algorithm: the cost is k's, not n's.
+func sample(n, k int, rnd *rand.Rand) []scored {
+	k = min(n, k)
+	list := make([]scored, 0, k)
+	for top := n - k; top < n; top++ {
+		pick := rnd.IntN(top + 1)
+		if slices.ContainsFunc(list, func(s scored) bool { return s.index == pick }) {
+			pick = top
+		}
+		list = append(list, scored{index: pick})
+	}
+	rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+func byScore(list []scored) []scored {
+	slices.SortStableFunc(list, func(a, b scored) int {
+		return cmp.Or(doubtOrder(a.doubted, b.doubted), cmp.Compare(a.score, b.score))
+	})
+	return list
+}
+
+func doubtOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+func indexes(list []scored) []int {
+	out := make([]int, len(list))
+	for i := range list {
+		out[i] = list[i].index
+	}
+	return out
+}
+
+func roundRobin(c []Candidate, turn uint64) []int {
+	list := make([]scored, len(c))
+	for i := range list {
+		list[i] = scored{index: i, doubted: c[i].Doubted}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(c[a.index].ID, c[b.index].ID) })
+	for i := range list {
+		n := uint64(len(list))
+		list[i].score = float64((uint64(i) + n - turn%n) % n)
+	}
+	return indexes(byScore(list))
+}
+
+func leastLoaded(c []Candidate, rnd *rand.Rand) []int {
+	list := sample(len(c), len(c), rnd)
+	for i := range list {
+		s := &list[i]
+		s.score, s.doubted = loadOf(&c[s.index]), c[s.index].Doubted
+	}
+	return indexes(byScore(list))
+}
+
+// load is the mean of the hints, weighted by their freshness.
+type load struct {
+	used, queued, queuedTokens float64
+}
+
+func freshness(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
+}
+
+func meanLoad(c []Candidate, list []scored, halfLife time.Duration) load {
+	var m load
+	total := 0.0
+	for i := range list {
+		s := &c[list[i].index]
+		w := freshness(s.Age, halfLife)
+		total += w
+		m.used += w * float64(s.Used)
+		m.queued += w * float64(s.Queued)
+		m.queuedTokens += w * float64(s.QueuedTokens)
+	}
+	if total < math.SmallestNonzeroFloat32 {
+		return load{}
+	}
+	return load{m.used / total, m.queued / total, m.queuedTokens / total}
+}
+
+// discount moves a stale hint towards the mean of the others. Without it a
+// server that once looked empty draws all requests until its next answer, and
+// one that once looked full is never tried again.
+func (m load) discount(c *Candidate, halfLife time.Duration) Candidate {
+	w := freshness(c.Age, halfLife)
+	out := *c
+	out.Used = int(math.Round(w*float64(c.Used) + (1-w)*m.used))
+	out.Queued = int(math.Round(w*float64(c.Queued) + (1-w)*m.queued))
+	out.QueuedTokens = int64(w*float64(c.QueuedTokens) + (1-w)*m.queuedTokens)
+	return out
+}
+
+// Subset returns the n of ids that the entry looks at, sorted by rank: the
+// highest by rendezvous hash of entry and id. A change of ids moves only the
+// places of the ids that came or went, and different entries draw different
+// subsets, so that together they cover the pool. Of up to n ids it returns all.
+// Its cost grows with the pool: call it when membership changes.
+func Subset(entry string, ids []string, n int) []string {
+	type weighted struct {
+		id   string
+		hash uint64
+	}
+	all := make([]weighted, len(ids))
+	var h xxhash.Digest
+	for i, id := range ids {
+		h.Reset()
+		_, _ = h.WriteString(entry)
+		_, _ = h.WriteString("\x00")
+		_, _ = h.WriteString(id)
+		all[i] = weighted{id, h.Sum64()}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
+	})
+	all = all[:min(max(0, n), len(all))]
+	out := make([]string, len(all))
+	for i := range all {
+		out[i] = all[i].id
+	}
+	return out
+}
--- /dev/null
+++ b/internal/policy/place/place_test.go
@@ -0,0 +1,221 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/settings"
+)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func server(id, zone string) Candidate {
+	return Candidate{ID: id, AvailabilityZone: zone, Slots: 20, PrefillPerThousand: 100 * time.Millisecond, TokenTime: 20 * time.Millisecond}
+}
+
+func TestPrefillWeighsCacheAgainstQueue(t *testing.T) {
+	cached, free := server("cached", "a"), server("free", "a")
+	cached.CachedTokens, cached.QueuedTokens = 4000, 3000
+	r := Request{PromptTokens: 5000, AvailabilityZone: "a", Interactive: true}
+	assert.Equal(t, PredictTTFT(cached, r), 420*time.Millisecond)
+	assert.Equal(t, PredictTTFT(free, r), 520*time.Millisecond)
+	c := []Candidate{free, cached}
+	assert.DeepEqual(t, Prefill(c, r, Options{}, random()), []int{1, 0})
+	c[1].PendingTokens = 2000
+	assert.DeepEqual(t, Prefill(c, r, Options{}, random()), []int{0, 1})
+	r.Interactive = false
+	assert.DeepEqual(t, Prefill(c, r, Options{CacheWeight: 1}, random()), []int{1, 0})
+}
+
+func TestSameZoneFirstAndDoubtedLast(t *testing.T) {
+	c := []Candidate{server("x", "b"), server("y", "a"), server("z", "a")}
+	c[2].Doubted = true
+	r := Request{PromptTokens: 2000, MaxTokens: 100, AvailabilityZone: "a", Interactive: true}
+	for name, rank := range map[string]func([]Candidate, Request, Options, *rand.Rand) []int{
+		"prefill": Prefill, "decode": Decode, "service": Service,
+	} {
+		assert.DeepEqual(t, rank(c, r, Options{}, random()), []int{1, 0, 2})
+		c[1].Used, c[1].QueuedTokens = 20, 4000
+		assert.Equal(t, rank(c, r, Options{}, random())[0], 0, name)
+		c[1].Used, c[1].QueuedTokens = 0, 0
+	}
+}
+
+// The caller's requests all go to one server that looked empty long ago, and
+// wait there. First its hint said empty, then nothing was heard for ten half
+// lives while the others told of a load of half. It must not stay ahead of a
+// server with a fresh and lighter load.
+func TestStaleHintIsDiscounted(t *testing.T) {
+	c := []Candidate{server("stale", "a"), server("fresh", "a"), server("full", "a")}
+	c[0].Age = 10 * time.Second
+	c[1].Used, c[2].Used = 8, 12
+	assert.Equal(t, Decode(c, Request{}, Options{}, random())[0], 1)
+	c[0].Age = 0
+	assert.Equal(t, Decode(c, Request{}, Options{}, random())[0], 0)
+}
+
+func TestBaselines(t *testing.T) {
+	c := []Candidate{server("b", "a"), server("a", "a"), server("c", "a")}
+	c[0].Used, c[1].Used, c[2].Used = 3, 2, 1
+	p := Options{Mode: settings.PlacementRoundRobin, Turn: 1}
+	assert.DeepEqual(t, Service(c, Request{}, p, random()), []int{0, 2, 1})
+	p.Mode = settings.PlacementLeastLoaded
+	assert.DeepEqual(t, Service(c, Request{}, p, random()), []int{2, 1, 0})
+	assert.Equal(t, len(Decode(nil, Request{}, Options{Mode: settings.PlacementRoundRobin}, random())), 0)
+	assert.Equal(t, len(Decode(nil, Request{}, Options{}, random())), 0)
+}
+
+func TestBigPoolSpreadsChoices(t *testing.T) {
+	c := make([]Candidate, 16)
+	for i := range c {
+		c[i] = server(fmt.Sprint(i), "a")
+		c[i].Used = i
+	}
+	rnd := random()
+	firsts := map[int]int{}
+	for range 1000 {
+		order := Decode(c, Request{}, Options{Pool: 100}, rnd)
+		assert.Equal(t, len(order), 16)
+		firsts[order[0]]++
+	}
+	// The best of four of sixteen is the best of all in a quarter of the draws.
+	assert.Assert(t, firsts[0] > 200 && firsts[0] < 300, "%v", firsts)
+	assert.Equal(t, firsts[15], 0)
+	c[9].CachedTokens, c[9].Used = 4000, 0
+	for range 100 {
+		assert.Equal(t, Prefill(c, Request{PromptTokens: 5000}, Options{Pool: 100}, rnd)[0], 9)
+	}
+}
+
+func TestSubsetsCoverAndStayStable(t *testing.T) {
+	var ids []string
+	for i := range 85 { // servers of one of 13 models
+		ids = append(ids, fmt.Sprintf("s%d", i))
+	}
+	covered := map[string]int{}
+	for i := range 370 {
+		for _, id := range Subset(fmt.Sprintf("e%d", i), ids, 16) {
+			covered[id]++
+		}
+	}
+	assert.Equal(t, len(covered), len(ids))
+	for id, n := range covered {
+		assert.Assert(t, n > 35 && n < 140, "%s %d, mean 70", id, n)
+	}
+	before := Subset("e1", ids, 16)
+	after := Subset("e1", ids[:84], 16)
+	kept := 0
+	for _, id := range before {
+		for _, other := range after {
+			if id == other {
+				kept++
+			}
+		}
+	}
+	assert.Assert(t, kept >= 15)
+	assert.Equal(t, len(Subset("e1", ids[:3], 16)), 3)
+}
+
+func TestHashesAreOfJoinedWords(t *testing.T) {
+	prompt := strings.Repeat("word  ", 600)
+	h := Hashes(prompt)
+	assert.Equal(t, len(h), 2)
+	assert.Equal(t, h[1], xxhash.Sum64String(strings.TrimSpace(strings.Repeat("word ", 512))))
+}
+
+// Callers wait for prefills that were thought to be cached. A cache event for
+// the removal of a block is lost, then later events arrive. The gap shows in
+// the sequence, and the index counts half until it is rebuilt from the log.
+func TestGapLowersTrustUntilRebuilt(t *testing.T) {
+	p := NewPrefixes(8)
+	add := func(seq, h uint64) engine.CacheEvent { return engine.CacheEvent{Sequence: seq, Prefix: h} }
+	assert.Assert(t, p.Apply("s", engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{add(1, 10), add(2, 11)}}))
+	assert.Equal(t, p.Cached("s", []uint64{10, 11, 12}), 512)
+	assert.Assert(t, !p.Apply("s", engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{add(2, 11), add(4, 20)}}))
+	assert.Equal(t, p.Cached("s", []uint64{10, 11}), 256)
+	log := []engine.CacheEvent{add(1, 10), add(2, 11), {Sequence: 3, Prefix: 11, Removed: true}, add(4, 20)}
+	assert.Assert(t, p.Rebuild("s", engine.CacheEvents{Incarnation: 1, Events: log}))
+	assert.Equal(t, p.Cached("s", []uint64{10, 11}), 256)
+	assert.Assert(t, p.Apply("s", engine.CacheEvents{Incarnation: 2}))
+	assert.Equal(t, p.Cached("s", []uint64{10}), 0)
+}
+
+func TestPrefixesAreBoundedAndCorrected(t *testing.T) {
+	p := NewPrefixes(4)
+	p.Placed("s", []uint64{1, 2, 3, 4, 5, 6})
+	assert.Equal(t, p.Len(), 4)
+	assert.Equal(t, p.Cached("s", []uint64{1, 2}), 0)
+	p.Observed("s", []uint64{3, 4}, 0)
+	assert.Equal(t, p.Cached("s", []uint64{3, 4}), 256)
+	p.Observed("s", []uint64{3, 4}, 512)
+	assert.Equal(t, p.Cached("s", []uint64{3, 4}), 512)
+	p.Forget("s")
+	assert.Equal(t, p.Len(), 0)
+}
+
+// Callers with a shared prompt wait behind one another while other servers
+// rest. Each request goes to the one server with the prefix cached, until its
+// queue costs more than a prefill elsewhere; then the prefix has to spread.
+func TestHotPrefixSpreads(t *testing.T) {
+	p := NewPrefixes(64)
+	hashes := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	c := make([]Candidate, 8)
+	for i := range c {
+		c[i] = server(fmt.Sprint(i), "a")
+	}
+	p.Placed("0", hashes)
+	rnd := random()
+	for range 40 {
+		for i := range c {
+			c[i].CachedTokens = p.Cached(c[i].ID, hashes)
+		}
+		best := Prefill(c, Request{PromptTokens: 2500, Interactive: true}, Options{}, rnd)[0]
+		c[best].PendingTokens += int64(2500 - c[best].CachedTokens)
+		p.Placed(c[best].ID, hashes)
+	}
+	holders := 0
+	for i := range c {
+		if p.Cached(c[i].ID, hashes) > 0 {
+			holders++
+		}
+	}
+	assert.Assert(t, holders > 2, "%d", holders)
+}
+
+// benchmarkPool gives the whole pool to each decision.
+func benchmarkPool(b *testing.B, n int) {
+	c := make([]Candidate, n)
+	for i := range c {
+		c[i] = server(fmt.Sprint(i), fmt.Sprintf("zone-%d", i%11))
+		c[i].QueuedTokens, c[i].Age = int64(i%7)*1000, time.Duration(i%5)*100*time.Millisecond
+	}
+	rnd := random()
+	r := Request{PromptTokens: 3000, MaxTokens: 200, AvailabilityZone: "zone-1", Interactive: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		Prefill(c, r, Options{}, rnd)
+	}
+}
+
+func BenchmarkPrefill16(b *testing.B)   { benchmarkPool(b, 16) }
+func BenchmarkPrefill85(b *testing.B)   { benchmarkPool(b, 85) }
+func BenchmarkPrefill1100(b *testing.B) { benchmarkPool(b, 1100) }
+
+// BenchmarkSubset1100 runs on a change of membership, not per request.
+func BenchmarkSubset1100(b *testing.B) {
+	var ids []string
+	for i := range 1100 {
+		ids = append(ids, fmt.Sprintf("server-%d", i))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Subset("entry-1", ids, 16)
+	}
+}
