--- /dev/null
+++ b/internal/policy/admit/refuse.go
@@ -0,0 +1,166 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+const (
+	// drainMemory is the time over which the drain rate is averaged.
+	drainMemory = 10 * time.Second
+	// passThrough is how long the queue must have been non-empty before what
+	// is popped counts for the drain rate.
+	passThrough = 20 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what callers are told.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Minute
+	// retryJitter is the greatest part by which RetryAfter is drawn out, so
+	// that callers refused together don't come back together.
+	retryJitter = 0.5
+)
+
+// refuse returns why it can't be queued, or nil.
+func (q *Queue) refuse(now time.Time, it *Item) *verdict.Error {
+	if _, ok := q.items[it.ID]; ok {
+		return verdict.New(verdict.NotRun, verdict.Duplicate, "A request with this id waits already.")
+	}
+	if q.Len() >= q.opts.MaxTotal {
+		wait := q.drainTime(now, q.cost/2, 1)
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "The queue is full.").After(q.retryAfter(wait))
+	}
+	if err := q.refuseOverShare(now, it); err != nil {
+		return err
+	}
+	return q.refuseDeadline(now, it)
+}
+
+// refuseOverShare bounds an organisation's part of a queue that is more than
+// half full. The bound falls as more organisations wait, so that one which
+// comes late still finds room.
+func (q *Queue) refuseOverShare(now time.Time, it *Item) *verdict.Error {
+	o := q.orgs[it.Organisation]
+	if o == nil || o.len() == 0 || 2*q.Len() <= q.opts.MaxTotal {
+		return nil
+	}
+	fair := int(boundedPart * float64(q.opts.MaxTotal) * o.share / q.weight)
+	bound := max(1, min(fair, q.opts.MaxPerOrganisation))
+	over := o.len() + 1 - bound
+	if over <= 0 {
+		return nil
+	}
+	excess := o.cost() * float64(over) / float64(o.len())
+	wait := q.drainTime(now, excess, o.share/q.weight)
+	return verdict.New(verdict.NotRun, verdict.OverShare, "The organisation's part of the queue is full.").After(q.retryAfter(wait))
+}
+
+// refuseDeadline refuses what would only be found late after it had waited.
+// RetryAfter is when the queue will have drained enough, or 0 if the request
+// would be late on an empty queue too.
+func (q *Queue) refuseDeadline(now time.Time, it *Item) *verdict.Error {
+	if it.Deadline.IsZero() {
+		return nil
+	}
+	left := it.Deadline.Sub(now) - it.Predicted
+	wait := q.predictWait(now, it)
+	if left > wait {
+		return nil
+	}
+	err := verdict.New(verdict.NotRun, verdict.Deadline, "The deadline can't be met.")
+	if left <= 0 {
+		return err
+	}
+	return err.After(q.retryAfter(wait - left))
+}
+
+// predictWait predicts the least time that it would wait: its organisation's
+// part ahead of it drains at the organisation's share, but no longer than all
+// ahead of it takes. Interactive work is taken to pass all batch. Before a drain
+// rate is measured it predicts nothing. A request that still comes late is
+// found by Expire; one refused here could not have been in time.
+func (q *Queue) predictWait(now time.Time, it *Item) time.Duration {
+	if q.Len() == 0 || !q.drain.measured() {
+		return 0
+	}
+	own, ahead := it.Cost, it.Cost
+	share, weight := q.shareOf(it.Organisation), 0.0
+	for _, o := range q.active {
+		cost := o.interactive.cost
+		if !it.Interactive {
+			cost = o.cost()
+		}
+		if cost == 0 {
+			continue
+		}
+		ahead += cost
+		if o.name == it.Organisation {
+			own += cost
+			continue
+		}
+		weight += o.share
+	}
+	mine := q.drainTime(now, own, share/(weight+share))
+	return min(mine, q.drainTime(now, ahead, 1))
+}
+
+// drainTime is how long cost takes to drain at a part of the measured rate.
+func (q *Queue) drainTime(now time.Time, cost, part float64) time.Duration {
+	seconds := cost / (part * q.drain.rate(now, q.cost))
+	return clampSeconds(seconds)
+}
+
+func (q *Queue) retryAfter(wait time.Duration) time.Duration {
+	jittered := float64(wait) * (1 + retryJitter*q.rnd.Float64())
+	return time.Duration(max(float64(minRetryAfter), min(jittered, float64(maxRetryAfter))))
+}
+
+func clampSeconds(s float64) time.Duration {
+	if math.IsNaN(s) || s > maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// drain measures the cost popped per second while the queue stays non-empty.
+// Requests that pass straight through say nothing of capacity: counted, they
+// would make the rate look boundless when overload begins.
+type drain struct {
+	cost float64
+	busy time.Duration
+	// began is when the queue stopped being empty, since when it last was
+	// popped or began.
+	began, since time.Time
+}
+
+// begin is called when the queue stops being empty.
+func (d *drain) begin(now time.Time) { d.began, d.since = now, now }
+
+func (d *drain) popped(now time.Time, cost float64) {
+	step := max(0, now.Sub(d.since))
+	d.since = now
+	if now.Sub(d.began) < passThrough {
+		return
+	}
+	keep := math.Exp(-float64(step) / float64(drainMemory))
+	d.cost = d.cost*keep + cost
+	d.busy = time.Duration(float64(d.busy)*keep) + step
+}
+
+func (d *drain) requeued(cost float64) {
+	d.cost = max(0, d.cost-cost)
+}
+
+func (d *drain) measured() bool { return d.cost > 0 }
+
+// rate returns the cost drained per second. The time since the last pop
+// counts, so that the rate falls while nothing drains. Before anything drained
+// it is bounded by the wait so far, in which less than all that waits drained.
+func (d *drain) rate(now time.Time, waiting float64) float64 {
+	step := max(0, now.Sub(d.since))
+	busy := max(d.busy+step, time.Millisecond).Seconds()
+	if d.measured() {
+		return d.cost / busy
+	}
+	return max(waiting, minCost) / busy
+}
