Add retry budgets and the decision to retry

Cause: a retry may double a booking, and retries under overload keep a pool overloaded after the cause has gone. Change: one place decides. A request that isn't idempotent is tried again only if none of its tries may have run, and the verdict told to the caller covers all its tries. Failures draw on budgets of the organisation and of the target, earned by first tries and a small rate; refusals as full or leaving have a bound of their own and cost none. A crash among several makes the next try run alone. Ruled out: one budget for all organisations (one that fails much would take the others' retries); counting full refusals as failures (at peak they are ordinary, as hints lag).

--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,106 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestBudgetHoldsRetriesToTheRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0.01, 0.5).Draw(t, "ratio")
+		b := NewBudget(Options{Ratio: ratio, MinPerSecond: 1, Burst: 5})
+		now, firsts, retries := start, 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			b.Advance(now)
+			b.First("org")
+			b.First("pool")
+			firsts++
+			for b.Allow("org", "pool") {
+				retries++
+			}
+		}
+		bound := 5 + ratio*float64(firsts) + now.Sub(start).Seconds() + 1e-6
+		assert.Assert(t, float64(retries) <= bound, "%d > %f", retries, bound)
+		now = now.Add(10 * time.Second)
+		b.Advance(now)
+		assert.Assert(t, b.Allow("org", "pool"))
+	})
+}
+
+func TestBudgetOfTheTargetCountsForAll(t *testing.T) {
+	b := NewBudget(Options{Burst: 2})
+	b.Advance(start)
+	assert.Assert(t, b.Allow("a", "pool") && b.Allow("b", "pool"))
+	assert.Assert(t, !b.Allow("c", "pool"))
+	assert.Assert(t, b.Allow("c", "other"), "an organisation that hasn't retried was refused")
+	assert.Assert(t, b.Allow("d", "other"))
+	assert.Assert(t, !b.Allow("e", "other"))
+	for i := range 2 * maxKeys {
+		b.First(fmt.Sprint(i))
+	}
+	assert.Assert(t, b.Len() <= maxKeys)
+	assert.Assert(t, !b.Allow("f", "pool"), "the sweep forgave an empty bucket")
+}
+
+// A caller's booking is made twice, or is called "not run" though it ran. Tries
+// of a request fail in any order, some of them after the request may have run.
+// Only proof that none ran permits another, and the last verdict covers all.
+func TestNonIdempotentIsRetriedOnlyIfNoTryRan(t *testing.T) {
+	codes := []verdict.Code{verdict.Overloaded, verdict.Leaving, verdict.ServerLost, verdict.Invalid, verdict.Internal, verdict.Transfer}
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(Options{Burst: 100})
+		try := Try{Idempotent: rapid.Bool().Draw(t, "idempotent"), Now: start, Deadline: start.Add(time.Minute)}
+		rnd := random()
+		for {
+			err := verdict.New(verdict.Verdict(rapid.IntRange(0, 2).Draw(t, "verdict")), rapid.SampledFrom(codes).Draw(t, "code"), "x")
+			if Refused(err) {
+				try.Refusals++
+			} else {
+				try.Attempts++
+			}
+			d := Decide(err, try, b, rnd)
+			try.MayHaveRun = try.MayHaveRun || err.Verdict != verdict.NotRun
+			if !d.Retry {
+				assert.Equal(t, d.Final.Verdict == verdict.NotRun, !try.MayHaveRun)
+				return
+			}
+			assert.Assert(t, try.Idempotent || !try.MayHaveRun)
+			assert.Assert(t, d.After <= maxWait && try.Attempts < MaxAttempts && try.Refusals < MaxRefusals)
+		}
+	})
+}
+
+func TestDecide(t *testing.T) {
+	lost := verdict.New(verdict.MayHaveRun, verdict.ServerLost, "x")
+	full := verdict.New(verdict.NotRun, verdict.Overloaded, "x")
+	crashed := verdict.New(verdict.MayHaveRun, verdict.ServerLost, "x")
+	crashed.Crashed = true
+	alone := verdict.New(verdict.MayHaveRun, verdict.ServerLost, "x")
+	alone.CrashedAlone = true
+	b := NewBudget(Options{Burst: 1})
+	b.Advance(start)
+	try := Try{Idempotent: true, Now: start, Attempts: 1}
+	d := Decide(crashed, try, b, random())
+	assert.Assert(t, d.Retry && d.Exclusive && d.Exclude)
+	assert.Assert(t, !Decide(alone, try, b, random()).Retry)
+	assert.Assert(t, !Decide(lost, try, b, random()).Retry, "the budget is spent")
+	try.Attempts, try.Refusals = 0, 1
+	d = Decide(full, try, b, random())
+	assert.Assert(t, d.Retry && d.After == 0, "a refusal costs no budget")
+	try.Refusals, try.Deadline = 6, start
+	d = Decide(full, try, b, random())
+	assert.Equal(t, d.Final.Code, verdict.Deadline)
+	assert.Equal(t, d.Final.Verdict, verdict.NotRun)
+}
