Add the agent's core and its carrying out

Cause: nothing yet decided what runs on a backend server. Change: package grant decides as a state machine without clock or I/O; package agent carries its actions out over gRPC, engine and plain service. Ruled out: deciding within the RPC handlers, which can't be stepped in a test; keeping the entry in the key, since engines know no entries.

--- /dev/null
+++ b/internal/agent/grant/grant_test.go
@@ -0,0 +1,365 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+)
+
+const (
+	lapse = 2 * time.Second
+	ms    = time.Millisecond
+)
+
+func testConfig() Config {
+	return Config{
+		Incarnation: 7, Slots: 2, PrefillQueue: 3, Queue: 4, LapseAfter: lapse,
+		MaxWait: 30 * time.Second, MaxIdle: 10 * time.Second,
+		SeenFor: time.Minute, MaxSeen: 1000, MaxConvicted: 4,
+	}
+}
+
+func up(t *testing.T, slots int) *Core {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Slots = slots
+	c := New(cfg)
+	c.ServerUp(0)
+	return c
+}
+
+func decode(id string) Request {
+	return Request{
+		Key:   Key{Request: id, Number: 1, Phase: pb.Phase_PHASE_DECODE},
+		Entry: "e1#1", Organisation: "o", Idle: 10 * time.Second, Wait: 10 * time.Second,
+	}
+}
+
+// mustRun brings a request to the state sent.
+func mustRun(t *testing.T, c *Core, now time.Duration, r Request) {
+	t.Helper()
+	o, no := c.Reserve(now, r)
+	assert.Equal(t, o, Granted, "%+v", no)
+	assert.Assert(t, c.Start(now, r.Key, r.Entry) == nil)
+	assert.Assert(t, c.Send(now, r.Key))
+}
+
+func renewed(c *Core, from, to time.Duration, seq uint64, entry string, ids ...string) uint64 {
+	var list []Attempt
+	for _, id := range ids {
+		list = append(list, Attempt{id, 1})
+	}
+	for now := from; now <= to; now += lapse / 4 {
+		seq++
+		c.Renew(now, entry, seq, list)
+	}
+	return seq
+}
+
+func actions(c *Core) []string {
+	var out []string
+	for _, a := range c.Ready() {
+		out = append(out, fmt.Sprint([...]string{"admit", "refuse", "stop", "lost", "drop"}[a.Kind], " ", a.Key.Request))
+	}
+	return out
+}
+
+// An entry is killed. Nobody renews, so its waiting request is refused, its
+// idle grant goes, and the running attempt is stopped; the slot is free only
+// when the engine has confirmed, else the next attempt finds no room.
+func TestLapseFreesAfterConfirm(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("run"))
+	_, _ = c.Reserve(0, decode("idle"))
+	o, _ := c.Reserve(0, decode("wait"))
+	assert.Equal(t, o, Waiting)
+	for now := time.Duration(0); now <= lapse; now += lapse / 20 {
+		c.Tick(now)
+	}
+	assert.DeepEqual(t, actions(c), []string{"stop run", "refuse wait"})
+	assert.Equal(t, c.Load().Used, 1)
+	c.Done(lapse, decode("run").Key, 0)
+	assert.Equal(t, c.Load().Grants, 0)
+}
+
+// The agent is stopped for ten seconds and wakes. A renewal that waited in its
+// socket may be the last word of an entry that died meanwhile, so it saves
+// nothing; one read later proves that the entry lives and saves its grants.
+func TestPauseIsSurvivedOnlyByLivingEntries(t *testing.T) {
+	c := up(t, 2)
+	alive, dead := decode("alive"), decode("dead")
+	dead.Entry = "e2#1"
+	mustRun(t, c, 0, alive)
+	mustRun(t, c, 0, dead)
+	wake := 10 * time.Second
+	c.Renew(wake, "e2#1", 1, []Attempt{{"dead", 1}})
+	c.Renew(wake, "e1#1", 1, []Attempt{{"alive", 1}})
+	assert.Equal(t, len(actions(c)), 0)
+	o, no := c.Reserve(wake, decode("new"))
+	assert.Equal(t, o, Refused)
+	assert.Equal(t, no.Verdict, pb.Verdict_VERDICT_NOT_RUN)
+	c.Renew(wake+lapse/4, "e1#1", 2, []Attempt{{"alive", 1}})
+	c.Tick(wake + lapse/graceFraction)
+	assert.DeepEqual(t, actions(c), []string{"stop dead"})
+	assert.Equal(t, c.Load().Used, 2)
+	// A second pause doesn't give the first entry's grace again without a
+	// fresh renewal in between.
+	c.Tick(wake + lapse/graceFraction + 5*time.Second)
+	c.Tick(wake + lapse/graceFraction + 10*time.Second)
+	assert.DeepEqual(t, actions(c), []string{"stop alive"})
+}
+
+// A Release is lost. The entry stops listing the attempt; the second renewal
+// without it cancels it, and the listed neighbour runs on.
+func TestUnlistedAttemptIsCancelled(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("keep"))
+	mustRun(t, c, 0, decode("lost"))
+	c.Renew(10*ms, "e1#1", 1, []Attempt{{"keep", 1}})
+	assert.Equal(t, len(actions(c)), 0)
+	unknown := c.Renew(500*ms, "e1#1", 2, []Attempt{{"keep", 1}, {"never", 1}})
+	assert.DeepEqual(t, actions(c), []string{"stop lost"})
+	assert.DeepEqual(t, unknown, []Attempt{{"never", 1}})
+	// A late renewal of a lower sequence changes nothing.
+	c.Renew(600*ms, "e1#1", 1, nil)
+	assert.Equal(t, len(actions(c)), 0)
+}
+
+func TestNewerIncarnationLapsesOlder(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("old"))
+	c.Renew(10*ms, "e1#2", 1, nil)
+	assert.DeepEqual(t, actions(c), []string{"stop old"})
+	o, no := c.Reserve(20*ms, decode("late"))
+	assert.Equal(t, o, Refused)
+	assert.Equal(t, no.Reason, pb.Reason_REASON_CANCELLED)
+}
+
+// A request is sent again under the same attempt, before and after its end,
+// and its release overtakes its reservation. It may start once only.
+func TestDuplicates(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("a"))
+	assert.Equal(t, c.Start(0, decode("a").Key, "e1#1").Reason, pb.Reason_REASON_DUPLICATE)
+	c.Done(0, decode("a").Key, 0)
+	_, no := c.Reserve(0, decode("a"))
+	assert.Equal(t, no.Reason, pb.Reason_REASON_DUPLICATE)
+	assert.Equal(t, no.Verdict, pb.Verdict_VERDICT_MAY_HAVE_RUN)
+	assert.Equal(t, c.Start(0, decode("a").Key, "e1#1").Verdict, pb.Verdict_VERDICT_MAY_HAVE_RUN)
+
+	c.Release(0, decode("b").Key, "e1#1")
+	_, no = c.Reserve(0, decode("b"))
+	assert.Equal(t, no.Reason, pb.Reason_REASON_DUPLICATE)
+	// Nothing is known of it here, but an earlier agent may have run it.
+	assert.Equal(t, c.Start(0, decode("c").Key, "e1#1").Verdict, pb.Verdict_VERDICT_MAY_HAVE_RUN)
+}
+
+func TestSeenMemoryIsBoundedAndNeverForgetsYoung(t *testing.T) {
+	cfg := testConfig()
+	cfg.MaxSeen, cfg.Slots = 2, 10
+	c := New(cfg)
+	c.ServerUp(0)
+	for _, id := range []string{"a", "b"} {
+		_, _ = c.Reserve(0, decode(id))
+		c.Release(0, decode(id).Key, "e1#1")
+	}
+	o, no := c.Reserve(0, decode("c"))
+	assert.Equal(t, o, Refused)
+	assert.Equal(t, no.Reason, pb.Reason_REASON_FULL)
+	o, _ = c.Reserve(cfg.SeenFor+time.Second, decode("c"))
+	assert.Equal(t, o, Granted)
+}
+
+// One organisation fills the queue. Another that comes later is served next,
+// and an interactive request goes before every batch one.
+func TestFairShare(t *testing.T) {
+	c := up(t, 1)
+	mustRun(t, c, 0, decode("run"))
+	for i, org := range []string{"big", "big", "small"} {
+		r := decode(fmt.Sprint(org, i))
+		r.Organisation, r.Batch = org, true
+		o, _ := c.Reserve(0, r)
+		assert.Equal(t, o, Waiting)
+	}
+	_, _ = c.Reserve(0, decode("people"))
+	var got []string
+	last := decode("run").Key
+	for range 4 {
+		c.Done(0, last, 0)
+		ready := c.Ready()
+		assert.Equal(t, len(ready), 1)
+		last = ready[0].Key
+		got = append(got, last.Request)
+		_ = c.Start(0, last, "e1#1")
+	}
+	assert.DeepEqual(t, got, []string{"people", "big0", "small2", "big1"})
+}
+
+func TestFullQueueGivesWayToInteractive(t *testing.T) {
+	cfg := testConfig()
+	cfg.Slots, cfg.Queue = 1, 2
+	c := New(cfg)
+	c.ServerUp(0)
+	mustRun(t, c, 0, decode("run"))
+	for _, id := range []string{"b1", "b2", "b3"} {
+		r := decode(id)
+		r.Batch = true
+		_, _ = c.Reserve(0, r)
+	}
+	o, _ := c.Reserve(0, decode("people"))
+	assert.Equal(t, o, Waiting)
+	assert.DeepEqual(t, actions(c), []string{"refuse b2"})
+}
+
+// A request that is suspected of crashing servers waits until the server is
+// empty and runs alone; a second suspect and all others stay out meanwhile.
+func TestExclusive(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("a"))
+	s := decode("suspect")
+	s.Exclusive = true
+	o, _ := c.Reserve(0, s)
+	assert.Equal(t, o, Waiting)
+	o, _ = c.Reserve(0, decode("b"))
+	assert.Equal(t, o, Waiting)
+	s2 := decode("suspect2")
+	s2.Exclusive = true
+	o, _ = c.Reserve(0, s2)
+	assert.Equal(t, o, Refused)
+	c.Done(0, decode("a").Key, 0)
+	assert.DeepEqual(t, actions(c), []string{"admit suspect"})
+	assert.Assert(t, c.Start(0, s.Key, s.Entry) == nil)
+	assert.Assert(t, c.Send(0, s.Key))
+	c.ServerDown(0)
+	ready := c.Ready()
+	assert.Equal(t, len(ready), 2)
+	assert.Assert(t, ready[0].Key == decode("b").Key && ready[0].Refusal.Verdict == pb.Verdict_VERDICT_NOT_RUN)
+	assert.Assert(t, ready[1].Key == s.Key && ready[1].Refusal.CrashedAlone)
+}
+
+// The server crashes under two attempts; their connections break one after the
+// other. Neither ran alone, so neither is blamed, and what was not yet sent is
+// told as not run.
+func TestServerDownVerdicts(t *testing.T) {
+	c := up(t, 3)
+	mustRun(t, c, 0, decode("a"))
+	mustRun(t, c, 0, decode("b"))
+	_, _ = c.Reserve(0, decode("c"))
+	assert.Assert(t, c.Start(0, decode("c").Key, "e1#1") == nil)
+	c.Broken(5*ms, decode("a").Key)
+	c.ServerSound(6*ms, 4*ms) // A heartbeat from before the break.
+	assert.Equal(t, len(actions(c)), 0)
+	c.Broken(7*ms, decode("b").Key)
+	c.ServerDown(8 * ms)
+	want := map[string]pb.Verdict{
+		"a": pb.Verdict_VERDICT_MAY_HAVE_RUN, "b": pb.Verdict_VERDICT_MAY_HAVE_RUN,
+		"c": pb.Verdict_VERDICT_NOT_RUN,
+	}
+	ready := c.Ready()
+	assert.Equal(t, len(ready), 3)
+	for _, a := range ready {
+		assert.Equal(t, a.Kind, Lost)
+		assert.Equal(t, a.Refusal.Verdict, want[a.Key.Request])
+		assert.Assert(t, !a.Refusal.CrashedAlone)
+	}
+	assert.Equal(t, c.Load().Grants, 0)
+}
+
+// A connection breaks but the server is as before: the attempt is stopped at
+// the server, which may still run it, and nobody is blamed.
+func TestServerSoundStopsBroken(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("a"))
+	c.Broken(5*ms, decode("a").Key)
+	c.ServerSound(7*ms, 6*ms)
+	ready := c.Ready()
+	assert.Equal(t, len(ready), 1)
+	assert.Equal(t, ready[0].Kind, Stop)
+	assert.Equal(t, ready[0].Refusal.Reason, pb.Reason_REASON_SERVER_LOST)
+	assert.Assert(t, !ready[0].Refusal.CrashedAlone)
+}
+
+func TestRefusals(t *testing.T) {
+	c := up(t, 1)
+	c.Convict(0, []uint64{9})
+	check := func(r Request, want pb.Reason) {
+		t.Helper()
+		o, no := c.Reserve(0, r)
+		assert.Equal(t, o, Refused)
+		assert.Equal(t, no.Reason, want)
+		assert.Equal(t, no.Verdict, pb.Verdict_VERDICT_NOT_RUN)
+	}
+	r := decode("a")
+	r.Incarnation = 6
+	check(r, pb.Reason_REASON_INCARNATION)
+	r = decode("a")
+	r.Fingerprint = 9
+	check(r, pb.Reason_REASON_CONVICTED)
+	r = decode("a")
+	r.Entry = "no incarnation"
+	check(r, pb.Reason_REASON_INVALID)
+	mustRun(t, c, 0, decode("run"))
+	r = decode("a")
+	r.Wait = 0
+	check(r, pb.Reason_REASON_FULL)
+	_, _ = c.Reserve(0, decode("wait"))
+	c.SetLeaving(0, true)
+	assert.DeepEqual(t, actions(c), []string{"refuse wait"})
+	check(decode("a"), pb.Reason_REASON_LEAVING)
+	c.SetLeaving(0, false)
+	c.ServerDown(0)
+	check(decode("b"), pb.Reason_REASON_SERVER_DOWN)
+}
+
+func TestIdleGrantExpires(t *testing.T) {
+	c := up(t, 1)
+	r := decode("a")
+	r.Idle = 100 * ms
+	_, _ = c.Reserve(0, r)
+	_, _ = c.Reserve(0, decode("b"))
+	c.Tick(100 * ms)
+	assert.DeepEqual(t, actions(c), []string{"admit b"})
+	no := c.Start(100*ms, r.Key, r.Entry)
+	assert.Equal(t, no.Reason, pb.Reason_REASON_UNKNOWN_GRANT)
+	assert.Equal(t, no.Verdict, pb.Verdict_VERDICT_NOT_RUN)
+}
+
+// A deposed controller sends an order to an agent that has just restarted and
+// forgot the highest fence. The order must not pass before the lease was read.
+func TestFences(t *testing.T) {
+	c := up(t, 1)
+	assert.Equal(t, c.Order("m", 5), FenceUnknown)
+	c.LearnFence("m", 7)
+	assert.Equal(t, c.Order("m", 5), FenceOld)
+	assert.Equal(t, c.Order("m", 8), FenceOK)
+	assert.Equal(t, c.Order("m", 9), FenceBusy)
+	c.OrderDone()
+	assert.Equal(t, c.Order("m", 7), FenceOld)
+	assert.Equal(t, c.Order("m", 8), FenceOK)
+}
+
+// A prefill ends and leaves its KV cache. It holds no slot, and whatever ends
+// it has the cache dropped.
+func TestKeptResultIsDropped(t *testing.T) {
+	c := up(t, 1)
+	r := decode("a")
+	r.Key.Phase = pb.Phase_PHASE_PREFILL
+	mustRun(t, c, 0, r)
+	c.Done(0, r.Key, 800*ms)
+	assert.Equal(t, c.Load().Used, 0)
+	assert.Assert(t, c.Live(Attempt{"a", 1}))
+	c.Release(100*ms, r.Key, r.Entry)
+	assert.DeepEqual(t, actions(c), []string{"drop a"})
+	assert.Assert(t, !c.Live(Attempt{"a", 1}))
+
+	b := r
+	b.Key.Request = "b"
+	mustRun(t, c, 200*ms, b)
+	c.Release(200*ms, b.Key, b.Entry)
+	c.Done(200*ms, b.Key, 800*ms)
+	assert.DeepEqual(t, actions(c), []string{"stop b", "drop b"})
+}
--- /dev/null
+++ b/internal/agent/load.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agent/grant"
+)
+
+var (
+	grantsTotal  = metrics.NewCounter("jayford_agent_grants_total")
+	cancelsTotal = metrics.NewCounter("jayford_agent_engine_cancels_total")
+	orphansTotal = metrics.NewCounter("jayford_agent_orphans_total")
+)
+
+func countGrant()  { grantsTotal.Inc() }
+func countCancel() { cancelsTotal.Inc() }
+func countOrphan() { orphansTotal.Inc() }
+
+func countReason(name string, r pb.Reason) {
+	label := strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
+	metrics.GetOrCreateCounter(fmt.Sprintf(`%s{reason=%q}`, name, label)).Inc()
+}
+
+func countRefusal(r pb.Reason) { countReason("jayford_agent_refusals_total", r) }
+
+// countStop counts started attempts that ended early.
+func countStop(r pb.Reason) { countReason("jayford_agent_stops_total", r) }
+
+// timing measures the server's speed by moving averages.
+type timing struct {
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	perToken time.Duration
+	// perThousand is the time for 1,000 prompt tokens.
+	perThousand time.Duration
+}
+
+// weight of a new value is one in so many.
+const weight = 16
+
+func smooth(old, v time.Duration) time.Duration {
+	if old == 0 {
+		return v
+	}
+	return old + (v-old)/weight
+}
+
+func (t *timing) token(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.perToken = smooth(t.perToken, d)
+}
+
+// prefill takes the time of a prefill that computed so many tokens.
+func (t *timing) prefill(tokens int, d time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.perThousand = smooth(t.perThousand, d*1000/time.Duration(tokens))
+}
+
+// Load returns what the agent tells entries of its server. A hint only.
+func (a *Agent) Load() *pb.Load {
+	a.mu.Lock()
+	l := a.core.Load()
+	engineIncarnation := a.engineIncarnation
+	a.mu.Unlock()
+	a.timing.mu.Lock()
+	defer a.timing.mu.Unlock()
+	return &pb.Load{
+		Slots: uint32(l.Slots), Used: uint32(l.Used), Queued: uint32(l.Queued),
+		QueuedTokens: uint64(l.QueuedTokens),
+		Leaving:      l.Leaving, Down: l.Down,
+		TokenUs:           uint32(a.timing.perToken.Microseconds()),
+		PrefillUs:         uint32(a.timing.perThousand.Microseconds()),
+		EngineIncarnation: engineIncarnation,
+	}
+}
+
+// state is the agent's part of the state dump.
+type state struct {
+	Incarnation       uint64       `json:"incarnation"`
+	EngineIncarnation uint64       `json:"engineIncarnation"`
+	Load              grant.Load   `json:"load"`
+	Grants            []grant.View `json:"grants"`
+	Runs              int          `json:"runs"`
+}
+
+func (a *Agent) view() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return state{
+		Incarnation: a.incarnation, EngineIncarnation: a.engineIncarnation,
+		Load: a.core.Load(), Grants: a.core.Views(), Runs: len(a.runs),
+	}
+}
--- /dev/null
+++ b/internal/agent/order.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agent/grant"
+	"jayford.example/jayford/internal/engine"
+)
+
+const (
+	leaseTimeout = 2 * time.Second
+	orderTimeout = 30 * time.Second
+)
+
+// Order gives one order to the engine. The agent is the one way to its engine,
+// so checking the fence here covers engines that ignore it.
+func (s server) Order(ctx context.Context, q *pb.OrderRequest) (*pb.OrderReply, error) {
+	a := s.agent
+	if a.engine == nil {
+		return orderRefused(pb.Reason_REASON_INVALID, "A plain service takes no orders."), nil
+	}
+	state := a.askFence(q)
+	if state == grant.FenceUnknown {
+		if err := a.learnFence(ctx, q.GetScope()); err != nil {
+			a.log.WithError(err).Warn("agent: Order refused, the lease can't be read.")
+			return orderRefused(pb.Reason_REASON_FENCED, "The agent knows no fence since its start and can't read the lease."), nil
+		}
+		state = a.askFence(q)
+	}
+	switch state {
+	case grant.FenceOK:
+		return a.runOrder(ctx, q)
+	case grant.FenceBusy:
+		return orderRefused(pb.Reason_REASON_FULL, "Another order runs."), nil
+	case grant.FenceOld, grant.FenceUnknown:
+	}
+	return orderRefused(pb.Reason_REASON_FENCED, "The fencing number is old."), nil
+}
+
+func orderRefused(reason pb.Reason, detail string) *pb.OrderReply {
+	return &pb.OrderReply{Refusal: &pb.Refusal{
+		Reason: reason, Verdict: pb.Verdict_VERDICT_NOT_RUN, Detail: detail,
+	}}
+}
+
+func (a *Agent) askFence(q *pb.OrderRequest) (state grant.FenceState) {
+	a.step(func(c *grant.Core, _ time.Duration) { state = c.Order(q.GetScope(), q.GetFence()) })
+	return state
+}
+
+var errNoLease = errors.New("no reader of leases")
+
+func (a *Agent) learnFence(ctx context.Context, scope string) error {
+	if a.lease == nil {
+		return errNoLease
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	fence, err := a.lease(ctx, scope)
+	if err != nil {
+		return err
+	}
+	a.step(func(c *grant.Core, _ time.Duration) { c.LearnFence(scope, fence) })
+	return nil
+}
+
+// runOrder answers by the end of ctx, but repeats the order until the engine
+// has answered it. An order without an answer may still take effect; letting
+// the next one past it could leave the engine in the older state.
+func (a *Agent) runOrder(ctx context.Context, q *pb.OrderRequest) (*pb.OrderReply, error) {
+	answered := make(chan error, 1)
+	a.work.Go(func() {
+		answered <- a.repeatOrder(engine.Order{
+			Fence: q.GetFence(), Kind: q.GetKind(), Value: q.GetValue(), Operation: q.GetOperation(),
+		})
+		a.step(func(c *grant.Core, _ time.Duration) { c.OrderDone() })
+	})
+	select {
+	case err := <-answered:
+		return orderReply(err), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (a *Agent) repeatOrder(o engine.Order) error {
+	backoff := firstBackoff
+	for {
+		ctx, cancel := context.WithTimeout(a.life, orderTimeout)
+		err := a.engine.Order(ctx, o)
+		cancel()
+		if err == nil || errors.Is(err, engine.ErrFenced) || errors.Is(err, engine.ErrInvalid) || a.life.Err() != nil {
+			return err
+		}
+		a.log.WithError(err).Warn("agent: Order not answered, repeating it.")
+		select {
+		case <-a.life.Done():
+			return err
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func orderReply(err error) *pb.OrderReply {
+	switch {
+	case err == nil:
+		return &pb.OrderReply{}
+	case errors.Is(err, engine.ErrFenced):
+		return orderRefused(pb.Reason_REASON_FENCED, "The engine refused the fencing number.")
+	case errors.Is(err, engine.ErrInvalid):
+		return orderRefused(pb.Reason_REASON_INVALID, "The engine rejected the order.")
+	}
+	return &pb.OrderReply{Refusal: &pb.Refusal{
+		Reason: pb.Reason_REASON_SERVER_LOST, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN, Detail: err.Error(),
+	}}
+}
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,187 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agent/grant"
+)
+
+// run is the work of one started attempt. It belongs to the agent and not to
+// the RPC that began it, so that an entry whose connection went silent finds
+// it again over a new one.
+type run struct {
+	key    grant.Key
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	imported bool
+	tokens   []*pb.Token
+	end      *pb.DecodeEnd
+	prefill  *pb.PrefillReply
+	refusal  *grant.Refusal
+	// stopped is why the core cancelled the run; lost that its server is gone.
+	stopped *grant.Refusal
+	lost    bool
+	ended   bool
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+func newRun(life context.Context, k grant.Key, limit time.Duration) *run {
+	r := &run{key: k, changed: make(chan struct{})}
+	r.ctx, r.cancel = context.WithTimeout(life, limit)
+	return r
+}
+
+// change runs f under the lock and wakes all who watch, unless the run ended.
+func (r *run) change(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return
+	}
+	f()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// stop tells the watchers at once that the attempt is over; its work ends when
+// the engine is rid of it.
+func (r *run) stop(why *grant.Refusal) {
+	r.mu.Lock()
+	r.stopped = why
+	r.mu.Unlock()
+	r.cancel()
+}
+
+func (r *run) lose(why *grant.Refusal) {
+	r.change(func() {
+		r.lost = true
+		r.refusal = why
+		r.ended = true
+	})
+	r.cancel()
+}
+
+func (r *run) fail(why *grant.Refusal) {
+	r.change(func() {
+		r.refusal = why
+		r.ended = true
+	})
+}
+
+func (r *run) stopReason() *grant.Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped
+}
+
+func (r *run) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
+}
+
+func (r *run) begun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.tokens) > 0
+}
+
+// progress is what a watcher sees of a run.
+type progress struct {
+	imported bool
+	tokens   []*pb.Token
+	end      *pb.DecodeEnd
+	prefill  *pb.PrefillReply
+	refusal  *grant.Refusal
+	ended    bool
+	changed  <-chan struct{}
+}
+
+// watch returns the tokens from index on, and what else is known. The first
+// token of the run has the index base.
+func (r *run) watch(index, base uint32) progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := progress{
+		imported: r.imported, end: r.end, prefill: r.prefill,
+		refusal: r.refusal, ended: r.ended, changed: r.changed,
+	}
+	skip := 0
+	if index > base {
+		skip = min(int(index-base), len(r.tokens))
+	}
+	p.tokens = r.tokens[skip:len(r.tokens):len(r.tokens)]
+	return p
+}
+
+// beginRun starts the work of a grant, or returns the run of it that is there.
+// It returns the refusal if there is neither.
+func (a *Agent) beginRun(k grant.Key, entry string, attachOnly bool, limit time.Duration, work func(r *run)) (r *run, no *grant.Refusal) {
+	a.step(func(c *grant.Core, now time.Duration) {
+		if a.runs[k] != nil && c.Owns(k, entry) {
+			r = a.runs[k]
+			return
+		}
+		if attachOnly {
+			no = c.Missing(now, k)
+			return
+		}
+		if r, no = a.startRun(c, now, k, entry, limit); no == nil {
+			a.work.Go(func() { work(r) })
+		}
+	})
+	return r, no
+}
+
+// startRun is called within a step.
+func (a *Agent) startRun(c *grant.Core, now time.Duration, k grant.Key, entry string, limit time.Duration) (*run, *grant.Refusal) {
+	if no := c.Start(now, k, entry); no != nil {
+		countRefusal(no.Reason)
+		return nil, no
+	}
+	r := newRun(a.life, k, limit)
+	a.runs[k] = r
+	return r, nil
+}
+
+// send marks r as sent. If it returns false the core has stopped r.
+func (a *Agent) send(r *run) bool {
+	ok := false
+	a.step(func(c *grant.Core, now time.Duration) { ok = c.Send(now, r.key) })
+	return ok
+}
+
+// done ends r: the backend server holds nothing but a result, if keep is above
+// 0. The run stays for those who attach as long as the result.
+func (a *Agent) done(r *run, keep time.Duration) {
+	r.cancel()
+	a.step(func(c *grant.Core, now time.Duration) {
+		if a.runs[r.key] != r {
+			return
+		}
+		if keep <= 0 {
+			delete(a.runs, r.key)
+		}
+		c.Done(now, r.key, keep)
+	})
+}
+
+// cancelAll ends all runs when a graceful stop has run out of time.
+func (a *Agent) cancelAll() {
+	a.mu.Lock()
+	runs := make([]*run, 0, len(a.runs))
+	for _, r := range a.runs {
+		runs = append(runs, r)
+	}
+	a.mu.Unlock()
+	for _, r := range runs {
+		r.stop(&grant.Refusal{Reason: pb.Reason_REASON_LEAVING, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN})
+	}
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,218 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agent/grant"
+	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/settings"
+)
+
+// headerRequest tells a plain service the id of the request.
+const headerRequest = "Jayford-Request"
+
+const (
+	dialTimeout    = time.Second
+	maxAnswerBytes = 32 << 20
+)
+
+// hopHeaders concern one connection only, or are set anew, and aren't passed on.
+var hopHeaders = [...]string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect", headerRequest,
+}
+
+// errConverse marks a failure after the request may have reached the service.
+var errConverse = errors.New("the service closed without an answer")
+
+// dial opens a connection for one call. A kept connection may have been closed
+// by the service unseen, and a request lost on it would be "may have run"
+// without need.
+func (a *Agent) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return new(net.Dialer).DialContext(ctx, "tcp", a.cfg.Backend)
+}
+
+// exchange sends q over conn and reads the answer. The end of ctx closes the
+// connection, which tells the service that the caller is gone.
+//
+// fasthttp repeats a GET whose connection closed without an answer, up to five
+// times; the service would run it as often. Both of its switches are off, and
+// a second dial fails.
+func exchange(ctx context.Context, conn net.Conn, q *fasthttp.Request, out *fasthttp.Response) error {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	client := &fasthttp.HostClient{
+		Addr:                      conn.RemoteAddr().String(),
+		Dial:                      once(conn),
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxAnswerBytes,
+		MaxConns:                  1,
+		DisablePathNormalizing:    true,
+		NoDefaultUserAgentHeader:  true,
+	}
+	deadline, _ := ctx.Deadline()
+	return client.DoDeadline(q, out, deadline)
+}
+
+var errDialled = errors.New("a call has one connection")
+
+// once hands out conn a single time.
+func once(conn net.Conn) fasthttp.DialFunc {
+	var used atomic.Bool
+	return func(string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, errDialled
+		}
+		return conn, nil
+	}
+}
+
+// Call runs one request at the plain service.
+func (s server) Call(ctx context.Context, q *pb.CallRequest) (*pb.CallReply, error) {
+	a, k := s.agent, key(q.GetAttempt(), pb.Phase_PHASE_CALL)
+	no, err := a.reserveCall(ctx, k, q)
+	if err != nil {
+		return nil, err
+	}
+	reply := &pb.CallReply{Incarnation: a.incarnation}
+	if no == nil {
+		no = a.call(ctx, k, q, reply)
+	}
+	reply.Refusal, reply.Load = refusal(no), a.Load()
+	return reply, nil
+}
+
+// reserveCall takes a slot unless the entry has reserved one.
+func (a *Agent) reserveCall(ctx context.Context, k grant.Key, q *pb.CallRequest) (*grant.Refusal, error) {
+	if a.cfg.BackendKind != settings.BackendService {
+		return &grant.Refusal{Reason: pb.Reason_REASON_INVALID, Verdict: pb.Verdict_VERDICT_NOT_RUN}, nil
+	}
+	entry := q.GetAttempt().GetEntry()
+	a.mu.Lock()
+	held := a.core.Owns(k, entry)
+	a.mu.Unlock()
+	if held {
+		return nil, nil
+	}
+	var wait time.Duration
+	if q.GetExclusive() {
+		wait = limitOf(q.GetDeadlineMs())
+	}
+	return a.reserve(ctx, grant.Request{
+		Key: k, Entry: entry, Incarnation: q.GetIncarnation(),
+		Fingerprint: q.GetFingerprint(), Exclusive: q.GetExclusive(), Wait: wait,
+	})
+}
+
+// call starts a granted call and waits for its end. A call has no stream to
+// attach to, so it ends with the RPC of its entry.
+func (a *Agent) call(ctx context.Context, k grant.Key, q *pb.CallRequest, reply *pb.CallReply) (no *grant.Refusal) {
+	var r *run
+	entry := q.GetAttempt().GetEntry()
+	a.step(func(c *grant.Core, now time.Duration) {
+		r, no = a.startRun(c, now, k, entry, limitOf(q.GetDeadlineMs()))
+	})
+	if no != nil {
+		return no
+	}
+	stop := context.AfterFunc(ctx, func() { a.release(k, entry) })
+	defer stop()
+	if err := a.converse(r, q, reply); err != nil {
+		a.abandon(r, err)
+		return r.watch(0, 0).refusal
+	}
+	a.done(r, 0)
+	return nil
+}
+
+// converse is sure that nothing ran until the core has marked r as sent.
+func (a *Agent) converse(r *run, q *pb.CallRequest, reply *pb.CallReply) error {
+	req, out := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(out)
+	if err := fillRequest(req, q, a.cfg.Backend); err != nil {
+		return eris.Wrap(engine.ErrInvalid, err.Error())
+	}
+	out.SkipBody = req.Header.IsHead()
+	conn, err := a.dial(r.ctx)
+	if err != nil {
+		return eris.Wrap(engine.ErrUnreachable, err.Error())
+	}
+	defer conn.Close()
+	if !a.send(r) {
+		return engine.ErrCancelled
+	}
+	if err := exchange(r.ctx, conn, req, out); err != nil {
+		return eris.Wrap(errConverse, err.Error())
+	}
+	fillReply(reply, out)
+	return nil
+}
+
+func fillRequest(req *fasthttp.Request, q *pb.CallRequest, backend string) error {
+	req.Header.DisableNormalizing()
+	req.Header.SetMethod(q.GetMethod())
+	req.Header.SetHost(backend)
+	named := connectionHeaders(q.GetHeaders())
+	for _, h := range q.GetHeaders() {
+		switch {
+		case strings.EqualFold(h.GetKey(), fasthttp.HeaderHost):
+			req.Header.SetHost(h.GetValue())
+		case passes(h.GetKey(), named):
+			req.Header.Add(h.GetKey(), h.GetValue())
+		}
+	}
+	req.SetRequestURI(q.GetUri())
+	req.Header.Set(headerRequest, q.GetAttempt().GetRequest())
+	req.SetConnectionClose()
+	req.SetBodyRaw(q.GetBody())
+	return req.URI().Parse(req.Header.Host(), req.Header.RequestURI())
+}
+
+func fillReply(reply *pb.CallReply, out *fasthttp.Response) {
+	reply.Status = uint32(out.StatusCode())
+	reply.Body = append([]byte(nil), out.Body()...)
+	var all []*pb.Header
+	for k, v := range out.Header.All() {
+		all = append(all, &pb.Header{Key: string(k), Value: string(v)})
+	}
+	named := connectionHeaders(all)
+	for _, h := range all {
+		if passes(h.GetKey(), named) {
+			reply.Headers = append(reply.Headers, h)
+		}
+	}
+}
+
+// connectionHeaders returns the headers that the header Connection names.
+func connectionHeaders(all []*pb.Header) []string {
+	var out []string
+	for _, h := range all {
+		if !strings.EqualFold(h.GetKey(), fasthttp.HeaderConnection) {
+			continue
+		}
+		for name := range strings.SplitSeq(h.GetValue(), ",") {
+			out = append(out, strings.TrimSpace(name))
+		}
+	}
+	return out
+}
+
+func passes(name string, named []string) bool {
+	same := func(other string) bool { return strings.EqualFold(name, other) }
+	return !slices.ContainsFunc(hopHeaders[:], same) && !slices.ContainsFunc(named, same)
+}
