--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,274 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Headers of requests and answers.
+const (
+	headerOrganisation = "Jayford-Organisation"
+	headerPriority     = "Jayford-Priority"
+	headerDeadline     = "Jayford-Deadline"
+	headerVerdict      = "Jayford-Verdict"
+	headerAttempts     = "Jayford-Attempts"
+)
+
+// Outcome says how a request ended for its caller.
+type Outcome string
+
+// Outcomes.
+const (
+	// Whole: the answer came to its marked end.
+	Whole Outcome = "whole"
+	// Refused: an error with a verdict, before any part of the answer.
+	Refused Outcome = "refused"
+	// Broken: part of the answer, then an error that says so.
+	Broken Outcome = "broken"
+	// Cut: part of the answer, then its end without a mark or an error.
+	Cut Outcome = "cut"
+	// Failed: neither an answer nor an error with a verdict.
+	Failed Outcome = "failed"
+	// TimedOut: the client gave up after the deadline and its grace.
+	TimedOut Outcome = "timed-out"
+	// Wrong: a whole answer that the check rejected.
+	Wrong Outcome = "wrong"
+)
+
+// Answer is what came back for one request. Times count from the run's start.
+type Answer struct {
+	Outcome Outcome
+	Status  int
+	// Verdict and Code of an error.
+	Verdict  string
+	Code     string
+	Attempts int
+	// Text of a completion, or the body of a plain call.
+	Text         string
+	FinishReason string
+	Tokens       int
+	First        time.Duration
+	Last         time.Duration
+	// MaxGap is the longest wait between two parts of the answer.
+	MaxGap time.Duration
+	// Err is the client's own error, for the log.
+	Err error
+}
+
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+type chunk struct {
+	Choices []choice   `json:"choices"`
+	Usage   *usage     `json:"usage"`
+	Error   *errorBody `json:"error"`
+}
+
+type choice struct {
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type errorBody struct {
+	Code    string `json:"code"`
+	Verdict string `json:"verdict"`
+	Message string `json:"message"`
+}
+
+// maxErrorBytes bounds an error's body.
+const maxErrorBytes = 64 << 10
+
+var (
+	errTooLong  = errors.New("load: answer over its bound")
+	errBadEvent = errors.New("load: event that is no JSON")
+)
+
+// sender sends single requests.
+type sender struct {
+	client    *http.Client
+	start     time.Time
+	maxAnswer int64
+}
+
+func (s *sender) since() time.Duration { return time.Since(s.start) }
+
+// send sends one request to target ("ip:port") and reads its whole answer.
+func (s *sender) send(ctx context.Context, target string, r Sent) Answer {
+	request, err := newRequest(ctx, target, r)
+	if err != nil {
+		return Answer{Outcome: Failed, Err: err}
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return Answer{Outcome: failure(ctx, Failed), Err: err}
+	}
+	defer response.Body.Close()
+	a := Answer{Status: response.StatusCode, First: s.since()}
+	a.Attempts, _ = strconv.Atoi(response.Header.Get(headerAttempts))
+	a.Verdict = response.Header.Get(headerVerdict)
+	body := io.LimitReader(response.Body, s.maxAnswer+1)
+	switch {
+	case response.StatusCode >= http.StatusBadRequest || a.Verdict != "":
+		readRefusal(&a, body)
+	case r.Kind == KindCall:
+		s.readCall(ctx, &a, body)
+	default:
+		s.readStream(ctx, &a, body)
+	}
+	return a
+}
+
+func newRequest(ctx context.Context, target string, r Sent) (*http.Request, error) {
+	method, path, body := http.MethodGet, r.Path, []byte(nil)
+	if r.Kind == KindCompletion {
+		method, path = http.MethodPost, "/v1/completions"
+		text, err := json.Marshal(completionBody{r.Model, r.Prompt, r.MaxTokens, true})
+		if err != nil {
+			return nil, eris.Wrap(err, "load")
+		}
+		body = text
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+target+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "load")
+	}
+	if r.Kind == KindCompletion {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	request.Header.Set(headerOrganisation, r.Organisation)
+	request.Header.Set(headerPriority, r.Priority)
+	request.Header.Set(headerDeadline, r.Deadline.String())
+	return request, nil
+}
+
+// failure returns TimedOut if ctx has ended, and otherwise o.
+func failure(ctx context.Context, o Outcome) Outcome {
+	if ctx.Err() != nil {
+		return TimedOut
+	}
+	return o
+}
+
+// readRefusal reads an error's code, which stands in the body as
+// {"error": {"code": ...}}.
+func readRefusal(a *Answer, body io.Reader) {
+	a.Outcome = Refused
+	if a.Verdict == "" {
+		a.Outcome = Failed
+	}
+	var c chunk
+	if json.NewDecoder(io.LimitReader(body, maxErrorBytes)).Decode(&c) == nil && c.Error != nil {
+		a.Code = c.Error.Code
+	}
+}
+
+func (s *sender) readCall(ctx context.Context, a *Answer, body io.Reader) {
+	text, err := io.ReadAll(body)
+	a.Last = s.since()
+	a.First = a.Last
+	a.Text = string(text)
+	switch {
+	case err != nil:
+		a.Outcome, a.Err = failure(ctx, Cut), err
+	case int64(len(text)) > s.maxAnswer:
+		a.Outcome, a.Err = Failed, errTooLong
+	default:
+		a.Outcome = Whole
+	}
+}
+
+const (
+	eventPrefix = "data:"
+	eventDone   = "[DONE]"
+)
+
+// readStream reads server-sent events up to the closing [DONE].
+func (s *sender) readStream(ctx context.Context, a *Answer, body io.Reader) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), 1<<20)
+	var text strings.Builder
+	for lines.Scan() {
+		data, isEvent := strings.CutPrefix(lines.Text(), eventPrefix)
+		if !isEvent {
+			continue
+		}
+		end := s.readEvent(a, &text, strings.TrimSpace(data))
+		if end {
+			a.Text = text.String()
+			return
+		}
+	}
+	a.Text = text.String()
+	a.Outcome, a.Err = failure(ctx, Cut), lines.Err()
+}
+
+// readEvent takes in one event and reports whether it ends the stream.
+func (s *sender) readEvent(a *Answer, text *strings.Builder, data string) bool {
+	if data == eventDone {
+		a.Outcome = Whole
+		return true
+	}
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		a.Outcome, a.Err = Failed, errBadEvent
+		return true
+	}
+	if c.Error != nil {
+		s.readStreamError(a, c.Error, text.Len() > 0)
+		return true
+	}
+	if c.Usage != nil {
+		a.Tokens = c.Usage.CompletionTokens
+	}
+	if len(c.Choices) == 0 {
+		return false
+	}
+	if part := c.Choices[0]; part.Text != "" {
+		s.notePart(a, text.Len() == 0, c.Usage == nil)
+		text.WriteString(part.Text)
+	}
+	if reason := c.Choices[0].FinishReason; reason != "" {
+		a.FinishReason = reason
+	}
+	return false
+}
+
+func (s *sender) readStreamError(a *Answer, e *errorBody, begun bool) {
+	a.Code, a.Verdict, a.Outcome = e.Code, e.Verdict, Broken
+	if !begun && e.Verdict != "" {
+		a.Outcome = Refused
+	}
+}
+
+// notePart notes the time of one part of the text. A part counts as one token
+// until the stream gives the number itself.
+func (s *sender) notePart(a *Answer, first, count bool) {
+	now := s.since()
+	if first {
+		a.First = now
+	} else {
+		a.MaxGap = max(a.MaxGap, now-a.Last)
+	}
+	a.Last = now
+	if count {
+		a.Tokens++
+	}
+}
