--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,293 @@
+// Package claim decides, for the whole system, which request with a given
+// idempotency key may run. It guarantees that of all requests with one key, sent
+// through any entries at any time within Retention, at most one is told to run.
+//
+// The claims live in the platform's object API, grouped: the key space is split
+// into shards of one object each, written by conditional update. The store's
+// check of the version is what makes a claim exclusive; no process is a home for
+// a key, so no failure of a process can forget one. Claims that arrive while a
+// shard's write is under way go out together with the next one.
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/verdict"
+)
+
+const (
+	// Retention is how long a key stays claimed.
+	Retention = 24 * time.Hour
+	// shards is how many objects share the key space. With 90 claims a second
+	// in the whole system two entries rarely write the same one at once.
+	shards = 256
+	// settleWithin bounds one round of reading and writing a shard.
+	settleWithin = 2 * time.Second
+	// retryAfter is told to callers when the platform doesn't answer.
+	retryAfter = 2 * time.Second
+	keyBytes   = 16
+)
+
+var (
+	granted  = metrics.NewCounter(`jayford_claims_total{result="granted"}`)
+	held     = metrics.NewCounter(`jayford_claims_total{result="held"}`)
+	failed   = metrics.NewCounter(`jayford_claims_total{result="failed"}`)
+	rewrites = metrics.NewCounter("jayford_claim_conflicts_total")
+)
+
+// Claimer claims keys for one entry.
+type Claimer struct {
+	store platform.Store
+	entry string
+	now   func() time.Time
+
+	shards [shards]shard
+}
+
+type shard struct {
+	mu sync.Mutex
+	// All below is guarded by mu.
+	waiting []*pending
+	writing bool
+	// version and claims are what the store last said.
+	version uint64
+	claims  []object.Claim
+}
+
+// pending is one change that waits for the shard's next write.
+type pending struct {
+	claim object.Claim
+	free  bool
+	done  chan *verdict.Error
+}
+
+// New returns a Claimer for the entry with the given instance id.
+func New(store platform.Store, entry string) *Claimer {
+	return &Claimer{store: store, entry: entry, now: time.Now}
+}
+
+// Claim returns nil if the request may run: its key is its own now. The error
+// Duplicate says that another request has the key and may have run. The error
+// PlatformDown says that the platform gave no answer; the request has not run.
+func (c *Claimer) Claim(ctx context.Context, organisation, key, request string) *verdict.Error {
+	return c.change(ctx, organisation, key, request, false)
+}
+
+// Free gives the key back after the request is known not to have run, so that
+// its caller may send it again.
+func (c *Claimer) Free(ctx context.Context, organisation, key, request string) *verdict.Error {
+	return c.change(ctx, organisation, key, request, true)
+}
+
+func (c *Claimer) change(ctx context.Context, organisation, key, request string, free bool) *verdict.Error {
+	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
+	p := &pending{
+		free: free,
+		done: make(chan *verdict.Error, 1),
+		claim: object.Claim{
+			Key:     base64.RawURLEncoding.EncodeToString(sum[:keyBytes]),
+			Request: request, Entry: c.entry, Until: c.now().Add(Retention),
+		},
+	}
+	n := int(sum[len(sum)-1])
+	s := &c.shards[n]
+	s.mu.Lock()
+	s.waiting = append(s.waiting, p)
+	if !s.writing {
+		s.writing = true
+		go c.write(n)
+	}
+	s.mu.Unlock()
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+		if !free {
+			go c.undo(p, organisation, key, request)
+		}
+		return verdict.New(verdict.NotRun, verdict.Deadline, "The deadline passed before the key was claimed.")
+	}
+}
+
+// undo frees a key that was claimed after its request had been given up: the
+// request didn't run, and its caller may send it again.
+func (c *Claimer) undo(p *pending, organisation, key, request string) {
+	if <-p.done != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleWithin)
+	defer cancel()
+	_ = c.Free(ctx, organisation, key, request)
+}
+
+// write serves the shard's waiting changes in groups until none is left.
+func (c *Claimer) write(n int) {
+	s := &c.shards[n]
+	for {
+		s.mu.Lock()
+		group := s.waiting
+		s.waiting = nil
+		s.writing = len(group) > 0
+		s.mu.Unlock()
+		if len(group) == 0 {
+			return
+		}
+		c.writeGroup(n, group)
+	}
+}
+
+// writeGroup settles a group. The shard as last seen is tried first; a conflict
+// or a lost reply is followed by a fresh read. A lost reply does no harm: a claim
+// is granted only once it has been seen in the store with this request's id,
+// and a late first write fails on its version.
+func (c *Claimer) writeGroup(n int, group []*pending) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleWithin)
+	defer cancel()
+	s := &c.shards[n]
+	name := fmt.Sprintf("shard-%02x", n)
+	for ctx.Err() == nil {
+		next := c.apply(s, group)
+		if !next.changed {
+			if c.confirmed(ctx, s, name) {
+				c.answer(s, group)
+				return
+			}
+			continue
+		}
+		err := c.put(ctx, s, name, next.claims)
+		if err == nil {
+			c.answer(s, group)
+			return
+		}
+		rewrites.Inc()
+		if errors.Is(err, platform.ErrUnavailable) {
+			break
+		}
+		if !c.read(ctx, s, name) {
+			break
+		}
+	}
+	for _, p := range group {
+		failed.Inc()
+		p.done <- verdict.New(verdict.NotRun, verdict.PlatformDown,
+			"The platform doesn't answer; the key can't be claimed now.").After(retryAfter)
+	}
+}
+
+type applied struct {
+	claims  []object.Claim
+	changed bool
+}
+
+// apply works out the shard's claims with the group's changes.
+func (c *Claimer) apply(s *shard, group []*pending) applied {
+	now := c.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := applied{claims: make([]object.Claim, 0, len(s.claims)+len(group))}
+	index := make(map[string]int, len(s.claims))
+	for _, cl := range s.claims {
+		if cl.Until.After(now) {
+			index[cl.Key] = len(out.claims)
+			out.claims = append(out.claims, cl)
+		}
+	}
+	for _, p := range group {
+		i, taken := index[p.claim.Key]
+		switch {
+		case p.free && taken && out.claims[i].Request == p.claim.Request:
+			out.claims[i].Until = now
+			out.changed = true
+		case !p.free && !taken:
+			index[p.claim.Key] = len(out.claims)
+			out.claims = append(out.claims, p.claim)
+			out.changed = true
+		}
+	}
+	return out
+}
+
+// confirmed reads the shard when nothing would be written: what it last said
+// may be old, and a claim that it shows may have been freed since.
+func (c *Claimer) confirmed(ctx context.Context, s *shard, name string) bool {
+	s.mu.Lock()
+	before := s.version
+	s.mu.Unlock()
+	if !c.read(ctx, s, name) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version == before
+}
+
+// read refreshes the shard from the store. It returns false if that failed.
+func (c *Claimer) read(ctx context.Context, s *shard, name string) bool {
+	o, err := c.store.Get(ctx, object.KindClaims, name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return false
+	}
+	var claims object.Claims
+	if err == nil {
+		if json.Unmarshal(o.Spec, &claims) != nil {
+			return false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = o.Version
+	s.claims = claims.Claims
+	return true
+}
+
+func (c *Claimer) put(ctx context.Context, s *shard, name string, claims []object.Claim) error {
+	spec, err := json.Marshal(object.Claims{Format: object.Format, Claims: claims})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
+	v, err := c.store.Put(ctx, platform.Object{
+		Kind: object.KindClaims, Name: name, Version: version, Operation: platform.NewOperation(), Spec: spec,
+	})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = v
+	s.claims = claims
+	return nil
+}
+
+// answer tells each of the group what the store now says.
+func (c *Claimer) answer(s *shard, group []*pending) {
+	s.mu.Lock()
+	owner := make(map[string]string, len(s.claims))
+	for _, cl := range s.claims {
+		owner[cl.Key] = cl.Request
+	}
+	s.mu.Unlock()
+	for _, p := range group {
+		if p.free || owner[p.claim.Key] == p.claim.Request {
+			granted.Inc()
+			p.done <- nil
+			continue
+		}
+		held.Inc()
+		p.done <- verdict.New(verdict.MayHaveRun, verdict.Duplicate,
+			"A request with this key was sent before; it may have run.")
+	}
+}
--- /dev/null
+++ b/internal/entry/caller.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	// pipelinedPoll is how often a caller that has sent more bytes already is
+	// looked at; its close can't be seen by a read then.
+	pipelinedPoll = 100 * time.Millisecond
+)
+
+// listener bounds each write to a caller and the time until a vanished caller
+// is found by the kernel.
+type listener struct {
+	*net.TCPListener
+	writeTimeout time.Duration
+}
+
+// Accept returns the next caller's connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	// A caller behind a dead link sends no close. Without keep-alive probes
+	// its request would hold engine memory until the deadline.
+	_ = c.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	})
+	return &callerConn{TCPConn: c, writeTimeout: l.writeTimeout}, nil
+}
+
+// callerConn is a caller's connection. Each write has its own deadline: one
+// deadline for a whole answer would cut long streams, none would let a caller
+// that doesn't read hold a request for ever.
+type callerConn struct {
+	*net.TCPConn
+	writeTimeout time.Duration
+}
+
+// Write writes b within the write timeout.
+func (c *callerConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(b)
+}
+
+// watch returns a context that ends when the caller closes its connection.
+//
+// The HTTP library tells a handler nothing of a caller that left: the request
+// would keep its queue place, its slot and its engine memory. The watch parks
+// in the network poller and peeks at the socket when it becomes readable, so
+// that it costs nothing while nothing happens. stop ends the watch and must be
+// called before the connection is read again.
+func watch(parent context.Context, c net.Conn) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	cc, ok := c.(*callerConn)
+	if !ok {
+		return ctx, func() { cancel(nil) }
+	}
+	raw, err := cc.SyscallConn()
+	if err != nil {
+		return ctx, func() { cancel(nil) }
+	}
+	_ = cc.SetReadDeadline(time.Time{})
+	quit := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		if waitGone(raw, quit) {
+			cancel(errCallerGone)
+		}
+	}()
+	var once sync.Once
+	return ctx, func() {
+		once.Do(func() {
+			close(quit)
+			// A deadline in the past wakes the parked peek.
+			_ = cc.SetReadDeadline(time.Unix(1, 0))
+			wg.Wait()
+			_ = cc.SetReadDeadline(time.Time{})
+			cancel(nil)
+		})
+	}
+}
+
+var errCallerGone = errors.New("entry: caller gone")
+
+// waitGone returns true when the caller has closed, false when quit is closed.
+func waitGone(raw syscall.RawConn, quit <-chan struct{}) bool {
+	for {
+		state := peek(raw)
+		switch state {
+		case peekClosed:
+			return true
+		case peekData:
+			if pollGone(raw, quit) {
+				return true
+			}
+			return false
+		case peekWoken:
+		}
+		select {
+		case <-quit:
+			return false
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+type peekResult int
+
+const (
+	peekWoken peekResult = iota
+	peekClosed
+	peekData
+)
+
+// peek waits until the socket is readable and says why.
+func peek(raw syscall.RawConn) peekResult {
+	result := peekWoken
+	var buf [1]byte
+	err := raw.Read(func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+			return false
+		case err != nil || n == 0:
+			result = peekClosed
+		default:
+			result = peekData
+		}
+		return true
+	})
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return peekClosed
+	}
+	return result
+}
+
+// pollGone asks the kernel now and then whether the caller closed its side
+// behind bytes that are not read yet (a pipelined request).
+func pollGone(raw syscall.RawConn, quit <-chan struct{}) bool {
+	tick := time.NewTicker(pipelinedPoll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-quit:
+			return false
+		case <-tick.C:
+		}
+		gone := false
+		err := raw.Control(func(fd uintptr) {
+			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			n, err := unix.Poll(fds, 0)
+			gone = err == nil && n > 0
+		})
+		if gone || err != nil {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/choose.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agents"
+	"jayford.example/jayford/internal/policy/place"
+)
+
+// staleHint stands for the age of a hint that doesn't exist.
+const staleHint = time.Hour
+
+// choose ranks the servers of a phase for a generation.
+func (e *Entry) choose(phase pb.Phase, g *generation, zone string) []target {
+	all := g.to.targets.decode
+	if phase == pb.Phase_PHASE_PREFILL {
+		all = g.to.targets.prefill
+	}
+	usable := e.usable(all, g.exclude)
+	req := place.Request{
+		PromptTokens: g.r.promptTokens, MaxTokens: g.r.maxTokens, AvailabilityZone: zone,
+		Interactive: g.to.choice.Priority == Interactive,
+	}
+	if zone == "" {
+		req.AvailabilityZone = e.settings.AvailabilityZone
+	}
+	cands := e.candidates(usable)
+	opt := e.placeOptions(len(all))
+	if phase == pb.Phase_PHASE_PREFILL {
+		e.addCached(cands, g.r)
+		return ranked(usable, place.Prefill(cands, req, opt, e.random()))
+	}
+	return ranked(usable, place.Decode(cands, req, opt, e.random()))
+}
+
+// chooseService ranks the servers of a plain service.
+func (e *Entry) chooseService(all []target, exclude map[string]bool) []target {
+	usable := e.usable(all, exclude)
+	req := place.Request{AvailabilityZone: e.settings.AvailabilityZone, Interactive: true}
+	return ranked(usable, place.Service(e.candidates(usable), req, e.placeOptions(len(all)), e.random()))
+}
+
+// usable leaves out excluded servers, and cuts a big pool to this entry's
+// subset. If all are excluded, all are used again: a server that failed once is
+// better than none.
+func (e *Entry) usable(all []target, exclude map[string]bool) []target {
+	out := make([]target, 0, len(all))
+	for _, t := range all {
+		if !exclude[t.id] {
+			out = append(out, t)
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, all...)
+	}
+	return e.subset(out)
+}
+
+func (e *Entry) subset(all []target) []target {
+	n := e.settings.Policy.Subset
+	if len(all) <= n {
+		return all
+	}
+	ids := make([]string, len(all))
+	byID := make(map[string]target, len(all))
+	for i, t := range all {
+		ids[i] = t.id
+		byID[t.id] = t
+	}
+	out := make([]target, 0, n)
+	for _, id := range place.Subset(e.settings.ID, ids, n) {
+		out = append(out, byID[id])
+	}
+	return out
+}
+
+func (e *Entry) placeOptions(pool int) place.Options {
+	p := e.settings.Policy
+	return place.Options{
+		Mode: p.Placement, Turn: e.turn.Add(1), Subset: p.Subset, Pool: pool, CacheWeight: p.WastedPrefillWeight,
+	}
+}
+
+func (e *Entry) candidates(list []target) []place.Candidate {
+	now := time.Now()
+	out := make([]place.Candidate, len(list))
+	for i, t := range list {
+		out[i] = candidate(t, e.agents.Hint(t.id), now)
+		out[i].Doubted = e.doubted(t.id)
+	}
+	return out
+}
+
+func candidate(t target, h agents.Hint, now time.Time) place.Candidate {
+	c := place.Candidate{ID: t.id, AvailabilityZone: t.zone, Age: staleHint, Pending: h.Pending, PendingTokens: h.PendingTokens}
+	l := h.Load
+	if l == nil {
+		return c
+	}
+	c.Age = now.Sub(h.At)
+	c.Slots = int(l.Slots)
+	c.Used = int(l.Used)
+	c.Queued = int(l.Queued)
+	c.QueuedTokens = int64(l.QueuedTokens)
+	c.PrefillPerThousand = time.Duration(l.PrefillUs) * time.Microsecond
+	c.TokenTime = time.Duration(l.TokenUs) * time.Microsecond
+	c.Doubted = l.Down || l.Leaving
+	return c
+}
+
+func ranked(list []target, order []int) []target {
+	out := make([]target, len(order))
+	for i, n := range order {
+		out[i] = list[n]
+	}
+	return out
+}
+
+// predictPrefill is how long a prefill at t should take from now on.
+func (e *Entry) predictPrefill(t target, r *request) time.Duration {
+	c := candidate(t, e.agents.Hint(t.id), time.Now())
+	return place.PredictTTFT(c, place.Request{PromptTokens: r.promptTokens, MaxTokens: r.maxTokens})
+}
+
+func (e *Entry) random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// addCached sets the cached part of the prompt at each candidate.
+func (e *Entry) addCached(list []place.Candidate, r *request) {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	for i := range list {
+		list[i].CachedTokens = e.prefixes.Cached(list[i].ID, r.hashes)
+	}
+}
+
+// observed notes what a prefill showed of a server's cache.
+func (e *Entry) observed(id string, r *request, cached int) {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	e.prefixes.Observed(id, r.hashes, cached)
+}
--- /dev/null
+++ b/internal/entry/gate.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jayford.example/jayford/internal/policy/admit"
+	"jayford.example/jayford/internal/verdict"
+)
+
+const (
+	// reserving bounds how many requests of a pool ask agents at once. More
+	// would only make them refuse one another.
+	reserving = 16
+	sweep     = 50 * time.Millisecond
+)
+
+// gate lets the requests of one pool through in the order of the fair-share
+// queue, as fast as agents grant reservations.
+type gate struct {
+	mu sync.Mutex
+	// All below is guarded by mu.
+	queue   *admit.Queue
+	waiters map[string]*waiter
+	shares  *shares
+	busy    int
+	// paused: until then no request is let through, since all servers that
+	// were asked are full. A request that ends lifts it.
+	paused time.Time
+	timer  *time.Timer
+}
+
+type waiter struct {
+	turn    chan struct{}
+	expired chan struct{}
+}
+
+func newGate(q *admit.Queue) *gate {
+	return &gate{queue: q, waiters: make(map[string]*waiter)}
+}
+
+// enter waits for the item's turn. After it returned nil, leave or again must
+// be called.
+func (g *gate) enter(ctx context.Context, it admit.Item) *verdict.Error {
+	g.mu.Lock()
+	if err := g.queue.Push(time.Now(), it); err != nil {
+		g.mu.Unlock()
+		return err
+	}
+	w := g.addLocked(it.ID)
+	g.pumpLocked()
+	g.mu.Unlock()
+	return g.wait(ctx, it, w)
+}
+
+// again puts the item back to the head of its organisation and waits anew.
+// Requests behind it are held back for pause.
+func (g *gate) again(ctx context.Context, it admit.Item, pause time.Duration) *verdict.Error {
+	g.mu.Lock()
+	g.busy--
+	g.queue.Requeue(it)
+	w := g.addLocked(it.ID)
+	g.pauseLocked(pause)
+	g.mu.Unlock()
+	return g.wait(ctx, it, w)
+}
+
+// leave says that the item's reservation has ended, well or not.
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy--
+	g.pumpLocked()
+}
+
+// freed says that a request ended, so that a slot may be free.
+func (g *gate) freed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.paused = time.Time{}
+	g.pumpLocked()
+}
+
+func (g *gate) addLocked(id string) *waiter {
+	w := &waiter{turn: make(chan struct{}), expired: make(chan struct{})}
+	g.waiters[id] = w
+	return w
+}
+
+func (g *gate) wait(ctx context.Context, it admit.Item, w *waiter) *verdict.Error {
+	select {
+	case <-w.turn:
+		return nil
+	case <-w.expired:
+		return overloaded(it)
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-w.turn:
+		// The turn came at the same time: pass it on.
+		g.busy--
+		g.pumpLocked()
+	default:
+		delete(g.waiters, it.ID)
+		g.queue.Remove(it.ID)
+	}
+	return contextVerdict(ctx)
+}
+
+func overloaded(it admit.Item) *verdict.Error {
+	waited := time.Since(it.Enqueued)
+	return verdict.New(verdict.NotRun, verdict.Overloaded,
+		"No capacity came free in %s.", waited.Round(time.Millisecond)).After(max(waited, time.Second))
+}
+
+func (g *gate) pauseLocked(d time.Duration) {
+	until := time.Now().Add(d)
+	if until.After(g.paused) {
+		g.paused = until
+	}
+	g.pumpLocked()
+}
+
+// pumpLocked lets through what may go.
+func (g *gate) pumpLocked() {
+	now := time.Now()
+	for _, it := range g.queue.Expire(now) {
+		if w := g.waiters[it.ID]; w != nil {
+			delete(g.waiters, it.ID)
+			close(w.expired)
+		}
+	}
+	for g.busy < reserving && !now.Before(g.paused) {
+		it, ok := g.queue.Pop(now)
+		if !ok {
+			break
+		}
+		w := g.waiters[it.ID]
+		if w == nil {
+			continue
+		}
+		delete(g.waiters, it.ID)
+		g.busy++
+		close(w.turn)
+	}
+	g.armLocked(now)
+}
+
+// armLocked sets the timer for the end of the pause or the next sweep of
+// expired items.
+func (g *gate) armLocked(now time.Time) {
+	if g.queue.Len() == 0 {
+		return
+	}
+	d := sweep
+	if left := g.paused.Sub(now); left > 0 {
+		d = min(d, left)
+	}
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+	g.timer = time.AfterFunc(d, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.pumpLocked()
+	})
+}
+
+// length returns how many requests wait.
+func (g *gate) length() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Len()
+}
+
+// shares are the organisations' weights of one configuration.
+type shares struct{ byOrganisation map[string]float64 }
+
+// setShares takes the weights of the configuration in force, if they are new.
+func (g *gate) setShares(s *shares) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shares == s {
+		return
+	}
+	g.shares = s
+	g.queue.SetShares(s.byOrganisation)
+}
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,461 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agents"
+	"jayford.example/jayford/internal/policy/admit"
+	"jayford.example/jayford/internal/policy/blame"
+	"jayford.example/jayford/internal/policy/retry"
+	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/verdict"
+)
+
+const (
+	// grantIdle is how long a reservation may stand unused. It covers a
+	// prefill with its queue; an entry that dies frees it earlier by lapse.
+	grantIdle = 15 * time.Second
+	// fullPause holds the queue back after all servers asked were full.
+	fullPause = 20 * time.Millisecond
+	// reserveWait is how long an agent may queue a reservation for a slot.
+	reserveWait = 250 * time.Millisecond
+	// askAtMost bounds the agents asked for one reservation.
+	askAtMost = 3
+	// answerMargin is added to bounded waits for an agent's answer.
+	answerMargin = time.Second
+	// prefillBound is how long one prefill may take beyond its prediction.
+	prefillBound = 30 * time.Second
+)
+
+// generation is the work on one completion. It is used by one goroutine.
+type generation struct {
+	e   *Entry
+	r   *request
+	out *output
+	to  routed
+	log *logrus.Entry
+
+	gate   *gate
+	number uint32
+	// touched: an engine was asked to work, so the request may have run.
+	touched bool
+	// exclude names servers that failed this request.
+	exclude map[string]bool
+	// queued: the last error is the queue's.
+	queued bool
+	// failures and refusals count the tries that ended so.
+	failures int
+	refusals int
+	// suspect: it was on a server that crashed; it runs alone from now on.
+	suspect bool
+}
+
+// grant is a reservation at an agent.
+type grant struct {
+	conn    *agents.Conn
+	target  target
+	attempt *pb.Attempt
+	phase   pb.Phase
+}
+
+func (g *grant) release() {
+	if g != nil {
+		g.conn.Release(g.attempt, g.phase)
+	}
+}
+
+// generate answers r into out. It returns when the answer has ended and all
+// that was held for it has been released.
+func (e *Entry) generate(ctx context.Context, r *request, out *output) {
+	g := &generation{
+		e: e, r: r, out: out, exclude: make(map[string]bool),
+		log: e.log.WithFields(logrus.Fields{"request": r.id, "organisation": r.organisation}),
+	}
+	finish, err := g.run(ctx)
+	if err != nil {
+		err = g.final(ctx, err)
+	}
+	out.end(finish, err)
+}
+
+// final makes the verdict truthful: once an engine was asked, it may have run.
+func (g *generation) final(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if ctx.Err() != nil {
+		err = contextVerdict(ctx)
+	}
+	if g.touched || g.out.len() > 0 {
+		changed := *err
+		changed.Verdict = verdict.MayHaveRun
+		err = &changed
+	}
+	if err.Verdict == verdict.NotRun {
+		g.e.unclaim(g.r)
+	}
+	g.log.WithError(err).Info("entry: request ended without a whole answer.")
+	return err
+}
+
+func (g *generation) run(ctx context.Context) (string, *verdict.Error) {
+	to, err := g.e.routeRequest(g.r)
+	if err != nil {
+		return "", err
+	}
+	g.to = to
+	if !to.targets.generates() {
+		return "", verdict.New(verdict.NotRun, verdict.NoServer, "Pool %s has no live prefill or decode servers.", to.choice.Pool).After(time.Second)
+	}
+	if err := g.e.claim(ctx, g.r); err != nil {
+		return "", err
+	}
+	g.gate = g.e.gateOf(to.choice.Pool)
+	g.e.first(g.r.organisation, to.choice.Pool)
+	for {
+		if err := g.judge(); err != nil {
+			return "", err
+		}
+		finish, err := g.attempt(ctx)
+		if err == nil {
+			g.settle()
+			return finish, nil
+		}
+		if ctx.Err() != nil {
+			return "", contextVerdict(ctx)
+		}
+		if last := g.again(ctx, err); last != nil {
+			return "", last
+		}
+	}
+}
+
+// judge refuses a request that is known to crash servers.
+func (g *generation) judge() *verdict.Error {
+	switch g.e.blameOf(g.r.fingerprint) {
+	case blame.Convicted:
+		return crashes()
+	case blame.Suspect:
+		g.suspect = true
+	}
+	return nil
+}
+
+func crashes() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.Crashes, "This request crashes the servers that run it. Don't send it again.")
+}
+
+// settle clears a suspect that ran alone and was answered.
+func (g *generation) settle() {
+	if g.suspect {
+		g.e.cleared(g.r.fingerprint)
+	}
+}
+
+// again decides on another attempt. It returns nil if there is one, after the
+// wait before it, or else the final error.
+func (g *generation) again(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if g.queued {
+		// The queue itself refused: trying again at once would only cost.
+		return err
+	}
+	if err.Crashed {
+		g.e.crashed(g.r.fingerprint, err.CrashedAlone)
+	}
+	if retry.Refused(err) {
+		g.refusals++
+	} else {
+		g.failures++
+	}
+	d := g.e.retryDecision(err, retry.Try{
+		Organisation: g.r.organisation, Target: g.to.choice.Pool, Idempotent: g.r.idempotent,
+		Attempts: g.failures, Refusals: g.refusals, MayHaveRun: g.touched, Deadline: g.r.deadline,
+	})
+	if !d.Retry {
+		return d.Final
+	}
+	g.log.WithError(err).Info("entry: another attempt.")
+	if !sleep(ctx, d.After) {
+		return contextVerdict(ctx)
+	}
+	return nil
+}
+
+// attempt does one try: reservations, prefill, transfer and decode.
+func (g *generation) attempt(ctx context.Context) (string, *verdict.Error) {
+	g.out.attempt()
+	attemptsTotal.Inc()
+	it := g.item()
+	if err := g.gate.enter(ctx, it); err != nil {
+		g.queued = true
+		return "", err
+	}
+	defer g.gate.freed()
+	if g.e.settings.Policy.Reserve == settings.ReserveEarly {
+		return g.attemptEarly(ctx, it)
+	}
+	return g.attemptLate(ctx, it)
+}
+
+// attemptEarly reserves the decode slot before the prefill is paid for.
+func (g *generation) attemptEarly(ctx context.Context, it admit.Item) (string, *verdict.Error) {
+	decode, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_DECODE, "")
+	if err != nil {
+		return "", err
+	}
+	defer decode.release()
+	prefill, err := g.reserve(ctx, pb.Phase_PHASE_PREFILL, decode.target.zone, reserveWait)
+	g.gate.leave()
+	if err != nil {
+		return "", err
+	}
+	defer prefill.release()
+	kv, err := g.prefill(ctx, prefill)
+	if err != nil {
+		return "", err
+	}
+	return g.decode(ctx, decode, prefill, kv)
+}
+
+// attemptLate reserves the decode slot when the prefill has ended, or with
+// ReservePredicted shortly before its predicted end.
+func (g *generation) attemptLate(ctx context.Context, it admit.Item) (string, *verdict.Error) {
+	prefill, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_PREFILL, "")
+	if err != nil {
+		return "", err
+	}
+	g.gate.leave()
+	defer prefill.release()
+	var early *pending
+	if g.e.settings.Policy.Reserve == settings.ReservePredicted {
+		early = g.reserveAt(ctx, prefill)
+		defer early.drop()
+	}
+	kv, err := g.prefill(ctx, prefill)
+	if err != nil {
+		return "", err
+	}
+	decode, err := g.decodeGrant(ctx, early, prefill, kv)
+	if err != nil {
+		wasted(kv)
+		return "", err
+	}
+	defer decode.release()
+	return g.decode(ctx, decode, prefill, kv)
+}
+
+// pending is a reservation that is asked for in the background.
+type pending struct {
+	done   chan struct{}
+	cancel context.CancelFunc
+	grant  *grant
+	err    *verdict.Error
+	taken  bool
+}
+
+func (p *pending) drop() {
+	p.cancel()
+	<-p.done
+	if !p.taken {
+		p.grant.release()
+	}
+}
+
+// reserveAt asks for the decode slot when the prefill is about to end.
+func (g *generation) reserveAt(ctx context.Context, prefill *grant) *pending {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &pending{done: make(chan struct{}), cancel: cancel}
+	delay := g.e.predictPrefill(prefill.target, g.r) - reserveWait
+	go func() {
+		defer close(p.done)
+		if !sleep(ctx, delay) {
+			p.err = contextVerdict(ctx)
+			return
+		}
+		p.grant, p.err = g.reserve(ctx, pb.Phase_PHASE_DECODE, prefill.target.zone, 2*reserveWait)
+	}()
+	return p
+}
+
+func (g *generation) decodeGrant(ctx context.Context, early *pending, prefill *grant, kv *pb.PrefillReply) (*grant, *verdict.Error) {
+	if early != nil {
+		<-early.done
+		if early.err == nil {
+			early.taken = true
+			return early.grant, nil
+		}
+	}
+	left := time.Duration(kv.ExpiresMs) * time.Millisecond * 3 / 4
+	return g.reserve(ctx, pb.Phase_PHASE_DECODE, prefill.target.zone, left)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *generation) item() admit.Item {
+	return admit.Item{
+		ID:           g.r.id,
+		Organisation: g.r.organisation,
+		Interactive:  g.to.choice.Priority == Interactive,
+		Cost:         float64(g.r.promptTokens)/10 + float64(g.r.maxTokens),
+		Deadline:     g.startBy(),
+		Enqueued:     time.Now(),
+	}
+}
+
+// startBy is when the request must leave the queue. A request that people wait
+// for and that can't meet the first-token target any more would take capacity
+// from those that can.
+func (g *generation) startBy() time.Time {
+	if g.to.choice.Priority != Interactive || g.out.len() > 0 || g.number > 0 {
+		return g.r.deadline
+	}
+	by := g.r.arrived.Add(g.e.settings.Policy.TTFTTarget.D())
+	if g.r.deadline.Before(by) {
+		return g.r.deadline
+	}
+	return by
+}
+
+// reserveTurn reserves, going back to the queue while all servers are full.
+func (g *generation) reserveTurn(ctx context.Context, it admit.Item, phase pb.Phase, zone string) (*grant, *verdict.Error) {
+	for {
+		gr, err := g.reserve(ctx, phase, zone, reserveWait)
+		if err == nil {
+			return gr, nil
+		}
+		if err.Code != verdict.Overloaded || ctx.Err() != nil {
+			g.gate.leave()
+			return nil, err
+		}
+		if err := g.gate.again(ctx, it, fullPause); err != nil {
+			g.queued = true
+			return nil, err
+		}
+	}
+}
+
+// reserve asks the best servers in turn for a grant. Only the last one asked
+// may queue the reservation, for up to wait.
+func (g *generation) reserve(ctx context.Context, phase pb.Phase, zone string, wait time.Duration) (*grant, *verdict.Error) {
+	list := g.e.choose(phase, g, zone)
+	if len(list) == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "No server of pool %s can be used now.", g.to.choice.Pool).After(time.Second)
+	}
+	last := verdict.New(verdict.NotRun, verdict.Overloaded, "All servers are full.")
+	for i, t := range list[:min(askAtMost, len(list))] {
+		if err := ctx.Err(); err != nil {
+			return nil, contextVerdict(ctx)
+		}
+		w := time.Duration(0)
+		if i == min(askAtMost, len(list))-1 {
+			w = wait
+		}
+		gr, err := g.reserveAtServer(ctx, t, phase, w)
+		if err == nil {
+			return gr, nil
+		}
+		if err.Code == verdict.Crashes {
+			return nil, err
+		}
+		last = err
+	}
+	if last.Code != verdict.Overloaded {
+		last = verdict.Wrap(last, verdict.NotRun, verdict.Overloaded, "No server took the request.")
+	}
+	return nil, last
+}
+
+func (g *generation) reserveAtServer(ctx context.Context, t target, phase pb.Phase, wait time.Duration) (*grant, *verdict.Error) {
+	conn, cerr := g.e.agents.Conn(t.id, t.address)
+	if cerr != nil {
+		return nil, verdict.Wrap(cerr, verdict.NotRun, verdict.Unreachable, "The server's agent can't be reached.")
+	}
+	g.number++
+	a := &pb.Attempt{Request: g.r.id, Number: g.number, Entry: g.e.agents.Entry}
+	if g.suspect {
+		wait = time.Until(g.r.deadline)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	defer cancel()
+	conn.Hold(a)
+	conn.Expect(int64(g.r.promptTokens))
+	reply, err := conn.Reserve(ctx, &pb.ReserveRequest{
+		Attempt: a, Phase: phase, Incarnation: conn.Incarnation(), Fingerprint: g.r.fingerprint,
+		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
+		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
+		Batch: g.to.choice.Priority == Batch, Organisation: g.r.organisation,
+	})
+	if err != nil {
+		// The grant may have been given: the release makes sure that it is
+		// not held until it lapses.
+		conn.Release(a, phase)
+		g.e.unheard(conn, ctx.Err() != nil)
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
+	}
+	if reply.Refusal != nil {
+		conn.Drop(a)
+		g.e.refused(t.id, reply.Refusal)
+		return nil, refusalError(reply.Refusal)
+	}
+	g.e.trusted(t.id)
+	return &grant{conn: conn, target: t, attempt: a, phase: phase}, nil
+}
+
+// prefill runs the prefill under its grant.
+func (g *generation) prefill(ctx context.Context, gr *grant) (*pb.PrefillReply, *verdict.Error) {
+	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillBound)
+	pctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	lost := gr.conn.Lost()
+	go func() {
+		// An answer over a connection that went silent never comes.
+		select {
+		case <-lost:
+			cancel()
+		case <-pctx.Done():
+		}
+	}()
+	g.touched = true
+	reply, err := gr.conn.Prefill(pctx, &pb.PrefillRequest{
+		Attempt: gr.attempt, Model: g.r.model, Prompt: []byte(g.r.prompt),
+		Priority: priorityOf(g.to.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
+	})
+	if err != nil {
+		g.e.unheard(gr.conn, false)
+		g.exclude[gr.target.id] = true
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.Unreachable, "The prefill server's agent gave no answer.")
+	}
+	if reply.Refusal != nil {
+		g.exclude[gr.target.id] = true
+		g.e.refused(gr.target.id, reply.Refusal)
+		return nil, refusalError(reply.Refusal)
+	}
+	prefillTokens.Add(int(reply.PromptTokens - reply.CachedTokens))
+	g.e.observed(gr.target.id, g.r, int(reply.CachedTokens))
+	return reply, nil
+}
+
+// wasted counts a prefill whose result nobody used.
+func wasted(kv *pb.PrefillReply) {
+	prefillWasted.Add(int(kv.PromptTokens - kv.CachedTokens))
+}
+
+func priorityOf(p string) uint32 {
+	if p == Interactive {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/entry/judgement.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agents"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/blame"
+	"jayford.example/jayford/internal/policy/retry"
+	"jayford.example/jayford/internal/verdict"
+)
+
+const (
+	convictionBuffer = 256
+	convictionLife   = 24 * time.Hour
+	unclaimWithin    = 2 * time.Second
+	platformRetry    = time.Second
+)
+
+var (
+	attemptsTotal = metrics.NewCounter("jayford_attempts_total")
+	hedgesTotal   = metrics.NewCounter("jayford_hedges_total")
+	crossed       = metrics.NewCounter("jayford_crossed_answers_total")
+	prefillTokens = metrics.NewCounter("jayford_prefill_tokens_total")
+	prefillWasted = metrics.NewCounter("jayford_prefill_wasted_tokens_total")
+)
+
+func refusals(e *verdict.Error) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`jayford_refusals_total{code=%q,verdict=%q}`, e.Code, e.Verdict))
+}
+
+// retryDecision asks the retry policy about a failed try.
+func (e *Entry) retryDecision(err *verdict.Error, t retry.Try) retry.Decision {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	t.Now = time.Now()
+	return retry.Decide(err, t, e.budget, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// first notes a first try with the budgets.
+func (e *Entry) first(organisation, pool string) {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	e.budget.Advance(time.Now())
+	e.budget.First(organisation)
+	e.budget.First(pool)
+	e.hedges.Advance(time.Now())
+	e.hedges.First(pool)
+}
+
+func (e *Entry) mayHedge(pool string) bool {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	e.hedges.Advance(time.Now())
+	return e.hedges.Allow(pool, pool)
+}
+
+// blameOf returns the state of a fingerprint, with the convictions that other
+// entries published.
+func (e *Entry) blameOf(fp uint64) blame.State {
+	c, ok := e.routing.current().snapshot.Convictions[fp]
+	if ok && time.Now().Before(c.Until) {
+		return blame.Convicted
+	}
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	return e.blame.State(fp, time.Now())
+}
+
+// crashed notes that a server was lost while it ran the fingerprint.
+func (e *Entry) crashed(fp uint64, alone bool) {
+	e.policyMu.Lock()
+	state := e.blame.Crashed(fp, alone, time.Now())
+	e.policyMu.Unlock()
+	e.log.WithField("fingerprint", fmt.Sprintf("%016x", fp)).WithField("state", state).Warn("entry: a server was lost under a request.")
+	if state != blame.Convicted {
+		return
+	}
+	select {
+	case e.convictions <- fp:
+	default:
+		e.log.Warn("entry: too many convictions at once.")
+	}
+}
+
+func (e *Entry) cleared(fp uint64) {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	e.blame.Cleared(fp)
+}
+
+// publishConvictions tells all entries, through the platform, which requests
+// crash servers, and connected agents at once. An outage only delays it: until
+// then this entry and those agents refuse by themselves.
+func (e *Entry) publishConvictions(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case fp := <-e.convictions:
+			e.agents.Convict(ctx, []uint64{fp})
+			for e.publish(ctx, fp) != nil && sleep(ctx, platformRetry) {
+				e.log.Debug("entry: a conviction waits for the platform.")
+			}
+		}
+	}
+}
+
+func (e *Entry) publish(ctx context.Context, fp uint64) error {
+	spec, err := json.Marshal(object.Conviction{Format: object.Format, Fingerprint: fp, Until: time.Now().Add(convictionLife)})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, unclaimWithin)
+	defer cancel()
+	_, err = platform.PutSettled(ctx, e.store, platform.Object{
+		Kind: object.KindConviction, Name: fmt.Sprintf("%016x", fp), Spec: spec,
+	})
+	if errors.Is(err, platform.ErrConflict) {
+		// Another entry published it.
+		return nil
+	}
+	return err
+}
+
+// claim takes the key of a request that must not run twice.
+func (e *Entry) claim(ctx context.Context, r *request) *verdict.Error {
+	if r.idempotent || r.key == "" {
+		return nil
+	}
+	return e.claims.Claim(ctx, r.organisation, r.key, r.id)
+}
+
+// unclaim gives the key of a request back that has not run, so that its caller
+// may send it again. It is done before the caller hears of the refusal.
+func (e *Entry) unclaim(r *request) {
+	if r.idempotent || r.key == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), unclaimWithin)
+	defer cancel()
+	if err := e.claims.Free(ctx, r.organisation, r.key, r.id); err != nil {
+		e.log.WithField("request", r.id).WithError(err).Warn("entry: a key could not be given back.")
+	}
+}
+
+// unheard notes a call to an agent without an answer.
+func (e *Entry) unheard(c *agents.Conn, timeout bool) {
+	e.health.unheard(c.ID())
+	if timeout {
+		c.Suspect()
+	}
+}
+
+func (e *Entry) trusted(id string) { e.health.heard(id) }
+
+func (e *Entry) refused(id string, r *pb.Refusal) {
+	switch r.Reason {
+	case pb.Reason_REASON_LEAVING, pb.Reason_REASON_SERVER_DOWN, pb.Reason_REASON_SERVER_LOST, pb.Reason_REASON_TRANSFER:
+		e.health.unheard(id)
+	}
+}
+
+func (e *Entry) doubted(id string) bool { return e.health.doubted(id) }
+
+func (e *Entry) healthView() any { return e.health.view() }
+
+// verdictOfRPC says whether a call may have reached the agent. Only a refused
+// connection proves that it did not.
+func verdictOfRPC(err error) verdict.Verdict {
+	if status.Code(err) == codes.Unavailable && strings.Contains(err.Error(), "connection refused") {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
--- /dev/null
+++ b/internal/entry/output.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+// output holds the tokens of one answer in order, between the generation that
+// appends and the caller's handler that reads. It is bounded by max_tokens.
+type output struct {
+	mu sync.Mutex
+	// All below is guarded by mu.
+	tokens   []string
+	attempts int
+	done     bool
+	finish   string
+	err      *verdict.Error
+	// wake is closed at the next change.
+	wake chan struct{}
+}
+
+func newOutput() *output {
+	return &output{wake: make(chan struct{})}
+}
+
+// add appends the token with the given index. An index that was already there
+// (a replay after a new connection) changes nothing; one that leaves a gap
+// returns false, since an answer with a hole must not pass as whole.
+func (o *output) add(index int, text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if index < len(o.tokens) {
+		return true
+	}
+	if index > len(o.tokens) || o.done {
+		return false
+	}
+	o.tokens = append(o.tokens, text)
+	o.changedLocked()
+	return true
+}
+
+func (o *output) end(finish string, err *verdict.Error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.done {
+		return
+	}
+	o.done = true
+	o.finish = finish
+	o.err = err
+	o.changedLocked()
+}
+
+func (o *output) changedLocked() {
+	close(o.wake)
+	o.wake = make(chan struct{})
+}
+
+func (o *output) attempt() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempts++
+}
+
+func (o *output) len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.tokens)
+}
+
+// view is what a reader saw of an output.
+type view struct {
+	tokens   []string
+	attempts int
+	done     bool
+	finish   string
+	err      *verdict.Error
+}
+
+// next waits until there are tokens from index from on, or the end, or ctx.
+func (o *output) next(ctx context.Context, from int) view {
+	for {
+		o.mu.Lock()
+		v := view{tokens: o.tokens[from:], attempts: o.attempts, done: o.done, finish: o.finish, err: o.err}
+		wake := o.wake
+		o.mu.Unlock()
+		if len(v.tokens) > 0 || v.done {
+			return v
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
+
+// whole waits for the end of the answer.
+func (o *output) whole(ctx context.Context) view {
+	for {
+		o.mu.Lock()
+		v := view{tokens: o.tokens, attempts: o.attempts, done: o.done, finish: o.finish, err: o.err}
+		wake := o.wake
+		o.mu.Unlock()
+		if v.done {
+			return v
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"time"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// codeOf maps an agent's reason to the code that callers see.
+func codeOf(r pb.Reason) verdict.Code {
+	switch r {
+	case pb.Reason_REASON_FULL:
+		return verdict.Overloaded
+	case pb.Reason_REASON_LEAVING:
+		return verdict.Leaving
+	case pb.Reason_REASON_DEADLINE:
+		return verdict.Deadline
+	case pb.Reason_REASON_INVALID:
+		return verdict.ServerRefused
+	case pb.Reason_REASON_CONVICTED:
+		return verdict.Crashes
+	case pb.Reason_REASON_KV_GONE, pb.Reason_REASON_TRANSFER:
+		return verdict.Transfer
+	case pb.Reason_REASON_SERVER_DOWN, pb.Reason_REASON_INCARNATION:
+		return verdict.Unreachable
+	case pb.Reason_REASON_FENCED:
+		return verdict.FencedOff
+	default:
+		return verdict.ServerLost
+	}
+}
+
+// refusalError turns an agent's refusal into an error with its verdict.
+func refusalError(r *pb.Refusal) *verdict.Error {
+	v := verdict.MayHaveRun
+	if r.Verdict == pb.Verdict_VERDICT_NOT_RUN {
+		v = verdict.NotRun
+	}
+	code := codeOf(r.Reason)
+	if code == verdict.Crashes {
+		return crashes()
+	}
+	msg := r.Detail
+	if msg == "" {
+		msg = "The server's agent refused."
+	}
+	e := verdict.New(v, code, "%s", msg)
+	e.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	e.Crashed = r.Reason == pb.Reason_REASON_SERVER_LOST
+	e.CrashedAlone = r.CrashedAlone
+	return e
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/policy/place"
+	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// Request headers of the callers' API.
+const (
+	HeaderOrganisation = "Jayford-Organisation"
+	HeaderPriority     = "Jayford-Priority"
+	HeaderDeadline     = "Jayford-Deadline"
+	HeaderIdempotent   = "Jayford-Idempotent"
+	HeaderKey          = "Idempotency-Key"
+	HeaderGroup        = "Jayford-Group"
+)
+
+// Response headers of the callers' API.
+const (
+	HeaderRequest  = "Jayford-Request"
+	HeaderVerdict  = "Jayford-Verdict"
+	HeaderAttempts = "Jayford-Attempts"
+)
+
+// Values of HeaderPriority.
+const (
+	Interactive = "interactive"
+	Batch       = "batch"
+)
+
+const (
+	defaultOrganisation = "default"
+	defaultMaxTokens    = 16
+	maxMaxTokens        = 32768
+	maxNameLength       = 128
+)
+
+// request is one caller's request, copied out of the HTTP library's buffers,
+// which are reused as soon as the handler returns.
+type request struct {
+	id           string
+	organisation string
+	priority     string
+	group        string
+	key          string
+	idempotent   bool
+	arrived      time.Time
+	deadline     time.Time
+	fingerprint  uint64
+
+	method string
+	path   string
+	uri    string
+
+	// For generation.
+	model        string
+	prompt       string
+	promptTokens int
+	// hashes of the prompt's prefixes, for the prefix index.
+	hashes    []uint64
+	maxTokens int
+	stream    bool
+	chat      bool
+
+	// For plain services.
+	headers []header
+	body    []byte
+}
+
+type header struct{ key, value string }
+
+// completionBody is what is read of an OpenAI-style body; other fields are
+// left to the engines.
+type completionBody struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  []chatMessage   `json:"messages"`
+	MaxTokens *int            `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func invalid(format string, args ...any) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Invalid, format, args...)
+}
+
+// parseCommon reads the headers that all requests share.
+func parseCommon(ctx *fasthttp.RequestCtx, id string, now time.Time, lim settings.Limits) (*request, *verdict.Error) {
+	h := &ctx.Request.Header
+	r := &request{
+		id:           id,
+		organisation: string(h.Peek(HeaderOrganisation)),
+		priority:     string(h.Peek(HeaderPriority)),
+		group:        string(h.Peek(HeaderGroup)),
+		key:          string(h.Peek(HeaderKey)),
+		arrived:      now,
+		method:       string(h.Method()),
+		path:         string(ctx.Path()),
+		uri:          string(h.RequestURI()),
+	}
+	if r.organisation == "" {
+		r.organisation = defaultOrganisation
+	}
+	if len(r.organisation) > maxNameLength || len(r.group) > maxNameLength || len(r.key) > maxNameLength {
+		return nil, invalid("%s, %s and %s hold at most %d bytes.", HeaderOrganisation, HeaderGroup, HeaderKey, maxNameLength)
+	}
+	if err := r.parsePriority(); err != nil {
+		return nil, err
+	}
+	if err := r.parseDeadline(string(h.Peek(HeaderDeadline)), lim); err != nil {
+		return nil, err
+	}
+	return r, r.parseIdempotent(string(h.Peek(HeaderIdempotent)))
+}
+
+func (r *request) parsePriority() *verdict.Error {
+	switch r.priority {
+	case "":
+		r.priority = Interactive
+	case Interactive, Batch:
+	default:
+		return invalid("%s is %q or %q.", HeaderPriority, Interactive, Batch)
+	}
+	return nil
+}
+
+func (r *request) parseDeadline(text string, lim settings.Limits) *verdict.Error {
+	d := lim.DefaultDeadline.D()
+	if text != "" {
+		var err error
+		d, err = time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return invalid("%s is a positive duration such as 30s.", HeaderDeadline)
+		}
+	}
+	d = min(d, lim.MaxDeadline.D())
+	r.deadline = r.arrived.Add(d)
+	return nil
+}
+
+// parseIdempotent takes generation as idempotent unless it is marked, and other
+// calls as their HTTP method says: a POST must not be repeated unless its
+// caller says that it may.
+func (r *request) parseIdempotent(text string) *verdict.Error {
+	switch text {
+	case "":
+		r.idempotent = isGeneration(r.path) || (r.method != "POST" && r.method != "PATCH")
+	case "true":
+		r.idempotent = true
+	case "false":
+		r.idempotent = false
+	default:
+		return invalid("%s is true or false.", HeaderIdempotent)
+	}
+	return nil
+}
+
+func isGeneration(path string) bool {
+	return path == pathCompletions || path == pathChat
+}
+
+// parseGeneration reads the body of a completion.
+func (r *request) parseGeneration(body []byte) *verdict.Error {
+	var b completionBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return invalid("The body isn't valid JSON for this path: %v.", err)
+	}
+	if b.Model == "" || len(b.Model) > maxNameLength {
+		return invalid("model is needed, with at most %d bytes.", maxNameLength)
+	}
+	r.model = strings.Clone(b.Model)
+	r.stream = b.Stream
+	r.chat = r.path == pathChat
+	prompt, err := r.promptOf(&b)
+	if err != nil {
+		return err
+	}
+	r.prompt = prompt
+	r.promptTokens = len(strings.Fields(prompt))
+	if r.promptTokens == 0 {
+		return invalid("The prompt is empty.")
+	}
+	r.maxTokens = defaultMaxTokens
+	if b.MaxTokens != nil {
+		r.maxTokens = *b.MaxTokens
+	}
+	if r.maxTokens < 1 || r.maxTokens > maxMaxTokens {
+		return invalid("max_tokens is between 1 and %d.", maxMaxTokens)
+	}
+	// The fingerprint is of the content: a caller that sends a crashing
+	// request again uses a new request id.
+	r.hashes = place.Hashes(prompt)
+	r.fingerprint = xxhash.Sum64String(r.model + "\x00" + r.prompt)
+	return nil
+}
+
+func (r *request) promptOf(b *completionBody) (string, *verdict.Error) {
+	if r.chat {
+		if len(b.Messages) == 0 {
+			return "", invalid("messages is needed, with at least one message.")
+		}
+		var sb strings.Builder
+		for _, m := range b.Messages {
+			sb.WriteString(m.Role)
+			sb.WriteString(": ")
+			sb.WriteString(m.Content)
+			sb.WriteString("\n")
+		}
+		return sb.String(), nil
+	}
+	var one string
+	if json.Unmarshal(b.Prompt, &one) == nil {
+		return one, nil
+	}
+	var many []string
+	if json.Unmarshal(b.Prompt, &many) == nil && len(many) == 1 {
+		return many[0], nil
+	}
+	return "", invalid("prompt is a string, or a list with one string.")
+}
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// parseCall copies what a plain service gets.
+func (r *request) parseCall(ctx *fasthttp.RequestCtx) {
+	for k, v := range ctx.Request.Header.All() {
+		key := string(k)
+		if !hopHeaders[key] {
+			r.headers = append(r.headers, header{key, string(v)})
+		}
+	}
+	r.body = append([]byte(nil), ctx.Request.Body()...)
+	d := xxhash.New()
+	_, _ = d.WriteString(r.method + "\x00" + r.uri + "\x00")
+	_, _ = d.Write(r.body)
+	r.fingerprint = d.Sum64()
+}
--- /dev/null
+++ b/internal/entry/respond.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+// errorBody is the JSON body of each refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    verdict.Code `json:"code"`
+	Message string       `json:"message"`
+	Verdict string       `json:"verdict"`
+	Request string       `json:"request,omitempty"`
+	// RetryAfterMs is given when waiting can cure the refusal, in milliseconds.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+}
+
+// statusOf maps a failure to an HTTP status.
+func statusOf(e *verdict.Error) int {
+	switch e.Code {
+	case verdict.Invalid:
+		return fasthttp.StatusBadRequest
+	case verdict.TooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case verdict.NoRoute:
+		return fasthttp.StatusNotFound
+	case verdict.Duplicate, verdict.Conflict:
+		return fasthttp.StatusConflict
+	case verdict.OverShare:
+		return fasthttp.StatusTooManyRequests
+	case verdict.Overloaded, verdict.NoServer, verdict.Leaving, verdict.PlatformDown:
+		return fasthttp.StatusServiceUnavailable
+	case verdict.Deadline:
+		return fasthttp.StatusGatewayTimeout
+	case verdict.Crashes:
+		return fasthttp.StatusUnprocessableEntity
+	case verdict.Cancelled:
+		return statusClientClosed
+	default:
+		return fasthttp.StatusBadGateway
+	}
+}
+
+// statusClientClosed is the customary status for a caller that left.
+const statusClientClosed = 499
+
+// refuse answers with the error and its verdict.
+func (s *server) refuse(ctx *fasthttp.RequestCtx, r *request, attempts int, e *verdict.Error) {
+	refusals(e).Inc()
+	d := errorDetail{Code: e.Code, Message: e.Message, Verdict: e.Verdict.String()}
+	if r != nil {
+		d.Request = r.id
+		s.e.log.WithFields(logrus.Fields{"request": r.id, "organisation": r.organisation}).WithError(e).Debug("entry: refused.")
+	}
+	if e.RetryAfter > 0 {
+		d.RetryAfterMs = e.RetryAfter.Milliseconds()
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	ctx.Response.Header.Set(HeaderVerdict, d.Verdict)
+	setAttempts(ctx, attempts)
+	writeJSON(ctx, statusOf(e), errorBody{d})
+}
+
+func setAttempts(ctx *fasthttp.RequestCtx, n int) {
+	ctx.Response.Header.Set(HeaderAttempts, strconv.Itoa(n))
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+// malformed answers what the HTTP library could not read.
+func (s *server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	e := invalid("The request can't be read: %v.", err)
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		e = verdict.New(verdict.NotRun, verdict.TooLarge, "The body is over %d bytes.", s.e.settings.Limits.MaxBodyBytes)
+	case errors.As(err, &small):
+		e = verdict.New(verdict.NotRun, verdict.TooLarge, "The headers are over %d bytes.", s.e.settings.Limits.MaxHeaderBytes)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		e = verdict.New(verdict.NotRun, verdict.Deadline, "The request took over %s to arrive.", readTimeout)
+	}
+	ctx.Response.SetConnectionClose()
+	s.refuse(ctx, nil, 0, e)
+}
+
+// completion is an OpenAI-style answer, or one part of a streamed one.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+	// Error is set in the last part of a stream that can't be completed.
+	Error *errorDetail `json:"error,omitempty"`
+}
+
+type choice struct {
+	Index        int       `json:"index"`
+	Text         *string   `json:"text,omitempty"`
+	Message      *chatPart `json:"message,omitempty"`
+	Delta        *chatPart `json:"delta,omitempty"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+type chatPart struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func (r *request) completion(object string, c choice) completion {
+	return completion{ID: r.id, Object: object, Created: r.arrived.Unix(), Model: r.model, Choices: []choice{c}}
+}
+
+func (r *request) usage(tokens int) *usage {
+	return &usage{r.promptTokens, tokens, r.promptTokens + tokens}
+}
+
+func (s *server) answerWhole(ctx *fasthttp.RequestCtx, r *request, v view) {
+	if !v.done {
+		v.err = verdict.New(verdict.MayHaveRun, verdict.Deadline, "The deadline passed.")
+	}
+	if v.err != nil {
+		s.refuse(ctx, r, v.attempts, v.err)
+		return
+	}
+	text := strings.Join(v.tokens, "")
+	c := choice{FinishReason: &v.finish}
+	object := "text_completion"
+	if r.chat {
+		object = "chat.completion"
+		c.Message = &chatPart{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	body := r.completion(object, c)
+	body.Usage = r.usage(len(v.tokens))
+	setAttempts(ctx, v.attempts)
+	writeJSON(ctx, fasthttp.StatusOK, body)
+}
+
+func (s *server) startStream(ctx *fasthttp.RequestCtx, r *request, attempts int) {
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	setAttempts(ctx, attempts)
+	_ = r
+}
+
+// writeStream writes an answer as server-sent events. It ends with [DONE] only
+// if the answer is whole; otherwise with an error event, so that a cut answer
+// can't be taken for a whole one.
+func writeStream(ctx context.Context, w *bufio.Writer, r *request, out *output) {
+	sent := 0
+	for {
+		v := out.next(ctx, sent)
+		if len(v.tokens) > 0 {
+			if writeEvent(w, r.part(strings.Join(v.tokens, ""), nil)) != nil {
+				return
+			}
+			sent += len(v.tokens)
+			continue
+		}
+		last := r.part("", &v.finish)
+		switch {
+		case v.done && v.err == nil:
+			last.Usage = r.usage(sent)
+			if writeEvent(w, last) == nil {
+				_, _ = w.WriteString("data: [DONE]\n\n")
+				_ = w.Flush()
+			}
+			return
+		case v.err == nil:
+			v.err = verdict.New(verdict.MayHaveRun, verdict.Deadline, "The deadline passed in the middle of the answer.")
+		}
+		last.Choices = nil
+		last.Error = &errorDetail{Code: v.err.Code, Message: v.err.Message, Verdict: verdict.MayHaveRun.String(), Request: r.id}
+		_ = writeEvent(w, last)
+		return
+	}
+}
+
+func (r *request) part(text string, finish *string) completion {
+	c := choice{FinishReason: finish}
+	if r.chat {
+		c.Delta = &chatPart{Content: text}
+		return r.completion("chat.completion.chunk", c)
+	}
+	c.Text = &text
+	return r.completion("text_completion", c)
+}
+
+func writeEvent(w *bufio.Writer, c completion) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(body)
+	_, _ = w.WriteString("\n\n")
+	return w.Flush()
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (s *server) models(ctx *fasthttp.RequestCtx) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range s.e.models() {
+		list.Data = append(list.Data, modelItem{m, "model"})
+	}
+	writeJSON(ctx, fasthttp.StatusOK, list)
+}
+
+// contextVerdict says why a context ended, for a request that has not run.
+func contextVerdict(ctx context.Context) *verdict.Error {
+	if errors.Is(context.Cause(ctx), errCallerGone) {
+		return verdict.New(verdict.NotRun, verdict.Cancelled, "The caller left.")
+	}
+	return verdict.New(verdict.NotRun, verdict.Deadline, "The deadline passed before a server was free.").After(time.Second)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+// Paths that the entry answers itself. All others go to plain services.
+const (
+	pathCompletions = "/v1/completions"
+	pathChat        = "/v1/chat/completions"
+	pathModels      = "/v1/models"
+	pathLive        = "/livez"
+	pathReady       = "/readyz"
+)
+
+const (
+	readTimeout = 30 * time.Second
+	idleTimeout = 75 * time.Second
+	// drainDelay is how long a stopping entry still takes new connections, so
+	// that the balancer sees the failing readiness first.
+	drainDelay = 2 * time.Second
+	// closeLinger is how long idle connections stay open after the listener
+	// closed: a request already on its way gets its answer.
+	closeLinger = time.Second
+)
+
+// server is the callers' side of an entry.
+type server struct {
+	e        *Entry
+	http     *fasthttp.Server
+	inFlight atomic.Int64
+	stopping atomic.Bool
+}
+
+func newServer(e *Entry) *server {
+	s := &server{e: e}
+	lim := e.settings.Limits
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.malformed,
+		Name:                         "jayford",
+		ReadBufferSize:               lim.MaxHeaderBytes,
+		MaxRequestBodySize:           lim.MaxBodyBytes,
+		Concurrency:                  lim.MaxConnections,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       e.log,
+	}
+	return s
+}
+
+// run serves until ctx ends, then stops without cutting a request: readiness
+// fails first, the listener closes next, and running requests finish.
+func (s *server) run(ctx context.Context, l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return eris.New("entry: the callers' listener isn't TCP")
+	}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- s.http.Serve(&listener{tcp, s.e.settings.Limits.WriteTimeout.D()})
+	}()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	s.stopping.Store(true)
+	s.e.log.Info("entry: stopping, readiness fails now.")
+	time.Sleep(min(drainDelay, s.e.settings.StopWithin.D()/4))
+	tcp.Close()
+	s.drain(s.e.settings.StopWithin.D())
+	limit, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := s.http.ShutdownWithContext(limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// drain waits until no request has been running for closeLinger, or limit.
+func (s *server) drain(limit time.Duration) {
+	end := time.Now().Add(limit)
+	quiet := time.Now()
+	for time.Now().Before(end) {
+		if s.inFlight.Load() > 0 {
+			quiet = time.Now()
+		}
+		if time.Since(quiet) > closeLinger {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.e.log.WithField("requests", s.inFlight.Load()).Warn("entry: stop time is up, requests are cut.")
+}
+
+func (s *server) handle(ctx *fasthttp.RequestCtx) {
+	s.inFlight.Add(1)
+	streaming := false
+	defer func() {
+		if !streaming {
+			s.inFlight.Add(-1)
+		}
+	}()
+	if s.stopping.Load() {
+		// The caller moves to another entry before this connection closes.
+		ctx.Response.SetConnectionClose()
+	}
+	switch string(ctx.Path()) {
+	case pathLive:
+		ctx.SetBodyString("ok\n")
+	case pathReady:
+		s.ready(ctx)
+	case pathModels:
+		s.models(ctx)
+	case pathCompletions, pathChat:
+		streaming = s.generation(ctx)
+	default:
+		s.call(ctx)
+	}
+}
+
+func (s *server) ready(ctx *fasthttp.RequestCtx) {
+	if s.stopping.Load() || !s.e.ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// generation answers a completion. It returns whether the answer goes on after
+// the handler, as a stream.
+func (s *server) generation(ctx *fasthttp.RequestCtx) bool {
+	r, err := s.parse(ctx)
+	if err == nil && !ctx.IsPost() {
+		err = invalid("Use POST.")
+	}
+	if err == nil {
+		err = r.parseGeneration(ctx.PostBody())
+	}
+	if err != nil {
+		s.refuse(ctx, r, 0, err)
+		return false
+	}
+	// The time limit outlives the handler when the answer is streamed.
+	base, cancel := context.WithDeadline(context.Background(), r.deadline)
+	watched, stop := watch(base, ctx.Conn())
+	end := func() {
+		stop()
+		cancel()
+	}
+	out := newOutput()
+	go s.e.generate(watched, r, out)
+	if !r.stream {
+		defer end()
+		s.answerWhole(ctx, r, out.whole(watched))
+		return false
+	}
+	first := out.next(watched, 0)
+	if first.err != nil || (len(first.tokens) == 0 && !first.done) {
+		end()
+		s.answerWhole(ctx, r, first)
+		return false
+	}
+	s.startStream(ctx, r, first.attempts)
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer s.inFlight.Add(-1)
+		defer end()
+		writeStream(watched, w, r, out)
+	})
+	return true
+}
+
+func (s *server) parse(ctx *fasthttp.RequestCtx) (*request, *verdict.Error) {
+	id := s.e.nextID()
+	ctx.Response.Header.Set(HeaderRequest, id)
+	return parseCommon(ctx, id, time.Now(), s.e.settings.Limits)
+}
+
+// call passes any other request to a plain service.
+func (s *server) call(ctx *fasthttp.RequestCtx) {
+	r, err := s.parse(ctx)
+	if err != nil {
+		s.refuse(ctx, r, 0, err)
+		return
+	}
+	r.parseCall(ctx)
+	base, cancel := context.WithDeadline(context.Background(), r.deadline)
+	defer cancel()
+	watched, stop := watch(base, ctx.Conn())
+	defer stop()
+	reply, attempts, err := s.e.callService(watched, r)
+	if err != nil {
+		s.refuse(ctx, r, attempts, err)
+		return
+	}
+	ctx.SetStatusCode(int(reply.Status))
+	for _, h := range reply.Headers {
+		ctx.Response.Header.Add(h.Key, h.Value)
+	}
+	setAttempts(ctx, attempts)
+	ctx.SetBody(reply.Body)
+}
--- /dev/null
+++ b/internal/entry/targets.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/route"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// target is one agent that a pool may use.
+type target struct {
+	id      string
+	address string
+	zone    string
+}
+
+// poolTargets are the agents of one pool by role.
+type poolTargets struct {
+	prefill []target
+	decode  []target
+	service []target
+}
+
+// table is what routing needs of one configuration snapshot, worked out once
+// per snapshot instead of per request.
+type table struct {
+	snapshot  *config.Snapshot
+	selectors []route.Named
+	pools     map[string]poolTargets
+	models    []string
+	shares    *shares
+}
+
+// routing keeps the table of the snapshot in force.
+type routing struct {
+	store *config.Store
+
+	mu sync.Mutex
+	// last is guarded by mu.
+	last *table
+}
+
+func (t *routing) current() *table {
+	snap := t.store.Current()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.last == nil || t.last.snapshot != snap {
+		t.last = newTable(snap)
+	}
+	return t.last
+}
+
+func newTable(snap *config.Snapshot) *table {
+	t := &table{snapshot: snap, pools: make(map[string]poolTargets), shares: &shares{make(map[string]float64)}}
+	for name, o := range snap.Organisations {
+		t.shares.byOrganisation[name] = o.Share
+	}
+	for _, s := range snap.Selectors {
+		t.selectors = append(t.selectors, route.Named(s))
+	}
+	live := liveAgents(snap)
+	models := make(map[string]bool)
+	for name, p := range snap.Pools {
+		t.pools[name] = poolTargets{
+			prefill: pick(snap, live, p.Prefill),
+			decode:  pick(snap, live, p.Decode),
+			service: pick(snap, live, p.Service),
+		}
+		if p.Model != "" {
+			models[p.Model] = true
+		}
+	}
+	for m := range models {
+		t.models = append(t.models, m)
+	}
+	sort.Strings(t.models)
+	return t
+}
+
+// liveAgents returns the agents that may get new work: listed as live, and not
+// drained by an intent. The list lags; agents that leave refuse by themselves.
+func liveAgents(snap *config.Snapshot) map[string]platform.Instance {
+	drained := make(map[string]bool)
+	for _, in := range snap.Intents {
+		if in.Drain {
+			drained[in.Server] = true
+		}
+	}
+	live := make(map[string]platform.Instance)
+	for _, in := range snap.Instances {
+		if in.Role == "agent" && in.State == platform.Live && !drained[in.ID] {
+			live[in.ID] = in
+		}
+	}
+	return live
+}
+
+func pick(snap *config.Snapshot, live map[string]platform.Instance, want map[string]string) []target {
+	if len(want) == 0 {
+		return nil
+	}
+	var out []target
+	for _, id := range route.Servers(snap.Servers, want) {
+		in, ok := live[id]
+		if ok {
+			out = append(out, target{id: id, address: in.Address, zone: in.AvailabilityZone})
+		}
+	}
+	return out
+}
+
+// routed is where a request goes.
+type routed struct {
+	choice  route.Choice
+	targets poolTargets
+}
+
+// routeRequest finds the pool of a request.
+func (e *Entry) routeRequest(r *request) (routed, *verdict.Error) {
+	t := e.routing.current()
+	if r.model != "" && !t.hasModel(r.model) {
+		return routed{}, verdict.New(verdict.NotRun, verdict.NoRoute, "There is no model %q.", r.model)
+	}
+	req := route.Request{
+		Model: r.model, Organisation: r.organisation, Priority: r.priority,
+		Method: r.method, Path: r.path, Group: r.group, AvailabilityZone: e.settings.AvailabilityZone,
+	}
+	c, ok := route.Pick(t.selectors, req, sticky(r))
+	if !ok {
+		return routed{}, verdict.New(verdict.NotRun, verdict.NoRoute, "No selector takes this request.")
+	}
+	targets, ok := t.pools[c.Pool]
+	if !ok {
+		return routed{}, verdict.New(verdict.NotRun, verdict.NoRoute, "Selector %s names pool %s, which isn't declared.", c.Selector, c.Pool)
+	}
+	return routed{choice: c, targets: targets}, nil
+}
+
+func (t *table) hasModel(m string) bool {
+	i := sort.SearchStrings(t.models, m)
+	return i < len(t.models) && t.models[i] == m
+}
+
+// sticky maps a request to [0,1), the same for each sending of its key, so that
+// a repeat stays in the same part of a canary.
+func sticky(r *request) float64 {
+	key := r.key
+	if key == "" {
+		key = r.id
+	}
+	const bits = 53
+	return float64(xxhash.Sum64String(r.organisation+"\x00"+key)>>(64-bits)) / (1 << bits)
+}
+
+// generates says whether the pool has servers for both phases.
+func (p *poolTargets) generates() bool { return len(p.prefill) > 0 && len(p.decode) > 0 }
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,131 @@
+// Package operator serves the operators' listener of a process: metrics, the
+// state dump, and its status. Callers must not reach this listener.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/board"
+)
+
+// Paths of the operators' listener.
+const (
+	PathMetrics = "/metrics"
+	PathState   = "/debug/state"
+	PathStatus  = "/status"
+	PathExplain = "/explain"
+)
+
+const stopWithin = time.Second
+
+// Status is the answer to PathStatus.
+type Status struct {
+	ID               string `json:"id"`
+	Role             string `json:"role"`
+	AvailabilityZone string `json:"availabilityZone"`
+	// Revision and Digest of the configuration in force.
+	Revision    uint64 `json:"revision"`
+	Digest      uint64 `json:"digest"`
+	Incarnation uint64 `json:"incarnation"`
+	// UptimeSeconds since the process started.
+	UptimeSeconds int64 `json:"uptimeSeconds"`
+}
+
+// Server is the operators' listener.
+type Server struct {
+	board   *board.Board
+	status  func() Status
+	explain func(query *fasthttp.Args) (any, error)
+	log     *logrus.Entry
+}
+
+// New returns a Server. explain may be nil for a role that routes nothing.
+func New(b *board.Board, status func() Status, explain func(*fasthttp.Args) (any, error), log *logrus.Logger) *Server {
+	return &Server{board: b, status: status, explain: explain, log: log.WithField("part", "operator")}
+}
+
+// Run serves on address until ctx ends.
+func (s *Server) Run(ctx context.Context, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "operator: listen on %s", address)
+	}
+	return s.Serve(ctx, l)
+}
+
+// Serve serves on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	srv := &fasthttp.Server{Handler: s.handle, Name: "jayford", CloseOnShutdown: true, ReadTimeout: time.Minute, Logger: s.log}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "operator: serve")
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	err := srv.ShutdownWithContext(limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case PathMetrics:
+		ctx.SetContentType("text/plain; charset=utf-8")
+		metrics.WritePrometheus(ctx, true)
+	case PathState:
+		s.state(ctx)
+	case PathStatus:
+		writeJSON(ctx, s.status())
+	case PathExplain:
+		s.explained(ctx)
+	default:
+		ctx.Error("no such page", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) state(ctx *fasthttp.RequestCtx) {
+	dump, err := s.board.Dump()
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(dump)
+}
+
+func (s *Server) explained(ctx *fasthttp.RequestCtx) {
+	if s.explain == nil {
+		ctx.Error("this role routes nothing", fasthttp.StatusNotFound)
+		return
+	}
+	v, err := s.explain(ctx.QueryArgs())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	writeJSON(ctx, v)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,173 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// process is one process of a test: a daemon or a stand-in.
+type process struct {
+	t    *testing.T
+	name string
+	path string
+	args []string
+	env  []string
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	cmd    *exec.Cmd
+	log    *bytes.Buffer
+	exited chan struct{}
+}
+
+// start starts the process, also again after it ended.
+func (p *process) start() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.log == nil {
+		p.log = new(bytes.Buffer)
+	}
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Env = append(os.Environ(), p.env...)
+	cmd.Stdout = &lockedWriter{p: p}
+	cmd.Stderr = cmd.Stdout
+	// A test binary that dies takes its processes along.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		p.t.Fatalf("start %s: %v", p.name, err)
+	}
+	p.cmd = cmd
+	exited := make(chan struct{})
+	p.exited = exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+type lockedWriter struct{ p *process }
+
+func (w *lockedWriter) Write(b []byte) (int, error) {
+	w.p.mu.Lock()
+	defer w.p.mu.Unlock()
+	return w.p.log.Write(b)
+}
+
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd != nil && cmd.Process != nil {
+		_ = cmd.Process.Signal(s)
+	}
+}
+
+func (p *process) wait(d time.Duration) bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait(5 * time.Second)
+}
+
+// freeze stops the process as a pause of its machine would; thaw ends it.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// terminate asks for a graceful stop and waits for it.
+func (p *process) terminate(d time.Duration) bool {
+	p.signal(syscall.SIGTERM)
+	return p.wait(d)
+}
+
+func (p *process) restart() {
+	p.kill()
+	p.start()
+}
+
+// logs returns what the process wrote.
+func (p *process) logs() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// dumpLogs shows the logs of a failed test's processes.
+func dumpLogs(t *testing.T, procs []*process) {
+	dir := os.Getenv("JAYFORD_TEST_LOGS")
+	if !t.Failed() || dir == "" {
+		return
+	}
+	for _, p := range procs {
+		_ = os.WriteFile(filepath.Join(dir, p.name+".log"), []byte(p.logs()), 0o600)
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on. It is below
+// the range that the kernel takes for outgoing connections, so that a process
+// that restarts finds its address still free.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	addresses.mu.Lock()
+	defer addresses.mu.Unlock()
+	for range 10000 {
+		addresses.next++
+		if addresses.next > lastPort {
+			addresses.next = firstPort
+		}
+		a := "127.0.0.1:" + strconv.Itoa(addresses.next)
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			l.Close()
+			return a
+		}
+	}
+	t.Fatal("no free address")
+	return ""
+}
+
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+var addresses = struct {
+	mu   sync.Mutex
+	next int
+}{next: firstPort + os.Getpid()*37%(lastPort-firstPort)}
+
+// eventually waits until f returns nil.
+func eventually(t *testing.T, d time.Duration, what string, f func() error) {
+	t.Helper()
+	end := time.Now().Add(d)
+	err := f()
+	for err != nil && time.Now().Before(end) {
+		time.Sleep(20 * time.Millisecond)
+		err = f()
+	}
+	if err != nil {
+		t.Fatalf("%s: not within %s: %v", what, d, err)
+	}
+}
+
+func errorf(format string, args ...any) error { return fmt.Errorf(format, args...) }
