Join the thin path: daemons, dev role and a test through processes

Cause: the parts had no process around them. Change: package daemon joins feed, operators' listener and role; jayfordd has the roles entry, agent and dev; the test bench starts separate processes with stand-ins that can be killed, stopped and cut off. Found on the way: a stop of the dev role drained agents before the entry (a running request would have been cut); agents now end after the entry.

--- a/cmd/jayfordd/main.go
+++ b/cmd/jayfordd/main.go
@@ -1,6 +1,11 @@
-// Command jayfordd.
+// Command jayfordd is jayford's daemon. Its role is named by the subcommand:
+// entry, agent or dev.
 package main
 
-import "net"
+import (
+	"os"
 
-func main() { _ = net.IPv4len }
+	"jayford.example/jayford/internal/cli"
+)
+
+func main() { os.Exit(cli.Main(os.Args[1:])) }
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,144 @@
+// Package cli is the command line of jayfordd.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/daemon"
+	"jayford.example/jayford/internal/dev"
+	"jayford.example/jayford/internal/settings"
+)
+
+// Exit codes of jayfordd.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitInvalid = 3
+)
+
+// errInvalid marks settings that were refused; the reasons are printed.
+var errInvalid = errors.New("settings refused")
+
+type roleCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"settings in JSON with comments"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+type entryCommand struct{ roleCommand }
+
+// Execute runs an entry.
+func (c *entryCommand) Execute([]string) error {
+	s, err := settings.LoadEntry(c.Settings)
+	if err != nil {
+		return refuse(err)
+	}
+	if c.Check {
+		return nil
+	}
+	return runRole(s.LogLevel, func(ctx context.Context, log *logrus.Logger) error {
+		return daemon.RunEntry(ctx, s, log)
+	})
+}
+
+type agentCommand struct{ roleCommand }
+
+// Execute runs an agent.
+func (c *agentCommand) Execute([]string) error {
+	s, err := settings.LoadAgent(c.Settings)
+	if err != nil {
+		return refuse(err)
+	}
+	if c.Check {
+		return nil
+	}
+	return runRole(s.LogLevel, func(ctx context.Context, log *logrus.Logger) error {
+		return daemon.RunAgent(ctx, s, log)
+	})
+}
+
+type devCommand struct {
+	Listen   string `long:"listen" default:"127.0.0.1:8080" value-name:"IP:PORT" description:"callers' listener"`
+	Operator string `long:"operator" default:"127.0.0.1:8081" value-name:"IP:PORT" description:"operators' listener of the entry"`
+	Prefill  int    `long:"prefill" default:"2" description:"prefill engines"`
+	Decode   int    `long:"decode" default:"2" description:"decode engines"`
+	Service  int    `long:"service" default:"2" description:"plain services"`
+	LogLevel string `long:"log-level" default:"warn" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+}
+
+// Execute runs the dev role.
+func (c *devCommand) Execute([]string) error {
+	return runRole(c.LogLevel, func(ctx context.Context, log *logrus.Logger) error {
+		return dev.Run(ctx, dev.Options{
+			Listen: c.Listen, Operator: c.Operator,
+			Prefill: c.Prefill, Decode: c.Decode, Service: c.Service, Log: log,
+		})
+	})
+}
+
+func refuse(err error) error {
+	fmt.Fprintln(os.Stderr, err)
+	return errInvalid
+}
+
+// runRole runs a role until it ends or the process is told to stop.
+func runRole(level string, role func(ctx context.Context, log *logrus.Logger) error) error {
+	log := logrus.StandardLogger()
+	lv, err := logrus.ParseLevel(level)
+	if err != nil {
+		return refuse(err)
+	}
+	log.SetLevel(lv)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return role(ctx, log)
+}
+
+// Main runs jayfordd with the given arguments and returns its exit code.
+func Main(args []string) int {
+	p := flags.NewNamedParser("jayfordd", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "Routes requests to prefill and decode engines and to plain services."
+	commands := []struct {
+		name, short string
+		data        any
+	}{
+		{"entry", "Accept callers on an entry instance.", &entryCommand{}},
+		{"agent", "Guard the backend server beside this process.", &agentCommand{}},
+		{"dev", "Run a small system with stand-ins in one process.", &devCommand{}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return ExitFailed
+		}
+	}
+	_, err := p.ParseArgs(args)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return ExitUsage
+	case errors.Is(err, errInvalid):
+		return ExitInvalid
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,145 @@
+// Package daemon joins the parts of a role in one process: settings, logs, the
+// configuration feed, the operators' listener and the role itself.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/board"
+	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/feed"
+	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
+)
+
+// platformTimeout bounds one call to the platform.
+const platformTimeout = 2 * time.Second
+
+// Roles of a process.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// core is what each role has.
+type core struct {
+	process     settings.Process
+	role        string
+	log         *logrus.Logger
+	board       *board.Board
+	config      *config.Store
+	platform    *platform.HTTP
+	follower    *feed.Follower
+	incarnation uint64
+	begun       time.Time
+}
+
+func newCore(p settings.Process, role string, log *logrus.Logger) *core {
+	b := board.New()
+	c := &core{
+		process: p, role: role, log: log, board: b, config: config.NewStore(b),
+		platform: platform.NewHTTP(p.Platform, platformTimeout),
+		// The clock in nanoseconds rises over restarts, as long as a restart
+		// takes longer than the clock's correction.
+		incarnation: uint64(time.Now().UnixNano()),
+		begun:       time.Now(),
+	}
+	c.follower = feed.NewFollower(feed.Options{
+		Identity: c.identity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
+		Dial:        []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry()},
+		Incarnation: c.incarnation,
+	})
+	return c
+}
+
+func (c *core) identity() feed.Identity {
+	return feed.Identity{
+		ID: c.process.ID, Role: c.role, Region: c.process.Region,
+		AvailabilityZone: c.process.AvailabilityZone, Address: c.process.Peer,
+	}
+}
+
+func (c *core) ready() bool {
+	select {
+	case <-c.follower.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *core) status() operator.Status {
+	snap := c.config.Current()
+	return operator.Status{
+		ID: c.process.ID, Role: c.role, AvailabilityZone: c.process.AvailabilityZone,
+		Revision: snap.Revision, Digest: snap.Digest, Incarnation: c.incarnation,
+		UptimeSeconds: int64(time.Since(c.begun).Seconds()),
+	}
+}
+
+// servePeers serves the Peer protocol until ctx ends.
+func (c *core) servePeers(ctx context.Context) error {
+	l, err := net.Listen("tcp", c.process.Peer)
+	if err != nil {
+		return eris.Wrapf(err, "daemon: listen for peers on %s", c.process.Peer)
+	}
+	peers := feed.NewServer(feed.ServerOptions{
+		Identity: c.identity(), Store: c.config, Platform: c.platform,
+		Age: c.follower.Age, Writes: c.follower.Writes,
+	})
+	srv := grpc.NewServer()
+	pb.RegisterPeerServer(srv, peers)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return srv.Serve(l) })
+	g.Go(func() error { return peers.Run(ctx) })
+	g.Go(func() error {
+		<-ctx.Done()
+		peers.Stop()
+		srv.Stop()
+		return nil
+	})
+	err = g.Wait()
+	if errors.Is(err, grpc.ErrServerStopped) {
+		return nil
+	}
+	return err
+}
+
+// background runs f beside the role until the role has ended.
+type background func(ctx context.Context) error
+
+// run runs the role until ctx ends and the role has stopped gracefully. What it
+// needs meanwhile (feed, operators' listener) is stopped after it.
+func run(ctx context.Context, role background, beside ...background) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, inner := errgroup.WithContext(inner)
+	for _, f := range beside {
+		g.Go(func() error { return f(inner) })
+	}
+	g.Go(func() error {
+		defer cancel()
+		// A failure of what is beside the role stops the role too.
+		roleCtx, stop := context.WithCancel(ctx)
+		defer stop()
+		unhook := context.AfterFunc(inner, stop)
+		defer unhook()
+		return role(roleCtx)
+	})
+	err := g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/roles.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/agent"
+	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/entry"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
+)
+
+// RunEntry runs an entry until ctx ends and it has stopped gracefully.
+func RunEntry(ctx context.Context, s settings.Entry, log *logrus.Logger) error {
+	c := newCore(s.Process, RoleEntry, log)
+	e := entry.New(entry.Options{
+		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
+		Incarnation: c.incarnation, Ready: c.ready, Log: log,
+	})
+	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
+	ops := operator.New(c.board, c.status, explain, log)
+	return run(
+		ctx, e.Run, c.follower.Run, c.servePeers,
+		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
+	)
+}
+
+func queryValues(q *fasthttp.Args) url.Values {
+	out := make(url.Values)
+	for k, v := range q.All() {
+		out.Add(string(k), string(v))
+	}
+	return out
+}
+
+// RunAgent runs an agent until ctx ends and it has stopped gracefully.
+func RunAgent(ctx context.Context, s settings.Agent, log *logrus.Logger) error {
+	c := newCore(s.Process, RoleAgent, log)
+	opts := agent.Options{
+		Settings: s, Board: c.board, Lease: leaseReader(c.platform), Log: log, Incarnation: c.incarnation,
+	}
+	if s.BackendKind == settings.BackendEngine {
+		opts.Engine = engine.NewHTTP(s.Backend)
+	}
+	a := agent.New(opts)
+	ops := operator.New(c.board, c.status, nil, log)
+	return run(
+		ctx, a.Run, c.follower.Run,
+		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
+		func(ctx context.Context) error { return followIntents(ctx, a, c.config, s.ID) },
+	)
+}
+
+// leaseReader reads the fencing number of a controller's lease: the version of
+// its object.
+func leaseReader(store platform.Store) func(ctx context.Context, scope string) (uint64, error) {
+	return func(ctx context.Context, scope string) (uint64, error) {
+		o, err := store.Get(ctx, object.KindLease, scope)
+		return o.Version, eris.Wrap(err, "daemon: read lease")
+	}
+}
+
+// followIntents carries the configuration's drain intent and convictions to the
+// agent, which refuses by itself: entries learn it later.
+func followIntents(ctx context.Context, a *agent.Agent, store *config.Store, id string) error {
+	for {
+		changed := store.Changed()
+		snap := store.Current()
+		a.SetLeaving(drained(snap, id))
+		fps := make([]uint64, 0, len(snap.Convictions))
+		for fp := range snap.Convictions {
+			fps = append(fps, fp)
+		}
+		a.Convict(fps)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// drained says whether the operators' intent or the platform's list takes the
+// server out of use.
+func drained(snap *config.Snapshot, id string) bool {
+	for _, in := range snap.Intents {
+		if in.Server == id && in.Drain {
+			return true
+		}
+	}
+	for _, in := range snap.Instances {
+		if in.ID == id && in.State == platform.Leaving {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,262 @@
+// Package dev runs a whole small system in one process on loopback, with
+// stand-ins for platform, engines and a plain service, for a first try.
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"jayford.example/jayford/internal/daemon"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+	platformstandin "jayford.example/jayford/internal/standin/platform"
+	servicestandin "jayford.example/jayford/internal/standin/service"
+)
+
+// Model is the name of the model that the stand-ins serve.
+const Model = "small-model"
+
+const (
+	zone       = "dev-a"
+	region     = "dev"
+	stopWithin = 3 * time.Second
+	setupTime  = 5 * time.Second
+)
+
+// Options of the dev role.
+type Options struct {
+	// Listen is the "ip:port" for callers, Operator that for operators.
+	Listen   string
+	Operator string
+	// Prefill, Decode and Service are how many servers of each kind run.
+	Prefill, Decode, Service int
+	Log                      *logrus.Logger
+}
+
+// system is one run of the dev role.
+type system struct {
+	opts  Options
+	group *errgroup.Group
+	ctx   context.Context
+	// agents ends after the entry has stopped: a request that the entry still
+	// serves needs them.
+	agents     context.Context
+	stopAgents context.CancelFunc
+	roles      context.Context
+	platform   string
+	instances  []platform.Instance
+	objects    []platform.Object
+}
+
+// Run runs the system until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	// Stand-ins outlive the roles, so that a stop is as graceful as elsewhere.
+	standins, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, standins := errgroup.WithContext(standins)
+	roles, stop := context.WithCancel(ctx)
+	defer stop()
+	context.AfterFunc(standins, stop)
+	agents, stopAgents := context.WithCancel(standins)
+	defer stopAgents()
+	s := &system{opts: o, group: group, ctx: standins, roles: roles, agents: agents, stopAgents: stopAgents}
+	if err := s.build(); err != nil {
+		return err
+	}
+	var daemons errgroup.Group
+	if err := s.startRoles(&daemons); err != nil {
+		return err
+	}
+	err := daemons.Wait()
+	cancel()
+	if serr := group.Wait(); err == nil {
+		err = serr
+	}
+	return err
+}
+
+type standin interface {
+	Serve(ctx context.Context, l net.Listener) error
+}
+
+func (s *system) serve(x standin) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "dev: listen")
+	}
+	s.group.Go(func() error { return x.Serve(s.ctx, l) })
+	return l.Addr().String(), nil
+}
+
+func (s *system) build() error {
+	var err error
+	s.platform, err = s.serve(platformstandin.New(platformstandin.Options{}))
+	return err
+}
+
+// startRoles starts the agents with their servers, declares the configuration,
+// and starts the entry.
+func (s *system) startRoles(g *errgroup.Group) error {
+	for i := range s.opts.Prefill {
+		if err := s.startEngine(g, fmt.Sprintf("prefill-%d", i), object.RolePrefill); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Decode {
+		if err := s.startEngine(g, fmt.Sprintf("decode-%d", i), object.RoleDecode); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Service {
+		if err := s.startService(g, fmt.Sprintf("service-%d", i)); err != nil {
+			return err
+		}
+	}
+	if err := s.declare(); err != nil {
+		return err
+	}
+	return s.startEntry(g)
+}
+
+func (s *system) startEngine(g *errgroup.Group, id, role string) error {
+	address, err := s.serve(enginestandin.New(enginestandin.Options{Model: Model, Role: role}))
+	if err != nil {
+		return err
+	}
+	s.server(id, map[string]string{object.LabelModel: Model, object.LabelRole: role})
+	return s.startAgent(g, id, address, settings.BackendEngine)
+}
+
+func (s *system) startService(g *errgroup.Group, id string) error {
+	address, err := s.serve(servicestandin.New(servicestandin.Options{Name: id}))
+	if err != nil {
+		return err
+	}
+	s.server(id, map[string]string{object.LabelRole: object.RoleService})
+	return s.startAgent(g, id, address, settings.BackendService)
+}
+
+func (s *system) process(id string) (settings.Process, error) {
+	p := settings.DefaultProcess()
+	p.ID, p.Region, p.AvailabilityZone = id, region, zone
+	p.Platform = s.platform
+	p.StopWithin = settings.Duration(stopWithin)
+	var err error
+	if p.Peer, err = freeAddress(); err != nil {
+		return p, err
+	}
+	p.Operator, err = freeAddress()
+	return p, err
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "dev: find a free address")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (s *system) startAgent(g *errgroup.Group, id, backend, kind string) error {
+	a := settings.DefaultAgent()
+	p, err := s.process(id)
+	if err != nil {
+		return err
+	}
+	a.Process, a.Backend, a.BackendKind = p, backend, kind
+	s.instance(p, daemon.RoleAgent)
+	g.Go(func() error { return daemon.RunAgent(s.agents, a, s.opts.Log) })
+	return nil
+}
+
+func (s *system) startEntry(g *errgroup.Group) error {
+	e := settings.DefaultEntry()
+	p, err := s.process("entry-0")
+	if err != nil {
+		return err
+	}
+	e.Process, e.Listen = p, s.opts.Listen
+	if s.opts.Operator != "" {
+		e.Operator = s.opts.Operator
+	}
+	s.instance(p, daemon.RoleEntry)
+	if err := s.publishInstances(); err != nil {
+		return err
+	}
+	g.Go(func() error {
+		defer s.stopAgents()
+		return daemon.RunEntry(s.roles, e, s.opts.Log)
+	})
+	s.greet(e)
+	return nil
+}
+
+func (s *system) greet(e settings.Entry) {
+	fmt.Printf(`jayford runs on %s, the operators' listener is %s, the platform %s. Try:
+
+  curl -s http://%s/v1/models
+  curl -s http://%s/v1/completions -d '{"model":"%s","prompt":"hello there","max_tokens":8}'
+  curl -sN http://%s/v1/completions -d '{"model":"%s","prompt":"hello there","max_tokens":8,"stream":true}'
+  curl -s http://%s/faces/42?size=small
+
+Ctrl-C stops it.
+`, e.Listen, e.Operator, s.platform, e.Listen, e.Listen, Model, e.Listen, Model, e.Listen)
+}
+
+func (s *system) instance(p settings.Process, role string) {
+	s.instances = append(s.instances, platform.Instance{
+		ID: p.ID, Address: p.Peer, Role: role, AvailabilityZone: zone, Region: region, State: platform.Live,
+	})
+}
+
+func (s *system) server(id string, labels map[string]string) {
+	s.object(object.KindServer, id, object.Server{Format: object.Format, Labels: labels})
+}
+
+func (s *system) object(kind, name string, spec any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		// The specs are this package's own constants.
+		panic(err)
+	}
+	s.objects = append(s.objects, platform.Object{Kind: kind, Name: name, Spec: text, Operation: "dev"})
+}
+
+// declare writes the pools and selectors of the dev system.
+func (s *system) declare() error {
+	s.object(object.KindPool, "model", object.Pool{
+		Format: object.Format, Model: Model,
+		Prefill: map[string]string{object.LabelModel: Model, object.LabelRole: object.RolePrefill},
+		Decode:  map[string]string{object.LabelModel: Model, object.LabelRole: object.RoleDecode},
+	})
+	s.object(object.KindPool, "service", object.Pool{
+		Format: object.Format, Service: map[string]string{object.LabelRole: object.RoleService},
+	})
+	s.object(object.KindSelector, "model", object.Selector{
+		Format: object.Format, Order: 10, Match: object.Match{Models: []string{Model}},
+		Targets: []object.Target{{Pool: "model", Weight: 1}},
+	})
+	s.object(object.KindSelector, "service", object.Selector{
+		Format: object.Format, Order: 20, Match: object.Match{PathPrefixes: []string{"/"}},
+		Targets: []object.Target{{Pool: "service", Weight: 1}},
+	})
+	ctx, cancel := context.WithTimeout(s.ctx, setupTime)
+	defer cancel()
+	store := platform.NewHTTP(s.platform, setupTime)
+	for _, o := range s.objects {
+		if _, err := store.Put(ctx, o); err != nil {
+			return eris.Wrapf(err, "dev: declare %s %s", o.Kind, o.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/explain.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"net/url"
+
+	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/policy/route"
+)
+
+// Explain says how a described request would be routed. The query has the keys
+// model, organisation, priority, method, path, group and zone.
+func (e *Entry) Explain(q url.Values) (any, error) {
+	known := map[string]bool{"model": true, "organisation": true, "priority": true, "method": true, "path": true, "group": true, "zone": true}
+	for k := range q {
+		if !known[k] {
+			return nil, eris.Errorf("unknown key %q", k)
+		}
+	}
+	r := route.Request{
+		Model: q.Get("model"), Organisation: q.Get("organisation"), Priority: q.Get("priority"),
+		Method: q.Get("method"), Path: q.Get("path"), Group: q.Get("group"), AvailabilityZone: q.Get("zone"),
+	}
+	if r.Priority == "" {
+		r.Priority = Interactive
+	}
+	if r.AvailabilityZone == "" {
+		r.AvailabilityZone = e.settings.AvailabilityZone
+	}
+	t := e.routing.current()
+	return route.Explain(t.selectors, t.snapshot.Pools, t.snapshot.Servers, r, 0), nil
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -87,7 +87,7 @@
 	limit, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	err := s.http.ShutdownWithContext(limit)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/test/caller_test.go
@@ -0,0 +1,167 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// ask is one request of a caller.
+type ask struct {
+	entry     *node
+	prompt    string
+	maxTokens int
+	stream    bool
+	headers   map[string]string
+	timeout   time.Duration
+}
+
+// answer is what a caller saw of its request.
+type answer struct {
+	ask      ask
+	status   int
+	text     string
+	whole    bool
+	verdict  string
+	code     string
+	request  string
+	retry    string
+	attempts string
+	err      error
+	sent     time.Time
+	first    time.Duration
+	took     time.Duration
+}
+
+type answerBody struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *struct {
+		Code    string `json:"code"`
+		Verdict string `json:"verdict"`
+	} `json:"error"`
+}
+
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableKeepAlives: true}}
+
+// complete sends a completion and reads its answer to the end.
+func complete(ctx context.Context, a ask) answer {
+	body, _ := json.Marshal(map[string]any{
+		"model": testModel, "prompt": a.prompt, "max_tokens": a.maxTokens, "stream": a.stream,
+	})
+	return exchange(ctx, a, http.MethodPost, "/v1/completions", body)
+}
+
+func exchange(ctx context.Context, a ask, method, path string, body []byte) answer {
+	out := answer{ask: a, sent: time.Now()}
+	if a.timeout == 0 {
+		a.timeout = time.Minute
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.entry.listen+path, bytes.NewReader(body))
+	if err != nil {
+		out.err = err
+		return out
+	}
+	for k, v := range a.headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := callers.Do(req)
+	if err != nil {
+		out.err = err
+		return out
+	}
+	defer resp.Body.Close()
+	out.status = resp.StatusCode
+	out.verdict = resp.Header.Get("Jayford-Verdict")
+	out.request = resp.Header.Get("Jayford-Request")
+	out.retry = resp.Header.Get("Retry-After")
+	out.attempts = resp.Header.Get("Jayford-Attempts")
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		out.readStream(resp.Body)
+	} else {
+		out.readWhole(resp.Body)
+	}
+	out.took = time.Since(out.sent)
+	return out
+}
+
+func (o *answer) readWhole(r io.Reader) {
+	body, err := io.ReadAll(r)
+	o.err = err
+	var b answerBody
+	if err == nil && json.Unmarshal(body, &b) == nil {
+		o.take(b)
+	}
+	o.whole = err == nil && o.status == http.StatusOK
+	if len(b.Choices) == 0 {
+		o.text = string(body)
+	}
+}
+
+func (o *answer) take(b answerBody) {
+	if b.Error != nil {
+		o.code = b.Error.Code
+		o.verdict = b.Error.Verdict
+	}
+	for _, c := range b.Choices {
+		o.text += c.Text
+	}
+}
+
+// readStream reads server-sent events; only [DONE] makes an answer whole.
+func (o *answer) readStream(r io.Reader) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, 1<<20)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			o.whole = true
+			continue
+		}
+		if o.first == 0 {
+			o.first = time.Since(o.sent)
+		}
+		var b answerBody
+		if json.Unmarshal([]byte(data), &b) == nil {
+			o.take(b)
+		}
+	}
+	o.err = sc.Err()
+}
+
+// expected is the whole right answer to a prompt.
+func expected(prompt string, maxTokens int) string {
+	n, _ := enginestandin.AnswerLength(prompt, maxTokens)
+	var sb strings.Builder
+	for i := range n {
+		sb.WriteString(enginestandin.Answer(testModel, prompt, i))
+	}
+	return sb.String()
+}
+
+// checkAnswer returns an error if a whole answer isn't the right one, or if
+// what came of a cut one isn't a beginning of it.
+func (o *answer) checkAnswer() error {
+	want := expected(o.ask.prompt, o.ask.maxTokens)
+	switch {
+	case o.whole && o.text != want:
+		return errorf("request %s: answer %q, want %q", o.request, o.text, want)
+	case !o.whole && o.status == http.StatusOK && !strings.HasPrefix(want, o.text):
+		return errorf("request %s: cut answer %q is no beginning of %q", o.request, o.text, want)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/cluster_test.go
@@ -0,0 +1,352 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+	platformstandin "jayford.example/jayford/internal/standin/platform"
+	servicestandin "jayford.example/jayford/internal/standin/service"
+)
+
+const testModel = "model-a"
+
+// shape says which processes a test's cluster has.
+type shape struct {
+	entries, prefill, decode, services int
+	engine                             enginestandin.Options
+	service                            servicestandin.Options
+	platform                           platformstandin.Options
+	entry                              func(*settings.Entry)
+	agent                              func(*settings.Agent)
+	// links puts a link that can be cut before each agent, each engine and
+	// the platform.
+	links bool
+}
+
+// node is a daemon with its settings and what stands beside it.
+type node struct {
+	*process
+	id       string
+	peer     string
+	operator string
+	// listen is the callers' address of an entry.
+	listen string
+	// backend is the stand-in beside an agent, at backendAddress.
+	backend        *process
+	backendAddress string
+	// agentLink and backendLink are set if the shape has links.
+	agentLink   *link
+	backendLink *link
+	role        string
+	zone        string
+	leaving     bool
+}
+
+// cluster is a running system.
+type cluster struct {
+	t               *testing.T
+	dir             string
+	shape           shape
+	platform        *process
+	platformAddress string
+	platformLink    *link
+	entries         []*node
+	prefill         []*node
+	decode          []*node
+	services        []*node
+	store           *platform.HTTP
+}
+
+// newCluster starts a system and waits until it serves.
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), shape: s}
+	t.Cleanup(c.stop)
+	c.platformAddress = freeAddress(t)
+	c.platform = c.standin("platform", "platform", c.platformAddress, s.platform)
+	c.store = platform.NewHTTP(c.platformAddress, 2*time.Second)
+	eventually(t, 5*time.Second, "platform", func() error {
+		_, err := c.store.List(context.Background(), object.KindPool)
+		return err
+	})
+	if s.links {
+		c.platformLink = newLink(t, c.platformAddress)
+	}
+	for i := range s.prefill {
+		c.prefill = append(c.prefill, c.newEngine(fmt.Sprintf("prefill-%d", i), object.RolePrefill, i))
+	}
+	for i := range s.decode {
+		c.decode = append(c.decode, c.newEngine(fmt.Sprintf("decode-%d", i), object.RoleDecode, i))
+	}
+	for i := range s.services {
+		c.services = append(c.services, c.newService(fmt.Sprintf("service-%d", i), i))
+	}
+	for i := range s.entries {
+		c.entries = append(c.entries, c.newEntry(fmt.Sprintf("entry-%d", i), i))
+	}
+	c.publishInstances()
+	c.declare()
+	for _, n := range c.nodes() {
+		n.start()
+	}
+	for _, e := range c.entries {
+		c.waitReady(e)
+	}
+	return c
+}
+
+func (c *cluster) agents() []*node {
+	var out []*node
+	out = append(out, c.prefill...)
+	out = append(out, c.decode...)
+	return append(out, c.services...)
+}
+
+func (c *cluster) nodes() []*node { return append(c.agents(), c.entries...) }
+
+func (c *cluster) stop() {
+	var all []*process
+	for _, n := range c.nodes() {
+		all = append(all, n.process)
+		if n.backend != nil {
+			all = append(all, n.backend)
+		}
+	}
+	all = append(all, c.platform)
+	for _, p := range all {
+		if p != nil && p.cmd != nil {
+			p.kill()
+		}
+	}
+	dumpLogs(c.t, all)
+}
+
+// standin starts a stand-in in its own process.
+func (c *cluster) standin(name, kind, address string, options any) *process {
+	text, err := json.Marshal(options)
+	assert.NilError(c.t, err)
+	p := &process{t: c.t, name: name, path: os.Args[0], env: []string{
+		envStandin + "=" + kind, envAddress + "=" + address, envOptions + "=" + string(text),
+	}}
+	p.start()
+	return p
+}
+
+// settingsFile writes settings and returns the file's path.
+func (c *cluster) settingsFile(id string, s any) string {
+	text, err := json.Marshal(s)
+	assert.NilError(c.t, err)
+	path := filepath.Join(c.dir, id+".json")
+	assert.NilError(c.t, os.WriteFile(path, text, 0o600))
+	return path
+}
+
+func zoneOf(i int) string { return string(rune('a'+i%3)) + "-zone" }
+
+func (c *cluster) process(p *settings.Process, n *node) {
+	p.ID, p.Region, p.AvailabilityZone = n.id, "region", n.zone
+	p.Peer, p.Operator = n.peer, n.operator
+	p.Platform = c.platformAddress
+	if c.platformLink != nil {
+		p.Platform = c.platformLink.address
+	}
+}
+
+func (c *cluster) newNode(id, role string, i int) *node {
+	return &node{id: id, role: role, zone: zoneOf(i), peer: freeAddress(c.t), operator: freeAddress(c.t)}
+}
+
+func (c *cluster) newEngine(id, role string, i int) *node {
+	n := c.newNode(id, "agent", i)
+	o := c.shape.engine
+	o.Model, o.Role = testModel, role
+	return c.newAgent(n, "engine", o, settings.BackendEngine, map[string]string{
+		object.LabelModel: testModel, object.LabelRole: role,
+	})
+}
+
+func (c *cluster) newService(id string, i int) *node {
+	n := c.newNode(id, "agent", i)
+	o := c.shape.service
+	o.Name = id
+	return c.newAgent(n, "service", o, settings.BackendService, map[string]string{object.LabelRole: object.RoleService})
+}
+
+func (c *cluster) newAgent(n *node, standin string, options any, kind string, labels map[string]string) *node {
+	n.backendAddress = freeAddress(c.t)
+	n.backend = c.standin("backend-"+n.id, standin, n.backendAddress, options)
+	a := settings.DefaultAgent()
+	c.process(&a.Process, n)
+	a.Backend, a.BackendKind = n.backendAddress, kind
+	if c.shape.links {
+		n.backendLink = newLink(c.t, n.backendAddress)
+		a.Backend = n.backendLink.address
+		n.agentLink = newLink(c.t, n.peer)
+	}
+	if c.shape.agent != nil {
+		c.shape.agent(&a)
+	}
+	n.process = &process{t: c.t, name: n.id, path: filepath.Join(binaries, "jayfordd"), args: []string{"agent", "--settings", c.settingsFile(n.id, a)}}
+	c.put(object.KindServer, n.id, object.Server{Format: object.Format, Labels: labels})
+	return n
+}
+
+func (c *cluster) newEntry(id string, i int) *node {
+	n := c.newNode(id, "entry", i)
+	n.listen = freeAddress(c.t)
+	e := settings.DefaultEntry()
+	c.process(&e.Process, n)
+	e.Listen = n.listen
+	if c.shape.entry != nil {
+		c.shape.entry(&e)
+	}
+	n.process = &process{t: c.t, name: n.id, path: filepath.Join(binaries, "jayfordd"), args: []string{"entry", "--settings", c.settingsFile(n.id, e)}}
+	return n
+}
+
+// put writes an object over whatever version is stored.
+func (c *cluster) put(kind, name string, spec any) {
+	c.t.Helper()
+	text, err := json.Marshal(spec)
+	assert.NilError(c.t, err)
+	ctx := context.Background()
+	have, _ := c.store.Get(ctx, kind, name)
+	_, err = c.store.Put(ctx, platform.Object{
+		Kind: kind, Name: name, Version: have.Version, Spec: text, Operation: platform.NewOperation(),
+	})
+	assert.NilError(c.t, err)
+}
+
+func (c *cluster) declare() {
+	labels := func(role string) map[string]string {
+		return map[string]string{object.LabelModel: testModel, object.LabelRole: role}
+	}
+	if c.shape.decode > 0 {
+		c.put(object.KindPool, "model", object.Pool{
+			Format: object.Format, Model: testModel, Prefill: labels(object.RolePrefill), Decode: labels(object.RoleDecode),
+		})
+		c.put(object.KindSelector, "model", object.Selector{
+			Format: object.Format, Order: 10, Match: object.Match{Models: []string{testModel}},
+			Targets: []object.Target{{Pool: "model", Weight: 1}},
+		})
+	}
+	if c.shape.services > 0 {
+		c.put(object.KindPool, "service", object.Pool{
+			Format: object.Format, Service: map[string]string{object.LabelRole: object.RoleService},
+		})
+		c.put(object.KindSelector, "service", object.Selector{
+			Format: object.Format, Order: 20, Match: object.Match{PathPrefixes: []string{"/"}},
+			Targets: []object.Target{{Pool: "service", Weight: 1}},
+		})
+	}
+}
+
+// publishInstances tells the platform who is live and who is leaving.
+func (c *cluster) publishInstances() {
+	c.t.Helper()
+	list := []platform.Instance{}
+	for _, n := range c.nodes() {
+		in := platform.Instance{
+			ID: n.id, Address: n.peer, Role: n.role, AvailabilityZone: n.zone, Region: "region", State: platform.Live,
+		}
+		if n.agentLink != nil {
+			in.Address = n.agentLink.address
+		}
+		if n.leaving {
+			in.State = platform.Leaving
+		}
+		list = append(list, in)
+	}
+	post(c.t, c.platformAddress, "/instances", list)
+}
+
+// control sets a fault of a stand-in.
+func (n *node) control(v any) { post(n.t, n.backendAddress, "/v1/control", v) }
+
+func (c *cluster) platformControl(v platformstandin.Control) {
+	post(c.t, c.platformAddress, "/control", v)
+}
+
+func post(t *testing.T, address, path string, v any) {
+	t.Helper()
+	text, err := json.Marshal(v)
+	assert.NilError(t, err)
+	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(text))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	assert.Assert(t, resp.StatusCode < http.StatusBadRequest, "%s: %s", path, body)
+}
+
+// getJSON reads a JSON page.
+func getJSON(address, path string, v any) error {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errorf("%s: status %d", path, resp.StatusCode)
+	}
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// record returns the account of the engine beside a node.
+func (n *node) record() enginestandin.Record {
+	n.t.Helper()
+	var r enginestandin.Record
+	assert.NilError(n.t, getJSON(n.backendAddress, "/v1/record", &r))
+	return r
+}
+
+// calls returns the account of the plain service beside a node.
+func (n *node) calls() []servicestandin.Call {
+	n.t.Helper()
+	var r []servicestandin.Call
+	assert.NilError(n.t, getJSON(n.backendAddress, "/v1/record", &r))
+	return r
+}
+
+// waitReady waits until an entry serves all models and its servers are up.
+func (c *cluster) waitReady(e *node) {
+	c.t.Helper()
+	eventually(c.t, 10*time.Second, e.id+" ready", func() error {
+		resp, err := http.Get("http://" + e.listen + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	})
+	for _, n := range c.nodes() {
+		eventually(c.t, 10*time.Second, n.id+" configured", func() error {
+			var st operator.Status
+			if err := getJSON(n.operator, operator.PathStatus, &st); err != nil {
+				return err
+			}
+			if st.Revision == 0 {
+				return errorf("no configuration")
+			}
+			return nil
+		})
+	}
+}
--- /dev/null
+++ b/test/path_test.go
@@ -0,0 +1,33 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	servicestandin "jayford.example/jayford/internal/standin/service"
+)
+
+// One request of each kind is served through separate processes: the answer is
+// the caller's own, whole, and it ran once.
+func TestPathThroughProcesses(t *testing.T) {
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, services: 1})
+	ctx := context.Background()
+	for _, stream := range []bool{false, true} {
+		got := complete(ctx, ask{entry: c.entries[0], prompt: "first light", maxTokens: 12, stream: stream})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, got.text)
+		assert.Assert(t, got.whole)
+		assert.NilError(t, got.checkAnswer())
+	}
+	got := exchange(ctx, ask{entry: c.entries[0]}, http.MethodPut, "/faces/7?size=2", []byte("body"))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.text)
+	var echo servicestandin.Echo
+	assert.NilError(t, json.Unmarshal([]byte(got.text), &echo))
+	assert.Equal(t, echo.Method+" "+echo.Path+"?"+echo.Query+" "+echo.Body, "PUT /faces/7?size=2 body")
+	assert.Equal(t, len(c.services[0].calls()), 1)
+}
