--- /dev/null
+++ b/test/gone_test.go
@@ -0,0 +1,102 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// freeBound is how soon engine memory must be free after its caller has gone.
+const freeBound = 3 * time.Second
+
+// A caller closes its connection while its request is queued, in prefill, in
+// transfer or in decode. Nobody waits for the answer any more, so the engine
+// must not hold memory for it: the entry sees the close on the socket, cancels
+// down the path, and the agent cancels at the engine.
+func TestCallerGoneFreesEngines(t *testing.T) {
+	stages := []struct {
+		name   string
+		after  time.Duration
+		words  int
+		stream bool
+	}{
+		{"prefill", 300 * time.Millisecond, 6000, false},
+		{"decode", 500 * time.Millisecond, 10, false},
+		{"decode streamed", 500 * time.Millisecond, 10, true},
+	}
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, engine: enginestandin.Options{PrefillPerThousand: 200 * time.Millisecond}})
+	for _, s := range stages {
+		t.Run(s.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), s.after)
+			defer cancel()
+			got := complete(ctx, ask{entry: c.entries[0], prompt: prompt(s.name, s.words), maxTokens: 2000, stream: s.stream})
+			assert.Assert(t, got.err != nil)
+			took := c.waitFree(freeBound)
+			report(t, "caller gone in %s: all free after %s", s.name, took.Round(time.Millisecond))
+		})
+	}
+}
+
+// All slots are taken and more callers wait in the queue; then all leave. The
+// queue must forget them: the next request gets a slot at once and nothing of
+// those who left runs later.
+func TestCallersGoneWhileQueued(t *testing.T) {
+	c := newCluster(t, shape{
+		entries: 1, prefill: 1, decode: 1,
+		engine: enginestandin.Options{DecodeSlots: 2},
+		agent:  func(a *settings.Agent) { a.Slots = 2 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan answer, 20)
+	for i := range 20 {
+		go func() {
+			done <- complete(ctx, ask{entry: c.entries[0], prompt: fmt.Sprintf("queued %d", i), maxTokens: 1000})
+		}()
+	}
+	time.Sleep(time.Second)
+	cancel()
+	for range 20 {
+		<-done
+	}
+	took := c.waitFree(freeBound)
+	_, before := c.started()
+	got := complete(context.Background(), ask{entry: c.entries[0], prompt: "after them", maxTokens: 4})
+	assert.NilError(t, got.err)
+	assert.Assert(t, got.whole)
+	_, after := c.started()
+	assert.Equal(t, len(after), len(before)+1, "a request whose caller had left ran later")
+	report(t, "20 callers gone, 2 running: all free after %s", took.Round(time.Millisecond))
+}
+
+// An entry is killed, or frozen, while its requests run. It sends no cancel.
+// The agents see no renewal and free by themselves within the lapse time.
+func TestEntryLostFreesEngines(t *testing.T) {
+	for _, how := range []string{"killed", "frozen"} {
+		t.Run(how, func(t *testing.T) {
+			c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1})
+			h := &history{}
+			wg := c.load(h, 8, 10*time.Millisecond, func(i int) ask {
+				return ask{prompt: prompt(fmt.Sprint("lost ", i), 300*(i%4)), maxTokens: 2000, timeout: 6 * time.Second}
+			})
+			time.Sleep(700 * time.Millisecond)
+			if how == "killed" {
+				c.entries[0].kill()
+			} else {
+				c.entries[0].freeze()
+			}
+			took := c.waitFree(5 * time.Second)
+			report(t, "entry %s with 8 requests: all free after %s", how, took.Round(time.Millisecond))
+			if how == "frozen" {
+				c.entries[0].thaw()
+			}
+			wg.Wait()
+			c.checkHistory(h)
+		})
+	}
+}
--- /dev/null
+++ b/test/history_test.go
@@ -0,0 +1,143 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// history collects what callers saw. Together with the stand-ins' own accounts
+// it is all that the checks look at.
+type history struct {
+	mu sync.Mutex
+	// answers is guarded by mu.
+	answers []answer
+}
+
+func (h *history) add(a answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers = append(h.answers, a)
+}
+
+func (h *history) all() []answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]answer(nil), h.answers...)
+}
+
+// tally counts the answers by kind.
+type tally struct{ whole, refused, cut, lost int }
+
+func (h *history) tally() tally {
+	var n tally
+	for _, a := range h.all() {
+		switch {
+		case a.whole:
+			n.whole++
+		case a.err != nil:
+			n.lost++
+		case a.status == 200:
+			n.cut++
+		default:
+			n.refused++
+		}
+	}
+	return n
+}
+
+func (n tally) String() string {
+	return fmt.Sprintf("%d whole, %d refused, %d cut with an error, %d without an answer", n.whole, n.refused, n.cut, n.lost)
+}
+
+// started returns for each request id how often engines began its decode, and
+// whether they began anything of it.
+func (c *cluster) started() (decodes, any map[string]int) {
+	decodes = make(map[string]int)
+	any = make(map[string]int)
+	for _, n := range append(append([]*node(nil), c.prefill...), c.decode...) {
+		for _, e := range n.record().Entries {
+			if e.Kind != enginestandin.EntryStart {
+				continue
+			}
+			any[e.Attempt.Request]++
+			if e.Phase == "decode" {
+				decodes[e.Attempt.Request]++
+			}
+		}
+	}
+	return decodes, any
+}
+
+// checkHistory checks what must hold for every answer: it is the right one, and
+// a refusal that says "not run" is true by the engines' accounts.
+func (c *cluster) checkHistory(h *history) {
+	c.t.Helper()
+	_, began := c.started()
+	for _, a := range h.all() {
+		assert.NilError(c.t, a.checkAnswer())
+		if a.status == 0 || a.whole {
+			continue
+		}
+		if a.verdict == "not-run" && began[a.request] > 0 {
+			c.t.Errorf("request %s was refused as not run (%s), but engines began it %d times", a.request, a.code, began[a.request])
+		}
+		if a.status != 200 && a.verdict == "" {
+			c.t.Errorf("request %s: status %d without a verdict: %s", a.request, a.status, a.text)
+		}
+	}
+}
+
+// waitFree waits until no engine holds memory and returns how long it took.
+func (c *cluster) waitFree(bound time.Duration) time.Duration {
+	c.t.Helper()
+	begin := time.Now()
+	eventually(c.t, bound, "all engine memory free", func() error {
+		for _, n := range append(append([]*node(nil), c.prefill...), c.decode...) {
+			if held := n.record().Held; len(held) > 0 {
+				return errorf("%s holds %+v", n.id, held)
+			}
+		}
+		return nil
+	})
+	return time.Since(begin)
+}
+
+// load sends n requests at the given interval to the entries in turn, and
+// returns when all have ended.
+func (c *cluster) load(h *history, n int, every time.Duration, make func(i int) ask) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	wg.Add(n)
+	go func() {
+		for i := range n {
+			a := make(i)
+			if a.entry == nil {
+				a.entry = c.entries[i%len(c.entries)]
+			}
+			go func() {
+				defer wg.Done()
+				h.add(complete(context.Background(), a))
+			}()
+			time.Sleep(every)
+		}
+	}()
+	return &wg
+}
+
+// prompt returns a prompt of about n words that no other request has.
+func prompt(tag string, n int) string {
+	return tag + strings.Repeat(" word", n)
+}
+
+// report prints a figure of a proof, to be quoted in docs/PROOFS.md.
+func report(t *testing.T, format string, args ...any) {
+	t.Helper()
+	t.Logf("figure: "+format, args...)
+}
