--- a/test/history_test.go
+++ b/test/history_test.go
@@ -57,6 +57,17 @@
 	return fmt.Sprintf("%d whole, %d refused, %d cut with an error, %d without an answer", n.whole, n.refused, n.cut, n.lost)
 }
 
+// describe names the answers that aren't whole.
+func (h *history) describe() string {
+	kinds := make(map[string]int)
+	for _, a := range h.all() {
+		if !a.whole {
+			kinds[fmt.Sprintf("%d %s %s %v", a.status, a.code, a.verdict, a.err)]++
+		}
+	}
+	return fmt.Sprintf("%s; %v", h.tally(), kinds)
+}
+
 // started returns for each request id how often engines began its decode, and
 // whether they began anything of it.
 func (c *cluster) started() (decodes, any map[string]int) {
