--- /dev/null
+++ b/test/crash_test.go
@@ -0,0 +1,50 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// A request crashes each engine that decodes it, with innocent requests beside
+// it, and its caller sends it again and again through both entries. It must end
+// after two crashes: one among others, which makes suspects of all, and one
+// alone, which convicts it. The innocent ones get whole answers.
+func TestCrashingRequestIsConvicted(t *testing.T) {
+	c := newCluster(t, shape{entries: 2, prefill: 1, decode: 3, engine: enginestandin.Options{
+		CrashMarker: "poison", RestartAfter: 500 * time.Millisecond,
+	}})
+	phase := enginestandin.CrashInDecode
+	for _, n := range c.agents() {
+		n.control(enginestandin.Control{CrashPhase: &phase})
+	}
+	h := &history{}
+	wg := c.load(h, 60, 50*time.Millisecond, func(i int) ask {
+		return ask{prompt: fmt.Sprint("innocent ", i), maxTokens: 20}
+	})
+	time.Sleep(300 * time.Millisecond)
+	var last answer
+	for i := range 6 {
+		last = complete(context.Background(), ask{entry: c.entries[i%2], prompt: "the poison prompt", maxTokens: 20})
+		time.Sleep(200 * time.Millisecond)
+	}
+	wg.Wait()
+	assert.Equal(t, last.code, "crashes-servers", "%+v", last)
+	crashes := 0
+	for _, n := range c.decode {
+		for _, e := range n.record().Entries {
+			if e.Kind == enginestandin.EntryCrash {
+				crashes++
+			}
+		}
+	}
+	report(t, "crashes until the request was refused everywhere: %d; innocent: %s", crashes, h.describe())
+	assert.Assert(t, crashes <= 2, "%d crashes", crashes)
+	c.checkHistory(h)
+	assert.Equal(t, h.tally(), tally{whole: 60}, "%s", h.describe())
+}
