--- a/internal/standin/engine/conn.go
+++ b/internal/standin/faultnet/listener.go
@@ -1,4 +1,6 @@
-package engine
+// Package faultnet gives the stand-ins a listener whose connections can be cut or
+// made silent, and the small waits around a simulated restart.
+package faultnet
 
 import (
 	"net"
@@ -10,8 +12,8 @@
 // writeTimeout bounds one write to a client that reads nothing.
 const writeTimeout = 10 * time.Second
 
-// conns is a listener that can cut its connections or make them silent.
-type conns struct {
+// Listener is a listener that can cut its connections or make them silent.
+type Listener struct {
 	net.Listener
 
 	mu sync.Mutex
@@ -19,12 +21,13 @@
 	open map[*conn]struct{}
 }
 
-func newConns(ln net.Listener) *conns {
-	return &conns{Listener: ln, open: make(map[*conn]struct{})}
+// New wraps ln.
+func New(ln net.Listener) *Listener {
+	return &Listener{Listener: ln, open: make(map[*conn]struct{})}
 }
 
 // Accept implements net.Listener.
-func (s *conns) Accept() (net.Conn, error) {
+func (s *Listener) Accept() (net.Conn, error) {
 	raw, err := s.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -40,8 +43,8 @@
 	return c, nil
 }
 
-// cut closes the listener and all connections at once.
-func (s *conns) cut() {
+// Cut closes the listener and all connections at once.
+func (s *Listener) Cut() {
 	_ = s.Close()
 	s.mu.Lock()
 	open := s.open
@@ -53,8 +56,8 @@
 	}
 }
 
-// silence makes the present connections silent, but for except; new ones work.
-func (s *conns) silence(except net.Conn) {
+// Silence makes the present connections silent, but for except; new ones work.
+func (s *Listener) Silence(except net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
@@ -64,7 +67,7 @@
 	}
 }
 
-func (s *conns) remove(c *conn) {
+func (s *Listener) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
@@ -74,7 +77,7 @@
 // of it: bytes vanish and neither end learns of the other's close.
 type conn struct {
 	net.Conn
-	set    *conns
+	set    *Listener
 	silent atomic.Bool
 	cut    chan struct{}
 }
