Bring the configuration to every process by a feed

With a platform watch in each process the fleet would use up the platform's reads. Two entries of each availability zone watch, by rendezvous hash over the list; all others follow one of these over gRPC. Events carry changed objects, changed instances and a digest, once a second at least. A newcomer asks three peers and the platform at once.

The decisions are a state machine without I/O or clock. On a digest mismatch the upstream's answer only adds; only the platform may delete, as the fault may be the upstream's. The HTTP client drops its idle connections after a failure: each could be silent too and cost a timeout.

--- /dev/null
+++ b/internal/feed/machine_test.go
@@ -0,0 +1,257 @@
+package feed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/platform"
+)
+
+// fleet returns entries and agents in each of the availability zones.
+func fleet(zones, entries, agents int) []platform.Instance {
+	var out []platform.Instance
+	add := func(role, zone string, n int) {
+		for i := range n {
+			id := fmt.Sprintf("%s-%s-%d", zone, role, i)
+			out = append(out, platform.Instance{
+				ID: id, Address: id, Role: role, AvailabilityZone: zone, Region: "r", State: platform.Live,
+			})
+		}
+	}
+	for z := range zones {
+		add(RoleEntry, fmt.Sprint("z", z), entries)
+		add(RoleAgent, fmt.Sprint("z", z), agents)
+	}
+	return out
+}
+
+// zoneOf returns the availability zone within an id of fleet.
+func zoneOf(id string) string {
+	zone, _, _ := strings.Cut(id, "-")
+	return zone
+}
+
+// bench drives one machine step by step.
+type bench struct {
+	m       *Machine
+	now     time.Time
+	streams map[uint64]Action
+	calls   []Call
+}
+
+func newBench(id string, seeds ...string) *bench {
+	self := Identity{ID: id, Address: id, AvailabilityZone: zoneOf(id), Region: "r"}
+	return &bench{
+		m:       NewMachine(self, seeds, rand.New(rand.NewPCG(1, 2))),
+		now:     time.Unix(1000, 0),
+		streams: make(map[uint64]Action),
+	}
+}
+
+func (b *bench) do(actions []Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case ActionCall:
+			b.calls = append(b.calls, a.Call)
+		case ActionFollow:
+			b.streams[a.Stream] = a
+		case ActionUnfollow:
+			delete(b.streams, a.Stream)
+		}
+	}
+}
+
+// pass lets time go by in ticks; each runs f first.
+func (b *bench) pass(d time.Duration, f func()) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(tickEvery)
+		if f != nil {
+			f()
+		}
+		b.do(b.m.Tick(b.now))
+	}
+}
+
+// answer ends all calls with the outcome.
+func (b *bench) answer(o Outcome) {
+	calls := b.calls
+	b.calls = nil
+	for _, c := range calls {
+		b.do(b.m.OnCall(b.now, c, o))
+	}
+}
+
+func (b *bench) event(h Heard) {
+	for _, s := range sortedStreams(b.streams) {
+		b.do(b.m.OnEvent(b.now, s, h))
+	}
+}
+
+func sortedStreams(m map[uint64]Action) []uint64 {
+	var out []uint64
+	for s := range m {
+		out = append(out, s)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (b *bench) upstream(t *testing.T) Action {
+	t.Helper()
+	assert.Equal(t, len(b.streams), 1)
+	return b.streams[sortedStreams(b.streams)[0]]
+}
+
+// started returns a bench whose newcomer's phase ended by the platform's list.
+func started(id string, list []platform.Instance) *bench {
+	b := newBench(id)
+	b.do(b.m.Tick(b.now))
+	b.do(b.m.OnInstances(b.now, list))
+	b.answer(Done)
+	return b
+}
+
+func notWatcher(list []platform.Instance, zone string) string {
+	w := Watchers(list, zone)
+	for _, i := range list {
+		if i.Role == RoleEntry && i.AvailabilityZone == zone && !slices.Contains(w, i) {
+			return i.ID
+		}
+	}
+	return ""
+}
+
+func TestFewEntriesWatchTheRestFollowTheirZone(t *testing.T) {
+	list := fleet(11, 34, 100)
+	watchers := 0
+	load := make(map[string]int)
+	for _, i := range list {
+		b := started(i.ID, list)
+		if b.m.Watches() {
+			watchers++
+			assert.Equal(t, len(b.streams), 0)
+			assert.DeepEqual(t, b.calls, []Call{CallWatch})
+			continue
+		}
+		u := b.upstream(t)
+		load[u.Address]++
+		assert.Equal(t, zoneOf(u.Address), zoneOf(i.ID))
+		assert.Equal(t, len(b.calls), 0)
+	}
+	assert.Equal(t, watchers, 11*watchersPerZone)
+	for a, n := range load {
+		assert.Assert(t, n < 100, "%s has %d followers", a, n)
+	}
+}
+
+// The connection to the upstream goes silent: no error, no events. The process
+// must give it up after silentAfter and take another one, and ask the platform
+// itself once, within the bound of 11 s.
+func TestSilentUpstreamIsReplacedAndGoneAround(t *testing.T) {
+	list := fleet(2, 4, 0)
+	b := started(notWatcher(list, "z0"), list)
+	first := b.upstream(t)
+	b.pass(2*time.Second, func() { b.event(Heard{Known: true}) })
+	b.pass(silentAfter+aroundJitter+time.Second, nil)
+	assert.Assert(t, b.upstream(t).Address != first.Address)
+	assert.Assert(t, slices.Contains(b.calls, CallPoll))
+	b.answer(Done)
+	b.pass(3*time.Second, func() { b.event(Heard{Known: true}) })
+	assert.Equal(t, len(b.calls), 0)
+}
+
+// The platform is down for an hour and everybody knows it by the age of the
+// events. Each process tries the platform directly, but so seldom that the
+// whole fleet stays far below the platform's rate.
+func TestGoingAroundIsSeldomInAnOutage(t *testing.T) {
+	list := fleet(1, 4, 0)
+	b := started(notWatcher(list, "z0"), list)
+	begin, tries := b.now, 0
+	b.pass(time.Hour, func() {
+		tries += len(b.calls)
+		b.answer(Failed)
+		b.event(Heard{Known: true, Age: b.now.Sub(begin)})
+	})
+	// 1,470 processes with 80 configuration and 80 instance calls an hour are
+	// below 70 calls a second.
+	assert.Assert(t, tries > 50 && tries < 160, "%d calls", tries)
+}
+
+// A process restarts while the platform is down. It must get ready from the
+// seeds, not before it gave a second one the time to know more.
+func TestNewcomerGetsReadyFromPeers(t *testing.T) {
+	b := newBench("z0-new", "s1", "s2", "s3", "s4")
+	b.do(b.m.Tick(b.now))
+	assert.Equal(t, len(b.streams), newcomerPeers)
+	assert.DeepEqual(t, b.calls, []Call{CallList, CallInstances})
+	b.answer(Failed)
+	b.event(Heard{Known: false})
+	b.pass(2*settleAfter, nil)
+	assert.Assert(t, !b.m.Ready())
+	b.event(Heard{Known: true})
+	assert.Assert(t, !b.m.Ready())
+	b.pass(2*settleAfter, func() { b.event(Heard{Known: true}) })
+	assert.Assert(t, b.m.Ready())
+	assert.Equal(t, len(b.streams), 1)
+}
+
+// A watcher is cut off from the platform but not from its peers. It follows
+// another watcher until the platform itself answers again; the freshness that
+// it gets from the peer must not make it drop the peer.
+func TestCutOffWatcherFollowsAnother(t *testing.T) {
+	list := fleet(2, 3, 0)
+	self := Watchers(list, "z0")[0].ID
+	b := started(self, list)
+	b.pass(20*time.Second, func() {
+		b.answer(Failed)
+		b.event(Heard{Known: true})
+	})
+	assert.Assert(t, b.upstream(t).Address != self)
+	b.answer(Done)
+	b.pass(time.Second, func() { b.answer(Done) })
+	assert.Equal(t, len(b.streams), 0)
+}
+
+// Digests differ at the same revision. The process asks its upstream for
+// everything and the platform for the truth, but not again at each event.
+func TestDigestMismatchAsksAgainOnce(t *testing.T) {
+	list := fleet(2, 4, 0)
+	b := started(notWatcher(list, "z0"), list)
+	resyncs := 0
+	seen := make(map[uint64]bool)
+	b.pass(resyncMin-time.Second, func() {
+		b.event(Heard{Known: true, Mismatch: true})
+		for s, a := range b.streams {
+			if a.Resync && !seen[s] {
+				seen[s] = true
+				resyncs++
+			}
+		}
+	})
+	assert.Equal(t, resyncs, 1)
+	assert.Assert(t, slices.Contains(b.calls, CallList))
+}
+
+// A watcher's revision is too old for the platform: it must list.
+func TestCompactedWatchLists(t *testing.T) {
+	list := fleet(1, 2, 0)
+	b := started(list[0].ID, list)
+	b.answer(Compacted)
+	b.pass(time.Second, nil)
+	assert.Assert(t, slices.Contains(b.calls, CallList))
+}
+
+func TestInstanceChangesRebuildTheList(t *testing.T) {
+	before, after := fleet(2, 3, 3), fleet(3, 2, 4)
+	after[0].State = platform.Leaving
+	changes := diffInstances(before, after)
+	got := mergeInstances(before, changes)
+	assert.Equal(t, len(diffInstances(got, after)), 0)
+	assert.Equal(t, len(got), len(after))
+}
--- /dev/null
+++ b/internal/feed/server.go
@@ -0,0 +1,220 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+)
+
+const (
+	eventEvery = time.Second
+	// gatherFor joins the changes of a burst into one event.
+	gatherFor = 50 * time.Millisecond
+	// sendTime bounds one send; a follower that takes longer is cut off and
+	// comes back with its revision.
+	sendTime    = 10 * time.Second
+	statusEvery = 5 * time.Second
+	statusTime  = 4 * time.Second
+	// reportLife is how long a process without a new report is shown.
+	reportLife = 30 * time.Second
+	maxReports = 2000
+)
+
+// ServerOptions are those of a Server.
+type ServerOptions struct {
+	Identity Identity
+	Store    *config.Store
+	Platform platform.Store
+	// Age and Writes are the methods of the process's Follower.
+	Age    func() time.Duration
+	Writes func() bool
+}
+
+type timedReport struct {
+	at     time.Time
+	status object.ProcessStatus
+}
+
+// Server answers followers and groups their reports. It keeps nothing for a
+// follower but its revision: each event is made from the store when it is
+// sent, so a slow follower costs no memory and gets what it missed as one
+// event.
+type Server struct {
+	pb.UnimplementedPeerServer
+	opts ServerOptions
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	reports map[string]timedReport
+	stop    chan struct{}
+	stopped bool
+}
+
+// NewServer returns a server; register it with pb.RegisterPeerServer.
+func NewServer(o ServerOptions) *Server {
+	return &Server{opts: o, reports: make(map[string]timedReport), stop: make(chan struct{})}
+}
+
+// Stop ends all streams, so that a graceful stop of the gRPC server needn't
+// wait for the followers.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped {
+		s.stopped = true
+		close(s.stop)
+	}
+}
+
+// Follow sends an event at each change, and once a second at rest.
+func (s *Server) Follow(req *pb.FollowRequest, stream grpc.ServerStreamingServer[pb.FollowEvent]) error {
+	c := cursor{store: s.opts.Store, age: s.opts.Age, revision: req.GetRevision()}
+	beat := time.NewTicker(eventEvery)
+	defer beat.Stop()
+	for {
+		changed := s.opts.Store.Changed()
+		if err := s.send(stream, c.next()); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+			time.Sleep(gatherFor)
+		case <-beat.C:
+		case <-stream.Context().Done():
+			return nil
+		case <-s.stop:
+			return status.Error(codes.Unavailable, "leaving")
+		}
+	}
+}
+
+// send bounds a Send, which waits for ever on a follower that has stopped
+// reading but keeps its connection. Returning from the handler ends the stream
+// and with it the Send.
+func (s *Server) send(stream grpc.ServerStreamingServer[pb.FollowEvent], ev *pb.FollowEvent) error {
+	done := make(chan error, 1)
+	go func() { done <- stream.Send(ev) }()
+	t := time.NewTimer(sendTime)
+	defer t.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-t.C:
+		return status.Error(codes.DeadlineExceeded, "follower doesn't read")
+	}
+}
+
+// cursor is what one stream's follower has got so far.
+type cursor struct {
+	store     *config.Store
+	age       func() time.Duration
+	revision  uint64
+	begun     bool
+	instances []platform.Instance
+}
+
+func (c *cursor) next() *pb.FollowEvent {
+	u := c.store.Since(c.revision)
+	instances := c.store.Current().Instances
+	ev := &pb.FollowEvent{
+		Revision:     u.Revision,
+		Digest:       u.Digest,
+		Full:         u.Full,
+		Objects:      objectsToProto(u.Objects),
+		Instances:    instancesToProto(diffInstances(c.instances, instances)),
+		HasInstances: !c.begun && len(instances) > 0,
+		AgeMs:        uint64(c.age().Milliseconds()),
+	}
+	c.begun = c.begun || len(instances) > 0
+	c.revision = max(c.revision, u.Revision)
+	c.instances = instances
+	return ev
+}
+
+// Report takes reports of processes of the server's availability zone.
+func (s *Server) Report(_ context.Context, req *pb.ReportRequest) (*pb.ReportReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range req.GetReports() {
+		_, known := s.reports[r.GetId()]
+		if !known && len(s.reports) >= maxReports {
+			return nil, status.Error(codes.ResourceExhausted, "too many reports")
+		}
+		s.reports[r.GetId()] = timedReport{time.Now(), object.ProcessStatus{
+			ID: r.GetId(), Role: r.GetRole(), AvailabilityZone: r.GetAvailabilityZone(),
+			Revision: r.GetRevision(), Digest: r.GetDigest(),
+			Incarnation: r.GetIncarnation(), UptimeSeconds: r.GetUptimeS(),
+		}}
+	}
+	return &pb.ReportReply{}, nil
+}
+
+// Run writes the zone's status every few seconds while this process is the
+// zone's writer. It returns nil when ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	t := time.NewTicker(statusEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		all := s.current()
+		if !s.opts.Writes() || len(all) == 0 {
+			continue
+		}
+		if err := s.writeStatus(ctx, all); err != nil && ctx.Err() == nil {
+			log.WithError(err).Warn("feed: Status wasn't written.")
+		}
+	}
+}
+
+// current returns the reports that are new enough, and forgets the others.
+func (s *Server) current() []object.ProcessStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []object.ProcessStatus
+	for id, r := range s.reports {
+		if time.Since(r.at) > reportLife {
+			delete(s.reports, id)
+			continue
+		}
+		all = append(all, r.status)
+	}
+	return all
+}
+
+// writeStatus replaces the zone's status object. Status needs no history: a
+// write that fails or is unclear is made good by the next one.
+func (s *Server) writeStatus(ctx context.Context, all []object.ProcessStatus) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	spec, err := json.Marshal(object.Status{
+		Format: object.Format, Writer: s.opts.Identity.ID, Time: time.Now().UTC(), Processes: all,
+	})
+	if err != nil {
+		return eris.Wrap(err, "status")
+	}
+	zone := s.opts.Identity.AvailabilityZone
+	old, err := s.opts.Platform.Get(ctx, object.KindStatus, zone)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = s.opts.Platform.Put(ctx, platform.Object{
+		Kind: object.KindStatus, Name: zone, Version: old.Version, Operation: platform.NewOperation(), Spec: spec,
+	})
+	return err
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -128,6 +128,9 @@
 	req.SetRequestURI(h.base + c.path + "?" + c.query.Encode())
 	req.SetBodyRaw(c.body)
 	if err := h.client.DoTimeout(req, resp, limit); err != nil {
+		// The other idle connections may have gone silent with this one. Each
+		// would cost a call and its whole timeout to find out.
+		h.client.CloseIdleConnections()
 		return reply{err: err}
 	}
 	return reply{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
