--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -27,6 +27,7 @@
 	platform *standin.Platform
 	address  string
 	all      []*process
+	network  network
 }
 
 type process struct {
@@ -40,7 +41,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, platform: standin.New(standin.Options{})}
-	ln := listen(t)
+	ln := c.network.wrap(listen(t))
 	c.address = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -62,7 +63,7 @@
 // start runs a process; an agent needs no listener but has one all the same.
 func (c *cluster) start(id, role, zone string, seeds ...string) *process {
 	c.t.Helper()
-	ln := listen(c.t)
+	ln := c.network.wrap(listen(c.t))
 	p := &process{
 		identity: Identity{ID: id, Role: role, Region: "r", AvailabilityZone: zone, Address: ln.Addr().String()},
 		store:    config.NewStore(nil),
@@ -110,10 +111,10 @@
 	c.platform.SetInstances(out)
 }
 
-func (c *cluster) put(name string, version uint64) uint64 {
+func (c *cluster) put(name string) uint64 {
 	c.t.Helper()
 	v, err := c.platform.Put(platform.Object{
-		Kind: object.KindOrganisation, Name: name, Version: version, Spec: []byte(`{"format":1,"share":1}`),
+		Kind: object.KindOrganisation, Name: name, Spec: []byte(`{"format":1,"share":1}`),
 	})
 	assert.NilError(c.t, err)
 	return v
@@ -141,7 +142,7 @@
 // small returns two zones with three entries and two agents each, all settled.
 func small(t *testing.T) *cluster {
 	c := newCluster(t)
-	v := c.put("first", 0)
+	v := c.put("first")
 	for z := range 2 {
 		zone := fmt.Sprint("z", z)
 		for i := range 3 {
@@ -156,14 +157,27 @@
 	for _, p := range c.all {
 		eventually(t, 5*time.Second, p.identity.ID, func() bool { return len(p.store.Current().Instances) == len(c.all) })
 	}
+	// The followers take note of a new list a moment after the stores.
+	eventually(t, 5*time.Second, "watchers", func() bool { return c.watchers() == 2*watchersPerZone })
 	return c
 }
 
+func (c *cluster) watchers() int {
+	n := 0
+	for _, p := range c.all {
+		if p.follower.Watches() {
+			n++
+		}
+	}
+	return n
+}
+
 func TestChangeIsSoonInForceEverywhereAndOnlyWatchersAsk(t *testing.T) {
+	t.Parallel()
 	c := small(t)
 	time.Sleep(time.Second)
 	before := c.platform.Meter()
-	took := c.inForce(c.put("second", 0), 5*time.Second, c.all...)
+	took := c.inForce(c.put("second"), 5*time.Second, c.all...)
 	t.Logf("in force after %v", took)
 	time.Sleep(2 * time.Second)
 	after := c.platform.Meter()
@@ -174,8 +188,9 @@
 // The platform is down and a process restarts with an empty store. It must get
 // the whole configuration from its seeds, and be ready.
 func TestRestartDuringAnOutageGetsConfigurationFromPeers(t *testing.T) {
+	t.Parallel()
 	c := small(t)
-	v := c.put("second", 0)
+	v := c.put("second")
 	c.inForce(v, 5*time.Second, c.all...)
 	c.platform.SetControl(standin.Control{Outage: standin.OutageHang})
 	p := c.start("z0-new", RoleAgent, "z0", c.all[0].identity.Address, c.all[5].identity.Address)
@@ -194,9 +209,10 @@
 // An outage ends after changes had been made and the watchers had lost their
 // watches. All processes get the change; meanwhile none lost the old one.
 func TestChangesAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	c := small(t)
 	c.platform.SetControl(standin.Control{Outage: standin.OutageRefuse})
-	v := c.put("second", 0)
+	v := c.put("second")
 	time.Sleep(2 * time.Second)
 	for _, p := range c.all {
 		assert.Equal(t, len(p.store.Current().Organisations), 1)
@@ -208,6 +224,7 @@
 // Both watchers of a zone die together, before the list shows it. Their
 // followers must find other sources and have the next change within 11 s.
 func TestDeadWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
 	c := small(t)
 	var rest []*process
 	for _, p := range c.all {
@@ -218,15 +235,29 @@
 		rest = append(rest, p)
 	}
 	assert.Equal(t, len(rest), len(c.all)-watchersPerZone)
-	took := c.inForce(c.put("second", 0), 11*time.Second, rest...)
+	took := c.inForce(c.put("second"), 11*time.Second, rest...)
+	t.Logf("in force after %v", took)
+}
+
+// Something in the network forgets all open connections, those to the platform
+// among them: they stay open, and no error comes. New ones work. A change made
+// then must be in force everywhere within 11 s.
+func TestAllConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
+	c := small(t)
+	time.Sleep(time.Second)
+	c.network.mute()
+	took := c.inForce(c.put("second"), 11*time.Second, c.all...)
 	t.Logf("in force after %v", took)
+	assert.Assert(t, took > time.Second, "the connections weren't silent")
 }
 
 // A peer accepts connections and never says a word. A newcomer that knows it
 // as its first seed must not wait for it beyond silentAfter.
 func TestSilentSeedDoesNotHoldUp(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
-	c.put("first", 0)
+	c.put("first")
 	good := c.start("z0-entry-0", RoleEntry, "z0")
 	c.inForce(1, 5*time.Second, good)
 	c.platform.SetControl(standin.Control{Outage: standin.OutageHang})
@@ -241,6 +272,7 @@
 }
 
 func TestStatusIsGroupedInOneObjectPerZone(t *testing.T) {
+	t.Parallel()
 	c := small(t)
 	client := platform.NewHTTP(c.address, platformTimeout)
 	eventually(t, 20*time.Second, "status", func() bool {
@@ -258,6 +290,7 @@
 // upstream. The upstream's full answer adds it; an object that the upstream
 // lacks is kept, as only the platform may delete it.
 func TestResyncAddsAndNeverDeletes(t *testing.T) {
+	t.Parallel()
 	org := func(name string, version uint64) platform.Object {
 		return platform.Object{Kind: object.KindOrganisation, Name: name, Version: version, Spec: []byte(`{"format":1,"share":1}`)}
 	}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/platform"
 )
@@ -58,6 +59,24 @@
 	Dial []grpc.DialOption
 	// Incarnation of the process, for its status.
 	Incarnation uint64
+	// Board gets the feed's state for the dump; it may be nil.
+	Board *board.Board
+}
+
+// State is the feed's part of the dump.
+type State struct {
+	AgeSeconds float64
+	Watches    bool
+	Writes     bool
+	// ReportTo is the address of the entry that groups the zone's status.
+	ReportTo string
+	// Upstreams are the addresses followed now.
+	Upstreams []string
+}
+
+type openStream struct {
+	address string
+	cancel  context.CancelFunc
 }
 
 type input func(m *Machine, now time.Time) []Action
@@ -76,7 +95,7 @@
 
 	mu sync.Mutex
 	// streams is guarded by mu.
-	streams map[uint64]context.CancelFunc
+	streams map[uint64]openStream
 
 	silence *metrics.Gauge
 }
@@ -88,14 +107,30 @@
 		inputs:  make(chan input, inputBuffer),
 		ready:   make(chan struct{}),
 		begun:   time.Now(),
-		streams: make(map[uint64]context.CancelFunc),
+		streams: make(map[uint64]openStream),
 		silence: metrics.GetOrCreateGauge(`jayford_feed_age_seconds{id="`+o.Identity.ID+`"}`, nil),
 	}
 	f.heardAt.Store(f.begun.Add(-neverHeard).UnixNano())
 	f.reportTo.Store(new(string))
+	if o.Board != nil {
+		o.Board.Part("feed", func() any { return f.State() })
+	}
 	return f
 }
 
+// State returns the feed's state.
+func (f *Follower) State() State {
+	s := State{
+		AgeSeconds: f.Age().Seconds(), Watches: f.Watches(), Writes: f.Writes(), ReportTo: *f.reportTo.Load(),
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, st := range f.streams {
+		s.Upstreams = append(s.Upstreams, st.address)
+	}
+	return s
+}
+
 // Ready closes when the process has a configuration to work with: the
 // platform's, or a peer's after others had a moment to say more.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
@@ -181,7 +216,7 @@
 	case ActionFollow:
 		stream, cancel := context.WithCancel(ctx)
 		f.mu.Lock()
-		f.streams[a.Stream] = cancel
+		f.streams[a.Stream] = openStream{a.Address, cancel}
 		f.mu.Unlock()
 		g.Go(func() error {
 			f.follow(stream, a)
@@ -198,8 +233,8 @@
 func (f *Follower) forget(stream uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if cancel, ok := f.streams[stream]; ok {
-		cancel()
+	if s, ok := f.streams[stream]; ok {
+		s.cancel()
 		delete(f.streams, stream)
 	}
 }
