Add membership by evidence from use

Cause: the platform's list lags, connections go silent while new ones work, and a zone that returns after a cut is loaded by every entry at once. Change: per server trusted, doubted or probing, from outcomes; one missed answer is no doubt, two in a row or one loss are. Ruled out: removing a doubted server that the list names (with all doubted, nothing would be left to try); raising the backoff for each request that one loss took along. Conclusion: the times are first guesses.

--- /dev/null
+++ b/internal/policy/doubt/doubt_test.go
@@ -0,0 +1,121 @@
+package doubt
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newSet(n int) (*Set, []Instance) {
+	s := NewSet(Options{}, rand.New(rand.NewPCG(1, 2)))
+	var list []Instance
+	for i := range n {
+		list = append(list, Instance{ID: fmt.Sprint(i), AvailabilityZone: "a"})
+	}
+	s.List(start, list)
+	return s, list
+}
+
+func view(t *testing.T, s *Set, id string, now time.Time) View {
+	t.Helper()
+	v, ok := s.View(id, now)
+	assert.Assert(t, ok)
+	return v
+}
+
+func TestOneMissedBeatIsNoDoubt(t *testing.T) {
+	s, _ := newSet(1)
+	s.Outcome("0", start, MissedBeat)
+	assert.Equal(t, view(t, s, "0", start).State, Trusted)
+	s.Outcome("0", start, Refusal)
+	s.Outcome("0", start, Timeout)
+	s.Outcome("0", start.Add(time.Minute), Timeout)
+	assert.Equal(t, view(t, s, "0", start).State, Trusted)
+	s.Outcome("0", start.Add(time.Minute), MissedBeat)
+	assert.Equal(t, view(t, s, "0", start).State, Doubted)
+}
+
+// Callers wait on a server that is gone. Its connection is lost, each probe
+// gets no answer, so the waits between them must grow, with jitter, up to the
+// bound. A success ends the doubt, with a small share first.
+func TestProbesBackOffAndSuccessRampsUp(t *testing.T) {
+	s, _ := newSet(1)
+	now := start
+	s.Outcome("0", now, ConnectionLost)
+	var at []time.Time
+	for len(at) < 12 {
+		now = now.Add(50 * time.Millisecond)
+		if len(s.Probes(now)) > 0 {
+			at = append(at, now)
+		}
+	}
+	first, last := at[1].Sub(at[0]), at[11].Sub(at[10])
+	assert.Assert(t, first < 3*time.Second && last > 6*time.Second && last < 18*time.Second, "%s %s", first, last)
+	s.Outcome("0", now, Success)
+	assert.Equal(t, view(t, s, "0", now).Share, DefaultMinShare)
+	assert.Assert(t, view(t, s, "0", now.Add(DefaultRamp/2)).Share > 0.5)
+	assert.Equal(t, view(t, s, "0", now.Add(DefaultRamp)).Share, 1.0)
+}
+
+// Callers in the other zones see a returned zone break down at once. A cut
+// takes all its servers, then all come back; every entry would probe and load
+// all of them in the same moment. Probes must stay bounded, and the share of
+// the zone must rise over seconds, while no server waits out its long backoff.
+func TestZoneReturnsWithoutStampede(t *testing.T) {
+	s, _ := newSet(40)
+	for i := range 40 {
+		s.Outcome(fmt.Sprint(i), start, Frozen)
+	}
+	now := start
+	for now.Before(start.Add(time.Minute)) { // cut: no probe is answered
+		now = now.Add(100 * time.Millisecond)
+		s.Probes(now)
+	}
+	back := now
+	for now.Before(back.Add(20 * time.Second)) {
+		now = now.Add(100 * time.Millisecond)
+		probes := s.Probes(now)
+		assert.Assert(t, len(probes) <= DefaultProbesPerZone)
+		for _, id := range probes {
+			s.Outcome(id, now, Success)
+		}
+		sum := 0.0
+		for _, id := range s.IDs() {
+			sum += view(t, s, id, now).Share
+		}
+		if now.Sub(back) <= time.Second {
+			assert.Assert(t, sum < 12, "%.1f after %s", sum, now.Sub(back))
+		}
+	}
+	for _, id := range s.IDs() {
+		assert.Equal(t, view(t, s, id, now).Share, 1.0)
+	}
+}
+
+// Callers lose servers that work. The platform's list is late and lacks a live
+// server for a while, and still names one that refuses as leaving. Use is the
+// better evidence for both; a doubted server that the list lacks is gone.
+func TestLaggingListAndLeaving(t *testing.T) {
+	s, list := newSet(3)
+	now := start.Add(time.Minute)
+	assert.Equal(t, len(s.List(now, nil)), 0)
+	s.Outcome("0", now, Success)
+	s.Outcome("1", now, ConnectionLost)
+	assert.DeepEqual(t, s.List(now, list[2:]), []string{"1"})
+	s.Leaving("2", now)
+	s.List(now, list[2:])
+	assert.Assert(t, view(t, s, "2", now).Leaving)
+	assert.Assert(t, !view(t, s, "2", now.Add(DefaultLeavingFor)).Leaving)
+	now = now.Add(DefaultUnlistedFor)
+	assert.DeepEqual(t, s.List(now, list[2:]), []string{"0"})
+	s.List(now, list)
+	assert.Equal(t, view(t, s, "0", now).Share, DefaultMinShare, "a newcomer is ramped up")
+	list[0].Leaving = true
+	s.List(now, list)
+	assert.Assert(t, view(t, s, "0", now).Leaving)
+}
