Add the operators' client

Cause: operators steer the system only by configuration, and race one another while the platform may lose replies.

Change: internal/ctl and cmd/jayfordctl with check, diff, apply, get, delete, label, drain, status, dump, explain and load; documented exit codes. Writes are conditional on the version read, or on the version that the file names; a loser sees what the winner changed and what of its own wasn't written. Writes without a reply are settled by reading back; deletes too. Status compares the digest of the stored configuration with that of each process.

Ruled out: merging after a lost race, which would be a guess at intent; the highest version alone as sign of what is in force, which misses deletions.

--- /dev/null
+++ b/internal/ctl/object.go
@@ -0,0 +1,261 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+)
+
+type getCommand struct {
+	client *client
+	Args   struct {
+		Kind string `positional-arg-name:"KIND" description:"kind of object; all of the configuration without it"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+}
+
+// printed is an object in the form of a configuration file. Apply takes the
+// version as the one on which the change was made.
+type printed struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Spec    json.RawMessage `json:"spec"`
+}
+
+// Execute prints objects. Text and JSON are the same: a configuration file.
+func (cmd *getCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	store, err := cmd.client.store()
+	if err != nil {
+		return err
+	}
+	objects, err := cmd.read(store)
+	if err != nil {
+		return eris.Wrapf(err, "get %s %s", cmd.Args.Kind, cmd.Args.Name)
+	}
+	list := make([]printed, 0, len(objects))
+	for _, o := range objects {
+		if !o.Deleted {
+			list = append(list, printed{o.Kind, o.Name, o.Version, o.Spec})
+		}
+	}
+	cmd.client.options.Output = outputJSON
+	return cmd.client.print(list, nil)
+}
+
+func (cmd *getCommand) read(store platform.Store) ([]platform.Object, error) {
+	if cmd.Args.Name == "" {
+		listing, err := store.List(cmd.client.ctx, cmd.Args.Kind)
+		return listing.Objects, err
+	}
+	o, err := store.Get(cmd.client.ctx, cmd.Args.Kind, cmd.Args.Name)
+	return []platform.Object{o}, err
+}
+
+// readOne returns an object as a plan without a wish; Version 0 if there is none.
+func (c *client) readOne(store platform.Store, kind, name string) (plan, error) {
+	if err := object.CheckName(name); err != nil {
+		return plan{}, eris.Wrap(errInvalid, err.Error())
+	}
+	have, err := store.Get(c.ctx, kind, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		have, err = platform.Object{}, nil
+	}
+	return plan{want: declared{Kind: kind, Name: name}, have: have}, eris.Wrapf(err, "get %s/%s", kind, name)
+}
+
+// applySpec writes a spec of the client's own making over what p read.
+func (c *client) applySpec(store platform.Store, p plan, spec any) error {
+	text, err := rawSpec(spec)
+	if err != nil {
+		return err
+	}
+	if _, err := object.Parse(p.want.Kind, text); err != nil {
+		return eris.Wrap(errInvalid, err.Error())
+	}
+	p.want.Spec = text
+	return c.applyAndPrint(store, []plan{p})
+}
+
+type labelCommand struct {
+	client *client
+	Args   struct {
+		Server string   `positional-arg-name:"SERVER" required:"yes" description:"instance id of the server's agent"`
+		Labels []string `positional-arg-name:"KEY=VALUE|KEY-" required:"1" description:"set or remove a label"`
+	} `positional-args:"yes"`
+}
+
+// Execute changes the labels given and leaves all others.
+func (cmd *labelCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	store, err := cmd.client.store()
+	if err != nil {
+		return err
+	}
+	p, err := cmd.client.readOne(store, object.KindServer, cmd.Args.Server)
+	if err != nil {
+		return err
+	}
+	server := object.Server{Format: object.Format}
+	if p.have.Version != 0 {
+		if err := json.Unmarshal(p.have.Spec, &server); err != nil {
+			return eris.Wrapf(errInvalid, "what is stored for %s: %v", p.want.id(), err)
+		}
+	}
+	server.Labels, err = changeLabels(server.Labels, cmd.Args.Labels)
+	if err != nil {
+		return err
+	}
+	return cmd.client.applySpec(store, p, server)
+}
+
+func changeLabels(labels map[string]string, changes []string) (map[string]string, error) {
+	out := maps.Clone(labels)
+	if out == nil {
+		out = map[string]string{}
+	}
+	for _, c := range changes {
+		key, value, set := strings.Cut(c, "=")
+		removed, remove := strings.CutSuffix(c, "-")
+		switch {
+		case set && key != "":
+			out[key] = value
+		case remove && removed != "":
+			delete(out, removed)
+		default:
+			return nil, eris.Wrapf(errUsage, "%q: expected KEY=VALUE or KEY-", c)
+		}
+	}
+	return out, nil
+}
+
+type drainCommand struct {
+	client *client
+	Undo   bool `long:"undo" description:"let the server take new work again"`
+	Args   struct {
+		Server string `positional-arg-name:"SERVER" required:"yes" description:"instance id of the server's agent"`
+	} `positional-args:"yes"`
+}
+
+// drainPrefix begins the names of the intents that drain writes.
+const drainPrefix = "drain-"
+
+// Execute declares the intent that the server drains, or doesn't.
+func (cmd *drainCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	store, err := cmd.client.store()
+	if err != nil {
+		return err
+	}
+	p, err := cmd.client.readOne(store, object.KindIntent, drainPrefix+cmd.Args.Server)
+	if err != nil {
+		return err
+	}
+	spec := object.Intent{Format: object.Format, Server: cmd.Args.Server, Drain: !cmd.Undo}
+	return cmd.client.applySpec(store, p, spec)
+}
+
+type deleteCommand struct {
+	client  *client
+	Version uint64 `long:"version" description:"delete only this version; without it the one that is stored now"`
+	Args    struct {
+		Kind string `positional-arg-name:"KIND" required:"yes"`
+		Name string `positional-arg-name:"NAME" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute deletes one object of the configuration.
+func (cmd *deleteCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if !slices.Contains(object.ConfigurationKinds(), cmd.Args.Kind) {
+		return eris.Wrapf(errUsage, "kind %q isn't one of %s", cmd.Args.Kind, strings.Join(object.ConfigurationKinds(), ", "))
+	}
+	store, err := cmd.client.store()
+	if err != nil {
+		return err
+	}
+	have, err := store.Get(cmd.client.ctx, cmd.Args.Kind, cmd.Args.Name)
+	if err != nil {
+		return eris.Wrapf(err, "get %s/%s", cmd.Args.Kind, cmd.Args.Name)
+	}
+	o := cmd.client.remove(store, have, cmd.Version)
+	if err := cmd.client.printOutcomes([]Outcome{o}); err != nil {
+		return err
+	}
+	return o.err
+}
+
+// remove deletes an object on the version that was read, or on version if that
+// isn't 0.
+func (c *client) remove(store platform.Store, have platform.Object, version uint64) Outcome {
+	if version == 0 {
+		version = have.Version
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.options.Settle)
+	defer cancel()
+	o := Outcome{Kind: have.Kind, Name: have.Name, Version: have.Version, Action: Deleted}
+	err := deleteSettled(ctx, store, have.Kind, have.Name, version)
+	if err == nil {
+		return o
+	}
+	o.err = eris.Wrapf(err, "delete %s/%s", have.Kind, have.Name)
+	o.Error = o.err.Error()
+	switch {
+	case errors.Is(err, platform.ErrUnclear):
+		o.Action = Unclear
+	case errors.Is(err, platform.ErrConflict):
+		wanted := declared{Kind: have.Kind, Name: have.Name}
+		o = c.explainConflict(store, plan{want: wanted, have: have}, o)
+	default:
+		o.Action = Failed
+	}
+	return o
+}
+
+const deletePause = 100 * time.Millisecond
+
+// deleteSettled deletes and, where no reply came, reads back. A repeat is safe
+// because it names the version: it can't remove a later object of this name.
+func deleteSettled(ctx context.Context, store platform.Store, kind, name string, version uint64) error {
+	err := store.Delete(ctx, kind, name, version)
+	for errors.Is(err, platform.ErrUnclear) {
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(deletePause):
+		}
+		have, readErr := store.Get(ctx, kind, name)
+		switch {
+		case errors.Is(readErr, platform.ErrNotFound):
+			return nil
+		case readErr != nil:
+			continue
+		case have.Version != version:
+			// Written anew since. The object read may have replaced ours before
+			// or after our delete, so that it stays unclear.
+			return err
+		}
+		if repeated := store.Delete(ctx, kind, name, version); repeated == nil {
+			return nil
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,173 @@
+package ctl
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+)
+
+type statusCommand struct {
+	client    *client
+	Operators []string `long:"operator" value-name:"IP:PORT" description:"ask this process itself; may be repeated"`
+}
+
+// Status is the result of the command status.
+type Status struct {
+	// Configuration is the highest version among the stored configuration
+	// objects; 0 if the platform wasn't asked.
+	Configuration uint64 `json:"configuration"`
+	// Digest of the stored configuration, as the processes reckon it.
+	Digest    json.Number `json:"digest,omitempty"`
+	Processes []Process   `json:"processes"`
+	// Errors tell what couldn't be read.
+	Errors []string `json:"errors,omitempty"`
+}
+
+// Process is the state of one process.
+type Process struct {
+	ID               string      `json:"id"`
+	Role             string      `json:"role"`
+	AvailabilityZone string      `json:"availabilityZone,omitempty"`
+	Revision         uint64      `json:"revision"`
+	Digest           json.Number `json:"digest,omitempty"`
+	Incarnation      json.Number `json:"incarnation,omitempty"`
+	UptimeSeconds    uint64      `json:"uptimeSeconds,omitempty"`
+	// Current: the process has the stored configuration in force. It is false
+	// if the platform wasn't asked.
+	Current bool `json:"current"`
+	// Source is the object or the address that the line comes from.
+	Source string `json:"source"`
+}
+
+// statusSpec is read leniently: a later format may add to it.
+type statusSpec struct {
+	Format    int       `json:"format"`
+	Processes []Process `json:"processes"`
+}
+
+// Execute shows the processes from the status objects and from the operator
+// listeners given. What can't be read doesn't hide the rest.
+func (cmd *statusCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if cmd.client.options.Platform == "" && len(cmd.Operators) == 0 {
+		return eris.Wrap(errUsage, "expected --platform, --operator or both")
+	}
+	var status Status
+	var first error
+	note := func(err error) {
+		if err == nil {
+			return
+		}
+		first = cmp.Or(first, err)
+		status.Errors = append(status.Errors, err.Error())
+	}
+	if cmd.client.options.Platform != "" {
+		note(cmd.fromPlatform(&status))
+	}
+	for _, o := range cmd.Operators {
+		note(cmd.fromOperator(&status, o))
+	}
+	for i := range status.Processes {
+		p := &status.Processes[i]
+		p.Current = status.inForce(*p)
+	}
+	slices.SortStableFunc(status.Processes, func(a, b Process) int {
+		return cmp.Or(strings.Compare(a.Role, b.Role), strings.Compare(a.ID, b.ID), strings.Compare(a.Source, b.Source))
+	})
+	if err := cmd.client.print(status, status.writeText); err != nil {
+		return err
+	}
+	return first
+}
+
+// inForce reports whether p has the stored configuration in force. The digest
+// decides where p tells it: after a deletion no object has the newest version.
+func (s Status) inForce(p Process) bool {
+	if s.Digest == "" {
+		return false
+	}
+	if p.Digest != "" {
+		return p.Digest == s.Digest
+	}
+	return p.Revision >= s.Configuration
+}
+
+func (cmd *statusCommand) fromPlatform(status *Status) error {
+	store, err := cmd.client.store()
+	if err != nil {
+		return err
+	}
+	configuration, err := store.List(cmd.client.ctx, "")
+	if err != nil {
+		return eris.Wrap(err, "reading the configuration")
+	}
+	for _, o := range configuration.Objects {
+		status.Configuration = max(status.Configuration, o.Version)
+	}
+	stored := config.NewStore(nil)
+	stored.Apply(configuration.Objects, configuration.Revision, true)
+	status.Digest = json.Number(strconv.FormatUint(stored.Digest(), 10))
+	listing, err := store.List(cmd.client.ctx, object.KindStatus)
+	if err != nil {
+		return eris.Wrap(err, "reading the status")
+	}
+	for _, o := range listing.Objects {
+		if err := addStatus(status, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addStatus(status *Status, o platform.Object) error {
+	if o.Deleted {
+		return nil
+	}
+	var spec statusSpec
+	if err := json.Unmarshal(o.Spec, &spec); err != nil {
+		return eris.Wrapf(errInvalid, "status/%s: %v", o.Name, err)
+	}
+	for _, p := range spec.Processes {
+		p.Source = "status/" + o.Name
+		status.Processes = append(status.Processes, p)
+	}
+	return nil
+}
+
+func (cmd *statusCommand) fromOperator(status *Status, address string) error {
+	answer, err := cmd.client.fetch(address, pathStatus, nil)
+	if err != nil {
+		return err
+	}
+	var p Process
+	if err := json.Unmarshal(answer, &p); err != nil {
+		return eris.Wrapf(errInvalid, "%s%s: %v", address, pathStatus, err)
+	}
+	p.Source = address
+	status.Processes = append(status.Processes, p)
+	return nil
+}
+
+func (s Status) writeText(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "stored configuration: version %d\n", s.Configuration)                                      //nolint:errcheck // told by Flush
+	fmt.Fprintln(table, "ROLE\tID\tAVAILABILITY ZONE\tREVISION\tCURRENT\tDIGEST\tINCARNATION\tUPTIME (s)\tSOURCE") //nolint:errcheck // told by Flush
+	for _, p := range s.Processes {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%t\t%s\t%s\t%d\t%s\n", //nolint:errcheck // told by Flush
+			p.Role, p.ID, p.AvailabilityZone, p.Revision, p.Current, p.Digest, p.Incarnation, p.UptimeSeconds, p.Source)
+	}
+	return table.Flush()
+}
--- a/internal/load/prefill.go
+++ b/internal/load/prefill.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,6 +26,9 @@
 	maxScrapeBytes = 16 << 20
 )
 
+// ErrCounts means that the counts of prefill work couldn't be read.
+var ErrCounts = errors.New("load: prefill counts can't be read")
+
 // Prefill counts prefill work in tokens.
 type Prefill struct {
 	Tokens float64 `json:"tokens"`
@@ -38,7 +43,10 @@
 		return Prefill{}, nil
 	}
 	p, err := o.Prefill(ctx)
-	return p, eris.Wrap(err, "load: prefill counts")
+	if err != nil {
+		return Prefill{}, fmt.Errorf("%w: %w", ErrCounts, err)
+	}
+	return p, nil
 }
 
 func (p Prefill) since(before Prefill) Prefill {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -144,7 +144,8 @@
 }
 
 // Run sends the load and reports on it. If ctx ends, sending stops, requests
-// in flight are cancelled, and the report covers what was sent.
+// in flight are cancelled, and the report covers what was sent. If only the
+// counts of prefill work fail after the run, the report comes with the error.
 func Run(ctx context.Context, o Options) (Report, error) {
 	if err := o.complete(); err != nil {
 		return Report{}, err
@@ -169,7 +170,9 @@
 	report := summarise(o, r.results)
 	// The counts are read also after a cancelled run.
 	after, err := o.readPrefill(context.WithoutCancel(ctx))
-	report.Prefill = after.since(before)
+	if err == nil {
+		report.Prefill = after.since(before)
+	}
 	return report, err
 }
 
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -26,6 +27,13 @@
 	}
 }
 
+// WriteJSON writes the report as indented JSON.
+func (report Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return eris.Wrap(e.Encode(report), "load: report")
+}
+
 // WriteText writes the report as tables.
 func (report Report) WriteText(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -13,6 +13,7 @@
 
 var (
 	rawType         = reflect.TypeFor[json.RawMessage]()
+	deferredType    = reflect.TypeFor[Deferred]()
 	unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
 )
 
@@ -30,6 +31,9 @@
 	case target.Type() == rawType:
 		target.SetBytes(standard(v))
 		return
+	case target.Type() == deferredType:
+		target.Set(reflect.ValueOf(Deferred{key: key, value: v}))
+		return
 	case target.CanAddr() && target.Addr().Type().Implements(unmarshalerType):
 		d.custom(key, v, target)
 		return
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -119,6 +119,17 @@
 	return false
 }
 
+// RejectedWithin reports whether key or a key below it has a problem.
+func (d *Document) RejectedWithin(key string) bool {
+	for _, p := range d.problems {
+		rest, within := strings.CutPrefix(p.Key, key)
+		if within && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+			return true
+		}
+	}
+	return false
+}
+
 // Err returns the Problems by line, or nil.
 func (d *Document) Err() error {
 	if len(d.problems) == 0 {
