Widen the checks of files and give a superseded write its difference

Change: a Positive check; get prints only what operators write; a superseded write shows both differences; load refuses factors of 0.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -133,6 +133,9 @@
 	o.err = eris.Wrap(err, p.want.id())
 	o.Error = o.err.Error()
 	switch {
+	case errors.Is(err, platform.ErrSuperseded):
+		o = c.explainConflict(store, p, o)
+		o.Action = Unclear
 	case errors.Is(err, platform.ErrUnclear):
 		o.Action = Unclear
 	case errors.Is(err, platform.ErrConflict):
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -301,4 +301,20 @@
 	_, err := os.Stat(svg)
 	assert.NilError(t, err)
 	b.run(ExitUnreachable, append(args, "--operator", "127.0.0.1:1")...)
+	b.run(ExitUsage, append(args, "--rate", "0")...)
+}
+
+func FuzzParseFile(f *testing.F) {
+	for _, s := range []string{goodConfig, "", "[", "[{}]", `[{"kind":"server","name":"s","spec":null}]`, `[1]`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		list, problems := parseFile("c.json", text, map[string]string{})
+		for _, o := range list {
+			// What was accepted can be stored: it is valid JSON of a known kind.
+			assert.Assert(t, len(problems) == 0)
+			assert.Assert(t, json.Valid(o.Spec))
+			assert.Equal(t, len(difference(o.Kind, o.Spec, o.Spec)), 0)
+		}
+	})
 }
--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -32,6 +32,9 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
+	if cmd.Rate <= 0 || cmd.TimeScale <= 0 || cmd.MaxRequests <= 0 || cmd.Concurrency <= 0 {
+		return eris.Wrap(errUsage, "--rate, --time-scale, --max-requests and --concurrency: expected over 0")
+	}
 	workload, err := load.ReadWorkload(cmd.Workload)
 	if err != nil {
 		return err
--- a/internal/ctl/object.go
+++ b/internal/ctl/object.go
@@ -47,7 +47,9 @@
 	}
 	list := make([]printed, 0, len(objects))
 	for _, o := range objects {
-		if !o.Deleted {
+		// All of the configuration is meant to be edited and applied again.
+		skip := o.Deleted || cmd.Args.Kind == "" && !slices.Contains(writableKinds, o.Kind)
+		if !skip {
 			list = append(list, printed{o.Kind, o.Name, o.Version, o.Spec})
 		}
 	}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -22,7 +22,9 @@
 
 // PlanOptions shape a plan.
 type PlanOptions struct {
-	Seed     uint64
+	Seed uint64
+	// Duration is the time in which requests are sent. TimeScale doesn't
+	// change it.
 	Duration time.Duration
 	// Rate multiplies all rates of the workload.
 	Rate float64
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -9,7 +9,6 @@
 
 import (
 	"fmt"
-	"math"
 	"os"
 	"strings"
 	"time"
@@ -179,8 +178,8 @@
 	for i, o := range w.Organisations {
 		key := fmt.Sprintf("organisations[%d]", i)
 		checkName(d, names, key+".name", o.Name)
-		strictjson.Range(d, key+".share", o.Share, math.SmallestNonzeroFloat64, maxFactor)
-		strictjson.Range(d, key+".demand", o.Demand, math.SmallestNonzeroFloat64, maxFactor)
+		d.Positive(key+".share", o.Share, maxFactor)
+		d.Positive(key+".demand", o.Demand, maxFactor)
 	}
 	if len(w.Organisations) == 0 {
 		d.Reject("organisations", "expected at least one")
@@ -207,7 +206,7 @@
 func checkClass(d *strictjson.Document, key string, c Class, organisations map[string]bool) {
 	d.OneOf(key+".kind", c.Kind, KindCompletion, KindCall)
 	d.OneOf(key+".priority", c.Priority, Interactive, Batch)
-	strictjson.Range(d, key+".rate", c.Rate, math.SmallestNonzeroFloat64, maxRate)
+	d.Positive(key+".rate", c.Rate, maxRate)
 	strictjson.Range(d, key+".deadline", c.Deadline.D(), time.Millisecond, maxPeriod)
 	strictjson.Range(d, key+".targets.ttft", c.Targets.TTFT.D(), minTarget, maxPeriod)
 	for i, o := range c.Organisations {
--- a/internal/strictjson/check.go
+++ b/internal/strictjson/check.go
@@ -57,3 +57,11 @@
 		d.Reject(key, "expected %v to %v", lo, hi)
 	}
 }
+
+// Positive rejects the value of key unless it is over 0 and at most hi.
+func (d *Document) Positive(key string, value, hi float64) {
+	inside := value > 0 && value <= hi // NaN isn't inside.
+	if !inside {
+		d.Reject(key, "expected a number over 0, at most %v", hi)
+	}
+}
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -84,7 +84,7 @@
 	case reflect.Float32, reflect.Float64:
 		return "a number"
 	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
-		return "a whole number of at least 0"
+		return fmt.Sprintf("a whole number of 0 to %d", uint64(1)<<target.Type().Bits()-1)
 	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
 		return "a whole number"
 	default:
