Drive the agent's core by random messages

Cause: the first random test met grants too seldom and passed with a broken bound on slots. Change: messages draw from the last ten attempts, an entry's usual sequence is one step, and each silent entry's running attempt must have been stopped.

--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -48,18 +48,6 @@
 	assert.Assert(t, c.Send(now, r.Key))
 }
 
-func renewed(c *Core, from, to time.Duration, seq uint64, entry string, ids ...string) uint64 {
-	var list []Attempt
-	for _, id := range ids {
-		list = append(list, Attempt{id, 1})
-	}
-	for now := from; now <= to; now += lapse / 4 {
-		seq++
-		c.Renew(now, entry, seq, list)
-	}
-	return seq
-}
-
 func actions(c *Core) []string {
 	var out []string
 	for _, a := range c.Ready() {
--- a/internal/agent/grant/rapid_test.go
+++ b/internal/agent/grant/rapid_test.go
@@ -1,7 +1,9 @@
 package grant
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -20,12 +22,40 @@
 	waiting map[Key]bool
 	running map[Key]bool
 	sent    map[Key]bool
+	stopped map[Key]bool
 	next    int
+	keys    []Key
+}
+
+// rarely is true in less than a tenth of its draws; rapid favours small numbers.
+func rarely(t *rapid.T, label string) bool {
+	return rapid.IntRange(0, 15).Draw(t, label) == 11
+}
+
+// entry draws one of three entries, seldom a restarted one.
+func entry(t *rapid.T) string {
+	incarnation := 1
+	if rarely(t, "restarted") && rarely(t, "again") {
+		incarnation = 2
+	}
+	return fmt.Sprintf("e%d#%d", rapid.IntRange(0, 2).Draw(t, "entry"), incarnation)
+}
+
+// fresh returns a key never used, old one of the last ten, so that most
+// messages meet a grant and some meet one that has ended.
+func (m *machine) fresh(t *rapid.T) Key {
+	m.next++
+	k := Key{fmt.Sprint("r", m.next), 1, pb.Phase(rapid.IntRange(1, 3).Draw(t, "phase"))}
+	m.keys = append(m.keys, k)
+	return k
 }
 
 func (m *machine) key(t *rapid.T) Key {
-	n := rapid.IntRange(0, m.next).Draw(t, "key")
-	return Key{fmt.Sprint("r", n), 1, pb.Phase(1 + n%3)}
+	if len(m.keys) == 0 {
+		return Key{"none", 1, pb.Phase_PHASE_CALL}
+	}
+	last := m.keys[max(0, len(m.keys)-10):]
+	return rapid.SampledFrom(last).Draw(t, "key")
 }
 
 func (m *machine) take(t *rapid.T) {
@@ -40,6 +70,7 @@
 			if !m.running[a.Key] {
 				t.Fatalf("%v stopped but not running", a.Key)
 			}
+			m.stopped[a.Key] = true
 		case Lost:
 			m.checkLost(t, a)
 			delete(m.running, a.Key)
@@ -64,12 +95,14 @@
 }
 
 func (m *machine) reserve(t *rapid.T) {
-	m.next++
-	k := m.key(t)
+	k := m.fresh(t)
+	if rarely(t, "used") {
+		k = m.key(t)
+	}
 	r := Request{
-		Key: k, Entry: fmt.Sprintf("e%d#%d", rapid.IntRange(0, 2).Draw(t, "entry"), rapid.IntRange(1, 2).Draw(t, "incarnation")),
+		Key: k, Entry: entry(t),
 		Organisation: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "org")),
-		Exclusive:    rapid.IntRange(0, 5).Draw(t, "exclusive") == 0,
+		Exclusive:    rarely(t, "exclusive"),
 		Batch:        rapid.Bool().Draw(t, "batch"),
 		Wait:         time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * ms,
 		Idle:         time.Duration(rapid.IntRange(1, 3000).Draw(t, "idle")) * ms,
@@ -84,8 +117,22 @@
 	}
 }
 
-func (m *machine) start(t *rapid.T) {
-	k := m.key(t)
+func (m *machine) start(t *rapid.T) { m.startKey(t, m.key(t)) }
+
+// run is what an entry does most: it reserves, starts and sends.
+func (m *machine) run(t *rapid.T) {
+	for range rapid.IntRange(1, 4).Draw(t, "runs") {
+		m.reserve(t)
+		m.check(t)
+		k := m.keys[len(m.keys)-1]
+		m.startKey(t, k)
+		if m.c.Send(m.now, k) {
+			m.sent[k] = true
+		}
+	}
+}
+
+func (m *machine) startKey(t *rapid.T, k Key) {
 	if m.c.Start(m.now, k, m.entries[k]) != nil {
 		return
 	}
@@ -107,8 +154,9 @@
 	if !m.running[k] {
 		return
 	}
-	delete(m.running, k)
 	m.c.Done(m.now, k, time.Duration(rapid.IntRange(0, 1000).Draw(t, "keep"))*ms)
+	m.take(t)
+	delete(m.running, k)
 }
 
 func (m *machine) renew(t *rapid.T) {
@@ -117,7 +165,7 @@
 	for range rapid.IntRange(0, 6).Draw(t, "listed") {
 		list = append(list, m.key(t).Attempt())
 	}
-	m.c.Renew(m.now, fmt.Sprintf("e%d#%d", rapid.IntRange(0, 2).Draw(t, "entry"), rapid.IntRange(1, 2).Draw(t, "incarnation")), m.seq, list)
+	m.c.Renew(m.now, entry(t), m.seq, list)
 }
 
 func (m *machine) check(t *rapid.T) {
@@ -151,12 +199,16 @@
 // still has to confirm.
 func (m *machine) drained(t *rapid.T) {
 	// The lapse, and one grace after a pause.
+	m.take(t)
 	for range 40 {
 		m.now += lapse / 10
 		m.c.Tick(m.now)
 		m.take(t)
 	}
 	for k := range m.running {
+		if !m.stopped[k] {
+			t.Fatalf("%v runs on though its entry is gone", k)
+		}
 		m.c.Done(m.now, k, 0)
 	}
 	m.take(t)
@@ -173,15 +225,26 @@
 	}
 }
 
+// TestMain raises the number of random runs: one takes below 0.1 ms, and most
+// faults tried on the core needed some hundreds.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("5000")
+	}
+	os.Exit(m.Run())
+}
+
 func TestCoreInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{
 			c: New(testConfig()), starts: map[Key]int{}, entries: map[Key]string{},
-			waiting: map[Key]bool{}, running: map[Key]bool{}, sent: map[Key]bool{},
+			waiting: map[Key]bool{}, running: map[Key]bool{},
+			sent: map[Key]bool{}, stopped: map[Key]bool{},
 		}
 		m.c.ServerUp(0)
 		t.Repeat(map[string]func(*rapid.T){
-			"reserve": m.reserve, "reserve2": m.reserve, "start": m.start, "start2": m.start,
+			"reserve": m.reserve, "start": m.start, "run": m.run, "run2": m.run,
 			"send": m.send, "done": m.done, "renew": m.renew,
 			"release": func(t *rapid.T) { k := m.key(t); m.c.Release(m.now, k, m.entries[k]) },
 			"tick": func(t *rapid.T) {
@@ -189,7 +252,9 @@
 				m.c.Tick(m.now)
 			},
 			"pause": func(t *rapid.T) {
-				m.now += time.Duration(rapid.IntRange(1000, 5000).Draw(t, "pause")) * ms
+				if rarely(t, "long") {
+					m.now += time.Duration(rapid.IntRange(1000, 5000).Draw(t, "pause")) * ms
+				}
 			},
 			"broken":  func(t *rapid.T) { m.c.Broken(m.now, m.key(t)) },
 			"sound":   func(*rapid.T) { m.c.ServerSound(m.now, m.now) },
