--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -13,6 +13,7 @@
 
 var (
 	rawType         = reflect.TypeFor[json.RawMessage]()
+	deferredType    = reflect.TypeFor[Deferred]()
 	unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
 )
 
@@ -30,6 +31,9 @@
 	case target.Type() == rawType:
 		target.SetBytes(standard(v))
 		return
+	case target.Type() == deferredType:
+		target.Set(reflect.ValueOf(Deferred{key: key, value: v}))
+		return
 	case target.CanAddr() && target.Addr().Type().Implements(unmarshalerType):
 		d.custom(key, v, target)
 		return
@@ -80,7 +84,7 @@
 	case reflect.Float32, reflect.Float64:
 		return "a number"
 	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
-		return "a whole number of at least 0"
+		return fmt.Sprintf("a whole number of 0 to %d", uint64(1)<<target.Type().Bits()-1)
 	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
 		return "a whole number"
 	default:
