Tell the age of each status report and ask explain by zone

Change: status gives the age of each report; explain sends zone.

Ruled out: judging a process by the age of its report; the digest stays the one sign of what was in force then.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -266,7 +266,7 @@
 	address := operator(t)
 	b.run(ExitOK, "label", "s1", "role=decode")
 	_, err := b.platform.Put(platform.Object{Kind: "status", Name: "zurich-a", Spec: json.RawMessage(
-		`{"format":1,"processes":[{"id":"entry-2","role":"entry","revision":9,"digest":"1","incarnation":"3"}]}`)})
+		`{"format":1,"time":"2020-01-01T00:00:00Z","processes":[{"id":"entry-2","role":"entry","revision":9,"digest":"1","incarnation":"3"}]}`)})
 	assert.NilError(t, err)
 	var status Status
 	assert.NilError(t, json.Unmarshal([]byte(b.run(ExitOK, "--output", "json", "status", "--operator", address)), &status))
@@ -274,6 +274,7 @@
 	assert.Equal(t, len(status.Processes), 2)
 	assert.Assert(t, status.Processes[0].Current)
 	assert.Assert(t, !status.Processes[1].Current) // its digest differs
+	assert.Assert(t, status.Processes[1].AgeSeconds > 0)
 	out := b.run(ExitUnreachable, "status", "--operator", "127.0.0.1:1", "--operator", address)
 	assert.Assert(t, strings.Contains(out, "entry-1"), out)
 }
@@ -283,7 +284,7 @@
 	address := operator(t)
 	assert.Equal(t, b.run(ExitOK, "dump", address), "{\n  \"board\": {}\n}\n")
 	out := b.run(ExitOK, "explain", "--operator", address, "--model", "m", "--zone", "z")
-	assert.Assert(t, strings.Contains(out, `"availabilityZone": [`), out)
+	assert.Assert(t, strings.Contains(out, `"zone": [`), out)
 	b.run(ExitUnreachable, "dump", "127.0.0.1:1")
 	b.run(ExitUsage, "dump", "localhost:80")
 }
--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -104,7 +104,7 @@
 	query := url.Values{}
 	for key, value := range map[string]string{
 		"model": cmd.Model, "organisation": cmd.Organisation, "priority": cmd.Priority,
-		"method": cmd.Method, "path": cmd.Path, "group": cmd.Group, "availabilityZone": cmd.Zone,
+		"method": cmd.Method, "path": cmd.Path, "group": cmd.Group, "zone": cmd.Zone,
 	} {
 		if value != "" {
 			query.Set(key, value)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -43,16 +44,19 @@
 	Digest           json.Number `json:"digest,omitempty"`
 	Incarnation      json.Number `json:"incarnation,omitempty"`
 	UptimeSeconds    uint64      `json:"uptimeSeconds,omitempty"`
-	// Current: the process has the stored configuration in force. It is false
-	// if the platform wasn't asked.
+	// Current: the process had the stored configuration in force at the time
+	// of its report. It is false if the platform wasn't asked.
 	Current bool `json:"current"`
+	// AgeSeconds of the report, by this machine's clock; 0 from the process
+	// itself. Status objects are written seldom, to spare the platform.
+	AgeSeconds uint64 `json:"ageSeconds"`
 	// Source is the object or the address that the line comes from.
 	Source string `json:"source"`
 }
 
 // statusSpec is read leniently: a later format may add to it.
 type statusSpec struct {
-	Format    int       `json:"format"`
+	Time      time.Time `json:"time"`
 	Processes []Process `json:"processes"`
 }
 
@@ -142,11 +146,20 @@
 	}
 	for _, p := range spec.Processes {
 		p.Source = "status/" + o.Name
+		p.AgeSeconds = age(spec.Time)
 		status.Processes = append(status.Processes, p)
 	}
 	return nil
 }
 
+// age is 0 for a time that is missing or ahead of this machine's clock.
+func age(t time.Time) uint64 {
+	if t.IsZero() {
+		return 0
+	}
+	return uint64(max(0, time.Since(t)).Seconds())
+}
+
 func (cmd *statusCommand) fromOperator(status *Status, address string) error {
 	answer, err := cmd.client.fetch(address, pathStatus, nil)
 	if err != nil {
@@ -163,11 +176,11 @@
 
 func (s Status) writeText(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "stored configuration: version %d\n", s.Configuration)                                      //nolint:errcheck // told by Flush
-	fmt.Fprintln(table, "ROLE\tID\tAVAILABILITY ZONE\tREVISION\tCURRENT\tDIGEST\tINCARNATION\tUPTIME (s)\tSOURCE") //nolint:errcheck // told by Flush
+	fmt.Fprintf(table, "stored configuration: version %d\n", s.Configuration)                                               //nolint:errcheck // told by Flush
+	fmt.Fprintln(table, "ROLE\tID\tAVAILABILITY ZONE\tREVISION\tCURRENT\tDIGEST\tINCARNATION\tUPTIME (s)\tAGE (s)\tSOURCE") //nolint:errcheck // told by Flush
 	for _, p := range s.Processes {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%t\t%s\t%s\t%d\t%s\n", //nolint:errcheck // told by Flush
-			p.Role, p.ID, p.AvailabilityZone, p.Revision, p.Current, p.Digest, p.Incarnation, p.UptimeSeconds, p.Source)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%t\t%s\t%s\t%d\t%d\t%s\n", //nolint:errcheck // told by Flush
+			p.Role, p.ID, p.AvailabilityZone, p.Revision, p.Current, p.Digest, p.Incarnation, p.UptimeSeconds, p.AgeSeconds, p.Source)
 	}
 	return table.Flush()
 }
