Test the feed's decisions under drawn faults and the stand-in's controls

Drawn orders of lists, failed calls, ended streams and silence must leave at most one configuration call and three streams, and end with the feed at rest.

--- a/internal/feed/machine_test.go
+++ b/internal/feed/machine_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"jayford.example/jayford/internal/platform"
 )
@@ -247,6 +248,76 @@
 	assert.Assert(t, slices.Contains(b.calls, CallList))
 }
 
+// Anything may happen in any order: lists change, calls fail, streams end,
+// events stop. The machine must never have two configuration calls or more
+// than a newcomer's streams open, nor follow itself; and when all is well
+// again it must come to rest with the upstream or the watch that it needs.
+func TestAnyOrderOfFaultsEndsWell(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := fleet(2, 4, 1)
+		self := rapid.SampledFrom(list).Draw(t, "self")
+		b := newBench(self.ID, "s1", "s2")
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			b.fault(t, list)
+			b.check(t)
+		}
+		b.do(b.m.OnInstances(b.now, list))
+		b.pass(2*time.Minute, func() {
+			b.answer(Done)
+			b.event(Heard{Known: true})
+		})
+		b.check(t)
+		want := 1
+		if b.m.Watches() {
+			want = 0
+		}
+		if !b.m.Ready() || len(b.streams) != want || b.m.Age(b.now) > staleAfter {
+			t.Fatalf("ready %v, %d streams, age %v", b.m.Ready(), len(b.streams), b.m.Age(b.now))
+		}
+	})
+}
+
+func (b *bench) fault(t *rapid.T, list []platform.Instance) {
+	switch rapid.IntRange(0, 5).Draw(t, "fault") {
+	case 0:
+		b.do(b.m.OnInstances(b.now, list[rapid.IntRange(0, len(list)).Draw(t, "from"):]))
+	case 1:
+		b.answer(rapid.SampledFrom([]Outcome{Failed, Done, Compacted}).Draw(t, "outcome"))
+	case 2:
+		for _, s := range sortedStreams(b.streams) {
+			b.do(b.m.OnStreamEnd(b.now, s))
+		}
+	case 3:
+		b.event(Heard{
+			Known:    rapid.Bool().Draw(t, "known"),
+			Mismatch: rapid.Bool().Draw(t, "mismatch"),
+			Age:      time.Duration(rapid.IntRange(0, 20).Draw(t, "age")) * time.Second,
+		})
+	default:
+		b.pass(time.Duration(rapid.IntRange(1, 8).Draw(t, "seconds"))*time.Second, nil)
+	}
+}
+
+func (b *bench) check(t *rapid.T) {
+	configuration := 0
+	for _, c := range b.calls {
+		if c != CallInstances {
+			configuration++
+		}
+	}
+	if configuration > 1 || len(b.calls)-configuration > 1 {
+		t.Fatalf("calls at once: %v", b.calls)
+	}
+	if len(b.streams) > newcomerPeers {
+		t.Fatalf("streams: %v", b.streams)
+	}
+	for _, a := range b.streams {
+		if a.Address == b.m.self.Address {
+			t.Fatal("follows itself")
+		}
+	}
+}
+
 func TestInstanceChangesRebuildTheList(t *testing.T) {
 	before, after := fleet(2, 3, 3), fleet(3, 2, 4)
 	after[0].State = platform.Leaving
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/object"
@@ -15,6 +17,12 @@
 const callTimeout = time.Second
 
 func start(t *testing.T, o Options) (*Platform, *api.HTTP) {
+	t.Helper()
+	p, addr := serve(t, o)
+	return p, api.NewHTTP(addr, callTimeout)
+}
+
+func serve(t *testing.T, o Options) (*Platform, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -26,7 +34,7 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	return p, api.NewHTTP(ln.Addr().String(), callTimeout)
+	return p, ln.Addr().String()
 }
 
 func organisation(name string, version uint64) api.Object {
@@ -96,6 +104,52 @@
 	assert.Equal(t, len(p.Record()), 2)
 }
 
+// A write hangs in an outage and is dropped. Reading back shows the expected
+// version still stored, so the write is sent again and takes effect once.
+func TestDroppedWriteIsSentAgain(t *testing.T) {
+	p, c := start(t, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	p.SetControl(Control{Outage: OutageHang})
+	time.AfterFunc(2*callTimeout, func() { p.SetControl(Control{}) })
+	v, err := api.PutSettled(ctx, c, organisation("a", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, v, uint64(1))
+	assert.Equal(t, len(p.Record()), 1)
+}
+
+func TestControlAndRecordOverHTTP(t *testing.T) {
+	_, addr := serve(t, Options{})
+	c := api.NewHTTP(addr, callTimeout)
+	post := func(path, body string) {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetRequestURI("http://" + addr + path)
+		req.SetBodyString(body)
+		assert.NilError(t, fasthttp.DoTimeout(req, resp, callTimeout))
+		assert.Equal(t, resp.StatusCode(), fasthttp.StatusOK)
+	}
+	ctx := context.Background()
+	post("/instances", `[{"id":"e1","state":"live"}]`)
+	list, err := c.Instances(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, list[0].ID, "e1")
+	o := organisation("a", 0)
+	o.Operation = "op1"
+	_, err = c.Put(ctx, o)
+	assert.NilError(t, err)
+	post("/control", `{"outage":"refuse"}`)
+	_, err = c.List(ctx, "")
+	assert.ErrorIs(t, err, api.ErrUnavailable)
+	_, body, err := fasthttp.Get(nil, "http://"+addr+"/record")
+	assert.NilError(t, err)
+	var got []Accepted
+	assert.NilError(t, json.Unmarshal(body, &got))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Operation, "op1")
+	assert.Assert(t, !got[0].Time.IsZero())
+}
+
 // fate is a store whose first write has no reply; then another writer's object
 // is found.
 type fate struct {
