Run a request alone only after its second crash

Ruled out: the retry budget alone, as most that failed were refused at the queue. Change: the first crash changes nothing, who was at two crashes runs alone, only a further crash alone convicts; a lone crash in an idle pool no longer convicts by itself.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -46,7 +46,7 @@
 	g.mu.Lock()
 	if err := g.queue.Push(time.Now(), it); err != nil {
 		g.mu.Unlock()
-		return err
+		return late(err)
 	}
 	w := g.addLocked(it.ID)
 	g.pumpLocked()
@@ -110,6 +110,15 @@
 	return contextVerdict(ctx)
 }
 
+// late words the queue's refusal of a request whose first token would come after
+// the target: to its caller this is overload, since its own deadline is later.
+func late(err *verdict.Error) *verdict.Error {
+	if err.Code != verdict.Deadline {
+		return err
+	}
+	return verdict.New(verdict.NotRun, verdict.Overloaded, "The first token can't come in time.").After(max(err.RetryAfter, time.Second))
+}
+
 func overloaded(it admit.Item) *verdict.Error {
 	waited := time.Since(it.Enqueued)
 	return verdict.New(verdict.NotRun, verdict.Overloaded,
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -50,7 +50,9 @@
 	// failures and refusals count the tries that ended so.
 	failures int
 	refusals int
-	// suspect: it was on a server that crashed; it runs alone from now on.
+	// crashes counts the servers that were lost under this request.
+	crashes int
+	// suspect: servers crashed under it; it runs alone from now on.
 	suspect bool
 }
 
@@ -146,9 +148,9 @@
 	return verdict.New(verdict.MayHaveRun, verdict.Crashes, "This request crashes the servers that run it. Don't send it again.")
 }
 
-// settle clears a suspect that ran alone and was answered.
+// settle clears a request that servers were lost under and that was answered.
 func (g *generation) settle() {
-	if g.suspect {
+	if g.crashes > 0 {
 		g.e.cleared(g.r.fingerprint)
 	}
 }
@@ -161,6 +163,7 @@
 		return err
 	}
 	if err.Crashed {
+		g.crashes++
 		g.e.crashed(g.r.fingerprint, err.CrashedAlone)
 	}
 	if retry.Refused(err) {
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -15,16 +15,22 @@
 const (
 	// Clean: no crash is known, or it was cleared.
 	Clean State = iota
-	// Suspect: it ran on a server that crashed, among others. It may run only
-	// alone on its server.
+	// Seen: it ran on one server that crashed. It may run as before: most
+	// crashes are the machine's own.
+	Seen
+	// Suspect: it ran on two servers that crashed. It may run only alone on
+	// its server.
 	Suspect
-	// Convicted: it crashed a server that it had for itself. It runs nowhere.
+	// Convicted: two servers crashed under it, and it had the last one for
+	// itself. It runs nowhere.
 	Convicted
 )
 
 // String returns the state's name.
 func (s State) String() string {
 	switch s {
+	case Seen:
+		return "seen"
 	case Suspect:
 		return "suspect"
 	case Convicted:
@@ -54,9 +60,13 @@
 
 // Blame remembers fingerprints of requests that were on servers when they
 // crashed. Each request on a crashed server looks alike, and convicting all
-// would refuse innocent ones; so a crash among several only makes suspects,
-// which then run alone, and only a crash alone convicts. One bad request thus
-// costs two crashes, or one if it was alone. It isn't safe for concurrent use.
+// would refuse innocent ones. So no crash among several convicts. One crash
+// changes nothing, since servers also die by themselves and running twenty
+// neighbours alone, one after the other, costs more than another crash. Who was
+// there at two crashes runs alone, and only a further crash alone convicts. One
+// bad request thus costs three crashes, or two where it runs alone anyhow. A
+// crash alone is no proof the first time: in an idle pool each request is alone.
+// It isn't safe for concurrent use.
 type Blame struct {
 	opts    Options
 	records map[uint64]*list.Element
@@ -82,9 +92,14 @@
 // Crashed notes that a server crashed while it ran fp, alone or among others,
 // and returns the new state.
 func (b *Blame) Crashed(fp uint64, alone bool, now time.Time) State {
-	if alone || b.State(fp, now) == Convicted {
+	before := b.State(fp, now)
+	switch {
+	case before == Convicted, before != Clean && alone:
 		b.Convict(fp, now)
 		return Convicted
+	case before == Clean:
+		b.set(fp, Seen, now.Add(b.opts.SuspectFor))
+		return Seen
 	}
 	b.set(fp, Suspect, now.Add(b.opts.SuspectFor))
 	return Suspect
@@ -95,10 +110,9 @@
 	b.set(fp, Convicted, now.Add(b.opts.ConvictedFor))
 }
 
-// Cleared notes that a suspect ended well alone on its server. A success beside
-// others proves nothing and isn't reported here. A conviction stays.
+// Cleared notes that a request ended well. A conviction stays.
 func (b *Blame) Cleared(fp uint64) {
-	if el, ok := b.records[fp]; ok && recordOf(el).state == Suspect {
+	if el, ok := b.records[fp]; ok && recordOf(el).state != Convicted {
 		b.drop(el)
 	}
 }
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -54,9 +54,6 @@
 	After time.Duration
 	// Exclude: the next try goes to another server.
 	Exclude bool
-	// Exclusive: the next try must run alone on its server, as the request is
-	// suspected of crashing them.
-	Exclusive bool
 }
 
 // Refused tells a refusal as full or leaving from a failure. It is proof that
@@ -85,7 +82,7 @@
 	if !refused && !spend(budget, &t) {
 		return giveUp(err, &t)
 	}
-	return Decision{Retry: true, After: after, Exclude: true, Exclusive: err.Crashed}
+	return Decision{Retry: true, After: after, Exclude: true, }
 }
 
 // permitted says whether another try is right and may succeed at all.
@@ -93,7 +90,7 @@
 	if !t.Idempotent && (err.Verdict != verdict.NotRun || t.MayHaveRun) {
 		return false
 	}
-	return !t.Delivered && !err.CrashedAlone && curable(err.Code)
+	return !t.Delivered && curable(err.Code)
 }
 
 // curable says whether another server may do better.
