Let old queues drain in placement

A server that once told of a long queue got no request, so no new answer, and its hint stayed. Change: of what a server could do since the hint, half is taken off its queue; the half-life of hints is 5 s for engines and 100 ms for plain services, and eight choices are looked at in big pools.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -27,9 +27,12 @@
 
 // Defaults of Options.
 const (
-	DefaultSubset   = 16
-	DefaultChoices  = 4
-	DefaultHalfLife = time.Second
+	DefaultSubset  = 16
+	DefaultChoices = 8
+	// DefaultHalfLife suits engines, whose requests last for seconds.
+	DefaultHalfLife = 5 * time.Second
+	// DefaultServiceHalfLife suits plain services, whose calls are short.
+	DefaultServiceHalfLife = 100 * time.Millisecond
 	// DefaultCrossZone is the cost of moving the KV cache of 1,000 prompt
 	// tokens to another availability zone.
 	DefaultCrossZone = 20 * time.Millisecond
@@ -39,6 +42,10 @@
 // at besides the random choices, so that sampling doesn't miss the cache.
 const cachedChoices = 2
 
+// drainPart is the part of a server's rate at which a stale queue is taken to
+// have shrunk.
+const drainPart = 0.5
+
 // Candidate is what an entry knows of one server.
 type Candidate struct {
 	ID, AvailabilityZone string
@@ -84,7 +91,8 @@
 	// Choices is the d of power-of-d choices inside the subset of a big pool;
 	// 0 for DefaultChoices.
 	Choices int
-	// HalfLife is the age at which a hint counts half, 0 for DefaultHalfLife.
+	// HalfLife is the age at which a hint counts half, 0 for DefaultHalfLife
+	// or, in Service, DefaultServiceHalfLife.
 	HalfLife time.Duration
 	// CrossZone is the cost of moving the KV cache of 1,000 prompt tokens to
 	// another availability zone, 0 for DefaultCrossZone.
@@ -115,6 +123,7 @@
 
 // Service ranks servers for a call of a plain service as Prefill does.
 func Service(c []Candidate, r Request, p Options, rnd *rand.Rand) []int {
+	p.HalfLife = cmp.Or(max(0, p.HalfLife), DefaultServiceHalfLife)
 	return rank(c, r, p.withDefaults(), rnd, serviceScore)
 }
 
@@ -320,7 +329,7 @@
 		total += w
 		m.used += w * float64(s.Used)
 		m.queued += w * float64(s.Queued)
-		m.queuedTokens += w * float64(s.QueuedTokens)
+		m.queuedTokens += w * drained(s)
 	}
 	if total < math.SmallestNonzeroFloat32 {
 		return load{}
@@ -328,15 +337,24 @@
 	return load{m.used / total, m.queued / total, m.queuedTokens / total}
 }
 
-// discount moves a stale hint towards the mean of the others. Without it a
-// server that once looked empty draws all requests until its next answer, and
-// one that once looked full is never tried again.
+// drained returns the prompt tokens that are left of a hint's queue. The server
+// has worked since, and got new work that this entry doesn't see: of what it
+// can do, drainPart is taken off. Without it a server that once looked full is
+// not tried again, and so its hint stays.
+func drained(c *Candidate) float64 {
+	per := cmp.Or(c.PrefillPerThousand, defaultPrefillPerThousand)
+	done := drainPart * 1000 * float64(max(0, c.Age)) / float64(per)
+	return max(0, float64(c.QueuedTokens)-done)
+}
+
+// discount moves a stale hint towards the mean of the fresher ones. Without
+// it a server that once looked empty draws all requests until its next answer.
 func (m load) discount(c *Candidate, halfLife time.Duration) Candidate {
 	w := freshness(c.Age, halfLife)
 	out := *c
 	out.Used = int(math.Round(w*float64(c.Used) + (1-w)*m.used))
 	out.Queued = int(math.Round(w*float64(c.Queued) + (1-w)*m.queued))
-	out.QueuedTokens = int64(w*float64(c.QueuedTokens) + (1-w)*m.queuedTokens)
+	out.QueuedTokens = int64(w*drained(c) + (1-w)*m.queuedTokens)
 	return out
 }
 
