Give prompts with a common prefix a common home

Cause: an entry knows only its own placements, so each entry filled another server's cache with the same prefix. Change: the server with the highest rendezvous hash of a prompt's first block and the server's id is taken to have a part of the prompt cached. The part is what answers lately reported as cached, so that the preference goes away where prompts have nothing in common, and its queue still counts against it.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -74,6 +75,12 @@
 	// Interactive requests are ranked by time only. For others the work saved
 	// by a cached prefix counts again, by CacheWeight.
 	Interactive bool
+	// Prefix is the first of Hashes of the prompt, 0 if it has none. It gives
+	// prompts with a common prefix a common home among the servers.
+	Prefix uint64
+	// Reuse is Prefixes.Reuse: the part of a prompt that the home is taken to
+	// have cached, if nothing better is known.
+	Reuse float64
 }
 
 // Options steer the ranking. The zero value is the policy with its defaults.
@@ -209,9 +216,13 @@
 	}
 	list := sample(len(c), p.Subset, rnd)
 	mean := meanLoad(c, list, p.HalfLife)
+	home := homeOf(c, list, r.Prefix)
 	var seen Candidate
 	for i := range list {
 		seen = mean.discount(&c[list[i].index], p.HalfLife)
+		if i == home {
+			seen.CachedTokens = max(seen.CachedTokens, int(r.Reuse*float64(r.PromptTokens)))
+		}
 		list[i].score = float64(score(&seen, &r, &p))
 		list[i].cached = seen.CachedTokens
 		list[i].doubted = seen.Doubted
@@ -226,6 +237,30 @@
 	return indexes(list)
 }
 
+// homeOf returns the place in list of the prefix's home, the server with the
+// highest rendezvous hash of prefix and id, or -1 without a prefix. An entry
+// knows only its own placements, and each entry would fill another server's
+// cache with the same prefix. By how much the home is preferred follows from
+// Request.Reuse, so that prompts without common prefixes are spread by load.
+func homeOf(c []Candidate, list []scored, prefix uint64) int {
+	best, highest := -1, uint64(0)
+	if prefix == 0 {
+		return best
+	}
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], prefix)
+	var h xxhash.Digest
+	for i := range list {
+		h.Reset()
+		_, _ = h.Write(key[:])
+		_, _ = h.WriteString(c[list[i].index].ID)
+		if sum := h.Sum64(); best < 0 || sum > highest {
+			best, highest = i, sum
+		}
+	}
+	return best
+}
+
 // chooseFront moves d entries of the randomly ordered list, and those with the
 // longest cached prefix, to the front and returns how many they are. Entries
 // that all ranked the whole list by the same stale hints would choose the same
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -164,7 +164,9 @@
 	p.Placed("s", []uint64{1, 2, 3, 4, 5, 6})
 	assert.Equal(t, p.Len(), 4)
 	assert.Equal(t, p.Cached("s", []uint64{1, 2}), 0)
+	assert.Equal(t, p.Reuse(), initialReuse)
 	p.Observed("s", []uint64{3, 4}, 0)
+	assert.Assert(t, p.Reuse() < initialReuse)
 	assert.Equal(t, p.Cached("s", []uint64{3, 4}), 256)
 	p.Observed("s", []uint64{3, 4}, 512)
 	assert.Equal(t, p.Cached("s", []uint64{3, 4}), 512)
@@ -201,6 +203,27 @@
 	assert.Assert(t, holders > 2, "%d", holders)
 }
 
+// Callers with a shared prompt pay for it in full at every server. They come
+// through different entries, none of which knows what the others sent where.
+// The prefix has a home that all entries see, until its queue is too long.
+func TestEntriesShareAPrefixHome(t *testing.T) {
+	c := []Candidate{server("a", "a"), server("b", "a"), server("c", "a"), server("d", "a")}
+	r := Request{PromptTokens: 3000, Interactive: true, Prefix: 7, Reuse: 0.5}
+	home := Prefill(c, r, Options{}, random())[0]
+	for seed := range uint64(50) {
+		assert.Equal(t, Prefill(c, r, Options{}, rand.New(rand.NewPCG(seed, 1)))[0], home)
+	}
+	homes := map[int]bool{}
+	for prefix := range uint64(50) {
+		r.Prefix = prefix + 1
+		homes[Prefill(c, r, Options{}, random())[0]] = true
+	}
+	assert.Equal(t, len(homes), len(c))
+	r.Prefix = 7
+	c[home].PendingTokens = 2000
+	assert.Assert(t, Prefill(c, r, Options{}, random())[0] != home)
+}
+
 // benchmarkPool gives the whole pool to each decision.
 func benchmarkPool(b *testing.B, n int) {
 	c := make([]Candidate, n)
@@ -209,7 +232,7 @@
 		c[i].QueuedTokens, c[i].Age = int64(i%7)*1000, time.Duration(i%5)*100*time.Millisecond
 	}
 	rnd := random()
-	r := Request{PromptTokens: 3000, MaxTokens: 200, AvailabilityZone: "zone-1", Interactive: true}
+	r := Request{PromptTokens: 3000, MaxTokens: 200, AvailabilityZone: "zone-1", Interactive: true, Prefix: 9, Reuse: 0.5}
 	b.ReportAllocs()
 	for b.Loop() {
 		Prefill(c, r, Options{}, rnd)
--- a/internal/policy/place/prefixes.go
+++ b/internal/policy/place/prefixes.go
@@ -12,6 +12,12 @@
 // BlockTokens is the granularity of prefix hashes, in tokens.
 const BlockTokens = 256
 
+const (
+	initialReuse = 0.5
+	// reuseWeight is the weight of one answer in the moving average of Reuse.
+	reuseWeight = 1.0 / 32
+)
+
 // Hashes returns the hash of each whole block prefix of prompt: element i is
 // the xxhash of the first (i+1)*BlockTokens words, joined by single spaces.
 func Hashes(prompt string) []uint64 {
@@ -38,6 +44,7 @@
 // the blocks longest unused go first. It isn't safe for concurrent use.
 type Prefixes struct {
 	perServer int
+	reuse     float64
 	servers   map[string]*prefixIndex
 }
 
@@ -56,7 +63,7 @@
 
 // NewPrefixes returns an empty index of up to perServer blocks a server.
 func NewPrefixes(perServer int) *Prefixes {
-	return &Prefixes{perServer: perServer, servers: map[string]*prefixIndex{}}
+	return &Prefixes{perServer: perServer, reuse: initialReuse, servers: map[string]*prefixIndex{}}
 }
 
 // Apply takes events of a server. Events seen before are passed over; a gap in
@@ -114,6 +121,10 @@
 // are now. An answer that found less than claimed halves what Cached reports
 // until one finds all that was claimed; no rebuild is needed for that.
 func (p *Prefixes) Observed(server string, hashes []uint64, cachedTokens int) {
+	if len(hashes) > 0 {
+		part := min(1, float64(cachedTokens)/float64(len(hashes)*BlockTokens))
+		p.reuse += reuseWeight * (part - p.reuse)
+	}
 	x := p.index(server)
 	claimed := x.cached(hashes)
 	if claimed > 0 {
@@ -137,6 +148,10 @@
 	return n
 }
 
+// Reuse returns the part of recent prompts that answers reported as cached, from
+// 0 to 1; half before any answer.
+func (p *Prefixes) Reuse() float64 { return p.reuse }
+
 // Forget drops a server's index.
 func (p *Prefixes) Forget(server string) { delete(p.servers, server) }
 
