--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -27,9 +28,12 @@
 
 // Defaults of Options.
 const (
-	DefaultSubset   = 16
-	DefaultChoices  = 4
-	DefaultHalfLife = time.Second
+	DefaultSubset  = 16
+	DefaultChoices = 8
+	// DefaultHalfLife suits engines, whose requests last for seconds.
+	DefaultHalfLife = 5 * time.Second
+	// DefaultServiceHalfLife suits plain services, whose calls are short.
+	DefaultServiceHalfLife = 100 * time.Millisecond
 	// DefaultCrossZone is the cost of moving the KV cache of 1,000 prompt
 	// tokens to another availability zone.
 	DefaultCrossZone = 20 * time.Millisecond
@@ -39,6 +43,10 @@
 // at besides the random choices, so that sampling doesn't miss the cache.
 const cachedChoices = 2
 
+// drainPart is the part of a server's rate at which a stale queue is taken to
+// have shrunk.
+const drainPart = 0.5
+
 // Candidate is what an entry knows of one server.
 type Candidate struct {
 	ID, AvailabilityZone string
@@ -67,6 +75,12 @@
 	// Interactive requests are ranked by time only. For others the work saved
 	// by a cached prefix counts again, by CacheWeight.
 	Interactive bool
+	// Prefix is the first of Hashes of the prompt, 0 if it has none. It gives
+	// prompts with a common prefix a common home among the servers.
+	Prefix uint64
+	// Reuse is Prefixes.Reuse: the part of a prompt that the home is taken to
+	// have cached, if nothing better is known.
+	Reuse float64
 }
 
 // Options steer the ranking. The zero value is the policy with its defaults.
@@ -84,7 +98,8 @@
 	// Choices is the d of power-of-d choices inside the subset of a big pool;
 	// 0 for DefaultChoices.
 	Choices int
-	// HalfLife is the age at which a hint counts half, 0 for DefaultHalfLife.
+	// HalfLife is the age at which a hint counts half, 0 for DefaultHalfLife
+	// or, in Service, DefaultServiceHalfLife.
 	HalfLife time.Duration
 	// CrossZone is the cost of moving the KV cache of 1,000 prompt tokens to
 	// another availability zone, 0 for DefaultCrossZone.
@@ -115,6 +130,7 @@
 
 // Service ranks servers for a call of a plain service as Prefill does.
 func Service(c []Candidate, r Request, p Options, rnd *rand.Rand) []int {
+	p.HalfLife = cmp.Or(max(0, p.HalfLife), DefaultServiceHalfLife)
 	return rank(c, r, p.withDefaults(), rnd, serviceScore)
 }
 
@@ -200,9 +216,13 @@
 	}
 	list := sample(len(c), p.Subset, rnd)
 	mean := meanLoad(c, list, p.HalfLife)
+	home := homeOf(c, list, r.Prefix)
 	var seen Candidate
 	for i := range list {
 		seen = mean.discount(&c[list[i].index], p.HalfLife)
+		if i == home {
+			seen.CachedTokens = max(seen.CachedTokens, int(r.Reuse*float64(r.PromptTokens)))
+		}
 		list[i].score = float64(score(&seen, &r, &p))
 		list[i].cached = seen.CachedTokens
 		list[i].doubted = seen.Doubted
@@ -217,6 +237,30 @@
 	return indexes(list)
 }
 
+// homeOf returns the place in list of the prefix's home, the server with the
+// highest rendezvous hash of prefix and id, or -1 without a prefix. An entry
+// knows only its own placements, and each entry would fill another server's
+// cache with the same prefix. By how much the home is preferred follows from
+// Request.Reuse, so that prompts without common prefixes are spread by load.
+func homeOf(c []Candidate, list []scored, prefix uint64) int {
+	best, highest := -1, uint64(0)
+	if prefix == 0 {
+		return best
+	}
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], prefix)
+	var h xxhash.Digest
+	for i := range list {
+		h.Reset()
+		_, _ = h.Write(key[:])
+		_, _ = h.WriteString(c[list[i].index].ID)
+		if sum := h.Sum64(); best < 0 || sum > highest {
+			best, highest = i, sum
+		}
+	}
+	return best
+}
+
 // chooseFront moves d entries of the randomly ordered list, and those with the
 // longest cached prefix, to the front and returns how many they are. Entries
 // that all ranked the whole list by the same stale hints would choose the same
@@ -320,7 +364,7 @@
 		total += w
 		m.used += w * float64(s.Used)
 		m.queued += w * float64(s.Queued)
-		m.queuedTokens += w * float64(s.QueuedTokens)
+		m.queuedTokens += w * drained(s)
 	}
 	if total < math.SmallestNonzeroFloat32 {
 		return load{}
@@ -328,15 +372,24 @@
 	return load{m.used / total, m.queued / total, m.queuedTokens / total}
 }
 
-// discount moves a stale hint towards the mean of the others. Without it a
-// server that once looked empty draws all requests until its next answer, and
-// one that once looked full is never tried again.
+// drained returns the prompt tokens that are left of a hint's queue. The server
+// has worked since, and got new work that this entry doesn't see: of what it
+// can do, drainPart is taken off. Without it a server that once looked full is
+// not tried again, and so its hint stays.
+func drained(c *Candidate) float64 {
+	per := cmp.Or(c.PrefillPerThousand, defaultPrefillPerThousand)
+	done := drainPart * 1000 * float64(max(0, c.Age)) / float64(per)
+	return max(0, float64(c.QueuedTokens)-done)
+}
+
+// discount moves a stale hint towards the mean of the fresher ones. Without
+// it a server that once looked empty draws all requests until its next answer.
 func (m load) discount(c *Candidate, halfLife time.Duration) Candidate {
 	w := freshness(c.Age, halfLife)
 	out := *c
 	out.Used = int(math.Round(w*float64(c.Used) + (1-w)*m.used))
 	out.Queued = int(math.Round(w*float64(c.Queued) + (1-w)*m.queued))
-	out.QueuedTokens = int64(w*float64(c.QueuedTokens) + (1-w)*m.queuedTokens)
+	out.QueuedTokens = int64(w*drained(c) + (1-w)*m.queuedTokens)
 	return out
 }
 
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -54,13 +54,24 @@
 // server with a fresh and lighter load.
 func TestStaleHintIsDiscounted(t *testing.T) {
 	c := []Candidate{server("stale", "a"), server("fresh", "a"), server("full", "a")}
-	c[0].Age = 10 * time.Second
+	c[0].Age = 10 * DefaultHalfLife
 	c[1].Used, c[2].Used = 8, 12
 	assert.Equal(t, Decode(c, Request{}, Options{}, random())[0], 1)
 	c[0].Age = 0
 	assert.Equal(t, Decode(c, Request{}, Options{}, random())[0], 0)
 }
 
+// Callers wait at a busy server while another rests. Its last answer told of a
+// long queue, so it got no request, and without one there is no new answer.
+func TestOldQueueHasDrained(t *testing.T) {
+	c := []Candidate{server("once full", "a"), server("busy", "a")}
+	c[0].QueuedTokens, c[1].QueuedTokens = 10000, 3000
+	r := Request{PromptTokens: 100, Interactive: true}
+	assert.Equal(t, Prefill(c, r, Options{}, random())[0], 1)
+	c[0].Age = 2 * time.Second
+	assert.Equal(t, Prefill(c, r, Options{}, random())[0], 0)
+}
+
 func TestBaselines(t *testing.T) {
 	c := []Candidate{server("b", "a"), server("a", "a"), server("c", "a")}
 	c[0].Used, c[1].Used, c[2].Used = 3, 2, 1
@@ -85,8 +96,8 @@
 		assert.Equal(t, len(order), 16)
 		firsts[order[0]]++
 	}
-	// The best of four of sixteen is the best of all in a quarter of the draws.
-	assert.Assert(t, firsts[0] > 200 && firsts[0] < 300, "%v", firsts)
+	// The best of eight of sixteen is the best of all in half of the draws.
+	assert.Assert(t, firsts[0] > 450 && firsts[0] < 550, "%v", firsts)
 	assert.Equal(t, firsts[15], 0)
 	c[9].CachedTokens, c[9].Used = 4000, 0
 	for range 100 {
@@ -153,7 +164,9 @@
 	p.Placed("s", []uint64{1, 2, 3, 4, 5, 6})
 	assert.Equal(t, p.Len(), 4)
 	assert.Equal(t, p.Cached("s", []uint64{1, 2}), 0)
+	assert.Equal(t, p.Reuse(), initialReuse)
 	p.Observed("s", []uint64{3, 4}, 0)
+	assert.Assert(t, p.Reuse() < initialReuse)
 	assert.Equal(t, p.Cached("s", []uint64{3, 4}), 256)
 	p.Observed("s", []uint64{3, 4}, 512)
 	assert.Equal(t, p.Cached("s", []uint64{3, 4}), 512)
@@ -190,6 +203,27 @@
 	assert.Assert(t, holders > 2, "%d", holders)
 }
 
+// Callers with a shared prompt pay for it in full at every server. They come
+// through different entries, none of which knows what the others sent where.
+// The prefix has a home that all entries see, until its queue is too long.
+func TestEntriesShareAPrefixHome(t *testing.T) {
+	c := []Candidate{server("a", "a"), server("b", "a"), server("c", "a"), server("d", "a")}
+	r := Request{PromptTokens: 3000, Interactive: true, Prefix: 7, Reuse: 0.5}
+	home := Prefill(c, r, Options{}, random())[0]
+	for seed := range uint64(50) {
+		assert.Equal(t, Prefill(c, r, Options{}, rand.New(rand.NewPCG(seed, 1)))[0], home)
+	}
+	homes := map[int]bool{}
+	for prefix := range uint64(50) {
+		r.Prefix = prefix + 1
+		homes[Prefill(c, r, Options{}, random())[0]] = true
+	}
+	assert.Equal(t, len(homes), len(c))
+	r.Prefix = 7
+	c[home].PendingTokens = 2000
+	assert.Assert(t, Prefill(c, r, Options{}, random())[0] != home)
+}
+
 // benchmarkPool gives the whole pool to each decision.
 func benchmarkPool(b *testing.B, n int) {
 	c := make([]Candidate, n)
@@ -198,7 +232,7 @@
 		c[i].QueuedTokens, c[i].Age = int64(i%7)*1000, time.Duration(i%5)*100*time.Millisecond
 	}
 	rnd := random()
-	r := Request{PromptTokens: 3000, MaxTokens: 200, AvailabilityZone: "zone-1", Interactive: true}
+	r := Request{PromptTokens: 3000, MaxTokens: 200, AvailabilityZone: "zone-1", Interactive: true, Prefix: 9, Reuse: 0.5}
 	b.ReportAllocs()
 	for b.Loop() {
 		Prefill(c, r, Options{}, rnd)
