--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -235,6 +235,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f(a.core, a.now())
+	countLapses(a.core.TakeLapses())
 	for _, act := range a.core.Ready() {
 		a.carryOut(act)
 	}
@@ -273,13 +274,11 @@
 	}
 }
 
-// drop is called under mu. An engine knows an attempt in all its phases by one
-// name, so a KV cache isn't cancelled while the attempt decodes on the same
-// engine; it expires by itself within a second.
+// drop is called under mu.
 func (a *Agent) drop(k grant.Key) {
 	delete(a.runs, k)
-	if k.Phase == pb.Phase_PHASE_PREFILL && a.engine != nil && !a.core.Live(k.Attempt()) {
-		a.work.Go(func() { a.cancelAtEngine(a.life, engineAttempt(k)) })
+	if k.Phase == pb.Phase_PHASE_PREFILL && a.engine != nil {
+		a.work.Go(func() { a.cancelDropped(engineAttempt(k)) })
 	}
 }
 
--- a/internal/agent/cancel.go
+++ b/internal/agent/cancel.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
@@ -46,7 +48,7 @@
 	t := time.NewTimer(settleLimit)
 	defer t.Stop()
 	for {
-		p := r.watch(0, 0)
+		p := r.watch(0)
 		if p.ended {
 			return
 		}
@@ -74,7 +76,7 @@
 // that goes down meanwhile has lost r, which ends the work as well.
 func (a *Agent) rid(r *run) {
 	r.cancel()
-	if a.engine != nil {
+	if a.engine != nil && r.sent.Load() {
 		a.cancelRun(r)
 	}
 	a.done(r, 0)
@@ -110,23 +112,47 @@
 	return a.engine.Cancel(ctx, at) == nil
 }
 
-// cancelAtEngine repeats a cancel until the engine confirms it. If the agent
-// gives up, the audit finds what is left.
-func (a *Agent) cancelAtEngine(ctx context.Context, at engine.Attempt) bool {
+// cancelDropped repeats a cancel until the engine confirms it. If the agent
+// gives up, the audit finds what is left. An engine knows an attempt in all
+// its phases by one name, so a KV cache isn't cancelled while the attempt has
+// a grant to decode on the same engine; it expires by itself.
+func (a *Agent) cancelDropped(at engine.Attempt) {
 	const tries = 8
 	backoff := firstBackoff
 	for range tries {
-		if a.cancelOnce(ctx, at) {
-			return true
+		if a.owned(at) || a.cancelOnce(a.life, at) {
+			return
 		}
 		select {
-		case <-ctx.Done():
-			return false
+		case <-a.life.Done():
+			return
 		case <-time.After(backoff):
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
-	return false
+}
+
+// owned reports whether a grant stands for the attempt at.
+func (a *Agent) owned(at engine.Attempt) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Live(grant.Attempt{Request: at.Request, Number: at.Number})
+}
+
+// cancelEach cancels once each, side by side: a cancel that hangs must not hold
+// up the heartbeats for longer than its own timeout.
+func (a *Agent) cancelEach(list []engine.Attempt) {
+	const atOnce = 16
+	var group errgroup.Group
+	group.SetLimit(atOnce)
+	for _, at := range list {
+		countOrphan()
+		group.Go(func() error {
+			a.cancelOnce(a.life, at)
+			return nil
+		})
+	}
+	_ = group.Wait()
 }
 
 // judgement is a refusal, and whether the connection broke, so that it is open
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -45,7 +45,7 @@
 		return &pb.PrefillReply{Refusal: refusal(no), Load: a.Load()}, nil
 	}
 	for {
-		p := r.watch(0, 0)
+		p := r.watch(0)
 		switch {
 		case p.prefill != nil:
 			return p.prefill, nil
@@ -103,9 +103,9 @@
 
 // follow sends each token once and in order, then the end.
 func (a *Agent) follow(r *run, q *pb.DecodeRequest, out pb.Agent_DecodeServer) error {
-	next, started := max(q.GetFrom(), q.GetResume()), false
+	next, started := q.GetFrom(), false
 	for {
-		p := r.watch(next, q.GetResume())
+		p := r.watch(next)
 		e := &pb.DecodeEvent{Attempt: q.GetAttempt(), Tokens: p.tokens, Started: p.imported && !started}
 		if p.ended {
 			e.End, e.Refusal = p.end, refusal(p.refusal)
@@ -120,7 +120,9 @@
 			return nil
 		}
 		started = started || p.imported
-		next += uint32(len(p.tokens))
+		if n := len(p.tokens); n > 0 {
+			next = p.tokens[n-1].GetIndex() + 1
+		}
 		select {
 		case <-p.changed:
 		case <-out.Context().Done():
--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -180,6 +180,7 @@
 	verdicts  []uint64
 	fences    map[string]uint64
 	ordering  bool
+	lapses    int
 	out       []Action
 }
 
--- a/internal/agent/grant/lease.go
+++ b/internal/agent/grant/lease.go
@@ -72,11 +72,18 @@
 func (c *Core) lapse(p *pair) {
 	for _, g := range c.sorted() {
 		if g.pair == p {
-			c.finish(g, pb.Reason_REASON_CANCELLED)
+			c.lapseOne(g)
 		}
 	}
 }
 
+func (c *Core) lapseOne(g *grant) {
+	if g.state != stopping {
+		c.lapses++
+	}
+	c.finish(g, pb.Reason_REASON_CANCELLED)
+}
+
 // Renew extends the grants of an entry and returns the listed attempts that
 // have none.
 //
@@ -188,7 +195,7 @@
 	for _, g := range c.sorted() {
 		switch {
 		case c.now >= g.pair.end:
-			c.finish(g, pb.Reason_REASON_CANCELLED)
+			c.lapseOne(g)
 		case g.state == waiting && c.now >= g.until:
 			c.finish(g, pb.Reason_REASON_FULL)
 		case (g.state == idle || g.state == kept) && c.now >= g.until:
--- a/internal/agent/grant/server.go
+++ b/internal/agent/grant/server.go
@@ -201,13 +201,15 @@
 	return l
 }
 
-// Busy counts the grants that wait or hold a slot.
-func (c *Core) Busy() int {
-	l := 0
-	for p := range c.used {
-		l += c.used[p] + len(c.queues[p])
-	}
-	return l
+// Busy counts all grants. A kept result counts too: its entry may still have to
+// fetch it over a new connection.
+func (c *Core) Busy() int { return len(c.grants) }
+
+// TakeLapses returns how many grants lapsed since it was last called.
+func (c *Core) TakeLapses() int {
+	n := c.lapses
+	c.lapses = 0
+	return n
 }
 
 // View is one grant in the state dump.
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -147,13 +147,14 @@
 	if err != nil {
 		return false
 	}
-	for _, r := range list {
-		countOrphan()
-		a.cancelOnce(a.life, r.Attempt)
-	}
 	if len(list) == 0 {
 		return true
 	}
+	attempts := make([]engine.Attempt, 0, len(list))
+	for _, r := range list {
+		attempts = append(attempts, r.Attempt)
+	}
+	a.cancelEach(attempts)
 	a.log.WithField("attempts", len(list)).Info("agent: Cancelled what the backend server still ran.")
 	list, err = a.running()
 	return err == nil && len(list) == 0
@@ -171,10 +172,9 @@
 	if err != nil {
 		return
 	}
-	for _, at := range a.findOrphans(list, time.Now()) {
-		countOrphan()
-		a.log.WithField("request", at.Request).Warn("agent: Cancelled an attempt without a grant.")
-		a.cancelOnce(a.life, at)
+	if orphans := a.findOrphans(list, time.Now()); len(orphans) > 0 {
+		a.log.WithField("attempts", orphans).Warn("agent: Cancelling attempts without a grant.")
+		a.cancelEach(orphans)
 	}
 }
 
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -15,9 +15,13 @@
 var (
 	grantsTotal  = metrics.NewCounter("jayford_agent_grants_total")
 	cancelsTotal = metrics.NewCounter("jayford_agent_engine_cancels_total")
+	lapsesTotal  = metrics.NewCounter("jayford_agent_lapses_total")
 	orphansTotal = metrics.NewCounter("jayford_agent_orphans_total")
 )
 
+// countLapses counts grants that ended because their entry fell silent.
+func countLapses(n int) { lapsesTotal.Add(n) }
+
 func countGrant()  { grantsTotal.Inc() }
 func countCancel() { cancelsTotal.Inc() }
 func countOrphan() { orphansTotal.Inc() }
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -92,7 +92,7 @@
 		ctx, cancel := context.WithTimeout(a.life, orderTimeout)
 		err := a.engine.Order(ctx, o)
 		cancel()
-		if err == nil || errors.Is(err, engine.ErrFenced) || errors.Is(err, engine.ErrInvalid) || a.life.Err() != nil {
+		if final(err) || a.life.Err() != nil {
 			return err
 		}
 		a.log.WithError(err).Warn("agent: Order not answered, repeating it.")
@@ -105,6 +105,13 @@
 	}
 }
 
+// final reports whether an order with this outcome can take no effect any more.
+// A refused connection counts: the engine's process is gone with what it had.
+func final(err error) bool {
+	return err == nil || errors.Is(err, engine.ErrFenced) || errors.Is(err, engine.ErrInvalid) ||
+		errors.Is(err, engine.ErrUnreachable)
+}
+
 func orderReply(err error) *pb.OrderReply {
 	switch {
 	case err == nil:
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	pb "jayford.example/jayford/api/jayfordv1"
@@ -16,6 +17,8 @@
 	key    grant.Key
 	ctx    context.Context
 	cancel context.CancelFunc
+	// sent: the engine may know the attempt, so its end needs a cancel there.
+	sent atomic.Bool
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -104,9 +107,8 @@
 	changed  <-chan struct{}
 }
 
-// watch returns the tokens from index on, and what else is known. The first
-// token of the run has the index base.
-func (r *run) watch(index, base uint32) progress {
+// watch returns the tokens from index on, and what else is known.
+func (r *run) watch(index uint32) progress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := progress{
@@ -114,8 +116,8 @@
 		refusal: r.refusal, ended: r.ended, changed: r.changed,
 	}
 	skip := 0
-	if index > base {
-		skip = min(int(index-base), len(r.tokens))
+	if len(r.tokens) > 0 && index > r.tokens[0].GetIndex() {
+		skip = min(int(index-r.tokens[0].GetIndex()), len(r.tokens))
 	}
 	p.tokens = r.tokens[skip:len(r.tokens):len(r.tokens)]
 	return p
@@ -155,6 +157,7 @@
 func (a *Agent) send(r *run) bool {
 	ok := false
 	a.step(func(c *grant.Core, now time.Duration) { ok = c.Send(now, r.key) })
+	r.sent.Store(ok)
 	return ok
 }
 
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -46,7 +46,8 @@
 }
 
 // exchange sends q over conn and reads the answer. The end of ctx closes the
-// connection, which tells the service that the caller is gone.
+// connection, which bounds the call and tells the service that the caller is
+// gone.
 //
 // fasthttp repeats a GET whose connection closed without an answer, up to five
 // times; the service would run it as often. Both of its switches are off, and
@@ -64,8 +65,7 @@
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
 	}
-	deadline, _ := ctx.Deadline()
-	return client.DoDeadline(q, out, deadline)
+	return client.Do(q, out)
 }
 
 var errDialled = errors.New("a call has one connection")
@@ -133,7 +133,7 @@
 	defer stop()
 	if err := a.converse(r, q, reply); err != nil {
 		a.abandon(r, err)
-		return r.watch(0, 0).refusal
+		return r.watch(0).refusal
 	}
 	a.done(r, 0)
 	return nil
