--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -267,3 +267,28 @@
 	assert.Equal(t, p.take("z1", 1, 2*time.Second, time.Second), time.Duration(0))
 	assert.Equal(t, newPacer(0).take("z1", 1<<40, 0, 0), time.Duration(0))
 }
+
+// The link from a zone is booked beyond the life of a prefill's result. The
+// next import would find nothing, so it isn't sent and the caller is told so.
+func TestFullLinkIsNotRun(t *testing.T) {
+	f := newFakeEngine()
+	cfg := testSettings()
+	cfg.LinkBytesPerSecond = 1000
+	b := launch(t, Options{Engine: f, Settings: cfg}).up(t)
+	b.renew(t, "a", "b")
+	var last *pb.DecodeEvent
+	for _, id := range []string{"a", "b"} {
+		assert.Assert(t, b.reserve(t, id, pb.Phase_PHASE_DECODE) == nil)
+		s, err := b.client.Decode(t.Context(), &pb.DecodeRequest{Attempt: attempt(id), Kv: "kv", KvBytes: 10_000, SourceZone: "z"})
+		assert.NilError(t, err)
+		if id == "a" {
+			eventually(t, "runs", func() bool { return f.holds("a") })
+			continue
+		}
+		_, last = read(t, s, endless)
+	}
+	assert.Equal(t, last.GetRefusal().GetReason(), pb.Reason_REASON_TRANSFER)
+	assert.Equal(t, last.GetRefusal().GetVerdict(), pb.Verdict_VERDICT_NOT_RUN)
+	f.with(func() { assert.Equal(t, len(f.decodes), 1) })
+	eventually(t, "slot free", func() bool { return b.agent.Load().GetUsed() == 1 })
+}
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -16,6 +16,9 @@
 	// silence bounds the time between two lines of a decode stream: a
 	// connection to the engine that went silent never fails by itself.
 	silence = 10 * time.Second
+	// prefillLimit bounds a prefill for the same reason; its answer comes in one
+	// piece, so it is far above any useful prefill.
+	prefillLimit = 30 * time.Second
 	// importLimit bounds a transfer beyond its time on the link.
 	importLimit = 5 * time.Second
 	// maxPace bounds the wait for the link: a prefill's result doesn't live
@@ -29,6 +32,9 @@
 	errStream  = errors.New("engine stream ended without a finish")
 )
 
+// limitOf takes the time that the request has left, in milliseconds from the
+// message's arrival; 0 for none given. It is no wall-clock time, since clocks of
+// instances differ.
 func limitOf(deadlineMs uint64) time.Duration {
 	if deadlineMs == 0 || deadlineMs > uint64(defaultLimit/time.Millisecond) {
 		return defaultLimit
@@ -65,13 +71,15 @@
 		a.abandon(r, nil)
 		return
 	}
+	ctx, cancel := context.WithTimeoutCause(r.ctx, prefillLimit, errSilent)
+	defer cancel()
 	begin := time.Now()
-	out, err := a.engine.Prefill(r.ctx, engine.PrefillRequest{
+	out, err := a.engine.Prefill(ctx, engine.PrefillRequest{
 		Attempt: engineAttempt(r.key), Model: q.GetModel(), Version: q.GetVersion(),
 		Prompt: string(q.GetPrompt()), Priority: int(q.GetPriority()),
 	})
 	if err != nil {
-		a.abandon(r, err)
+		a.abandon(r, causeOf(ctx, r, err))
 		return
 	}
 	a.timing.prefill(out.PromptTokens-out.CachedTokens, time.Since(begin))
@@ -159,13 +167,18 @@
 		})
 		return
 	}
-	if cause := context.Cause(ctx); cause != nil && r.ctx.Err() == nil {
-		err = cause
-	}
 	if err == nil {
 		err = errStream
 	}
-	a.abandon(r, err)
+	a.abandon(r, causeOf(ctx, r, err))
+}
+
+// causeOf returns why a bound of the agent's own ended ctx, or err if none did.
+func causeOf(ctx context.Context, r *run, err error) error {
+	if cause := context.Cause(ctx); cause != nil && r.ctx.Err() == nil {
+		return cause
+	}
+	return err
 }
 
 // pace waits for the link that transfers share. Past maxPace the result would
