--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -16,6 +16,9 @@
 	// silence bounds the time between two lines of a decode stream: a
 	// connection to the engine that went silent never fails by itself.
 	silence = 10 * time.Second
+	// prefillLimit bounds a prefill for the same reason; its answer comes in one
+	// piece, so it is far above any useful prefill.
+	prefillLimit = 30 * time.Second
 	// importLimit bounds a transfer beyond its time on the link.
 	importLimit = 5 * time.Second
 	// maxPace bounds the wait for the link: a prefill's result doesn't live
@@ -29,6 +32,9 @@
 	errStream  = errors.New("engine stream ended without a finish")
 )
 
+// limitOf takes the time that the request has left, in milliseconds from the
+// message's arrival; 0 for none given. It is no wall-clock time, since clocks of
+// instances differ.
 func limitOf(deadlineMs uint64) time.Duration {
 	if deadlineMs == 0 || deadlineMs > uint64(defaultLimit/time.Millisecond) {
 		return defaultLimit
@@ -45,7 +51,7 @@
 		return &pb.PrefillReply{Refusal: refusal(no), Load: a.Load()}, nil
 	}
 	for {
-		p := r.watch(0, 0)
+		p := r.watch(0)
 		switch {
 		case p.prefill != nil:
 			return p.prefill, nil
@@ -65,13 +71,15 @@
 		a.abandon(r, nil)
 		return
 	}
+	ctx, cancel := context.WithTimeoutCause(r.ctx, prefillLimit, errSilent)
+	defer cancel()
 	begin := time.Now()
-	out, err := a.engine.Prefill(r.ctx, engine.PrefillRequest{
+	out, err := a.engine.Prefill(ctx, engine.PrefillRequest{
 		Attempt: engineAttempt(r.key), Model: q.GetModel(), Version: q.GetVersion(),
 		Prompt: string(q.GetPrompt()), Priority: int(q.GetPriority()),
 	})
 	if err != nil {
-		a.abandon(r, err)
+		a.abandon(r, causeOf(ctx, r, err))
 		return
 	}
 	a.timing.prefill(out.PromptTokens-out.CachedTokens, time.Since(begin))
@@ -103,9 +111,9 @@
 
 // follow sends each token once and in order, then the end.
 func (a *Agent) follow(r *run, q *pb.DecodeRequest, out pb.Agent_DecodeServer) error {
-	next, started := max(q.GetFrom(), q.GetResume()), false
+	next, started := q.GetFrom(), false
 	for {
-		p := r.watch(next, q.GetResume())
+		p := r.watch(next)
 		e := &pb.DecodeEvent{Attempt: q.GetAttempt(), Tokens: p.tokens, Started: p.imported && !started}
 		if p.ended {
 			e.End, e.Refusal = p.end, refusal(p.refusal)
@@ -120,7 +128,9 @@
 			return nil
 		}
 		started = started || p.imported
-		next += uint32(len(p.tokens))
+		if n := len(p.tokens); n > 0 {
+			next = p.tokens[n-1].GetIndex() + 1
+		}
 		select {
 		case <-p.changed:
 		case <-out.Context().Done():
@@ -157,13 +167,18 @@
 		})
 		return
 	}
-	if cause := context.Cause(ctx); cause != nil && r.ctx.Err() == nil {
-		err = cause
-	}
 	if err == nil {
 		err = errStream
 	}
-	a.abandon(r, err)
+	a.abandon(r, causeOf(ctx, r, err))
+}
+
+// causeOf returns why a bound of the agent's own ended ctx, or err if none did.
+func causeOf(ctx context.Context, r *run, err error) error {
+	if cause := context.Cause(ctx); cause != nil && r.ctx.Err() == nil {
+		return cause
+	}
+	return err
 }
 
 // pace waits for the link that transfers share. Past maxPace the result would
