--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -159,6 +158,3 @@
 	}
 	return out
 }
-
-// now is a variable of time for the policies.
-func now() time.Time { return time.Now() }
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -15,7 +15,7 @@
 	// DefaultBurst covers the loss of two full decode engines (20 requests each)
 	// at one entry. With 10, the tenth neighbour of a crash and those behind it
 	// were cut though another engine had room.
-	DefaultBurst        = 40
+	DefaultBurst = 40
 )
 
 const (
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -82,7 +82,7 @@
 	if !refused && !spend(budget, &t) {
 		return giveUp(err, &t)
 	}
-	return Decision{Retry: true, After: after, Exclude: true, }
+	return Decision{Retry: true, After: after, Exclude: true}
 }
 
 // permitted says whether another try is right and may succeed at all.
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -346,7 +346,26 @@
 			if st.Revision == 0 {
 				return errorf("no configuration")
 			}
-			return nil
+			return n.backendUp()
 		})
 	}
 }
+
+// backendUp returns an error while an agent has not found its backend server.
+func (n *node) backendUp() error {
+	if n.role != "agent" {
+		return nil
+	}
+	var state struct {
+		Agent struct {
+			Load struct{ Down bool }
+		} `json:"agent"`
+	}
+	if err := getJSON(n.operator, operator.PathState, &state); err != nil {
+		return err
+	}
+	if state.Agent.Load.Down {
+		return errorf("the backend server is down")
+	}
+	return nil
+}
