--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -77,7 +77,7 @@
 	}
 	go func() {
 		defer lingering.Add(-1)
-		defer c.TCPConn.Close()
+		defer func() { _ = c.TCPConn.Close() }()
 		if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 			return
 		}
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -32,11 +32,12 @@
 	}
 	s := &tokenStream{g: g, grant: gr, kv: kv}
 	for tries := 0; ; tries++ {
-		if n := uint32(g.out.len()); n > req.From {
-			req.From = n
+		have := g.out.len()
+		req.From = uint32(have)
+		end, err := s.follow(ctx, req)
+		if g.out.len() > have {
 			tries = 0
 		}
-		end, err := s.follow(ctx, req)
 		if end != nil {
 			return end.FinishReason, nil
 		}
--- a/test/api_test.go
+++ b/test/api_test.go
@@ -63,6 +63,7 @@
 		_, _ = fmt.Fprint(conn, text)
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		assert.NilError(t, err, name)
+		resp.Body.Close()
 		assert.Assert(t, resp.StatusCode >= 400 && resp.StatusCode < 500, "%s: %s", name, resp.Status)
 		assert.Equal(t, resp.Header.Get("Jayford-Verdict"), "not-run", name)
 		conn.Close()
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -22,6 +22,8 @@
 		assert.Equal(t, got.status, http.StatusOK, got.text)
 		assert.Assert(t, got.whole)
 		assert.NilError(t, got.checkAnswer())
+		decodes, _ := c.started()
+		assert.Equal(t, decodes[got.request], 1)
 	}
 	got := exchange(ctx, ask{entry: c.entries[0]}, http.MethodPut, "/faces/7?size=2", []byte("body"))
 	assert.NilError(t, got.err)
