Secure the connections between our processes with mutual TLS

Cause: whoever reached an agent's port could cancel work or hold its slots. Ruled out: host names in certificates, since peers are known by IP number from a lagging list.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,8 @@
 	// Without it the agent refuses every order.
 	Lease func(ctx context.Context, scope string) (uint64, error)
 	Log   logrus.FieldLogger
+	// Server are further options of the gRPC server, for its credentials.
+	Server []grpc.ServerOption
 	// Incarnation differs after each start; 0 takes it from the clock.
 	Incarnation uint64
 }
@@ -108,11 +110,11 @@
 		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
-	a.server = grpc.NewServer(
+	a.server = grpc.NewServer(append([]grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
-	)
+	}, o.Server...)...)
 	pb.RegisterAgentServer(a.server, server{agent: a})
 	if o.Board != nil {
 		o.Board.Part("agent", func() any { return a.view() })
--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -43,7 +43,7 @@
 func (c *Conn) ID() string { return c.id }
 
 func (c *Conn) dialLocked() error {
-	cc, err := dial(c.address)
+	cc, err := c.pool.connect(c.address)
 	if err != nil {
 		return err
 	}
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -15,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 )
@@ -54,6 +53,7 @@
 type Pool struct {
 	// Entry is the entry's instance id with its incarnation, "id#incarnation".
 	Entry string
+	dial  grpc.DialOption
 	log   *logrus.Entry
 
 	mu sync.Mutex
@@ -61,9 +61,9 @@
 	conns map[string]*Conn
 }
 
-// NewPool returns an empty pool.
-func NewPool(entry string, log *logrus.Logger) *Pool {
-	return &Pool{Entry: entry, log: log.WithField("part", "agents"), conns: make(map[string]*Conn)}
+// NewPool returns an empty pool. dial has the transport credentials.
+func NewPool(entry string, dial grpc.DialOption, log *logrus.Logger) *Pool {
+	return &Pool{Entry: entry, dial: dial, log: log.WithField("part", "agents"), conns: make(map[string]*Conn)}
 }
 
 // Conn returns the connection to the agent with instance id at address. An
@@ -176,9 +176,9 @@
 	return out
 }
 
-func dial(address string) (*grpc.ClientConn, error) {
+func (p *Pool) connect(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		p.dial,
 		// Only the entry's retry budget decides on another try.
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,12 +12,12 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/feed"
+	"jayford.example/jayford/internal/identity"
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/settings"
@@ -36,6 +36,7 @@
 type core struct {
 	process     settings.Process
 	role        string
+	identity    identity.Identity
 	log         *logrus.Logger
 	board       *board.Board
 	config      *config.Store
@@ -45,10 +46,14 @@
 	begun       time.Time
 }
 
-func newCore(p settings.Process, role string, log *logrus.Logger) *core {
+func newCore(p settings.Process, role string, log *logrus.Logger) (*core, error) {
+	own, err := identity.Load(p.TLS, role, p.ID)
+	if err != nil {
+		return nil, err
+	}
 	b := board.New()
 	c := &core{
-		process: p, role: role, log: log, board: b, config: config.NewStore(b),
+		process: p, role: role, identity: own, log: log, board: b, config: config.NewStore(b),
 		platform: platform.NewHTTP(p.Platform, platformTimeout),
 		// The clock in nanoseconds rises over restarts, as long as a restart
 		// takes longer than the clock's correction.
@@ -56,14 +61,14 @@
 		begun:       time.Now(),
 	}
 	c.follower = feed.NewFollower(feed.Options{
-		Identity: c.identity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
-		Dial:        []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry()},
+		Identity: c.feedIdentity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
+		Dial:        []grpc.DialOption{own.DialOption(RoleEntry), grpc.WithDisableRetry()},
 		Incarnation: c.incarnation,
 	})
-	return c
+	return c, nil
 }
 
-func (c *core) identity() feed.Identity {
+func (c *core) feedIdentity() feed.Identity {
 	return feed.Identity{
 		ID: c.process.ID, Role: c.role, Region: c.process.Region,
 		AvailabilityZone: c.process.AvailabilityZone, Address: c.process.Peer,
@@ -95,10 +100,10 @@
 		return eris.Wrapf(err, "daemon: listen for peers on %s", c.process.Peer)
 	}
 	peers := feed.NewServer(feed.ServerOptions{
-		Identity: c.identity(), Store: c.config, Platform: c.platform,
+		Identity: c.feedIdentity(), Store: c.config, Platform: c.platform,
 		Age: c.follower.Age, Writes: c.follower.Writes,
 	})
-	srv := grpc.NewServer()
+	srv := grpc.NewServer(c.identity.ServerOptions(RoleEntry, RoleAgent)...)
 	pb.RegisterPeerServer(srv, peers)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return srv.Serve(l) })
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -20,10 +20,14 @@
 
 // RunEntry runs an entry until ctx ends and it has stopped gracefully.
 func RunEntry(ctx context.Context, s settings.Entry, log *logrus.Logger) error {
-	c := newCore(s.Process, RoleEntry, log)
+	c, err := newCore(s.Process, RoleEntry, log)
+	if err != nil {
+		return err
+	}
 	e := entry.New(entry.Options{
 		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
 		Incarnation: c.incarnation, Ready: c.ready, Log: log,
+		Dial: c.identity.DialOption(RoleAgent),
 	})
 	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
 	ops := operator.New(c.board, c.status, explain, log)
@@ -43,9 +47,13 @@
 
 // RunAgent runs an agent until ctx ends and it has stopped gracefully.
 func RunAgent(ctx context.Context, s settings.Agent, log *logrus.Logger) error {
-	c := newCore(s.Process, RoleAgent, log)
+	c, err := newCore(s.Process, RoleAgent, log)
+	if err != nil {
+		return err
+	}
 	opts := agent.Options{
 		Settings: s, Board: c.board, Lease: leaseReader(c.platform), Log: log, Incarnation: c.incarnation,
+		Server: c.identity.ServerOptions(RoleEntry),
 	}
 	if s.BackendKind == settings.BackendEngine {
 		opts.Engine = engine.NewHTTP(s.Backend)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"jayford.example/jayford/internal/agents"
 	"jayford.example/jayford/internal/board"
@@ -44,7 +45,9 @@
 	Incarnation uint64
 	// Ready says whether there is a configuration to work with.
 	Ready func() bool
-	Log   *logrus.Logger
+	// Dial has the transport credentials towards agents.
+	Dial grpc.DialOption
+	Log  *logrus.Logger
 }
 
 // Entry is one entry. Its methods are safe for concurrent use.
@@ -82,7 +85,7 @@
 		settings:    o.Settings,
 		log:         o.Log.WithField("part", "entry"),
 		routing:     &routing{store: o.Config},
-		agents:      agents.NewPool(fmt.Sprintf("%s#%d", o.Settings.ID, o.Incarnation), o.Log),
+		agents:      agents.NewPool(fmt.Sprintf("%s#%d", o.Settings.ID, o.Incarnation), o.Dial, o.Log),
 		claims:      claim.New(o.Store, o.Settings.ID),
 		store:       o.Store,
 		latency:     newLatencies(),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,6 +41,9 @@
 	for i, s := range p.Seeds {
 		d.Address(fmt.Sprintf("seeds[%d]", i), s)
 	}
+	if t := p.TLS; t != (TLS{}) && (t.Certificate == "" || t.Key == "" || t.Authority == "") {
+		d.Reject("tls", "expected certificate, key and authority, or none of them")
+	}
 	d.OneOf("logLevel", p.LogLevel, "debug", "info", "warn", "error")
 	duration(d, "stopWithin", p.StopWithin, minWait, maxWait)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,12 +27,23 @@
 	Platform string `json:"platform"`
 	// Seeds are peer addresses of entries, asked when the platform is silent.
 	Seeds []string `json:"seeds,omitempty"`
+	// TLS secures the connections between our processes; all of it or none.
+	TLS TLS `json:"tls"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"logLevel"`
 	// StopWithin bounds a graceful stop.
 	StopWithin Duration `json:"stopWithin"`
 }
 
+// TLS names files in PEM. The certificate's subject has the process's role
+// ("entry", "agent") as organisational unit and its ID as common name.
+type TLS struct {
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	// Authority signs the certificates of all processes.
+	Authority string `json:"authority,omitempty"`
+}
+
 // Entry holds the settings of the role entry.
 type Entry struct {
 	Process
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/identity"
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
@@ -36,6 +37,8 @@
 	// links puts a link that can be cut before each agent, each engine and
 	// the platform.
 	links bool
+	// tls secures the connections between the daemons.
+	tls bool
 }
 
 // node is a daemon with its settings and what stands beside it.
@@ -162,11 +165,26 @@
 	p.ID, p.Region, p.AvailabilityZone = n.id, "region", n.zone
 	p.Peer, p.Operator = n.peer, n.operator
 	p.Platform = c.platformAddress
+	if c.shape.tls {
+		p.TLS = c.certificate(n)
+	}
 	if c.platformLink != nil {
 		p.Platform = c.platformLink.address
 	}
 }
 
+// certificate issues a node's certificate, with the authority at first.
+func (c *cluster) certificate(n *node) settings.TLS {
+	files := identity.Files(c.dir, n.id)
+	if _, err := os.Stat(files.Authority); err != nil {
+		assert.NilError(c.t, identity.NewAuthority(c.dir, time.Hour))
+	}
+	if _, err := os.Stat(files.Certificate); err != nil {
+		assert.NilError(c.t, identity.Issue(c.dir, n.role, n.id, time.Hour))
+	}
+	return files
+}
+
 func (c *cluster) newNode(id, role string, i int) *node {
 	return &node{id: id, role: role, zone: zoneOf(i), peer: freeAddress(c.t), operator: freeAddress(c.t)}
 }
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -14,7 +14,12 @@
 // One request of each kind is served through separate processes: the answer is
 // the caller's own, whole, and it ran once.
 func TestPathThroughProcesses(t *testing.T) {
-	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, services: 1})
+	t.Run("plain", func(t *testing.T) { checkPath(t, false) })
+	t.Run("TLS", func(t *testing.T) { checkPath(t, true) })
+}
+
+func checkPath(t *testing.T, tls bool) {
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, services: 1, tls: tls})
 	ctx := context.Background()
 	for _, stream := range []bool{false, true} {
 		got := complete(ctx, ask{entry: c.entries[0], prompt: "first light", maxTokens: 12, stream: stream})
