Tell a silent connection from a lost engine

Cause: when all connections of the agents to their engines go silent, a decode stream waits 10 s and a prefill 30 s, and the end counts as a lost engine, which blames the request though the engine answers on new connections. Ruled out: the entry's links to agents (same test, that hop: at most 2.5 s) and room at the engines (slots are freed in the same second as the cancel is sent). Change: a run that heard nothing for 20 times the time between tokens, at least 1 s, is compared with what the engine lists over a new connection. If the engine is ahead at two heartbeats in a row, the attempt is cancelled there and ends with the new REASON_CONNECTION_LOST, which blames nobody. A stream that broke while the engine proves to live ends so too; a plain service keeps SERVER_LOST, since its restart between two beats doesn't show. TestSilentConnections gets a bound of 5 s for each answer.

--- a/internal/agent/cancel.go
+++ b/internal/agent/cancel.go
@@ -199,6 +199,8 @@
 		return pb.Reason_REASON_CANCELLED, false
 	case errors.Is(err, errStalled):
 		return pb.Reason_REASON_TRANSFER, false
+	case errors.Is(err, errSilent), errors.Is(err, errIdle):
+		return pb.Reason_REASON_CONNECTION_LOST, false
 	}
 	return pb.Reason_REASON_SERVER_LOST, true
 }
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -13,11 +13,12 @@
 const (
 	// defaultLimit bounds work whose entry named no deadline.
 	defaultLimit = 10 * time.Minute
-	// silence bounds the time between two lines of a decode stream: a
-	// connection to the engine that went silent never fails by itself.
-	silence = 10 * time.Second
-	// prefillLimit bounds a prefill for the same reason; its answer comes in one
-	// piece, so it is far above any useful prefill.
+	// idleLimit bounds the time between two lines of a decode stream whose
+	// engine lists it and doesn't get on with it. A silent connection is found
+	// sooner, by findSilent.
+	idleLimit = 10 * time.Second
+	// prefillLimit bounds a prefill for the same reason; it is far above any
+	// useful prefill.
 	prefillLimit = 30 * time.Second
 	// importLimit bounds a transfer beyond its time on the link.
 	importLimit = 5 * time.Second
@@ -27,7 +28,7 @@
 )
 
 var (
-	errSilent  = errors.New("engine stream went silent")
+	errIdle    = errors.New("engine made no progress")
 	errStalled = errors.New("transfer stalled")
 	errStream  = errors.New("engine stream ended without a finish")
 )
@@ -71,7 +72,7 @@
 		a.abandon(r, nil)
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(r.ctx, prefillLimit, errSilent)
+	ctx, cancel := context.WithTimeoutCause(r.ctx, prefillLimit, errIdle)
 	defer cancel()
 	begin := time.Now()
 	out, err := a.engine.Prefill(ctx, engine.PrefillRequest{
@@ -79,7 +80,7 @@
 		Prompt: string(q.GetPrompt()), Priority: int(q.GetPriority()),
 	})
 	if err != nil {
-		a.abandon(r, causeOf(ctx, r, err))
+		a.abandon(r, causeOf(ctx, err))
 		return
 	}
 	a.timing.prefill(out.PromptTokens-out.CachedTokens, time.Since(begin))
@@ -149,6 +150,7 @@
 		return
 	}
 	d := &decoder{agent: a, run: r, next: int(q.GetResume())}
+	r.hear(d.next)
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	d.watchdog = time.AfterFunc(importLimit+a.pacer.cost(int64(q.GetKvBytes())), func() { cancel(errStalled) })
@@ -170,13 +172,15 @@
 	if err == nil {
 		err = errStream
 	}
-	a.abandon(r, causeOf(ctx, r, err))
+	a.abandon(r, causeOf(ctx, err))
 }
 
 // causeOf returns why a bound of the agent's own ended ctx, or err if none did.
-func causeOf(ctx context.Context, r *run, err error) error {
-	if cause := context.Cause(ctx); cause != nil && r.ctx.Err() == nil {
-		return cause
+func causeOf(ctx context.Context, err error) error {
+	for _, own := range []error{errSilent, errIdle, errStalled} {
+		if errors.Is(context.Cause(ctx), own) {
+			return own
+		}
 	}
 	return err
 }
@@ -223,8 +227,9 @@
 		return nil
 	}
 	if d.watchdog.Stop() {
-		d.watchdog = time.AfterFunc(silence, func() { d.cancel(errSilent) })
+		d.watchdog = time.AfterFunc(idleLimit, func() { d.cancel(errIdle) })
 	}
+	d.run.hear(d.next)
 	switch {
 	case e.Error != "":
 		return errors.New(e.Error)
@@ -248,6 +253,7 @@
 		d.agent.timing.token(now.Sub(d.last))
 	}
 	d.last = now
+	d.run.hear(d.next)
 	d.run.change(func() {
 		d.run.imported = true
 		d.run.tokens = append(d.run.tokens, &pb.Token{Index: uint32(t.Index), Text: t.Text})
--- a/internal/agent/grant/server.go
+++ b/internal/agent/grant/server.go
@@ -78,13 +78,14 @@
 // ServerSound says that a heartbeat sent at since found the server as it was:
 // attempts broken before lost only their connection. They are stopped, since
 // the server may still run them. A heartbeat sent before the break proves
-// nothing of what broke.
-func (c *Core) ServerSound(now, since time.Duration) {
+// nothing of what broke. reason is what they end with: if the heartbeat would show
+// a restart, only the connection was lost and nobody is to blame.
+func (c *Core) ServerSound(now, since time.Duration, reason pb.Reason) {
 	c.advance(now)
 	for _, g := range c.sorted() {
 		if g.broken && g.brokenAt <= since {
 			g.broken = false
-			c.finish(g, pb.Reason_REASON_SERVER_LOST)
+			c.finish(g, reason)
 		}
 	}
 }
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
 )
@@ -100,7 +101,7 @@
 		h.down()
 	}
 	if h.up {
-		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since) })
+		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since, pb.Reason_REASON_CONNECTION_LOST) })
 		h.runAudit()
 		return
 	}
@@ -122,7 +123,8 @@
 	}
 	switch {
 	case err == nil && h.up:
-		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since) })
+		// A restart between two beats doesn't show, so it may have been a crash.
+		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since, pb.Reason_REASON_SERVER_LOST) })
 	case err == nil:
 		h.up = true
 		a.step(func(c *grant.Core, now time.Duration) { c.ServerUp(now) })
@@ -160,18 +162,22 @@
 	return err == nil && len(list) == 0
 }
 
-// runAudit cancels what the engine runs without a grant, whatever path leaked it. The
-// grace lets an attempt that just ended leave the engine's list by itself.
+// runAudit compares what the engine runs with the grants, each second and, while
+// a connection says nothing, with each heartbeat. It cancels what runs without a
+// grant, whatever path leaked it. The grace lets an attempt that just ended leave
+// the engine's list by itself.
 func (h *health) runAudit() {
 	a := h.agent
-	if time.Since(h.audit) < auditEvery {
+	now := time.Now()
+	if now.Sub(h.audit) < auditEvery && !a.overdue(now) {
 		return
 	}
-	h.audit = time.Now()
+	h.audit = now
 	list, err := a.running()
 	if err != nil {
 		return
 	}
+	a.findSilent(list, now)
 	if orphans := a.findOrphans(list, time.Now()); len(orphans) > 0 {
 		a.log.WithField("attempts", orphans).Warn("agent: Cancelling attempts without a grant.")
 		a.cancelEach(orphans)
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -17,6 +17,7 @@
 	cancelsTotal = metrics.NewCounter("jayford_agent_engine_cancels_total")
 	lapsesTotal  = metrics.NewCounter("jayford_agent_lapses_total")
 	orphansTotal = metrics.NewCounter("jayford_agent_orphans_total")
+	silentTotal  = metrics.NewCounter("jayford_agent_silent_connections_total")
 )
 
 // countLapses counts grants that ended because their entry fell silent.
@@ -25,6 +26,7 @@
 func countGrant()  { grantsTotal.Inc() }
 func countCancel() { cancelsTotal.Inc() }
 func countOrphan() { orphansTotal.Inc() }
+func countSilent() { silentTotal.Inc() }
 
 func countReason(name string, r pb.Reason) {
 	label := strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -17,6 +17,8 @@
 	key    grant.Key
 	ctx    context.Context
 	cancel context.CancelFunc
+	// abort ends ctx with a cause that becomes the reason of the run's end.
+	abort context.CancelCauseFunc
 	// sent: the engine may know the attempt, so its end needs a cancel there.
 	sent atomic.Bool
 
@@ -31,13 +33,21 @@
 	stopped *grant.Refusal
 	lost    bool
 	ended   bool
+	// heard is when the engine's last line came, or when r was sent; next the
+	// index of the next token.
+	heard time.Time
+	next  int
+	// doubted is when the engine was first found ahead of what was heard.
+	doubted time.Time
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
 
 func newRun(life context.Context, k grant.Key, limit time.Duration) *run {
 	r := &run{key: k, changed: make(chan struct{})}
-	r.ctx, r.cancel = context.WithTimeout(life, limit)
+	limited, cancel := context.WithTimeout(life, limit)
+	r.ctx, r.abort = context.WithCancelCause(limited)
+	r.cancel = cancel
 	return r
 }
 
@@ -156,6 +166,7 @@
 // send marks r as sent. If it returns false the core has stopped r.
 func (a *Agent) send(r *run) bool {
 	ok := false
+	r.hear(r.next)
 	a.step(func(c *grant.Core, now time.Duration) { ok = c.Send(now, r.key) })
 	r.sent.Store(ok)
 	return ok
--- a/test/silent_test.go
+++ b/test/silent_test.go
@@ -10,6 +10,11 @@
 	enginestandin "jayford.example/jayford/internal/standin/engine"
 )
 
+// silentBound is how long an answer of about 1.3 s may take if connections went
+// silent under it: a second of patience, a heartbeat that hung as well, the
+// second look, and another try.
+const silentBound = 5 * time.Second
+
 // All open connections of one hop go silent for good while new ones work, as
 // when something between the two ends forgets them. No side sees a close.
 // Streams must go on over new connections, or their requests be answered by
@@ -48,7 +53,56 @@
 			report(t, "%s silent: %s; slowest answer %s", hop.name, h.describe(), worst.Round(time.Millisecond))
 			c.checkHistory(h)
 			assert.Equal(t, h.tally(), tally{whole: 60}, "%s", h.describe())
+			assert.Assert(t, worst < silentBound, "slowest answer %s", worst)
 			c.waitFree(freeBound)
 		})
 	}
 }
+
+// Prompts that take seconds to prefill are on the engines when all connections
+// of the agents to them go silent. The answer of a prefill comes in one piece,
+// so nothing is missed until it is due. The agents must find by asking the
+// engines that the prefill has ended, and the entry must do it again.
+func TestSilentPrefill(t *testing.T) {
+	c := newCluster(t, shape{entries: 1, prefill: 2, decode: 1, links: true, engine: enginestandin.Options{PrefillPerThousand: 300 * time.Millisecond}})
+	h := &history{}
+	const n = 4
+	wg := c.load(h, n, 10*time.Millisecond, func(i int) ask {
+		return ask{prompt: prompt(fmt.Sprint("silent prefill ", i), 2000), maxTokens: 5}
+	})
+	time.Sleep(400 * time.Millisecond)
+	for _, p := range c.prefill {
+		p.backendLink.silence()
+	}
+	wg.Wait()
+	report(t, "silent in prefill: %s; %s", h.describe(), h.times())
+	c.checkHistory(h)
+	assert.Equal(t, h.tally(), tally{whole: n}, "%s", h.describe())
+	for _, a := range h.all() {
+		assert.Assert(t, a.took < 8*time.Second, "an answer took %s", a.took)
+	}
+	c.waitFree(freeBound)
+}
+
+// An engine pauses for longer than a stream's patience, but lives. Its streams
+// say nothing, as silent ones would, yet no token is missing. Nobody's request
+// may be cancelled and begun anew for it, which would double the work just when
+// the engine is slow.
+func TestSlowEngineIsNotSilent(t *testing.T) {
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1})
+	h := &history{}
+	const n = 10
+	wg := c.load(h, n, 20*time.Millisecond, func(i int) ask {
+		return ask{prompt: fmt.Sprint("slow ", i), maxTokens: 40, stream: i%2 == 0}
+	})
+	time.Sleep(500 * time.Millisecond)
+	c.decode[0].control(enginestandin.Control{StallMs: 1800})
+	wg.Wait()
+	report(t, "engine paused for 1.8 s: %s; %s", h.describe(), h.times())
+	c.checkHistory(h)
+	assert.Equal(t, h.tally(), tally{whole: n}, "%s", h.describe())
+	decodes, _ := c.started()
+	for request, times := range decodes {
+		assert.Equal(t, times, 1, "request %s was begun again", request)
+	}
+}
