Free a key for entries with slow clocks at once

Cause: a key given back was marked with the time of the giver; an entry whose clock is behind by d saw it as claimed for d more and told its caller that the request may have run. Found by reading; shown by the test. Change: the mark is the zero time. Before: claim after a true not-run refused as duplicate with a clock 5 s behind. After: granted. Ruled out: order within one group (a free is answered before its caller can send again). Conclusion: giving back no longer depends on clocks. Retention still does, by the skew against 24 h.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -207,7 +207,9 @@
 		i, taken := index[p.claim.Key]
 		switch {
 		case p.free && taken && out.claims[i].Request == p.claim.Request:
-			out.claims[i].Until = now
+			// Not now: an entry whose clock is behind would see the key as
+			// claimed for as long as that.
+			out.claims[i].Until = time.Time{}
 			out.changed = true
 		case !p.free && !taken:
 			index[p.claim.Key] = len(out.claims)
