Give back the key of a refused request after an outage

Cause: a claim's write took effect, its reply was lost and the platform was down then. The caller heard not-run, but the key stayed with the refused request for the retention of 24 h; so did a key whose giving back met an outage, and one whose write arrived after its request was given up. Change: what a given up group may have written is kept, bounded, and voided in the background by a write of the shard, which a late first write then fails on. An entry that stops during the outage still leaves its keys taken, which is safe.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,6 +38,12 @@
 	// retryAfter is told to callers when the platform doesn't answer.
 	retryAfter = 2 * time.Second
 	keyBytes   = 16
+	// What is left to be given back is tried again after a growing pause. A
+	// shard keeps at most maxLeft of them; keys dropped above that stay claimed
+	// until Retention, which is safe.
+	minPause = 250 * time.Millisecond
+	maxPause = 10 * time.Second
+	maxLeft  = 256
 )
 
 var (
@@ -44,6 +51,7 @@
 	held     = metrics.NewCounter(`jayford_claims_total{result="held"}`)
 	failed   = metrics.NewCounter(`jayford_claims_total{result="failed"}`)
 	rewrites = metrics.NewCounter("jayford_claim_conflicts_total")
+	dropped  = metrics.NewCounter("jayford_claims_left_dropped_total")
 )
 
 // Claimer claims keys for one entry.
@@ -63,12 +71,30 @@
 	// version and claims are what the store last said.
 	version uint64
 	claims  []object.Claim
+	// left are changes of kind void that wait for the platform.
+	left    []*pending
+	pausing bool
+	pause   time.Duration
 }
 
+// kind of a change.
+type kind int
+
+const (
+	// take claims a key.
+	take kind = iota
+	// free gives back a key that its request holds.
+	free
+	// void gives back a key that its request may hold or may yet come to hold,
+	// by a write on its way to the platform. It writes the shard in any case:
+	// that write fails on its version then.
+	void
+)
+
 // pending is one change that waits for the shard's next write.
 type pending struct {
+	kind  kind
 	claim object.Claim
-	free  bool
 	done  chan *verdict.Error
 }
 
@@ -81,19 +107,20 @@
 // Duplicate says that another request has the key and may have run. The error
 // PlatformDown says that the platform gave no answer; the request has not run.
 func (c *Claimer) Claim(ctx context.Context, organisation, key, request string) *verdict.Error {
-	return c.change(ctx, organisation, key, request, false)
+	return c.change(ctx, organisation, key, request, take)
 }
 
 // Free gives the key back after the request is known not to have run, so that
-// its caller may send it again.
+// its caller may send it again. If the platform doesn't answer in time, Free
+// returns PlatformDown and the key is given back in the background later.
 func (c *Claimer) Free(ctx context.Context, organisation, key, request string) *verdict.Error {
-	return c.change(ctx, organisation, key, request, true)
+	return c.change(ctx, organisation, key, request, free)
 }
 
-func (c *Claimer) change(ctx context.Context, organisation, key, request string, free bool) *verdict.Error {
+func (c *Claimer) change(ctx context.Context, organisation, key, request string, k kind) *verdict.Error {
 	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
 	p := &pending{
-		free: free,
+		kind: k,
 		done: make(chan *verdict.Error, 1),
 		claim: object.Claim{
 			Key:     base64.RawURLEncoding.EncodeToString(sum[:keyBytes]),
@@ -101,25 +128,29 @@
 		},
 	}
 	n := int(sum[len(sum)-1])
-	s := &c.shards[n]
-	s.mu.Lock()
-	s.waiting = append(s.waiting, p)
-	if !s.writing {
-		s.writing = true
-		go c.write(n)
-	}
-	s.mu.Unlock()
+	c.enqueue(n, p)
 	select {
 	case err := <-p.done:
 		return err
 	case <-ctx.Done():
-		if !free {
+		if k == take {
 			go c.undo(p, organisation, key, request)
 		}
 		return verdict.New(verdict.NotRun, verdict.Deadline, "The deadline passed before the key was claimed.")
 	}
 }
 
+func (c *Claimer) enqueue(n int, group ...*pending) {
+	s := &c.shards[n]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = append(s.waiting, group...)
+	if !s.writing {
+		s.writing = true
+		go c.write(n)
+	}
+}
+
 // undo frees a key that was claimed after its request had been given up: the
 // request didn't run, and its caller may send it again.
 func (c *Claimer) undo(p *pending, organisation, key, request string) {
@@ -150,12 +181,14 @@
 // writeGroup settles a group. The shard as last seen is tried first; a conflict
 // or a lost reply is followed by a fresh read. A lost reply does no harm: a claim
 // is granted only once it has been seen in the store with this request's id,
-// and a late first write fails on its version.
+// and a late first write fails on its version. If the group is given up, what it
+// may have written, or may write yet, is left to be given back.
 func (c *Claimer) writeGroup(n int, group []*pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleWithin)
 	defer cancel()
 	s := &c.shards[n]
 	name := fmt.Sprintf("shard-%02x", n)
+	unclear := false
 	for ctx.Err() == nil {
 		next := c.apply(s, group)
 		if !next.changed {
@@ -171,6 +204,7 @@
 			return
 		}
 		rewrites.Inc()
+		unclear = unclear || errors.Is(err, platform.ErrUnclear)
 		if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrTooLarge) {
 			break
 		}
@@ -178,6 +212,7 @@
 			break
 		}
 	}
+	c.leave(n, group, unclear)
 	for _, p := range group {
 		failed.Inc()
 		p.done <- verdict.New(verdict.NotRun, verdict.PlatformDown,
@@ -185,6 +220,46 @@
 	}
 }
 
+// leave keeps what of a given up group is still to be given back.
+//
+// The failure: a write takes effect, its reply is lost and then the platform is
+// down. The caller hears that its request hasn't run and sends it again later,
+// but the key would be held by the request that was refused for the whole
+// Retention. Nobody else knows that this one didn't run, so this process gives
+// the key back as soon as the platform answers.
+func (c *Claimer) leave(n int, group []*pending, unclear bool) {
+	s := &c.shards[n]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range group {
+		if p.kind == take && !unclear {
+			continue
+		}
+		s.left = append(s.left, &pending{kind: void, claim: p.claim, done: make(chan *verdict.Error, 1)})
+	}
+	if over := len(s.left) - maxLeft; over > 0 {
+		dropped.Add(over)
+		s.left = append([]*pending(nil), s.left[over:]...)
+	}
+	if len(s.left) == 0 || s.pausing {
+		return
+	}
+	s.pausing = true
+	s.pause = min(max(2*s.pause, minPause), maxPause)
+	// Half of the pause is drawn, so that entries don't come back together.
+	time.AfterFunc(s.pause/2+rand.N(s.pause/2), func() { c.giveBack(n) })
+}
+
+// giveBack tries again to give back what is left of a shard.
+func (c *Claimer) giveBack(n int) {
+	s := &c.shards[n]
+	s.mu.Lock()
+	left := s.left
+	s.left, s.pausing = nil, false
+	s.mu.Unlock()
+	c.enqueue(n, left...)
+}
+
 type applied struct {
 	claims  []object.Claim
 	changed bool
@@ -206,12 +281,15 @@
 	for _, p := range group {
 		i, taken := index[p.claim.Key]
 		switch {
-		case p.free && taken && out.claims[i].Request == p.claim.Request:
-			// Not now: an entry whose clock is behind would see the key as
-			// claimed for as long as that.
-			out.claims[i].Until = time.Time{}
-			out.changed = true
-		case !p.free && !taken:
+		case p.kind != take:
+			if taken && out.claims[i].Request == p.claim.Request {
+				// Not now: an entry whose clock is behind would see the key
+				// as claimed for as long as that.
+				out.claims[i].Until = time.Time{}
+				out.changed = true
+			}
+			out.changed = out.changed || p.kind == void
+		case !taken:
 			index[p.claim.Key] = len(out.claims)
 			out.claims = append(out.claims, p.claim)
 			out.changed = true
@@ -277,13 +355,14 @@
 // answer tells each of the group what the store now says.
 func (c *Claimer) answer(s *shard, group []*pending) {
 	s.mu.Lock()
+	s.pause = 0
 	owner := make(map[string]string, len(s.claims))
 	for _, cl := range s.claims {
 		owner[cl.Key] = cl.Request
 	}
 	s.mu.Unlock()
 	for _, p := range group {
-		if p.free || owner[p.claim.Key] == p.claim.Request {
+		if p.kind != take || owner[p.claim.Key] == p.claim.Request {
 			granted.Inc()
 			p.done <- nil
 			continue
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -41,6 +41,8 @@
 
 	gate   *gate
 	number uint32
+	// claimed: the request has its key, if it needs one.
+	claimed bool
 	// touched: an engine was asked to work, so the request may have run.
 	touched bool
 	// exclude names servers that failed this request.
@@ -94,7 +96,9 @@
 		changed.Verdict = verdict.MayHaveRun
 		err = &changed
 	}
-	if err.Verdict == verdict.NotRun {
+	// Only a claimed key is given back: a refusal before must cost no call to
+	// the platform, and no wait for one that is down.
+	if err.Verdict == verdict.NotRun && g.claimed {
 		g.e.unclaim(g.r)
 	}
 	g.log.WithError(err).Info("entry: request ended without a whole answer.")
@@ -113,6 +117,7 @@
 	if err := g.e.claim(ctx, g.r); err != nil {
 		return "", err
 	}
+	g.claimed = true
 	g.gate = g.e.gateOf(to.choice.Pool)
 	g.e.first(g.r.organisation, to.choice.Pool)
 	for {
--- a/internal/entry/judgement.go
+++ b/internal/entry/judgement.go
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), unclaimWithin)
 	defer cancel()
 	if err := e.claims.Free(ctx, r.organisation, r.key, r.id); err != nil {
-		e.log.WithField("request", r.id).WithError(err).Warn("entry: a key could not be given back.")
+		e.log.WithField("request", r.id).WithError(err).Warn("entry: a key is given back later.")
 	}
 }
 
