Refuse as not ready, not as no-route, before the configuration is known

Cause: an entry that restarted while the platform was down answered 404 no-route, which tells a caller for good what a second's wait cures; once it had the configuration but no instances it was ready and refused all calls. Change: no configuration is 503 no-server with Retry-After; an entry is ready once it knows instances too.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// placeable reports whether requests can be placed. The platform may give the
+// configuration and be silent on the instances: an entry that took requests
+// then would refuse them all, beside others that know the instances.
+func (c *core) placeable() bool {
+	return c.ready() && len(c.config.Current().Instances) > 0
+}
+
 func (c *core) status() operator.Status {
 	snap := c.config.Current()
 	return operator.Status{
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -23,7 +23,7 @@
 	c := newCore(s.Process, RoleEntry, log)
 	e := entry.New(entry.Options{
 		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
-		Incarnation: c.incarnation, Ready: c.ready, Log: log,
+		Incarnation: c.incarnation, Ready: c.placeable, Log: log,
 	})
 	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
 	ops := operator.New(c.board, c.status, explain, log)
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -122,6 +123,11 @@
 
 // routeRequest finds the pool of a request.
 func (e *Entry) routeRequest(r *request) (routed, *verdict.Error) {
+	if !e.isReady() {
+		// Without a configuration every request looks as if no selector took
+		// it: callers would be told for good what waiting cures.
+		return routed{}, verdict.New(verdict.NotRun, verdict.NoServer, "This entry has no configuration yet.").After(time.Second)
+	}
 	t := e.routing.current()
 	if r.model != "" && !t.hasModel(r.model) {
 		return routed{}, verdict.New(verdict.NotRun, verdict.NoRoute, "There is no model %q.", r.model)
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -33,8 +33,8 @@
 	platform                           platformstandin.Options
 	entry                              func(*settings.Entry)
 	agent                              func(*settings.Agent)
-	// links puts a link that can be cut before each agent, each engine and
-	// the platform.
+	// links puts a link that can be cut before each agent, each engine, each
+	// entry's listener for peers and the platform.
 	links bool
 }
 
@@ -49,7 +49,8 @@
 	// backend is the stand-in beside an agent, at backendAddress.
 	backend        *process
 	backendAddress string
-	// agentLink and backendLink are set if the shape has links.
+	// agentLink (of an entry: before its listener for peers) and backendLink
+	// are set if the shape has links.
 	agentLink   *link
 	backendLink *link
 	role        string
@@ -87,6 +88,9 @@
 	if s.links {
 		c.platformLink = newLink(t, c.platformAddress)
 	}
+	for i := range s.entries {
+		c.entries = append(c.entries, c.newNode(fmt.Sprintf("entry-%d", i), "entry", i))
+	}
 	for i := range s.prefill {
 		c.prefill = append(c.prefill, c.newEngine(fmt.Sprintf("prefill-%d", i), object.RolePrefill, i))
 	}
@@ -96,8 +100,8 @@
 	for i := range s.services {
 		c.services = append(c.services, c.newService(fmt.Sprintf("service-%d", i), i))
 	}
-	for i := range s.entries {
-		c.entries = append(c.entries, c.newEntry(fmt.Sprintf("entry-%d", i), i))
+	for _, n := range c.entries {
+		c.makeEntry(n)
 	}
 	c.publishInstances()
 	c.declare()
@@ -165,10 +169,27 @@
 	if c.platformLink != nil {
 		p.Platform = c.platformLink.address
 	}
+	for _, e := range c.entries {
+		if e != n {
+			p.Seeds = append(p.Seeds, e.peerAddress())
+		}
+	}
 }
 
 func (c *cluster) newNode(id, role string, i int) *node {
-	return &node{id: id, role: role, zone: zoneOf(i), peer: freeAddress(c.t), operator: freeAddress(c.t)}
+	n := &node{id: id, role: role, zone: zoneOf(i), peer: freeAddress(c.t), operator: freeAddress(c.t)}
+	if c.shape.links {
+		n.agentLink = newLink(c.t, n.peer)
+	}
+	return n
+}
+
+// peerAddress is where other processes reach the node's listener for peers.
+func (n *node) peerAddress() string {
+	if n.agentLink != nil {
+		return n.agentLink.address
+	}
+	return n.peer
 }
 
 func (c *cluster) newEngine(id, role string, i int) *node {
@@ -196,7 +217,6 @@
 	if c.shape.links {
 		n.backendLink = newLink(c.t, n.backendAddress)
 		a.Backend = n.backendLink.address
-		n.agentLink = newLink(c.t, n.peer)
 	}
 	if c.shape.agent != nil {
 		c.shape.agent(&a)
@@ -206,8 +226,9 @@
 	return n
 }
 
-func (c *cluster) newEntry(id string, i int) *node {
-	n := c.newNode(id, "entry", i)
+// makeEntry writes the settings of an entry and makes its process.
+func (c *cluster) makeEntry(n *node) {
+	id := n.id
 	n.listen = freeAddress(c.t)
 	e := settings.DefaultEntry()
 	c.process(&e.Process, n)
@@ -215,8 +236,7 @@
 	if c.shape.entry != nil {
 		c.shape.entry(&e)
 	}
-	n.process = &process{t: c.t, name: n.id, path: filepath.Join(binaries, "jayfordd"), args: []string{"entry", "--settings", c.settingsFile(n.id, e)}}
-	return n
+	n.process = &process{t: c.t, name: id, path: filepath.Join(binaries, "jayfordd"), args: []string{"entry", "--settings", c.settingsFile(n.id, e)}}
 }
 
 // put writes an object over whatever version is stored.
@@ -262,10 +282,7 @@
 	list := []platform.Instance{}
 	for _, n := range c.nodes() {
 		in := platform.Instance{
-			ID: n.id, Address: n.peer, Role: n.role, AvailabilityZone: n.zone, Region: "region", State: platform.Live,
-		}
-		if n.agentLink != nil {
-			in.Address = n.agentLink.address
+			ID: n.id, Address: n.peerAddress(), Role: n.role, AvailabilityZone: n.zone, Region: "region", State: platform.Live,
 		}
 		if n.leaving {
 			in.State = platform.Leaving
@@ -319,7 +336,10 @@
 func (n *node) calls() []servicestandin.Call {
 	n.t.Helper()
 	var r []servicestandin.Call
-	assert.NilError(n.t, getJSON(n.backendAddress, "/v1/record", &r))
+	// A service that crashed answers again after its RestartAfter.
+	eventually(n.t, 5*time.Second, n.id+"'s record", func() error {
+		return getJSON(n.backendAddress, "/v1/record", &r)
+	})
 	return r
 }
 
