Prove that an accepted configuration is in force everywhere

Cause of the change: the state dump lacked the feed's part, since the daemon gave the feed no board, so that nobody could see who watches; the status didn't tell a newcomer that still asks its peers from a process with a configuration in force. Change: the feed's part is dumped, the status says ready. Test: 9 entries in 3 zones, 3 agents, two operators racing through jayfordctl on a label and a selector; kills of a zone's watchers, silent connections to the platform and between entries, outages by refusal and by hanging with an entry and an agent started in each, lost replies; each process is asked every 100 ms.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,7 +58,7 @@
 	c.follower = feed.NewFollower(feed.Options{
 		Identity: c.identity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
 		Dial:        []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry()},
-		Incarnation: c.incarnation,
+		Incarnation: c.incarnation, Board: b,
 	})
 	return c
 }
@@ -91,6 +91,7 @@
 	return operator.Status{
 		ID: c.process.ID, Role: c.role, AvailabilityZone: c.process.AvailabilityZone,
 		Revision: snap.Revision, Digest: snap.Digest, Incarnation: c.incarnation,
+		Ready:         c.ready(),
 		UptimeSeconds: int64(time.Since(c.begun).Seconds()),
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,6 +36,9 @@
 	Revision    uint64 `json:"revision"`
 	Digest      uint64 `json:"digest"`
 	Incarnation uint64 `json:"incarnation"`
+	// Ready: the configuration is in force. A newcomer that still asks its
+	// peers and the platform isn't ready.
+	Ready bool `json:"ready"`
 	// UptimeSeconds since the process started.
 	UptimeSeconds int64 `json:"uptimeSeconds"`
 }
--- /dev/null
+++ b/test/config_test.go
@@ -0,0 +1,458 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/ctl"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/operator"
+	platformstandin "jayford.example/jayford/internal/standin/platform"
+)
+
+// inForceWithin is the promised bound for an accepted configuration.
+const inForceWithin = 11 * time.Second
+
+// sample is what a process said of its configuration.
+type sample struct {
+	at          time.Time
+	incarnation uint64
+	revision    uint64
+	ready       bool
+	// serials of the raced objects in force.
+	serials raced
+}
+
+// raced has the serials of the two objects that operators race for.
+type raced struct{ label, selector string }
+
+// configDump is the part of a state dump that shows the raced objects.
+type configDump struct {
+	Config struct {
+		Servers   map[string]object.Server
+		Selectors []struct {
+			Name  string
+			Match object.Match `json:"match"`
+		}
+	} `json:"config"`
+}
+
+func (d *configDump) serials() raced {
+	out := raced{label: d.Config.Servers[racedServer].Labels[labelSerial]}
+	for _, x := range d.Config.Selectors {
+		if x.Name == racedSelector && len(x.Match.Groups) == 1 {
+			out.selector = x.Match.Groups[0]
+		}
+	}
+	return out
+}
+
+// sampler asks all processes for their status, all the time.
+type sampler struct {
+	begun time.Time
+	stop  chan struct{}
+	wg    sync.WaitGroup
+
+	mu sync.Mutex
+	// All below is guarded by mu. started has the starts that the test made.
+	samples map[string][]sample
+	started map[string][]time.Time
+}
+
+const sampleEvery = 100 * time.Millisecond
+
+func (c *cluster) watchStatus() *sampler {
+	s := &sampler{begun: time.Now(), stop: make(chan struct{}), samples: make(map[string][]sample), started: make(map[string][]time.Time)}
+	for _, n := range c.nodes() {
+		s.wg.Go(func() { s.follow(n) })
+	}
+	return s
+}
+
+func (s *sampler) follow(n *node) {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+		var st operator.Status
+		var dump configDump
+		if getJSON(n.operator, operator.PathStatus, &st) != nil || getJSON(n.operator, operator.PathState, &dump) != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.samples[n.id] = append(s.samples[n.id], sample{time.Now(), st.Incarnation, st.Revision, st.Ready, dump.serials()})
+		s.mu.Unlock()
+	}
+}
+
+func (s *sampler) end() {
+	// The last configuration needs a sample too.
+	time.Sleep(3 * sampleEvery)
+	close(s.stop)
+	s.wg.Wait()
+}
+
+// start starts a process again and notes when.
+func (s *sampler) start(n *node) {
+	s.mu.Lock()
+	s.started[n.id] = append(s.started[n.id], time.Now())
+	s.mu.Unlock()
+	n.start()
+}
+
+// checkRising checks that no process that was ready showed an older revision,
+// or an older version of a raced object, after a newer one, its restarts
+// included.
+func (s *sampler) checkRising(t *testing.T, writes []platformstandin.Accepted) {
+	t.Helper()
+	versions := versionsOf(t, writes)
+	for id, list := range s.samples {
+		var revision, label, selector uint64
+		for _, x := range list {
+			if !x.ready {
+				continue
+			}
+			l, sel := versions[x.serials.label], versions[x.serials.selector]
+			assert.Check(t, x.revision >= revision, "%s: revision %d after %d", id, x.revision, revision)
+			assert.Check(t, l >= label, "%s: label of version %d after %d", id, l, label)
+			assert.Check(t, sel >= selector, "%s: selector of version %d after %d", id, sel, selector)
+			revision, label, selector = max(revision, x.revision), max(label, l), max(selector, sel)
+		}
+	}
+}
+
+// versionsOf returns the version that each serial was accepted with. Each
+// serial is given to one object of each kind by one operator once.
+func versionsOf(t *testing.T, writes []platformstandin.Accepted) map[string]uint64 {
+	out := make(map[string]uint64)
+	for _, w := range writes {
+		var serial string
+		switch {
+		case w.Kind == object.KindServer && w.Name == racedServer:
+			var spec object.Server
+			assert.NilError(t, json.Unmarshal(w.Spec, &spec))
+			serial = spec.Labels[labelSerial]
+		case w.Kind == object.KindSelector && w.Name == racedSelector:
+			var spec object.Selector
+			assert.NilError(t, json.Unmarshal(w.Spec, &spec))
+			serial = spec.Match.Groups[0]
+		default:
+			continue
+		}
+		if serial == "" {
+			continue
+		}
+		_, twice := out[serial]
+		assert.Check(t, !twice, "%s was written twice", serial)
+		out[serial] = w.Version
+	}
+	return out
+}
+
+// lag returns how long after at the process had the version in force, counted
+// from its own start if that came later. It is false if the process was killed
+// before it could.
+func (s *sampler) lag(id string, at time.Time, version uint64) (time.Duration, bool) {
+	from := at
+	for i, x := range s.samples[id] {
+		if i > 0 && x.incarnation != s.samples[id][i-1].incarnation {
+			for _, begun := range s.started[id] {
+				if begun.After(from) && begun.Before(x.at) {
+					from = begun
+				}
+			}
+		}
+		if x.ready && x.revision >= version && x.at.After(at) {
+			return x.at.Sub(from), true
+		}
+	}
+	return 0, false
+}
+
+// worst returns the longest lag of any accepted configuration in any process.
+func (s *sampler) worst(t *testing.T, writes []platformstandin.Accepted) (worst time.Duration, where string) {
+	t.Helper()
+	for _, w := range writes {
+		if !object.IsConfiguration(w.Kind) || w.Time.Before(s.begun) {
+			continue
+		}
+		for id := range s.samples {
+			d, ok := s.lag(id, w.Time, w.Version)
+			assert.Check(t, ok, "%s never had version %d in force", id, w.Version)
+			if d > worst {
+				worst, where = d, fmt.Sprintf("%s, version %d", id, w.Version)
+			}
+		}
+	}
+	return worst, where
+}
+
+// jayfordctl runs the operators' client and returns its outcomes.
+func (c *cluster) jayfordctl(args ...string) (outcomes []ctl.Outcome, code int) {
+	args = append([]string{"--platform", c.platformAddress, "--output", "json", "--timeout", "1s", "--settle", "3s"}, args...)
+	cmd := exec.Command(filepath.Join(binaries, "jayfordctl"), args...)
+	out, _ := cmd.Output()
+	_ = json.Unmarshal(out, &outcomes)
+	return outcomes, cmd.ProcessState.ExitCode()
+}
+
+// swap is one operator's change of one object, by its serial.
+type swap struct{ object, serial string }
+
+// swapped is what became of it.
+type swapped struct {
+	action ctl.Action
+	// from is the serial that it replaced, as the client told it.
+	from string
+}
+
+// swapModel says that each accepted change replaces what the last accepted one
+// left, so that none is lost; a conflict changes nothing; an unclear change may
+// have taken effect or not.
+var swapModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byObject := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			in, _ := op.Input.(swap)
+			byObject[in.object] = append(byObject[in.object], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byObject {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		in, _ := input.(swap)
+		out, _ := output.(swapped)
+		switch out.action {
+		case ctl.Created, ctl.Updated:
+			if state != out.from {
+				return nil
+			}
+			return []any{in.serial}
+		case ctl.Unclear:
+			return []any{state, in.serial}
+		}
+		return []any{state}
+	},
+}
+
+// operators are two people who change the same objects at once.
+type operators struct {
+	c *cluster
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	history   []porcupine.Operation
+	conflicts int
+	vague     int
+	actions   map[ctl.Action]int
+}
+
+const (
+	labelSerial   = "serial"
+	racedServer   = "service-0"
+	racedSelector = "raced"
+)
+
+// change lets operator who change both objects in round i.
+func (o *operators) change(dir string, who, i int) {
+	serial := fmt.Sprintf("label-%d-%d", who, i)
+	o.record(who, swap{"label", serial}, "label", racedServer, labelSerial+"="+serial)
+	serial = fmt.Sprintf("selector-%d-%d", who, i)
+	path := filepath.Join(dir, serial+".json")
+	text := fmt.Sprintf(`[{"kind": "selector", "name": %q, "spec": {"format": 1, "order": 900,
+		"match": {"groups": [%q]}, "targets": [{"pool": "service", "weight": 1}]}}]`, racedSelector, serial)
+	if os.WriteFile(path, []byte(text), 0o600) == nil {
+		o.record(who, swap{"selector", serial}, "apply", path)
+	}
+}
+
+func (o *operators) record(who int, in swap, args ...string) {
+	call := time.Now()
+	outcomes, code := o.c.jayfordctl(args...)
+	ret := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := swapped{action: ctl.Failed}
+	if len(outcomes) == 1 {
+		out = swapped{outcomes[0].Action, serialBefore(outcomes[0])}
+	}
+	o.actions[out.action]++
+	if out.action == ctl.Unclear {
+		ret = ret.Add(time.Hour)
+	}
+	if out.action == ctl.Conflicted {
+		o.conflicts++
+		if code != ctl.ExitConflict || len(outcomes[0].Theirs) == 0 || outcomes[0].Error == "" {
+			o.vague++
+		}
+	}
+	o.history = append(o.history, porcupine.Operation{
+		ClientId: who, Input: in, Output: out, Call: call.UnixNano(), Return: ret.UnixNano(),
+	})
+}
+
+// serialBefore finds the serial that an outcome says to have replaced.
+func serialBefore(o ctl.Outcome) string {
+	for _, ch := range o.Changes {
+		var old string
+		if (ch.Path == "labels."+labelSerial || ch.Path == "match.groups[0]") && json.Unmarshal([]byte(ch.Old), &old) == nil {
+			return old
+		}
+	}
+	return ""
+}
+
+// watchers returns the entries of a zone that watch the platform.
+func (c *cluster) watchers(zone string) []*node {
+	var out []*node
+	for _, n := range c.entries {
+		var state struct {
+			Feed struct{ Watches bool } `json:"feed"`
+		}
+		if n.zone == zone && getJSON(n.operator, operator.PathState, &state) == nil && state.Feed.Watches {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Two operators change the same label and the same selector at once, all the
+// time. Meanwhile the entries that watch the platform for a zone are killed,
+// connections to the platform and between entries go silent, and the platform
+// refuses, later hangs; an entry and an agent start inside each outage and can
+// ask only their seeds. Each accepted version must be in force in every process
+// within the bound, no process may show an older one after a newer one, and no
+// operator's change may be lost or overwritten unseen.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	c := newCluster(t, shape{entries: 9, services: 3, links: true})
+	s := c.watchStatus()
+	o := &operators{c: c, actions: make(map[ctl.Action]int)}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	dir := t.TempDir()
+	for who := range 2 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(200 * time.Millisecond):
+					o.change(dir, who, i)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	killed := c.watchers("a-zone")
+	report(t, "%d entries of a zone watch the platform", len(killed))
+	assert.Assert(t, len(killed) > 0)
+	for _, n := range killed {
+		n.kill()
+	}
+	time.Sleep(3 * time.Second)
+	for _, n := range killed {
+		s.start(n)
+	}
+	time.Sleep(2 * time.Second)
+	c.platformLink.silence()
+	time.Sleep(4 * time.Second)
+	for _, n := range c.entries {
+		n.agentLink.silence()
+	}
+	time.Sleep(4 * time.Second)
+	// The first is long enough for all processes to find their feeds stale.
+	outages := []struct {
+		kind  string
+		lasts time.Duration
+	}{{platformstandin.OutageRefuse, 7 * time.Second}, {platformstandin.OutageHang, 4 * time.Second}}
+	for i, outage := range outages {
+		newcomers := []*node{c.entries[i+6], c.services[i+1]}
+		c.platformControl(platformstandin.Control{Outage: outage.kind})
+		for _, n := range newcomers {
+			n.kill()
+			s.start(n)
+		}
+		begin := time.Now()
+		for _, n := range newcomers {
+			eventually(t, inForceWithin, n.id+" started in an outage", n.isConfigured)
+		}
+		report(t, "%s: a new entry and a new agent had the configuration after %s", outage.kind, time.Since(begin).Round(10*time.Millisecond))
+		time.Sleep(max(0, outage.lasts-time.Since(begin)))
+		c.platformControl(platformstandin.Control{LoseReplies: 4})
+		time.Sleep(2 * time.Second)
+	}
+	close(stop)
+	wg.Wait()
+	var writes []platformstandin.Accepted
+	assert.NilError(t, getJSON(c.platformAddress, "/record", &writes))
+	c.waitSame(writes)
+	s.end()
+	s.checkRising(t, writes)
+	worst, where := s.worst(t, writes)
+	report(t, "worst time from acceptance to force: %s (%s), of %d versions in %d processes", worst.Round(10*time.Millisecond), where, len(writes), len(s.samples))
+	assert.Check(t, worst <= inForceWithin)
+	report(t, "operators' changes: %v", o.actions)
+	assert.Check(t, o.vague == 0, "%d conflicts without the other's change", o.vague)
+	assert.Check(t, o.conflicts > 0, "the operators never raced")
+	assert.Check(t, porcupine.CheckOperations(swapModel.ToModel(), o.history), "a change was lost or overwritten unseen")
+}
+
+// isConfigured returns an error until the configuration is in force.
+func (n *node) isConfigured() error {
+	var st operator.Status
+	if err := getJSON(n.operator, operator.PathStatus, &st); err != nil {
+		return err
+	}
+	if !st.Ready || st.Revision == 0 {
+		return errorf("ready: %t, revision %d", st.Ready, st.Revision)
+	}
+	return nil
+}
+
+// waitSame waits until all processes have the last configuration in force, and
+// checks that their digests agree.
+func (c *cluster) waitSame(writes []platformstandin.Accepted) {
+	c.t.Helper()
+	last := uint64(0)
+	for _, w := range writes {
+		if object.IsConfiguration(w.Kind) {
+			last = max(last, w.Version)
+		}
+	}
+	digests := make(map[uint64][]string)
+	for _, n := range c.nodes() {
+		eventually(c.t, inForceWithin, fmt.Sprintf("%s at %d", n.id, last), func() error {
+			var st operator.Status
+			if err := getJSON(n.operator, operator.PathStatus, &st); err != nil {
+				return err
+			}
+			if st.Revision < last {
+				return errorf("revision %d", st.Revision)
+			}
+			digests[st.Digest] = append(digests[st.Digest], n.id)
+			return nil
+		})
+	}
+	for _, ids := range digests {
+		slices.Sort(ids)
+	}
+	assert.Check(c.t, len(digests) == 1, "%v", digests)
+}
