--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 	c.follower = feed.NewFollower(feed.Options{
 		Identity: c.feedIdentity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
 		Dial:        []grpc.DialOption{own.DialOption(RoleEntry), grpc.WithDisableRetry()},
-		Incarnation: c.incarnation,
+		Incarnation: c.incarnation, Board: b,
 	})
 	return c, nil
 }
@@ -84,11 +84,19 @@
 	}
 }
 
+// placeable reports whether requests can be placed. The platform may give the
+// configuration and be silent on the instances: an entry that took requests
+// then would refuse them all, beside others that know the instances.
+func (c *core) placeable() bool {
+	return c.ready() && len(c.config.Current().Instances) > 0
+}
+
 func (c *core) status() operator.Status {
 	snap := c.config.Current()
 	return operator.Status{
 		ID: c.process.ID, Role: c.role, AvailabilityZone: c.process.AvailabilityZone,
 		Revision: snap.Revision, Digest: snap.Digest, Incarnation: c.incarnation,
+		Ready:         c.ready(),
 		UptimeSeconds: int64(time.Since(c.begun).Seconds()),
 	}
 }
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -26,7 +26,7 @@
 	}
 	e := entry.New(entry.Options{
 		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
-		Incarnation: c.incarnation, Ready: c.ready, Log: log,
+		Incarnation: c.incarnation, Ready: c.placeable, Log: log,
 		Dial: c.identity.DialOption(RoleAgent),
 	})
 	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
--- a/test/outage_test.go
+++ b/test/outage_test.go
@@ -15,9 +15,7 @@
 // outage. Requests need no call to the platform, so callers see nothing of it;
 // the restarted entry gets the configuration from its peer.
 func TestServesThroughPlatformOutage(t *testing.T) {
-	seeds := func(c *cluster) []string { return []string{c.entries[0].peer} }
 	c := newCluster(t, shape{entries: 2, prefill: 1, decode: 1})
-	c.entries[1].setSeeds(c, seeds(c))
 	c.platformControl(platformstandin.Control{Outage: platformstandin.OutageHang})
 	h := &history{}
 	wg := c.load(h, 60, 50*time.Millisecond, func(i int) ask {
