Add an experiment tool for the policy

It builds a deployment of stand-ins, agents and entries in one process, loads it at a multiple of its capacity and reports goodput against a bound, wasted prefill by the engines' own accounts, slot use, latencies and fairness. Variants are run in turn on the same seeds.

--- /dev/null
+++ b/internal/experiment/cluster.go
@@ -0,0 +1,344 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"jayford.example/jayford/internal/daemon"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+	platformstandin "jayford.example/jayford/internal/standin/platform"
+	servicestandin "jayford.example/jayford/internal/standin/service"
+)
+
+const (
+	entries     = 3
+	recordLimit = 1 << 20
+	setupTime   = 10 * time.Second
+	readyPoll   = 20 * time.Millisecond
+	stopWithin  = 3 * time.Second
+	// settle lets agents find their engines after the entries are ready.
+	settle = 500 * time.Millisecond
+)
+
+// cluster is one running deployment.
+type cluster struct {
+	deployment Deployment
+	policy     settings.Policy
+	log        *logrus.Logger
+	platform   string
+	engines    []*enginestandin.Engine
+	targets    []string
+	operators  []string
+	instances  []platform.Instance
+	objects    []platform.Object
+	watched    []*watched
+	failed     atomic.Pointer[error]
+
+	standins, roles errgroup.Group
+	// standinsCtx outlives rolesCtx, so that a stop is graceful.
+	standinsCtx, rolesCtx context.Context
+	stopStandins, stopAll context.CancelFunc
+}
+
+func startCluster(ctx context.Context, d Deployment, p settings.Policy) (*cluster, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	// Some parts log by the library's own logger.
+	logrus.SetOutput(io.Discard)
+	c := &cluster{deployment: d, policy: p, log: log}
+	c.standinsCtx, c.stopStandins = context.WithCancel(context.WithoutCancel(ctx))
+	c.rolesCtx, c.stopAll = context.WithCancel(context.WithoutCancel(ctx))
+	if err := c.start(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) stop() {
+	c.stopAll()
+	_ = c.roles.Wait()
+	c.stopStandins()
+	_ = c.standins.Wait()
+}
+
+func (c *cluster) start(ctx context.Context) error {
+	var err error
+	if c.platform, err = c.serve(platformstandin.New(platformstandin.Options{})); err != nil {
+		return err
+	}
+	model := c.model()
+	for i := range c.deployment.Prefill {
+		if err := c.startEngine(fmt.Sprintf("prefill-%d", i), model, object.RolePrefill, i); err != nil {
+			return err
+		}
+	}
+	for i := range c.deployment.Decode {
+		if err := c.startEngine(fmt.Sprintf("decode-%d", i), model, object.RoleDecode, i); err != nil {
+			return err
+		}
+	}
+	for i := range c.deployment.Workload.Fleet.Services {
+		if err := c.startService(i); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		if err := c.startEntry(i); err != nil {
+			return err
+		}
+	}
+	if err := c.declare(ctx, model); err != nil {
+		return err
+	}
+	return c.waitReady(ctx)
+}
+
+// model returns the model of the first completion class: each of the two
+// deployments has one.
+func (c *cluster) model() string {
+	for _, cl := range c.deployment.Workload.Classes {
+		if cl.Model != "" {
+			return cl.Model
+		}
+	}
+	return ""
+}
+
+type server interface {
+	Serve(ctx context.Context, l net.Listener) error
+}
+
+func (c *cluster) serve(s server) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "experiment: listen")
+	}
+	c.standins.Go(func() error { return s.Serve(c.standinsCtx, l) })
+	return l.Addr().String(), nil
+}
+
+func (c *cluster) startEngine(id, model, role string, i int) error {
+	o := c.deployment.engine(role)
+	o.Model = model
+	e := enginestandin.New(o)
+	c.engines = append(c.engines, e)
+	address, err := c.serve(e)
+	if err != nil {
+		return err
+	}
+	labels := map[string]string{object.LabelModel: model, object.LabelRole: role}
+	return c.startAgent(id, address, settings.BackendEngine, labels, i)
+}
+
+func (c *cluster) startService(i int) error {
+	id := fmt.Sprintf("service-%d", i)
+	address, err := c.serve(servicestandin.New(servicestandin.Options{Name: id}))
+	if err != nil {
+		return err
+	}
+	return c.startAgent(id, address, settings.BackendService, map[string]string{object.LabelRole: object.RoleService}, i)
+}
+
+func (c *cluster) startAgent(id, backend, kind string, labels map[string]string, i int) error {
+	a := settings.DefaultAgent()
+	p, err := c.process(id, i)
+	if err != nil {
+		return err
+	}
+	a.Process, a.Backend, a.BackendKind = p, backend, kind
+	c.instance(p, daemon.RoleAgent)
+	if kind == settings.BackendEngine {
+		c.watched = append(c.watched, &watched{role: labels[object.LabelRole], backend: backend, operator: p.Operator})
+	}
+	c.object(object.KindServer, id, object.Server{Format: object.Format, Labels: labels})
+	c.role(func() error { return daemon.RunAgent(c.rolesCtx, a, c.log) })
+	return nil
+}
+
+func (c *cluster) startEntry(i int) error {
+	e := settings.DefaultEntry()
+	p, err := c.process(fmt.Sprintf("entry-%d", i), i)
+	if err != nil {
+		return err
+	}
+	e.Process, e.Policy = p, c.policy
+	if e.Listen, err = freeAddress(); err != nil {
+		return err
+	}
+	c.targets = append(c.targets, e.Listen)
+	c.operators = append(c.operators, e.Operator)
+	c.instance(p, daemon.RoleEntry)
+	c.role(func() error { return daemon.RunEntry(c.rolesCtx, e, c.log) })
+	return nil
+}
+
+func (c *cluster) process(id string, i int) (settings.Process, error) {
+	zones := c.deployment.Workload.Fleet.AvailabilityZones
+	p := settings.DefaultProcess()
+	p.ID, p.Region, p.AvailabilityZone = id, "experiment", zones[i%len(zones)]
+	p.Platform = c.platform
+	p.StopWithin = settings.Duration(stopWithin)
+	var err error
+	if p.Peer, err = freeAddress(); err != nil {
+		return p, err
+	}
+	p.Operator, err = freeAddress()
+	return p, err
+}
+
+// Ports of the processes' listeners are below the range that the kernel takes
+// for outgoing connections: otherwise another part's connection can hold the
+// port by the time that the listener opens, and the server is missing in silence.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+	portStep  = 37
+)
+
+var nextPort atomic.Int64
+
+func freeAddress() (string, error) {
+	nextPort.CompareAndSwap(0, int64(os.Getpid()*portStep%(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
+	}
+	return "", eris.New("experiment: no free port")
+}
+
+// role runs a daemon's role. Its failure is kept for err.
+func (c *cluster) role(run func() error) {
+	c.roles.Go(func() error {
+		err := run()
+		if err != nil {
+			c.failed.CompareAndSwap(nil, &err)
+		}
+		return err
+	})
+}
+
+// err returns the failure of the first role that failed, if one did.
+func (c *cluster) err() error {
+	if e := c.failed.Load(); e != nil {
+		return eris.Wrap(*e, "experiment: a role failed")
+	}
+	return nil
+}
+
+func (c *cluster) instance(p settings.Process, role string) {
+	c.instances = append(c.instances, platform.Instance{
+		ID: p.ID, Address: p.Peer, Role: role, AvailabilityZone: p.AvailabilityZone, Region: p.Region, State: platform.Live,
+	})
+}
+
+func (c *cluster) object(kind, name string, spec any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		// The specs are this package's own.
+		panic(err)
+	}
+	c.objects = append(c.objects, platform.Object{Kind: kind, Name: name, Spec: text, Operation: "experiment"})
+}
+
+// declare writes the pools, selectors and organisations.
+func (c *cluster) declare(ctx context.Context, model string) error {
+	c.object(object.KindPool, "model", object.Pool{
+		Format: object.Format, Model: model,
+		Prefill: map[string]string{object.LabelModel: model, object.LabelRole: object.RolePrefill},
+		Decode:  map[string]string{object.LabelModel: model, object.LabelRole: object.RoleDecode},
+	})
+	c.object(object.KindPool, "service", object.Pool{
+		Format: object.Format, Service: map[string]string{object.LabelRole: object.RoleService},
+	})
+	c.object(object.KindSelector, "model", object.Selector{
+		Format: object.Format, Order: 10, Match: object.Match{Models: []string{model}},
+		Targets: []object.Target{{Pool: "model", Weight: 1}},
+	})
+	c.object(object.KindSelector, "service", object.Selector{
+		Format: object.Format, Order: 20, Match: object.Match{PathPrefixes: []string{"/"}},
+		Targets: []object.Target{{Pool: "service", Weight: 1}},
+	})
+	for _, o := range c.deployment.Workload.Organisations {
+		c.object(object.KindOrganisation, o.Name, object.Organisation{Format: object.Format, Share: o.Share})
+	}
+	ctx, cancel := context.WithTimeout(ctx, setupTime)
+	defer cancel()
+	store := platform.NewHTTP(c.platform, setupTime)
+	for _, o := range c.objects {
+		if _, err := store.Put(ctx, o); err != nil {
+			return eris.Wrapf(err, "experiment: declare %s %s", o.Kind, o.Name)
+		}
+	}
+	return c.publishInstances(ctx)
+}
+
+func (c *cluster) publishInstances(ctx context.Context) error {
+	body, err := json.Marshal(c.instances)
+	if err != nil {
+		return eris.Wrap(err, "experiment: instances")
+	}
+	return request(ctx, http.MethodPost, "http://"+c.platform+"/instances", body)
+}
+
+// waitReady waits until each entry serves and has learnt of the servers.
+func (c *cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, setupTime)
+	defer cancel()
+	for _, t := range c.targets {
+		for request(ctx, http.MethodGet, "http://"+t+"/readyz", nil) != nil {
+			if !sleep(ctx, readyPoll) {
+				return eris.Errorf("experiment: entry %s isn't ready within %s", t, setupTime)
+			}
+		}
+	}
+	sleep(ctx, settle)
+	return nil
+}
+
+func request(ctx context.Context, method, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "experiment")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "experiment")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return eris.Errorf("experiment: %s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/experiment/cmd/main.go
@@ -0,0 +1,135 @@
+// Command cmd runs experiments on the policy, from the workspace's root:
+//
+//	go run ./internal/experiment/cmd --workload examples/kavango.workload.json \
+//	    --load 1.3 --variant least-loaded --variant policy --seeds 5
+//
+// Each seed is run with each variant in turn, so that what else the machine
+// does meets all of them alike.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/pprof"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/experiment"
+	"jayford.example/jayford/internal/load"
+	"jayford.example/jayford/internal/settings"
+)
+
+type options struct {
+	Workload  string        `long:"workload" required:"yes" value-name:"FILE" description:"workload file"`
+	Variants  []string      `long:"variant" default:"policy" value-name:"PLACEMENT[:RESERVE[:WEIGHT]]" description:"policy to measure; may be repeated, ratios are against the first"`
+	Loads     []float64     `long:"load" default:"1" description:"offered load as a multiple of capacity; may be repeated"`
+	Seeds     int           `long:"seeds" default:"5" description:"number of seeds"`
+	FirstSeed uint64        `long:"first-seed" default:"1" description:"first seed"`
+	Duration  time.Duration `long:"duration" default:"15s" description:"time in which requests are sent"`
+	TimeScale float64       `long:"time-scale" default:"0.25" description:"factor on all times of workload and engines"`
+	Grain     int           `long:"grain" default:"4" description:"tokens that one stand-in token stands for"`
+	KillEvery time.Duration `long:"kill-every" description:"crash an engine so often, before scaling"`
+	JSON      string        `long:"json" value-name:"FILE" description:"write all results there"`
+	SVG       string        `long:"svg" value-name:"FILE" description:"write a plot there"`
+	CPU       string        `long:"cpu-profile" value-name:"FILE" description:"write a processor profile there"`
+	Title     string        `long:"title" description:"title of the plot"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	if o.Grain < 1 || o.TimeScale <= 0 || o.Seeds < 1 {
+		return eris.New("--grain, --time-scale and --seeds: expected over 0")
+	}
+	w, err := load.ReadWorkload(o.Workload)
+	if err != nil {
+		return err
+	}
+	policies := make([]settings.Policy, len(o.Variants))
+	for i, v := range o.Variants {
+		if policies[i], err = experiment.ParseVariant(v); err != nil {
+			return err
+		}
+	}
+	d := experiment.NewDeployment(w, o.Grain, o.TimeScale)
+	fmt.Printf("%s: %d prefill and %d decode servers, capacity %.2f times the workload, time scale %g, grain %d.\n",
+		w.Name, d.Prefill, d.Decode, d.Capacity(), o.TimeScale, o.Grain)
+	if o.CPU != "" {
+		f, err := os.Create(o.CPU)
+		if err != nil {
+			return eris.Wrap(err, "profile")
+		}
+		defer f.Close() //nolint:errcheck // a profile cut short shows when it is read
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return eris.Wrap(err, "profile")
+		}
+		defer pprof.StopCPUProfile()
+	}
+	results, err := runAll(ctx, o, d, policies)
+	if err != nil {
+		return err
+	}
+	return write(o, results)
+}
+
+func runAll(ctx context.Context, o options, d experiment.Deployment, policies []settings.Policy) ([]experiment.Result, error) {
+	var results []experiment.Result
+	for _, factor := range o.Loads {
+		for s := range o.Seeds {
+			for i, p := range policies {
+				r, err := experiment.Run(ctx, experiment.Options{
+					Deployment: d, Policy: p, Load: factor, Seed: o.FirstSeed + uint64(s),
+					Duration: o.Duration, KillEvery: o.KillEvery,
+				})
+				if err != nil {
+					return nil, err
+				}
+				r.Variant = o.Variants[i]
+				results = append(results, r)
+				fmt.Printf("load %g seed %d %s: good %.3f bound %.3f (steady %.3f) wasted %.4f decode %.2f (%.2f to %.2f) reserved %.2f prefill %.2f least share %.2f cores %.1f load average %s\n",
+					factor, r.Seed, r.Variant, r.GoodShare, r.Bound, r.SteadyBound, r.Waste.Share,
+					r.Use.Decode, r.Use.LeastDecode, r.Use.MostDecode, r.Use.Reserved, r.Use.Prefill, r.MinShareRatio, r.Cores, r.LoadAverage)
+			}
+		}
+	}
+	return results, nil
+}
+
+func write(o options, results []experiment.Result) error {
+	rows := experiment.Summarise(results)
+	if err := experiment.WriteText(os.Stdout, rows); err != nil {
+		return err
+	}
+	if o.SVG != "" {
+		if err := experiment.Plot(o.SVG, o.Title, results); err != nil {
+			return err
+		}
+	}
+	if o.JSON == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(struct {
+		Rows    []experiment.Row    `json:"rows"`
+		Results []experiment.Result `json:"results"`
+	}{rows, results}, "", " ")
+	if err != nil {
+		return eris.Wrap(err, "json")
+	}
+	return eris.Wrap(os.WriteFile(o.JSON, append(text, '\n'), 0o600), "json")
+}
