Make the baselines true baselines

Cause: round robin and least loaded only changed the placement. They still waited in the fair-share queue, were refused by the predicted first token, went by class at agents and engines, and could reserve the decode slot early; a ratio against them measured the placement alone.

Change: a baseline waits in one queue in order of arrival, without shares, classes or prediction, and reserves decode when the prefill has ended.

--- /dev/null
+++ b/internal/entry/baseline_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/settings"
+)
+
+func generationOf(placement string) *generation {
+	e := &Entry{settings: settings.DefaultEntry()}
+	e.settings.Policy.Placement = placement
+	r := &request{id: "r", organisation: "o", arrived: time.Now(), promptTokens: 10, maxTokens: 10}
+	r.deadline = r.arrived.Add(time.Minute)
+	return &generation{e: e, r: r, out: newOutput()}
+}
+
+// A figure against a baseline that had some of the policy in it would be too
+// low or too high without a sign of it.
+func TestBaselinesHaveNoAdmissionByPrediction(t *testing.T) {
+	for _, p := range []string{settings.PlacementRoundRobin, settings.PlacementLeastLoaded} {
+		g := generationOf(p)
+		it := g.item()
+		assert.Assert(t, it.Deadline.IsZero() && it.Predicted == 0 && it.Organisation == "" && it.Interactive, p)
+		assert.Equal(t, g.sharer(), "")
+	}
+	g := generationOf(settings.PlacementPolicy)
+	assert.Equal(t, g.item().Organisation, "o")
+	assert.Assert(t, !g.item().Deadline.IsZero())
+	assert.Equal(t, g.sharer(), "o")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -139,6 +139,10 @@
 	g := e.gates[pool]
 	if g == nil {
 		lim := e.settings.Limits
+		if e.settings.Policy.Baseline() {
+			// All wait as one organisation.
+			lim.MaxQueuePerOrganisation = lim.MaxQueue
+		}
 		g = newGate(admit.New(
 			admit.Options{MaxTotal: lim.MaxQueue, MaxPerOrganisation: lim.MaxQueuePerOrganisation},
 			rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -107,6 +107,10 @@
 		return "", err
 	}
 	g.to = to
+	if g.e.settings.Policy.Baseline() {
+		// One queue in order of arrival, also at agents and engines.
+		g.to.choice.Priority = Interactive
+	}
 	if !to.targets.generates() {
 		return "", verdict.New(verdict.NotRun, verdict.NoServer, "Pool %s has no live prefill or decode servers.", to.choice.Pool).After(time.Second)
 	}
@@ -195,7 +199,7 @@
 		return "", err
 	}
 	defer g.gate.freed()
-	if g.e.settings.Policy.Reserve == settings.ReserveEarly {
+	if p := g.e.settings.Policy; p.Reserve == settings.ReserveEarly && !p.Baseline() {
 		return g.attemptEarly(ctx, it)
 	}
 	return g.attemptLate(ctx, it)
@@ -231,7 +235,7 @@
 	g.gate.leave()
 	defer prefill.release()
 	var early *pending
-	if g.e.settings.Policy.Reserve == settings.ReservePredicted {
+	if p := g.e.settings.Policy; p.Reserve == settings.ReservePredicted && !p.Baseline() {
 		early = g.reserveAt(ctx, prefill)
 		defer early.drop()
 	}
@@ -308,6 +312,10 @@
 }
 
 func (g *generation) item() admit.Item {
+	if g.e.settings.Policy.Baseline() {
+		// No shares and no prediction: the request's context ends its wait.
+		return admit.Item{ID: g.r.id, Interactive: true, Enqueued: time.Now()}
+	}
 	return admit.Item{
 		ID:           g.r.id,
 		Organisation: g.r.organisation,
@@ -399,7 +407,7 @@
 		Attempt: a, Phase: phase, Incarnation: conn.Incarnation(), Fingerprint: g.r.fingerprint,
 		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
-		Batch: g.to.choice.Priority == Batch, Organisation: g.r.organisation,
+		Batch: g.to.choice.Priority == Batch, Organisation: g.sharer(),
 	})
 	if err != nil {
 		// The grant may have been given: the release makes sure that it is
@@ -417,6 +425,14 @@
 	return &grant{conn: conn, target: t, attempt: a, phase: phase}, nil
 }
 
+// sharer is the organisation whose share the request counts to at agents.
+func (g *generation) sharer() string {
+	if g.e.settings.Policy.Baseline() {
+		return ""
+	}
+	return g.r.organisation
+}
+
 // prefill runs the prefill under its grant.
 func (g *generation) prefill(ctx context.Context, gr *grant) (*pb.PrefillReply, *verdict.Error) {
 	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillBound)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,7 +75,9 @@
 // Policy holds what decisions depend on.
 type Policy struct {
 	Placement string `json:"placement"`
-	Reserve   string `json:"reserve"`
+	// Reserve is when the decode slot is reserved. Baselines reserve late,
+	// whatever it says.
+	Reserve string `json:"reserve"`
 	// WastedPrefillWeight says how much a wasted prefill counts against a
 	// request that meets its targets.
 	WastedPrefillWeight float64 `json:"wastedPrefillWeight"`
@@ -90,6 +92,13 @@
 	Subset int `json:"subset"`
 }
 
+// Baseline reports whether the policy is one of the baselines that the policy
+// proper is measured against: they place by their rule alone, wait in one queue
+// in order of arrival, and reserve no decode slot before the prefill has ended.
+func (p Policy) Baseline() bool {
+	return p.Placement == PlacementRoundRobin || p.Placement == PlacementLeastLoaded
+}
+
 // Kinds of backend server.
 const (
 	BackendEngine  = "engine"
