Place on servers that were never heard of

Cause: at capacity half of Zifferblatt's decode servers got no request. Without a hint a server counted the mean's load on one slot, ranked behind full servers, and so stayed without a hint. Change: a server that has not told its slots has the mean's.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -348,7 +348,7 @@
 
 // load is the mean of the hints, weighted by their freshness.
 type load struct {
-	used, queued, queuedTokens float64
+	used, queued, queuedTokens, slots float64
 }
 
 func freshness(age, halfLife time.Duration) float64 {
@@ -365,11 +365,12 @@
 		m.used += w * float64(s.Used)
 		m.queued += w * float64(s.Queued)
 		m.queuedTokens += w * drained(s)
+		m.slots += w * float64(s.Slots)
 	}
 	if total < math.SmallestNonzeroFloat32 {
 		return load{}
 	}
-	return load{m.used / total, m.queued / total, m.queuedTokens / total}
+	return load{m.used / total, m.queued / total, m.queuedTokens / total, m.slots / total}
 }
 
 // drained returns the prompt tokens that are left of a hint's queue. The server
@@ -390,6 +391,11 @@
 	out.Used = int(math.Round(w*float64(c.Used) + (1-w)*m.used))
 	out.Queued = int(math.Round(w*float64(c.Queued) + (1-w)*m.queued))
 	out.QueuedTokens = int64(w*drained(c) + (1-w)*m.queuedTokens)
+	if out.Slots == 0 {
+		// A server that was never heard of gets the mean's load; with the one
+		// slot of defaultSlots it would look full and never be asked.
+		out.Slots = int(math.Round(m.slots))
+	}
 	return out
 }
 
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -254,3 +254,14 @@
 		Subset("entry-1", ids, 16)
 	}
 }
+
+// Callers wait while some servers of the pool never get a request. First the
+// servers near the entry are asked and become full; those that were never asked
+// have told no slots, were taken for servers of one slot with the mean's load,
+// and so looked fuller than the full ones for good.
+func TestNeverHeardOfIsTried(t *testing.T) {
+	c := []Candidate{server("full", "a"), server("half", "a"), {ID: "new", AvailabilityZone: "a", Age: time.Hour}}
+	c[0].Used, c[1].Used = 20, 10
+	r := Request{PromptTokens: 100, MaxTokens: 100, AvailabilityZone: "a"}
+	assert.DeepEqual(t, Decode(c, r, Options{}, random()), []int{1, 2, 0})
+}
