--- /dev/null
+++ b/internal/slopes/feed.go
@@ -0,0 +1,244 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/settings"
+)
+
+const reportEvery = 5 * time.Second
+
+// follow simulates a process that follows an entry: one stream, and a report
+// every few seconds.
+func (b *Bench) follow(id, address string, m *meter) error {
+	cc, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(m.dial),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
+	if err != nil {
+		return err
+	}
+	peer := pb.NewPeerClient(cc)
+	stream, err := peer.Follow(b.ctx, &pb.FollowRequest{Follower: id, AvailabilityZone: benchZone})
+	if err != nil {
+		return err
+	}
+	b.group.Go(func() error {
+		defer cc.Close()
+		for {
+			if _, err := stream.Recv(); err != nil {
+				return nil
+			}
+		}
+	})
+	b.group.Go(func() error { b.report(peer, id); return nil })
+	return nil
+}
+
+func (b *Bench) report(peer pb.PeerClient, id string) {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+		}
+		_, _ = peer.Report(b.ctx, &pb.ReportRequest{Reports: []*pb.StatusReport{{
+			Id: id, Role: "agent", AvailabilityZone: benchZone, Revision: 1e6, Digest: 1 << 62,
+			Incarnation: 1 << 60, UptimeS: 1e6,
+		}}})
+	}
+}
+
+// change rewrites server labels at a rate, directly in the stand-in.
+func (b *Bench) change(ctx context.Context, perSecond float64) {
+	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer t.Stop()
+	versions := b.versions(object.KindServer)
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		name := serverName(i % len(versions))
+		o := marshal(object.KindServer, name, object.Server{Format: object.Format, Labels: map[string]string{
+			object.LabelModel: modelName(0), object.LabelRole: object.RoleDecode, object.LabelVersion: strconv.Itoa(i),
+		}})
+		o.Version = versions[name]
+		if v, err := b.platform.Put(o); err == nil {
+			versions[name] = v
+		}
+	}
+}
+
+func (b *Bench) versions(kind string) map[string]uint64 {
+	out := make(map[string]uint64)
+	for _, w := range b.platform.Record() {
+		if w.Kind == kind {
+			out[w.Name] = w.Version
+		}
+	}
+	return out
+}
+
+// followed measures an entry with n followers at a rate of changes.
+func (b *Bench) followed(f fleet, n int, changes float64) (spent, error) {
+	var out spent
+	err := b.scene(f, func() error {
+		p, e, err := b.entry("entry-0", benchZone)
+		if err != nil {
+			return err
+		}
+		b.publish()
+		if err := waitStatus(e.Operator); err != nil {
+			return err
+		}
+		var wire meter
+		for i := range n {
+			if err := b.follow(fmt.Sprintf("follower-%d", i), e.Peer, &wire); err != nil {
+				return err
+			}
+		}
+		if changes > 0 {
+			b.group.Go(func() error { b.change(b.ctx, changes); return nil })
+		}
+		time.Sleep(settleTime)
+		out, err = b.watch(p, &wire)
+		return err
+	})
+	return out, err
+}
+
+type threeCosts struct{ core, resident, bytes series }
+
+func newThreeCosts(name, x string) *threeCosts {
+	return &threeCosts{
+		series{name: name, x: x, y: "% of a core"},
+		series{name: name, x: x, y: "MB resident"},
+		series{name: name, x: x, y: "bytes/s"},
+	}
+}
+
+func (c *threeCosts) add(x float64, s spent) {
+	c.core.add(x, s.core)
+	c.resident.add(x, s.resident)
+	c.bytes.add(x, s.bytes)
+}
+
+func (c *threeCosts) print(b *Bench, sizes ...float64) {
+	c.core.print(b.Out, sizes...)
+	c.resident.print(b.Out, sizes...)
+	c.bytes.print(b.Out, sizes...)
+}
+
+// Feed measures what followers cost an entry that watches the platform.
+func Feed(b *Bench) error {
+	followers := newThreeCosts("feed, an entry at rest", "followers")
+	for _, n := range []int{0, 20, 40, 80, 160} {
+		s, err := b.followed(fullFleet(deadAddress), n, 0)
+		if err != nil {
+			return err
+		}
+		followers.add(float64(n), s)
+	}
+	followers.print(b, fullFollowers)
+	changes := newThreeCosts(fmt.Sprintf("feed, an entry with %d followers", fullFollowers), "changes/s")
+	for _, c := range []float64{0, 1, 2, 4, 8} {
+		s, err := b.followed(fullFleet(deadAddress), fullFollowers, c)
+		if err != nil {
+			return err
+		}
+		changes.add(c, s)
+	}
+	changes.print(b, 0.015)
+	sizes := newThreeCosts(fmt.Sprintf("feed, an entry with %d followers", fullFollowers), "servers")
+	for _, n := range []int{50, 200, 600, 1100} {
+		f := fullFleet(deadAddress)
+		f.servers, f.entries = n, n*fullEntries/fullServers
+		s, err := b.followed(f, fullFollowers, 0)
+		if err != nil {
+			return err
+		}
+		sizes.add(float64(n), s)
+	}
+	sizes.print(b, fullServers)
+	return nil
+}
+
+// deadAddress is where nobody listens.
+const deadAddress = "127.0.0.1:9"
+
+// Rest measures an entry without callers and an agent without work, against
+// the size of the configuration.
+func Rest(b *Bench) error {
+	entry := newThreeCosts("an entry at rest, alone", "servers")
+	agent := newThreeCosts("an agent at rest, with its engine", "servers")
+	for _, n := range []int{50, 200, 600, 1100} {
+		f := fullFleet(deadAddress)
+		f.servers, f.entries = n, n*fullEntries/fullServers
+		err := b.scene(f, func() error {
+			one, two, err := b.restPair()
+			if err != nil {
+				return err
+			}
+			entry.add(float64(n), one)
+			agent.add(float64(n), two)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	entry.print(b, fullServers)
+	agent.print(b, fullServers)
+	return nil
+}
+
+func (b *Bench) restPair() (entry, agent spent, err error) {
+	p, e, err := b.entry("entry-0", benchZone)
+	if err != nil {
+		return entry, agent, err
+	}
+	engine, err := b.serve(newEngine(settings.DefaultAgent().Slots), new(meter))
+	if err != nil {
+		return entry, agent, err
+	}
+	a, as, err := b.agent("agent-0", benchZone, engine, settings.DefaultAgent().Slots)
+	if err != nil {
+		return entry, agent, err
+	}
+	b.publish()
+	for _, operator := range []string{e.Operator, as.Operator} {
+		if err := waitStatus(operator); err != nil {
+			return entry, agent, err
+		}
+	}
+	time.Sleep(settleTime)
+	if entry, err = b.watch(p, &b.platformWire); err != nil {
+		return entry, agent, err
+	}
+	agent, err = b.watch(a, nil)
+	return entry, agent, err
+}
+
+func statusBytes(n int) int {
+	s := object.Status{Format: object.Format}
+	for i := range n {
+		s.Processes = append(s.Processes, object.ProcessStatus{
+			ID: serverName(i), Role: "agent", AvailabilityZone: benchZone, Revision: 1e6,
+			Digest: 1 << 62, Incarnation: 1 << 60, UptimeSeconds: 1e6,
+		})
+	}
+	text, _ := json.Marshal(s)
+	return len(text)
+}
--- /dev/null
+++ b/internal/slopes/fleet.go
@@ -0,0 +1,102 @@
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+)
+
+// The size that the limits are set for.
+const (
+	fullEntries       = 370
+	fullServers       = 1100
+	fullOrganisations = 220
+	fullModels        = 13
+	fullZones         = 11
+	// fullFollowers is how many processes follow one watching entry.
+	fullFollowers = (fullEntries + fullServers) / (2 * fullZones)
+)
+
+// fleet is a made-up system of some size.
+type fleet struct {
+	servers, organisations, models int
+	// address of all agents.
+	address string
+	// entries are listed in other availability zones than the bench's.
+	entries int
+}
+
+func fullFleet(address string) fleet {
+	return fleet{fullServers, fullOrganisations, fullModels, address, fullEntries}
+}
+
+func modelName(i int) string { return fmt.Sprintf("model-%02d", i) }
+
+func serverName(i int) string { return fmt.Sprintf("server-%04d", i) }
+
+// benchZone is the availability zone of the processes under measurement.
+const benchZone = "zone-00"
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i%fullZones) }
+
+func regionOf(zone int) string { return fmt.Sprintf("region-%d", zone%fullZones%3) }
+
+func marshal(kind, name string, spec any) platform.Object {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		// The specs are this package's own constants.
+		panic(err)
+	}
+	return platform.Object{Kind: kind, Name: name, Spec: text, Operation: platform.NewOperation()}
+}
+
+func (f fleet) objects() []platform.Object {
+	var out []platform.Object
+	for i := range f.servers {
+		role := object.RoleDecode
+		if i/f.models%3 == 0 {
+			role = object.RolePrefill
+		}
+		out = append(out, marshal(object.KindServer, serverName(i), object.Server{Format: object.Format, Labels: map[string]string{
+			object.LabelModel: modelName(i % f.models), object.LabelRole: role,
+			object.LabelVersion: "2026-11", object.LabelGroup: "general",
+		}}))
+	}
+	for i := range f.organisations {
+		name := fmt.Sprintf("organisation-%03d", i)
+		out = append(out, marshal(object.KindOrganisation, name, object.Organisation{Format: object.Format, Share: 1}))
+	}
+	for i := range f.models {
+		m := modelName(i)
+		labels := func(role string) map[string]string {
+			return map[string]string{object.LabelModel: m, object.LabelRole: role}
+		}
+		out = append(out, marshal(object.KindPool, m, object.Pool{
+			Format: object.Format, Model: m, Prefill: labels(object.RolePrefill), Decode: labels(object.RoleDecode),
+		}), marshal(object.KindSelector, m, object.Selector{
+			Format: object.Format, Order: 10, Match: object.Match{Models: []string{m}},
+			Targets: []object.Target{{Pool: m, Weight: 1}},
+		}))
+	}
+	return out
+}
+
+func (f fleet) instances() []platform.Instance {
+	var out []platform.Instance
+	for i := range f.servers {
+		out = append(out, platform.Instance{
+			ID: serverName(i), Address: f.address, Role: "agent",
+			AvailabilityZone: zoneName(i), Region: regionOf(i), State: platform.Live,
+		})
+	}
+	for i := range f.entries {
+		zone := 1 + i%(fullZones-1)
+		out = append(out, platform.Instance{
+			ID: fmt.Sprintf("far-entry-%03d", i), Address: f.address, Role: "entry",
+			AvailabilityZone: zoneName(zone), Region: regionOf(zone), State: platform.Live,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/slopes/platform.go
@@ -0,0 +1,216 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jayford.example/jayford/internal/claim"
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
+	platformstandin "jayford.example/jayford/internal/standin/platform"
+)
+
+func reads(m platformstandin.Meter) float64 {
+	return float64(m.Get + m.List + m.Watch + m.Instances + m.Fetch)
+}
+
+func writes(m platformstandin.Meter) float64 { return float64(m.Put + m.Delete) }
+
+// called counts the platform's calls a second of a system at rest.
+func (b *Bench) called(zones, entriesPerZone, agentsPerZone int) (read, write float64, err error) {
+	err = b.scene(fleet{servers: 50, organisations: 20, models: 2, address: deadAddress}, func() error {
+		engine, err := b.serve(newEngine(settings.DefaultAgent().Slots), new(meter))
+		if err != nil {
+			return err
+		}
+		var operators []string
+		for z := range zones {
+			for i := range entriesPerZone {
+				_, e, err := b.entry(fmt.Sprintf("entry-%d-%d", z, i), zoneName(z))
+				if err != nil {
+					return err
+				}
+				operators = append(operators, e.Operator)
+			}
+			for i := range agentsPerZone {
+				_, a, err := b.agent(fmt.Sprintf("agent-%d-%d", z, i), zoneName(z), engine, settings.DefaultAgent().Slots)
+				if err != nil {
+					return err
+				}
+				operators = append(operators, a.Operator)
+			}
+		}
+		b.publish()
+		for _, o := range operators {
+			if err := waitStatus(o); err != nil {
+				return err
+			}
+		}
+		time.Sleep(4 * settleTime)
+		from, begin := b.platform.Meter(), time.Now()
+		time.Sleep(2 * b.Window)
+		to, s := b.platform.Meter(), time.Since(begin).Seconds()
+		read, write = (reads(to)-reads(from))/s, (writes(to)-writes(from))/s
+		return nil
+	})
+	return read, write, err
+}
+
+// Calls measures the platform's calls of a system at rest against its size.
+func Calls(b *Bench) error {
+	vary := func(x string, size float64, points []int, of func(n int) (float64, float64, error)) error {
+		read := series{name: "platform, system at rest", x: x, y: "reads/s"}
+		write := series{name: "platform, system at rest", x: x, y: "writes/s"}
+		for _, n := range points {
+			r, w, err := of(n)
+			if err != nil {
+				return err
+			}
+			read.add(float64(n), r)
+			write.add(float64(n), w)
+		}
+		read.print(b.Out, size)
+		write.print(b.Out, size)
+		return nil
+	}
+	err := vary("zones of 3 entries", fullZones, []int{1, 3, 6, 11},
+		func(n int) (float64, float64, error) { return b.called(n, 3, 0) })
+	if err != nil {
+		return err
+	}
+	err = vary("entries in one zone", fullEntries/fullZones, []int{2, 5, 10, 20, 34},
+		func(n int) (float64, float64, error) { return b.called(1, n, 0) })
+	if err != nil {
+		return err
+	}
+	err = vary("agents in one zone of 2 entries", fullServers/fullZones, []int{0, 10, 30, 60, 100},
+		func(n int) (float64, float64, error) { return b.called(1, 2, n) })
+	b.printf("status of a zone of %d processes: %d bytes\n",
+		(fullEntries+fullServers)/fullZones, statusBytes((fullEntries+fullServers)/fullZones))
+	return err
+}
+
+const (
+	// claimers are entries that claim at once.
+	claimers = 50
+	// platformDelay stands for a platform that answers in milliseconds.
+	platformDelay = 5
+)
+
+type claimed struct {
+	reads, writes, bytes float64
+	slowest              time.Duration
+	failed               int64
+}
+
+// claims measures keyed requests at a rate, with so many claims in each shard.
+// Costs are for each claim.
+func (b *Bench) claims(perSecond float64, filled int) (claimed, error) {
+	var out claimed
+	err := b.scene(fleet{}, func() error {
+		if err := b.fill(filled); err != nil {
+			return err
+		}
+		b.platform.SetControl(platformstandin.Control{SlowMilliseconds: platformDelay})
+		var all []*claim.Claimer
+		for i := range claimers {
+			all = append(all, claim.New(platform.NewHTTP(b.platformAt, 2*time.Second), fmt.Sprintf("entry-%03d", i)))
+		}
+		// The first claim of a claimer in a shard reads it; that passes.
+		before, wire := b.platform.Meter(), b.platformWire.total()
+		n, slowest, failed := b.claimAt(all, perSecond)
+		after := b.platform.Meter()
+		out = claimed{
+			reads: (reads(after) - reads(before)) / n, writes: (writes(after) - writes(before)) / n,
+			bytes: (b.platformWire.total() - wire) / n, slowest: slowest, failed: failed,
+		}
+		return nil
+	})
+	return out, err
+}
+
+func (b *Bench) claimAt(all []*claim.Claimer, perSecond float64) (n float64, slowest time.Duration, failed int64) {
+	ctx, cancel := context.WithTimeout(b.ctx, 2*b.Window)
+	defer cancel()
+	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer t.Stop()
+	var running sync.WaitGroup
+	var longest, failures atomic.Int64
+	count := 0
+	for ; ctx.Err() == nil; count++ {
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		c, key := all[rand.IntN(len(all))], fmt.Sprintf("key-%d", count)
+		running.Go(func() {
+			begin := time.Now()
+			if err := c.Claim(b.ctx, "organisation-001", key, requestName(1, count)); err != nil {
+				failures.Add(1)
+			}
+			for took := int64(time.Since(begin)); ; {
+				old := longest.Load()
+				if took <= old || longest.CompareAndSwap(old, took) {
+					return
+				}
+			}
+		})
+	}
+	running.Wait()
+	return float64(count), time.Duration(longest.Load()), failures.Load()
+}
+
+const claimShards = 256
+
+func (b *Bench) fill(claims int) error {
+	for s := range claimShards {
+		c := object.Claims{Format: object.Format}
+		for i := range claims {
+			c.Claims = append(c.Claims, object.Claim{
+				Key: fmt.Sprintf("%022d", i), Request: requestName(s, i), Entry: "entry-001", Until: time.Now().Add(claim.Retention),
+			})
+		}
+		o := marshal(object.KindClaims, fmt.Sprintf("shard-%02x", s), c)
+		if s == 0 && claims > 0 {
+			b.printf("  a shard of %d claims: %d bytes, limit %d\n", claims, len(o.Spec), platform.MaxValueBytes)
+		}
+		if _, err := b.platform.Put(o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Claims measures what a keyed request that may not be repeated costs the
+// platform.
+func Claims(b *Bench) error {
+	rows := func(x string, points []int, of func(n int) (claimed, error)) error {
+		read := series{name: "a claim", x: x, y: "reads"}
+		write := series{name: "a claim", x: x, y: "writes"}
+		bytes := series{name: "a claim", x: x, y: "bytes"}
+		for _, n := range points {
+			c, err := of(n)
+			if err != nil {
+				return err
+			}
+			read.add(float64(n), c.reads)
+			write.add(float64(n), c.writes)
+			bytes.add(float64(n), c.bytes)
+			b.printf("  at %d: slowest %s, %d failed\n", n, c.slowest.Round(time.Millisecond), c.failed)
+		}
+		read.print(b.Out)
+		write.print(b.Out)
+		bytes.print(b.Out)
+		return nil
+	}
+	err := rows("claims/s, shards nearly empty", []int{25, 50, 90, 180}, func(n int) (claimed, error) { return b.claims(float64(n), 0) })
+	if err != nil {
+		return err
+	}
+	return rows("claims in a shard, at 25 claims/s", []int{0, 500, 1000, 2000, 4000}, func(n int) (claimed, error) { return b.claims(25, n) })
+}
--- /dev/null
+++ b/internal/slopes/process.go
@@ -0,0 +1,104 @@
+package slopes
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// process is one daemon under measurement.
+type process struct{ cmd *exec.Cmd }
+
+// start runs the daemon in a role with settings s.
+func (b *Bench) start(role, id string, s any) (*process, error) {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	path := filepath.Join(b.dir, id+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	cmd := exec.Command(filepath.Join(b.dir, "jayfordd"), role, "--settings", path)
+	cmd.Stderr = os.Stderr
+	// A bench that dies takes its processes along.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, eris.Wrap(err, "start")
+	}
+	p := &process{cmd}
+	b.processes = append(b.processes, p)
+	return p, nil
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	at  time.Time
+	cpu time.Duration
+	// resident memory in bytes.
+	resident float64
+}
+
+// usage reads the scheduler's account of all threads, which is finer than the
+// clock ticks of the process's own.
+func (p *process) usage() (usage, error) {
+	u := usage{at: time.Now()}
+	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
+	tasks, err := filepath.Glob(dir + "/task/*/schedstat")
+	if err != nil {
+		return u, eris.Wrap(err, "threads")
+	}
+	for _, t := range tasks {
+		text, err := os.ReadFile(t)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return u, eris.Wrap(err, "thread")
+		}
+		ns, err := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+		if err != nil {
+			return u, eris.Wrap(err, "thread")
+		}
+		u.cpu += time.Duration(ns)
+	}
+	text, err := os.ReadFile(dir + "/statm")
+	if err != nil {
+		return u, eris.Wrap(err, "memory")
+	}
+	pages, err := strconv.Atoi(strings.Fields(string(text))[1])
+	u.resident = float64(pages * os.Getpagesize())
+	return u, eris.Wrap(err, "memory")
+}
+
+// share returns the part of a core used between two readings, in percent.
+func share(from, to usage) float64 {
+	return 100 * float64(to.cpu-from.cpu) / float64(to.at.Sub(from.at))
+}
+
+// megabytes are 10^6 bytes, as in the limits.
+const megabytes = 1e6
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "free address")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/slopes/wire.go
@@ -0,0 +1,51 @@
+package slopes
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// meter counts the bytes of TCP payload on the connections that it wraps.
+type meter struct{ read, written atomic.Int64 }
+
+// total returns the bytes of both directions.
+func (m *meter) total() float64 { return float64(m.read.Load() + m.written.Load()) }
+
+func (m *meter) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{c, m}, nil
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *meter
+}
+
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.read.Add(int64(n))
+	return n, err
+}
+
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.written.Add(int64(n))
+	return n, err
+}
+
+type meteredListener struct {
+	net.Listener
+	meter *meter
+}
+
+func (l *meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{c, l.meter}, nil
+}
