--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/transport"
 )
 
 // platformTimeout bounds one call to the platform.
@@ -62,7 +63,7 @@
 	}
 	c.follower = feed.NewFollower(feed.Options{
 		Identity: c.feedIdentity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
-		Dial:        []grpc.DialOption{own.DialOption(RoleEntry), grpc.WithDisableRetry()},
+		Dial:        []grpc.DialOption{own.DialOption(RoleEntry)},
 		Incarnation: c.incarnation, Board: b,
 	})
 	return c, nil
@@ -111,7 +112,8 @@
 		Identity: c.feedIdentity(), Store: c.config, Platform: c.platform,
 		Age: c.follower.Age, Writes: c.follower.Writes,
 	})
-	srv := grpc.NewServer(c.identity.ServerOptions(RoleEntry, RoleAgent)...)
+	options := append(transport.ServerOptions(), c.identity.ServerOptions(RoleEntry, RoleAgent)...)
+	srv := grpc.NewServer(options...)
 	pb.RegisterPeerServer(srv, peers)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return srv.Serve(l) })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/claim"
 	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/identity"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/admit"
 	"jayford.example/jayford/internal/policy/blame"
@@ -45,7 +46,7 @@
 	Incarnation uint64
 	// Ready says whether there is a configuration to work with.
 	Ready func() bool
-	// Dial has the transport credentials towards agents.
+	// Dial has the transport credentials towards agents; plain if nil.
 	Dial grpc.DialOption
 	Log  *logrus.Logger
 }
@@ -81,6 +82,9 @@
 
 // New returns an entry and adds its state to the board's dump.
 func New(o Options) *Entry {
+	if o.Dial == nil {
+		o.Dial = identity.Identity{}.DialOption("agent")
+	}
 	e := &Entry{
 		settings:    o.Settings,
 		log:         o.Log.WithField("part", "entry"),
