Empty a server before an order changes what it serves

Cause: an order of a new role, version or model reached the engine while it served requests. Entries learn a new role seconds later, and the engine rejects work of the old one as if the request were at fault.

Change: the agent refuses new work, waits until nothing is granted, and gives up if the caller goes or a newer leader is heard. Afterwards it refuses the phases that the role doesn't serve as "leaving, not run". A fence is remembered also when its order is refused as busy: that is a stricter rule, and TestFences now expects 8 to be refused after 9 was heard, where it expected 8 to pass.

Ruled out: the engine's reserved slots as demand. With early reservation a slow prefill fills the decode slots without any work for them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -82,7 +82,11 @@
 	runs    map[grant.Key]*run
 	// engineIncarnation is 0 until the engine was heard.
 	engineIncarnation uint64
-	orphans           map[engine.Attempt]time.Time
+	// engineLoad is the engine's last report, with the role that it was last
+	// ordered to while its report may be older than that order.
+	engineLoad  engine.Load
+	roleOrdered time.Duration
+	orphans     map[engine.Attempt]time.Time
 }
 
 // New returns an agent and adds its state to the board's dump.
--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -172,6 +172,9 @@
 	exclusive *grant
 	down      bool
 	leaving   bool
+	switching bool
+	// closed phases aren't served in the server's role.
+	closed [phases]bool
 	// freshFrom: a renewal read earlier may have been sent before a pause.
 	freshFrom time.Duration
 	seen      map[Key]*seenMark
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -327,7 +327,25 @@
 	assert.Equal(t, c.Order("m", 9), FenceBusy)
 	c.OrderDone()
 	assert.Equal(t, c.Order("m", 7), FenceOld)
-	assert.Equal(t, c.Order("m", 8), FenceOK)
+	// 9 was refused as busy, but it showed that 8 is deposed.
+	assert.Equal(t, c.Order("m", 8), FenceOld)
+	assert.Equal(t, c.Order("m", 9), FenceOK)
+}
+
+// A decode engine becomes a prefill engine while entries still believe the old
+// role. They must be sent elsewhere, not told that their request is invalid.
+func TestRoleClosesAPhase(t *testing.T) {
+	c := up(t, 2)
+	c.SetRole(0, "prefill")
+	_, no := c.Reserve(0, decode("a"))
+	assert.Equal(t, no.Reason, pb.Reason_REASON_LEAVING)
+	c.SetRole(0, "decode")
+	o, _ := c.Reserve(0, decode("b"))
+	assert.Equal(t, o, Granted)
+	c.SetSwitching(0, true)
+	_, no = c.Reserve(0, decode("c"))
+	assert.Equal(t, no.Reason, pb.Reason_REASON_LEAVING)
+	assert.Assert(t, !c.Empty())
 }
 
 // A prefill ends and leaves its KV cache. It holds no slot, and whatever ends
--- a/internal/agent/grant/reserve.go
+++ b/internal/agent/grant/reserve.go
@@ -58,7 +58,7 @@
 		return &Refusal{Reason: pb.Reason_REASON_DUPLICATE, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN}
 	case r.Fingerprint != 0 && c.convicted[r.Fingerprint]:
 		return refuse(pb.Reason_REASON_CONVICTED)
-	case c.leaving:
+	case c.leaving, c.switching, c.closed[r.Key.Phase]:
 		return refuse(pb.Reason_REASON_LEAVING)
 	case c.down:
 		return refuse(pb.Reason_REASON_SERVER_DOWN)
--- a/internal/agent/grant/server.go
+++ b/internal/agent/grant/server.go
@@ -159,6 +159,9 @@
 	case fence < highest:
 		return FenceOld
 	case c.ordering:
+		// Remembered though refused: its sender leads, whoever else still
+		// believes that it does.
+		c.fences[scope] = fence
 		return FenceBusy
 	}
 	c.fences[scope] = fence
@@ -186,7 +189,7 @@
 
 // Load sums up all phases: Used is that of the busiest phase.
 func (c *Core) Load() Load {
-	l := Load{Slots: c.cfg.Slots, Leaving: c.leaving, Down: c.down, Grants: len(c.grants)}
+	l := Load{Slots: c.cfg.Slots, Leaving: c.leaving || c.switching, Down: c.down, Grants: len(c.grants)}
 	for p := range c.used {
 		l.Used = max(l.Used, c.used[p])
 		l.Queued += len(c.queues[p])
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -96,6 +96,7 @@
 	before := a.engineIncarnation
 	a.engineIncarnation = load.Incarnation
 	a.mu.Unlock()
+	a.learnEngine(load, before != load.Incarnation)
 	if h.up && before != load.Incarnation {
 		a.log.Warn("agent: Backend server restarted.")
 		h.down()
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -32,6 +32,9 @@
 	}
 	switch state {
 	case grant.FenceOK:
+		if no, err := a.emptyFor(ctx, q); no != nil || err != nil {
+			return no, err
+		}
 		return a.runOrder(ctx, q)
 	case grant.FenceBusy:
 		return orderRefused(pb.Reason_REASON_FULL, "Another order runs."), nil
@@ -73,10 +76,11 @@
 func (a *Agent) runOrder(ctx context.Context, q *pb.OrderRequest) (*pb.OrderReply, error) {
 	answered := make(chan error, 1)
 	a.work.Go(func() {
-		answered <- a.repeatOrder(engine.Order{
+		err := a.repeatOrder(engine.Order{
 			Fence: q.GetFence(), Kind: q.GetKind(), Value: q.GetValue(), Operation: q.GetOperation(),
 		})
-		a.step(func(c *grant.Core, _ time.Duration) { c.OrderDone() })
+		a.endOrder(q, err)
+		answered <- err
 	})
 	select {
 	case err := <-answered:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -127,11 +127,19 @@
 	Events      []CacheEvent `json:"events"`
 }
 
+// Kinds of Order.
+const (
+	OrderModel   = "load-model"
+	OrderAdapter = "load-adapter"
+	OrderVersion = "set-version"
+	OrderRole    = "set-role"
+)
+
 // Order changes what an engine serves.
 type Order struct {
 	// Fence is the fencing number. Some engines check it, others ignore it.
 	Fence uint64 `json:"fence"`
-	// Kind is "load-model", "load-adapter", "set-version" or "set-role".
+	// Kind is OrderModel, OrderAdapter, OrderVersion or OrderRole.
 	Kind  string `json:"kind"`
 	Value string `json:"value"`
 	// Operation makes a repeated order idempotent.
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -28,28 +28,20 @@
 	return err
 }
 
-// Kinds of engine.Order.
-const (
-	orderModel   = "load-model"
-	orderAdapter = "load-adapter"
-	orderVersion = "set-version"
-	orderRole    = "set-role"
-)
-
 // apply changes what is served. The caller holds mu.
 func (l *life) apply(o engine.Order) error {
 	if l.e.opts.ChecksFence && o.Fence < l.fence {
 		return eris.Wrapf(engine.ErrFenced, "%d is below %d", o.Fence, l.fence)
 	}
 	switch o.Kind {
-	case orderModel:
+	case engine.OrderModel:
 		l.model = o.Value
 		l.adapters = make(map[string]bool)
-	case orderAdapter:
+	case engine.OrderAdapter:
 		l.adapters[o.Value] = true
-	case orderVersion:
+	case engine.OrderVersion:
 		l.version = o.Value
-	case orderRole:
+	case engine.OrderRole:
 		l.role = o.Value
 	default:
 		return eris.Wrapf(engine.ErrInvalid, "order %s", o.Kind)
