Report load to the zone's watchers

Cause: the capacity controller needs each agent's load and the demand that waits or was refused at entries, within 15 KB a second and node.

Reports go to the next choice when the first doesn't answer: a frozen entry stays on the platform's list, and its zone's load and status were unknown for as long.

Ruled out: load in the status objects, 27 KB/s to read 4 zones by sums.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -25,6 +25,8 @@
 	waiters map[string]*waiter
 	shares  *shares
 	busy    int
+	// refused counts what was refused for want of capacity since demand took it.
+	refused uint32
 	// paused: until then no request is let through, since all servers that
 	// were asked are full. A request that ends lifts it.
 	paused time.Time
@@ -45,6 +47,7 @@
 func (g *gate) enter(ctx context.Context, it admit.Item) *verdict.Error {
 	g.mu.Lock()
 	if err := g.queue.Push(time.Now(), it); err != nil {
+		g.refused++
 		g.mu.Unlock()
 		return late(err)
 	}
@@ -139,6 +142,7 @@
 	for _, it := range g.queue.Expire(now) {
 		if w := g.waiters[it.ID]; w != nil {
 			delete(g.waiters, it.ID)
+			g.refused++
 			close(w.expired)
 		}
 	}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/platform"
@@ -59,6 +61,8 @@
 	Dial []grpc.DialOption
 	// Incarnation of the process, for its status.
 	Incarnation uint64
+	// Load returns the load to report; it may be nil.
+	Load func() *pb.ProcessLoad
 	// Board gets the feed's state for the dump; it may be nil.
 	Board *board.Board
 }
@@ -68,8 +72,9 @@
 	AgeSeconds float64
 	Watches    bool
 	Writes     bool
-	// ReportTo is the address of the entry that groups the zone's status.
-	ReportTo string
+	// ReportTo are the addresses of the entries that take its status, best
+	// first.
+	ReportTo []string
 	// Upstreams are the addresses followed now.
 	Upstreams []string
 }
@@ -90,8 +95,8 @@
 	heardAt atomic.Int64
 	writes  atomic.Bool
 	watches atomic.Bool
-	// reportTo is the address of the entry that groups the zone's status.
-	reportTo atomic.Pointer[string]
+	// reportTo are the addresses of the entries that take its status.
+	reportTo atomic.Pointer[[]string]
 
 	mu sync.Mutex
 	// streams is guarded by mu.
@@ -111,7 +116,7 @@
 		silence: metrics.GetOrCreateGauge(`jayford_feed_age_seconds{id="`+o.Identity.ID+`"}`, nil),
 	}
 	f.heardAt.Store(f.begun.Add(-neverHeard).UnixNano())
-	f.reportTo.Store(new(string))
+	f.reportTo.Store(new([]string))
 	if o.Board != nil {
 		o.Board.Part("feed", func() any { return f.State() })
 	}
@@ -192,7 +197,7 @@
 	f.silence.Set(age.Seconds())
 	f.writes.Store(m.Writes())
 	f.watches.Store(m.Watches())
-	if to := m.ReportTo(); to != *f.reportTo.Load() {
+	if to := m.ReportTargets(); !slices.Equal(to, *f.reportTo.Load()) {
 		f.reportTo.Store(&to)
 	}
 	select {
--- a/internal/feed/machine.go
+++ b/internal/feed/machine.go
@@ -189,13 +189,19 @@
 // Writes reports whether the process writes its availability zone's status.
 func (m *Machine) Writes() bool { return m.rank == 0 }
 
-// ReportTo returns the address of the entry that groups the zone's status, or
-// "" if none is known.
-func (m *Machine) ReportTo() string {
-	if len(m.watchers) == 0 {
-		return ""
+// ReportTargets returns the addresses of entries that take the process's
+// status, best first: its zone's watchers, then all whom it may follow.
+func (m *Machine) ReportTargets() []string {
+	var out []string
+	for _, w := range m.watchers {
+		out = append(out, w.Address)
 	}
-	return m.watchers[0].Address
+	for _, a := range m.sources {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 // Tick must be called several times a second.
--- a/internal/feed/report.go
+++ b/internal/feed/report.go
@@ -13,12 +13,37 @@
 const (
 	reportEvery = 5 * time.Second
 	reportTime  = 2 * time.Second
+	// reportReturn is how long reports go to a second choice before the first
+	// is tried again.
+	reportReturn = time.Minute
 )
 
-// reporter keeps the connection to the entry that groups the zone's status.
+// reporter keeps the connection to the entry that takes the process's status.
 type reporter struct {
 	address string
 	conn    *grpc.ClientConn
+	// failures count the choices passed over, since then.
+	failures int
+	since    time.Time
+}
+
+// target returns where to report now. The list of instances lags: an entry that
+// is frozen or gone is on it for a while, and a zone's load would be unknown to
+// the capacity controller for as long.
+func (r *reporter) target(list []string) string {
+	if r.failures > 0 && time.Since(r.since) > reportReturn {
+		r.failures = 0
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	return list[r.failures%len(list)]
+}
+
+func (r *reporter) failed() {
+	r.close()
+	r.failures++
+	r.since = time.Now()
 }
 
 func (r *reporter) close() {
@@ -48,7 +73,7 @@
 // reportOnce uses a new connection after any failure, as the old one may have
 // gone silent.
 func (f *Follower) reportOnce(ctx context.Context, r *reporter) {
-	to := *f.reportTo.Load()
+	to := r.target(*f.reportTo.Load())
 	if to != r.address {
 		r.close()
 		r.address = to
@@ -68,14 +93,19 @@
 	req := &pb.ReportRequest{Reports: []*pb.StatusReport{f.status()}}
 	if _, err := pb.NewPeerClient(r.conn).Report(ctx, req); err != nil {
 		log.WithError(err).Debug("feed: Report failed.")
-		r.close()
+		r.failed()
 	}
 }
 
 func (f *Follower) status() *pb.StatusReport {
 	snap := f.opts.Store.Current()
+	var load *pb.ProcessLoad
+	if f.opts.Load != nil {
+		load = f.opts.Load()
+	}
 	return &pb.StatusReport{
-		Id: f.opts.Identity.ID, Role: f.opts.Identity.Role, AvailabilityZone: f.opts.Identity.AvailabilityZone,
+		ProcessLoad: load,
+		Id:          f.opts.Identity.ID, Role: f.opts.Identity.Role, AvailabilityZone: f.opts.Identity.AvailabilityZone,
 		Revision: snap.Revision, Digest: snap.Digest, Incarnation: f.opts.Incarnation,
 		UptimeS: uint64(time.Since(f.begun).Seconds()),
 	}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -58,13 +58,14 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	reports map[string]timedReport
+	loads   map[string]timedLoad
 	stop    chan struct{}
 	stopped bool
 }
 
 // NewServer returns a server; register it with pb.RegisterPeerServer.
 func NewServer(o ServerOptions) *Server {
-	return &Server{opts: o, reports: make(map[string]timedReport), stop: make(chan struct{})}
+	return &Server{opts: o, reports: make(map[string]timedReport), loads: make(map[string]timedLoad), stop: make(chan struct{})}
 }
 
 // Stop ends all streams, so that a graceful stop of the gRPC server needn't
@@ -157,6 +158,9 @@
 			Revision: r.GetRevision(), Digest: r.GetDigest(),
 			Incarnation: r.GetIncarnation(), UptimeSeconds: r.GetUptimeS(),
 		}}
+		if r.GetProcessLoad() != nil {
+			s.loads[r.GetId()] = timedLoad{time.Now(), r.GetRole(), r.GetProcessLoad()}
+		}
 	}
 	return &pb.ReportReply{}, nil
 }
