Lead capacity from entries under a region's lease

Cause: lease, decisions and reports stood without a process to run them.

Change: each entry runs a controller; the lease's holder asks the zones' watchers for the load, gives orders with its fencing number and shows a new role in the server's labels by a conditional write. An operator's edit in between wins. Orders end with the lease, and none of an earlier lead runs beside those of a later one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,14 +35,16 @@
 
 // core is what each role has.
 type core struct {
-	process     settings.Process
-	role        string
-	identity    identity.Identity
-	log         *logrus.Logger
-	board       *board.Board
-	config      *config.Store
-	platform    *platform.HTTP
-	follower    *feed.Follower
+	process  settings.Process
+	role     string
+	identity identity.Identity
+	log      *logrus.Logger
+	board    *board.Board
+	config   *config.Store
+	platform *platform.HTTP
+	follower *feed.Follower
+	// load is set before run; it may be nil.
+	load        func() *pb.ProcessLoad
 	incarnation uint64
 	begun       time.Time
 }
@@ -65,6 +67,12 @@
 		Identity: c.feedIdentity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
 		Dial:        []grpc.DialOption{own.DialOption(RoleEntry)},
 		Incarnation: c.incarnation, Board: b,
+		Load: func() *pb.ProcessLoad {
+			if c.load == nil {
+				return nil
+			}
+			return c.load()
+		},
 	})
 	return c, nil
 }
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -7,9 +7,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/grpc"
 
 	"jayford.example/jayford/internal/agent"
 	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/control"
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/entry"
 	"jayford.example/jayford/internal/object"
@@ -29,10 +31,17 @@
 		Incarnation: c.incarnation, Ready: c.placeable, Log: log,
 		Dial: c.identity.DialOption(RoleAgent),
 	})
+	c.load = e.ProcessLoad
+	leader := control.New(control.Options{
+		Identity: c.feedIdentity(), Incarnation: c.incarnation, Settings: s.Capacity,
+		Config: c.config, Platform: c.platform, Board: c.board,
+		DialEntry: []grpc.DialOption{c.identity.DialOption(RoleEntry)},
+		DialAgent: []grpc.DialOption{c.identity.DialOption(RoleAgent)},
+	})
 	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
 	ops := operator.New(c.board, c.status, explain, log)
 	return run(
-		ctx, e.Run, c.follower.Run, c.servePeers,
+		ctx, e.Run, c.follower.Run, c.servePeers, leader.Run,
 		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
 	)
 }
@@ -59,6 +68,7 @@
 		opts.Engine = engine.NewHTTP(s.Backend)
 	}
 	a := agent.New(opts)
+	c.load = a.ProcessLoad
 	ops := operator.New(c.board, c.status, nil, log)
 	return run(
 		ctx, a.Run, c.follower.Run,
@@ -68,7 +78,9 @@
 }
 
 // leaseReader reads the fencing number of a controller's lease: the version of
-// its object.
+// its object. It counts the holder's renewals too, so it may be above a number
+// that the holder has just sent; that order is refused and sent again with the
+// newer number. It is always above the number of a deposed holder.
 func leaseReader(store platform.Store) func(ctx context.Context, scope string) (uint64, error) {
 	return func(ctx context.Context, scope string) (uint64, error) {
 		o, err := store.Get(ctx, object.KindLease, scope)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,6 +22,8 @@
 	maxWait        = time.Hour
 	maxLapse       = time.Minute
 	minLapse       = 100 * time.Millisecond
+	minTerm        = time.Second
+	minTick        = 100 * time.Millisecond
 )
 
 func checkEntry(d *strictjson.Document, e Entry) {
@@ -29,6 +31,17 @@
 	d.Listener("listen", e.Listen)
 	checkLimits(d, e.Limits)
 	checkPolicy(d, e.Policy)
+	checkCapacity(d, e.Capacity)
+}
+
+func checkCapacity(d *strictjson.Document, c Capacity) {
+	duration(d, "capacity.leaseTerm", c.LeaseTerm, minTerm, maxWait)
+	duration(d, "capacity.every", c.Every, minTick, maxWait)
+	duration(d, "capacity.smooth", c.Smooth, minWait, maxWait)
+	duration(d, "capacity.sustain", c.Sustain, minWait, 24*time.Hour)
+	duration(d, "capacity.stay", c.Stay, minWait, 24*time.Hour)
+	duration(d, "capacity.settle", c.Settle, minWait, maxWait)
+	duration(d, "capacity.drainWithin", c.DrainWithin, minWait, 24*time.Hour)
 }
 
 func checkProcess(d *strictjson.Document, p Process) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,9 +48,29 @@
 type Entry struct {
 	Process
 	// Listen is the "ip:port" of the callers' listener.
-	Listen string `json:"listen"`
-	Limits Limits `json:"limits"`
-	Policy Policy `json:"policy"`
+	Listen   string   `json:"listen"`
+	Limits   Limits   `json:"limits"`
+	Policy   Policy   `json:"policy"`
+	Capacity Capacity `json:"capacity"`
+}
+
+// Capacity holds what the capacity controller depends on. All entries of a
+// region must have the same.
+type Capacity struct {
+	// LeaseTerm is how long a leader may be silent before another takes over.
+	LeaseTerm Duration `json:"leaseTerm"`
+	// Every is how often the leader looks at demand.
+	Every Duration `json:"every"`
+	// Smooth is the time over which demand is averaged, Sustain how long a
+	// change of role must be worth while, and Stay the least time from one to
+	// one back.
+	Smooth  Duration `json:"smooth"`
+	Sustain Duration `json:"sustain"`
+	Stay    Duration `json:"stay"`
+	// Settle is how long labels and engines may differ before an order.
+	Settle Duration `json:"settle"`
+	// DrainWithin bounds the wait for a server to be empty before a change.
+	DrainWithin Duration `json:"drainWithin"`
 }
 
 // Limits bound what callers can make an entry hold.
@@ -164,6 +184,15 @@
 			RetryRatio:          0.1,
 			Subset:              16,
 		},
+		Capacity: Capacity{
+			LeaseTerm:   Duration(15 * time.Second),
+			Every:       Duration(5 * time.Second),
+			Smooth:      Duration(30 * time.Second),
+			Sustain:     Duration(2 * time.Minute),
+			Stay:        Duration(20 * time.Minute),
+			Settle:      Duration(15 * time.Second),
+			DrainWithin: Duration(10 * time.Minute),
+		},
 	}
 }
 
