Prove the capacity leader with separate processes

Cause: fencing, the lease and the following of demand were shown only step by step.

Change: a frozen leader, a restarted agent, a platform outage and a shift of demand, each checked against the engines' own accounts. The odd engines ignore fencing numbers.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -34,6 +34,8 @@
 	platform                           platformstandin.Options
 	entry                              func(*settings.Entry)
 	agent                              func(*settings.Agent)
+	// engineOf changes the options of one engine.
+	engineOf func(id string, o *enginestandin.Options)
 	// links puts a link that can be cut before each agent, each engine, each
 	// entry's listener for peers and the platform.
 	links bool
@@ -214,6 +216,9 @@
 	n := c.newNode(id, "agent", i)
 	o := c.shape.engine
 	o.Model, o.Role = testModel, role
+	if c.shape.engineOf != nil {
+		c.shape.engineOf(id, &o)
+	}
 	return c.newAgent(n, "engine", o, settings.BackendEngine, map[string]string{
 		object.LabelModel: testModel, object.LabelRole: role,
 	})
