Halve the bytes of renewals: fixed windows, the entry named once

Cause: an entry and each agent that it has live attempts at exchange a small message each 400 ms. grpc-go measures the link to fit its flow control window, by a ping and its answer with each message on a connection at rest, in both directions; and each listed attempt named the entry again, 30 bytes.

Ruled out: the attempts' ids (35 bytes each, 2.5 times a second; a pair has hardly more than one live attempt), and the status of the load in the answers.

Change: package transport has the options of all connections between our own processes, with fixed windows of a megabyte, which switches the measurement off. Renewals list attempts without the entry; the agent never read it there.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/transport"
 )
 
 // Limits that need no setting.
@@ -108,11 +109,11 @@
 		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
-	a.server = grpc.NewServer(
+	a.server = grpc.NewServer(append(transport.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
-	)
+	)...)
 	pb.RegisterAgentServer(a.server, server{agent: a})
 	if o.Board != nil {
 		o.Board.Part("agent", func() any { return a.view() })
--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -28,7 +28,7 @@
 	// All below is guarded by mu.
 	cc       *grpc.ClientConn
 	api      pb.AgentClient
-	live     map[attemptKey]*pb.Attempt
+	live     map[attemptKey]struct{}
 	hint     Hint
 	sequence uint64
 	renewing bool
@@ -80,7 +80,7 @@
 func (c *Conn) Hold(a *pb.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.live[attemptKey{a.Request, a.Number}] = a
+	c.live[attemptKey{a.Request, a.Number}] = struct{}{}
 }
 
 // Drop ends renewing an attempt.
@@ -138,8 +138,9 @@
 	c.renewing = true
 	c.sequence++
 	req := &pb.RenewRequest{Entry: c.pool.Entry, Sequence: c.sequence, Incarnation: c.hint.Incarnation}
-	for _, a := range c.live {
-		req.Attempts = append(req.Attempts, a)
+	// The entry is named once, not again with each attempt.
+	for k := range c.live {
+		req.Attempts = append(req.Attempts, &pb.Attempt{Request: k.request, Number: k.number})
 	}
 	api := c.api
 	c.mu.Unlock()
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/transport"
 )
 
 const (
@@ -75,7 +76,7 @@
 	if c != nil && c.address == address {
 		return c, nil
 	}
-	next := &Conn{pool: p, id: id, address: address, live: make(map[attemptKey]*pb.Attempt), lost: make(chan struct{})}
+	next := &Conn{pool: p, id: id, address: address, live: make(map[attemptKey]struct{}), lost: make(chan struct{})}
 	if err := next.dialLocked(); err != nil {
 		return nil, err
 	}
@@ -177,16 +178,14 @@
 }
 
 func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+	opts := append(transport.DialOptions(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		// Only the entry's retry budget decides on another try.
-		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: dialTimeout,
 		}))
+	return grpc.NewClient("passthrough:///"+address, opts...)
 }
 
 // maxMessage bounds one message between entry and agent, in bytes.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/transport"
 )
 
 // platformTimeout bounds one call to the platform.
@@ -57,7 +58,7 @@
 	}
 	c.follower = feed.NewFollower(feed.Options{
 		Identity: c.identity(), Seeds: p.Seeds, Store: c.config, Platform: c.platform,
-		Dial:        []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry()},
+		Dial:        []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
 		Incarnation: c.incarnation,
 	})
 	return c
@@ -98,7 +99,7 @@
 		Identity: c.identity(), Store: c.config, Platform: c.platform,
 		Age: c.follower.Age, Writes: c.follower.Writes,
 	})
-	srv := grpc.NewServer()
+	srv := grpc.NewServer(transport.ServerOptions()...)
 	pb.RegisterPeerServer(srv, peers)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return srv.Serve(l) })
--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -9,19 +9,16 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/transport"
 )
 
 // maxEventBytes bounds one event; the whole configuration is its largest.
 const maxEventBytes = 64 << 20
 
-// dialPeer opens a connection of its own. gRPC's retries are off: the machine
-// is the one place that decides what to try next.
+// dialPeer opens a connection of its own.
 func dialPeer(address string, opts []grpc.DialOption) (*grpc.ClientConn, error) {
-	all := append([]grpc.DialOption{
-		grpc.WithDisableRetry(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxEventBytes)),
-	}, opts...)
-	return grpc.NewClient("passthrough:///"+address, all...)
+	all := append(transport.DialOptions(), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxEventBytes)))
+	return grpc.NewClient("passthrough:///"+address, append(all, opts...)...)
 }
 
 // follow reads one stream on a new connection until it ends or ctx does. The
--- a/internal/slopes/agent.go
+++ b/internal/slopes/agent.go
@@ -11,6 +11,7 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
+	"jayford.example/jayford/internal/transport"
 )
 
 const (
@@ -43,8 +44,9 @@
 }
 
 func (b *Bench) simulate(number, attempts int, address string, m *meter) (*simulated, error) {
-	cc, err := grpc.NewClient("passthrough:///"+address,
+	opts := append(transport.DialOptions(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(m.dial))
+	cc, err := grpc.NewClient("passthrough:///"+address, opts...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/transport"
 )
 
 // answerTime is how long an answer of 239 tokens takes if 733 decode engines of
@@ -32,7 +33,7 @@
 
 // Serve implements the bench's server.
 func (s *simulatedAgents) Serve(ctx context.Context, l net.Listener) error {
-	srv := grpc.NewServer()
+	srv := grpc.NewServer(transport.ServerOptions()...)
 	pb.RegisterAgentServer(srv, s)
 	stop := context.AfterFunc(ctx, srv.Stop)
 	defer stop()
--- a/internal/slopes/feed.go
+++ b/internal/slopes/feed.go
@@ -13,6 +13,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/transport"
 )
 
 const reportEvery = 5 * time.Second
@@ -20,9 +21,10 @@
 // follow simulates a process that follows an entry: one stream, and a report
 // every few seconds.
 func (b *Bench) follow(id, address string, m *meter) error {
-	cc, err := grpc.NewClient("passthrough:///"+address,
+	opts := append(transport.DialOptions(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(m.dial),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
+	cc, err := grpc.NewClient("passthrough:///"+address, opts...)
 	if err != nil {
 		return err
 	}
