--- a/internal/slopes/caller.go
+++ b/internal/slopes/caller.go
@@ -14,6 +14,8 @@
 type ask struct {
 	model, prompt string
 	tokens        int
+	// batch requests wait in the queue to their deadline.
+	batch bool
 }
 
 type completion struct {
@@ -36,6 +38,9 @@
 		return
 	}
 	req.Header.Set("Jayford-Organisation", "organisation-001")
+	if a.batch {
+		req.Header.Set("Jayford-Priority", "batch")
+	}
 	resp, err := callers.Do(req)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/slopes/cmd/main.go
+++ b/internal/slopes/cmd/main.go
@@ -8,20 +8,24 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/slopes"
 )
 
 var parts = map[string]func(*slopes.Bench) error{
-	"feed":   slopes.Feed,
-	"rest":   slopes.Rest,
-	"spread": slopes.Spread,
-	"losses": slopes.Losses,
-	"agent":  slopes.Agent,
-	"entry":  slopes.Entry,
-	"tokens": slopes.Tokens,
-	"calls":  slopes.Calls,
-	"claims": slopes.Claims,
+	"feed":     slopes.Feed,
+	"rest":     slopes.Rest,
+	"spread":   slopes.Spread,
+	"losses":   slopes.Losses,
+	"agent":    slopes.Agent,
+	"entry":    slopes.Entry,
+	"tokens":   slopes.Tokens,
+	"calls":    slopes.Calls,
+	"queue":    slopes.Queue,
+	"declared": slopes.Declared,
+	"newcomer": slopes.Newcomer,
+	"claims":   slopes.Claims,
 }
 
 type options struct {
@@ -29,6 +33,8 @@
 }
 
 func main() {
+	// The followers of the part spread log in this process.
+	logrus.SetLevel(logrus.ErrorLevel)
 	var o options
 	p := flags.NewParser(&o, flags.Default)
 	p.Usage = "PART..."
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -25,6 +25,8 @@
 	// attempts listed.
 	renewals, renewed, reserves, dataBytes atomic.Int64
 	answer                                 time.Duration
+	// full agents refuse all reservations.
+	full bool
 }
 
 func newSimulatedAgents(answer time.Duration) *simulatedAgents {
@@ -49,6 +51,11 @@
 
 func (s *simulatedAgents) Reserve(context.Context, *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	s.reserves.Add(1)
+	if s.full {
+		return &pb.ReserveReply{Refusal: &pb.Refusal{
+			Reason: pb.Reason_REASON_FULL, Verdict: pb.Verdict_VERDICT_NOT_RUN,
+		}, Incarnation: 1764711437000000000, Load: simulatedLoad()}, nil
+	}
 	return &pb.ReserveReply{Incarnation: 1764711437000000000, Load: simulatedLoad()}, nil
 }
 
