--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -25,8 +25,9 @@
 	// attempts listed.
 	renewals, renewed, reserves, dataBytes atomic.Int64
 	answer                                 time.Duration
-	// full agents refuse all reservations.
-	full bool
+	// full agents refuse all reservations, patient ones only after the wait
+	// that the entry allows: their queues have room.
+	full, patient bool
 }
 
 func newSimulatedAgents(answer time.Duration) *simulatedAgents {
@@ -49,8 +50,11 @@
 	}
 }
 
-func (s *simulatedAgents) Reserve(context.Context, *pb.ReserveRequest) (*pb.ReserveReply, error) {
+func (s *simulatedAgents) Reserve(_ context.Context, q *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	s.reserves.Add(1)
+	if s.patient {
+		time.Sleep(time.Duration(q.GetWaitMs()) * time.Millisecond)
+	}
 	if s.full {
 		return &pb.ReserveReply{Refusal: &pb.Refusal{
 			Reason: pb.Reason_REASON_FULL, Verdict: pb.Verdict_VERDICT_NOT_RUN,
--- a/internal/slopes/queue.go
+++ b/internal/slopes/queue.go
@@ -14,10 +14,10 @@
 
 // queued measures an entry in which so many requests wait because all agents
 // are full.
-func (b *Bench) queued(n int) (spent, error) {
+func (b *Bench) queued(n int, patient bool) (spent, error) {
 	var out spent
 	agents := newSimulatedAgents(0)
-	agents.full = true
+	agents.full, agents.patient = true, patient
 	var wire meter
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -56,15 +56,21 @@
 
 // Queue measures what waiting requests cost an entry.
 func Queue(b *Bench) error {
-	costs := newThreeCosts("an entry, prompts of 50 KB wait, all agents full", "waiting requests")
-	for _, n := range []int{0, 30, 60, 120, 240} {
-		s, err := b.queued(n)
-		if err != nil {
-			return err
+	for _, patient := range []bool{true, false} {
+		name := "an entry, prompts of 50 KB wait, all agents and their queues are full"
+		if patient {
+			name = "an entry, prompts of 50 KB wait, all agents are full, their queues aren't"
+		}
+		costs := newThreeCosts(name, "waiting requests")
+		for _, n := range []int{0, 30, 60, 120, 240} {
+			s, err := b.queued(n, patient)
+			if err != nil {
+				return err
+			}
+			costs.add(float64(n), s)
 		}
-		costs.add(float64(n), s)
+		costs.print(b, 512)
 	}
-	costs.print(b, 512)
 	return nil
 }
 
