--- a/internal/slopes/cmd/main.go
+++ b/internal/slopes/cmd/main.go
@@ -22,6 +22,7 @@
 	"entry":    slopes.Entry,
 	"tokens":   slopes.Tokens,
 	"calls":    slopes.Calls,
+	"heap":     slopes.Heap,
 	"queue":    slopes.Queue,
 	"declared": slopes.Declared,
 	"newcomer": slopes.Newcomer,
--- a/internal/slopes/platform.go
+++ b/internal/slopes/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,13 +171,7 @@
 
 func (b *Bench) fill(claims int) error {
 	for s := range claimShards {
-		c := object.Claims{Format: object.Format}
-		for i := range claims {
-			c.Claims = append(c.Claims, object.Claim{
-				Key: fmt.Sprintf("%022d", i), Request: requestName(s, i), Entry: "entry-001", Until: time.Now().Add(claim.Retention),
-			})
-		}
-		o := marshal(object.KindClaims, fmt.Sprintf("shard-%02x", s), c)
+		o := marshal(object.KindClaims, fmt.Sprintf("shard-%02x", s), shardOf(s, claims))
 		if s == 0 && claims > 0 {
 			b.printf("  a shard of %d claims: %d bytes, limit %d\n", claims, len(o.Spec), platform.MaxValueBytes)
 		}
@@ -186,6 +182,46 @@
 	return nil
 }
 
+// copies make a shard's memory large against the rest of the heap.
+const copies = 32
+
+// heapOf returns the heap that an entry's copy of a shard takes, in megabytes.
+func heapOf(n int) float64 {
+	text, _ := json.Marshal(shardOf(0, n))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var all [copies]object.Claims
+	for i := range all {
+		_ = json.Unmarshal(text, &all[i])
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(&all)
+	runtime.KeepAlive(text)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / megabytes / copies
+}
+
+func shardOf(shard, claims int) object.Claims {
+	c := object.Claims{Format: object.Format}
+	for i := range claims {
+		c.Claims = append(c.Claims, object.Claim{
+			Key: fmt.Sprintf("%022d", i), Request: requestName(shard, i), Entry: "entry-001", Until: time.Now().Add(claim.Retention),
+		})
+	}
+	return c
+}
+
+// Heap measures the memory of claims at an entry.
+func Heap(b *Bench) error {
+	s := series{name: "a shard of claims in an entry's memory", x: "claims", y: "MB"}
+	for _, n := range []int{1000, 2000, 4000, 7700} {
+		s.add(float64(n), heapOf(n))
+	}
+	s.print(b.Out, 7700)
+	return nil
+}
+
 // Claims measures what a keyed request that may not be repeated costs the
 // platform.
 func Claims(b *Bench) error {
