Hold a prefill's result while it is pulled, and try accepted requests again

Each transfer that took longer than a result lives unused (0.8 s) failed: the prefill's agent ended the grant when the result expired and cancelled it at the engine, under the pull. Ruled out: the engine's own expiry (it holds a result that is pulled) and the link. Change: a round in which a server gave no answer ends the exclusions. The stand-in engine keeps its account in a file as well, so that a check sees what a killed engine had run. A refusal names the agent's reason.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,6 +35,11 @@
 	// keepStream is how long the tokens of a finished decode stand for an
 	// entry whose connection went silent before it had them all.
 	keepStream = 10 * time.Second
+	// keepResult is the same for a prefill's result. The engine lets an unused
+	// one expire by itself and holds one that is being pulled. Ending the grant
+	// when the result expires would cancel it under the pull: each transfer that
+	// takes longer than a result lives would fail.
+	keepResult = 10 * time.Second
 	// ticksPerLapse sets how often the core sees the time.
 	ticksPerLapse = 20
 	keepalivePing = 2 * time.Second
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -91,7 +91,7 @@
 	}
 	// The slot is free before the entry hears of it, so that its next
 	// reservation finds the slot.
-	a.done(r, time.Duration(max(out.ExpiresMs, 1))*time.Millisecond)
+	a.done(r, keepResult)
 	reply.Load = a.Load()
 	r.change(func() {
 		r.prefill = reply
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -62,10 +62,14 @@
 	target  target
 	attempt *pb.Attempt
 	phase   pb.Phase
+	// released: the agent has been told that it is over.
+	released bool
 }
 
+// release frees the grant, once. It is called by one goroutine.
 func (g *grant) release() {
-	if g != nil {
+	if g != nil && !g.released {
+		g.released = true
 		g.conn.Release(g.attempt, g.phase)
 	}
 }
@@ -321,8 +325,16 @@
 // startBy is when the request must leave the queue. A request that people wait
 // for and that can't meet the first-token target any more would take capacity
 // from those that can.
+//
+// Another try of a request has no such time, only the deadline of its context.
+// A lost server holds the queue up for a moment, and the rate measured then
+// would predict a wait of many seconds: requests that had been accepted, with
+// most of their deadline left, were refused for it.
 func (g *generation) startBy() time.Time {
-	if g.to.choice.Priority != Interactive || g.out.len() > 0 || g.number > 0 {
+	switch {
+	case g.out.len() > 0 || g.number > 0:
+		return time.Time{}
+	case g.to.choice.Priority != Interactive:
 		return g.r.deadline
 	}
 	by := g.r.arrived.Add(g.e.settings.Policy.TTFTTarget.D())
@@ -358,6 +370,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "No server of pool %s can be used now.", g.to.choice.Pool).After(time.Second)
 	}
 	last := verdict.New(verdict.NotRun, verdict.Overloaded, "All servers are full.")
+	unheard := false
 	for i, t := range list[:min(askAtMost, len(list))] {
 		if err := ctx.Err(); err != nil {
 			return nil, contextVerdict(ctx)
@@ -373,8 +386,15 @@
 		if err.Code == verdict.Crashes {
 			return nil, err
 		}
+		unheard = unheard || err.Code == verdict.Unreachable
 		last = err
 	}
+	if unheard {
+		// With the servers excluded that failed this request, one that gives no
+		// answer may be all that is left; the request would ask it until its
+		// deadline.
+		clear(g.exclude)
+	}
 	if last.Code != verdict.Overloaded {
 		last = verdict.Wrap(last, verdict.NotRun, verdict.Overloaded, "No server took the request.")
 	}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	pb "jayford.example/jayford/api/jayfordv1"
@@ -43,7 +44,7 @@
 	}
 	msg := r.Detail
 	if msg == "" {
-		msg = "The server's agent refused."
+		msg = "The server's agent refused: " + strings.ToLower(strings.TrimPrefix(r.Reason.String(), "REASON_")) + "."
 	}
 	e := verdict.New(v, code, "%s", msg)
 	e.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -52,6 +52,11 @@
 
 // Serve serves on ln until ctx ends, over simulated crashes. It closes ln.
 func (e *Engine) Serve(ctx context.Context, ln net.Listener) error {
+	if e.opts.Account != "" {
+		if err := e.journal.open(e.opts.Account); err != nil {
+			return eris.Wrap(err, "account")
+		}
+	}
 	addr := ln.Addr().String()
 	incarnation := uint64(time.Now().UnixNano())
 	for {
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -76,6 +76,9 @@
 	RecordLimit int
 	// OmitTokens leaves EntryToken out of the account, for runs under load.
 	OmitTokens bool
+	// Account is a file that the account is kept in as well, so that it outlives
+	// a process that is killed; "" for none.
+	Account string
 	// Seed of the random choices.
 	Seed uint64
 }
--- a/internal/standin/engine/record.go
+++ b/internal/standin/engine/record.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"bufio"
+	"encoding/json"
+	"os"
 	"sync"
 	"time"
 
@@ -71,9 +74,12 @@
 	Held    []Held `json:"held"`
 }
 
-// journal keeps the entries, over all incarnations.
+// journal keeps the entries, over all incarnations and, with a file, over all
+// processes.
 type journal struct {
 	limit int
+	// file takes each entry as a line of JSON; nil for none.
+	file *os.File
 
 	mu sync.Mutex
 	// Guarded by mu.
@@ -88,6 +94,12 @@
 	j.sequence++
 	e.Sequence = j.sequence
 	e.At = time.Now()
+	j.write(e)
+	j.keep(e)
+}
+
+// keep appends e and drops the oldest entries above the limit.
+func (j *journal) keep(e Entry) {
 	j.entries = append(j.entries, e)
 	if len(j.entries) > j.limit {
 		// A quarter at once, so that the copy is rare.
@@ -97,6 +109,34 @@
 	}
 }
 
+// open reads the account that an earlier process left and appends to it.
+func (j *journal) open(path string) error {
+	const permissions = 0o600
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, permissions)
+	if err != nil {
+		return err
+	}
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var e Entry
+		// A kill may have cut the last line.
+		if json.Unmarshal(lines.Bytes(), &e) == nil {
+			j.sequence = e.Sequence
+			j.keep(e)
+		}
+	}
+	j.file = file
+	return nil
+}
+
+func (j *journal) write(e Entry) {
+	if j.file == nil {
+		return
+	}
+	if line, err := json.Marshal(e); err == nil {
+		_, _ = j.file.Write(append(line, '\n'))
+	}
+}
+
 func (j *journal) snapshot() ([]Entry, uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -117,6 +117,10 @@
 	return append(out, c.services...)
 }
 
+func (c *cluster) engines() []*node {
+	return append(append([]*node(nil), c.prefill...), c.decode...)
+}
+
 func (c *cluster) nodes() []*node { return append(c.agents(), c.entries...) }
 
 func (c *cluster) stop() {
@@ -175,6 +179,7 @@
 	n := c.newNode(id, "agent", i)
 	o := c.shape.engine
 	o.Model, o.Role = testModel, role
+	o.Account = filepath.Join(c.dir, id+".account")
 	return c.newAgent(n, "engine", o, settings.BackendEngine, map[string]string{
 		object.LabelModel: testModel, object.LabelRole: role,
 	})
--- a/test/history_test.go
+++ b/test/history_test.go
@@ -73,7 +73,7 @@
 func (c *cluster) started() (decodes, any map[string]int) {
 	decodes = make(map[string]int)
 	any = make(map[string]int)
-	for _, n := range append(append([]*node(nil), c.prefill...), c.decode...) {
+	for _, n := range c.engines() {
 		for _, e := range n.record().Entries {
 			if e.Kind != enginestandin.EntryStart {
 				continue
@@ -100,18 +100,93 @@
 		if a.verdict == "not-run" && began[a.request] > 0 {
 			c.t.Errorf("request %s was refused as not run (%s), but engines began it %d times", a.request, a.code, began[a.request])
 		}
+		if a.status == 200 && a.err == nil && a.code == "" {
+			c.t.Errorf("request %s: an answer was cut without an error event", a.request)
+		}
 		if a.status != 200 && a.verdict == "" {
 			c.t.Errorf("request %s: status %d without a verdict: %s", a.request, a.status, a.text)
 		}
 	}
 }
 
+// endSlack is how long after its deadline a request may end.
+const endSlack = time.Second
+
+// checkEnds checks that no caller was left without an answer, and that each
+// answer ended by the deadline and endSlack.
+func (c *cluster) checkEnds(h *history) {
+	c.t.Helper()
+	for _, a := range h.all() {
+		assert.NilError(c.t, a.err, "request %s %q", a.request, a.ask.prompt)
+		d, err := time.ParseDuration(a.ask.headers[headerDeadline])
+		assert.NilError(c.t, err)
+		if a.took > d+endSlack {
+			c.t.Errorf("request %s ended after %s, its deadline is %s", a.request, a.took, d)
+		}
+	}
+}
+
+// checkRunsOnce checks by the engines' accounts that a request which isn't
+// idempotent was prefilled and decoded at most once, on whichever engine.
+func (c *cluster) checkRunsOnce(h *history) {
+	c.t.Helper()
+	runs := c.runs()
+	for _, a := range h.all() {
+		if a.ask.headers[headerIdempotent] != "false" {
+			continue
+		}
+		if n := runs[a.request]; n.prefills > 1 || n.decodes > 1 {
+			c.t.Errorf("request %s %q isn't idempotent and ran %+v", a.request, a.ask.prompt, n)
+		}
+	}
+}
+
+// checkNothingLate checks that no engine began work for a request after its
+// answer had ended: nobody waits for it any more.
+func (c *cluster) checkNothingLate(h *history) {
+	c.t.Helper()
+	runs := c.runs()
+	for _, a := range h.all() {
+		if late := runs[a.request].last.Sub(a.sent.Add(a.took)); late > 0 {
+			c.t.Errorf("an engine began request %s %q %s after its answer had ended", a.request, a.ask.prompt, late)
+		}
+	}
+}
+
+// runs is how often engines began a request in each phase, and when last.
+type runs struct {
+	prefills, decodes int
+	last              time.Time
+}
+
+func (c *cluster) runs() map[string]runs {
+	out := make(map[string]runs)
+	for _, n := range c.engines() {
+		for _, e := range n.record().Entries {
+			if e.Kind != enginestandin.EntryStart {
+				continue
+			}
+			r := out[e.Attempt.Request]
+			if e.Phase == "decode" {
+				r.decodes++
+			} else {
+				r.prefills++
+			}
+			if e.At.After(r.last) {
+				r.last = e.At
+			}
+			out[e.Attempt.Request] = r
+		}
+	}
+	return out
+}
+
 // waitFree waits until no engine holds memory and returns how long it took.
 func (c *cluster) waitFree(bound time.Duration) time.Duration {
 	c.t.Helper()
 	begin := time.Now()
 	eventually(c.t, bound, "all engine memory free", func() error {
-		for _, n := range append(append([]*node(nil), c.prefill...), c.decode...) {
+		for _, n := range c.engines() {
 			if held := n.record().Held; len(held) > 0 {
 				return errorf("%s holds %+v", n.id, held)
 			}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -119,7 +120,8 @@
 		return
 	}
 	for _, p := range procs {
-		_ = os.WriteFile(filepath.Join(dir, p.name+".log"), []byte(p.logs()), 0o600)
+		name := strings.ReplaceAll(t.Name(), "/", "-") + "-" + p.name + ".log"
+		_ = os.WriteFile(filepath.Join(dir, name), []byte(p.logs()), 0o600)
 	}
 }
 
--- /dev/null
+++ b/test/transfer_test.go
@@ -0,0 +1,31 @@
+package test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// Transfers stand still for longer than a prefill's result lives unused. The
+// prefill engine holds what is being pulled, so each request goes on when the
+// link does. If its agent let go of the result at its expiry, every such
+// transfer would fail and its prefill be paid for again.
+func TestSlowTransferIsKept(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, engine: enginestandin.Options{KVTTL: 400 * time.Millisecond}})
+	c.prefill[0].control(enginestandin.Control{StallLinkMs: 2000})
+	h := &history{}
+	const n = 8
+	c.load(h, n, 20*time.Millisecond, func(i int) ask {
+		return ask{prompt: fmt.Sprint("slow transfer ", i), maxTokens: 5, headers: map[string]string{headerIdempotent: "false"}}
+	}).Wait()
+	report(t, "transfers held for 2 s: %s; %s", h.describe(), h.times())
+	c.checkHistory(h)
+	c.checkRunsOnce(h)
+	assert.Equal(t, h.tally(), tally{whole: n}, "%s", h.describe())
+	c.waitFree(freeBound)
+}
