Blame no request for an engine that only stands still

Cause: three missed heartbeats counted as a crash. A request alone on an engine that was paused, and then alone on another, was convicted and refused for an hour. An error line "transfer" in a stream counted as a crash too: the agent didn't know it. Ruled out: the policy of blame, which is right for crashes. Change: only a refused connection or a new incarnation is a crash (SERVER_LOST); a server without an answer is SERVER_DOWN, "may have run", blamed on nobody; a failed transfer is TRANSFER. A dial that timed out was taken for a refused one, and is now a missed heartbeat. Also: a paused agent refused an entry until its next renewal, and an entry without live attempts sends none. A Reserve read after the settle time proves as much.

--- a/internal/agent/cancel.go
+++ b/internal/agent/cancel.go
@@ -68,8 +68,10 @@
 	}
 }
 
+// lostRefusal is for a server of which nothing is known: it neither answers nor
+// has provably crashed, so nobody is blamed.
 func lostRefusal() *grant.Refusal {
-	return &grant.Refusal{Reason: pb.Reason_REASON_SERVER_LOST, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN}
+	return &grant.Refusal{Reason: pb.Reason_REASON_SERVER_DOWN, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN}
 }
 
 // rid frees r once the engine confirms that it holds nothing of it. A server
@@ -197,7 +199,7 @@
 		return pb.Reason_REASON_DEADLINE, false
 	case errors.Is(err, engine.ErrCancelled):
 		return pb.Reason_REASON_CANCELLED, false
-	case errors.Is(err, errStalled):
+	case errors.Is(err, errStalled), errors.Is(err, engine.ErrTransfer):
 		return pb.Reason_REASON_TRANSFER, false
 	case errors.Is(err, errSilent), errors.Is(err, errIdle):
 		return pb.Reason_REASON_CONNECTION_LOST, false
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -222,7 +222,7 @@
 	assert.DeepEqual(t, actions(c), []string{"admit suspect"})
 	assert.Assert(t, c.Start(0, s.Key, s.Entry) == nil)
 	assert.Assert(t, c.Send(0, s.Key))
-	c.ServerDown(0)
+	c.ServerDown(0, true)
 	ready := c.Ready()
 	assert.Equal(t, len(ready), 2)
 	assert.Assert(t, ready[0].Key == decode("b").Key && ready[0].Refusal.Verdict == pb.Verdict_VERDICT_NOT_RUN)
@@ -242,7 +242,7 @@
 	c.ServerSound(6*ms, 4*ms, pb.Reason_REASON_CONNECTION_LOST) // A heartbeat from before the break.
 	assert.Equal(t, len(actions(c)), 0)
 	c.Broken(7*ms, decode("b").Key)
-	c.ServerDown(8 * ms)
+	c.ServerDown(8 * ms, true)
 	want := map[string]pb.Verdict{
 		"a": pb.Verdict_VERDICT_MAY_HAVE_RUN, "b": pb.Verdict_VERDICT_MAY_HAVE_RUN,
 		"c": pb.Verdict_VERDICT_NOT_RUN,
@@ -299,7 +299,7 @@
 	assert.DeepEqual(t, actions(c), []string{"refuse wait"})
 	check(decode("a"), pb.Reason_REASON_LEAVING)
 	c.SetLeaving(0, false)
-	c.ServerDown(0)
+	c.ServerDown(0, true)
 	check(decode("b"), pb.Reason_REASON_SERVER_DOWN)
 }
 
@@ -351,3 +351,23 @@
 	c.Done(200*ms, b.Key, 800*ms)
 	assert.DeepEqual(t, actions(c), []string{"stop b", "drop b"})
 }
+
+// The agent was paused for long. The entry has given up its attempt here
+// meanwhile, so it holds nothing at this agent and sends no renewals. Its next
+// Reserve may lie in the socket since the pause and is refused; one that comes
+// later must be granted, or the server stays closed for this entry for good.
+func TestReserveEndsProbation(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("a"))
+	wake := 10 * time.Second
+	o, no := c.Reserve(wake, decode("b"))
+	assert.Equal(t, o, Refused)
+	assert.Equal(t, no.Reason, pb.Reason_REASON_FULL)
+	late := wake + lapse
+	for now := wake; now <= late; now += lapse / 20 {
+		c.Tick(now)
+	}
+	assert.DeepEqual(t, actions(c), []string{"stop a"})
+	o, no = c.Reserve(late, decode("c"))
+	assert.Equal(t, o, Granted, "%+v", no)
+}
--- a/internal/agent/grant/rapid_test.go
+++ b/internal/agent/grant/rapid_test.go
@@ -258,7 +258,7 @@
 			},
 			"broken":  func(t *rapid.T) { m.c.Broken(m.now, m.key(t)) },
 			"sound":   func(*rapid.T) { m.c.ServerSound(m.now, m.now, pb.Reason_REASON_CONNECTION_LOST) },
-			"down":    func(*rapid.T) { m.c.ServerDown(m.now) },
+			"down":    func(*rapid.T) { m.c.ServerDown(m.now, true) },
 			"up":      func(*rapid.T) { m.c.ServerUp(m.now) },
 			"up2":     func(*rapid.T) { m.c.ServerUp(m.now) },
 			"leaving": func(t *rapid.T) { m.c.SetLeaving(m.now, rapid.Bool().Draw(t, "leaving")) },
--- a/internal/agent/grant/reserve.go
+++ b/internal/agent/grant/reserve.go
@@ -41,6 +41,12 @@
 	if p == nil {
 		return Refused, refuse(pb.Reason_REASON_CANCELLED)
 	}
+	if c.now >= c.freshFrom {
+		// Read after the settle time, so sent after the wake: it proves as much
+		// as a renewal that the entry lives. An entry without live attempts sends
+		// no renewals and would be refused for ever.
+		p.probation = false
+	}
 	if p.probation {
 		return Refused, c.full("The agent was paused; the entry must renew first.")
 	}
--- a/internal/agent/grant/server.go
+++ b/internal/agent/grant/server.go
@@ -26,16 +26,19 @@
 	c.admit()
 }
 
-// ServerDown ends every attempt with a verdict from what had been sent. Blame
-// falls only on an attempt that ran alone: each neighbour of a crashing request
-// was on the server as well.
-func (c *Core) ServerDown(now time.Duration) {
+// ServerDown ends every attempt with a verdict from what had been sent. crashed
+// says that the server's process has ended. A server that only gives no answer
+// may stand still for reasons of its own; blaming it on what ran there convicted
+// a request that was alone at two pauses. Of a crash, blame falls only on an
+// attempt that ran alone: each neighbour of a crashing request was on the server
+// as well.
+func (c *Core) ServerDown(now time.Duration, crashed bool) {
 	c.advance(now)
 	c.down = true
 	alone := c.running() == 1
 	for _, g := range c.sorted() {
 		r := Refusal{Reason: pb.Reason_REASON_SERVER_DOWN, Verdict: g.verdict()}
-		if g.wasSent {
+		if g.wasSent && crashed {
 			r.Reason = pb.Reason_REASON_SERVER_LOST
 			r.CrashedAlone = alone
 		}
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -75,19 +75,20 @@
 	return engineHeartbeat
 }
 
-// missed takes a refused connection as proof that the server is gone. A slow
-// answer is none, so it needs several.
+// missed takes a refused connection as proof that the server's process is gone.
+// A slow answer is none, so it needs several, and is no crash even then.
 func (h *health) missed(err error) {
 	h.miss++
-	if h.up && (errors.Is(err, engine.ErrUnreachable) || h.miss >= maxMisses) {
-		h.agent.log.WithError(err).Warn("agent: Backend server lost.")
-		h.down()
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	if h.up && (gone || h.miss >= maxMisses) {
+		h.agent.log.WithError(err).WithField("crashed", gone).Warn("agent: Backend server lost.")
+		h.down(gone)
 	}
 }
 
-func (h *health) down() {
+func (h *health) down(crashed bool) {
 	h.up = false
-	h.agent.step(func(c *grant.Core, now time.Duration) { c.ServerDown(now) })
+	h.agent.step(func(c *grant.Core, now time.Duration) { c.ServerDown(now, crashed) })
 }
 
 func (h *health) heard(load engine.Load, since time.Duration) {
@@ -98,7 +99,7 @@
 	a.mu.Unlock()
 	if h.up && before != load.Incarnation {
 		a.log.Warn("agent: Backend server restarted.")
-		h.down()
+		h.down(true)
 	}
 	if h.up {
 		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since, pb.Reason_REASON_CONNECTION_LOST) })
@@ -130,7 +131,7 @@
 		a.step(func(c *grant.Core, now time.Duration) { c.ServerUp(now) })
 	case h.up && errors.Is(err, syscall.ECONNREFUSED):
 		a.log.Warn("agent: Backend server lost.")
-		h.down()
+		h.down(true)
 	}
 }
 
