Bound how long a suspect closes a server to others

Cause: a request that must run alone closed admission of its server until the server was empty, up to 30 s, and asked anew at once: one long stream on the server kept it closed to everybody. Ruled out: running suspects beside others, which blames the neighbours again. Change: such a wait lasts at most 2 s, and admission then stays open for four times as long as was waited in vain; on an idle server a suspect runs at once. Its entry asks again every 250 ms instead of every 20. The price: a suspect that finds no idle server is refused at its deadline. TestExclusiveWaitIsBounded: others are admitted 2 s after the suspect came; before, not until the stream or the 30 s ended. Not measured in separate processes yet.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,6 +27,7 @@
 const (
 	maxWait      = 30 * time.Second
 	maxIdle      = 10 * time.Second
+	maxDrain     = 2 * time.Second
 	seenFor      = 15 * time.Minute
 	maxSeen      = 1 << 16
 	maxConvicted = 4096
@@ -110,7 +111,7 @@
 	a.core = grant.New(grant.Config{
 		Incarnation: o.Incarnation, Slots: o.Settings.Slots,
 		PrefillQueue: o.Settings.PrefillQueue, Queue: callQueue,
-		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle,
+		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle, MaxDrain: maxDrain,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
 	a.server = grpc.NewServer(
--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -33,6 +33,9 @@
 	// MaxWait bounds the wait for a slot, MaxIdle the life of an unused grant.
 	MaxWait time.Duration
 	MaxIdle time.Duration
+	// MaxDrain bounds the wait of an exclusive attempt, during which nobody else
+	// is admitted.
+	MaxDrain time.Duration
 	// SeenFor and MaxSeen bound the memory of attempts seen before.
 	SeenFor time.Duration
 	MaxSeen int
@@ -170,6 +173,8 @@
 	hold   [phases]time.Duration
 	// exclusive waits for or holds the whole server.
 	exclusive *grant
+	// openUntil: before it no exclusive attempt may wait.
+	openUntil time.Duration
 	down      bool
 	leaving   bool
 	// freshFrom: a renewal read earlier may have been sent before a pause.
@@ -262,6 +267,7 @@
 	}
 	if c.exclusive == g {
 		c.exclusive = nil
+		c.openUntil = c.now + openFactor*(c.now-g.created)
 	}
 	delete(c.grants, g.Key)
 	g.pair.live--
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -18,7 +18,7 @@
 func testConfig() Config {
 	return Config{
 		Incarnation: 7, Slots: 2, PrefillQueue: 3, Queue: 4, LapseAfter: lapse,
-		MaxWait: 30 * time.Second, MaxIdle: 10 * time.Second,
+		MaxWait: 30 * time.Second, MaxIdle: 10 * time.Second, MaxDrain: 2 * time.Second,
 		SeenFor: time.Minute, MaxSeen: 1000, MaxConvicted: 4,
 	}
 }
@@ -242,7 +242,7 @@
 	c.ServerSound(6*ms, 4*ms, pb.Reason_REASON_CONNECTION_LOST) // A heartbeat from before the break.
 	assert.Equal(t, len(actions(c)), 0)
 	c.Broken(7*ms, decode("b").Key)
-	c.ServerDown(8 * ms, true)
+	c.ServerDown(8*ms, true)
 	want := map[string]pb.Verdict{
 		"a": pb.Verdict_VERDICT_MAY_HAVE_RUN, "b": pb.Verdict_VERDICT_MAY_HAVE_RUN,
 		"c": pb.Verdict_VERDICT_NOT_RUN,
@@ -371,3 +371,33 @@
 	o, no = c.Reserve(late, decode("c"))
 	assert.Equal(t, o, Granted, "%+v", no)
 }
+
+// A suspect waits to have the server for itself while a long stream runs. It may
+// close admission for two seconds only; then others are admitted, and no suspect
+// may close it again for four times as long. On an idle server it runs at once.
+func TestExclusiveWaitIsBounded(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("long"))
+	suspect := decode("suspect")
+	suspect.Exclusive, suspect.Wait = true, 30*time.Second
+	o, _ := c.Reserve(0, suspect)
+	assert.Equal(t, o, Waiting)
+	other := decode("other")
+	other.Wait = 0
+	o, _ = c.Reserve(time.Second, other)
+	assert.Equal(t, o, Refused)
+	c.Renew(1500*ms, "e1#1", 1, []Attempt{{"long", 1}, {"suspect", 1}})
+	c.Tick(2 * time.Second)
+	assert.DeepEqual(t, actions(c), []string{"refuse suspect"})
+	other.Key.Request = "other again"
+	o, no := c.Reserve(2*time.Second, other)
+	assert.Equal(t, o, Granted, "%+v", no)
+	suspect.Key.Request = "suspect again"
+	o, _ = c.Reserve(2500*ms, suspect)
+	assert.Equal(t, o, Refused)
+	c.Done(2500*ms, decode("long").Key, 0)
+	c.Release(2500*ms, other.Key, "e1#1")
+	suspect.Key.Number = 2
+	o, _ = c.Reserve(2500*ms, suspect)
+	assert.Equal(t, o, Granted)
+}
--- a/internal/agent/grant/reserve.go
+++ b/internal/agent/grant/reserve.go
@@ -7,6 +7,14 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 )
 
+// openFactor is for how many times as long as an exclusive attempt waited in
+// vain admission stays open behind it. While one waits the server drains and
+// earns nothing; one long stream would keep it closed to everybody until the
+// suspect's deadline, and the next suspect would close it again. So at most a
+// fifth of the time goes to such waits, and a suspect that finds no idle server
+// is refused in the end: it is the one request that is likely to do harm.
+const openFactor = 4
+
 // maxServed bounds the memory of when organisations were last served.
 const maxServed = 4096
 
@@ -80,6 +88,12 @@
 	g := &grant{Request: r, pair: p, created: c.now}
 	free := c.fits(g)
 	wait := min(r.Wait, c.cfg.MaxWait)
+	if r.Exclusive {
+		wait = min(wait, c.cfg.MaxDrain)
+		if c.now < c.openUntil {
+			wait = 0
+		}
+	}
 	if !free && (wait <= 0 || !c.roomInQueue(g)) {
 		return Refused, c.fullRetry(r.Key.Phase)
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -21,6 +21,8 @@
 	grantIdle = 15 * time.Second
 	// fullPause holds the queue back after all servers asked were full.
 	fullPause = 20 * time.Millisecond
+	// suspectPause is the time between two rounds of a request that must run alone.
+	suspectPause = 250 * time.Millisecond
 	// reserveWait is how long an agent may queue a reservation for a slot.
 	reserveWait = 250 * time.Millisecond
 	// askAtMost bounds the agents asked for one reservation.
@@ -355,6 +357,10 @@
 			g.gate.leave()
 			return nil, err
 		}
+		if g.suspect {
+			// An agent answers at once while its server is kept open for others.
+			sleep(ctx, suspectPause)
+		}
 		if err := g.gate.again(ctx, it, fullPause); err != nil {
 			g.queued = true
 			return nil, err
