--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -301,13 +301,26 @@
 
 func post(t *testing.T, address, path string, v any) {
 	t.Helper()
+	assert.NilError(t, tryPost(address, path, v))
+}
+
+// tryPost is post to a process that may be out.
+func tryPost(address, path string, v any) error {
 	text, err := json.Marshal(v)
-	assert.NilError(t, err)
-	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(text))
-	assert.NilError(t, err)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Post("http://"+address+path, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	assert.Assert(t, resp.StatusCode < http.StatusBadRequest, "%s: %s", path, body)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errorf("%s: %s", path, body)
+	}
+	return nil
 }
 
 // getJSON reads a JSON page.
--- /dev/null
+++ b/test/mix_test.go
@@ -0,0 +1,168 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+const (
+	// envSeed replays a mix, envMixSeconds sets how long it lasts.
+	envSeed       = "JAYFORD_TEST_SEED"
+	envMixSeconds = "JAYFORD_TEST_MIX_SECONDS"
+	defaultSeed   = 20261202
+	defaultMix    = 10 * time.Second
+)
+
+// mixKind is a fault of the random mix.
+type mixKind int
+
+const (
+	mixKill mixKind = iota
+	mixFreeze
+	mixSilenceAgent
+	mixSilenceEngine
+	mixTokens
+	mixKinds
+)
+
+var mixNames = [...]string{"kill", "freeze", "silence agent", "silence engine", "token faults"}
+
+// mixEvent is one fault: at a time from the beginning, to one node's agent or
+// engine, for a while.
+type mixEvent struct {
+	at, during time.Duration
+	node       int
+	engine     bool
+	kind       mixKind
+	tokens     string
+}
+
+// planMix draws the faults. No process meets one while it is still out.
+func planMix(rnd *rand.Rand, nodes int, length time.Duration) []mixEvent {
+	type half struct {
+		node   int
+		engine bool
+	}
+	busy := make(map[half]time.Duration)
+	var out []mixEvent
+	tokens := [...]string{enginestandin.FaultLate, enginestandin.FaultDuplicate, enginestandin.FaultCross, enginestandin.FaultDrop}
+	for at := 500 * time.Millisecond; at < length; at += time.Duration(300+rnd.IntN(900)) * time.Millisecond {
+		e := mixEvent{
+			at: at, during: time.Duration(200+rnd.IntN(4000)) * time.Millisecond, node: rnd.IntN(nodes),
+			engine: rnd.IntN(2) == 0, kind: mixKind(rnd.IntN(int(mixKinds))), tokens: tokens[rnd.IntN(len(tokens))],
+		}
+		h := half{e.node, e.engine || e.kind == mixTokens}
+		if at < busy[h] {
+			continue
+		}
+		if e.kind == mixKill || e.kind == mixFreeze {
+			busy[h] = at + e.during + 500*time.Millisecond
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (c *cluster) mix(e mixEvent, undone *sync.WaitGroup) {
+	n := c.engines()[e.node]
+	p := n.process
+	if e.engine {
+		p = n.backend
+	}
+	later := func(undo func()) {
+		undone.Go(func() {
+			time.Sleep(e.during)
+			undo()
+		})
+	}
+	switch e.kind {
+	case mixKill:
+		p.kill()
+		later(p.start)
+	case mixFreeze:
+		p.freeze()
+		later(p.thaw)
+	case mixSilenceAgent:
+		n.agentLink.silence()
+	case mixSilenceEngine:
+		n.backendLink.silence()
+	case mixTokens, mixKinds:
+		// The engine may be out, and then misses it.
+		undone.Go(func() {
+			_ = tryPost(n.backendAddress, enginestandin.PathControl, enginestandin.Control{TokenFault: e.tokens, TokenFaults: 3})
+		})
+	}
+}
+
+// Agents and engines are killed, stand still, lose their connections or send
+// wrong tokens at random, under load from two entries. Nobody gets a wrong
+// answer, a cut one without an error event, an untrue "not run" or none in time;
+// what may run but once does; when the faults end, all memory comes free and all
+// requests are answered again.
+func TestRandomMix(t *testing.T) {
+	t.Parallel()
+	seed := uint64(envNumber(envSeed, defaultSeed))
+	length := time.Duration(envNumber(envMixSeconds, int(defaultMix/time.Second))) * time.Second
+	t.Logf("%s=%d", envSeed, seed)
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	c := newCluster(t, shape{entries: 2, prefill: 2, decode: 3, links: true})
+	plan := planMix(rnd, len(c.engines()), length)
+	h := &history{}
+	const every = 50 * time.Millisecond
+	begin := time.Now()
+	wg := c.load(h, int(length/every), every, func(i int) ask {
+		headers := map[string]string{headerDeadline: faultDeadline.String()}
+		if i%4 < 2 {
+			headers[headerIdempotent] = "false"
+		}
+		return ask{prompt: prompt(fmt.Sprintf("mix %d", i), i*37%600), maxTokens: 5 + i%25, stream: i%2 == 0, headers: headers}
+	})
+	var undone sync.WaitGroup
+	for _, e := range plan {
+		time.Sleep(time.Until(begin.Add(e.at)))
+		c.mix(e, &undone)
+	}
+	undone.Wait()
+	wg.Wait()
+	for _, n := range c.engines() {
+		eventually(t, lostBound, n.id+" up", func() error {
+			if err := getJSON(n.backendAddress, enginestandin.PathRecord, new(enginestandin.Record)); err != nil {
+				return err
+			}
+			return n.backendUp()
+		})
+	}
+	free := c.waitFree(lostBound)
+	idempotent := h.only(func(a *answer) bool { return a.ask.headers[headerIdempotent] == "" })
+	report(t, "seed %d, %d faults in %s: idempotent %s; all %s; %s; engines free after %s", seed, len(plan), length, idempotent.describe(), h.describe(), h.times(), free.Round(time.Millisecond))
+	c.checkHistory(h)
+	c.checkEnds(h)
+	c.checkRunsOnce(h)
+	after := &history{}
+	const few = 20
+	c.load(after, few, every, func(i int) ask {
+		return ask{prompt: fmt.Sprintf("after the mix %d", i), maxTokens: 10}
+	}).Wait()
+	assert.Equal(t, after.tally(), tally{whole: few}, "%s", after.describe())
+	if t.Failed() {
+		for _, e := range plan {
+			t.Logf("%s %s of %s (engine %t) for %s", e.at, mixNames[e.kind], c.engines()[e.node].id, e.engine, e.during)
+		}
+	}
+}
+
+func envNumber(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
