--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/transport"
 )
 
 // Limits that need no setting.
@@ -57,6 +58,8 @@
 	// Without it the agent refuses every order.
 	Lease func(ctx context.Context, scope string) (uint64, error)
 	Log   logrus.FieldLogger
+	// Server are further options of the gRPC server, for its credentials.
+	Server []grpc.ServerOption
 	// Incarnation differs after each start; 0 takes it from the clock.
 	Incarnation uint64
 }
@@ -85,7 +88,11 @@
 	runs    map[grant.Key]*run
 	// engineIncarnation is 0 until the engine was heard.
 	engineIncarnation uint64
-	orphans           map[engine.Attempt]time.Time
+	// engineLoad is the engine's last report, with the role that it was last
+	// ordered to while its report may be older than that order.
+	engineLoad  engine.Load
+	roleOrdered time.Duration
+	orphans     map[engine.Attempt]time.Time
 }
 
 // New returns an agent and adds its state to the board's dump.
@@ -114,11 +121,12 @@
 		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle, MaxDrain: maxDrain,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
-	a.server = grpc.NewServer(
+	options := append(transport.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
 	)
+	a.server = grpc.NewServer(append(options, o.Server...)...)
 	pb.RegisterAgentServer(a.server, server{agent: a})
 	if o.Board != nil {
 		o.Board.Part("agent", func() any { return a.view() })
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -7,9 +7,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/grpc"
 
 	"jayford.example/jayford/internal/agent"
 	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/control"
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/entry"
 	"jayford.example/jayford/internal/object"
@@ -20,15 +22,26 @@
 
 // RunEntry runs an entry until ctx ends and it has stopped gracefully.
 func RunEntry(ctx context.Context, s settings.Entry, log *logrus.Logger) error {
-	c := newCore(s.Process, RoleEntry, log)
+	c, err := newCore(s.Process, RoleEntry, log)
+	if err != nil {
+		return err
+	}
 	e := entry.New(entry.Options{
 		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
-		Incarnation: c.incarnation, Ready: c.ready, Log: log,
+		Incarnation: c.incarnation, Ready: c.placeable, Log: log,
+		Dial: c.identity.DialOption(RoleAgent),
+	})
+	c.load = e.ProcessLoad
+	leader := control.New(control.Options{
+		Identity: c.feedIdentity(), Incarnation: c.incarnation, Settings: s.Capacity,
+		Config: c.config, Platform: c.platform, Board: c.board,
+		DialEntry: []grpc.DialOption{c.identity.DialOption(RoleEntry)},
+		DialAgent: []grpc.DialOption{c.identity.DialOption(RoleAgent)},
 	})
 	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
 	ops := operator.New(c.board, c.status, explain, log)
 	return run(
-		ctx, e.Run, c.follower.Run, c.servePeers,
+		ctx, e.Run, c.follower.Run, c.servePeers, leader.Run,
 		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
 	)
 }
@@ -43,14 +56,19 @@
 
 // RunAgent runs an agent until ctx ends and it has stopped gracefully.
 func RunAgent(ctx context.Context, s settings.Agent, log *logrus.Logger) error {
-	c := newCore(s.Process, RoleAgent, log)
+	c, err := newCore(s.Process, RoleAgent, log)
+	if err != nil {
+		return err
+	}
 	opts := agent.Options{
 		Settings: s, Board: c.board, Lease: leaseReader(c.platform), Log: log, Incarnation: c.incarnation,
+		Server: c.identity.ServerOptions(RoleEntry),
 	}
 	if s.BackendKind == settings.BackendEngine {
 		opts.Engine = engine.NewHTTP(s.Backend)
 	}
 	a := agent.New(opts)
+	c.load = a.ProcessLoad
 	ops := operator.New(c.board, c.status, nil, log)
 	return run(
 		ctx, a.Run, c.follower.Run,
@@ -60,7 +78,9 @@
 }
 
 // leaseReader reads the fencing number of a controller's lease: the version of
-// its object.
+// its object. It counts the holder's renewals too, so it may be above a number
+// that the holder has just sent; that order is refused and sent again with the
+// newer number. It is always above the number of a deposed holder.
 func leaseReader(store platform.Store) func(ctx context.Context, scope string) (uint64, error) {
 	return func(ctx context.Context, scope string) (uint64, error) {
 		o, err := store.Get(ctx, object.KindLease, scope)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -43,6 +43,8 @@
 
 	gate   *gate
 	number uint32
+	// claimed: the request has its key, if it needs one.
+	claimed bool
 	// touched: an engine was asked to work, so the request may have run.
 	touched bool
 	// exclude names servers that failed this request.
@@ -100,7 +102,9 @@
 		changed.Verdict = verdict.MayHaveRun
 		err = &changed
 	}
-	if err.Verdict == verdict.NotRun {
+	// Only a claimed key is given back: a refusal before must cost no call to
+	// the platform, and no wait for one that is down.
+	if err.Verdict == verdict.NotRun && g.claimed {
 		g.e.unclaim(g.r)
 	}
 	g.log.WithError(err).Info("entry: request ended without a whole answer.")
@@ -113,12 +117,17 @@
 		return "", err
 	}
 	g.to = to
+	if g.e.settings.Policy.Baseline() {
+		// One queue in order of arrival, also at agents and engines.
+		g.to.choice.Priority = Interactive
+	}
 	if !to.targets.generates() {
 		return "", verdict.New(verdict.NotRun, verdict.NoServer, "Pool %s has no live prefill or decode servers.", to.choice.Pool).After(time.Second)
 	}
 	if err := g.e.claim(ctx, g.r); err != nil {
 		return "", err
 	}
+	g.claimed = true
 	g.gate = g.e.gateOf(to.choice.Pool)
 	g.e.first(g.r.organisation, to.choice.Pool)
 	for {
@@ -201,7 +210,7 @@
 		return "", err
 	}
 	defer g.gate.freed()
-	if g.e.settings.Policy.Reserve == settings.ReserveEarly {
+	if p := g.e.settings.Policy; p.Reserve == settings.ReserveEarly && !p.Baseline() {
 		return g.attemptEarly(ctx, it)
 	}
 	return g.attemptLate(ctx, it)
@@ -237,7 +246,7 @@
 	g.gate.leave()
 	defer prefill.release()
 	var early *pending
-	if g.e.settings.Policy.Reserve == settings.ReservePredicted {
+	if p := g.e.settings.Policy; p.Reserve == settings.ReservePredicted && !p.Baseline() {
 		early = g.reserveAt(ctx, prefill)
 		defer early.drop()
 	}
@@ -314,6 +323,10 @@
 }
 
 func (g *generation) item() admit.Item {
+	if g.e.settings.Policy.Baseline() {
+		// No shares and no prediction: the request's context ends its wait.
+		return admit.Item{ID: g.r.id, Interactive: true, Enqueued: time.Now()}
+	}
 	return admit.Item{
 		ID:           g.r.id,
 		Organisation: g.r.organisation,
@@ -425,13 +438,13 @@
 		Attempt: a, Phase: phase, Incarnation: conn.Incarnation(), Fingerprint: g.r.fingerprint,
 		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
-		Batch: g.to.choice.Priority == Batch, Organisation: g.r.organisation,
+		Batch: g.to.choice.Priority == Batch, Organisation: g.sharer(),
 	})
 	if err != nil {
 		// The grant may have been given: the release makes sure that it is
 		// not held until it lapses.
 		conn.Release(a, phase)
-		g.e.unheard(conn, ctx.Err() != nil)
+		g.e.unheard(conn)
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
@@ -443,6 +456,14 @@
 	return &grant{conn: conn, target: t, attempt: a, phase: phase}, nil
 }
 
+// sharer is the organisation whose share the request counts to at agents.
+func (g *generation) sharer() string {
+	if g.e.settings.Policy.Baseline() {
+		return ""
+	}
+	return g.r.organisation
+}
+
 // prefill runs the prefill under its grant.
 func (g *generation) prefill(ctx context.Context, gr *grant) (*pb.PrefillReply, *verdict.Error) {
 	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillBound)
@@ -463,7 +484,7 @@
 		Priority: priorityOf(g.to.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
 	})
 	if err != nil {
-		g.e.unheard(gr.conn, false)
+		g.e.unheard(gr.conn)
 		g.exclude[gr.target.id] = true
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.Unreachable, "The prefill server's agent gave no answer.")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,19 +27,50 @@
 	Platform string `json:"platform"`
 	// Seeds are peer addresses of entries, asked when the platform is silent.
 	Seeds []string `json:"seeds,omitempty"`
+	// TLS secures the connections between our processes; all of it or none.
+	TLS TLS `json:"tls"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"logLevel"`
 	// StopWithin bounds a graceful stop.
 	StopWithin Duration `json:"stopWithin"`
 }
 
+// TLS names files in PEM. The certificate's subject has the process's role
+// ("entry", "agent") as organisational unit and its ID as common name.
+type TLS struct {
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	// Authority signs the certificates of all processes.
+	Authority string `json:"authority,omitempty"`
+}
+
 // Entry holds the settings of the role entry.
 type Entry struct {
 	Process
 	// Listen is the "ip:port" of the callers' listener.
-	Listen string `json:"listen"`
-	Limits Limits `json:"limits"`
-	Policy Policy `json:"policy"`
+	Listen   string   `json:"listen"`
+	Limits   Limits   `json:"limits"`
+	Policy   Policy   `json:"policy"`
+	Capacity Capacity `json:"capacity"`
+}
+
+// Capacity holds what the capacity controller depends on. All entries of a
+// region must have the same.
+type Capacity struct {
+	// LeaseTerm is how long a leader may be silent before another takes over.
+	LeaseTerm Duration `json:"leaseTerm"`
+	// Every is how often the leader looks at demand.
+	Every Duration `json:"every"`
+	// Smooth is the time over which demand is averaged, Sustain how long a
+	// change of role must be worth while, and Stay the least time from one to
+	// one back.
+	Smooth  Duration `json:"smooth"`
+	Sustain Duration `json:"sustain"`
+	Stay    Duration `json:"stay"`
+	// Settle is how long labels and engines may differ before an order.
+	Settle Duration `json:"settle"`
+	// DrainWithin bounds the wait for a server to be empty before a change.
+	DrainWithin Duration `json:"drainWithin"`
 }
 
 // Limits bound what callers can make an entry hold.
@@ -75,7 +106,9 @@
 // Policy holds what decisions depend on.
 type Policy struct {
 	Placement string `json:"placement"`
-	Reserve   string `json:"reserve"`
+	// Reserve is when the decode slot is reserved. Baselines reserve late,
+	// whatever it says.
+	Reserve string `json:"reserve"`
 	// WastedPrefillWeight says how much a wasted prefill counts against a
 	// request that meets its targets.
 	WastedPrefillWeight float64 `json:"wastedPrefillWeight"`
@@ -90,6 +123,13 @@
 	Subset int `json:"subset"`
 }
 
+// Baseline reports whether the policy is one of the baselines that the policy
+// proper is measured against: they place by their rule alone, wait in one queue
+// in order of arrival, and reserve no decode slot before the prefill has ended.
+func (p Policy) Baseline() bool {
+	return p.Placement == PlacementRoundRobin || p.Placement == PlacementLeastLoaded
+}
+
 // Kinds of backend server.
 const (
 	BackendEngine  = "engine"
@@ -144,6 +184,15 @@
 			RetryRatio:          0.1,
 			Subset:              16,
 		},
+		Capacity: Capacity{
+			LeaseTerm:   Duration(15 * time.Second),
+			Every:       Duration(5 * time.Second),
+			Smooth:      Duration(30 * time.Second),
+			Sustain:     Duration(2 * time.Minute),
+			Stay:        Duration(20 * time.Minute),
+			Settle:      Duration(15 * time.Second),
+			DrainWithin: Duration(10 * time.Minute),
+		},
 	}
 }
 
