--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,6 +28,7 @@
 const (
 	maxWait      = 30 * time.Second
 	maxIdle      = 10 * time.Second
+	maxDrain     = 2 * time.Second
 	seenFor      = 15 * time.Minute
 	maxSeen      = 1 << 16
 	maxConvicted = 4096
@@ -36,6 +37,11 @@
 	// keepStream is how long the tokens of a finished decode stand for an
 	// entry whose connection went silent before it had them all.
 	keepStream = 10 * time.Second
+	// keepResult is the same for a prefill's result. The engine lets an unused
+	// one expire by itself and holds one that is being pulled. Ending the grant
+	// when the result expires would cancel it under the pull: each transfer that
+	// takes longer than a result lives would fail.
+	keepResult = 10 * time.Second
 	// ticksPerLapse sets how often the core sees the time.
 	ticksPerLapse = 20
 	keepalivePing = 2 * time.Second
@@ -112,7 +118,7 @@
 	a.core = grant.New(grant.Config{
 		Incarnation: o.Incarnation, Slots: o.Settings.Slots,
 		PrefillQueue: o.Settings.PrefillQueue, Queue: callQueue,
-		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle,
+		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle, MaxDrain: maxDrain,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
 	options := append(transport.ServerOptions(),
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -18,7 +18,7 @@
 func testConfig() Config {
 	return Config{
 		Incarnation: 7, Slots: 2, PrefillQueue: 3, Queue: 4, LapseAfter: lapse,
-		MaxWait: 30 * time.Second, MaxIdle: 10 * time.Second,
+		MaxWait: 30 * time.Second, MaxIdle: 10 * time.Second, MaxDrain: 2 * time.Second,
 		SeenFor: time.Minute, MaxSeen: 1000, MaxConvicted: 4,
 	}
 }
@@ -222,7 +222,7 @@
 	assert.DeepEqual(t, actions(c), []string{"admit suspect"})
 	assert.Assert(t, c.Start(0, s.Key, s.Entry) == nil)
 	assert.Assert(t, c.Send(0, s.Key))
-	c.ServerDown(0)
+	c.ServerDown(0, true)
 	ready := c.Ready()
 	assert.Equal(t, len(ready), 2)
 	assert.Assert(t, ready[0].Key == decode("b").Key && ready[0].Refusal.Verdict == pb.Verdict_VERDICT_NOT_RUN)
@@ -242,7 +242,7 @@
 	c.ServerSound(6*ms, 4*ms, pb.Reason_REASON_CONNECTION_LOST) // A heartbeat from before the break.
 	assert.Equal(t, len(actions(c)), 0)
 	c.Broken(7*ms, decode("b").Key)
-	c.ServerDown(8 * ms)
+	c.ServerDown(8*ms, true)
 	want := map[string]pb.Verdict{
 		"a": pb.Verdict_VERDICT_MAY_HAVE_RUN, "b": pb.Verdict_VERDICT_MAY_HAVE_RUN,
 		"c": pb.Verdict_VERDICT_NOT_RUN,
@@ -299,7 +299,7 @@
 	assert.DeepEqual(t, actions(c), []string{"refuse wait"})
 	check(decode("a"), pb.Reason_REASON_LEAVING)
 	c.SetLeaving(0, false)
-	c.ServerDown(0)
+	c.ServerDown(0, true)
 	check(decode("b"), pb.Reason_REASON_SERVER_DOWN)
 }
 
@@ -369,3 +369,53 @@
 	c.Done(200*ms, b.Key, 800*ms)
 	assert.DeepEqual(t, actions(c), []string{"stop b", "drop b"})
 }
+
+// The agent was paused for long. The entry has given up its attempt here
+// meanwhile, so it holds nothing at this agent and sends no renewals. Its next
+// Reserve may lie in the socket since the pause and is refused; one that comes
+// later must be granted, or the server stays closed for this entry for good.
+func TestReserveEndsProbation(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("a"))
+	wake := 10 * time.Second
+	o, no := c.Reserve(wake, decode("b"))
+	assert.Equal(t, o, Refused)
+	assert.Equal(t, no.Reason, pb.Reason_REASON_FULL)
+	late := wake + lapse
+	for now := wake; now <= late; now += lapse / 20 {
+		c.Tick(now)
+	}
+	assert.DeepEqual(t, actions(c), []string{"stop a"})
+	o, no = c.Reserve(late, decode("c"))
+	assert.Equal(t, o, Granted, "%+v", no)
+}
+
+// A suspect waits to have the server for itself while a long stream runs. It may
+// close admission for two seconds only; then others are admitted, and no suspect
+// may close it again for four times as long. On an idle server it runs at once.
+func TestExclusiveWaitIsBounded(t *testing.T) {
+	c := up(t, 2)
+	mustRun(t, c, 0, decode("long"))
+	suspect := decode("suspect")
+	suspect.Exclusive, suspect.Wait = true, 30*time.Second
+	o, _ := c.Reserve(0, suspect)
+	assert.Equal(t, o, Waiting)
+	other := decode("other")
+	other.Wait = 0
+	o, _ = c.Reserve(time.Second, other)
+	assert.Equal(t, o, Refused)
+	c.Renew(1500*ms, "e1#1", 1, []Attempt{{"long", 1}, {"suspect", 1}})
+	c.Tick(2 * time.Second)
+	assert.DeepEqual(t, actions(c), []string{"refuse suspect"})
+	other.Key.Request = "other again"
+	o, no := c.Reserve(2*time.Second, other)
+	assert.Equal(t, o, Granted, "%+v", no)
+	suspect.Key.Request = "suspect again"
+	o, _ = c.Reserve(2500*ms, suspect)
+	assert.Equal(t, o, Refused)
+	c.Done(2500*ms, decode("long").Key, 0)
+	c.Release(2500*ms, other.Key, "e1#1")
+	suspect.Key.Number = 2
+	o, _ = c.Reserve(2500*ms, suspect)
+	assert.Equal(t, o, Granted)
+}
--- a/internal/agent/grant/reserve.go
+++ b/internal/agent/grant/reserve.go
@@ -7,6 +7,14 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 )
 
+// openFactor is for how many times as long as an exclusive attempt waited in
+// vain admission stays open behind it. While one waits the server drains and
+// earns nothing; one long stream would keep it closed to everybody until the
+// suspect's deadline, and the next suspect would close it again. So at most a
+// fifth of the time goes to such waits, and a suspect that finds no idle server
+// is refused in the end: it is the one request that is likely to do harm.
+const openFactor = 4
+
 // maxServed bounds the memory of when organisations were last served.
 const maxServed = 4096
 
@@ -41,6 +49,12 @@
 	if p == nil {
 		return Refused, refuse(pb.Reason_REASON_CANCELLED)
 	}
+	if c.now >= c.freshFrom {
+		// Read after the settle time, so sent after the wake: it proves as much
+		// as a renewal that the entry lives. An entry without live attempts sends
+		// no renewals and would be refused for ever.
+		p.probation = false
+	}
 	if p.probation {
 		return Refused, c.full("The agent was paused; the entry must renew first.")
 	}
@@ -74,6 +88,12 @@
 	g := &grant{Request: r, pair: p, created: c.now}
 	free := c.fits(g)
 	wait := min(r.Wait, c.cfg.MaxWait)
+	if r.Exclusive {
+		wait = min(wait, c.cfg.MaxDrain)
+		if c.now < c.openUntil {
+			wait = 0
+		}
+	}
 	if !free && (wait <= 0 || !c.roomInQueue(g)) {
 		return Refused, c.fullRetry(r.Key.Phase)
 	}
