Judge servers by use, not by the platform's list alone

Cause: the entry routed to what the lagging list named. A live server that the list lost got nothing more; after a doubt a server got its full share at once; nobody asked a doubted server for a sign of life but callers' requests. Change: internal/policy/doubt in place of entry/health.go: the list corrected by use, heartbeats and probes (a renewal, at most two at once in a zone), slow start, leaving by refusal. A server that was overtaken by a hedge has missed an answer. An answered probe proves the agent only: the backoff stays and one strike is enough until the first success by use. Ruled out: a fixed long doubt (a zone that returns would stay unused).

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -133,7 +133,7 @@
 // connection may be silent for good while new ones work: streams on it would
 // hang and the agent would cancel live work. So a new connection is dialled at
 // once and the renewal repeated over it, well within the agent's lapse time.
-func (c *Conn) renew(ctx context.Context) {
+func (c *Conn) renew(ctx context.Context) error {
 	c.mu.Lock()
 	c.renewing = true
 	c.sequence++
@@ -155,7 +155,7 @@
 		c.failures = 0
 		c.mu.Unlock()
 		c.Heard(reply.Load, reply.Incarnation)
-		return
+		return nil
 	}
 	c.failures++
 	c.mu.Unlock()
@@ -163,8 +163,14 @@
 	if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
 		c.replace()
 	}
+	return err
 }
 
+// Probe asks the agent for a sign of life by a renewal, which lists what is
+// live: an empty one would free it. A probe without an answer replaces the
+// connection, so that the next one goes over a new one.
+func (c *Conn) Probe(ctx context.Context) error { return c.renew(ctx) }
+
 // Suspect replaces the connection after a call over it got no answer in time.
 func (c *Conn) Suspect() { c.replace() }
 
@@ -218,7 +224,7 @@
 // flush sends a renewal even if nothing is live, so that the agent learns of
 // releases that got lost.
 func (c *Conn) flush() {
-	c.renew(context.Background())
+	_ = c.renew(context.Background())
 }
 
 // Prefill runs a prefill under its grant.
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -54,7 +54,10 @@
 type Pool struct {
 	// Entry is the entry's instance id with its incarnation, "id#incarnation".
 	Entry string
-	log   *logrus.Entry
+	// Beat is told of each renewal's end, with the agent's instance id; nil for
+	// none. Set it before Run.
+	Beat func(id string, err error)
+	log  *logrus.Entry
 
 	mu sync.Mutex
 	// conns by instance id, guarded by mu.
@@ -133,13 +136,20 @@
 		}
 		for _, c := range p.all() {
 			if c.wantsRenewal() {
-				go c.renew(ctx)
+				go p.beat(ctx, c)
 			}
 		}
 		p.closeIdle()
 	}
 }
 
+func (p *Pool) beat(ctx context.Context, c *Conn) {
+	err := c.renew(ctx)
+	if p.Beat != nil && ctx.Err() == nil {
+		p.Beat(c.id, err)
+	}
+}
+
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -88,7 +88,7 @@
 	out := make([]place.Candidate, len(list))
 	for i, t := range list {
 		out[i] = candidate(t, e.agents.Hint(t.id), now)
-		out[i].Doubted = e.doubted(t.id)
+		out[i].Doubted = out[i].Doubted || e.doubted(t.id)
 	}
 	return out
 }
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -48,7 +49,7 @@
 		s.countWaste()
 		g.exclude[gr.target.id] = true
 		if err == nil {
-			g.e.unheard(gr.conn, false)
+			g.e.members.outcome(gr.conn.ID(), doubt.Frozen)
 			err = verdict.New(verdict.MayHaveRun, verdict.Unreachable, "The decode server's agent was lost.")
 		}
 		return "", err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,7 @@
 	log         *logrus.Entry
 	routing     *routing
 	agents      *agents.Pool
+	members     *members
 	claims      *claim.Claimer
 	store       platform.Store
 	latency     *latencies
@@ -71,17 +72,18 @@
 	hedges   *retry.Budget
 	blame    *blame.Blame
 	prefixes *place.Prefixes
-	health   *health
 
 	convictions chan uint64
 }
 
 // New returns an entry and adds its state to the board's dump.
 func New(o Options) *Entry {
+	m := newMembers()
 	e := &Entry{
+		members:     m,
+		routing:     &routing{store: o.Config, members: m},
 		settings:    o.Settings,
 		log:         o.Log.WithField("part", "entry"),
-		routing:     &routing{store: o.Config},
 		agents:      agents.NewPool(fmt.Sprintf("%s#%d", o.Settings.ID, o.Incarnation), o.Log),
 		claims:      claim.New(o.Store, o.Settings.ID),
 		store:       o.Store,
@@ -93,12 +95,12 @@
 		hedges:      retry.NewBudget(retry.Options{Ratio: hedgeRatio, MinPerSecond: hedgeLeastRate, Burst: hedgeBurst}),
 		blame:       blame.New(blame.Options{}),
 		prefixes:    place.NewPrefixes(prefixesPerServer),
-		health:      newHealth(),
 		convictions: make(chan uint64, convictionBuffer),
 	}
 	o.Board.Part("agents", e.agents.View)
 	o.Board.Part("queues", e.queuesView)
-	o.Board.Part("health", e.healthView)
+	o.Board.Part("members", e.members.view)
+	e.agents.Beat = e.beat
 	return e
 }
 
@@ -113,6 +115,7 @@
 	defer cancel()
 	g, inner := errgroup.WithContext(inner)
 	g.Go(func() error { return e.agents.Run(inner) })
+	g.Go(func() error { return e.watchMembers(inner) })
 	g.Go(func() error { return e.publishConvictions(inner) })
 	g.Go(func() error {
 		defer cancel()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -410,7 +410,10 @@
 		// The grant may have been given: the release makes sure that it is
 		// not held until it lapses.
 		conn.Release(a, phase)
-		g.e.unheard(conn, ctx.Err() != nil)
+		g.e.unheard(conn.ID(), err)
+		if ctx.Err() != nil {
+			conn.Suspect()
+		}
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
@@ -442,7 +445,7 @@
 		Priority: priorityOf(g.to.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
 	})
 	if err != nil {
-		g.e.unheard(gr.conn, false)
+		g.e.unheard(gr.conn.ID(), err)
 		g.exclude[gr.target.id] = true
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.Unreachable, "The prefill server's agent gave no answer.")
 	}
--- a/internal/entry/judgement.go
+++ b/internal/entry/judgement.go
@@ -14,10 +14,10 @@
 	"google.golang.org/grpc/status"
 
 	pb "jayford.example/jayford/api/jayfordv1"
-	"jayford.example/jayford/internal/agents"
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/blame"
+	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -156,26 +156,18 @@
 	}
 }
 
-// unheard notes a call to an agent without an answer.
-func (e *Entry) unheard(c *agents.Conn, timeout bool) {
-	e.health.unheard(c.ID())
-	if timeout {
-		c.Suspect()
-	}
-}
-
-func (e *Entry) trusted(id string) { e.health.heard(id) }
-
 func (e *Entry) refused(id string, r *pb.Refusal) {
 	switch r.Reason {
-	case pb.Reason_REASON_LEAVING, pb.Reason_REASON_SERVER_DOWN, pb.Reason_REASON_SERVER_LOST, pb.Reason_REASON_TRANSFER:
-		e.health.unheard(id)
+	case pb.Reason_REASON_LEAVING:
+		e.members.left(id)
+	case pb.Reason_REASON_SERVER_DOWN, pb.Reason_REASON_SERVER_LOST, pb.Reason_REASON_TRANSFER:
+		e.members.outcome(id, doubt.Down)
+	default:
+		e.members.outcome(id, doubt.Refusal)
 	}
 }
 
-func (e *Entry) doubted(id string) bool { return e.health.doubted(id) }
-
-func (e *Entry) healthView() any { return e.health.view() }
+func (e *Entry) doubted(id string) bool { return e.members.last(id) }
 
 // verdictOfRPC says whether a call may have reached the agent. Only a refused
 // connection proves that it did not.
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/doubt"
+)
+
+const (
+	// membersTick is how often due probes are looked for.
+	membersTick = 100 * time.Millisecond
+	// listEvery is how often the list is taken again when it hasn't changed, so
+	// that what it lacks is forgotten in time.
+	listEvery = time.Second
+	// maxProbePause keeps a server that is back from waiting long for the next
+	// probe; an availability zone is used again some seconds after its return.
+	maxProbePause = 5 * time.Second
+)
+
+// members is the entry's view of which agents are there and may be used: the
+// platform's lagging list, corrected by what use of the agents shows.
+type members struct {
+	// generation rises when the agents to route to change.
+	generation atomic.Uint64
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	set *doubt.Set
+	// known has the last listing of each agent of the set.
+	known map[string]platform.Instance
+	// taken is the list that was taken last, at takenAt.
+	taken   []platform.Instance
+	takenAt time.Time
+	rnd     *rand.Rand
+}
+
+func newMembers() *members {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &members{set: doubt.NewSet(doubt.Options{MaxBackoff: maxProbePause}, rnd), known: make(map[string]platform.Instance), rnd: rnd}
+}
+
+// list takes the platform's list.
+func (m *members) list(now time.Time, list []platform.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	same := slices.Equal(list, m.taken)
+	if same && now.Sub(m.takenAt) < listEvery {
+		return
+	}
+	m.taken, m.takenAt = list, now
+	var in []doubt.Instance
+	for _, i := range list {
+		if i.Role == "agent" {
+			m.known[i.ID] = i
+			in = append(in, doubt.Instance{ID: i.ID, AvailabilityZone: i.AvailabilityZone, Leaving: i.State != platform.Live})
+		}
+	}
+	gone := m.set.List(now, in)
+	for _, id := range gone {
+		delete(m.known, id)
+	}
+	if !same || len(gone) > 0 {
+		m.generation.Add(1)
+	}
+}
+
+// instances returns the agents to route to: those that the list names, and
+// those that it lacks though use shows that they live.
+func (m *members) instances() map[string]platform.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]platform.Instance, len(m.known))
+	for id, i := range m.known {
+		if i.State == platform.Live {
+			out[id] = i
+		}
+	}
+	return out
+}
+
+func (m *members) outcome(id string, o doubt.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.set.Outcome(id, time.Now(), o)
+}
+
+func (m *members) left(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.set.Leaving(id, time.Now())
+}
+
+// last reports whether the agent is to be ranked behind the others for one
+// request: it is doubted or leaving, or it was so and has had its share.
+func (m *members) last(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.set.View(id, time.Now())
+	return ok && (v.State != doubt.Trusted || v.Leaving || m.rnd.Float64() >= v.Share)
+}
+
+// probes returns the agents to be probed now.
+func (m *members) probes() []platform.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []platform.Instance
+	for _, id := range m.set.Probes(time.Now()) {
+		out = append(out, m.known[id])
+	}
+	return out
+}
+
+// memberView is one agent in the state dump.
+type memberView struct {
+	AvailabilityZone string
+	State            string
+	Leaving          bool
+	Share            float64
+}
+
+func (m *members) view() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]memberView)
+	for _, id := range m.set.IDs() {
+		v, _ := m.set.View(id, time.Now())
+		out[id] = memberView{v.AvailabilityZone, v.State.String(), v.Leaving, v.Share}
+	}
+	return out
+}
+
+// watchMembers keeps the view up to date and probes doubted agents, until ctx
+// ends.
+func (e *Entry) watchMembers(ctx context.Context) error {
+	tick := time.NewTicker(membersTick)
+	defer tick.Stop()
+	for {
+		e.members.list(time.Now(), e.routing.store.Current().Instances)
+		for _, in := range e.members.probes() {
+			go e.probe(ctx, in)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// probe asks a doubted agent for a sign of life.
+func (e *Entry) probe(ctx context.Context, in platform.Instance) {
+	conn, err := e.agents.Conn(in.ID, in.Address)
+	if err != nil {
+		return
+	}
+	if err := conn.Probe(ctx); err != nil {
+		if ctx.Err() == nil {
+			e.members.outcome(in.ID, lossOf(err))
+		}
+		return
+	}
+	e.answered(in.ID)
+}
+
+// answered notes an agent's answer to a heartbeat or probe, and what it says of
+// its backend server.
+func (e *Entry) answered(id string) {
+	if l := e.agents.Hint(id).Load; l != nil && l.Down {
+		e.members.outcome(id, doubt.Down)
+		return
+	}
+	e.members.outcome(id, doubt.Alive)
+}
+
+// beat notes the end of a renewal.
+func (e *Entry) beat(id string, err error) {
+	switch {
+	case err == nil:
+		e.answered(id)
+	case lossOf(err) == doubt.ConnectionLost:
+		e.members.outcome(id, doubt.ConnectionLost)
+	default:
+		e.members.outcome(id, doubt.MissedBeat)
+	}
+}
+
+// lossOf tells a connection that was closed or refused, which proves that its
+// other end is gone, from an answer that only didn't come in time.
+func lossOf(err error) doubt.Outcome {
+	if status.Code(err) == codes.Unavailable && !strings.Contains(err.Error(), "timeout") {
+		return doubt.ConnectionLost
+	}
+	return doubt.Timeout
+}
+
+// unheard notes a call to an agent that failed with err. A call that this entry
+// gave up says nothing of the agent.
+func (e *Entry) unheard(id string, err error) {
+	if status.Code(err) != codes.Canceled {
+		e.members.outcome(id, lossOf(err))
+	}
+}
+
+func (e *Entry) trusted(id string) { e.members.outcome(id, doubt.Success) }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/policy/blame"
+	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -27,8 +29,8 @@
 	// failures and refusals count the tries that ended so.
 	failures int
 	refusals int
-	// open counts tries that have not ended.
-	open    int
+	// open has the servers whose tries have not ended, in the order of asking.
+	open    []string
 	results chan callResult
 }
 
@@ -79,8 +81,8 @@
 		case <-hedge.C:
 			c.hedge(ctx)
 		case res := <-c.results:
-			c.open--
 			if res.err == nil {
+				c.overtaken(res.target.id)
 				return res.reply, nil
 			}
 			if res.err.Verdict != verdict.NotRun {
@@ -100,7 +102,8 @@
 	if res.err.Crashed {
 		c.e.crashed(c.r.fingerprint, res.err.CrashedAlone)
 	}
-	if c.open > 0 {
+	c.open = slices.DeleteFunc(c.open, func(id string) bool { return id == res.target.id })
+	if len(c.open) > 0 {
 		return nil
 	}
 	err := *res.err
@@ -124,6 +127,19 @@
 	return nil
 }
 
+// overtaken notes the servers that were asked before the one that answered and
+// have not answered yet. A frozen server's agent lives and its connection is
+// open: without this evidence it would get its share of all requests, each of
+// which would wait for its hedge.
+func (c *serviceCall) overtaken(winner string) {
+	for _, id := range c.open {
+		if id == winner {
+			return
+		}
+		c.e.members.outcome(id, doubt.Timeout)
+	}
+}
+
 // hedgeTimer is set for calls that may be repeated: when an answer takes much
 // longer than usual the server may be frozen, and another one is asked too.
 func (c *serviceCall) hedgeTimer() *time.Timer {
@@ -152,7 +168,7 @@
 	t := list[0]
 	c.exclude[t.id] = true
 	c.number++
-	c.open++
+	c.open = append(c.open, t.id)
 	n := c.number
 	attemptsTotal.Inc()
 	go func() {
@@ -193,7 +209,7 @@
 	began := time.Now()
 	reply, err := conn.Call(ctx, req)
 	if err != nil {
-		e.unheard(conn, false)
+		e.unheard(t.id, err)
 		return nil, verdict.Wrap(err, verdictOfRPC(err), verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -30,16 +31,19 @@
 // table is what routing needs of one configuration snapshot, worked out once
 // per snapshot instead of per request.
 type table struct {
-	snapshot  *config.Snapshot
-	selectors []route.Named
-	pools     map[string]poolTargets
-	models    []string
-	shares    *shares
+	snapshot *config.Snapshot
+	// generation of the members that it was made from.
+	generation uint64
+	selectors  []route.Named
+	pools      map[string]poolTargets
+	models     []string
+	shares     *shares
 }
 
 // routing keeps the table of the snapshot in force.
 type routing struct {
-	store *config.Store
+	store   *config.Store
+	members *members
 
 	mu sync.Mutex
 	// last is guarded by mu.
@@ -51,20 +55,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.last == nil || t.last.snapshot != snap {
-		t.last = newTable(snap)
+		t.members.list(time.Now(), snap.Instances)
+	}
+	if g := t.members.generation.Load(); t.last == nil || t.last.snapshot != snap || t.last.generation != g {
+		t.last = newTable(snap, t.members.instances(), g)
 	}
 	return t.last
 }
 
-func newTable(snap *config.Snapshot) *table {
-	t := &table{snapshot: snap, pools: make(map[string]poolTargets), shares: &shares{make(map[string]float64)}}
+func newTable(snap *config.Snapshot, agents map[string]platform.Instance, generation uint64) *table {
+	t := &table{snapshot: snap, generation: generation, pools: make(map[string]poolTargets), shares: &shares{make(map[string]float64)}}
 	for name, o := range snap.Organisations {
 		t.shares.byOrganisation[name] = o.Share
 	}
 	for _, s := range snap.Selectors {
 		t.selectors = append(t.selectors, route.Named(s))
 	}
-	live := liveAgents(snap)
+	live := withoutDrained(snap, agents)
 	models := make(map[string]bool)
 	for name, p := range snap.Pools {
 		t.pools[name] = poolTargets{
@@ -83,19 +90,13 @@
 	return t
 }
 
-// liveAgents returns the agents that may get new work: listed as live, and not
-// drained by an intent. The list lags; agents that leave refuse by themselves.
-func liveAgents(snap *config.Snapshot) map[string]platform.Instance {
-	drained := make(map[string]bool)
+// withoutDrained leaves out the agents that an intent drains. The configuration
+// lags; agents that leave refuse by themselves.
+func withoutDrained(snap *config.Snapshot, agents map[string]platform.Instance) map[string]platform.Instance {
+	live := maps.Clone(agents)
 	for _, in := range snap.Intents {
 		if in.Drain {
-			drained[in.Server] = true
-		}
-	}
-	live := make(map[string]platform.Instance)
-	for _, in := range snap.Instances {
-		if in.Role == "agent" && in.State == platform.Live && !drained[in.ID] {
-			live[in.ID] = in
+			delete(live, in.Server)
 		}
 	}
 	return live
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -45,8 +45,10 @@
 const (
 	// Success: the server did what was asked.
 	Success Outcome = iota
-	// Refusal: its agent answered no. That is proof of life too.
+	// Refusal: its agent answered no. That is proof of its agent's life.
 	Refusal
+	// Alive: its agent answered a probe or a heartbeat.
+	Alive
 	// Timeout: one call got no answer in time.
 	Timeout
 	// MissedBeat: one heartbeat or renewal got no answer in time.
@@ -70,7 +72,7 @@
 
 func (o Outcome) weight() int {
 	switch o {
-	case Success, Refusal:
+	case Success, Refusal, Alive:
 		return 0
 	case Timeout, MissedBeat:
 		return weightMissed
@@ -156,6 +158,9 @@
 type server struct {
 	id, zone string
 	state    State
+	// missed heartbeats and strikes by use, each since the last answer of its
+	// kind.
+	missed   int
 	strikes  int
 	struckAt time.Time
 	// backoff before jitter, and when the next probe is due or, while probing,
@@ -232,7 +237,7 @@
 	}
 	w := o.weight()
 	if w == 0 {
-		s.lives(x, now)
+		s.lives(x, now, o)
 		return
 	}
 	switch x.state {
@@ -240,11 +245,15 @@
 		s.doubt(x, now)
 	case Trusted:
 		if now.Sub(x.struckAt) > s.opts.StrikeFor {
-			x.strikes = 0
+			x.strikes, x.missed = 0, 0
+		}
+		if o == MissedBeat {
+			x.missed += w
+		} else {
+			x.strikes += w
 		}
-		x.strikes += w
 		x.struckAt = now
-		if x.strikes >= doubtAt {
+		if x.strikes+x.missed >= doubtAt {
 			s.doubt(x, now)
 		}
 	case Doubted:
@@ -253,12 +262,22 @@
 	}
 }
 
-func (s *Set) lives(x *server, now time.Time) {
-	x.seen, x.strikes = now, 0
+// lives takes a proof of life. Only a success by use is one of the backend
+// server too: if a frozen server's agent answers the probe, the server's backoff
+// stays, and one strike is enough until the first success. Otherwise it would
+// be tried again and again, as often as after its first failure.
+func (s *Set) lives(x *server, now time.Time, o Outcome) {
+	x.seen, x.missed = now, 0
+	if o == Success {
+		x.strikes, x.backoff = 0, 0
+	}
 	if x.state == Trusted {
 		return
 	}
-	x.state, x.backoff, x.ramped = Trusted, 0, now
+	x.state, x.ramped = Trusted, now
+	if o != Success {
+		x.strikes, x.struckAt = doubtAt-1, now
+	}
 	s.hasten(x.zone, now)
 }
 
@@ -278,7 +297,7 @@
 }
 
 func (s *Set) doubt(x *server, now time.Time) {
-	x.state, x.strikes = Doubted, 0
+	x.state, x.strikes, x.missed = Doubted, 0, 0
 	x.backoff = min(max(2*x.backoff, s.opts.MinBackoff), s.opts.MaxBackoff)
 	x.next = now.Add(time.Duration((0.5 + s.rnd.Float64()) * float64(x.backoff)))
 }
--- a/internal/policy/doubt/doubt_test.go
+++ b/internal/policy/doubt/doubt_test.go
@@ -62,6 +62,33 @@
 	assert.Equal(t, view(t, s, "0", now.Add(DefaultRamp)).Share, 1.0)
 }
 
+// Callers wait on a server that froze while its agent lives. Each probe of the
+// agent is answered, each use of the server isn't. The waits between the tries
+// must grow all the same, and each try cost one strike; a success ends that.
+func TestAnsweredProbeIsNoProofOfTheServer(t *testing.T) {
+	s, _ := newSet(1)
+	now := start
+	s.Outcome("0", now, Timeout)
+	s.Outcome("0", now, Alive)
+	assert.Equal(t, view(t, s, "0", now).State, Trusted)
+	s.Outcome("0", now, Timeout)
+	tries := 0
+	for now.Before(start.Add(time.Minute)) {
+		now = now.Add(50 * time.Millisecond)
+		if len(s.Probes(now)) > 0 {
+			s.Outcome("0", now, Alive)
+			assert.Equal(t, view(t, s, "0", now).State, Trusted)
+			s.Outcome("0", now, Timeout)
+			assert.Equal(t, view(t, s, "0", now).State, Doubted)
+			tries++
+		}
+	}
+	assert.Assert(t, tries >= 5 && tries <= 16, "%d tries in a minute", tries)
+	s.Outcome("0", now, Success)
+	s.Outcome("0", now, Timeout)
+	assert.Equal(t, view(t, s, "0", now).State, Trusted)
+}
+
 // Callers in the other zones see a returned zone break down at once. A cut
 // takes all its servers, then all come back; every entry would probe and load
 // all of them in the same moment. Probes must stay bounded, and the share of
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -55,7 +55,9 @@
 	backendLink *link
 	role        string
 	zone        string
-	leaving     bool
+	// leaving and unlisted are what publishInstances tells of the node.
+	leaving  bool
+	unlisted bool
 }
 
 // cluster is a running system.
@@ -281,6 +283,9 @@
 	c.t.Helper()
 	list := []platform.Instance{}
 	for _, n := range c.nodes() {
+		if n.unlisted {
+			continue
+		}
 		in := platform.Instance{
 			ID: n.id, Address: n.peerAddress(), Role: n.role, AvailabilityZone: n.zone, Region: "region", State: platform.Live,
 		}
