--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -79,7 +79,11 @@
 			err.Verdict = verdict.MayHaveRun
 			return nil, err
 		case <-hedge.C:
-			c.hedge(ctx)
+			if !c.hedge(ctx) {
+				// The budget is spent. Without another look a call on a frozen
+				// server would wait until its deadline.
+				hedge.Reset(c.e.latency.hedgeAfter())
+			}
 		case res := <-c.results:
 			if res.err == nil {
 				c.overtaken(res.target.id)
@@ -151,12 +155,13 @@
 	return time.NewTimer(c.e.latency.hedgeAfter())
 }
 
-func (c *serviceCall) hedge(ctx context.Context) {
+func (c *serviceCall) hedge(ctx context.Context) bool {
 	if !c.e.mayHedge(c.to.choice.Pool) {
-		return
+		return false
 	}
 	hedgesTotal.Inc()
 	_ = c.start(ctx)
+	return true
 }
 
 // start begins a try at the best server that has not been tried.
