--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// reserving bounds how many requests of a pool ask agents at once. More
-	// would only make them refuse one another.
-	reserving = 16
+	// reserving bounds how many requests of a pool ask agents at once. With 16,
+	// batch that waited at agents kept people in the queue; without a bound the
+	// order of the queue would be lost to the agents' own
+	// (docs/MEASUREMENTS.md, round 4).
+	reserving = 64
 	sweep     = 50 * time.Millisecond
 )
 
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -43,6 +43,7 @@
 	log        *logrus.Logger
 	platform   string
 	engines    []*enginestandin.Engine
+	services   []string
 	targets    []string
 	operators  []string
 	instances  []platform.Instance
@@ -153,6 +154,7 @@
 	if err != nil {
 		return err
 	}
+	c.services = append(c.services, address)
 	return c.startAgent(id, address, settings.BackendService, map[string]string{object.LabelRole: object.RoleService}, i)
 }
 
--- a/internal/experiment/cmd/main.go
+++ b/internal/experiment/cmd/main.go
@@ -25,7 +25,8 @@
 )
 
 type options struct {
-	Workload  string        `long:"workload" required:"yes" value-name:"FILE" description:"workload file"`
+	Workload  string        `long:"workload" value-name:"FILE" description:"workload file"`
+	Overhead  int           `long:"overhead" value-name:"RATE" description:"instead measure the entries' overhead at so many calls a second"`
 	Variants  []string      `long:"variant" default:"policy" value-name:"PLACEMENT[:RESERVE[:WEIGHT]]" description:"policy to measure; may be repeated, ratios are against the first"`
 	Loads     []float64     `long:"load" default:"1" description:"offered load as a multiple of capacity; may be repeated"`
 	Seeds     int           `long:"seeds" default:"5" description:"number of seeds"`
@@ -57,6 +58,9 @@
 	if o.Grain < 1 || o.TimeScale <= 0 || o.Seeds < 1 {
 		return eris.New("--grain, --time-scale and --seeds: expected over 0")
 	}
+	if o.Overhead > 0 {
+		return overhead(ctx, o)
+	}
 	w, err := load.ReadWorkload(o.Workload)
 	if err != nil {
 		return err
@@ -133,3 +137,21 @@
 	}
 	return eris.Wrap(os.WriteFile(o.JSON, append(text, '\n'), 0o600), "json")
 }
+
+// overhead prints the entries' overhead for plain calls and for completions.
+func overhead(ctx context.Context, o options) error {
+	for _, kind := range []struct {
+		name       string
+		completion bool
+	}{{"plain call", false}, {"completion", true}} {
+		for range o.Seeds {
+			r, err := experiment.MeasureOverhead(ctx, o.Overhead, o.Duration, kind.completion)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%s: direct p50 %.2f p99 %.2f ms, by an entry p50 %.2f p99 %.2f ms, more by %.2f and %.2f ms, load average %s\n",
+				kind.name, r.Direct.P50, r.Direct.P99, r.Entry.P50, r.Entry.P99, r.Median, r.P99, experiment.LoadAverage())
+		}
+	}
+	return nil
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -93,7 +93,7 @@
 		Use:           <-use,
 		MinShareRatio: report.MinShareRatio, Attempts: meanAttempts(report), Waste: waste(c.engines),
 		Cores:       (cpuTime() - used).Seconds() / time.Since(begun).Seconds(),
-		LoadAverage: loadAverage(),
+		LoadAverage: LoadAverage(),
 	}
 	arrivals := load.Plan(d.Workload, plan)
 	r.SteadyBound = d.Bound(arrivals, o.Duration)
@@ -181,7 +181,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-func loadAverage() string {
+// LoadAverage returns the machine's load averages over 1, 5 and 15 minutes.
+func LoadAverage() string {
 	text, err := os.ReadFile("/proc/loadavg")
 	if err != nil {
 		return "unknown"
