Leave the queue out of the measured prefill rate

Agents measured the rate from call to answer, with the engine's queue in it; entries add the queue by its tokens, so a busy server's prefill was predicted many times too long and decode reserved after the result had expired. Change: an agent counts a prefill from the end of the one before it.

--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -82,7 +82,7 @@
 		a.abandon(r, causeOf(ctx, r, err))
 		return
 	}
-	a.timing.prefill(out.PromptTokens-out.CachedTokens, time.Since(begin))
+	a.timing.prefill(out.PromptTokens-out.CachedTokens, begin, time.Now())
 	reply := &pb.PrefillReply{
 		Kv: out.KV, Source: a.cfg.Backend, PromptTokens: uint32(out.PromptTokens),
 		CachedTokens: uint32(out.CachedTokens), KvBytes: uint64(out.KVBytes),
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -41,8 +41,10 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	perToken time.Duration
-	// perThousand is the time for 1,000 prompt tokens.
+	// perThousand is the time for 1,000 prompt tokens, without their queue.
 	perThousand time.Duration
+	// prefilled is when the last prefill ended.
+	prefilled time.Time
 }
 
 // weight of a new value is one in so many.
@@ -61,13 +63,22 @@
 	t.perToken = smooth(t.perToken, d)
 }
 
-// prefill takes the time of a prefill that computed so many tokens.
-func (t *timing) prefill(tokens int, d time.Duration) {
-	if tokens <= 0 {
-		return
-	}
+// prefill takes the time of a prefill that computed so many tokens. An engine
+// works on prefills in turn, so until the one before ended it was in the queue.
+// Entries add the queue by its tokens: counted here as well, a busy server would
+// look many times slower than it is, and reservations by its prediction would
+// come after the result had expired.
+func (t *timing) prefill(tokens int, begin, end time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.prefilled.After(begin) {
+		begin = t.prefilled
+	}
+	t.prefilled = end
+	d := end.Sub(begin)
+	if tokens <= 0 || d <= 0 {
+		return
+	}
 	t.perThousand = smooth(t.perThousand, d*1000/time.Duration(tokens))
 }
 
