Bound the wait for a decode slot asked for ahead

Cause: with predicted reservation the answer could wait for its slot longer than the prefill's result lives; and the reservation in the background shared the attempt's state with the prefill, which may write it meanwhile. Change: the wait ends with three quarters of the result's life, the background works on a copy, and late reservation has its own file.

--- /dev/null
+++ b/internal/entry/late.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/admit"
+	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// attemptLate reserves the decode slot when the prefill has ended, or with
+// ReservePredicted shortly before its predicted end.
+func (g *generation) attemptLate(ctx context.Context, it admit.Item) (string, *verdict.Error) {
+	prefill, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_PREFILL, "")
+	if err != nil {
+		return "", err
+	}
+	g.gate.leave()
+	defer prefill.release()
+	var early *pending
+	if p := g.e.settings.Policy; p.Reserve == settings.ReservePredicted && !p.Baseline() {
+		early = g.reserveAt(ctx, prefill)
+		defer early.drop(g)
+	}
+	kv, err := g.prefill(ctx, prefill)
+	if err != nil {
+		return "", err
+	}
+	decode, err := g.decodeGrant(ctx, early, prefill, kv)
+	if err != nil {
+		wasted(kv)
+		return "", err
+	}
+	defer decode.release()
+	return g.decode(ctx, decode, prefill, kv)
+}
+
+// pending is a reservation that is asked for in the background.
+type pending struct {
+	done   chan struct{}
+	cancel context.CancelFunc
+	// by is the generation as the background sees it: the prefill goes on
+	// meanwhile and changes the other.
+	by    generation
+	grant *grant
+	err   *verdict.Error
+	taken bool
+}
+
+// join waits for the end of the background and takes over its attempt numbers.
+func (p *pending) join(g *generation) {
+	<-p.done
+	g.number = max(g.number, p.by.number)
+}
+
+func (p *pending) drop(g *generation) {
+	p.cancel()
+	p.join(g)
+	if !p.taken {
+		p.grant.release()
+	}
+}
+
+// reserveAt asks for the decode slot when the prefill is about to end.
+func (g *generation) reserveAt(ctx context.Context, prefill *grant) *pending {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &pending{done: make(chan struct{}), cancel: cancel, by: *g}
+	p.by.exclude = maps.Clone(g.exclude)
+	delay := g.e.predictPrefill(prefill.target, g.r) - reserveWait
+	go func() {
+		defer close(p.done)
+		if !sleep(ctx, delay) {
+			p.err = contextVerdict(ctx)
+			return
+		}
+		p.grant, p.err = p.by.reserve(ctx, pb.Phase_PHASE_DECODE, prefill.target.zone, 2*reserveWait)
+	}()
+	return p
+}
+
+func (g *generation) decodeGrant(ctx context.Context, early *pending, prefill *grant, kv *pb.PrefillReply) (*grant, *verdict.Error) {
+	left := time.Duration(kv.ExpiresMs) * time.Millisecond * 3 / 4
+	if early != nil {
+		// A slot that comes after the result has expired is of no use.
+		defer time.AfterFunc(left, early.cancel).Stop()
+		early.join(g)
+		if early.err == nil {
+			early.taken = true
+			return early.grant, nil
+		}
+	}
+	return g.reserve(ctx, pb.Phase_PHASE_DECODE, prefill.target.zone, left)
+}
