Let a prefill's end start its predicted reservation

Change: the prefill's end starts the reservation. Conclusion: kept as a choice; the default stays early.

--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -40,6 +40,8 @@
 
 // pending is a reservation that is asked for in the background.
 type pending struct {
+	// ready is closed when the prefill has ended, done when the reservation has.
+	ready  chan struct{}
 	done   chan struct{}
 	cancel context.CancelFunc
 	// by is the generation as the background sees it: the prefill goes on
@@ -67,12 +69,16 @@
 // reserveAt asks for the decode slot when the prefill is about to end.
 func (g *generation) reserveAt(ctx context.Context, prefill *grant) *pending {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &pending{done: make(chan struct{}), cancel: cancel, by: *g}
+	p := &pending{ready: make(chan struct{}), done: make(chan struct{}), cancel: cancel, by: *g}
 	p.by.exclude = maps.Clone(g.exclude)
 	delay := g.e.predictPrefill(prefill.target, g.r) - reserveWait
 	go func() {
 		defer close(p.done)
-		if !sleep(ctx, delay) {
+		// A prefill that ends before its prediction must not wait for it.
+		select {
+		case <-time.After(delay):
+		case <-p.ready:
+		case <-ctx.Done():
 			p.err = contextVerdict(ctx)
 			return
 		}
@@ -86,6 +92,7 @@
 	if early != nil {
 		// A slot that comes after the result has expired is of no use.
 		defer time.AfterFunc(left, early.cancel).Stop()
+		close(early.ready)
 		early.join(g)
 		if early.err == nil {
 			early.taken = true
