--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -72,6 +72,13 @@
 	counted bool
 }
 
+// begun notes that the prefill's result was taken: nothing more is held for it
+// at its agent, and it needs no renewals for the rest of the answer.
+func (s *tokenStream) begun() {
+	s.started = true
+	s.prefill.release()
+}
+
 func (s *tokenStream) countWaste() {
 	if !s.started && !s.counted {
 		s.counted = true
@@ -107,10 +114,8 @@
 			continue
 		}
 		s.grant.conn.Heard(ev.Load, 0)
-		if !s.started && (ev.Started || len(ev.Tokens) > 0) {
-			s.started = true
-			// The result has been pulled; nothing is held for it any more.
-			s.prefill.release()
+		if ev.Started || len(ev.Tokens) > 0 {
+			s.begun()
 		}
 		if err := s.take(ev); err != nil {
 			return nil, err
