--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -16,6 +16,10 @@
 	// (docs/MEASUREMENTS.md, round 4).
 	reserving = 64
 	sweep     = 50 * time.Millisecond
+	// minPause and maxPause bound how long the queue is held back after all
+	// servers that were asked are full; it doubles until one grants.
+	minPause = 20 * time.Millisecond
+	maxPause = 640 * time.Millisecond
 )
 
 // gate lets the requests of one pool through in the order of the fair-share
@@ -32,6 +36,7 @@
 	// paused: until then no request is let through, since all servers that
 	// were asked are full. A request that ends lifts it.
 	paused time.Time
+	pause  time.Duration
 	timer  *time.Timer
 }
 
@@ -59,23 +64,27 @@
 	return g.wait(ctx, it, w)
 }
 
-// again puts the item back to the head of its organisation and waits anew.
-// Requests behind it are held back for pause.
-func (g *gate) again(ctx context.Context, it admit.Item, pause time.Duration) *verdict.Error {
+// again puts the item back to the head of its organisation, since all servers
+// asked were full, and waits anew. Requests behind it are held back for a while.
+func (g *gate) again(ctx context.Context, it admit.Item) *verdict.Error {
 	g.mu.Lock()
 	g.busy--
 	g.queue.Requeue(it)
 	w := g.addLocked(it.ID)
-	g.pauseLocked(pause)
+	g.fullLocked(time.Now())
+	g.pumpLocked()
 	g.mu.Unlock()
 	return g.wait(ctx, it, w)
 }
 
-// leave says that the item's reservation has ended, well or not.
-func (g *gate) leave() {
+// leave says that the item's reservation has ended, and whether it was granted.
+func (g *gate) leave(granted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy--
+	if granted {
+		g.pause = 0
+	}
 	g.pumpLocked()
 }
 
@@ -87,6 +96,16 @@
 	g.pumpLocked()
 }
 
+// fullLocked notes that all servers asked were full. Requests that find so
+// together count once.
+func (g *gate) fullLocked(now time.Time) {
+	if now.Before(g.paused) {
+		return
+	}
+	g.pause = min(max(2*g.pause, minPause), maxPause)
+	g.paused = now.Add(g.pause)
+}
+
 func (g *gate) addLocked(id string) *waiter {
 	w := &waiter{turn: make(chan struct{}), expired: make(chan struct{})}
 	g.waiters[id] = w
@@ -130,14 +149,6 @@
 		"No capacity came free in %s.", waited.Round(time.Millisecond)).After(max(waited, time.Second))
 }
 
-func (g *gate) pauseLocked(d time.Duration) {
-	until := time.Now().Add(d)
-	if until.After(g.paused) {
-		g.paused = until
-	}
-	g.pumpLocked()
-}
-
 // pumpLocked lets through what may go.
 func (g *gate) pumpLocked() {
 	now := time.Now()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -19,8 +19,6 @@
 	// grantIdle is how long a reservation may stand unused. It covers a
 	// prefill with its queue; an entry that dies frees it earlier by lapse.
 	grantIdle = 15 * time.Second
-	// fullPause holds the queue back after all servers asked were full.
-	fullPause = 20 * time.Millisecond
 	// suspectPause is the time between two rounds of a request that must run alone.
 	suspectPause = 250 * time.Millisecond
 	// reserveWait is how long an agent may queue a reservation for a slot.
@@ -224,7 +222,7 @@
 	}
 	defer decode.release()
 	prefill, err := g.reserve(ctx, pb.Phase_PHASE_PREFILL, decode.target.zone, reserveWait)
-	g.gate.leave()
+	g.gate.leave(err == nil)
 	if err != nil {
 		return "", err
 	}
@@ -295,14 +293,14 @@
 			return gr, nil
 		}
 		if err.Code != verdict.Overloaded || ctx.Err() != nil {
-			g.gate.leave()
+			g.gate.leave(false)
 			return nil, err
 		}
 		if g.suspect {
 			// An agent answers at once while its server is kept open for others.
 			sleep(ctx, suspectPause)
 		}
-		if err := g.gate.again(ctx, it, fullPause); err != nil {
+		if err := g.gate.again(ctx, it); err != nil {
 			g.queued = true
 			return nil, err
 		}
