Read the list of instances each 5 s

Cause: compressed, the list still cost a watching entry 12.7 KB/s at 1,470 instances, as it is read whole each 2 s; with followers and status that made 22 KB/s against a limit of 15.

Ruled out: a conditional read, which the object API doesn't offer for the list.

Change: 5 s between reads, still 2 s after a failed one. The list lags by itself; a server that leaves refuses new work without it, and a new one gets its first work up to 3 s later.

Conclusion: a watching entry's feed, list and status come to 14.8 KB/s, inside by little; its requests' control is apart and outside.

Tests: internal/feed passes. test/ failed at load averages above 30 in TestSilentConnections (agents to engines) and TestCrashingRequestIsConvicted, by one or two requests refused as overloaded.

--- a/internal/feed/machine.go
+++ b/internal/feed/machine.go
@@ -12,15 +12,18 @@
 // it meets one failure: an upstream found silent after 3 s, or stale after 6,
 // then at most 2 s of jitter and one call.
 const (
-	silentAfter   = 3 * time.Second
-	staleAfter    = 6 * time.Second
-	aroundJitter  = 2 * time.Second
-	aroundMin     = 10 * time.Second
-	aroundMax     = time.Minute
-	retryMin      = 250 * time.Millisecond
-	retryMax      = 3 * time.Second
-	instancesTick = 2 * time.Second
-	resyncMin     = 5 * time.Second
+	silentAfter  = 3 * time.Second
+	staleAfter   = 6 * time.Second
+	aroundJitter = 2 * time.Second
+	aroundMin    = 10 * time.Second
+	aroundMax    = time.Minute
+	retryMin     = 250 * time.Millisecond
+	retryMax     = 3 * time.Second
+	// instancesTick is a compromise: the list is 150 KB at full size, and lags
+	// by itself. What leaves refuses new work without it.
+	instancesTick  = 5 * time.Second
+	instancesRetry = 2 * time.Second
+	resyncMin      = 5 * time.Second
 	// coolFor is how long a failed upstream isn't tried again.
 	coolFor = 5 * time.Second
 	// settleAfter: a newcomer that has heard a peer waits this long for the
@@ -234,6 +237,9 @@
 	if c == CallInstances {
 		m.instancesBusy = false
 		m.nextInstances = now.Add(instancesTick)
+		if o != Done {
+			m.nextInstances = now.Add(instancesRetry)
+		}
 		return m.Tick(now)
 	}
 	m.busy = false
