--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -54,7 +55,7 @@
 		s.countWaste()
 		g.exclude[gr.target.id] = true
 		if err == nil {
-			g.e.unheard(gr.conn)
+			g.e.members.outcome(gr.conn.ID(), doubt.Frozen)
 			err = verdict.New(verdict.MayHaveRun, verdict.Unreachable, "The decode server's agent was lost.")
 		}
 		return "", err
@@ -71,6 +72,13 @@
 	counted bool
 }
 
+// begun notes that the prefill's result was taken: nothing more is held for it
+// at its agent, and it needs no renewals for the rest of the answer.
+func (s *tokenStream) begun() {
+	s.started = true
+	s.prefill.release()
+}
+
 func (s *tokenStream) countWaste() {
 	if !s.started && !s.counted {
 		s.counted = true
@@ -106,10 +114,8 @@
 			continue
 		}
 		s.grant.conn.Heard(ev.Load, 0)
-		if !s.started && (ev.Started || len(ev.Tokens) > 0) {
-			s.started = true
-			// The result has been pulled; nothing is held for it any more.
-			s.prefill.release()
+		if ev.Started || len(ev.Tokens) > 0 {
+			s.begun()
 		}
 		if err := s.take(ev); err != nil {
 			return nil, err
--- a/internal/slopes/platform.go
+++ b/internal/slopes/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,7 +115,7 @@
 func (b *Bench) claims(perSecond float64, filled int) (claimed, error) {
 	var out claimed
 	err := b.scene(fleet{}, func() error {
-		if err := b.fill(filled); err != nil {
+		if err := b.fill(filled, int(3*perSecond*b.Window.Seconds())); err != nil {
 			return err
 		}
 		b.platform.SetControl(platformstandin.Control{SlowMilliseconds: platformDelay})
@@ -121,7 +123,6 @@
 		for i := range claimers {
 			all = append(all, claim.New(platform.NewHTTP(b.platformAt, 2*time.Second), fmt.Sprintf("entry-%03d", i)))
 		}
-		// The first claim of a claimer in a shard reads it; that passes.
 		before, wire := b.platform.Meter(), b.platformWire.total()
 		n, slowest, failed := b.claimAt(all, perSecond)
 		after := b.platform.Meter()
@@ -147,10 +148,10 @@
 		case <-ctx.Done():
 		case <-t.C:
 		}
-		c, key := all[rand.IntN(len(all))], fmt.Sprintf("key-%d", count)
+		c, key := all[rand.IntN(len(all))], claimKey(count)
 		running.Go(func() {
 			begin := time.Now()
-			if err := c.Claim(b.ctx, "organisation-001", key, requestName(1, count)); err != nil {
+			if err := c.Claim(b.ctx, claimOrganisation, key, requestName(1, count)); err != nil {
 				failures.Add(1)
 			}
 			for took := int64(time.Since(begin)); ; {
@@ -165,18 +166,23 @@
 	return float64(count), time.Duration(longest.Load()), failures.Load()
 }
 
-const claimShards = 256
+// claimOrganisation and claimKey name what is claimed.
+const claimOrganisation = "organisation-001"
 
-func (b *Bench) fill(claims int) error {
-	for s := range claimShards {
-		c := object.Claims{Format: object.Format}
-		for i := range claims {
-			c.Claims = append(c.Claims, object.Claim{
-				Key: fmt.Sprintf("%022d", i), Request: requestName(s, i), Entry: "entry-001", Until: time.Now().Add(claim.Retention),
-			})
+func claimKey(i int) string { return fmt.Sprintf("key-%d", i) }
+
+// fill puts claims into the shards of the first keys. The others stay empty: all
+// of them full would be a gigabyte.
+func (b *Bench) fill(claims, keys int) error {
+	done := make(map[int]bool)
+	for i := range keys {
+		s := claim.ShardOf(claimOrganisation, claimKey(i))
+		if done[s] || claims == 0 {
+			continue
 		}
-		o := marshal(object.KindClaims, fmt.Sprintf("shard-%02x", s), c)
-		if s == 0 && claims > 0 {
+		done[s] = true
+		o := marshal(object.KindClaims, claim.ShardName(s), shardOf(s, claims))
+		if i == 0 {
 			b.printf("  a shard of %d claims: %d bytes, limit %d\n", claims, len(o.Spec), platform.MaxValueBytes)
 		}
 		if _, err := b.platform.Put(o); err != nil {
@@ -186,6 +192,46 @@
 	return nil
 }
 
+// copies make a shard's memory large against the rest of the heap.
+const copies = 32
+
+// heapOf returns the heap that an entry's copy of a shard takes, in megabytes.
+func heapOf(n int) float64 {
+	text, _ := json.Marshal(shardOf(0, n))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var all [copies]object.Claims
+	for i := range all {
+		_ = json.Unmarshal(text, &all[i])
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(&all)
+	runtime.KeepAlive(text)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / megabytes / copies
+}
+
+func shardOf(shard, claims int) object.Claims {
+	c := object.Claims{Format: object.Format}
+	for i := range claims {
+		c.Claims = append(c.Claims, object.Claim{
+			Key: fmt.Sprintf("%022d", i), Request: requestName(shard, i), Entry: "entry-001", Until: time.Now().Add(claim.Retention),
+		})
+	}
+	return c
+}
+
+// Heap measures the memory of claims at an entry.
+func Heap(b *Bench) error {
+	s := series{name: "a shard of claims in an entry's memory", x: "claims", y: "MB"}
+	for _, n := range []int{1000, 2000, 4000, 7700} {
+		s.add(float64(n), heapOf(n))
+	}
+	s.print(b.Out, 7700)
+	return nil
+}
+
 // Claims measures what a keyed request that may not be repeated costs the
 // platform.
 func Claims(b *Bench) error {
@@ -212,5 +258,5 @@
 	if err != nil {
 		return err
 	}
-	return rows("claims in a shard, at 25 claims/s", []int{0, 500, 1000, 2000, 4000}, func(n int) (claimed, error) { return b.claims(25, n) })
+	return rows("claims in a shard, at 25 claims/s", []int{0, 30, 60, 120, 240}, func(n int) (claimed, error) { return b.claims(25, n) })
 }
