--- a/test/config_test.go
+++ b/test/config_test.go
@@ -342,6 +342,7 @@
 // within the bound, no process may show an older one after a newer one, and no
 // operator's change may be lost or overwritten unseen.
 func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{entries: 9, services: 3, links: true})
 	s := c.watchStatus()
 	o := &operators{c: c, actions: make(map[ctl.Action]int)}
--- a/test/keyed_test.go
+++ b/test/keyed_test.go
@@ -84,6 +84,7 @@
 // caller that hears not-run sends the key again when all is well, and is told
 // that it may have run only if another sending did run, or its entry died.
 func TestKeyedCallsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{entries: 3, services: 3, service: servicestandin.Options{Delay: 20 * time.Millisecond}})
 	h := &history{}
 	const keys = 90
@@ -175,6 +176,7 @@
 // the middle of them, agents and entries are killed, and connections go silent.
 // Callers don't send again. No call runs twice, and who hears not-run is right.
 func TestUnkeyedCallsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{entries: 2, services: 3, links: true, service: servicestandin.Options{
 		Delay: 40 * time.Millisecond, RestartAfter: 300 * time.Millisecond, CrashMarker: "crash-me",
 	}})
