--- /dev/null
+++ b/test/overload_test.go
@@ -0,0 +1,127 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// memory returns the resident memory of a process in KB, by the kernel.
+func (p *process) memory() int {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return n
+		}
+	}
+	return 0
+}
+
+// obey sends a completion and, when it is refused with a Retry-After, once more
+// after that time. second is nil if there was no second sending.
+func (c *cluster) obey(a ask) (first answer, second *answer) {
+	first = complete(context.Background(), a)
+	if first.whole || first.retry == "" {
+		return first, nil
+	}
+	seconds, _ := strconv.Atoi(first.retry)
+	time.Sleep(time.Duration(seconds) * time.Second)
+	again := complete(context.Background(), a)
+	return first, &again
+}
+
+// overload is what a run at three times the capacity showed.
+type overload struct {
+	// firsts are the first sendings, seconds those after a Retry-After.
+	firsts, seconds history
+	// refused are the times that first refusals took, sorted.
+	refused []time.Duration
+	// before, most and after are the entry's memory in KB.
+	before, most, after int
+}
+
+const (
+	overloadTokens = 20
+	// overloadCapacity is what one decode engine of 4 slots serves in a second.
+	overloadCapacity = 9
+	overloadLasts    = 10 * time.Second
+)
+
+// runOverload sends completions at three times the capacity. Callers that get a
+// Retry-After follow it once.
+func runOverload(t *testing.T) *overload {
+	t.Helper()
+	c := newCluster(t, shape{
+		entries: 1, prefill: 1, decode: 1,
+		engine: enginestandin.Options{TokenTime: 20 * time.Millisecond},
+		agent:  func(a *settings.Agent) { a.Slots = 4 },
+	})
+	o := &overload{before: c.entries[0].memory()}
+	var wg sync.WaitGroup
+	n := int(overloadLasts.Seconds()) * 3 * overloadCapacity
+	for i := range n {
+		wg.Go(func() {
+			first, second := c.obey(ask{entry: c.entries[0], prompt: fmt.Sprint("over ", i), maxTokens: overloadTokens, timeout: 20 * time.Second})
+			o.firsts.add(first)
+			if second != nil {
+				o.seconds.add(*second)
+			}
+		})
+		o.most = max(o.most, c.entries[0].memory())
+		time.Sleep(overloadLasts / time.Duration(n))
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	o.after = c.entries[0].memory()
+	for _, a := range o.firsts.all() {
+		if a.retry != "" {
+			o.refused = append(o.refused, a.took)
+		}
+	}
+	slices.Sort(o.refused)
+	c.checkHistory(&o.firsts)
+	c.checkHistory(&o.seconds)
+	report(t, "3 times overload, %d requests: first %s; after their Retry-After %s", n, o.firsts.kinds(), o.seconds.kinds())
+	return o
+}
+
+// Three times as many completions come as the engines can serve, for 10 s. Each
+// is answered whole or refused truthfully as not run with a Retry-After, and the
+// entry's memory stays bounded.
+func TestOverloadIsBounded(t *testing.T) {
+	t.Parallel()
+	o := runOverload(t)
+	report(t, "entry's memory: %d KB before, %d KB at most, %d KB after", o.before, o.most, o.after)
+	assert.Check(t, o.most < o.before+64<<10, "the entry grew by %d KB", o.most-o.before)
+	for _, a := range o.firsts.all() {
+		assert.Check(t, a.whole || a.verdict == "not-run" && a.retry != "", "%d %s %s %v", a.status, a.code, a.verdict, a.err)
+	}
+	assert.Check(t, len(o.refused) > 0)
+}
+
+// As before. Who can't be served in time hears it at once, not after having
+// waited, and who follows a Retry-After is served more often than not.
+func TestOverloadRefusesAtOnceAndRetryAfterIsHonoured(t *testing.T) {
+	o := runOverload(t)
+	assert.Assert(t, len(o.refused) > 0)
+	late := o.refused[len(o.refused)*95/100]
+	report(t, "refusals took %s in the median, %s at 95%%", o.refused[len(o.refused)/2], late)
+	assert.Check(t, late <= 100*time.Millisecond, "refusals take %s at 95%%", late)
+	got := o.seconds.tally()
+	assert.Check(t, got.whole > got.refused, "Retry-After was honoured for %d and not for %d", got.whole, got.refused)
+}
