--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,12 +21,14 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/settings"
+	"jayford.example/jayford/internal/transport"
 )
 
 // Limits that need no setting.
 const (
 	maxWait      = 30 * time.Second
 	maxIdle      = 10 * time.Second
+	maxDrain     = 2 * time.Second
 	seenFor      = 15 * time.Minute
 	maxSeen      = 1 << 16
 	maxConvicted = 4096
@@ -35,6 +37,11 @@
 	// keepStream is how long the tokens of a finished decode stand for an
 	// entry whose connection went silent before it had them all.
 	keepStream = 10 * time.Second
+	// keepResult is the same for a prefill's result. The engine lets an unused
+	// one expire by itself and holds one that is being pulled. Ending the grant
+	// when the result expires would cancel it under the pull: each transfer that
+	// takes longer than a result lives would fail.
+	keepResult = 10 * time.Second
 	// ticksPerLapse sets how often the core sees the time.
 	ticksPerLapse = 20
 	keepalivePing = 2 * time.Second
@@ -51,6 +58,8 @@
 	// Without it the agent refuses every order.
 	Lease func(ctx context.Context, scope string) (uint64, error)
 	Log   logrus.FieldLogger
+	// Server are further options of the gRPC server, for its credentials.
+	Server []grpc.ServerOption
 	// Incarnation differs after each start; 0 takes it from the clock.
 	Incarnation uint64
 }
@@ -79,7 +88,11 @@
 	runs    map[grant.Key]*run
 	// engineIncarnation is 0 until the engine was heard.
 	engineIncarnation uint64
-	orphans           map[engine.Attempt]time.Time
+	// engineLoad is the engine's last report, with the role that it was last
+	// ordered to while its report may be older than that order.
+	engineLoad  engine.Load
+	roleOrdered time.Duration
+	orphans     map[engine.Attempt]time.Time
 }
 
 // New returns an agent and adds its state to the board's dump.
@@ -103,16 +116,17 @@
 	}
 	a.life, a.end = context.WithCancel(context.Background())
 	a.core = grant.New(grant.Config{
-		Incarnation: o.Incarnation, Slots: o.Settings.Slots,
+		Incarnation: o.Incarnation, Slots: o.Settings.Slots, BatchHeadroom: o.Settings.BatchHeadroom,
 		PrefillQueue: o.Settings.PrefillQueue, Queue: callQueue,
-		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle,
+		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle, MaxDrain: maxDrain,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
-	a.server = grpc.NewServer(
+	options := append(transport.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
 	)
+	a.server = grpc.NewServer(append(options, o.Server...)...)
 	pb.RegisterAgentServer(a.server, server{agent: a})
 	if o.Board != nil {
 		o.Board.Part("agent", func() any { return a.view() })
--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -24,6 +24,9 @@
 	Incarnation uint64
 	// Slots of each phase.
 	Slots int
+	// BatchHeadroom is how many decode slots batch leaves free while there are
+	// interactive requests.
+	BatchHeadroom int
 	// PrefillQueue and Queue bound the attempts that wait for a slot, for
 	// prefill and for each other phase.
 	PrefillQueue int
@@ -33,6 +36,9 @@
 	// MaxWait bounds the wait for a slot, MaxIdle the life of an unused grant.
 	MaxWait time.Duration
 	MaxIdle time.Duration
+	// MaxDrain bounds the wait of an exclusive attempt, during which nobody else
+	// is admitted.
+	MaxDrain time.Duration
 	// SeenFor and MaxSeen bound the memory of attempts seen before.
 	SeenFor time.Duration
 	MaxSeen int
@@ -168,10 +174,17 @@
 	served map[string]uint64
 	turn   uint64
 	hold   [phases]time.Duration
+	// interactiveUntil: before this, batch leaves headroom.
+	interactiveUntil time.Duration
 	// exclusive waits for or holds the whole server.
 	exclusive *grant
+	// openUntil: before it no exclusive attempt may wait.
+	openUntil time.Duration
 	down      bool
 	leaving   bool
+	switching bool
+	// closed phases aren't served in the server's role.
+	closed [phases]bool
 	// freshFrom: a renewal read earlier may have been sent before a pause.
 	freshFrom time.Duration
 	seen      map[Key]*seenMark
@@ -262,6 +275,7 @@
 	}
 	if c.exclusive == g {
 		c.exclusive = nil
+		c.openUntil = c.now + openFactor*(c.now-g.created)
 	}
 	delete(c.grants, g.Key)
 	g.pair.live--
--- a/internal/agent/grant/reserve.go
+++ b/internal/agent/grant/reserve.go
@@ -7,6 +7,18 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 )
 
+// openFactor is for how many times as long as an exclusive attempt waited in
+// vain admission stays open behind it. While one waits the server drains and
+// earns nothing; one long stream would keep it closed to everybody until the
+// suspect's deadline, and the next suspect would close it again. So at most a
+// fifth of the time goes to such waits, and a suspect that finds no idle server
+// is refused in the end: it is the one request that is likely to do harm.
+const openFactor = 4
+
+// interactiveFor is how long after an interactive request decode slots are kept
+// from batch: longer than the gaps between people's requests by day.
+const interactiveFor = 10 * time.Second
+
 // maxServed bounds the memory of when organisations were last served.
 const maxServed = 4096
 
@@ -41,6 +53,12 @@
 	if p == nil {
 		return Refused, refuse(pb.Reason_REASON_CANCELLED)
 	}
+	if c.now >= c.freshFrom {
+		// Read after the settle time, so sent after the wake: it proves as much
+		// as a renewal that the entry lives. An entry without live attempts sends
+		// no renewals and would be refused for ever.
+		p.probation = false
+	}
 	if p.probation {
 		return Refused, c.full("The agent was paused; the entry must renew first.")
 	}
@@ -58,7 +76,7 @@
 		return &Refusal{Reason: pb.Reason_REASON_DUPLICATE, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN}
 	case r.Fingerprint != 0 && c.convicted[r.Fingerprint]:
 		return refuse(pb.Reason_REASON_CONVICTED)
-	case c.leaving:
+	case c.leaving, c.switching, c.closed[r.Key.Phase]:
 		return refuse(pb.Reason_REASON_LEAVING)
 	case c.down:
 		return refuse(pb.Reason_REASON_SERVER_DOWN)
@@ -72,8 +90,17 @@
 		return Refused, c.fullRetry(r.Key.Phase)
 	}
 	g := &grant{Request: r, pair: p, created: c.now}
+	if !r.Batch && r.Key.Phase == pb.Phase_PHASE_DECODE {
+		c.interactiveUntil = c.now + interactiveFor
+	}
 	free := c.fits(g)
 	wait := min(r.Wait, c.cfg.MaxWait)
+	if r.Exclusive {
+		wait = min(wait, c.cfg.MaxDrain)
+		if c.now < c.openUntil {
+			wait = 0
+		}
+	}
 	if !free && (wait <= 0 || !c.roomInQueue(g)) {
 		return Refused, c.fullRetry(r.Key.Phase)
 	}
@@ -134,7 +161,17 @@
 	if g.Exclusive {
 		return c.totalUsed() == 0
 	}
-	return c.used[g.Key.Phase] < c.cfg.Slots
+	return c.used[g.Key.Phase]+c.headroom(g) < c.cfg.Slots
+}
+
+// headroom is how many slots g must leave free. Batch answers are long: once
+// they hold all decode slots, whoever waits for a first token waits for one of
+// them to end. Without interactive requests batch fills the server.
+func (c *Core) headroom(g *grant) int {
+	if !g.Batch || g.Key.Phase != pb.Phase_PHASE_DECODE || c.now >= c.interactiveUntil {
+		return 0
+	}
+	return min(c.cfg.BatchHeadroom, c.cfg.Slots-1)
 }
 
 func (c *Core) totalUsed() int {
--- a/internal/agent/grant/server.go
+++ b/internal/agent/grant/server.go
@@ -26,16 +26,19 @@
 	c.admit()
 }
 
-// ServerDown ends every attempt with a verdict from what had been sent. Blame
-// falls only on an attempt that ran alone: each neighbour of a crashing request
-// was on the server as well.
-func (c *Core) ServerDown(now time.Duration) {
+// ServerDown ends every attempt with a verdict from what had been sent. crashed
+// says that the server's process has ended. A server that only gives no answer
+// may stand still for reasons of its own; blaming it on what ran there convicted
+// a request that was alone at two pauses. Of a crash, blame falls only on an
+// attempt that ran alone: each neighbour of a crashing request was on the server
+// as well.
+func (c *Core) ServerDown(now time.Duration, crashed bool) {
 	c.advance(now)
 	c.down = true
 	alone := c.running() == 1
 	for _, g := range c.sorted() {
 		r := Refusal{Reason: pb.Reason_REASON_SERVER_DOWN, Verdict: g.verdict()}
-		if g.wasSent {
+		if g.wasSent && crashed {
 			r.Reason = pb.Reason_REASON_SERVER_LOST
 			r.CrashedAlone = alone
 		}
@@ -78,13 +81,14 @@
 // ServerSound says that a heartbeat sent at since found the server as it was:
 // attempts broken before lost only their connection. They are stopped, since
 // the server may still run them. A heartbeat sent before the break proves
-// nothing of what broke.
-func (c *Core) ServerSound(now, since time.Duration) {
+// nothing of what broke. reason is what they end with: if the heartbeat would show
+// a restart, only the connection was lost and nobody is to blame.
+func (c *Core) ServerSound(now, since time.Duration, reason pb.Reason) {
 	c.advance(now)
 	for _, g := range c.sorted() {
 		if g.broken && g.brokenAt <= since {
 			g.broken = false
-			c.finish(g, pb.Reason_REASON_SERVER_LOST)
+			c.finish(g, reason)
 		}
 	}
 }
@@ -158,6 +162,9 @@
 	case fence < highest:
 		return FenceOld
 	case c.ordering:
+		// Remembered though refused: its sender leads, whoever else still
+		// believes that it does.
+		c.fences[scope] = fence
 		return FenceBusy
 	}
 	c.fences[scope] = fence
@@ -185,7 +192,7 @@
 
 // Load sums up all phases: Used is that of the busiest phase.
 func (c *Core) Load() Load {
-	l := Load{Slots: c.cfg.Slots, Leaving: c.leaving, Down: c.down, Grants: len(c.grants)}
+	l := Load{Slots: c.cfg.Slots, Leaving: c.leaving || c.switching, Down: c.down, Grants: len(c.grants)}
 	for p := range c.used {
 		l.Used = max(l.Used, c.used[p])
 		l.Queued += len(c.queues[p])
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
 )
@@ -74,19 +75,20 @@
 	return engineHeartbeat
 }
 
-// missed takes a refused connection as proof that the server is gone. A slow
-// answer is none, so it needs several.
+// missed takes a refused connection as proof that the server's process is gone.
+// A slow answer is none, so it needs several, and is no crash even then.
 func (h *health) missed(err error) {
 	h.miss++
-	if h.up && (errors.Is(err, engine.ErrUnreachable) || h.miss >= maxMisses) {
-		h.agent.log.WithError(err).Warn("agent: Backend server lost.")
-		h.down()
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	if h.up && (gone || h.miss >= maxMisses) {
+		h.agent.log.WithError(err).WithField("crashed", gone).Warn("agent: Backend server lost.")
+		h.down(gone)
 	}
 }
 
-func (h *health) down() {
+func (h *health) down(crashed bool) {
 	h.up = false
-	h.agent.step(func(c *grant.Core, now time.Duration) { c.ServerDown(now) })
+	h.agent.step(func(c *grant.Core, now time.Duration) { c.ServerDown(now, crashed) })
 }
 
 func (h *health) heard(load engine.Load, since time.Duration) {
@@ -95,12 +97,13 @@
 	before := a.engineIncarnation
 	a.engineIncarnation = load.Incarnation
 	a.mu.Unlock()
+	a.learnEngine(load, before != load.Incarnation)
 	if h.up && before != load.Incarnation {
 		a.log.Warn("agent: Backend server restarted.")
-		h.down()
+		h.down(true)
 	}
 	if h.up {
-		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since) })
+		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since, pb.Reason_REASON_CONNECTION_LOST) })
 		h.runAudit()
 		return
 	}
@@ -122,13 +125,14 @@
 	}
 	switch {
 	case err == nil && h.up:
-		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since) })
+		// A restart between two beats doesn't show, so it may have been a crash.
+		a.step(func(c *grant.Core, now time.Duration) { c.ServerSound(now, since, pb.Reason_REASON_SERVER_LOST) })
 	case err == nil:
 		h.up = true
 		a.step(func(c *grant.Core, now time.Duration) { c.ServerUp(now) })
 	case h.up && errors.Is(err, syscall.ECONNREFUSED):
 		a.log.Warn("agent: Backend server lost.")
-		h.down()
+		h.down(true)
 	}
 }
 
@@ -160,18 +164,22 @@
 	return err == nil && len(list) == 0
 }
 
-// runAudit cancels what the engine runs without a grant, whatever path leaked it. The
-// grace lets an attempt that just ended leave the engine's list by itself.
+// runAudit compares what the engine runs with the grants, each second and, while
+// a connection says nothing, with each heartbeat. It cancels what runs without a
+// grant, whatever path leaked it. The grace lets an attempt that just ended leave
+// the engine's list by itself.
 func (h *health) runAudit() {
 	a := h.agent
-	if time.Since(h.audit) < auditEvery {
+	now := time.Now()
+	if now.Sub(h.audit) < auditEvery && !a.overdue(now) {
 		return
 	}
-	h.audit = time.Now()
+	h.audit = now
 	list, err := a.running()
 	if err != nil {
 		return
 	}
+	a.findSilent(list, now)
 	if orphans := a.findOrphans(list, time.Now()); len(orphans) > 0 {
 		a.log.WithField("attempts", orphans).Warn("agent: Cancelling attempts without a grant.")
 		a.cancelEach(orphans)
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -15,9 +15,9 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/transport"
 )
 
 const (
@@ -54,6 +54,7 @@
 type Pool struct {
 	// Entry is the entry's instance id with its incarnation, "id#incarnation".
 	Entry string
+	dial  grpc.DialOption
 	// Beat is told of each renewal's end, with the agent's instance id; nil for
 	// none. Set it before Run.
 	Beat func(id string, err error)
@@ -64,9 +65,9 @@
 	conns map[string]*Conn
 }
 
-// NewPool returns an empty pool.
-func NewPool(entry string, log *logrus.Logger) *Pool {
-	return &Pool{Entry: entry, log: log.WithField("part", "agents"), conns: make(map[string]*Conn)}
+// NewPool returns an empty pool. dial has the transport credentials.
+func NewPool(entry string, dial grpc.DialOption, log *logrus.Logger) *Pool {
+	return &Pool{Entry: entry, dial: dial, log: log.WithField("part", "agents"), conns: make(map[string]*Conn)}
 }
 
 // Conn returns the connection to the agent with instance id at address. An
@@ -78,7 +79,7 @@
 	if c != nil && c.address == address {
 		return c, nil
 	}
-	next := &Conn{pool: p, id: id, address: address, live: make(map[attemptKey]*pb.Attempt), lost: make(chan struct{})}
+	next := &Conn{pool: p, id: id, address: address, live: make(map[attemptKey]struct{}), lost: make(chan struct{})}
 	if err := next.dialLocked(); err != nil {
 		return nil, err
 	}
@@ -186,17 +187,16 @@
 	return out
 }
 
-func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		// Only the entry's retry budget decides on another try.
-		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig(),
+func (p *Pool) connect(address string) (*grpc.ClientConn, error) {
+	opts := append(
+		transport.DialOptions(),
+		p.dial,
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: dialTimeout,
 		}))
+	return grpc.NewClient("passthrough:///"+address, opts...)
 }
 
 // maxMessage bounds one message between entry and agent, in bytes.
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// attachAtMost bounds how often one stream is attached anew.
-	attachAtMost = 5
+	// attachAtMost bounds how often a stream is attached anew without a token
+	// in between. A connection that went silent needs one; an agent that is cut
+	// off costs the time of each before the request goes on elsewhere.
+	attachAtMost = 1
 	// attachPause is the wait before an agent that closed the stream is asked
 	// again; a restarted agent answers that it doesn't know the attempt.
 	attachPause = 150 * time.Millisecond
@@ -29,10 +31,14 @@
 		DeadlineMs: uint64(time.Until(g.r.deadline).Milliseconds()),
 		Resume:     uint32(g.out.len()), SourceZone: prefill.target.zone, KvBytes: kv.KvBytes,
 	}
-	s := &tokenStream{g: g, grant: gr, kv: kv}
+	s := &tokenStream{g: g, grant: gr, prefill: prefill, kv: kv}
 	for tries := 0; ; tries++ {
-		req.From = uint32(g.out.len())
+		have := g.out.len()
+		req.From = uint32(have)
 		end, err := s.follow(ctx, req)
+		if g.out.len() > have {
+			tries = 0
+		}
 		if end != nil {
 			return end.FinishReason, nil
 		}
@@ -60,11 +66,19 @@
 type tokenStream struct {
 	g       *generation
 	grant   *grant
+	prefill *grant
 	kv      *pb.PrefillReply
 	started bool
 	counted bool
 }
 
+// begun notes that the prefill's result was taken: nothing more is held for it
+// at its agent, and it needs no renewals for the rest of the answer.
+func (s *tokenStream) begun() {
+	s.started = true
+	s.prefill.release()
+}
+
 func (s *tokenStream) countWaste() {
 	if !s.started && !s.counted {
 		s.counted = true
@@ -100,7 +114,9 @@
 			continue
 		}
 		s.grant.conn.Heard(ev.Load, 0)
-		s.started = s.started || ev.Started || len(ev.Tokens) > 0
+		if ev.Started || len(ev.Tokens) > 0 {
+			s.begun()
+		}
 		if err := s.take(ev); err != nil {
 			return nil, err
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,11 +19,13 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"jayford.example/jayford/internal/agents"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/claim"
 	"jayford.example/jayford/internal/config"
+	"jayford.example/jayford/internal/identity"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/admit"
 	"jayford.example/jayford/internal/policy/blame"
@@ -44,7 +46,9 @@
 	Incarnation uint64
 	// Ready says whether there is a configuration to work with.
 	Ready func() bool
-	Log   *logrus.Logger
+	// Dial has the transport credentials towards agents; plain if nil.
+	Dial grpc.DialOption
+	Log  *logrus.Logger
 }
 
 // Entry is one entry. Its methods are safe for concurrent use.
@@ -78,13 +82,16 @@
 
 // New returns an entry and adds its state to the board's dump.
 func New(o Options) *Entry {
+	if o.Dial == nil {
+		o.Dial = identity.Identity{}.DialOption("agent")
+	}
 	m := newMembers()
 	e := &Entry{
 		members:     m,
 		routing:     &routing{store: o.Config, members: m},
 		settings:    o.Settings,
 		log:         o.Log.WithField("part", "entry"),
-		agents:      agents.NewPool(fmt.Sprintf("%s#%d", o.Settings.ID, o.Incarnation), o.Log),
+		agents:      agents.NewPool(fmt.Sprintf("%s#%d", o.Settings.ID, o.Incarnation), o.Dial, o.Log),
 		claims:      claim.New(o.Store, o.Settings.ID),
 		store:       o.Store,
 		latency:     newLatencies(),
@@ -142,6 +149,10 @@
 	g := e.gates[pool]
 	if g == nil {
 		lim := e.settings.Limits
+		if e.settings.Policy.Baseline() {
+			// All wait as one organisation.
+			lim.MaxQueuePerOrganisation = lim.MaxQueue
+		}
 		g = newGate(admit.New(
 			admit.Options{MaxTotal: lim.MaxQueue, MaxPerOrganisation: lim.MaxQueuePerOrganisation},
 			rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -21,12 +21,14 @@
 	grantIdle = 15 * time.Second
 	// fullPause holds the queue back after all servers asked were full.
 	fullPause = 20 * time.Millisecond
+	// suspectPause is the time between two rounds of a request that must run alone.
+	suspectPause = 250 * time.Millisecond
 	// reserveWait is how long an agent may queue a reservation for a slot.
 	reserveWait = 250 * time.Millisecond
 	// askAtMost bounds the agents asked for one reservation.
 	askAtMost = 3
 	// answerMargin is added to bounded waits for an agent's answer.
-	answerMargin = time.Second
+	answerMargin = 300 * time.Millisecond
 	// prefillBound is how long one prefill may take beyond its prediction.
 	prefillBound = 30 * time.Second
 )
@@ -64,10 +66,14 @@
 	target  target
 	attempt *pb.Attempt
 	phase   pb.Phase
+	// released: the agent has been told that it is over.
+	released bool
 }
 
+// release frees the grant, once. It is called by one goroutine.
 func (g *grant) release() {
-	if g != nil {
+	if g != nil && !g.released {
+		g.released = true
 		g.conn.Release(g.attempt, g.phase)
 	}
 }
@@ -111,6 +117,10 @@
 		return "", err
 	}
 	g.to = to
+	if g.e.settings.Policy.Baseline() {
+		// One queue in order of arrival, also at agents and engines.
+		g.to.choice.Priority = Interactive
+	}
 	if !to.targets.generates() {
 		return "", verdict.New(verdict.NotRun, verdict.NoServer, "Pool %s has no live prefill or decode servers.", to.choice.Pool).After(time.Second)
 	}
@@ -200,7 +210,7 @@
 		return "", err
 	}
 	defer g.gate.freed()
-	if g.e.settings.Policy.Reserve == settings.ReserveEarly {
+	if p := g.e.settings.Policy; p.Reserve == settings.ReserveEarly && !p.Baseline() {
 		return g.attemptEarly(ctx, it)
 	}
 	return g.attemptLate(ctx, it)
@@ -226,78 +236,6 @@
 	return g.decode(ctx, decode, prefill, kv)
 }
 
-// attemptLate reserves the decode slot when the prefill has ended, or with
-// ReservePredicted shortly before its predicted end.
-func (g *generation) attemptLate(ctx context.Context, it admit.Item) (string, *verdict.Error) {
-	prefill, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_PREFILL, "")
-	if err != nil {
-		return "", err
-	}
-	g.gate.leave()
-	defer prefill.release()
-	var early *pending
-	if g.e.settings.Policy.Reserve == settings.ReservePredicted {
-		early = g.reserveAt(ctx, prefill)
-		defer early.drop()
-	}
-	kv, err := g.prefill(ctx, prefill)
-	if err != nil {
-		return "", err
-	}
-	decode, err := g.decodeGrant(ctx, early, prefill, kv)
-	if err != nil {
-		wasted(kv)
-		return "", err
-	}
-	defer decode.release()
-	return g.decode(ctx, decode, prefill, kv)
-}
-
-// pending is a reservation that is asked for in the background.
-type pending struct {
-	done   chan struct{}
-	cancel context.CancelFunc
-	grant  *grant
-	err    *verdict.Error
-	taken  bool
-}
-
-func (p *pending) drop() {
-	p.cancel()
-	<-p.done
-	if !p.taken {
-		p.grant.release()
-	}
-}
-
-// reserveAt asks for the decode slot when the prefill is about to end.
-func (g *generation) reserveAt(ctx context.Context, prefill *grant) *pending {
-	ctx, cancel := context.WithCancel(ctx)
-	p := &pending{done: make(chan struct{}), cancel: cancel}
-	delay := g.e.predictPrefill(prefill.target, g.r) - reserveWait
-	go func() {
-		defer close(p.done)
-		if !sleep(ctx, delay) {
-			p.err = contextVerdict(ctx)
-			return
-		}
-		p.grant, p.err = g.reserve(ctx, pb.Phase_PHASE_DECODE, prefill.target.zone, 2*reserveWait)
-	}()
-	return p
-}
-
-func (g *generation) decodeGrant(ctx context.Context, early *pending, prefill *grant, kv *pb.PrefillReply) (*grant, *verdict.Error) {
-	if early != nil {
-		<-early.done
-		if early.err == nil {
-			early.taken = true
-			return early.grant, nil
-		}
-	}
-	left := time.Duration(kv.ExpiresMs) * time.Millisecond * 3 / 4
-	return g.reserve(ctx, pb.Phase_PHASE_DECODE, prefill.target.zone, left)
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
@@ -313,6 +251,10 @@
 }
 
 func (g *generation) item() admit.Item {
+	if g.e.settings.Policy.Baseline() {
+		// No shares and no prediction: the request's context ends its wait.
+		return admit.Item{ID: g.r.id, Interactive: true, Enqueued: time.Now()}
+	}
 	return admit.Item{
 		ID:           g.r.id,
 		Organisation: g.r.organisation,
@@ -326,8 +268,16 @@
 // startBy is when the request must leave the queue. A request that people wait
 // for and that can't meet the first-token target any more would take capacity
 // from those that can.
+//
+// Another try of a request has no such time, only the deadline of its context.
+// A lost server holds the queue up for a moment, and the rate measured then
+// would predict a wait of many seconds: requests that had been accepted, with
+// most of their deadline left, were refused for it.
 func (g *generation) startBy() time.Time {
-	if g.to.choice.Priority != Interactive || g.out.len() > 0 || g.number > 0 {
+	switch {
+	case g.out.len() > 0 || g.number > 0:
+		return time.Time{}
+	case g.to.choice.Priority != Interactive:
 		return g.r.deadline
 	}
 	by := g.r.arrived.Add(g.e.settings.Policy.TTFTTarget.D())
@@ -348,6 +298,10 @@
 			g.gate.leave()
 			return nil, err
 		}
+		if g.suspect {
+			// An agent answers at once while its server is kept open for others.
+			sleep(ctx, suspectPause)
+		}
 		if err := g.gate.again(ctx, it, fullPause); err != nil {
 			g.queued = true
 			return nil, err
@@ -363,6 +317,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "No server of pool %s can be used now.", g.to.choice.Pool).After(time.Second)
 	}
 	last := verdict.New(verdict.NotRun, verdict.Overloaded, "All servers are full.")
+	unheard := false
 	for i, t := range list[:min(askAtMost, len(list))] {
 		if err := ctx.Err(); err != nil {
 			return nil, contextVerdict(ctx)
@@ -378,8 +333,15 @@
 		if err.Code == verdict.Crashes {
 			return nil, err
 		}
+		unheard = unheard || err.Code == verdict.Unreachable
 		last = err
 	}
+	if unheard {
+		// With the servers excluded that failed this request, one that gives no
+		// answer may be all that is left; the request would ask it until its
+		// deadline.
+		clear(g.exclude)
+	}
 	if last.Code != verdict.Overloaded {
 		last = verdict.Wrap(last, verdict.NotRun, verdict.Overloaded, "No server took the request.")
 	}
@@ -404,16 +366,13 @@
 		Attempt: a, Phase: phase, Incarnation: conn.Incarnation(), Fingerprint: g.r.fingerprint,
 		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
-		Batch: g.to.choice.Priority == Batch, Organisation: g.r.organisation,
+		Batch: g.to.choice.Priority == Batch, Organisation: g.sharer(),
 	})
 	if err != nil {
 		// The grant may have been given: the release makes sure that it is
 		// not held until it lapses.
 		conn.Release(a, phase)
 		g.e.unheard(conn.ID(), err)
-		if ctx.Err() != nil {
-			conn.Suspect()
-		}
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
@@ -425,6 +384,14 @@
 	return &grant{conn: conn, target: t, attempt: a, phase: phase}, nil
 }
 
+// sharer is the organisation whose share the request counts to at agents.
+func (g *generation) sharer() string {
+	if g.e.settings.Policy.Baseline() {
+		return ""
+	}
+	return g.r.organisation
+}
+
 // prefill runs the prefill under its grant.
 func (g *generation) prefill(ctx context.Context, gr *grant) (*pb.PrefillReply, *verdict.Error) {
 	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillBound)
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/identity"
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
@@ -33,9 +34,13 @@
 	platform                           platformstandin.Options
 	entry                              func(*settings.Entry)
 	agent                              func(*settings.Agent)
+	// engineOf changes the options of one engine.
+	engineOf func(id string, o *enginestandin.Options)
 	// links puts a link that can be cut before each agent, each engine, each
 	// entry's listener for peers and the platform.
 	links bool
+	// tls secures the connections between the daemons.
+	tls bool
 }
 
 // node is a daemon with its settings and what stands beside it.
@@ -123,6 +128,10 @@
 	return append(out, c.services...)
 }
 
+func (c *cluster) engines() []*node {
+	return append(append([]*node(nil), c.prefill...), c.decode...)
+}
+
 func (c *cluster) nodes() []*node { return append(c.agents(), c.entries...) }
 
 func (c *cluster) stop() {
@@ -168,6 +177,9 @@
 	p.ID, p.Region, p.AvailabilityZone = n.id, "region", n.zone
 	p.Peer, p.Operator = n.peer, n.operator
 	p.Platform = c.platformAddress
+	if c.shape.tls {
+		p.TLS = c.certificate(n)
+	}
 	if c.platformLink != nil {
 		p.Platform = c.platformLink.address
 	}
@@ -178,6 +190,18 @@
 	}
 }
 
+// certificate issues a node's certificate, with the authority at first.
+func (c *cluster) certificate(n *node) settings.TLS {
+	files := identity.Files(c.dir, n.id)
+	if _, err := os.Stat(files.Authority); err != nil {
+		assert.NilError(c.t, identity.NewAuthority(c.dir, time.Hour))
+	}
+	if _, err := os.Stat(files.Certificate); err != nil {
+		assert.NilError(c.t, identity.Issue(c.dir, n.role, n.id, time.Hour))
+	}
+	return files
+}
+
 func (c *cluster) newNode(id, role string, i int) *node {
 	n := &node{id: id, role: role, zone: zoneOf(i), peer: freeAddress(c.t), operator: freeAddress(c.t)}
 	if c.shape.links {
@@ -198,6 +222,10 @@
 	n := c.newNode(id, "agent", i)
 	o := c.shape.engine
 	o.Model, o.Role = testModel, role
+	o.Account = filepath.Join(c.dir, id+".account")
+	if c.shape.engineOf != nil {
+		c.shape.engineOf(id, &o)
+	}
 	return c.newAgent(n, "engine", o, settings.BackendEngine, map[string]string{
 		object.LabelModel: testModel, object.LabelRole: role,
 	})
@@ -306,13 +334,26 @@
 
 func post(t *testing.T, address, path string, v any) {
 	t.Helper()
+	assert.NilError(t, tryPost(address, path, v))
+}
+
+// tryPost is post to a process that may be out.
+func tryPost(address, path string, v any) error {
 	text, err := json.Marshal(v)
-	assert.NilError(t, err)
-	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(text))
-	assert.NilError(t, err)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Post("http://"+address+path, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	assert.Assert(t, resp.StatusCode < http.StatusBadRequest, "%s: %s", path, body)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errorf("%s: %s", path, body)
+	}
+	return nil
 }
 
 // getJSON reads a JSON page.
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -14,7 +14,12 @@
 // One request of each kind is served through separate processes: the answer is
 // the caller's own, whole, and it ran once.
 func TestPathThroughProcesses(t *testing.T) {
-	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, services: 1})
+	t.Run("plain", func(t *testing.T) { checkPath(t, false) })
+	t.Run("TLS", func(t *testing.T) { checkPath(t, true) })
+}
+
+func checkPath(t *testing.T, tls bool) {
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, services: 1, tls: tls})
 	ctx := context.Background()
 	for _, stream := range []bool{false, true} {
 		got := complete(ctx, ask{entry: c.entries[0], prompt: "first light", maxTokens: 12, stream: stream})
@@ -22,6 +27,8 @@
 		assert.Equal(t, got.status, http.StatusOK, got.text)
 		assert.Assert(t, got.whole)
 		assert.NilError(t, got.checkAnswer())
+		decodes, _ := c.started()
+		assert.Equal(t, decodes[got.request], 1)
 	}
 	got := exchange(ctx, ask{entry: c.entries[0]}, http.MethodPut, "/faces/7?size=2", []byte("body"))
 	assert.NilError(t, got.err)
