--- a/internal/experiment/cmd/main.go
+++ b/internal/experiment/cmd/main.go
@@ -35,6 +35,7 @@
 	TimeScale float64       `long:"time-scale" default:"0.25" description:"factor on all times of workload and engines"`
 	Grain     int           `long:"grain" default:"4" description:"tokens that one stand-in token stands for"`
 	KillEvery time.Duration `long:"kill-every" description:"crash an engine so often, before scaling"`
+	Results   []string      `long:"results" value-name:"FILE" description:"instead of running, join the results that --json wrote; may be repeated"`
 	JSON      string        `long:"json" value-name:"FILE" description:"write all results there"`
 	SVG       string        `long:"svg" value-name:"FILE" description:"write a plot there"`
 	CPU       string        `long:"cpu-profile" value-name:"FILE" description:"write a processor profile there"`
@@ -61,6 +62,13 @@
 	if o.Overhead > 0 {
 		return overhead(ctx, o)
 	}
+	if len(o.Results) > 0 {
+		results, err := read(o.Results)
+		if err != nil {
+			return err
+		}
+		return write(o, results)
+	}
 	w, err := load.ReadWorkload(o.Workload)
 	if err != nil {
 		return err
@@ -115,6 +123,28 @@
 	return results, nil
 }
 
+// saved is the file that --json writes.
+type saved struct {
+	Rows    []experiment.Row    `json:"rows"`
+	Results []experiment.Result `json:"results"`
+}
+
+func read(files []string) ([]experiment.Result, error) {
+	var all []experiment.Result
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			return nil, eris.Wrap(err, "results")
+		}
+		var one saved
+		if err := json.Unmarshal(text, &one); err != nil {
+			return nil, eris.Wrapf(err, "results: %s", f)
+		}
+		all = append(all, one.Results...)
+	}
+	return all, nil
+}
+
 func write(o options, results []experiment.Result) error {
 	rows := experiment.Summarise(results)
 	if err := experiment.WriteText(os.Stdout, rows); err != nil {
@@ -128,10 +158,7 @@
 	if o.JSON == "" {
 		return nil
 	}
-	text, err := json.MarshalIndent(struct {
-		Rows    []experiment.Row    `json:"rows"`
-		Results []experiment.Result `json:"results"`
-	}{rows, results}, "", " ")
+	text, err := json.MarshalIndent(saved{rows, results}, "", " ")
 	if err != nil {
 		return eris.Wrap(err, "json")
 	}
