Don't let items that come back delay other organisations

Each Pop moved the queue's virtual time, and a newcomer started behind all 64, though nearly all came back unserved; and Requeue took back a charge other than the one made, since the due time is capped when it is charged, so the flood seemed owed its guarantee. Change: an item that is out counts only when it is settled; the queue itself keeps what it charged and takes back just that. Tests settle what they count as served; their assertions are the same. TestItemsThatComeBackDontDelayNewcomers is new. Also: one place ends a call with its connection (agents.WhileKept) where three did; a convicted request that was not run this time is refused as not-run.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -18,7 +18,7 @@
 }
 
 // Conn is the connection to one agent. It is replaced from within when it goes
-// silent; Lost tells the users of streams to attach anew.
+// silent; calls under WhileKept end then, and streams are attached anew.
 type Conn struct {
 	pool    *Pool
 	id      string
@@ -76,12 +76,21 @@
 	return c.hint.Incarnation
 }
 
-// Lost returns a channel that is closed when the present connection has been
-// given up for a new one.
-func (c *Conn) Lost() <-chan struct{} {
+// WhileKept returns a context that ends with the present connection, too: an
+// answer over a connection that went silent never comes.
+func (c *Conn) WhileKept(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lost
+	lost := c.lost
+	c.mu.Unlock()
+	go func() {
+		select {
+		case <-lost:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // Hold starts renewing an attempt at this agent.
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -89,16 +89,8 @@
 // follow reads one attachment. It returns the end, or the agent's refusal, or
 // neither if the connection was lost and the stream may be attached anew.
 func (s *tokenStream) follow(ctx context.Context, req *pb.DecodeRequest) (*pb.DecodeEnd, *verdict.Error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := s.grant.conn.WhileKept(ctx)
 	defer cancel()
-	lost := s.grant.conn.Lost()
-	go func() {
-		select {
-		case <-lost:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	stream, err := s.grant.conn.Decode(ctx, req)
 	if err != nil {
 		return nil, nil //nolint:nilerr // the caller attaches anew
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -78,10 +78,11 @@
 }
 
 // leave says that the item's reservation has ended, and whether it was granted.
-func (g *gate) leave(granted bool) {
+func (g *gate) leave(it admit.Item, granted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy--
+	g.queue.Settle(it.ID)
 	if granted {
 		g.pause = 0
 	}
@@ -126,6 +127,7 @@
 	case <-w.turn:
 		// The turn came at the same time: pass it on.
 		g.busy--
+		g.queue.Settle(it.ID)
 		g.pumpLocked()
 	default:
 		delete(g.waiters, it.ID)
@@ -166,6 +168,7 @@
 		}
 		w := g.waiters[it.ID]
 		if w == nil {
+			g.queue.Settle(it.ID)
 			continue
 		}
 		delete(g.waiters, it.ID)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -157,8 +157,10 @@
 	return nil
 }
 
+// crashes is the refusal of a request that is known to crash servers. It has
+// not run this time; final says otherwise of one that an engine was asked for.
 func crashes() *verdict.Error {
-	return verdict.New(verdict.MayHaveRun, verdict.Crashes, "This request crashes the servers that run it. Don't send it again.")
+	return verdict.New(verdict.NotRun, verdict.Crashes, "This request crashes the servers that run it. Don't send it again.")
 }
 
 // settle clears a request that servers were lost under and that was answered.
@@ -222,7 +224,7 @@
 	}
 	defer decode.release()
 	prefill, err := g.reserve(ctx, pb.Phase_PHASE_PREFILL, decode.target.zone, reserveWait)
-	g.gate.leave(err == nil)
+	g.gate.leave(it, err == nil)
 	if err != nil {
 		return "", err
 	}
@@ -293,7 +295,7 @@
 			return gr, nil
 		}
 		if err.Code != verdict.Overloaded || ctx.Err() != nil {
-			g.gate.leave(false)
+			g.gate.leave(it, false)
 			return nil, err
 		}
 		if g.suspect {
@@ -393,19 +395,12 @@
 // prefill runs the prefill under its grant.
 func (g *generation) prefill(ctx context.Context, gr *grant) (*pb.PrefillReply, *verdict.Error) {
 	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillBound)
-	pctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	lost := gr.conn.Lost()
-	go func() {
-		// An answer over a connection that went silent never comes.
-		select {
-		case <-lost:
-			cancel()
-		case <-pctx.Done():
-		}
-	}()
+	ctx, drop := gr.conn.WhileKept(ctx)
+	defer drop()
 	g.touched = true
-	reply, err := gr.conn.Prefill(pctx, &pb.PrefillRequest{
+	reply, err := gr.conn.Prefill(ctx, &pb.PrefillRequest{
 		Attempt: gr.attempt, Model: g.r.model, Prompt: []byte(g.r.prompt),
 		Priority: priorityOf(g.to.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
 	})
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -40,7 +40,9 @@
 	}
 	code := codeOf(r.Reason)
 	if code == verdict.Crashes {
-		return crashes()
+		e := crashes()
+		e.Verdict = v
+		return e
 	}
 	msg := r.Detail
 	if msg == "" {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -201,16 +201,8 @@
 	for _, h := range r.headers {
 		req.Headers = append(req.Headers, &pb.Header{Key: h.key, Value: h.value})
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := conn.WhileKept(ctx)
 	defer cancel()
-	lost := conn.Lost()
-	go func() {
-		select {
-		case <-lost:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	began := time.Now()
 	reply, err := conn.Call(ctx, req)
 	if err != nil {
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -52,8 +52,9 @@
 	Enqueued time.Time
 	// Predicted is the time to the first token once the item is admitted.
 	Predicted time.Duration
-	// charged is how far Pop moved the guarantee's clock, for Requeue.
-	charged float64
+	// charged, dueCharged and batchCharged are how far Pop moved the guarantee's
+	// clock, the organisation's due time and batch's, for Requeue and Settle.
+	charged, dueCharged, batchCharged float64
 }
 
 // Options of a queue. Zero values stand for the defaults.
@@ -76,13 +77,18 @@
 	// active are the organisations with waiting work.
 	active []*org
 	items  map[string]*entry
+	// popped are the items that are out, by ID, as they were charged.
+	popped map[string]Item
 	weight float64 // sum of the shares of active
 	cost   float64 // sum of the costs of items
-	// virtual is the start tag of the last item popped, in cost by share.
+	// virtual is the start tag of the last item settled, in cost by share.
 	virtual float64
 	// clock runs by popped cost over the sum of active shares. An
 	// organisation whose due time has passed is below its guarantee.
 	clock float64
+	// pending is the part of clock charged for items that are out: popped, and
+	// neither settled nor requeued.
+	pending float64
 	// served is all cost popped; batch is due when it passes batchDue.
 	served, batchDue float64
 	batches          int
@@ -95,8 +101,9 @@
 	share       float64
 	interactive class
 	batch       class
-	// virtual is the organisation's start tag, in cost by share.
-	virtual float64
+	// virtual is the organisation's start tag, in cost by share; out is the part
+	// of it charged for items that are out.
+	virtual, out float64
 	// due is when, on the queue's clock, its guarantee wants the next item.
 	due float64
 }
@@ -125,6 +132,7 @@
 		shares: map[string]float64{},
 		orgs:   map[string]*org{},
 		items:  map[string]*entry{},
+		popped: map[string]Item{},
 	}
 }
 
@@ -185,21 +193,27 @@
 	it := e.item
 	it.charged = it.Cost / total
 	q.charge(o, &it)
+	o.out += it.Cost / o.share
+	q.pending += it.charged
+	q.popped[it.ID] = it
 	q.drain.popped(now, it.Cost)
 	return it, true
 }
 
 // charge accounts for a popped item.
 func (q *Queue) charge(o *org, it *Item) {
-	q.virtual = max(q.virtual, o.virtual)
 	o.virtual += it.Cost / o.share
 	// Work beyond the guarantee doesn't use it up: an organisation that had
 	// the queue for itself would otherwise be without one for as long again.
-	o.due = min(o.due, q.clock) + it.Cost/(guaranteed*o.share)
+	due := min(o.due, q.clock) + it.Cost/(guaranteed*o.share)
+	it.dueCharged = due - o.due
+	o.due = due
 	q.clock += it.charged
 	q.served += it.Cost
 	if !it.Interactive {
-		q.batchDue = min(q.batchDue, q.served) + it.Cost/q.opts.BatchFloor
+		due := min(q.batchDue, q.served) + it.Cost/q.opts.BatchFloor
+		it.batchCharged = due - q.batchDue
+		q.batchDue = due
 	}
 }
 
@@ -209,17 +223,50 @@
 	if _, ok := q.items[it.ID]; ok {
 		return
 	}
-	o := q.org(it.Organisation)
+	out, o := q.back(it.ID)
+	if o != nil {
+		q.refund(o, &out)
+	}
+	it.Cost = max(it.Cost, minCost)
+	q.insert(it, true)
+}
+
+// refund takes back what Pop charged.
+func (q *Queue) refund(o *org, it *Item) {
 	o.virtual -= it.Cost / o.share
-	o.due -= it.Cost / (guaranteed * o.share)
+	o.due -= it.dueCharged
 	q.clock -= it.charged
 	q.served -= it.Cost
-	if !it.Interactive {
-		q.batchDue -= it.Cost / q.opts.BatchFloor
-	}
+	q.batchDue -= it.batchCharged
 	q.drain.requeued(it.Cost)
-	it.charged = 0
-	q.insert(it, true)
+}
+
+// Settle notes that a popped item was served, or given up: its charge stands.
+// Each popped item is settled or requeued.
+//
+// Only what was settled moves the queue's virtual time, which is where an
+// organisation without waiting work starts. Items that are out to ask servers
+// may come back; with many of them out a newcomer would otherwise start behind
+// all of them, and wait as long as if they had been served.
+func (q *Queue) Settle(id string) {
+	it, o := q.back(id)
+	if o != nil {
+		q.virtual = max(q.virtual, o.virtual-o.out-it.Cost/o.share)
+	}
+}
+
+// back notes that a popped item is no longer out. It returns the item as it was
+// charged and its organisation, nil if the item isn't out.
+func (q *Queue) back(id string) (Item, *org) {
+	it, ok := q.popped[id]
+	if !ok {
+		return it, nil
+	}
+	delete(q.popped, id)
+	q.pending = max(0, q.pending-it.charged)
+	o := q.org(it.Organisation)
+	o.out = max(0, o.out-it.Cost/o.share)
+	return it, o
 }
 
 // Charge corrects an organisation's account by the difference, in tokens,
@@ -326,7 +373,7 @@
 		// Rest earns nothing: neither share nor guarantee is saved up.
 		if !head {
 			o.virtual = max(o.virtual, q.virtual)
-			o.due = max(o.due, q.clock)
+			o.due = max(o.due, q.clock-q.pending)
 		}
 		q.active = append(q.active, o)
 		q.weight += o.share
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,6 +51,7 @@
 		push(t, q, start, Item{ID: fmt.Sprint("b", i), Organisation: "batch", Cost: 10})
 		push(t, q, start, Item{ID: fmt.Sprint("i", i), Organisation: "busy", Cost: 10, Interactive: true})
 		it, _ := q.Pop(start)
+		q.Settle(it.ID)
 		served[it.Organisation] += it.Cost
 		q.Remove(fmt.Sprint("b", i-5))
 		q.Remove(fmt.Sprint("i", i-5))
@@ -69,6 +71,7 @@
 		if it.Organisation == org {
 			count++
 		}
+		q.Settle(it.ID)
 		push(t, q, start, it)
 	}
 	return count
@@ -142,6 +145,7 @@
 				q.Requeue(it)
 				continue
 			}
+			q.Settle(it.ID)
 			served[it.Organisation] += it.Cost
 			sum += it.Cost
 			var org int
@@ -320,6 +324,7 @@
 			for b.Loop() {
 				now = now.Add(time.Millisecond)
 				it, _ := q.Pop(now)
+				q.Settle(it.ID)
 				it.Deadline = now.Add(time.Hour)
 				_ = q.Push(now, it)
 			}
@@ -338,3 +343,31 @@
 		_ = q.Push(start, Item{ID: "x", Organisation: "org-1", Cost: 100})
 	}
 }
+
+// One organisation floods a full pool: many of its items are out at once to ask
+// servers, all are full, and they come back. Another organisation's item that
+// came meanwhile must be next: what came back was not served, and must not count
+// as if the newcomer had to let it pass.
+func TestItemsThatComeBackDontDelayNewcomers(t *testing.T) {
+	q := newQueue(Options{})
+	now := start
+	for i := range 100 {
+		push(t, q, now, Item{ID: fmt.Sprint("flood ", i), Organisation: "flood", Interactive: true, Cost: 44})
+	}
+	var out []Item
+	for range 64 {
+		it, ok := q.Pop(now)
+		assert.Assert(t, ok)
+		out = append(out, it)
+	}
+	push(t, q, now, Item{ID: "calm", Organisation: "calm", Interactive: true, Cost: 14})
+	q.Settle(out[40].ID)
+	out = append(out[:40], out[41:]...)
+	slices.Reverse(out)
+	for _, it := range out {
+		q.Requeue(it)
+	}
+	it, ok := q.Pop(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, it.ID, "calm")
+}
