Bound the bodies that an entry holds in all

Ruled out: a bound in bytes of the queues alone, as a prompt is held until its answer ends. Change: limits.maxHeldBytes, 24 MB by default (a request takes about eight times its body); beyond it a request is refused at once, not run, with a time to come back; liveness and readiness are answered all the same.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,6 +32,8 @@
 	// closeLinger is how long idle connections stay open after the listener
 	// closed: a request already on its way gets its answer.
 	closeLinger = time.Second
+	// heldRetryAfter is told to a caller refused for the memory of others.
+	heldRetryAfter = time.Second
 )
 
 // server is the callers' side of an entry.
@@ -39,6 +41,8 @@
 	e        *Entry
 	http     *fasthttp.Server
 	inFlight atomic.Int64
+	// held counts the bytes of the bodies of running requests.
+	held     atomic.Int64
 	stopping atomic.Bool
 }
 
@@ -110,11 +114,12 @@
 }
 
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
-	s.inFlight.Add(1)
+	size := int64(len(ctx.Request.Body()))
+	s.begin(size)
 	streaming := false
 	defer func() {
 		if !streaming {
-			s.inFlight.Add(-1)
+			s.end(size)
 		}
 	}()
 	if s.stopping.Load() {
@@ -135,6 +140,16 @@
 	}
 }
 
+func (s *server) begin(size int64) {
+	s.inFlight.Add(1)
+	s.held.Add(size)
+}
+
+func (s *server) end(size int64) {
+	s.held.Add(-size)
+	s.inFlight.Add(-1)
+}
+
 func (s *server) ready(ctx *fasthttp.RequestCtx) {
 	if s.stopping.Load() || !s.e.ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -179,8 +194,9 @@
 		return false
 	}
 	s.startStream(ctx, r, first.attempts)
+	size := int64(len(ctx.PostBody()))
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.inFlight.Add(-1)
+		defer s.end(size)
 		defer end()
 		writeStream(watched, w, r, out)
 	})
@@ -190,6 +206,9 @@
 func (s *server) parse(ctx *fasthttp.RequestCtx) (*request, *verdict.Error) {
 	id := s.e.nextID()
 	ctx.Response.Header.Set(HeaderRequest, id)
+	if s.held.Load() > s.e.settings.Limits.MaxHeldBytes {
+		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "This entry holds as many requests as it can.").After(heldRetryAfter)
+	}
 	return parseCommon(ctx, id, time.Now(), s.e.settings.Limits)
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,7 @@
 	minSize        = 1 << 10
 	maxHeaderBytes = 1 << 20
 	maxBodyBytes   = 1 << 30
+	maxHeldBytes   = 1 << 40
 	maxConnections = 1 << 20
 	maxQueue       = 1 << 20
 	maxSlots       = 4096
@@ -64,6 +65,7 @@
 func checkLimits(d *strictjson.Document, l Limits) {
 	strictjson.Range(d, "limits.maxHeaderBytes", l.MaxHeaderBytes, minSize, maxHeaderBytes)
 	strictjson.Range(d, "limits.maxBodyBytes", l.MaxBodyBytes, minSize, maxBodyBytes)
+	strictjson.Range(d, "limits.maxHeldBytes", l.MaxHeldBytes, int64(l.MaxBodyBytes), maxHeldBytes)
 	strictjson.Range(d, "limits.maxConnections", l.MaxConnections, 1, maxConnections)
 	strictjson.Range(d, "limits.maxQueue", l.MaxQueue, 0, maxQueue)
 	strictjson.Range(d, "limits.maxQueuePerOrganisation", l.MaxQueuePerOrganisation, 0, maxQueue)
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -64,7 +64,7 @@
 e.json:3: peer: expected "ip:port" with an IP number, no DNS name
 e.json:5: platform: expected "ip:port" with an IP number, no DNS name
 e.json:7: limits.writeTimeout: expected a duration with its unit, such as "250ms", "10s" or "5m"
-e.json:8: limits.maxQueu: unknown key, expected one of defaultDeadline, maxBodyBytes, maxConnections, maxDeadline, maxHeaderBytes, maxQueue, maxQueuePerOrganisation, writeTimeout
+e.json:8: limits.maxQueu: unknown key, expected one of defaultDeadline, maxBodyBytes, maxConnections, maxDeadline, maxHeaderBytes, maxHeldBytes, maxQueue, maxQueuePerOrganisation, writeTimeout
 e.json:9: limits.maxQueue: expected a whole number
 e.json:10: limits.maxBodyBytes: expected 1024 to 1073741824
 e.json:13: stopWithin: repeated key, expected it once`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,7 +77,12 @@
 type Limits struct {
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
 	MaxBodyBytes   int `json:"maxBodyBytes"`
-	MaxConnections int `json:"maxConnections"`
+	// MaxHeldBytes bounds the bodies of all running requests together. Queues
+	// are bounded by pool and in requests: long prompts in many of them would
+	// take many times the memory of an instance. A request takes about eight
+	// times its body.
+	MaxHeldBytes   int64 `json:"maxHeldBytes"`
+	MaxConnections int   `json:"maxConnections"`
 	// MaxQueue bounds the requests that wait for admission.
 	MaxQueue int `json:"maxQueue"`
 	// MaxQueuePerOrganisation bounds one organisation's part of the queue.
@@ -171,6 +176,7 @@
 		Limits: Limits{
 			MaxHeaderBytes:          16 << 10,
 			MaxBodyBytes:            4 << 20,
+			MaxHeldBytes:            24 << 20,
 			MaxConnections:          4096,
 			MaxQueue:                512,
 			MaxQueuePerOrganisation: 128,
--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -125,3 +125,32 @@
 	got := o.seconds.tally()
 	assert.Check(t, got.whole > got.refused, "Retry-After was honoured for %d and not for %d", got.whole, got.refused)
 }
+
+// Callers send long prompts, each well below the bound of a body and all of them
+// below the queue's bound in requests, faster than they are served. Together they
+// would take gigabytes: what goes beyond the entry's bound is refused at once, as
+// not run, and the rest gets its answers.
+func TestLongPromptsAreBoundedTogether(t *testing.T) {
+	c := newCluster(t, shape{
+		entries: 1, prefill: 1, decode: 1, engine: enginestandin.Options{DecodeSlots: 2, PrefillPerThousand: time.Millisecond},
+		agent: func(a *settings.Agent) { a.Slots = 2 },
+		entry: func(e *settings.Entry) { e.Limits.MaxHeldBytes = 8 << 20 },
+	})
+	h := &history{}
+	wg := c.load(h, 120, 10*time.Millisecond, func(i int) ask {
+		return ask{prompt: prompt(fmt.Sprint("long ", i), 50_000), maxTokens: 10, headers: map[string]string{"Jayford-Priority": "batch"}}
+	})
+	most := 0
+	for range 15 {
+		time.Sleep(100 * time.Millisecond)
+		most = max(most, c.entries[0].memory())
+	}
+	wg.Wait()
+	c.checkHistory(h)
+	report(t, "120 prompts of 250 KB: %s; entry at most %d MB", h.describe(), most>>10)
+	got := h.tally()
+	assert.Assert(t, got.whole >= 25 && got.refused > 0 && got.whole+got.refused == 120, "%s", h.describe())
+	for _, a := range h.all() {
+		assert.Assert(t, a.whole || (a.verdict == "not-run" && a.retry != ""), "%+v", a)
+	}
+}
