Keep suspects out of the queue, and allow five tries

Two causes of unsteady tests, each read from the logs of a failed run. 1. Change: a suspect asks outside the queue. Ruled out: the budget. Change: MaxAttempts 5, the budgets bound the sum.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -47,6 +47,8 @@
 	touched bool
 	// exclude names servers that failed this request.
 	exclude map[string]bool
+	// inGate: it has its turn to reserve.
+	inGate bool
 	// queued: the last error is the queue's.
 	queued bool
 	// failures and refusals count the tries that ended so.
@@ -205,7 +207,7 @@
 	g.out.attempt()
 	attemptsTotal.Inc()
 	it := g.item()
-	if err := g.gate.enter(ctx, it); err != nil {
+	if err := g.enter(ctx, it); err != nil {
 		g.queued = true
 		return "", err
 	}
@@ -216,6 +218,26 @@
 	return g.attemptLate(ctx, it)
 }
 
+// enter waits for the request's turn. A suspect has none: it waits for a server
+// of its own, and while it stood in the queue its refusals would hold back all
+// others, as if the pool were full.
+func (g *generation) enter(ctx context.Context, it admit.Item) *verdict.Error {
+	if g.suspect {
+		return nil
+	}
+	err := g.gate.enter(ctx, it)
+	g.inGate = err == nil
+	return err
+}
+
+// leave ends the request's turn, if it has one.
+func (g *generation) leave(it admit.Item, granted bool) {
+	if g.inGate {
+		g.inGate = false
+		g.gate.leave(it, granted)
+	}
+}
+
 // attemptEarly reserves the decode slot before the prefill is paid for.
 func (g *generation) attemptEarly(ctx context.Context, it admit.Item) (string, *verdict.Error) {
 	decode, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_DECODE, "")
@@ -224,7 +246,7 @@
 	}
 	defer decode.release()
 	prefill, err := g.reserve(ctx, pb.Phase_PHASE_PREFILL, decode.target.zone, reserveWait)
-	g.gate.leave(it, err == nil)
+	g.leave(it, err == nil)
 	if err != nil {
 		return "", err
 	}
@@ -295,14 +317,16 @@
 			return gr, nil
 		}
 		if err.Code != verdict.Overloaded || ctx.Err() != nil {
-			g.gate.leave(it, false)
+			g.leave(it, false)
 			return nil, err
 		}
 		if g.suspect {
 			// An agent answers at once while its server is kept open for others.
 			sleep(ctx, suspectPause)
+			continue
 		}
 		if err := g.gate.again(ctx, it); err != nil {
+			g.inGate = false
 			g.queued = true
 			return nil, err
 		}
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return "", err
 	}
-	g.gate.leave(it, true)
+	g.leave(it, true)
 	defer prefill.release()
 	var early *pending
 	if p := g.e.settings.Policy; p.Reserve == settings.ReservePredicted && !p.Baseline() {
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -9,8 +9,11 @@
 
 const (
 	// MaxAttempts bounds the tries of a request that failed, the first
-	// included.
-	MaxAttempts = 3
+	// included. When half of the servers die at once, one request can lose its
+	// decode server, find its prefill server dead, and hold a grant at a third
+	// that dies; with 3 it was cut though the others had room. The budgets, not
+	// this, keep retries from adding up to a storm.
+	MaxAttempts = 5
 	// MaxRefusals bounds the tries that an agent refused as full or leaving.
 	MaxRefusals = 8
 	// quickRefusals are followed by the next server at once; those behind
