Declare the stand-ins' configuration in one place

Cause: the dev role and the experiment tool had the same pools, selectors and writes, line for line (duplicates).

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"time"
@@ -18,6 +17,7 @@
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
+	"jayford.example/jayford/internal/standin/layout"
 	platformstandin "jayford.example/jayford/internal/standin/platform"
 	servicestandin "jayford.example/jayford/internal/standin/service"
 )
@@ -54,7 +54,7 @@
 	roles      context.Context
 	platform   string
 	instances  []platform.Instance
-	objects    []platform.Object
+	layout     layout.Layout
 }
 
 // Run runs the system until ctx ends.
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	s.server(id, map[string]string{object.LabelModel: Model, object.LabelRole: role})
+	s.layout.Server(id, layout.Labels(Model, role))
 	return s.startAgent(g, id, address, settings.BackendEngine)
 }
 
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	s.server(id, map[string]string{object.LabelRole: object.RoleService})
+	s.layout.Server(id, map[string]string{object.LabelRole: object.RoleService})
 	return s.startAgent(g, id, address, settings.BackendService)
 }
 
@@ -190,7 +190,7 @@
 		e.Operator = s.opts.Operator
 	}
 	s.instance(p, daemon.RoleEntry)
-	if err := s.publishInstances(); err != nil {
+	if err := layout.Publish(s.platform, s.instances, setupTime); err != nil {
 		return err
 	}
 	g.Go(func() error {
@@ -219,44 +219,10 @@
 	})
 }
 
-func (s *system) server(id string, labels map[string]string) {
-	s.object(object.KindServer, id, object.Server{Format: object.Format, Labels: labels})
-}
-
-func (s *system) object(kind, name string, spec any) {
-	text, err := json.Marshal(spec)
-	if err != nil {
-		// The specs are this package's own constants.
-		panic(err)
-	}
-	s.objects = append(s.objects, platform.Object{Kind: kind, Name: name, Spec: text, Operation: "dev"})
-}
-
-// declare writes the pools and selectors of the dev system.
+// declare writes the configuration of the dev system.
 func (s *system) declare() error {
-	s.object(object.KindPool, "model", object.Pool{
-		Format: object.Format, Model: Model,
-		Prefill: map[string]string{object.LabelModel: Model, object.LabelRole: object.RolePrefill},
-		Decode:  map[string]string{object.LabelModel: Model, object.LabelRole: object.RoleDecode},
-	})
-	s.object(object.KindPool, "service", object.Pool{
-		Format: object.Format, Service: map[string]string{object.LabelRole: object.RoleService},
-	})
-	s.object(object.KindSelector, "model", object.Selector{
-		Format: object.Format, Order: 10, Match: object.Match{Models: []string{Model}},
-		Targets: []object.Target{{Pool: "model", Weight: 1}},
-	})
-	s.object(object.KindSelector, "service", object.Selector{
-		Format: object.Format, Order: 20, Match: object.Match{PathPrefixes: []string{"/"}},
-		Targets: []object.Target{{Pool: "service", Weight: 1}},
-	})
+	s.layout.Pools(Model)
 	ctx, cancel := context.WithTimeout(s.ctx, setupTime)
 	defer cancel()
-	store := platform.NewHTTP(s.platform, setupTime)
-	for _, o := range s.objects {
-		if _, err := store.Put(ctx, o); err != nil {
-			return eris.Wrapf(err, "dev: declare %s %s", o.Kind, o.Name)
-		}
-	}
-	return nil
+	return s.layout.Write(ctx, platform.NewHTTP(s.platform, setupTime))
 }
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -1,9 +1,7 @@
 package experiment
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +20,7 @@
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
+	"jayford.example/jayford/internal/standin/layout"
 	platformstandin "jayford.example/jayford/internal/standin/platform"
 	servicestandin "jayford.example/jayford/internal/standin/service"
 )
@@ -47,7 +46,7 @@
 	targets    []string
 	operators  []string
 	instances  []platform.Instance
-	objects    []platform.Object
+	layout     layout.Layout
 	watched    []*watched
 	failed     atomic.Pointer[error]
 
@@ -169,7 +168,7 @@
 	if kind == settings.BackendEngine {
 		c.watched = append(c.watched, &watched{role: labels[object.LabelRole], backend: backend, operator: p.Operator})
 	}
-	c.object(object.KindServer, id, object.Server{Format: object.Format, Labels: labels})
+	c.layout.Server(id, labels)
 	c.role(func() error { return daemon.RunAgent(c.rolesCtx, a, c.log) })
 	return nil
 }
@@ -254,53 +253,18 @@
 	})
 }
 
-func (c *cluster) object(kind, name string, spec any) {
-	text, err := json.Marshal(spec)
-	if err != nil {
-		// The specs are this package's own.
-		panic(err)
-	}
-	c.objects = append(c.objects, platform.Object{Kind: kind, Name: name, Spec: text, Operation: "experiment"})
-}
-
 // declare writes the pools, selectors and organisations.
 func (c *cluster) declare(ctx context.Context, model string) error {
-	c.object(object.KindPool, "model", object.Pool{
-		Format: object.Format, Model: model,
-		Prefill: map[string]string{object.LabelModel: model, object.LabelRole: object.RolePrefill},
-		Decode:  map[string]string{object.LabelModel: model, object.LabelRole: object.RoleDecode},
-	})
-	c.object(object.KindPool, "service", object.Pool{
-		Format: object.Format, Service: map[string]string{object.LabelRole: object.RoleService},
-	})
-	c.object(object.KindSelector, "model", object.Selector{
-		Format: object.Format, Order: 10, Match: object.Match{Models: []string{model}},
-		Targets: []object.Target{{Pool: "model", Weight: 1}},
-	})
-	c.object(object.KindSelector, "service", object.Selector{
-		Format: object.Format, Order: 20, Match: object.Match{PathPrefixes: []string{"/"}},
-		Targets: []object.Target{{Pool: "service", Weight: 1}},
-	})
+	c.layout.Pools(model)
 	for _, o := range c.deployment.Workload.Organisations {
-		c.object(object.KindOrganisation, o.Name, object.Organisation{Format: object.Format, Share: o.Share})
+		c.layout.Add(object.KindOrganisation, o.Name, object.Organisation{Format: object.Format, Share: o.Share})
 	}
 	ctx, cancel := context.WithTimeout(ctx, setupTime)
 	defer cancel()
-	store := platform.NewHTTP(c.platform, setupTime)
-	for _, o := range c.objects {
-		if _, err := store.Put(ctx, o); err != nil {
-			return eris.Wrapf(err, "experiment: declare %s %s", o.Kind, o.Name)
-		}
-	}
-	return c.publishInstances(ctx)
-}
-
-func (c *cluster) publishInstances(ctx context.Context) error {
-	body, err := json.Marshal(c.instances)
-	if err != nil {
-		return eris.Wrap(err, "experiment: instances")
+	if err := c.layout.Write(ctx, platform.NewHTTP(c.platform, setupTime)); err != nil {
+		return err
 	}
-	return request(ctx, http.MethodPost, "http://"+c.platform+"/instances", body)
+	return layout.Publish(c.platform, c.instances, setupTime)
 }
 
 // waitReady waits until each entry serves and has learnt of the servers.
@@ -308,7 +272,7 @@
 	ctx, cancel := context.WithTimeout(ctx, setupTime)
 	defer cancel()
 	for _, t := range c.targets {
-		for request(ctx, http.MethodGet, "http://"+t+"/readyz", nil) != nil {
+		for ask(ctx, "http://"+t+"/readyz") != nil {
 			if !sleep(ctx, readyPoll) {
 				return eris.Errorf("experiment: entry %s isn't ready within %s", t, setupTime)
 			}
@@ -318,8 +282,9 @@
 	return nil
 }
 
-func request(ctx context.Context, method, url string, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+// ask returns an error unless url answers with a success.
+func ask(ctx context.Context, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return eris.Wrap(err, "experiment")
 	}
