Give each bench its own range of ports

The port was free when looked at and taken by another bench before it was used. Ruled out: the kernel's own ports, which are above. Change: 12000 to 21999, 22000 to 27000 and 27001 to 30000. No check is changed.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -208,8 +208,8 @@
 // for outgoing connections: otherwise another part's connection can hold the
 // port by the time that the listener opens, and the server is missing in silence.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort = 22000
+	lastPort  = 27000
 	portStep  = 37
 )
 
--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -97,7 +97,7 @@
 // The ports given out are below the range that the kernel takes for outgoing
 // connections, so that none of these gets an address before its process does.
 const (
-	firstPort = 12000
+	firstPort = 27001
 	lastPort  = 30000
 )
 
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -150,7 +150,7 @@
 
 const (
 	firstPort = 12000
-	lastPort  = 30000
+	lastPort  = 21999
 )
 
 var addresses = struct {
