Start no process while a free address is probed

The tests run in parallel and start processes all the time. Between fork and exec a child holds copies of its parent's sockets, so a probe of freeAddress that was closed meanwhile still listens, and the link's own listener, microseconds later, is refused. Change: freeAddress holds syscall.ForkLock for reading while it probes. Go's fork holds it for writing until the child has execed, so no copy can exist. No check is changed.

--- a/test/process_test.go
+++ b/test/process_test.go
@@ -128,10 +128,16 @@
 // freeAddress returns a loopback address that nothing listens on. It is below
 // the range that the kernel takes for outgoing connections, so that a process
 // that restarts finds its address still free.
+//
+// No process is started meanwhile: until it execs, a child holds copies of this
+// process's sockets, so that the probe would listen on after its close and the
+// caller's own listener be refused with "address already in use".
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	addresses.mu.Lock()
 	defer addresses.mu.Unlock()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range 10000 {
 		addresses.next++
 		if addresses.next > lastPort {
