Let test runs beside each other use a loopback address each

Cause: two checkouts that run the tests at once take ports of one range, and a port that one has found free the other may take before it is used. Ruled out: a range per checkout, since the range is only wide enough for one run and its restarts. Change: JAYFORD_TEST_HOST sets the listeners' address; unset, all stays as it was. Measured: TestPath, TestOnlyEntries and TestFreeAddress pass at 127.0.0.9 while the whole check runs at 127.0.0.1.

--- a/test/process_test.go
+++ b/test/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -143,7 +144,7 @@
 		if addresses.next > lastPort {
 			addresses.next = firstPort
 		}
-		a := "127.0.0.1:" + strconv.Itoa(addresses.next)
+		a := net.JoinHostPort(addresses.host, strconv.Itoa(addresses.next))
 		l, err := net.Listen("tcp", a)
 		if err == nil {
 			l.Close()
@@ -159,10 +160,17 @@
 	lastPort  = 21999
 )
 
+// envHost is the loopback address of all listeners. Runs of the tests beside each
+// other need one each, 127.0.0.2 and so on: a port that one has found free, the
+// other may take before it is used.
+const envHost = "JAYFORD_TEST_HOST"
+
 var addresses = struct {
+	host string
 	mu   sync.Mutex
+	// next is guarded by mu.
 	next int
-}{next: firstPort + os.Getpid()*37%(lastPort-firstPort)}
+}{host: cmp.Or(os.Getenv(envHost), "127.0.0.1"), next: firstPort + os.Getpid()*37%(lastPort-firstPort)}
 
 // eventually waits until f returns nil.
 func eventually(t *testing.T, d time.Duration, what string, f func() error) {
