Give out loopback addresses in one place

Cause: test/, the experiment, the slopes bench and dev each had a search for a free port of their own; only the first held the fork lock, and dev took ports from the kernel's range for outgoing connections, where another part's connection can hold the port by the time that its listener opens. Ruled out: keeping the probes open and handing listeners over, since the daemons listen in processes of their own, and restart. Change: package standin/loopback, with the four disjoint ranges side by side. The test of the fork lock moves with it, as strict; a test for a range that is used up is new. Conclusion: one search serves all; no check is changed.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -18,6 +18,7 @@
 	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
 	"jayford.example/jayford/internal/standin/layout"
+	"jayford.example/jayford/internal/standin/loopback"
 	platformstandin "jayford.example/jayford/internal/standin/platform"
 	servicestandin "jayford.example/jayford/internal/standin/service"
 )
@@ -151,21 +152,14 @@
 	p.Platform = s.platform
 	p.StopWithin = settings.Duration(stopWithin)
 	var err error
-	if p.Peer, err = freeAddress(); err != nil {
+	if p.Peer, err = addresses.Free(); err != nil {
 		return p, err
 	}
-	p.Operator, err = freeAddress()
+	p.Operator, err = addresses.Free()
 	return p, err
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "dev: find a free address")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
+var addresses = loopback.New(loopback.Host, loopback.Dev)
 
 func (s *system) startAgent(g *errgroup.Group, id, backend, kind string) error {
 	a := settings.DefaultAgent()
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +19,7 @@
 	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
 	"jayford.example/jayford/internal/standin/layout"
+	"jayford.example/jayford/internal/standin/loopback"
 	platformstandin "jayford.example/jayford/internal/standin/platform"
 	servicestandin "jayford.example/jayford/internal/standin/service"
 )
@@ -180,7 +179,7 @@
 		return err
 	}
 	e.Process, e.Policy = p, c.policy
-	if e.Listen, err = freeAddress(); err != nil {
+	if e.Listen, err = addresses.Free(); err != nil {
 		return err
 	}
 	c.targets = append(c.targets, e.Listen)
@@ -197,36 +196,14 @@
 	p.Platform = c.platform
 	p.StopWithin = settings.Duration(stopWithin)
 	var err error
-	if p.Peer, err = freeAddress(); err != nil {
+	if p.Peer, err = addresses.Free(); err != nil {
 		return p, err
 	}
-	p.Operator, err = freeAddress()
+	p.Operator, err = addresses.Free()
 	return p, err
 }
 
-// Ports of the processes' listeners are below the range that the kernel takes
-// for outgoing connections: otherwise another part's connection can hold the
-// port by the time that the listener opens, and the server is missing in silence.
-const (
-	firstPort = 22000
-	lastPort  = 27000
-	portStep  = 37
-)
-
-var nextPort atomic.Int64
-
-func freeAddress() (string, error) {
-	nextPort.CompareAndSwap(0, int64(os.Getpid()*portStep%(lastPort-firstPort)))
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", eris.New("experiment: no free port")
-}
+var addresses = loopback.New(loopback.Host, loopback.Experiment)
 
 // role runs a daemon's role. Its failure is kept for err.
 func (c *cluster) role(run func() error) {
--- a/internal/slopes/bench.go
+++ b/internal/slopes/bench.go
@@ -119,10 +119,10 @@
 	p := settings.DefaultProcess()
 	p.ID, p.AvailabilityZone, p.Region, p.Platform, p.LogLevel = id, zone, regionOf(0), b.platformAt, "error"
 	var err error
-	if p.Peer, err = freeAddress(); err != nil {
+	if p.Peer, err = addresses.Free(); err != nil {
 		return p, err
 	}
-	p.Operator, err = freeAddress()
+	p.Operator, err = addresses.Free()
 	return p, err
 }
 
@@ -141,7 +141,7 @@
 		return nil, e, err
 	}
 	e.Process = p
-	if e.Listen, err = freeAddress(); err != nil {
+	if e.Listen, err = addresses.Free(); err != nil {
 		return nil, e, err
 	}
 	b.list(p, "entry")
--- a/internal/slopes/process.go
+++ b/internal/slopes/process.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/standin/loopback"
 )
 
 // process is one daemon under measurement.
@@ -94,29 +95,4 @@
 // megabytes are 10^6 bytes, as in the limits.
 const megabytes = 1e6
 
-// The ports given out are below the range that the kernel takes for outgoing
-// connections, so that none of these gets an address before its process does.
-const (
-	firstPort = 27001
-	lastPort  = 30000
-)
-
-var nextPort = firstPort + os.Getpid()*37%(lastPort-firstPort)
-
-// freeAddress returns an address that nothing listens on. It is used by one
-// goroutine.
-func freeAddress() (string, error) {
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort > lastPort {
-			nextPort = firstPort
-		}
-		address := "127.0.0.1:" + strconv.Itoa(nextPort)
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			l.Close()
-			return address, nil
-		}
-	}
-	return "", errors.New("no free address")
-}
+var addresses = loopback.New(loopback.Host, loopback.Slopes)
--- /dev/null
+++ b/internal/standin/loopback/loopback_test.go
@@ -0,0 +1,75 @@
+package loopback
+
+import (
+	"net"
+	"os/exec"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A test takes a free address while the tests beside it start their processes.
+// Between fork and exec a child holds copies of its parent's sockets, so a probe
+// that the parent has closed can go on listening for a moment, and the test's own
+// listener is refused with "address already in use".
+func TestFreeWhileProcessesStart(t *testing.T) {
+	const (
+		starters = 4
+		takes    = 3000
+	)
+	addresses := New(Host, Tests)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for range starters {
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					assert.Check(t, exec.Command("true").Run())
+				}
+			}
+		})
+	}
+	inUse := 0
+	for range takes {
+		address, err := addresses.Free()
+		assert.NilError(t, err)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			inUse++
+			continue
+		}
+		l.Close()
+	}
+	close(done)
+	wg.Wait()
+	assert.Equal(t, inUse, 0, "of %d listeners", takes)
+}
+
+// All ports of a range are in use but one, which is found wherever the search
+// begins; when that is taken too there is an error and no search without end.
+func TestFreeFindsTheLastPort(t *testing.T) {
+	ports := Range{First: 11990, Last: 11993}
+	addresses := New(Host, ports)
+	var taken []net.Listener
+	for range ports.size() {
+		address, err := addresses.Free()
+		assert.NilError(t, err)
+		l, err := net.Listen("tcp", address)
+		assert.NilError(t, err)
+		taken = append(taken, l)
+	}
+	_, err := addresses.Free()
+	assert.ErrorContains(t, err, "no free port")
+	want := taken[2].Addr().String()
+	taken[2].Close()
+	got, err := addresses.Free()
+	assert.NilError(t, err)
+	assert.Equal(t, got, want)
+	for _, l := range taken {
+		l.Close()
+	}
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -4,16 +4,16 @@
 	"bytes"
 	"cmp"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"jayford.example/jayford/internal/standin/loopback"
 )
 
 // process is one process of a test: a daemon or a stand-in.
@@ -126,52 +126,22 @@
 	}
 }
 
-// freeAddress returns a loopback address that nothing listens on. It is below
-// the range that the kernel takes for outgoing connections, so that a process
-// that restarts finds its address still free.
-//
-// No process is started meanwhile: until it execs, a child holds copies of this
-// process's sockets, so that the probe would listen on after its close and the
-// caller's own listener be refused with "address already in use".
+// envHost is the loopback address of all listeners. Runs of the tests beside each
+// other need one each, 127.0.0.2 and so on.
+const envHost = "JAYFORD_TEST_HOST"
+
+var addresses = loopback.New(cmp.Or(os.Getenv(envHost), loopback.Host), loopback.Tests)
+
+// freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	addresses.mu.Lock()
-	defer addresses.mu.Unlock()
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	for range 10000 {
-		addresses.next++
-		if addresses.next > lastPort {
-			addresses.next = firstPort
-		}
-		a := net.JoinHostPort(addresses.host, strconv.Itoa(addresses.next))
-		l, err := net.Listen("tcp", a)
-		if err == nil {
-			l.Close()
-			return a
-		}
+	address, err := addresses.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free address")
-	return ""
+	return address
 }
 
-const (
-	firstPort = 12000
-	lastPort  = 21999
-)
-
-// envHost is the loopback address of all listeners. Runs of the tests beside each
-// other need one each, 127.0.0.2 and so on: a port that one has found free, the
-// other may take before it is used.
-const envHost = "JAYFORD_TEST_HOST"
-
-var addresses = struct {
-	host string
-	mu   sync.Mutex
-	// next is guarded by mu.
-	next int
-}{host: cmp.Or(os.Getenv(envHost), "127.0.0.1"), next: firstPort + os.Getpid()*37%(lastPort-firstPort)}
-
 // eventually waits until f returns nil.
 func eventually(t *testing.T, d time.Duration, what string, f func() error) {
 	t.Helper()
