Read the winner's change again when the platform fails after a conflict

Cause: an operator who loses a race for an object is told what the other changed, by one reading after the conflict. TestConfigurationIsInForceEverywhere, with operators who meet often, showed twice in 7 runs a conflict without it: "version conflict; what is stored can't be read: platform: unavailable: status 503"; the outage had begun between the two calls. Ruled out: a lost reply (the stand-in loses those of writes only), and a winner that wrote the same. Change: the reading is repeated while the platform is unavailable, until the settle time is over; the pause of deletes' reading back serves both. Before: TestLoserIsToldTheDifferenceThroughAnOutage (new) fails with the same words. Conclusion: a conflict is explained whenever the platform is back within the settle time; only beyond it the client still says that what is stored can't be read.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -134,12 +134,12 @@
 	o.Error = o.err.Error()
 	switch {
 	case errors.Is(err, platform.ErrSuperseded):
-		o = c.explainConflict(store, p, o)
+		o = explainConflict(ctx, store, p, o)
 		o.Action = Unclear
 	case errors.Is(err, platform.ErrUnclear):
 		o.Action = Unclear
 	case errors.Is(err, platform.ErrConflict):
-		o = c.explainConflict(store, p, o)
+		o = explainConflict(ctx, store, p, o)
 	default:
 		o.Action = Failed
 	}
@@ -147,10 +147,15 @@
 }
 
 // explainConflict reads what the winner of a race wrote, so that the loser can
-// tell what to do. Nothing is written: a merge would be a guess.
-func (c *client) explainConflict(store platform.Store, p plan, o Outcome) Outcome {
+// tell what to do. Nothing is written: a merge would be a guess. An outage that
+// begins between the conflict and the reading would leave the loser without the
+// other's change, so that it is read again until ctx ends.
+func explainConflict(ctx context.Context, store platform.Store, p plan, o Outcome) Outcome {
 	o.Action = Conflicted
-	now, err := store.Get(c.ctx, p.want.Kind, p.want.Name)
+	now, err := store.Get(ctx, p.want.Kind, p.want.Name)
+	for errors.Is(err, platform.ErrUnavailable) && pause(ctx) {
+		now, err = store.Get(ctx, p.want.Kind, p.want.Name)
+	}
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		now = platform.Object{}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -173,6 +174,46 @@
 	assert.Equal(t, string(b.get("server", "s1").Spec), `{"format":1,"labels":{"role":"decode","group":"a"}}`)
 }
 
+// forgetful answers none of the next readings after a conflict.
+type forgetful struct {
+	platform.Store
+	lost     int
+	conflict bool
+}
+
+func (f *forgetful) Put(ctx context.Context, o platform.Object) (uint64, error) {
+	v, err := f.Store.Put(ctx, o)
+	f.conflict = errors.Is(err, platform.ErrConflict)
+	return v, err
+}
+
+func (f *forgetful) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if f.conflict && f.lost > 0 {
+		f.lost--
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return f.Store.Get(ctx, kind, name)
+}
+
+func TestLoserIsToldTheDifferenceThroughAnOutage(t *testing.T) {
+	// Two operators race for a server's labels. The platform tells the loser of
+	// the conflict and then is down for some moments. The loser still sees the
+	// other's change: it is read again until the settle time is over.
+	b := newBench(t)
+	b.run(ExitOK, "label", "s1", "role=decode")
+	b.wrap = func(s platform.Store) platform.Store {
+		return &forgetful{lost: 3, Store: &racer{Store: s, before: func() {
+			_, err := b.platform.Put(platform.Object{
+				Kind: "server", Name: "s1", Version: 1,
+				Spec: json.RawMessage(`{"format":1,"labels":{"role":"decode","group":"a"}}`),
+			})
+			assert.NilError(t, err)
+		}}}
+	}
+	out := b.run(ExitConflict, "label", "s1", "group=b")
+	assert.Assert(t, strings.Contains(out, "changed by somebody else:\n    + labels.group: \"a\""), out)
+}
+
 func TestStaleFileWritesNothing(t *testing.T) {
 	// An operator edits a file that get printed at version 1. Meanwhile the
 	// object reaches version 2. Apply sees a conflict before it writes any
--- a/internal/ctl/object.go
+++ b/internal/ctl/object.go
@@ -225,24 +225,32 @@
 		o.Action = Unclear
 	case errors.Is(err, platform.ErrConflict):
 		wanted := declared{Kind: have.Kind, Name: have.Name}
-		o = c.explainConflict(store, plan{want: wanted, have: have}, o)
+		o = explainConflict(ctx, store, plan{want: wanted, have: have}, o)
 	default:
 		o.Action = Failed
 	}
 	return o
 }
 
-const deletePause = 100 * time.Millisecond
+const readPause = 100 * time.Millisecond
+
+// pause waits before another reading. It is false when ctx has ended.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(readPause):
+		return true
+	}
+}
 
 // deleteSettled deletes and, where no reply came, reads back. A repeat is safe
 // because it names the version: it can't remove a later object of this name.
 func deleteSettled(ctx context.Context, store platform.Store, kind, name string, version uint64) error {
 	err := store.Delete(ctx, kind, name, version)
 	for errors.Is(err, platform.ErrUnclear) {
-		select {
-		case <-ctx.Done():
+		if !pause(ctx) {
 			return err
-		case <-time.After(deletePause):
 		}
 		have, readErr := store.Get(ctx, kind, name)
 		switch {
