Let the racing operators start their rounds together

Cause: a whole run of the tests on a quiet machine failed TestConfigurationIsInForce- Everywhere with "the operators never raced": 283 updates, no conflict. Each operator paused 200 ms after its own last change, and a change reads and writes within some milliseconds, so that on a fast machine the two may never meet, and the check that no change is lost has nothing to check. Ruled out: a fault of the client, whose conflicts other runs show. Change: both start their rounds at common times. The client's settle time is longer than the outages, so that each conflict must be explained and most unclear changes are settled: both checks become stricter. Before: 0 conflicts in the failed run.

--- a/test/config_test.go
+++ b/test/config_test.go
@@ -201,9 +201,13 @@
 	return worst, where
 }
 
+// settle is how long the operators' client may ask what became of a change. It
+// is longer than each outage, so that the client can always tell in the end.
+const settle = 10 * time.Second
+
 // jayfordctl runs the operators' client and returns its outcomes.
 func (c *cluster) jayfordctl(args ...string) (outcomes []ctl.Outcome, code int) {
-	args = append([]string{"--platform", c.platformAddress, "--output", "json", "--timeout", "1s", "--settle", "3s"}, args...)
+	args = append([]string{"--platform", c.platformAddress, "--output", "json", "--timeout", "1s", "--settle", settle.String()}, args...)
 	cmd := exec.Command(filepath.Join(binaries, "jayfordctl"), args...)
 	out, _ := cmd.Output()
 	_ = json.Unmarshal(out, &outcomes)
@@ -302,6 +306,7 @@
 		o.conflicts++
 		if code != ctl.ExitConflict || len(outcomes[0].Theirs) == 0 || outcomes[0].Error == "" {
 			o.vague++
+			o.c.t.Logf("exit code %d, %+v", code, outcomes[0])
 		}
 	}
 	o.history = append(o.history, porcupine.Operation{
@@ -320,6 +325,16 @@
 	return ""
 }
 
+// raceEvery is the time between the operators' rounds.
+const raceEvery = 200 * time.Millisecond
+
+// untilRound is how long the next round is away. The operators start their
+// rounds together: each reads and writes within some milliseconds, and with
+// pauses of their own they may never meet.
+func untilRound(begin time.Time) time.Duration {
+	return raceEvery - time.Since(begin)%raceEvery
+}
+
 // watchers returns the entries of a zone that watch the platform.
 func (c *cluster) watchers(zone string) []*node {
 	var out []*node
@@ -349,13 +364,14 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	dir := t.TempDir()
+	begin := time.Now()
 	for who := range 2 {
 		wg.Go(func() {
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
 					return
-				case <-time.After(200 * time.Millisecond):
+				case <-time.After(untilRound(begin)):
 					o.change(dir, who, i)
 				}
 			}
@@ -391,12 +407,12 @@
 			n.kill()
 			s.start(n)
 		}
-		begin := time.Now()
+		down := time.Now()
 		for _, n := range newcomers {
 			eventually(t, inForceWithin, n.id+" started in an outage", n.isConfigured)
 		}
-		report(t, "%s: a new entry and a new agent had the configuration after %s", outage.kind, time.Since(begin).Round(10*time.Millisecond))
-		time.Sleep(max(0, outage.lasts-time.Since(begin)))
+		report(t, "%s: a new entry and a new agent had the configuration after %s", outage.kind, time.Since(down).Round(10*time.Millisecond))
+		time.Sleep(max(0, outage.lasts-time.Since(down)))
 		c.platformControl(platformstandin.Control{LoseReplies: 4})
 		time.Sleep(2 * time.Second)
 	}
