Ask for the instances until they are known

All entries were killed at once under load and started again, with the platform up, refusing or hanging. With the platform out the newcomers have only newcomers to ask.

Cause: a newcomer reads the configuration by one call and the list of instances by another. The platform returns between the two, so the configuration comes and the list doesn't; from then on the process counted as ready, and only watchers, processes that aren't ready and those that go around their feed ask for the list. Without a list nobody is a watcher, and the other newcomers' events keep the feed from being silent, so the list was asked for only when the feed was found stale, after 6 s and up to 2 s of jitter. Ruled out: the backoff of calls (at most 3 s, and the configuration was in force after 1.4 s by the log), readiness itself (it rightly waits for the instances).

Change: a process asks for the list, every 2 s after a failure, as long as it knows no instance. Any upstream that knows the list ends that.

--- a/internal/feed/decide.go
+++ b/internal/feed/decide.go
@@ -170,7 +170,13 @@
 	if !m.busy && (due || around) {
 		m.call(now, watches, around)
 	}
-	if !m.instancesBusy && !now.Before(m.nextInstances) && (watches || !m.ready || around) {
+	// Without the list a process can neither place a request nor watch, so it
+	// goes on asking when the configuration came first. The failure: the platform
+	// returns between the two calls of a newcomer whose peers are newcomers too,
+	// and its callers are refused until it goes around its feed. Any upstream
+	// that knows the list ends the asking.
+	listless := len(m.instances) == 0
+	if !m.instancesBusy && !now.Before(m.nextInstances) && (watches || !m.ready || around || listless) {
 		m.instancesBusy = true
 		m.actions = append(m.actions, Action{Kind: ActionCall, Call: CallInstances})
 	}
