Test the thawed leader's own late order through processes

Cause: TestFrozenLeaderIsRefused replays the deposed leader's order from the test, so the order of a leader that is frozen while it is on its way, and what that leader does when it thaws, was not proved.

Change: the network between processes can keep back a connection's first request (it lets the HTTP/2 handshake pass, as the client sends nothing before), and cuts can be one-way. A cut or hold that begins while a connection is being dialled now covers that connection; before, it could slip through between the look at the link and the entry in its list. TestThawedLeadersOwnOrderIsRefused keeps back the leader's real order, freezes the leader, waits until the successor's order has been applied, delivers the first one and thaws its sender, for engines that check fencing numbers and for engines that ignore them. No change of the product was needed.

--- a/test/link_test.go
+++ b/test/link_test.go
@@ -16,13 +16,17 @@
 	// All below is guarded by mu.
 	conns  map[*linkConn]bool
 	closed bool
-	// down: new connections are refused an answer too.
-	down bool
+	// lostToB and lostToA: new connections are silent in that direction too.
+	lostToB, lostToA bool
+	// hold: requests on new connections are kept back.
+	hold bool
 }
 
 // linkConn is one connection through the link.
 type linkConn struct {
 	a, b net.Conn
+	// late keeps back requests; nil for none.
+	late *lateRequest
 	// quiet directions: bytes are swallowed, the connection stays open.
 	mu       sync.Mutex
 	quietToB bool
@@ -54,17 +58,17 @@
 }
 
 func (l *link) pass(a net.Conn) {
-	l.mu.Lock()
-	down := l.down
-	l.mu.Unlock()
-	c := &linkConn{a: a, quietToA: down, quietToB: down}
 	b, err := net.DialTimeout("tcp", l.to, time.Second)
 	if err != nil {
 		a.Close()
 		return
 	}
-	c.b = b
 	l.mu.Lock()
+	// Under the lock, so that no cut falls between this and the entry in conns.
+	c := &linkConn{a: a, b: b, quietToA: l.lostToA, quietToB: l.lostToB}
+	if l.hold {
+		c.late = newLateRequest()
+	}
 	if l.closed {
 		l.mu.Unlock()
 		a.Close()
@@ -91,7 +95,7 @@
 		silent := *quiet
 		c.mu.Unlock()
 		if n > 0 && !silent {
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			if werr := c.write(to, buf[:n]); werr != nil {
 				err = werr
 			}
 		}
@@ -109,11 +113,19 @@
 	}
 }
 
+func (c *linkConn) write(to net.Conn, b []byte) error {
+	if to == c.b && c.late != nil {
+		return c.late.write(to, b)
+	}
+	_, err := to.Write(b)
+	return err
+}
+
 // silence makes the present connections silent for good; new ones work.
 func (l *link) silence() { l.quiet(true, true) }
 
-// cutToServer swallows what goes to the server on present and new connections
-// until heal; answers still pass.
+// quiet swallows what goes to the server, to the client or both on the present
+// connections for good.
 func (l *link) quiet(toB, toA bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -126,18 +138,22 @@
 }
 
 // cut swallows everything, on new connections too, until heal.
-func (l *link) cut() {
+func (l *link) cut() { l.cutOneWay(true, true) }
+
+// cutOneWay swallows what goes to the server, to the client or both, on new
+// connections too, until heal.
+func (l *link) cutOneWay(toB, toA bool) {
 	l.mu.Lock()
-	l.down = true
+	l.lostToB, l.lostToA = toB, toA
 	l.mu.Unlock()
-	l.silence()
+	l.quiet(toB, toA)
 }
 
 // heal lets new connections work again. Old ones stay silent.
 func (l *link) heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.down = false
+	l.lostToB, l.lostToA = false, false
 }
 
 func (l *link) closeAll() {
--- /dev/null
+++ b/test/thawed_test.go
@@ -0,0 +1,84 @@
+package test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// The leader sends an order; the network keeps it back, and the leader freezes.
+// Its successor gives its own order to the same engine. Then the first order
+// arrives and the old leader thaws, still waiting for its answer. The engine must
+// not see the late order, whether it checks fencing numbers or ignores them, and
+// the old leader must neither write its labels nor lead.
+func TestThawedLeadersOwnOrderIsRefused(t *testing.T) {
+	for _, engine := range []string{"checks fences", "ignores fences"} {
+		t.Run(engine, func(t *testing.T) {
+			t.Parallel()
+			runThawedLeader(t, engine == "checks fences")
+		})
+	}
+}
+
+func runThawedLeader(t *testing.T, checks bool) {
+	c := newCluster(t, shape{
+		entries: 3, prefill: 1, decode: 3, links: true,
+		// The controller sees roles by reports that come each 5 s or so; settling
+		// sooner, it repeats an order that has been carried out, which is harmless.
+		// All of it must happen before the agent misses the frozen leader's
+		// answers to its pings, after 4 s, and closes the connection.
+		entry: func(e *settings.Entry) {
+			quick(e)
+			e.Capacity.LeaseTerm = settings.Duration(time.Second)
+			e.Capacity.Every = settings.Duration(100 * time.Millisecond)
+			e.Capacity.Settle = settings.Duration(300 * time.Millisecond)
+		},
+		engineOf: func(_ string, o *enginestandin.Options) { o.ChecksFence = checks },
+	})
+	// The agents of the leader's zone report to the leader, so its successor
+	// would know nothing of them for some seconds.
+	old, _ := c.leader(nil)
+	n := c.decode[0]
+	if n.zone == old.zone {
+		n = c.decode[1]
+	}
+	n.agentLink.holdRequests()
+	c.relabel(n, object.RolePrefill)
+	eventually(t, 15*time.Second, "an order on its way", func() error {
+		if len(n.agentLink.held()) == 0 {
+			return errorf("none")
+		}
+		return nil
+	})
+	old, fence := c.leader(nil)
+	late := n.agentLink.held()
+	old.freeze()
+	frozen := time.Now()
+	// Else the successor waits 2 s in each round for the old leader's zone.
+	old.agentLink.closeAll()
+	n.agentLink.passRequests()
+	_, after := c.leader(old)
+	applied := c.waitOrder(n, object.RolePrefill, fence)
+	for _, conn := range late {
+		assert.NilError(t, conn.late.letGo(conn.b), "the agent has closed the connection")
+	}
+	arrived := time.Since(frozen)
+	old.thaw()
+	time.Sleep(3 * time.Second)
+	report(t, "leader frozen with an order on its way, fence %d or below; successor leads with %d, its order applied with %d; late order arrives after %s; orders that reached the engine: %d",
+		fence, after, applied, arrived.Round(10*time.Millisecond), len(n.orders()))
+	for _, o := range n.orders() {
+		assert.Check(t, o.Order.Fence >= after, "the engine saw the late order: %+v", o)
+	}
+	assert.Check(t, strings.Contains(old.logs(), "Order begins"), "the held request wasn't the leader's order")
+	c.risingFences()
+	leader, _ := c.leader(nil)
+	assert.Check(t, leader != old, "the thawed leader leads again")
+	assert.DeepEqual(t, c.roleChanges(), []string{object.RolePrefill})
+}
