Hash prompt prefixes by one function on all sides

Cause: engines name the prefixes in their cache events by the hash of the words with a space behind each (engine.PrefixHashes); the entry looked prompts up by place.Hashes, which joins the words by spaces and so has none behind the last. The two never agree on any block, so that an index fed with an engine's events would have found nothing. It went unseen since nothing feeds events to entries yet, and since each hash had a test of its own only.

Ruled out: a change of the engines' form. The space behind the word keeps "ab c" apart from "a bc" and lets a block be hashed without a look at the next word; and the events' form is the one that is published.

Change: place.Hashes and place.BlockTokens are gone; entry, index, stand-in and experiment use engine.PrefixHashes and engine.CacheBlock.

Tests: TestIndexFindsThePrefixesThatEventsName feeds a stand-in's events to the index and looks the same prompt up; it failed before (0 cached tokens for 512) and passes now. TestHashesAreOfJoinedWords pinned the value that no engine ever sends, so it is replaced by TestPrefixHashesAreOfWordsWithASpaceBehind, which pins the value that both sides agree on, to the byte, with the count of whole blocks and mixed white space.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/engine"
@@ -120,6 +121,16 @@
 	assert.ErrorIs(t, err, engine.ErrKVGone)
 }
 
+// Engines, agents and entries of different builds agree on a prefix by its value
+// alone, so the value is pinned: the hash of each word with one space behind it,
+// whatever white space the caller sent, and of whole blocks only.
+func TestPrefixHashesAreOfWordsWithASpaceBehind(t *testing.T) {
+	h := engine.PrefixHashes(strings.Repeat("word  \n", 600), engine.CacheBlock)
+	assert.Equal(t, len(h), 2)
+	assert.Equal(t, h[0], xxhash.Sum64String(strings.Repeat("word ", 256)))
+	assert.Equal(t, h[1], xxhash.Sum64String(strings.Repeat("word ", 512)))
+}
+
 func TestPrefixHashes(t *testing.T) {
 	prompt := strings.Repeat("some words  here ", 300)
 	all := engine.PrefixHashes(prompt, engine.CacheBlock)
--- a/internal/engine/tokens.go
+++ b/internal/engine/tokens.go
@@ -19,7 +19,9 @@
 }
 
 // PrefixHash returns the hash of the prompt's first tokens, or of the whole
-// prompt if it is shorter.
+// prompt if it is shorter: the xxhash of its words, each with a space behind it.
+// It names a prefix in cache events and in each index of them. There is no other
+// hash of prefixes: an index by a second one never finds what an event names.
 func PrefixHash(prompt string, tokens int) uint64 {
 	d := xxhash.New()
 	n := 0
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"jayford.example/jayford/internal/engine"
-	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/settings"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -202,7 +201,7 @@
 	}
 	// The fingerprint is of the content: a caller that sends a crashing
 	// request again uses a new request id.
-	r.hashes = place.Hashes(prompt)
+	r.hashes = engine.PrefixHashes(prompt, engine.CacheBlock)
 	r.fingerprint = xxhash.Sum64String(r.model + "\x00" + r.prompt)
 	return nil
 }
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -10,8 +10,8 @@
 import (
 	"time"
 
+	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/load"
-	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
 )
@@ -107,7 +107,7 @@
 		return words
 	}
 	all := d.Workload.SharedPrompt.Words
-	cached := all / place.BlockTokens * place.BlockTokens
+	cached := all / engine.CacheBlock * engine.CacheBlock
 	return words + float64(all-cached)
 }
 
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -75,7 +75,7 @@
 	// Interactive requests are ranked by time only. For others the work saved
 	// by a cached prefix counts again, by CacheWeight.
 	Interactive bool
-	// Prefix is the first of Hashes of the prompt, 0 if it has none. It gives
+	// Prefix is the first of the prompt's prefix hashes, 0 if it has none. It gives
 	// prompts with a common prefix a common home among the servers.
 	Prefix uint64
 	// Reuse is Prefixes.Reuse: the part of a prompt that the home is taken to
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/engine"
@@ -134,13 +132,6 @@
 	assert.Equal(t, len(Subset("e1", ids[:3], 16)), 3)
 }
 
-func TestHashesAreOfJoinedWords(t *testing.T) {
-	prompt := strings.Repeat("word  ", 600)
-	h := Hashes(prompt)
-	assert.Equal(t, len(h), 2)
-	assert.Equal(t, h[1], xxhash.Sum64String(strings.TrimSpace(strings.Repeat("word ", 512))))
-}
-
 // Callers wait for prefills that were thought to be cached. A cache event for
 // the removal of a block is lost, then later events arrive. The gap shows in
 // the sequence, and the index counts half until it is rebuilt from the log.
--- a/internal/policy/place/prefixes.go
+++ b/internal/policy/place/prefixes.go
@@ -2,43 +2,18 @@
 
 import (
 	"container/list"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 
 	"jayford.example/jayford/internal/engine"
 )
 
-// BlockTokens is the granularity of prefix hashes, in tokens.
-const BlockTokens = 256
-
 const (
 	initialReuse = 0.5
 	// reuseWeight is the weight of one answer in the moving average of Reuse.
 	reuseWeight = 1.0 / 32
 )
 
-// Hashes returns the hash of each whole block prefix of prompt: element i is
-// the xxhash of the first (i+1)*BlockTokens words, joined by single spaces.
-func Hashes(prompt string) []uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	var out []uint64
-	n := 0
-	for word := range strings.FieldsSeq(prompt) {
-		if n > 0 {
-			_, _ = h.WriteString(" ")
-		}
-		_, _ = h.WriteString(word)
-		n++
-		if n%BlockTokens == 0 {
-			out = append(out, h.Sum64())
-		}
-	}
-	return out
-}
-
-// Prefixes guesses which prompt prefixes each server has cached. It is fed by
+// Prefixes guesses which prompt prefixes each server has cached. Prompts are
+// given by their hashes, engine.PrefixHashes at each engine.CacheBlock tokens. It is fed by
 // the servers' cache events, which come late and with gaps, by own placements
 // and by the cached tokens that answers report. Each server's index is bounded;
 // the blocks longest unused go first. It isn't safe for concurrent use.
@@ -122,7 +97,7 @@
 // until one finds all that was claimed; no rebuild is needed for that.
 func (p *Prefixes) Observed(server string, hashes []uint64, cachedTokens int) {
 	if len(hashes) > 0 {
-		part := min(1, float64(cachedTokens)/float64(len(hashes)*BlockTokens))
+		part := min(1, float64(cachedTokens)/float64(len(hashes)*engine.CacheBlock))
 		p.reuse += reuseWeight * (part - p.reuse)
 	}
 	x := p.index(server)
@@ -213,7 +188,7 @@
 func (x *prefixIndex) cached(hashes []uint64) int {
 	for i := len(hashes) - 1; i >= 0; i-- {
 		if _, ok := x.blocks[hashes[i]]; ok {
-			return (i + 1) * BlockTokens
+			return (i + 1) * engine.CacheBlock
 		}
 	}
 	return 0
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/policy/place"
 	standin "jayford.example/jayford/internal/standin/engine"
 )
 
@@ -64,6 +65,22 @@
 	assert.Equal(t, third.CachedTokens, 0, "the other prompt evicted it")
 }
 
+// An engine has a long prompt cached and says so, and callers with that prompt
+// are still sent to servers that must compute it anew. The entry looked the
+// prompt up by hashes of its own, which no event of an engine ever named. Both
+// sides must name the same prefixes by the same hashes.
+func TestIndexFindsThePrefixesThatEventsName(t *testing.T) {
+	b := serve(t, fast())
+	prompt := words(600)
+	_, err := b.prefill(t.Context(), "r1", prompt)
+	assert.NilError(t, err)
+	events, err := b.CacheEvents(t.Context(), 0)
+	assert.NilError(t, err)
+	index := place.NewPrefixes(64)
+	index.Apply("s", events)
+	assert.Equal(t, index.Cached("s", engine.PrefixHashes(prompt+" and a tail", engine.CacheBlock)), 512)
+}
+
 func TestShortPrefillPassesALongOne(t *testing.T) {
 	o := fast()
 	o.PrefillPerThousand = 20 * time.Millisecond
