Add a workload of 200 shared prompts, and what the load tool lacks for it

Cause: each workload here has one shared prompt.

Ruled out: many classes with a prompt each. 200 classes would be a file that nobody reads, and their rates would be apart from Zipf's law.

Change: sharedPrompt takes a count and the exponent of the law by which the texts are drawn; one text draws no random number, so that the plans of the workloads that there were stay as they are, word for word. The new file examples/many-prefixes.workload.json has 200 prompts of 1,500 words, drawn by Zipf's law with exponent 1. The experiment prints the cached share of the prompt tokens, by the engines' own accounts, and its table the time to first token as before.

Figures: the texts are drawn as the law says within five standard deviations (TestSharedTextsFollowZipf, 20,000 draws).

--- a/internal/experiment/cmd/main.go
+++ b/internal/experiment/cmd/main.go
@@ -114,8 +114,8 @@
 				}
 				r.Variant = o.Variants[i]
 				results = append(results, r)
-				fmt.Printf("load %g seed %d %s: good %.3f bound %.3f (steady %.3f) wasted %.4f decode %.2f (%.2f to %.2f) reserved %.2f prefill %.2f least share %.2f cores %.1f load average %s\n",
-					factor, r.Seed, r.Variant, r.GoodShare, r.Bound, r.SteadyBound, r.Waste.Share,
+				fmt.Printf("load %g seed %d %s: good %.3f bound %.3f (steady %.3f) wasted %.4f cached %.3f TTFT p95 %.0f ms decode %.2f (%.2f to %.2f) reserved %.2f prefill %.2f least share %.2f cores %.1f load average %s\n",
+					factor, r.Seed, r.Variant, r.GoodShare, r.Bound, r.SteadyBound, r.Waste.Share, r.Waste.CachedShare, r.Report.Total.TTFT.P95,
 					r.Use.Decode, r.Use.LeastDecode, r.Use.MostDecode, r.Use.Reserved, r.Use.Prefill, r.MinShareRatio, r.Cores, r.LoadAverage)
 			}
 		}
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -44,6 +44,8 @@
 	Good    Spread  `json:"good"`
 	OfBound Spread  `json:"ofBound"`
 	Waste   Spread  `json:"waste"`
+	// Cached is the part of all prompt tokens that the caches spared.
+	Cached Spread `json:"cached"`
 	// Ratio is the goodput through that of the first variant, seed by seed.
 	Ratio    Spread `json:"ratio"`
 	Fairness Spread `json:"fairness"`
@@ -85,6 +87,7 @@
 			Good:     of(func(r Result) float64 { return r.GoodShare }),
 			OfBound:  of(func(r Result) float64 { return r.OfBound }),
 			Waste:    of(func(r Result) float64 { return r.Waste.Share }),
+			Cached:   of(func(r Result) float64 { return r.Waste.CachedShare }),
 			Ratio:    of(func(r Result) float64 { return ratio(r, first) }),
 			Fairness: of(func(r Result) float64 { return r.MinShareRatio }),
 			Attempts: of(func(r Result) float64 { return r.Attempts }),
@@ -112,10 +115,10 @@
 // WriteText writes the rows as a table.
 func WriteText(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "load\tvariant\tseeds\tgood share\tof bound\tratio\twasted\tleast share\tattempts\tTTFT p95 ms\ttoken p95 ms\trefused\tcores") //nolint:errcheck // Flush tells
+	fmt.Fprintln(t, "load\tvariant\tseeds\tgood share\tof bound\tratio\twasted\tcached\tleast share\tattempts\tTTFT p95 ms\ttoken p95 ms\trefused\tcores") //nolint:errcheck // Flush tells
 	for _, r := range rows {
-		fmt.Fprintf(t, "%g\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.0f\t%.1f\t%.3f\t%.1f\n", //nolint:errcheck // Flush tells
-			r.Load, r.Variant, r.Seeds, r.Good, r.OfBound, r.Ratio, r.Waste, r.Fairness,
+		fmt.Fprintf(t, "%g\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.0f\t%.1f\t%.3f\t%.1f\n", //nolint:errcheck // Flush tells
+			r.Load, r.Variant, r.Seeds, r.Good, r.OfBound, r.Ratio, r.Waste, r.Cached, r.Fairness,
 			r.Attempts.Mean, r.TTFTMs.Mean, r.TokenMs.Mean, r.Refused.Mean, r.Cores.Mean)
 	}
 	return eris.Wrap(t.Flush(), "experiment: table")
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -189,11 +189,15 @@
 }
 
 func TestExamplesParse(t *testing.T) {
-	for name, servers := range map[string]int{"zifferblatt": 20, "kavango": 10} {
+	for name, fleet := range map[string]Fleet{
+		"zifferblatt":   {ModelServers: 20, Services: 3},
+		"kavango":       {ModelServers: 10, Services: 3},
+		"many-prefixes": {ModelServers: 10, Services: 0},
+	} {
 		w, err := ReadWorkload("../../examples/" + name + ".workload.json")
 		assert.NilError(t, err)
-		assert.Equal(t, w.Fleet.ModelServers, servers)
-		assert.Equal(t, w.Fleet.Services, 3)
+		assert.Equal(t, w.Fleet.ModelServers, fleet.ModelServers)
+		assert.Equal(t, w.Fleet.Services, fleet.Services)
 	}
 }
 
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -168,8 +168,9 @@
 	Path string
 }
 
-// Content builds the request of an arrival. Shared is the shared prompt's text.
-func Content(w Workload, a Arrival, shared string, timeScale float64) Sent {
+// Content builds the request of an arrival. Shared are the texts of the shared
+// prompts; without any, none is put before a prompt.
+func Content(w Workload, a Arrival, shared SharedTexts, timeScale float64) Sent {
 	c := w.Classes[a.Class]
 	r := rand.New(rand.NewPCG(a.Seed, uint64(a.Class)))
 	s := Sent{
@@ -185,15 +186,42 @@
 	s.Model = c.Model
 	s.MaxTokens = c.MaxTokens.draw(r)
 	s.Prompt = words(r, c.PromptWords.draw(r))
-	if c.SharedPrompt {
-		s.Prompt = shared + " " + s.Prompt
+	if c.SharedPrompt && len(shared.texts) > 0 {
+		s.Prompt = shared.draw(r) + " " + s.Prompt
 	}
 	return s
 }
 
-// SharedText returns the text of the shared prompt.
-func SharedText(p SharedPrompt) string {
-	return words(rand.New(rand.NewPCG(p.Seed, p.Seed)), p.Words)
+// SharedTexts are the texts that prompts begin with. The zero value has none.
+type SharedTexts struct {
+	texts []string
+	// upTo[i] is the weight of the texts up to i.
+	upTo []float64
+}
+
+// NewSharedTexts returns the texts of the shared prompts, of equal length and
+// with nothing in common but chance.
+func NewSharedTexts(p SharedPrompt) SharedTexts {
+	r := rand.New(rand.NewPCG(p.Seed, p.Seed))
+	var s SharedTexts
+	sum := 0.0
+	for i := range max(1, p.Count) {
+		s.texts = append(s.texts, words(r, p.Words))
+		sum += math.Pow(float64(i+1), -p.Zipf)
+		s.upTo = append(s.upTo, sum)
+	}
+	return s
+}
+
+// draw returns one of the texts by their weights. One alone takes no random
+// number, so that what follows doesn't depend on it.
+func (s SharedTexts) draw(r *rand.Rand) string {
+	if len(s.texts) == 1 {
+		return s.texts[0]
+	}
+	pick := r.Float64() * s.upTo[len(s.upTo)-1]
+	i, _ := slices.BinarySearch(s.upTo, pick)
+	return s.texts[min(i, len(s.texts)-1)]
 }
 
 func (s Span) draw(r *rand.Rand) int { return s.Min + r.IntN(s.Max-s.Min+1) }
--- a/internal/load/plan_test.go
+++ b/internal/load/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,7 +20,8 @@
 	o := planOptions(10 * time.Second)
 	assert.DeepEqual(t, Plan(w, o), Plan(w, o))
 	a := Plan(w, o)[0]
-	assert.Equal(t, Content(w, a, "s", 1), Content(w, a, "s", 1))
+	shared := NewSharedTexts(w.SharedPrompt)
+	assert.Equal(t, Content(w, a, shared, 1), Content(w, a, shared, 1))
 
 	// A change of one class leaves the other's arrivals as they were.
 	only := func(list []Arrival, class int) (out []Arrival) {
@@ -83,3 +85,21 @@
 	assert.Equal(t, list[0].ShareRatio, 1.0)
 	assert.Equal(t, list[3].ShareRatio, 1.0)
 }
+
+// Of two hundred texts by Zipf's law with exponent 1, the first is met some 10
+// times as often as the tenth, and each prompt begins with one of them.
+func TestSharedTextsFollowZipf(t *testing.T) {
+	s := NewSharedTexts(SharedPrompt{Words: 20, Seed: 1, Count: 200, Zipf: 1})
+	r := rand.New(rand.NewPCG(1, 1))
+	met := map[string]int{}
+	for range 20_000 {
+		met[s.draw(r)]++
+	}
+	harmonic := s.upTo[199]
+	for _, k := range []int{1, 10} {
+		want := 20_000 / harmonic / float64(k)
+		got := float64(met[s.texts[k-1]])
+		assert.Assert(t, math.Abs(got-want) < 5*math.Sqrt(want), "%d: %.0f, want %.0f", k, got, want)
+	}
+	assert.Assert(t, len(met) > 190, "%d", len(met))
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -133,7 +133,7 @@
 // run is the state of one run.
 type run struct {
 	options Options
-	shared  string
+	shared  SharedTexts
 	sender  *sender
 	slots   chan struct{}
 	wait    sync.WaitGroup
@@ -159,7 +159,7 @@
 	defer transport.CloseIdleConnections()
 	r := &run{
 		options: o,
-		shared:  SharedText(o.Workload.SharedPrompt),
+		shared:  NewSharedTexts(o.Workload.SharedPrompt),
 		slots:   make(chan struct{}, o.Concurrency),
 	}
 	r.sender = &sender{client: &http.Client{Transport: transport}, start: time.Now(), maxAnswer: o.MaxAnswer}
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -58,6 +58,12 @@
 	// Seed of the text, apart from the run's seed: the same house prompt is
 	// met in every run.
 	Seed uint64 `json:"seed"`
+	// Count is how many such texts there are, of which each prompt begins with
+	// one; 0 for one.
+	Count int `json:"count,omitempty"`
+	// Zipf is the exponent of the law by which they are drawn: the k-th is met
+	// k^Zipf times less often than the first. 0 draws all alike.
+	Zipf float64 `json:"zipf,omitempty"`
 }
 
 // Organisation sends requests.
@@ -134,6 +140,8 @@
 	maxItems    = 1 << 30
 	maxFactor   = 1000
 	maxServers  = 100_000
+	maxShared   = 10_000
+	maxZipf     = 10
 	maxPeriod   = 24 * time.Hour
 	minPeriod   = 10 * time.Millisecond
 	minTarget   = 100 * time.Microsecond
@@ -174,6 +182,8 @@
 	strictjson.Range(d, "fleet.modelServers", w.Fleet.ModelServers, 0, maxServers)
 	strictjson.Range(d, "fleet.services", w.Fleet.Services, 0, maxServers)
 	strictjson.Range(d, "sharedPrompt.words", w.SharedPrompt.Words, 0, maxWords)
+	strictjson.Range(d, "sharedPrompt.count", w.SharedPrompt.Count, 0, maxShared)
+	strictjson.Range(d, "sharedPrompt.zipf", w.SharedPrompt.Zipf, 0, maxZipf)
 	names := map[string]bool{}
 	for i, o := range w.Organisations {
 		key := fmt.Sprintf("organisations[%d]", i)
