Count renewals of an entry on one line, whatever connection carries them

Cause: an entry closes a connection to an agent that it hasn't used for a minute, and the next one numbered its renewals from 1 again. The agent remembers a pair for 15 minutes and takes only renewals with a higher number, so it ignored those of the new connection until they had passed the last number of the old one. Whoever held a grant over the new connection lost it when the lease lapsed, after 2 s: an answer was cut though its entry lived and renewed. Found while reading what a renewal carries.

Ruled out: the rule for late renewals in the agent itself. It is needed, since a renewal that was overtaken must free nothing, and it says "rises by one with each renewal of the pair"; the entry broke that promise.

Change: one counter in the pool numbers the renewals to all agents. It rises for each pair, whatever connections were opened and closed meanwhile.

Before: TestRenewalsCountAfterIdleConnectionWasClosed, an entry's pool against the agent's real state machine, found 0 grants in place of 1, 2.5 s after the second reservation. After: it passes, with -race, as do the tests of agent and grant.

Conclusion: mended. The package had no tests of its own until now; its stand-in for an agent answers out of the real state machine.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -30,7 +30,6 @@
 	api      pb.AgentClient
 	live     map[attemptKey]struct{}
 	hint     Hint
-	sequence uint64
 	renewing bool
 	failures int
 	dials    int
@@ -153,8 +152,7 @@
 func (c *Conn) renew(ctx context.Context) error {
 	c.mu.Lock()
 	c.renewing = true
-	c.sequence++
-	req := &pb.RenewRequest{Entry: c.pool.Entry, Sequence: c.sequence, Incarnation: c.hint.Incarnation}
+	req := &pb.RenewRequest{Entry: c.pool.Entry, Sequence: c.pool.sequence.Add(1), Incarnation: c.hint.Incarnation}
 	// The entry is named once, not again with each attempt.
 	for k := range c.live {
 		req.Attempts = append(req.Attempts, &pb.Attempt{Request: k.request, Number: k.number})
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -59,6 +60,12 @@
 	// none. Set it before Run.
 	Beat func(id string, err error)
 	log  *logrus.Entry
+	// sequence numbers the renewals to all agents. An agent remembers the pair
+	// for longer than an idle connection stays open: numbers that began anew
+	// with each connection would look late to it, and the grants held over the
+	// new connection would lapse though they are renewed. One number for all
+	// rises for each pair, whatever connection it uses.
+	sequence atomic.Uint64
 
 	mu sync.Mutex
 	// conns by instance id, guarded by mu.
--- /dev/null
+++ b/internal/agents/pool_test.go
@@ -0,0 +1,141 @@
+package agents
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agent/grant"
+	"jayford.example/jayford/internal/transport"
+)
+
+// lapse is the agents' default.
+const lapse = 2 * time.Second
+
+// coreAgent answers out of the real state machine, without an engine.
+type coreAgent struct {
+	pb.UnimplementedAgentServer
+	core  *grant.Core
+	begin time.Time
+	turn  chan struct{}
+}
+
+func newCoreAgent() *coreAgent {
+	a := &coreAgent{
+		core: grant.New(grant.Config{
+			Incarnation: 7, Slots: 4, Queue: 4, LapseAfter: lapse, MaxIdle: time.Minute, MaxWait: time.Second,
+			SeenFor: time.Hour, MaxSeen: 100, MaxConvicted: 10,
+		}),
+		begin: time.Now(), turn: make(chan struct{}, 1),
+	}
+	a.core.ServerUp(0)
+	return a
+}
+
+func (a *coreAgent) step(f func(now time.Duration)) {
+	a.turn <- struct{}{}
+	defer func() { <-a.turn }()
+	f(time.Since(a.begin))
+}
+
+func (a *coreAgent) Reserve(_ context.Context, q *pb.ReserveRequest) (*pb.ReserveReply, error) {
+	reply := &pb.ReserveReply{Incarnation: 7}
+	a.step(func(now time.Duration) {
+		k := grant.Key{Request: q.GetAttempt().GetRequest(), Number: q.GetAttempt().GetNumber(), Phase: q.GetPhase()}
+		_, no := a.core.Reserve(now, grant.Request{Key: k, Entry: q.GetAttempt().GetEntry(), Idle: time.Minute})
+		if no != nil {
+			reply.Refusal = &pb.Refusal{Reason: no.Reason}
+		}
+	})
+	return reply, nil
+}
+
+func (a *coreAgent) Release(_ context.Context, q *pb.ReleaseRequest) (*pb.ReleaseReply, error) {
+	a.step(func(now time.Duration) {
+		k := grant.Key{Request: q.GetAttempt().GetRequest(), Number: q.GetAttempt().GetNumber(), Phase: q.GetPhase()}
+		a.core.Release(now, k, q.GetAttempt().GetEntry())
+	})
+	return &pb.ReleaseReply{}, nil
+}
+
+func (a *coreAgent) Renew(_ context.Context, q *pb.RenewRequest) (*pb.RenewReply, error) {
+	var wanted []grant.Attempt
+	for _, at := range q.GetAttempts() {
+		wanted = append(wanted, grant.Attempt{Request: at.GetRequest(), Number: at.GetNumber()})
+	}
+	a.step(func(now time.Duration) { a.core.Renew(now, q.GetEntry(), q.GetSequence(), wanted) })
+	return &pb.RenewReply{Incarnation: 7}, nil
+}
+
+// live counts the grants after what is due by now has lapsed.
+func (a *coreAgent) live() (n int) {
+	a.step(func(now time.Duration) {
+		a.core.Tick(now)
+		n = a.core.Busy()
+	})
+	return n
+}
+
+func serve(t *testing.T, s pb.AgentServer) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer(transport.ServerOptions()...)
+	pb.RegisterAgentServer(server, s)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	return l.Addr().String()
+}
+
+func runPool(t *testing.T) *Pool {
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	p := NewPool("entry-1#5", grpc.WithTransportCredentials(insecure.NewCredentials()), log)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = p.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return p
+}
+
+func reserve(t *testing.T, c *Conn, request string) *pb.Attempt {
+	at := &pb.Attempt{Request: request, Number: 1, Entry: c.pool.Entry}
+	c.Hold(at)
+	reply, err := c.Reserve(t.Context(), &pb.ReserveRequest{Attempt: at, Phase: pb.Phase_PHASE_DECODE})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Refusal == nil, "%v", reply.Refusal)
+	return at
+}
+
+// A caller's answer is cut after 2 s though its entry lives and renews. The
+// entry had used the agent before, closed the idle connection and opened a new
+// one, which numbered its renewals from 1 again: to the agent, which remembers
+// the pair for longer, they were all late ones.
+func TestRenewalsCountAfterIdleConnectionWasClosed(t *testing.T) {
+	agent := newCoreAgent()
+	address := serve(t, agent)
+	p := runPool(t)
+	first, err := p.Conn("agent-1", address)
+	assert.NilError(t, err)
+	at := reserve(t, first, "first")
+	time.Sleep(lapse + lapse/2)
+	assert.Equal(t, agent.live(), 1)
+	first.Release(at, pb.Phase_PHASE_DECODE)
+	first.mu.Lock()
+	first.lastUse = time.Now().Add(-2 * idleClose)
+	first.mu.Unlock()
+	time.Sleep(2 * renewEvery)
+
+	second, err := p.Conn("agent-1", address)
+	assert.NilError(t, err)
+	assert.Assert(t, second != first, "the idle connection stayed")
+	reserve(t, second, "second")
+	time.Sleep(lapse + lapse/4)
+	assert.Equal(t, agent.live(), 1)
+}
