Take the operator listener of dump by the flag that its page names

Ruled out: changing the page, since three commands would differ for no reason. Change: the flag is taken; the address alone still is, so no script breaks; both or neither is a usage error.

--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -66,9 +67,10 @@
 }
 
 type dumpCommand struct {
-	client *client
-	Args   struct {
-		Operator string `positional-arg-name:"IP:PORT" required:"yes" description:"operator listener of the process"`
+	client   *client
+	Operator string `long:"operator" value-name:"IP:PORT" description:"operator listener of the process, as with status and explain"`
+	Args     struct {
+		Operator string `positional-arg-name:"IP:PORT" description:"the same without the flag"`
 	} `positional-args:"yes"`
 }
 
@@ -77,7 +79,10 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	answer, err := cmd.client.fetch(cmd.Args.Operator, pathDump, nil)
+	if (cmd.Operator == "") == (cmd.Args.Operator == "") {
+		return eris.Wrap(errUsage, "dump takes one operator listener, --operator IP:PORT")
+	}
+	answer, err := cmd.client.fetch(cmp.Or(cmd.Operator, cmd.Args.Operator), pathDump, nil)
 	if err != nil {
 		return err
 	}
