Test observation, dev and the check of settings through processes

Change: TestOperatorsSeeWhatCallersDont, TestRefusedRequestIsFoundInTheLog, TestDevServesAndStops (bounds 10 s and 5 s), TestSettingsAreChecked.

--- /dev/null
+++ b/test/observe_test.go
@@ -0,0 +1,160 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/cli"
+	"jayford.example/jayford/internal/ctl"
+	"jayford.example/jayford/internal/operator"
+)
+
+// page returns the body of a page, whatever its status.
+func page(t *testing.T, address, path string) (string, int) {
+	t.Helper()
+	resp, err := http.Get("http://" + address + path)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(body), resp.StatusCode
+}
+
+// Operators look at each process while it serves: metrics and the state dump
+// are on their listener, and the client prints the same dump. Callers can't see
+// any of it: on their listener these paths are a plain service's like others.
+func TestOperatorsSeeWhatCallersDont(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1, services: 1})
+	got := complete(context.Background(), ask{entry: c.entries[0], prompt: "seen", maxTokens: 5})
+	assert.Assert(t, got.whole, "%+v", got)
+	for _, n := range c.nodes() {
+		text, status := page(t, n.operator, operator.PathMetrics)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, strings.Contains(text, "\njayford_") && strings.Contains(text, "\ngo_goroutines "), "%s:\n%s", n.id, text)
+		var state map[string]json.RawMessage
+		assert.NilError(t, getJSON(n.operator, operator.PathState, &state), n.id)
+		assert.Assert(t, len(state["config"]) > 0, "%s: %v", n.id, state)
+		out, code := c.client("dump", "--operator", n.operator)
+		assert.Equal(t, code, ctl.ExitOK, out)
+		var dumped map[string]json.RawMessage
+		assert.NilError(t, json.Unmarshal([]byte(out), &dumped), out)
+		assert.Equal(t, len(dumped), len(state))
+	}
+	metrics, _ := page(t, c.entries[0].operator, operator.PathMetrics)
+	assert.Assert(t, strings.Contains(metrics, "\njayford_attempts_total 1\n"), metrics)
+	for _, path := range []string{operator.PathMetrics, operator.PathState, operator.PathStatus, operator.PathExplain} {
+		text, _ := page(t, c.entries[0].listen, path)
+		assert.Assert(t, !strings.Contains(text, "jayford_") && !strings.Contains(text, `"config"`), "%s: %s", path, text)
+	}
+	assert.Equal(t, len(c.services[0].calls()), 4, "the service gets what isn't the entry's own")
+}
+
+// client runs the operators' client and returns what it printed.
+func (c *cluster) client(args ...string) (string, int) {
+	cmd := exec.Command(filepath.Join(binaries, "jayfordctl"), append([]string{"--platform", c.platformAddress}, args...)...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// A request can't be answered before its deadline. Its caller gets the request's
+// id with the refusal, and with that id an operator finds in the entry's log what
+// became of it, under the part's prefix.
+func TestRefusedRequestIsFoundInTheLog(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1})
+	got := complete(context.Background(), ask{
+		entry: c.entries[0], prompt: "hasty", maxTokens: 400, headers: map[string]string{headerDeadline: "300ms"},
+	})
+	assert.Equal(t, got.code, "deadline", "%+v", got)
+	assert.Assert(t, got.request != "")
+	eventually(t, 2*time.Second, "log line", func() error {
+		for line := range strings.Lines(c.entries[0].logs()) {
+			if strings.Contains(line, got.request) && strings.Contains(line, `msg="entry: `) {
+				return nil
+			}
+		}
+		return errorf("no line of part entry has %s:\n%s", got.request, c.entries[0].logs())
+	})
+}
+
+// daemon runs jayfordd as a process of its own.
+func daemon(t *testing.T, args ...string) *process {
+	p := &process{t: t, name: args[0], path: filepath.Join(binaries, "jayfordd"), args: args}
+	p.start()
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) exitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// A newcomer runs the dev role and asks it by hand: the model is listed within
+// ten seconds, completions, chats and plain calls are answered whole, and it is
+// gone within five seconds of Ctrl-C.
+func TestDevServesAndStops(t *testing.T) {
+	t.Parallel()
+	e := &node{listen: freeAddress(t), operator: freeAddress(t)}
+	p := daemon(t, "dev", "--listen", e.listen, "--operator", e.operator)
+	eventually(t, 10*time.Second, "models", func() error {
+		var models struct{ Data []struct{ ID string } }
+		if err := getJSON(e.listen, "/v1/models", &models); err != nil {
+			return err
+		}
+		if len(models.Data) != 1 {
+			return errorf("%v", models)
+		}
+		return nil
+	})
+	for path, body := range map[string]string{
+		"/v1/completions":      `{"model":"small-model","prompt":"hello there","max_tokens":8}`,
+		"/v1/chat/completions": `{"model":"small-model","messages":[{"role":"user","content":"hi"}],"max_tokens":8,"stream":true}`,
+		"/faces/42?size=small": "a face",
+	} {
+		got := exchange(context.Background(), ask{entry: e}, http.MethodPost, path, []byte(body))
+		assert.Check(t, got.whole, "%s: %+v", path, got)
+	}
+	p.signal(os.Interrupt)
+	assert.Assert(t, p.wait(5*time.Second), "it still runs:\n%s", p.logs())
+	assert.Equal(t, p.exitCode(), cli.ExitOK, p.logs())
+}
+
+// An operator checks settings before a start. All faults are told with file and
+// line, nothing is started, and what is right passes.
+func TestSettingsAreChecked(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "entry.json")
+	check := func(text string) (string, int) {
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		p := daemon(t, "entry", "--settings", path, "--check")
+		assert.Assert(t, p.wait(5*time.Second), "it runs on")
+		return p.logs(), p.exitCode()
+	}
+	good := `{
+  // An entry.
+  "id": "entry-1", "region": "r", "availabilityZone": "a",
+  "peer": "127.0.0.1:7001", "operator": "127.0.0.1:7002", "platform": "127.0.0.1:7003",
+  "listen": "127.0.0.1:7004",
+}`
+	out, code := check(good)
+	assert.Equal(t, code, cli.ExitOK, out)
+	bad := strings.Replace(good, `"listen": "127.0.0.1:7004"`, "\"listen\": \"localhost\",\n  \"stopWithin\": 5,\n  \"colour\": \"red\"", 1)
+	out, code = check(bad)
+	assert.Equal(t, code, cli.ExitInvalid, out)
+	for _, want := range []string{":5: listen: ", ":6: stopWithin: ", ":7: colour: unknown key"} {
+		assert.Check(t, strings.Contains(out, path+want), "%s\nin\n%s", want, out)
+	}
+}
