Move one engine for one lack

Cause: since when a pool is short is remembered until the pool no longer looks short. After a move the label shows the new role within a second, but the engine's own report comes every 2.5 to 7.5 s, and until it does the server counts for neither role. So the pool looked short for longer than Sustain, and the next tick moved another engine; the stay of 20 minutes and the missing pressure then keep it there. Ruled out: the load (the state machine does it without any, by the minimum alone).

Change: when an order to change a role has ended well, the lack is counted anew from then on. At the times in use (Sustain 2 minutes) that covers reports and the feed. After an order that failed the next one still comes at once. Conclusion: mended; with times below the reports' interval, as tests set them, a second move is still possible.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -249,8 +249,15 @@
 	if !ok {
 		c.resting[o.Server] = now.Add(c.opts.RetryAfter)
 	}
-	if o.Relabel {
-		m.changed = now
+	if !o.Relabel {
+		return
+	}
+	m.changed = now
+	if ok {
+		// The pool looks as short as before until the engine's next report.
+		// Without waiting for Sustain anew, a second engine would be moved for
+		// the same lack, and nothing would bring it back.
+		m.shortSince = time.Time{}
 	}
 }
 
