Give the refusal beyond maxConnections a verdict and a time to come back

Cause: the limit of connections was the HTTP library's own. It answers bare text without a verdict and closes at once; a caller that reads Jayford-Verdict can't know that nothing ran, and one whose request arrives after the close may see a reset instead of any answer. A caller that asked with Expect: 100-continue was told to go on, and refused only after it had sent a body over the bound.

Ruled out: the library's error handler, which isn't called for this refusal; and an answer before the caller's first byte, which common clients take for a broken connection and answer by another one at once.

Change: a listener in front of the library counts the connections that are open, and refuses those over the limit by the JSON body of all refusals, with Jayford-Verdict: not-run and Retry-After. It waits for the caller's first byte and then for its close, each up to a second, at most 1024 callers at once; beyond those the connection is closed without an answer. The library's own limit is twice as high now, as it gets a worker back only after the close. Expect is answered by the refusal when the length is over the bound. The building of a refusal is split from the request's context, so that both use one.

Other refusals of the library (headers, request line, body by length and in chunks, malformed requests) had their verdict already; the table of TestLibraryRefusalsCarryAVerdict failed for the body after 100-continue alone. Both tests were seen to fail before the change.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -37,7 +37,9 @@
 }
 
 // Accept returns the next caller's connection.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) { return l.accept() }
+
+func (l *listener) accept() (*callerConn, error) {
 	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
@@ -58,6 +60,8 @@
 	writeTimeout time.Duration
 	// linger: the caller was refused while it still sends.
 	linger atomic.Bool
+	// release is called with each close; nil for nothing.
+	release func()
 }
 
 // lingering counts the connections that linger.
@@ -68,6 +72,9 @@
 // bytes with one, and that drops what the caller has not read yet. So the write
 // side is closed first and the rest is read, within bounds.
 func (c *callerConn) Close() error {
+	if c.release != nil {
+		c.release()
+	}
 	if !c.linger.Load() {
 		return c.TCPConn.Close()
 	}
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -63,33 +63,41 @@
 // refuse answers with the error and its verdict.
 func (s *server) refuse(ctx *fasthttp.RequestCtx, r *request, attempts int, e *verdict.Error) {
 	refusals(e).Inc()
-	d := errorDetail{Code: e.Code, Message: e.Message, Verdict: e.Verdict.String()}
+	id := ""
 	if r != nil {
-		d.Request = r.id
+		id = r.id
 		s.e.log.WithFields(logrus.Fields{"request": r.id, "organisation": r.organisation}).WithError(e).Debug("entry: refused.")
 	}
+	setAttempts(ctx, attempts)
+	setRefusal(&ctx.Response, id, e)
+}
+
+// setRefusal makes resp the refusal of the request with id, "" if it has none.
+func setRefusal(resp *fasthttp.Response, id string, e *verdict.Error) {
+	d := errorDetail{Code: e.Code, Message: e.Message, Verdict: e.Verdict.String(), Request: id}
 	if e.RetryAfter > 0 {
 		d.RetryAfterMs = e.RetryAfter.Milliseconds()
-		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		resp.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
-	ctx.Response.Header.Set(HeaderVerdict, d.Verdict)
-	setAttempts(ctx, attempts)
-	writeJSON(ctx, statusOf(e), errorBody{d})
+	resp.Header.Set(HeaderVerdict, d.Verdict)
+	setJSON(resp, statusOf(e), errorBody{d})
 }
 
 func setAttempts(ctx *fasthttp.RequestCtx, n int) {
 	ctx.Response.Header.Set(HeaderAttempts, strconv.Itoa(n))
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) { setJSON(&ctx.Response, status, v) }
+
+func setJSON(resp *fasthttp.Response, status int, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		resp.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(body, '\n'))
+	resp.SetStatusCode(status)
+	resp.Header.SetContentType("application/json")
+	resp.SetBody(append(body, '\n'))
 }
 
 // malformed answers what the HTTP library could not read.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -50,12 +50,15 @@
 	s := &server{e: e}
 	lim := e.settings.Limits
 	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 s.malformed,
-		Name:                         "jayford",
-		ReadBufferSize:               lim.MaxHeaderBytes,
-		MaxRequestBodySize:           lim.MaxBodyBytes,
-		Concurrency:                  lim.MaxConnections,
+		Handler:            s.handle,
+		ErrorHandler:       s.malformed,
+		ExpectHandler:      s.expect,
+		Name:               "jayford",
+		ReadBufferSize:     lim.MaxHeaderBytes,
+		MaxRequestBodySize: lim.MaxBodyBytes,
+		// Above the limit of limitListener, which knows of a close before the
+		// library has its worker back.
+		Concurrency:                  2 * lim.MaxConnections,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		NoDefaultContentType:         true,
@@ -76,7 +79,8 @@
 	}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- s.http.Serve(&listener{tcp, s.e.settings.Limits.WriteTimeout.D()})
+		lim := s.e.settings.Limits
+		failed <- s.http.Serve(newLimitListener(&listener{tcp, lim.WriteTimeout.D()}, lim.MaxConnections))
 	}()
 	select {
 	case err := <-failed:
@@ -113,6 +117,16 @@
 	s.e.log.WithField("requests", s.inFlight.Load()).Warn("entry: stop time is up, requests are cut.")
 }
 
+// expect answers a caller that asks before it sends its body. One over the bound
+// is refused now and not after it was sent.
+func (s *server) expect(ctx *fasthttp.RequestCtx) int {
+	if ctx.Request.Header.ContentLength() > s.e.settings.Limits.MaxBodyBytes {
+		s.malformed(ctx, fasthttp.ErrBodyTooLarge)
+		return ctx.Response.StatusCode()
+	}
+	return fasthttp.StatusContinue
+}
+
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
 	size := int64(len(ctx.Request.Body()))
 	s.begin(size)
