Prove weights between versions through the client, and explain each target

Cause: a selector may split a model's requests between pools by weight, and nothing showed through processes that callers get that split, that it moves when an operator changes it, or that the change costs nobody a request. Writing that test showed a fault: explain named the first of the weighted targets alone, with its servers, so that an operator with a canary of a tenth was told nothing of it.

Ruled out: an explanation by a drawn number, which would name another pool each time it is asked.

Change: Explanation lists all targets of the deciding selector with weight, share of the requests and servers with reasons; what was there stays as it was. New is TestCanaryWeights: versions are set by label, pools and weights by apply, and the result is asked by explain, all by jayfordctl; the shares are counted in the engines' own accounts, and must be within four standard deviations of a binomial count. The weights change while 500 completions run, twice.

Both entries name the selector, both shares, and for each of the six servers in both roles of both pools why it is taken or which label differs.

--- a/internal/policy/route/explain.go
+++ b/internal/policy/route/explain.go
@@ -49,6 +49,17 @@
 	Got   string `json:"got,omitempty"`
 }
 
+// TargetReason says what part of the requests a target of the deciding selector
+// gets, and which servers would serve them.
+type TargetReason struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
+	// Share is the part of the requests, from 0 to 1.
+	Share float64 `json:"share"`
+	// Servers as in Explanation; none if the pool isn't declared.
+	Servers []ServerReason `json:"servers"`
+}
+
 // Explanation tells an operator how a request is routed.
 type Explanation struct {
 	Choice Choice `json:"choice"`
@@ -59,6 +70,9 @@
 	Selectors []SelectorReason `json:"selectors"`
 	// Servers are by role, then by name, for the roles that the pool has.
 	Servers []ServerReason `json:"servers"`
+	// Targets are all of the deciding selector's, among which requests are
+	// split by weight; Choice names the one of this request.
+	Targets []TargetReason `json:"targets"`
 }
 
 // Explain routes r as Pick does and gives the reason for each selector and for
@@ -67,6 +81,9 @@
 	var e Explanation
 	e.Choice, e.Routed = Pick(selectors, r, u)
 	e.Selectors = explainSelectors(selectors, &r, e)
+	if i := decide(selectors, &r); i >= 0 {
+		e.Targets = explainTargets(selectors[i].Targets, pools, servers)
+	}
 	pool, ok := pools[e.Choice.Pool]
 	switch {
 	case e.Choice.Selector == "":
@@ -82,6 +99,25 @@
 	return e
 }
 
+func explainTargets(targets []object.Target, pools map[string]object.Pool, servers map[string]object.Server) []TargetReason {
+	total := 0
+	for _, t := range targets {
+		total += max(0, t.Weight)
+	}
+	out := make([]TargetReason, 0, len(targets))
+	for _, t := range targets {
+		why := TargetReason{Pool: t.Pool, Weight: t.Weight}
+		if total > 0 {
+			why.Share = float64(max(0, t.Weight)) / float64(total)
+		}
+		if pool, ok := pools[t.Pool]; ok {
+			why.Servers = explainPool(&pool, servers)
+		}
+		out = append(out, why)
+	}
+	return out
+}
+
 func explainSelectors(selectors []Named, r *Request, e Explanation) []SelectorReason {
 	out := make([]SelectorReason, 0, len(selectors))
 	for i := range selectors {
--- /dev/null
+++ b/test/canary_test.go
@@ -0,0 +1,180 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/object"
+	"jayford.example/jayford/internal/policy/route"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+)
+
+// canarySigmas is how far a share may be from its weight, in standard deviations
+// of a binomial count: one run in 16,000 is further off by chance.
+const canarySigmas = 4
+
+// An operator sends a tenth of a model's requests to servers of a new version,
+// with the client alone, and then half of them, while callers go on. By the
+// engines' accounts each version gets its share, and no caller notices the
+// change of weights. What the client explains is what happens.
+func TestCanaryWeights(t *testing.T) {
+	t.Parallel()
+	const n = 500
+	c := newCluster(t, shape{entries: 2, prefill: 2, decode: 4, engine: enginestandin.Options{
+		TokenTime: time.Millisecond, PrefillPerThousand: 5 * time.Millisecond,
+	}})
+	canary := map[string]bool{c.decode[3].id: true}
+	for _, s := range c.engines() {
+		version := "version=v1"
+		if s == c.prefill[1] || s == c.decode[3] {
+			version = "version=v2"
+		}
+		c.label(s.id, version)
+	}
+	for _, weights := range [][2]int{{90, 10}, {50, 50}} {
+		during := &history{}
+		changed := c.load(during, n, 10*time.Millisecond, canaryAsk("during", weights))
+		c.split(weights)
+		changed.Wait()
+		c.checkHistory(during)
+		assert.Equal(t, during.tally(), tally{whole: n}, "while the weights change: %s", during.describe())
+
+		after := &history{}
+		c.load(after, n, 10*time.Millisecond, canaryAsk("after", weights)).Wait()
+		c.checkHistory(after)
+		assert.Equal(t, after.tally(), tally{whole: n}, "%s", after.describe())
+		got := c.decodedBy(after, canary)
+		p := float64(weights[1]) / float64(weights[0]+weights[1])
+		bound := canarySigmas * math.Sqrt(n*p*(1-p))
+		report(t, "weights %v: %d of %d decoded by the new version, %.0f expected within %.0f", weights, got, n, n*p, bound)
+		assert.Check(t, math.Abs(float64(got)-n*p) <= bound)
+		c.checkExplained(weights)
+	}
+}
+
+func canaryAsk(tag string, weights [2]int) func(int) ask {
+	return func(i int) ask { return ask{prompt: fmt.Sprint(tag, weights, i), maxTokens: 2 + i%3} }
+}
+
+func (c *cluster) label(server, label string) {
+	c.t.Helper()
+	_, code := c.jayfordctl("label", server, label)
+	assert.Equal(c.t, code, 0, "jayfordctl label %s %s", server, label)
+}
+
+// split gives the model's requests to the two versions by weights, and waits
+// until both entries explain it so.
+func (c *cluster) split(weights [2]int) {
+	c.t.Helper()
+	type written struct {
+		Kind string `json:"kind"`
+		Name string `json:"name"`
+		Spec any    `json:"spec"`
+	}
+	pool := func(version string) written {
+		labels := func(role string) map[string]string {
+			return map[string]string{object.LabelModel: testModel, object.LabelRole: role, object.LabelVersion: version}
+		}
+		return written{object.KindPool, "model-" + version, object.Pool{
+			Format: object.Format, Model: testModel, Prefill: labels(object.RolePrefill), Decode: labels(object.RoleDecode),
+		}}
+	}
+	text, err := json.Marshal([]written{pool("v1"), pool("v2"), {object.KindSelector, "model", object.Selector{
+		Format: object.Format, Order: 10, Match: object.Match{Models: []string{testModel}},
+		Targets: []object.Target{{Pool: "model-v1", Weight: weights[0]}, {Pool: "model-v2", Weight: weights[1]}},
+	}}})
+	assert.NilError(c.t, err)
+	file := filepath.Join(c.dir, "split.json")
+	assert.NilError(c.t, os.WriteFile(file, text, 0o600))
+	_, code := c.jayfordctl("apply", file)
+	assert.Equal(c.t, code, 0, "jayfordctl apply")
+	for _, e := range c.entries {
+		eventually(c.t, inForceWithin, "weights in force at "+e.id, func() error {
+			x, err := c.explain(e)
+			if err == nil && (len(x.Targets) != 2 || x.Targets[1].Weight != weights[1]) {
+				err = errorf("%+v", x.Targets)
+			}
+			return err
+		})
+	}
+}
+
+// explain asks an entry by the client where a completion would land.
+func (c *cluster) explain(e *node) (route.Explanation, error) {
+	var x route.Explanation
+	out, err := exec.Command(filepath.Join(binaries, "jayfordctl"), "--output", "json", "explain",
+		"--operator", e.operator, "--model", testModel, "--organisation", "o").Output()
+	if err != nil {
+		return x, err
+	}
+	return x, json.Unmarshal(out, &x)
+}
+
+// checkExplained checks that both entries name the selector, the shares, the
+// servers that are taken, and why each other one isn't.
+func (c *cluster) checkExplained(weights [2]int) {
+	c.t.Helper()
+	for _, e := range c.entries {
+		x, err := c.explain(e)
+		assert.NilError(c.t, err)
+		assert.Equal(c.t, x.Choice.Selector, "model")
+		assert.Equal(c.t, x.Reason, route.Decides)
+		for i, version := range []string{"v1", "v2"} {
+			got := x.Targets[i]
+			assert.Equal(c.t, got.Pool, "model-"+version)
+			assert.Equal(c.t, got.Share, float64(weights[i])/100)
+			assert.Equal(c.t, len(got.Servers), 2*len(c.engines()), "each server for both roles")
+			for _, s := range got.Servers {
+				want := c.engineReason(s.Server, s.Role, version)
+				assert.Equal(c.t, s, want)
+			}
+		}
+	}
+}
+
+// engineReason is why a server belongs to a role of a version's pool or not.
+func (c *cluster) engineReason(id, role, version string) route.ServerReason {
+	r := route.ServerReason{Server: id, Role: role, Reason: route.Selected}
+	is, has := object.RoleDecode, "v1"
+	if id == c.prefill[0].id || id == c.prefill[1].id {
+		is = object.RolePrefill
+	}
+	if id == c.prefill[1].id || id == c.decode[3].id {
+		has = "v2"
+	}
+	switch {
+	case is != role:
+		r.Reason, r.Label, r.Want, r.Got = route.Mismatch, object.LabelRole, role, is
+	case has != version:
+		r.Reason, r.Label, r.Want, r.Got = route.Mismatch, object.LabelVersion, version, has
+	}
+	return r
+}
+
+// decodedBy counts the requests of a history that the named engines decoded.
+func (c *cluster) decodedBy(h *history, names map[string]bool) int {
+	asked := map[string]bool{}
+	for _, a := range h.all() {
+		asked[a.request] = true
+	}
+	found := map[string]bool{}
+	for _, n := range c.decode {
+		if !names[n.id] {
+			continue
+		}
+		for _, e := range n.record().Entries {
+			if e.Kind == enginestandin.EntryStart && asked[e.Attempt.Request] {
+				found[e.Attempt.Request] = true
+			}
+		}
+	}
+	return len(found)
+}
