Let the experiment take a number of entries

Cause: each entry knows the servers' caches by its own placements, so that what is known of a prefix falls with the number of entries; 370 are the aim, and the experiment always had three.

Ruled out: a second kind of deployment for it; the number of entries touches neither the split of the servers nor the capacity.

The overhead measurement takes its targets from the deployment.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,11 +27,12 @@
 )
 
 const (
-	entries     = 3
-	recordLimit = 1 << 20
-	setupTime   = 10 * time.Second
-	readyPoll   = 20 * time.Millisecond
-	stopWithin  = 3 * time.Second
+	// defaultEntries is for a Deployment that names none.
+	defaultEntries = 3
+	recordLimit    = 1 << 20
+	setupTime      = 10 * time.Second
+	readyPoll      = 20 * time.Millisecond
+	stopWithin     = 3 * time.Second
 	// settle lets agents find their engines after the entries are ready.
 	settle = 500 * time.Millisecond
 )
@@ -99,7 +101,7 @@
 			return err
 		}
 	}
-	for i := range entries {
+	for i := range cmp.Or(c.deployment.Entries, defaultEntries) {
 		if err := c.startEntry(i); err != nil {
 			return err
 		}
--- a/internal/experiment/cmd/main.go
+++ b/internal/experiment/cmd/main.go
@@ -34,6 +34,7 @@
 	Duration  time.Duration `long:"duration" default:"15s" description:"time in which requests are sent"`
 	TimeScale float64       `long:"time-scale" default:"0.25" description:"factor on all times of workload and engines"`
 	Grain     int           `long:"grain" default:"4" description:"tokens that one stand-in token stands for"`
+	Entries   int           `long:"entries" default:"3" description:"number of entries"`
 	KillEvery time.Duration `long:"kill-every" description:"crash an engine so often, before scaling"`
 	Results   []string      `long:"results" value-name:"FILE" description:"instead of running, join the results that --json wrote; may be repeated"`
 	JSON      string        `long:"json" value-name:"FILE" description:"write all results there"`
@@ -56,8 +57,8 @@
 }
 
 func run(ctx context.Context, o options) error {
-	if o.Grain < 1 || o.TimeScale <= 0 || o.Seeds < 1 {
-		return eris.New("--grain, --time-scale and --seeds: expected over 0")
+	if o.Grain < 1 || o.TimeScale <= 0 || o.Seeds < 1 || o.Entries < 1 {
+		return eris.New("--grain, --time-scale, --seeds and --entries: expected over 0")
 	}
 	if o.Overhead > 0 {
 		return overhead(ctx, o)
@@ -80,6 +81,7 @@
 		}
 	}
 	d := experiment.NewDeployment(w, o.Grain, o.TimeScale)
+	d.Entries = o.Entries
 	fmt.Printf("%s: %d prefill and %d decode servers, capacity %.2f times the workload, time scale %g, grain %d.\n",
 		w.Name, d.Prefill, d.Decode, d.Capacity(), o.TimeScale, o.Grain)
 	if o.CPU != "" {
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -32,6 +32,8 @@
 type Deployment struct {
 	Workload        load.Workload
 	Prefill, Decode int
+	// Entries before the servers; 0 for three.
+	Entries int
 	// Grain is how many tokens of the workload one stand-in token stands for.
 	// Token times are multiplied by it, so that an answer lasts as long and the
 	// run needs less processor time.
--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -140,7 +140,7 @@
 	case direct:
 		return p.get(ctx, p.c.services[0])
 	}
-	return p.get(ctx, p.c.targets[i/2%entries])
+	return p.get(ctx, p.c.targets[i/2%len(p.c.targets)])
 }
 
 func (p *pair) get(ctx context.Context, address string) error {
@@ -158,7 +158,7 @@
 	if err != nil {
 		return eris.Wrap(err, "experiment")
 	}
-	return p.do(ctx, http.MethodPost, "http://"+p.c.targets[i/2%entries]+"/v1/completions", body)
+	return p.do(ctx, http.MethodPost, "http://"+p.c.targets[i/2%len(p.c.targets)]+"/v1/completions", body)
 }
 
 func (p *pair) do(ctx context.Context, method, url string, body []byte) error {
