Renew grants over one stream for each connection in use

Cause: renewals were 20 of an entry's 30 KB/s at 5 requests/s. Each was a unary call of some 180 bytes, of which the headers and trailers, the entry's name, the incarnation, the attempt's name and nearly all of the load had been said by the one before.

Ruled out: a longer period with a longer lapse, since a dead entry's slots would stay taken for longer and a silent connection would be found later; counting other calls as renewals, since most pairs have one attempt that streams for seconds without any call.

Change: an entry keeps one stream of renewals on each connection with live attempts. An attempt is named once; frames carry the sequence and what was added or dropped, answers the load if it changed by enough to matter. Package renewal holds both ends as state machines without I/O, checked by rapid. The grant state machine is untouched: the sequence rises over all streams, one renewal is under way at a time, a missing answer within 0.6 s replaces the connection, a stream that ended is opened anew at once before a beat counts as missed. Agents that stop end the streams.

Tests: an ended stream, a silent one, a lost release, an agent without streams, an unchanged load, an agent that stops with a stream open (it hung before endRenewing), a grant that lives by frames.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,6 +80,9 @@
 	life context.Context
 	end  context.CancelFunc
 	work sync.WaitGroup
+	// renewing ends the streams of renewals.
+	renewing    context.Context
+	endRenewing context.CancelFunc
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -115,6 +118,7 @@
 		orphans:     make(map[engine.Attempt]time.Time),
 	}
 	a.life, a.end = context.WithCancel(context.Background())
+	a.renewing, a.endRenewing = context.WithCancel(context.Background())
 	a.core = grant.New(grant.Config{
 		Incarnation: o.Incarnation, Slots: o.Settings.Slots, BatchHeadroom: o.Settings.BatchHeadroom,
 		PrefillQueue: o.Settings.PrefillQueue, Queue: callQueue,
@@ -183,6 +187,7 @@
 	a.SetLeaving(true)
 	a.log.Info("agent: Stopping, no new work.")
 	a.drain(ctx)
+	a.endRenewing()
 	done := make(chan struct{})
 	go func() {
 		a.server.GracefulStop()
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -8,9 +8,6 @@
 	"jayford.example/jayford/internal/agent/grant"
 )
 
-// toldConvicted bounds the fingerprints in one answer to a renewal.
-const toldConvicted = 64
-
 // server is the gRPC side of an Agent.
 type server struct {
 	pb.UnimplementedAgentServer
@@ -95,24 +92,6 @@
 	return &pb.ReleaseReply{Load: s.agent.Load()}, nil
 }
 
-// Renew extends all grants of one entry.
-func (s server) Renew(_ context.Context, q *pb.RenewRequest) (*pb.RenewReply, error) {
-	a := s.agent
-	wanted := make([]grant.Attempt, 0, len(q.GetAttempts()))
-	for _, at := range q.GetAttempts() {
-		wanted = append(wanted, grant.Attempt{Request: at.GetRequest(), Number: at.GetNumber()})
-	}
-	reply := &pb.RenewReply{Incarnation: a.incarnation}
-	a.step(func(c *grant.Core, now time.Duration) {
-		for _, at := range c.Renew(now, q.GetEntry(), q.GetSequence(), wanted) {
-			reply.Unknown = append(reply.Unknown, &pb.Attempt{Request: at.Request, Number: at.Number, Entry: q.GetEntry()})
-		}
-		reply.Convicted = c.Convicted(toldConvicted)
-	})
-	reply.Load = a.Load()
-	return reply, nil
-}
-
 // Convict refuses fingerprints from now on.
 func (s server) Convict(_ context.Context, q *pb.ConvictRequest) (*pb.ConvictReply, error) {
 	s.agent.Convict(q.GetFingerprints())
--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -10,13 +10,9 @@
 	"google.golang.org/grpc/status"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/renewal"
 )
 
-type attemptKey struct {
-	request string
-	number  uint32
-}
-
 // Conn is the connection to one agent. It is replaced from within when it goes
 // silent; calls under WhileKept end then, and streams are attached anew.
 type Conn struct {
@@ -26,16 +22,21 @@
 
 	mu sync.Mutex
 	// All below is guarded by mu.
-	cc       *grpc.ClientConn
-	api      pb.AgentClient
-	live     map[attemptKey]struct{}
-	hint     Hint
-	renewing bool
-	failures int
-	dials    int
-	lastUse  time.Time
+	cc      *grpc.ClientConn
+	api     pb.AgentClient
+	live    map[renewal.Attempt]struct{}
+	hint    Hint
+	dials   int
+	lastUse time.Time
 	// lost is closed when cc was replaced.
 	lost chan struct{}
+
+	// turn is held by the renewal under way.
+	turn chan struct{}
+	// stream and plain are used by the holder of turn. plain is the connection
+	// whose agent knows no streams of renewals.
+	stream *stream
+	plain  *grpc.ClientConn
 }
 
 // ID returns the agent's instance id.
@@ -66,6 +67,13 @@
 	return line{c.api, c.cc}
 }
 
+// present is line for what the connection does by itself, which is no use.
+func (c *Conn) present() line {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return line{c.api, c.cc}
+}
+
 func (c *Conn) client() pb.AgentClient { return c.line().api }
 
 // Incarnation returns the agent's incarnation as last seen, 0 if unknown.
@@ -96,14 +104,14 @@
 func (c *Conn) Hold(a *pb.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.live[attemptKey{a.Request, a.Number}] = struct{}{}
+	c.live[renewal.Attempt{Request: a.Request, Number: a.Number}] = struct{}{}
 }
 
 // Drop ends renewing an attempt.
 func (c *Conn) Drop(a *pb.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.live, attemptKey{a.Request, a.Number})
+	delete(c.live, renewal.Attempt{Request: a.Request, Number: a.Number})
 }
 
 // Expect counts a choice of this agent that its hint doesn't show yet.
@@ -133,7 +141,7 @@
 func (c *Conn) wantsRenewal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.live) > 0 && !c.renewing
+	return len(c.live) > 0 && len(c.turn) == 0
 }
 
 func (c *Conn) idleFor() time.Duration {
@@ -145,43 +153,6 @@
 	return time.Since(c.lastUse)
 }
 
-// renew sends one renewal. A renewal without an answer means that the
-// connection may be silent for good while new ones work: streams on it would
-// hang and the agent would cancel live work. So a new connection is dialled at
-// once and the renewal repeated over it, well within the agent's lapse time.
-func (c *Conn) renew(ctx context.Context) error {
-	c.mu.Lock()
-	c.renewing = true
-	req := &pb.RenewRequest{Entry: c.pool.Entry, Sequence: c.pool.sequence.Add(1), Incarnation: c.hint.Incarnation}
-	// The entry is named once, not again with each attempt.
-	for k := range c.live {
-		req.Attempts = append(req.Attempts, &pb.Attempt{Request: k.request, Number: k.number})
-	}
-	used := line{c.api, c.cc}
-	c.mu.Unlock()
-
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
-	defer cancel()
-	reply, err := used.api.Renew(ctx, req)
-	renewals.Inc()
-
-	c.mu.Lock()
-	c.renewing = false
-	if err == nil {
-		c.failures = 0
-		c.mu.Unlock()
-		c.Heard(reply.Load, reply.Incarnation)
-		return nil
-	}
-	c.failures++
-	c.mu.Unlock()
-	renewFails.Inc()
-	if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
-		c.replace(used.cc)
-	}
-	return err
-}
-
 // Probe asks the agent for a sign of life by a renewal, which lists what is
 // live: an empty one would free it. A probe without an answer replaces the
 // connection, so that the next one goes over a new one.
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/backoff"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/renewal"
 	"jayford.example/jayford/internal/transport"
 )
 
@@ -86,7 +87,7 @@
 	if c != nil && c.address == address {
 		return c, nil
 	}
-	next := &Conn{pool: p, id: id, address: address, live: make(map[attemptKey]struct{}), lost: make(chan struct{})}
+	next := newConn(p, id, address)
 	if err := next.dialLocked(); err != nil {
 		return nil, err
 	}
@@ -97,6 +98,15 @@
 	return next, nil
 }
 
+func newConn(p *Pool, id, address string) *Conn {
+	return &Conn{
+		pool: p, id: id, address: address,
+		live: make(map[renewal.Attempt]struct{}),
+		lost: make(chan struct{}),
+		turn: make(chan struct{}, 1),
+	}
+}
+
 // Hint returns the hint about an agent; the zero Hint if there is none.
 func (p *Pool) Hint(id string) Hint {
 	p.mu.Lock()
--- a/internal/agents/pool_test.go
+++ b/internal/agents/pool_test.go
@@ -93,15 +93,19 @@
 	return l.Addr().String()
 }
 
-func runPool(t *testing.T) *Pool {
+func newPool(t *testing.T) *Pool {
 	log := logrus.New()
 	log.SetLevel(logrus.ErrorLevel)
 	p := NewPool("entry-1#5", grpc.WithTransportCredentials(insecure.NewCredentials()), log)
+	t.Cleanup(p.closeAll)
+	return p
+}
+
+func run(t *testing.T, p *Pool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = p.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return p
 }
 
 func reserve(t *testing.T, c *Conn, request string) *pb.Attempt {
@@ -118,9 +122,11 @@
 // one, which numbered its renewals from 1 again: to the agent, which remembers
 // the pair for longer, they were all late ones.
 func TestRenewalsCountAfterIdleConnectionWasClosed(t *testing.T) {
+	t.Parallel()
 	agent := newCoreAgent()
 	address := serve(t, agent)
-	p := runPool(t)
+	p := newPool(t)
+	run(t, p)
 	first, err := p.Conn("agent-1", address)
 	assert.NilError(t, err)
 	at := reserve(t, first, "first")
--- a/internal/slopes/agent.go
+++ b/internal/slopes/agent.go
@@ -6,10 +6,12 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/renewal"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
 	"jayford.example/jayford/internal/transport"
 )
@@ -75,21 +77,33 @@
 	return nil
 }
 
-func (s *simulated) renew(ctx context.Context) {
+func (s *simulated) renew(ctx context.Context) error {
+	stream, err := s.api.RenewStream(ctx)
+	if err != nil {
+		return err
+	}
+	sender := renewal.NewSender(entryName(s.number))
+	live := make(map[renewal.Attempt]struct{})
+	for _, a := range s.attempts {
+		live[renewal.Attempt{Request: a.Request, Number: a.Number}] = struct{}{}
+	}
 	t := time.NewTicker(renewEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-t.C:
 		}
 		s.sequence++
-		req := &pb.RenewRequest{Entry: entryName(s.number), Sequence: s.sequence}
-		for _, a := range s.attempts {
-			req.Attempts = append(req.Attempts, &pb.Attempt{Request: a.Request, Number: a.Number})
+		if err := stream.Send(sender.Frame(s.sequence, live)); err != nil {
+			return err
 		}
-		_, _ = s.api.Renew(ctx, req)
+		ack, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		sender.Heard(ack)
 	}
 }
 
@@ -132,10 +146,13 @@
 			}
 		}
 		for _, s := range all {
-			b.group.Go(func() error { s.renew(b.ctx); return nil })
+			b.group.Go(func() error { return s.renew(b.ctx) })
 		}
 		time.Sleep(time.Second)
 		out, err = b.watch(p, &wire)
+		if err == nil && b.ctx.Err() != nil {
+			err = eris.New("an entry's renewals failed")
+		}
 		return err
 	})
 	return out, err
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/renewal"
 	"jayford.example/jayford/internal/transport"
 )
 
@@ -73,6 +74,28 @@
 	return &pb.RenewReply{Incarnation: 1764711437000000000, Load: simulatedLoad()}, nil
 }
 
+// RenewStream says something new of its load with each answer, as a busy agent
+// does.
+func (s *simulatedAgents) RenewStream(stream pb.Agent_RenewStreamServer) error {
+	r := renewal.NewReceiver()
+	for {
+		f, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := r.Take(f); err != nil {
+			return err
+		}
+		s.renewed.Add(int64(len(r.Listed())))
+		l := simulatedLoad()
+		l.Used += uint32(s.renewals.Add(1)) % 2
+		l.QueuedTokens += f.GetSequence() % 1000
+		if err := stream.Send(r.Ack(1764711437000000000, l)); err != nil {
+			return err
+		}
+	}
+}
+
 func (s *simulatedAgents) Prefill(_ context.Context, q *pb.PrefillRequest) (*pb.PrefillReply, error) {
 	time.Sleep(200 * time.Millisecond)
 	s.dataBytes.Add(int64(len(q.GetPrompt())))
