Measure agents under connections at rest, and the same points with TLS

Cause: docs/CAPACITY.md gave an agent's cost from simulated entries that held one grant each and nothing else, and an entry's from simulated agents that never pinged. What an agent pays for the connections that entries keep for a minute after a request wasn't in it, nor what a prefill agent costs since prefills are let go early, nor TLS.

Ruled out: extending the part agent, since its entries reserve once and renew; here the entries' own pools come and go.

The part secured takes points of entry and agent without and with certificates. The simulated agents take the options of a real agent's listener, which package agent exports for it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -125,12 +125,7 @@
 		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle, MaxDrain: maxDrain,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
-	options := append(transport.ServerOptions(),
-		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
-	)
-	a.server = grpc.NewServer(append(options, o.Server...)...)
+	a.server = grpc.NewServer(append(ServerOptions(), o.Server...)...)
 	pb.RegisterAgentServer(a.server, server{agent: a})
 	if o.Board != nil {
 		o.Board.Part("agent", func() any { return a.view() })
@@ -138,6 +133,16 @@
 	return a
 }
 
+// ServerOptions returns the options of every agent's listener.
+func ServerOptions() []grpc.ServerOption {
+	return append(
+		transport.ServerOptions(),
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
+	)
+}
+
 // Incarnation returns the number that tells this run of the agent from others.
 func (a *Agent) Incarnation() uint64 { return a.incarnation }
 
--- a/internal/slopes/agent.go
+++ b/internal/slopes/agent.go
@@ -8,7 +8,6 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/renewal"
@@ -46,8 +45,11 @@
 }
 
 func (b *Bench) simulate(number, attempts int, address string, m *meter) (*simulated, error) {
-	opts := append(transport.DialOptions(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(m.dial))
+	own, err := b.identity("entry", "simulated-entry")
+	if err != nil {
+		return nil, err
+	}
+	opts := append(transport.DialOptions(), own.DialOption("agent"), grpc.WithContextDialer(m.dial))
 	cc, err := grpc.NewClient("passthrough:///"+address, opts...)
 	if err != nil {
 		return nil, err
--- a/internal/slopes/bench.go
+++ b/internal/slopes/bench.go
@@ -32,7 +32,9 @@
 	Window time.Duration
 	Out    io.Writer
 
-	dir       string
+	dir string
+	// authority is the directory of the certificates; "" for plain connections.
+	authority string
 	group     *errgroup.Group
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -141,6 +143,9 @@
 		return nil, e, err
 	}
 	e.Process = p
+	if e.TLS, err = b.issue("entry", id); err != nil {
+		return nil, e, err
+	}
 	if e.Listen, err = freeAddress(); err != nil {
 		return nil, e, err
 	}
@@ -156,6 +161,9 @@
 		return nil, a, err
 	}
 	a.Process, a.Backend, a.Slots = p, backend, slots
+	if a.TLS, err = b.issue("agent", id); err != nil {
+		return nil, a, err
+	}
 	b.list(p, "agent")
 	run, err := b.start("agent", id, a)
 	return run, a, err
--- a/internal/slopes/cmd/main.go
+++ b/internal/slopes/cmd/main.go
@@ -27,6 +27,8 @@
 	"declared": slopes.Declared,
 	"newcomer": slopes.Newcomer,
 	"claims":   slopes.Claims,
+	"secured":  slopes.Secured,
+	"served":   slopes.Served,
 }
 
 type options struct {
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -11,8 +11,9 @@
 	"google.golang.org/grpc"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/agent"
+	"jayford.example/jayford/internal/identity"
 	"jayford.example/jayford/internal/renewal"
-	"jayford.example/jayford/internal/transport"
 )
 
 // answerTime is how long an answer of 239 tokens takes if 733 decode engines of
@@ -22,6 +23,7 @@
 // simulatedAgents answers for all agents of a fleet at one address.
 type simulatedAgents struct {
 	pb.UnimplementedAgentServer
+	identity identity.Identity
 	// renewals, renewed and reserves count since the start; renewed are the
 	// attempts listed.
 	renewals, renewed, reserves, dataBytes atomic.Int64
@@ -37,7 +39,7 @@
 
 // Serve implements the bench's server.
 func (s *simulatedAgents) Serve(ctx context.Context, l net.Listener) error {
-	srv := grpc.NewServer(transport.ServerOptions()...)
+	srv := grpc.NewServer(append(agent.ServerOptions(), s.identity.ServerOptions("entry")...)...)
 	pb.RegisterAgentServer(srv, s)
 	stop := context.AfterFunc(ctx, srv.Stop)
 	defer stop()
@@ -138,6 +140,9 @@
 	if err != nil {
 		return out, err
 	}
+	if agents.identity, err = b.identity("agent", "simulated-agent"); err != nil {
+		return out, err
+	}
 	err = b.scene(fullFleet(l.Addr().String()), func() error {
 		b.group.Go(func() error { return agents.Serve(b.ctx, &meteredListener{l, &wire}) })
 		p, e, err := b.entry("entry-0", benchZone)
--- /dev/null
+++ b/internal/slopes/secured.go
@@ -0,0 +1,81 @@
+package slopes
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/identity"
+	"jayford.example/jayford/internal/settings"
+)
+
+// certLife outlasts every run.
+const certLife = 24 * time.Hour
+
+// issue returns the certificate of a process, or none for plain connections.
+func (b *Bench) issue(role, id string) (settings.TLS, error) {
+	if b.authority == "" {
+		return settings.TLS{}, nil
+	}
+	files := identity.Files(b.authority, id)
+	if _, err := os.Stat(files.Certificate); err == nil {
+		return files, nil
+	}
+	return files, identity.Issue(b.authority, role, id, certLife)
+}
+
+func (b *Bench) identity(role, id string) (identity.Identity, error) {
+	files, err := b.issue(role, id)
+	if err != nil {
+		return identity.Identity{}, err
+	}
+	return identity.Load(files, role, id)
+}
+
+// secure gives all processes started from now on certificates, until the
+// function that it returns is called.
+func (b *Bench) secure() (end func(), err error) {
+	dir := filepath.Join(b.dir, "authority")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, eris.Wrap(err, "authority")
+	}
+	b.authority = dir
+	return func() { b.authority = "" }, identity.NewAuthority(dir, certLife)
+}
+
+// Secured measures the same points without and with TLS between processes.
+func Secured(b *Bench) error {
+	if err := b.pairs("plain"); err != nil {
+		return err
+	}
+	end, err := b.secure()
+	if err != nil {
+		return err
+	}
+	defer end()
+	return b.pairs("TLS")
+}
+
+func (b *Bench) pairs(how string) error {
+	entry := newThreeCosts("an entry, answers of 8 s, "+how, "requests/s")
+	for _, r := range []float64{0, 2, 5, 10} {
+		l, err := b.requested(r, fullModels, answerTime)
+		if err != nil {
+			return err
+		}
+		entry.add(r, l.spent)
+	}
+	entry.print(b, 5)
+	agent := newThreeCosts("an agent, 1 attempt an entry, "+how, "entries with live grants")
+	for _, n := range []int{1, 10, 20, 50} {
+		s, err := b.held(n, 1)
+		if err != nil {
+			return err
+		}
+		agent.add(float64(n), s)
+	}
+	agent.print(b, 20)
+	return nil
+}
--- a/internal/slopes/wire.go
+++ b/internal/slopes/wire.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"google.golang.org/grpc/credentials"
 )
 
 // meter counts the bytes of TCP payload on the connections that it wraps.
@@ -49,3 +51,19 @@
 	}
 	return &meteredConn{c, l.meter}, nil
 }
+
+// meteredCredentials count the bytes beneath other credentials.
+type meteredCredentials struct {
+	credentials.TransportCredentials
+	meter *meter
+}
+
+// ClientHandshake implements credentials.TransportCredentials.
+func (c *meteredCredentials) ClientHandshake(ctx context.Context, authority string, conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return c.TransportCredentials.ClientHandshake(ctx, authority, &meteredConn{conn, c.meter})
+}
+
+// Clone implements credentials.TransportCredentials.
+func (c *meteredCredentials) Clone() credentials.TransportCredentials {
+	return &meteredCredentials{c.TransportCredentials.Clone(), c.meter}
+}
