--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,8 +44,16 @@
 	keepResult = 10 * time.Second
 	// ticksPerLapse sets how often the core sees the time.
 	ticksPerLapse = 20
-	keepalivePing = 2 * time.Second
-	maxMessage    = 64 << 20
+	// keepalivePing finds connections that entries have left without a word. Those
+	// in use are found by their renewals, and what they held lapses; this only
+	// frees a dead one's memory. At full size 211 entries keep a connection to an
+	// agent of a prefill engine, nearly all at rest: a ping on each every 2 s was
+	// most of the agent's processor time and half of its bytes.
+	keepalivePing    = 30 * time.Second
+	keepaliveTimeout = 2 * time.Second
+	// leastPing is how often a client may ping.
+	leastPing  = 500 * time.Millisecond
+	maxMessage = 64 << 20
 )
 
 // Options configures an Agent.
@@ -80,6 +88,9 @@
 	life context.Context
 	end  context.CancelFunc
 	work sync.WaitGroup
+	// renewing ends the streams of renewals.
+	renewing    context.Context
+	endRenewing context.CancelFunc
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -117,18 +128,14 @@
 		orphans:     make(map[engine.Attempt]time.Time),
 	}
 	a.life, a.end = context.WithCancel(context.Background())
+	a.renewing, a.endRenewing = context.WithCancel(context.Background())
 	a.core = grant.New(grant.Config{
 		Incarnation: o.Incarnation, Slots: o.Settings.Slots, BatchHeadroom: o.Settings.BatchHeadroom,
 		PrefillQueue: o.Settings.PrefillQueue, Queue: callQueue,
 		LapseAfter: o.Settings.LapseAfter.D(), MaxWait: maxWait, MaxIdle: maxIdle, MaxDrain: maxDrain,
 		SeenFor: seenFor, MaxSeen: maxSeen, MaxConvicted: maxConvicted,
 	})
-	options := append(transport.ServerOptions(),
-		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepalivePing}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepalivePing / 4, PermitWithoutStream: true}),
-	)
-	a.server = grpc.NewServer(append(options, o.Server...)...)
+	a.server = grpc.NewServer(append(ServerOptions(), o.Server...)...)
 	pb.RegisterAgentServer(a.server, server{agent: a})
 	if o.Board != nil {
 		o.Board.Part("agent", func() any { return a.view() })
@@ -136,6 +143,16 @@
 	return a
 }
 
+// ServerOptions returns the options of every agent's listener.
+func ServerOptions() []grpc.ServerOption {
+	return append(
+		transport.ServerOptions(),
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: leastPing, PermitWithoutStream: true}),
+	)
+}
+
 // Incarnation returns the number that tells this run of the agent from others.
 func (a *Agent) Incarnation() uint64 { return a.incarnation }
 
@@ -188,6 +205,7 @@
 	a.SetLeaving(true)
 	a.log.Info("agent: Stopping, no new work.")
 	a.drain(ctx)
+	a.endRenewing()
 	done := make(chan struct{})
 	go func() {
 		a.server.GracefulStop()
--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -11,7 +11,9 @@
 	"google.golang.org/grpc"
 
 	pb "jayford.example/jayford/api/jayfordv1"
-	"jayford.example/jayford/internal/transport"
+	"jayford.example/jayford/internal/agent"
+	"jayford.example/jayford/internal/identity"
+	"jayford.example/jayford/internal/renewal"
 )
 
 // answerTime is how long an answer of 239 tokens takes if 733 decode engines of
@@ -21,6 +23,7 @@
 // simulatedAgents answers for all agents of a fleet at one address.
 type simulatedAgents struct {
 	pb.UnimplementedAgentServer
+	identity identity.Identity
 	// renewals, renewed and reserves count since the start; renewed are the
 	// attempts listed.
 	renewals, renewed, reserves, dataBytes atomic.Int64
@@ -36,7 +39,7 @@
 
 // Serve implements the bench's server.
 func (s *simulatedAgents) Serve(ctx context.Context, l net.Listener) error {
-	srv := grpc.NewServer(transport.ServerOptions()...)
+	srv := grpc.NewServer(append(agent.ServerOptions(), s.identity.ServerOptions("entry")...)...)
 	pb.RegisterAgentServer(srv, s)
 	stop := context.AfterFunc(ctx, srv.Stop)
 	defer stop()
@@ -73,6 +76,28 @@
 	return &pb.RenewReply{Incarnation: 1764711437000000000, Load: simulatedLoad()}, nil
 }
 
+// RenewStream says something new of its load with each answer, as a busy agent
+// does.
+func (s *simulatedAgents) RenewStream(stream pb.Agent_RenewStreamServer) error {
+	r := renewal.NewReceiver()
+	for {
+		f, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := r.Take(f); err != nil {
+			return err
+		}
+		s.renewed.Add(int64(len(r.Listed())))
+		l := simulatedLoad()
+		l.Used += uint32(s.renewals.Add(1)) % 2
+		l.QueuedTokens += f.GetSequence() % 1000
+		if err := stream.Send(r.Ack(1764711437000000000, l)); err != nil {
+			return err
+		}
+	}
+}
+
 func (s *simulatedAgents) Prefill(_ context.Context, q *pb.PrefillRequest) (*pb.PrefillReply, error) {
 	time.Sleep(200 * time.Millisecond)
 	s.dataBytes.Add(int64(len(q.GetPrompt())))
@@ -115,6 +140,9 @@
 	if err != nil {
 		return out, err
 	}
+	if agents.identity, err = b.identity("agent", "simulated-agent"); err != nil {
+		return out, err
+	}
 	err = b.scene(fullFleet(l.Addr().String()), func() error {
 		b.group.Go(func() error { return agents.Serve(b.ctx, &meteredListener{l, &wire}) })
 		p, e, err := b.entry("entry-0", benchZone)
