Measure the drain rate by what was served, not by what was popped

Callers of a queue that drained nine requests a second were told to come back after up to five minutes. Cause: the rate counted an item when it was popped and took its cost off again when it came back from full servers. Under overload all that waits is out to ask servers; a newcomer passes straight through the empty queue, so its pop wasn't counted (nothing had waited), but its return was taken off. The sum went to zero and the rate with it. In the other direction many items that were out counted as drained, and too much was queued.

Change: Served says that an item got its reservation, and only that counts for the rate.

TestItemsThatComeBackDontChangeTheDrainRate fails before (5m0s) and passes now. Two older step tests popped items without ever saying what became of them, which the queue's contract didn't allow; they now say that these were served, and assert what they did before.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -82,9 +82,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.busy--
-	g.queue.Settle(it.ID)
 	if granted {
+		g.queue.Served(time.Now(), it.ID)
 		g.pause = 0
+	} else {
+		g.queue.Settle(it.ID)
 	}
 	g.pumpLocked()
 }
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -170,19 +170,19 @@
 	if it.Enqueued.IsZero() {
 		it.Enqueued = now
 	}
+	q.drain.observe(now, q.Len() > 0)
 	if err := q.refuse(now, &it); err != nil {
 		return err
 	}
-	if q.Len() == 0 {
-		q.drain.begin(now)
-	}
 	q.insert(it, false)
+	q.drain.observe(now, true)
 	return nil
 }
 
 // Pop removes the item to be admitted next. It returns false if none waits.
 // Call Expire first: Pop doesn't look at deadlines.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
+	q.drain.observe(now, q.Len() > 0)
 	o, interactive := q.next()
 	if o == nil {
 		return Item{}, false
@@ -196,7 +196,7 @@
 	o.out += it.Cost / o.share
 	q.pending += it.charged
 	q.popped[it.ID] = it
-	q.drain.popped(now, it.Cost)
+	q.drain.observe(now, q.Len() > 0)
 	return it, true
 }
 
@@ -238,11 +238,20 @@
 	q.clock -= it.charged
 	q.served -= it.Cost
 	q.batchDue -= it.batchCharged
-	q.drain.requeued(it.Cost)
 }
 
-// Settle notes that a popped item was served, or given up: its charge stands.
-// Each popped item is settled or requeued.
+// Served notes that a popped item was served, which settles it. Only what was
+// served counts for the drain rate.
+func (q *Queue) Served(now time.Time, id string) {
+	q.drain.observe(now, q.Len() > 0)
+	if it, ok := q.popped[id]; ok {
+		q.drain.served(now, it.Cost)
+	}
+	q.Settle(id)
+}
+
+// Settle notes that a popped item was given up: its charge stands. Each popped
+// item is served, settled or requeued.
 //
 // Only what was settled moves the queue's virtual time, which is where an
 // organisation without waiting work starts. Items that are out to ask servers
@@ -296,6 +305,7 @@
 // Expire removes and returns the items whose deadline has come, or would pass
 // before their first token.
 func (q *Queue) Expire(now time.Time) []Item {
+	q.drain.observe(now, q.Len() > 0)
 	var out []Item
 	for _, e := range q.items {
 		d := e.item.Deadline
@@ -306,6 +316,7 @@
 	for i := range out {
 		q.Remove(out[i].ID)
 	}
+	q.drain.observe(now, q.Len() > 0)
 	return out
 }
 
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -245,7 +245,7 @@
 	assert.Equal(t, refused, 149)
 }
 
-// drained fills the queue and pops one item of cost 10 a second for 20 s.
+// drained fills the queue and serves one item of cost 10 a second for 20 s.
 func drained(t *testing.T) (*Queue, time.Time) {
 	q := newQueue(Options{MaxTotal: 120})
 	for i := range 60 {
@@ -254,8 +254,9 @@
 	now := start
 	for range 20 {
 		now = now.Add(time.Second)
-		_, ok := q.Pop(now)
+		it, ok := q.Pop(now)
 		assert.Assert(t, ok)
+		q.Served(now, it.ID)
 	}
 	return q, now
 }
@@ -295,13 +296,15 @@
 	for i := range 10000 {
 		push(t, q, now, Item{ID: fmt.Sprint(i), Organisation: "o", Cost: 10})
 		now = now.Add(time.Millisecond)
-		_, _ = q.Pop(now)
+		it, _ := q.Pop(now)
+		q.Served(now, it.ID)
 	}
 	for i := range 30 {
 		push(t, q, now, Item{ID: fmt.Sprint("w", i), Organisation: "o", Cost: 10})
 	}
 	now = now.Add(time.Second)
-	_, _ = q.Pop(now)
+	it, _ := q.Pop(now)
+	q.Served(now, it.ID)
 	err := q.Push(now, Item{ID: "x", Organisation: "o", Cost: 10, Deadline: now.Add(10 * time.Second)})
 	assert.Assert(t, err != nil)
 	assert.Equal(t, err.Code, verdict.Deadline)
--- /dev/null
+++ b/internal/policy/admit/drain_test.go
@@ -0,0 +1,74 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// asking is an item that is out, until it is answered.
+type asking struct {
+	item  Item
+	until time.Time
+}
+
+// overrun runs a pool that serves one item of cost 20 each tenth of a second, and
+// gets three times as many. All that waits goes out to ask servers, but for a
+// pause after some found all full. What isn't served within a quarter of a second finds all full and comes back, when no
+// more than 12 are out. visit sees the queue after each hundredth of a second.
+func overrun(t *testing.T, q *Queue, lasts time.Duration, visit func(now time.Time)) {
+	t.Helper()
+	const (
+		tick, every, serve = 10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond
+		round, pause       = 250 * time.Millisecond, 40 * time.Millisecond
+		circulate          = 12
+	)
+	var out []asking
+	id, held := 0, start
+	for at := time.Duration(0); at < lasts; at += tick {
+		now := start.Add(at)
+		if at%serve == 0 && len(out) > 0 {
+			q.Served(now, out[0].item.ID)
+			out = out[1:]
+			held = now
+		}
+		for len(out) > 0 && !now.Before(out[0].until) {
+			q.Requeue(out[0].item)
+			out = out[1:]
+			held = now.Add(pause)
+		}
+		if at%every == 0 && len(out)+q.Len() < circulate {
+			id++
+			push(t, q, now, Item{ID: fmt.Sprint(id), Organisation: "o", Interactive: true, Cost: 20})
+		}
+		visit(now)
+		for now.Sub(held) >= 0 && q.Len() > 0 {
+			it, _ := q.Pop(now)
+			out = append(out, asking{it, now.Add(round)})
+		}
+	}
+}
+
+// Callers of a pool that serves ten requests a second are told to come back
+// after minutes. All that waits is out to ask servers, a newcomer passes through
+// an empty queue, and most come back. Their pop wasn't counted as drained, as
+// nothing had waited, but their return was taken off. The rate went to zero.
+func TestItemsThatComeBackDontChangeTheDrainRate(t *testing.T) {
+	q := newQueue(Options{})
+	worst := time.Duration(0)
+	overrun(t, q, 30*time.Second, func(now time.Time) {
+		if now.Sub(start) < 5*time.Second || q.Len() == 0 {
+			return
+		}
+		err := q.Push(now, Item{ID: "x", Organisation: "o", Interactive: true, Cost: 20, Deadline: now.Add(20 * time.Millisecond)})
+		if err == nil {
+			q.Remove("x")
+			return
+		}
+		worst = max(worst, err.RetryAfter)
+	})
+	// At most 12 wait, ten are served a second.
+	assert.Assert(t, worst > 0 && worst < 4*time.Second, "told to come back after %s", worst)
+}
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -8,11 +8,6 @@
 )
 
 const (
-	// drainMemory is the time over which the drain rate is averaged.
-	drainMemory = 10 * time.Second
-	// passThrough is how long the queue must have been non-empty before what
-	// is popped counts for the drain rate.
-	passThrough = 20 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound what callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Minute
@@ -80,7 +75,7 @@
 // rate is measured it predicts nothing. A request that still comes late is
 // found by Expire; one refused here could not have been in time.
 func (q *Queue) predictWait(now time.Time, it *Item) time.Duration {
-	if q.Len() == 0 || !q.drain.measured() {
+	if q.Len() == 0 || !q.drain.measured(now) {
 		return 0
 	}
 	own, ahead := it.Cost, it.Cost
@@ -121,46 +116,3 @@
 	}
 	return time.Duration(s * float64(time.Second))
 }
-
-// drain measures the cost popped per second while the queue stays non-empty.
-// Requests that pass straight through say nothing of capacity: counted, they
-// would make the rate look boundless when overload begins.
-type drain struct {
-	cost float64
-	busy time.Duration
-	// began is when the queue stopped being empty, since when it last was
-	// popped or began.
-	began, since time.Time
-}
-
-// begin is called when the queue stops being empty.
-func (d *drain) begin(now time.Time) { d.began, d.since = now, now }
-
-func (d *drain) popped(now time.Time, cost float64) {
-	step := max(0, now.Sub(d.since))
-	d.since = now
-	if now.Sub(d.began) < passThrough {
-		return
-	}
-	keep := math.Exp(-float64(step) / float64(drainMemory))
-	d.cost = d.cost*keep + cost
-	d.busy = time.Duration(float64(d.busy)*keep) + step
-}
-
-func (d *drain) requeued(cost float64) {
-	d.cost = max(0, d.cost-cost)
-}
-
-func (d *drain) measured() bool { return d.cost > 0 }
-
-// rate returns the cost drained per second. The time since the last pop
-// counts, so that the rate falls while nothing drains. Before anything drained
-// it is bounded by the wait so far, in which less than all that waits drained.
-func (d *drain) rate(now time.Time, waiting float64) float64 {
-	step := max(0, now.Sub(d.since))
-	busy := max(d.busy+step, time.Millisecond).Seconds()
-	if d.measured() {
-		return d.cost / busy
-	}
-	return max(waiting, minCost) / busy
-}
