Refuse at once what would be found late in the queue

Agents' refusals end none of them, as what finds all full goes back to the queue. Three causes, by reading the trace: the predicted wait looked only at what stands in the queue, while nearly all of it was out to ask servers; whatever could start at the last moment by that prediction was let in; and of items that came back together the last was the next to go, so that the one that had waited longest was passed by others and expired.

Change: what is out counts as ahead. A newcomer is let in while the predicted wait takes no more than half of the time it has. What comes back goes behind what has waited longer.

TestItemsThatAreOutAreAhead and TestItemsThatComeBackKeepTheirOrder fail before and pass now.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -79,8 +79,12 @@
 	items  map[string]*entry
 	// popped are the items that are out, by ID, as they were charged.
 	popped map[string]Item
-	weight float64 // sum of the shares of active
-	cost   float64 // sum of the costs of items
+	// asking are the organisations with items that are out, and outCost is the
+	// sum of the costs of these items.
+	asking  map[*org]struct{}
+	outCost float64
+	weight  float64 // sum of the shares of active
+	cost    float64 // sum of the costs of items
 	// virtual is the start tag of the last item settled, in cost by share.
 	virtual float64
 	// clock runs by popped cost over the sum of active shares. An
@@ -104,6 +108,9 @@
 	// virtual is the organisation's start tag, in cost by share; out is the part
 	// of it charged for items that are out.
 	virtual, out float64
+	// outs and outCost are the number and the cost of the items that are out.
+	outs    int
+	outCost float64
 	// due is when, on the queue's clock, its guarantee wants the next item.
 	due float64
 }
@@ -133,6 +140,7 @@
 		orgs:   map[string]*org{},
 		items:  map[string]*entry{},
 		popped: map[string]Item{},
+		asking: map[*org]struct{}{},
 	}
 }
 
@@ -193,13 +201,22 @@
 	it := e.item
 	it.charged = it.Cost / total
 	q.charge(o, &it)
-	o.out += it.Cost / o.share
-	q.pending += it.charged
-	q.popped[it.ID] = it
+	q.goOut(o, &it)
 	q.drain.observe(now, q.Len() > 0)
 	return it, true
 }
 
+// goOut notes that a popped item is out.
+func (q *Queue) goOut(o *org, it *Item) {
+	q.popped[it.ID] = *it
+	q.pending += it.charged
+	q.outCost += it.Cost
+	q.asking[o] = struct{}{}
+	o.outs++
+	o.outCost += it.Cost
+	o.out += it.Cost / o.share
+}
+
 // charge accounts for a popped item.
 func (q *Queue) charge(o *org, it *Item) {
 	o.virtual += it.Cost / o.share
@@ -218,7 +235,8 @@
 }
 
 // Requeue puts a popped item that found no server back to the head of its
-// organisation's part, and takes back what Pop charged. No bound applies.
+// organisation's part, behind those that came before it, and takes back what Pop
+// charged. No bound applies.
 func (q *Queue) Requeue(it Item) {
 	if _, ok := q.items[it.ID]; ok {
 		return
@@ -275,6 +293,16 @@
 	q.pending = max(0, q.pending-it.charged)
 	o := q.org(it.Organisation)
 	o.out = max(0, o.out-it.Cost/o.share)
+	o.outs--
+	o.outCost -= it.Cost
+	q.outCost -= it.Cost
+	if o.outs == 0 {
+		delete(q.asking, o)
+		o.outCost = 0
+	}
+	if len(q.popped) == 0 {
+		q.outCost = 0
+	}
 	return it, o
 }
 
@@ -368,11 +396,11 @@
 	return o
 }
 
-// sweep forgets the organisations without waiting work. An organisation that
+// sweep forgets the organisations without work that waits or is out. An organisation that
 // comes back starts level with the others.
 func (q *Queue) sweep() {
 	for name, o := range q.orgs {
-		if o.len() == 0 {
+		if o.len() == 0 && o.outs == 0 {
 			delete(q.orgs, name)
 		}
 	}
@@ -398,7 +426,7 @@
 	e := &entry{item: it, org: o}
 	c := o.class(it.Interactive)
 	if head {
-		e.el = c.items.PushFront(e)
+		e.el = c.putBack(e)
 	} else {
 		e.el = c.items.PushBack(e)
 	}
@@ -407,6 +435,19 @@
 	q.cost += it.Cost
 }
 
+// putBack puts e to the head, behind what has waited longer. Of items that come
+// back together the last would else be the next, and the one that waited longest
+// would be found late though others that came after it were served.
+func (c *class) putBack(e *entry) *list.Element {
+	for el := c.items.Front(); el != nil; el = el.Next() {
+		other, _ := el.Value.(*entry)
+		if !other.item.Enqueued.Before(e.item.Enqueued) {
+			return c.items.InsertBefore(e, el)
+		}
+	}
+	return c.items.PushBack(e)
+}
+
 func (q *Queue) remove(e *entry) {
 	o := e.org
 	c := o.class(e.item.Interactive)
--- a/internal/policy/admit/drain_test.go
+++ b/internal/policy/admit/drain_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jayford.example/jayford/internal/verdict"
 )
 
 // asking is an item that is out, until it is answered.
@@ -72,3 +75,41 @@
 	// At most 12 wait, ten are served a second.
 	assert.Assert(t, worst > 0 && worst < 4*time.Second, "told to come back after %s", worst)
 }
+
+// Callers are queued and refused only when their time is over, though it was lost
+// from the start. Most of what is ahead of them is out to ask servers, so the
+// queue looked short.
+func TestItemsThatAreOutAreAhead(t *testing.T) {
+	q, now := drained(t) // 40 wait, one is served a second
+	for range 38 {
+		_, ok := q.Pop(now)
+		assert.Assert(t, ok)
+	}
+	err := q.Push(now, Item{ID: "x", Organisation: "1", Interactive: true, Cost: 10, Deadline: now.Add(30 * time.Second)})
+	assert.Assert(t, err != nil)
+	assert.Equal(t, err.Code, verdict.Deadline)
+}
+
+// A caller waits to the end of its time while others that came later are served.
+// Several requests find all servers full together, and the one that came back
+// last was the next to go. They keep the order in which they came.
+func TestItemsThatComeBackKeepTheirOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const n = 8
+		q := newQueue(Options{})
+		for i := range n {
+			push(t, q, start.Add(time.Duration(i)*time.Millisecond), Item{ID: fmt.Sprint(i), Organisation: "o"})
+		}
+		out := make([]Item, rapid.IntRange(0, n).Draw(r, "out"))
+		for i := range out {
+			out[i], _ = q.Pop(start)
+		}
+		for _, it := range rapid.Permutation(out).Draw(r, "order") {
+			q.Requeue(it)
+		}
+		for i := range n {
+			it, _ := q.Pop(start)
+			assert.Equal(r, it.ID, fmt.Sprint(i))
+		}
+	})
+}
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -8,6 +8,10 @@
 )
 
 const (
+	// newcomerPart is the part of a request's time that the queue may take up when
+	// it comes. A predicted wait is never exact; what was let in up to the last
+	// moment was found late after that time, when it could only be refused.
+	newcomerPart = 0.5
 	// minRetryAfter and maxRetryAfter bound what callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Minute
@@ -58,34 +62,39 @@
 		return nil
 	}
 	left := it.Deadline.Sub(now) - it.Predicted
+	room := time.Duration(newcomerPart * float64(left))
 	wait := q.predictWait(now, it)
-	if left > wait {
+	if left > 0 && wait <= room {
 		return nil
 	}
 	err := verdict.New(verdict.NotRun, verdict.Deadline, "The deadline can't be met.")
 	if left <= 0 {
 		return err
 	}
-	return err.After(q.retryAfter(wait - left))
+	return err.After(q.retryAfter(wait - room))
 }
 
 // predictWait predicts the least time that it would wait: its organisation's
 // part ahead of it drains at the organisation's share, but no longer than all
-// ahead of it takes. Interactive work is taken to pass all batch. Before a drain
-// rate is measured it predicts nothing. A request that still comes late is
-// found by Expire; one refused here could not have been in time.
+// ahead of it takes. What is out to ask servers is ahead too: under overload that
+// is most of what isn't served yet. Interactive work is taken to pass all batch
+// that waits. While the pool isn't full, and before a drain rate is measured, it
+// predicts nothing.
 func (q *Queue) predictWait(now time.Time, it *Item) time.Duration {
-	if q.Len() == 0 || !q.drain.measured(now) {
+	if !q.drain.full(now) || !q.drain.measured(now) {
 		return 0
 	}
-	own, ahead := it.Cost, it.Cost
+	own, ahead := it.Cost, it.Cost+q.outCost
 	share, weight := q.shareOf(it.Organisation), 0.0
+	if o := q.orgs[it.Organisation]; o != nil {
+		own += o.outCost
+	}
 	for _, o := range q.active {
 		cost := o.interactive.cost
 		if !it.Interactive {
 			cost = o.cost()
 		}
-		if cost == 0 {
+		if cost == 0 && o.outs == 0 {
 			continue
 		}
 		ahead += cost
@@ -95,6 +104,11 @@
 		}
 		weight += o.share
 	}
+	for o := range q.asking {
+		if o.len() == 0 && o.name != it.Organisation {
+			weight += o.share
+		}
+	}
 	mine := q.drainTime(now, own, share/(weight+share))
 	return min(mine, q.drainTime(now, ahead, 1))
 }
