Tell each refused caller a time of its own, and keep room for it

Under three times overload callers who did as they were told were mostly refused again. Retry-After was reckoned from the queue alone, so all that were refused at a time were told the same; newcomers had filled the queue before they came, and nothing told the two apart. Ruled out: a longer wait alone (the queue is as full whenever newcomers come faster than it drains), and keeping out newcomers for what is promised (where nobody comes back, as in our load generator, servers would idle).

Change: the queue keeps an account of promises by organisation and second. Each refused caller is told the first second that has room for it in 0.8 of the organisation's part of the drain rate, and is known by organisation and content when it comes. Then the queue may take up all of its time, where it may take half of a newcomer's, so newcomers fill what is left and no server idles for a promise. One that comes early is told the rest of its wait. Promises lapse 3 s after their time, and count only by the part that was taken up lately; 4,096 are remembered. Items found late are told such a time too, where they were told as long again as they had waited in vain.

Now only what goes no later than it is ahead; TestBatchThatIsOutIsNotAheadOfInteractive fails before.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -43,6 +43,8 @@
 type waiter struct {
 	turn    chan struct{}
 	expired chan struct{}
+	// retry is when to come back. It is set before expired is closed.
+	retry time.Duration
 }
 
 func newGate(q *admit.Queue) *gate {
@@ -120,7 +122,7 @@
 	case <-w.turn:
 		return nil
 	case <-w.expired:
-		return overloaded(it)
+		return overloaded(it, w.retry)
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
@@ -147,10 +149,10 @@
 	return verdict.New(verdict.NotRun, verdict.Overloaded, "The first token can't come in time.").After(max(err.RetryAfter, time.Second))
 }
 
-func overloaded(it admit.Item) *verdict.Error {
+func overloaded(it admit.Item, retry time.Duration) *verdict.Error {
 	waited := time.Since(it.Enqueued)
 	return verdict.New(verdict.NotRun, verdict.Overloaded,
-		"No capacity came free in %s.", waited.Round(time.Millisecond)).After(max(waited, time.Second))
+		"No capacity came free in %s.", waited.Round(time.Millisecond)).After(max(retry, time.Second))
 }
 
 // pumpLocked lets through what may go.
@@ -160,6 +162,7 @@
 		if w := g.waiters[it.ID]; w != nil {
 			delete(g.waiters, it.ID)
 			g.refused++
+			w.retry = g.queue.RetryAfter(now, it)
 			close(w.expired)
 		}
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -284,6 +284,7 @@
 		Cost:         float64(g.r.promptTokens)/10 + float64(g.r.maxTokens),
 		Deadline:     g.startBy(),
 		Enqueued:     time.Now(),
+		Fingerprint:  g.r.fingerprint,
 	}
 }
 
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -55,8 +55,15 @@
 	// charged, dueCharged and batchCharged are how far Pop moved the guarantee's
 	// clock, the organisation's due time and batch's, for Requeue and Settle.
 	charged, dueCharged, batchCharged float64
+	// Fingerprint is of the request's content: a caller that was told to come back
+	// is known by it and Organisation. 0 is none.
+	Fingerprint uint64
+	// booked: its caller comes at the time that it was told.
+	booked bool
 }
 
+func (it *Item) caller() caller { return caller{it.Organisation, it.Fingerprint} }
+
 // Options of a queue. Zero values stand for the defaults.
 type Options struct {
 	MaxTotal int
@@ -79,12 +86,10 @@
 	items  map[string]*entry
 	// popped are the items that are out, by ID, as they were charged.
 	popped map[string]Item
-	// asking are the organisations with items that are out, and outCost is the
-	// sum of the costs of these items.
-	asking  map[*org]struct{}
-	outCost float64
-	weight  float64 // sum of the shares of active
-	cost    float64 // sum of the costs of items
+	// asking are the organisations with items that are out.
+	asking map[*org]struct{}
+	weight float64 // sum of the shares of active
+	cost   float64 // sum of the costs of items
 	// virtual is the start tag of the last item settled, in cost by share.
 	virtual float64
 	// clock runs by popped cost over the sum of active shares. An
@@ -97,6 +102,7 @@
 	served, batchDue float64
 	batches          int
 	drain            drain
+	bookings         *bookings
 }
 
 // org is one organisation's part of the queue.
@@ -108,9 +114,8 @@
 	// virtual is the organisation's start tag, in cost by share; out is the part
 	// of it charged for items that are out.
 	virtual, out float64
-	// outs and outCost are the number and the cost of the items that are out.
-	outs    int
-	outCost float64
+	// outs is the number of items that are out.
+	outs int
 	// due is when, on the queue's clock, its guarantee wants the next item.
 	due float64
 }
@@ -119,6 +124,8 @@
 type class struct {
 	items *list.List
 	cost  float64
+	// out is the cost of those that are out.
+	out float64
 }
 
 // entry is an item's place in its organisation's lists.
@@ -141,6 +148,8 @@
 		items:  map[string]*entry{},
 		popped: map[string]Item{},
 		asking: map[*org]struct{}{},
+
+		bookings: newBookings(),
 	}
 }
 
@@ -179,9 +188,11 @@
 		it.Enqueued = now
 	}
 	q.drain.observe(now, q.Len() > 0)
+	it.booked = it.Fingerprint != 0 && q.bookings.take(now, it.caller())
 	if err := q.refuse(now, &it); err != nil {
 		return err
 	}
+	q.bookings.remove(it.caller())
 	q.insert(it, false)
 	q.drain.observe(now, true)
 	return nil
@@ -210,10 +221,9 @@
 func (q *Queue) goOut(o *org, it *Item) {
 	q.popped[it.ID] = *it
 	q.pending += it.charged
-	q.outCost += it.Cost
 	q.asking[o] = struct{}{}
 	o.outs++
-	o.outCost += it.Cost
+	o.class(it.Interactive).out += it.Cost
 	o.out += it.Cost / o.share
 }
 
@@ -294,14 +304,10 @@
 	o := q.org(it.Organisation)
 	o.out = max(0, o.out-it.Cost/o.share)
 	o.outs--
-	o.outCost -= it.Cost
-	q.outCost -= it.Cost
+	o.class(it.Interactive).out -= it.Cost
 	if o.outs == 0 {
 		delete(q.asking, o)
-		o.outCost = 0
-	}
-	if len(q.popped) == 0 {
-		q.outCost = 0
+		o.interactive.out, o.batch.out = 0, 0
 	}
 	return it, o
 }
--- /dev/null
+++ b/internal/policy/admit/booking_test.go
@@ -0,0 +1,181 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+// Callers of an organisation are refused again and again. More of them are told a
+// time than the rate serves by then; bookings of callers that never come add up, or
+// their room is lost.
+func TestNoMoreIsPromisedThanTheRateGives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBookings()
+		now, id := start, 0
+		rate := rapid.Float64Range(1, 500).Draw(t, "rate")
+		maxCost := rapid.Float64Range(1, 100).Draw(t, "cost")
+		t.Repeat(map[string]func(*rapid.T){
+			"book": func(t *rapid.T) {
+				id++
+				b.taken = 1
+				who := caller{"o", uint64(id)}
+				cost := rapid.Float64Range(0.1, 1).Draw(t, "part") * maxCost
+				wait := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "wait")) * time.Millisecond
+				after, ok := b.book(now, who, cost, rate, wait)
+				assert.Assert(t, !ok || after >= wait && after >= slotWidth && after < maxRetryAfter, "%s", after)
+				now = now.Add(400 * time.Millisecond)
+				again, known := b.book(now, who, cost, rate, wait)
+				assert.Assert(t, !ok || known && again <= after, "%s, then %s", after, again)
+			},
+			"come": func(t *rapid.T) {
+				who := caller{"o", rapid.Uint64Range(1, uint64(id)+1).Draw(t, "who")}
+				k, had := b.byOwner[who]
+				due := had && !now.Add(early).Before(k.due) && now.Sub(k.due) <= overdue
+				assert.Assert(t, !due || b.take(now, who))
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+				b.advance(now)
+			},
+			"": func(t *rapid.T) {
+				if b.origin.IsZero() {
+					return
+				}
+				sum := map[int]float64{}
+				for _, k := range b.byOwner {
+					assert.Assert(t, now.Sub(k.due) <= overdue+slotWidth)
+					sum[k.slot] += k.cost
+				}
+				promised, l := 0.0, b.ledgers["o"]
+				if l == nil {
+					assert.Equal(t, len(b.byOwner), 0)
+					return
+				}
+				assert.Equal(t, l.live, len(b.byOwner))
+				l.clear(b.slotOf(now))
+				for i := 1; i < slots; i++ {
+					assert.Assert(t, l.at(l.first+i) > sum[l.first+i]-1e-6 && l.at(l.first+i) < sum[l.first+i]+1e-6)
+					promised += sum[l.first+i]
+					// One item may stand for what was unused before it.
+					assert.Assert(t, promised <= bookedPart*rate*float64(i)+maxCost+1e-6, "%.0f within %d s at %.0f", promised, i, rate)
+				}
+			},
+		})
+	})
+}
+
+// A caller is told to come back after minutes though the pool stands ready.
+// Callers before it were promised all of the time to come and never came. What
+// isn't taken up must weigh less, and be forgotten.
+func TestBookingsThatNobodyTakesUpDecay(t *testing.T) {
+	b := newBookings()
+	now, worst, id := start, time.Duration(0), uint64(0)
+	for range 120 {
+		now = now.Add(time.Second)
+		for range 20 { // At a rate of ten.
+			id++
+			after, ok := b.book(now, caller{"o", id}, 1, 10, time.Second)
+			assert.Assert(t, ok)
+			if now.Sub(start) > time.Minute {
+				worst = max(worst, after)
+			}
+		}
+	}
+	assert.Assert(t, worst <= 5*time.Second, "told to come back after %s", worst)
+	now = now.Add(time.Minute)
+	b.advance(now)
+	assert.Equal(t, len(b.byOwner)+len(b.ledgers), 0)
+}
+
+// A flood of refusals from callers that differ grows the entry's memory.
+func TestBookingsAreBounded(t *testing.T) {
+	b := newBookings()
+	for i := range 3 * maxBooked {
+		b.book(start, caller{fmt.Sprint(i % 5000), uint64(i + 1)}, 1, 1e6, 0)
+	}
+	assert.Equal(t, len(b.byOwner), maxBooked)
+	assert.Assert(t, len(b.ledgers) <= maxBooked)
+}
+
+// comeback sends three times as many requests as are served, for ten seconds, to
+// queues that serve ten a second each. Who is told to come back comes once, to a
+// queue that choose picks. It returns how many were served the first time and the
+// second, and how many were not the second time.
+func comeback(t *testing.T, queues int, choose func(first int) int) (first, second, not int) {
+	const tick, serve = 10 * time.Millisecond, 100 * time.Millisecond
+	type coming struct {
+		it Item
+		to int
+	}
+	qs := make([]*Queue, queues)
+	for i := range qs {
+		qs[i] = newQueue(Options{})
+	}
+	later := map[time.Duration][]coming{}
+	id := 0
+	arrive := func(at time.Duration, c coming, again bool) {
+		now := start.Add(at)
+		c.it.Deadline = now.Add(1700 * time.Millisecond)
+		err := qs[c.to].Push(now, c.it)
+		switch {
+		case err != nil && again:
+			not++
+		case err != nil:
+			assert.Equal(t, err.Code, verdict.Deadline)
+			back := (at + wholeSlots(err.RetryAfter)).Truncate(tick)
+			c.to = choose(c.to)
+			c.it.ID += " again"
+			later[back] = append(later[back], c)
+		}
+	}
+	for at := time.Duration(0); at < time.Minute; at += tick {
+		now := start.Add(at)
+		for _, c := range later[at] {
+			arrive(at, c, true)
+		}
+		for i := range qs {
+			if at%(3*tick) == 0 && at < 10*time.Second {
+				id++
+				arrive(at, coming{Item{ID: fmt.Sprint(id), Organisation: "o", Interactive: true, Cost: 20, Fingerprint: uint64(id)}, i}, false)
+			}
+			not += len(qs[i].Expire(now))
+			if at%serve != 0 {
+				continue
+			}
+			it, ok := qs[i].Pop(now)
+			qs[i].Served(now, it.ID)
+			switch {
+			case !ok:
+			case len(it.ID) > len(" again") && it.ID[len(it.ID)-6:] == " again":
+				second++
+			default:
+				first++
+			}
+		}
+	}
+	return first, second, not
+}
+
+// Callers do as they are told, come back, and most are refused again. All were told
+// nearly the same time, and newcomers had filled the queue before they came.
+func TestCallersThatComeBackInTimeAreServed(t *testing.T) {
+	first, second, not := comeback(t, 1, func(int) int { return 0 })
+	t.Logf("figure: %d served at once, %d after they came back, %d not", first, second, not)
+	assert.Assert(t, second > 9*not)
+}
+
+// As before with three entries behind a balancer: who comes back is known to one
+// of them only. It is no worse than a newcomer at the others.
+func TestCallersThatComeBackElsewhere(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	first, second, not := comeback(t, 3, func(int) int { return rnd.IntN(3) })
+	t.Logf("figure: %d served at once, %d after they came back, %d not", first, second, not)
+	assert.Assert(t, second > not)
+}
--- a/internal/policy/admit/drain_test.go
+++ b/internal/policy/admit/drain_test.go
@@ -113,3 +113,24 @@
 		}
 	})
 }
+
+// Callers in a hurry are refused though servers have room for them. Batch that
+// finds no server comes back again and again, since agents keep slots for
+// interactive work; the cost of all that is out was taken to be ahead of them.
+func TestBatchThatIsOutIsNotAheadOfInteractive(t *testing.T) {
+	q := newQueue(Options{})
+	for i := range 40 {
+		push(t, q, start, Item{ID: fmt.Sprint(i), Organisation: "o", Cost: 100})
+	}
+	now := start
+	for range 5 {
+		now = now.Add(time.Second)
+		it, _ := q.Pop(now)
+		q.Served(now, it.ID)
+	}
+	for range 30 {
+		_, _ = q.Pop(now)
+	}
+	push(t, q, now, Item{ID: "x", Organisation: "o", Interactive: true, Cost: 20, Deadline: now.Add(time.Second)})
+	assert.Assert(t, q.Push(now, Item{ID: "y", Organisation: "o", Cost: 20, Deadline: now.Add(time.Second)}) != nil)
+}
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -11,7 +11,10 @@
 	// newcomerPart is the part of a request's time that the queue may take up when
 	// it comes. A predicted wait is never exact; what was let in up to the last
 	// moment was found late after that time, when it could only be refused.
+	// The other half is for callers that come back at the time they were told.
 	newcomerPart = 0.5
+	// keptFraction of MaxTotal is kept for these at most.
+	keptFraction = 8
 	// minRetryAfter and maxRetryAfter bound what callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Minute
@@ -25,9 +28,9 @@
 	if _, ok := q.items[it.ID]; ok {
 		return verdict.New(verdict.NotRun, verdict.Duplicate, "A request with this id waits already.")
 	}
-	if q.Len() >= q.opts.MaxTotal {
+	if q.Len() >= q.opts.MaxTotal-q.kept(it) {
 		wait := q.drainTime(now, q.cost/2, 1)
-		return verdict.New(verdict.NotRun, verdict.Overloaded, "The queue is full.").After(q.retryAfter(wait))
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "The queue is full.").After(q.retryAfter(now, it, wait))
 	}
 	if err := q.refuseOverShare(now, it); err != nil {
 		return err
@@ -35,6 +38,15 @@
 	return q.refuseDeadline(now, it)
 }
 
+// kept is the part of the queue that it may not have, as it is kept for callers
+// that were told to come back.
+func (q *Queue) kept(it *Item) int {
+	if it.booked {
+		return 0
+	}
+	return min(len(q.bookings.byOwner), q.opts.MaxTotal/keptFraction)
+}
+
 // refuseOverShare bounds an organisation's part of a queue that is more than
 // half full. The bound falls as more organisations wait, so that one which
 // comes late still finds room.
@@ -51,7 +63,7 @@
 	}
 	excess := o.cost() * float64(over) / float64(o.len())
 	wait := q.drainTime(now, excess, o.share/q.weight)
-	return verdict.New(verdict.NotRun, verdict.OverShare, "The organisation's part of the queue is full.").After(q.retryAfter(wait))
+	return verdict.New(verdict.NotRun, verdict.OverShare, "The organisation's part of the queue is full.").After(q.retryAfter(now, it, wait))
 }
 
 // refuseDeadline refuses what would only be found late after it had waited.
@@ -62,7 +74,10 @@
 		return nil
 	}
 	left := it.Deadline.Sub(now) - it.Predicted
-	room := time.Duration(newcomerPart * float64(left))
+	room := left
+	if !it.booked {
+		room = time.Duration(newcomerPart * float64(left))
+	}
 	wait := q.predictWait(now, it)
 	if left > 0 && wait <= room {
 		return nil
@@ -71,46 +86,60 @@
 	if left <= 0 {
 		return err
 	}
-	return err.After(q.retryAfter(wait - room))
+	return err.After(q.retryAfter(now, it, wait-room))
 }
 
 // predictWait predicts the least time that it would wait: its organisation's
 // part ahead of it drains at the organisation's share, but no longer than all
 // ahead of it takes. What is out to ask servers is ahead too: under overload that
-// is most of what isn't served yet. Interactive work is taken to pass all batch
-// that waits. While the pool isn't full, and before a drain rate is measured, it
+// is most of what isn't served yet. Interactive work is taken to pass all batch:
+// agents keep slots for it, and batch that finds none says nothing of these. While the pool isn't full, and before a drain rate is measured, it
 // predicts nothing.
 func (q *Queue) predictWait(now time.Time, it *Item) time.Duration {
 	if !q.drain.full(now) || !q.drain.measured(now) {
 		return 0
 	}
-	own, ahead := it.Cost, it.Cost+q.outCost
-	share, weight := q.shareOf(it.Organisation), 0.0
-	if o := q.orgs[it.Organisation]; o != nil {
-		own += o.outCost
+	own, others, weight := q.ahead(it)
+	if own+others == 0 {
+		return 0
 	}
-	for _, o := range q.active {
-		cost := o.interactive.cost
+	share := q.shareOf(it.Organisation)
+	mine := q.drainTime(now, own+it.Cost, share/(weight+share))
+	return min(mine, q.drainTime(now, own+others+it.Cost, 1))
+}
+
+// ahead returns the cost of what waits or is out and goes no later than it: of its
+// own organisation, and of others with the sum of their shares.
+func (q *Queue) ahead(it *Item) (own, others, weight float64) {
+	add := func(o *org) {
+		cost := o.interactive.cost + o.interactive.out
 		if !it.Interactive {
-			cost = o.cost()
+			cost += o.batch.cost + o.batch.out
 		}
-		if cost == 0 && o.outs == 0 {
-			continue
-		}
-		ahead += cost
-		if o.name == it.Organisation {
+		switch {
+		case o.name == it.Organisation:
 			own += cost
-			continue
+		case cost > 0:
+			others += cost
+			weight += o.share
 		}
-		weight += o.share
+	}
+	for _, o := range q.active {
+		add(o)
 	}
 	for o := range q.asking {
-		if o.len() == 0 && o.name != it.Organisation {
-			weight += o.share
+		if o.len() == 0 {
+			add(o)
 		}
 	}
-	mine := q.drainTime(now, own, share/(weight+share))
-	return min(mine, q.drainTime(now, ahead, 1))
+	return own, others, weight
+}
+
+// part is the organisation's part of the drain rate beside what is ahead of it.
+func (q *Queue) part(it *Item) float64 {
+	_, _, weight := q.ahead(it)
+	share := q.shareOf(it.Organisation)
+	return share / (weight + share)
 }
 
 // drainTime is how long cost takes to drain at a part of the measured rate.
@@ -119,7 +148,27 @@
 	return clampSeconds(seconds)
 }
 
-func (q *Queue) retryAfter(wait time.Duration) time.Duration {
+// RetryAfter is when the caller of an item that was found late should come back.
+func (q *Queue) RetryAfter(now time.Time, it Item) time.Duration {
+	return q.retryAfter(now, &it, q.predictWait(now, &it))
+}
+
+// retryAfter books room for the caller, no sooner than after wait. Where none can
+// be promised, since the request can't be known again, no rate is measured, or all
+// is promised, it is told the wait, or the longest time.
+func (q *Queue) retryAfter(now time.Time, it *Item, wait time.Duration) time.Duration {
+	if it.Fingerprint == 0 || !q.drain.measured(now) {
+		return q.jittered(wait)
+	}
+	rate := q.drain.rate(now, q.cost) * q.part(it)
+	after, ok := q.bookings.book(now, it.caller(), it.Cost, rate, wait)
+	if !ok {
+		return q.jittered(maxRetryAfter / 2)
+	}
+	return after
+}
+
+func (q *Queue) jittered(wait time.Duration) time.Duration {
 	jittered := float64(wait) * (1 + retryJitter*q.rnd.Float64())
 	return time.Duration(max(float64(minRetryAfter), min(jittered, float64(maxRetryAfter))))
 }
