--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -55,8 +55,15 @@
 	// charged, dueCharged and batchCharged are how far Pop moved the guarantee's
 	// clock, the organisation's due time and batch's, for Requeue and Settle.
 	charged, dueCharged, batchCharged float64
+	// Fingerprint is of the request's content: a caller that was told to come back
+	// is known by it and Organisation. 0 is none.
+	Fingerprint uint64
+	// booked: its caller comes at the time that it was told.
+	booked bool
 }
 
+func (it *Item) caller() caller { return caller{it.Organisation, it.Fingerprint} }
+
 // Options of a queue. Zero values stand for the defaults.
 type Options struct {
 	MaxTotal int
@@ -79,6 +86,8 @@
 	items  map[string]*entry
 	// popped are the items that are out, by ID, as they were charged.
 	popped map[string]Item
+	// asking are the organisations with items that are out.
+	asking map[*org]struct{}
 	weight float64 // sum of the shares of active
 	cost   float64 // sum of the costs of items
 	// virtual is the start tag of the last item settled, in cost by share.
@@ -93,6 +102,7 @@
 	served, batchDue float64
 	batches          int
 	drain            drain
+	bookings         *bookings
 }
 
 // org is one organisation's part of the queue.
@@ -104,6 +114,8 @@
 	// virtual is the organisation's start tag, in cost by share; out is the part
 	// of it charged for items that are out.
 	virtual, out float64
+	// outs is the number of items that are out.
+	outs int
 	// due is when, on the queue's clock, its guarantee wants the next item.
 	due float64
 }
@@ -112,6 +124,8 @@
 type class struct {
 	items *list.List
 	cost  float64
+	// out is the cost of those that are out.
+	out float64
 }
 
 // entry is an item's place in its organisation's lists.
@@ -133,6 +147,9 @@
 		orgs:   map[string]*org{},
 		items:  map[string]*entry{},
 		popped: map[string]Item{},
+		asking: map[*org]struct{}{},
+
+		bookings: newBookings(),
 	}
 }
 
@@ -170,19 +187,21 @@
 	if it.Enqueued.IsZero() {
 		it.Enqueued = now
 	}
+	q.drain.observe(now, q.Len() > 0)
+	it.booked = it.Fingerprint != 0 && q.bookings.take(now, it.caller())
 	if err := q.refuse(now, &it); err != nil {
 		return err
 	}
-	if q.Len() == 0 {
-		q.drain.begin(now)
-	}
+	q.bookings.remove(it.caller())
 	q.insert(it, false)
+	q.drain.observe(now, true)
 	return nil
 }
 
 // Pop removes the item to be admitted next. It returns false if none waits.
 // Call Expire first: Pop doesn't look at deadlines.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
+	q.drain.observe(now, q.Len() > 0)
 	o, interactive := q.next()
 	if o == nil {
 		return Item{}, false
@@ -193,13 +212,21 @@
 	it := e.item
 	it.charged = it.Cost / total
 	q.charge(o, &it)
-	o.out += it.Cost / o.share
-	q.pending += it.charged
-	q.popped[it.ID] = it
-	q.drain.popped(now, it.Cost)
+	q.goOut(o, &it)
+	q.drain.observe(now, q.Len() > 0)
 	return it, true
 }
 
+// goOut notes that a popped item is out.
+func (q *Queue) goOut(o *org, it *Item) {
+	q.popped[it.ID] = *it
+	q.pending += it.charged
+	q.asking[o] = struct{}{}
+	o.outs++
+	o.class(it.Interactive).out += it.Cost
+	o.out += it.Cost / o.share
+}
+
 // charge accounts for a popped item.
 func (q *Queue) charge(o *org, it *Item) {
 	o.virtual += it.Cost / o.share
@@ -218,7 +245,8 @@
 }
 
 // Requeue puts a popped item that found no server back to the head of its
-// organisation's part, and takes back what Pop charged. No bound applies.
+// organisation's part, behind those that came before it, and takes back what Pop
+// charged. No bound applies.
 func (q *Queue) Requeue(it Item) {
 	if _, ok := q.items[it.ID]; ok {
 		return
@@ -238,11 +266,20 @@
 	q.clock -= it.charged
 	q.served -= it.Cost
 	q.batchDue -= it.batchCharged
-	q.drain.requeued(it.Cost)
 }
 
-// Settle notes that a popped item was served, or given up: its charge stands.
-// Each popped item is settled or requeued.
+// Served notes that a popped item was served, which settles it. Only what was
+// served counts for the drain rate.
+func (q *Queue) Served(now time.Time, id string) {
+	q.drain.observe(now, q.Len() > 0)
+	if it, ok := q.popped[id]; ok {
+		q.drain.served(now, it.Cost)
+	}
+	q.Settle(id)
+}
+
+// Settle notes that a popped item was given up: its charge stands. Each popped
+// item is served, settled or requeued.
 //
 // Only what was settled moves the queue's virtual time, which is where an
 // organisation without waiting work starts. Items that are out to ask servers
@@ -266,6 +303,12 @@
 	q.pending = max(0, q.pending-it.charged)
 	o := q.org(it.Organisation)
 	o.out = max(0, o.out-it.Cost/o.share)
+	o.outs--
+	o.class(it.Interactive).out -= it.Cost
+	if o.outs == 0 {
+		delete(q.asking, o)
+		o.interactive.out, o.batch.out = 0, 0
+	}
 	return it, o
 }
 
@@ -296,6 +339,7 @@
 // Expire removes and returns the items whose deadline has come, or would pass
 // before their first token.
 func (q *Queue) Expire(now time.Time) []Item {
+	q.drain.observe(now, q.Len() > 0)
 	var out []Item
 	for _, e := range q.items {
 		d := e.item.Deadline
@@ -306,6 +350,7 @@
 	for i := range out {
 		q.Remove(out[i].ID)
 	}
+	q.drain.observe(now, q.Len() > 0)
 	return out
 }
 
@@ -357,11 +402,11 @@
 	return o
 }
 
-// sweep forgets the organisations without waiting work. An organisation that
+// sweep forgets the organisations without work that waits or is out. An organisation that
 // comes back starts level with the others.
 func (q *Queue) sweep() {
 	for name, o := range q.orgs {
-		if o.len() == 0 {
+		if o.len() == 0 && o.outs == 0 {
 			delete(q.orgs, name)
 		}
 	}
@@ -387,7 +432,7 @@
 	e := &entry{item: it, org: o}
 	c := o.class(it.Interactive)
 	if head {
-		e.el = c.items.PushFront(e)
+		e.el = c.putBack(e)
 	} else {
 		e.el = c.items.PushBack(e)
 	}
@@ -396,6 +441,19 @@
 	q.cost += it.Cost
 }
 
+// putBack puts e to the head, behind what has waited longer. Of items that come
+// back together the last would else be the next, and the one that waited longest
+// would be found late though others that came after it were served.
+func (c *class) putBack(e *entry) *list.Element {
+	for el := c.items.Front(); el != nil; el = el.Next() {
+		other, _ := el.Value.(*entry)
+		if !other.item.Enqueued.Before(e.item.Enqueued) {
+			return c.items.InsertBefore(e, el)
+		}
+	}
+	return c.items.PushBack(e)
+}
+
 func (q *Queue) remove(e *entry) {
 	o := e.org
 	c := o.class(e.item.Interactive)
