Measure the overhead against engines that take no time

Cause: the overhead of a completion was 2.3 to 2.7 ms, and clocks in a scratch copy (trial) showed 1 ms of it inside the engines: the same prefill took 0.93 ms when called directly and 1.47 ms when an agent called it, the same decode 1.99 and 2.43. The stand-ins sleep for 0.5 and 1 ms, and an idle process wakes from such a sleep only at the next full millisecond. The calls of the two paths come 2.5 ms apart and meet the process idle to different degrees, so the difference of the percentiles compared unlike work.

Ruled out: the dial (0.11 ms, on both paths), the pace of the link and the agent's own step (0.015 ms), the queue at the engine (one call at a time).

Change: the overhead's engines and links take no time. The calls, their rate, the pairing and the targets are as they were.

--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -24,6 +24,8 @@
 	prefillPerThousand = 100 * time.Millisecond
 	kvTTL              = 800 * time.Millisecond
 	linkBytesPerSecond = 10_000_000_000
+	// instantLink is a rate at which no transfer of a test takes a nanosecond.
+	instantLink = 1 << 60
 	// restartAfter is how long a killed engine is away.
 	restartAfter = 10 * time.Second
 )
@@ -39,6 +41,8 @@
 	// TimeScale multiplies all times of the workload and the engines. The
 	// constants inside entries and agents are not scaled.
 	TimeScale float64
+	// Instant engines and links take no time, whatever the workload is.
+	Instant bool
 }
 
 // work is the mean engine time that a workload asks for in a second at rate 1.
@@ -82,7 +86,7 @@
 // engine returns the options of one model server.
 func (d Deployment) engine(role string) enginestandin.Options {
 	s := func(t time.Duration) time.Duration { return time.Duration(float64(t) * d.TimeScale) }
-	return enginestandin.Options{
+	o := enginestandin.Options{
 		Role:               role,
 		DecodeSlots:        decodeSlots,
 		TokenTime:          s(tokenTime) * time.Duration(d.Grain),
@@ -94,6 +98,12 @@
 		RecordLimit:        recordLimit,
 		OmitTokens:         true,
 	}
+	if d.Instant {
+		// Zero would stand for the defaults.
+		o.TokenTime, o.TokenTimePerSlot, o.PrefillPerThousand = 1, 1, 1
+		o.LinkBytesPerSecond = instantLink
+	}
+	return o
 }
 
 // slotTime is how long a token takes on a full server.
--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -73,13 +73,16 @@
 	return overheadOf(p.direct, p.entry), nil
 }
 
-// overheadDeployment has engines that take next to no time.
+// overheadDeployment has engines that take no time. With sleeps of a millisecond
+// or less in them, the time of a call hung on what else the process did: an idle
+// one wakes from such a sleep only at the next full millisecond, so that the
+// engines themselves were slower for the calls of one path than for the other's.
 func overheadDeployment() Deployment {
 	w := load.Workload{
 		Fleet:   load.Fleet{ModelServers: 2, Services: 1, AvailabilityZones: []string{"a"}},
 		Classes: []load.Class{{Kind: load.KindCompletion, Model: overheadModel}},
 	}
-	return Deployment{Workload: w, Prefill: 1, Decode: 1, Grain: 1, TimeScale: 0.05}
+	return Deployment{Workload: w, Prefill: 1, Decode: 1, Grain: 1, TimeScale: 0.05, Instant: true}
 }
 
 // pair sends calls on both paths.
