Send the prefill's reservation with the prefill

Cause: a completion sent four messages to agents in a row: reserve decode, reserve prefill, prefill, decode.

Ruled out: a wait for a slot within the message (a second copy over a new connection would find a waiting grant of unknown end, and silence would be found late); the prefill beside the decode reservation (it pays for results that find no slot).

Change: PrefillRequest carries the reservation, and the agent takes the slot and starts the run in one step of its state machine, or refuses. PrefillReply says whether the attempt had its slot; without it nothing ran and the servers are asked first, as before. Only requests that may run twice go so, to a server whose hint is fresh and shows room; others, suspects, full servers, agents not heard of and agents of older versions are asked first. Late and predicted reservation ask first. Prompts refused all the same are counted (jayford_prefill_vain_bytes_total).

The fake engine counts prefills.

--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -30,6 +30,7 @@
 	load      engine.Load
 	loadErr   error
 	running   map[engine.Attempt]string
+	prefills  map[engine.Attempt]int
 	decodes   map[engine.Attempt]int
 	cancelled map[engine.Attempt]int
 	// failCancels is how many cancels fail before one works.
@@ -45,7 +46,7 @@
 func newFakeEngine() *fakeEngine {
 	return &fakeEngine{
 		load: engine.Load{Incarnation: 1}, running: map[engine.Attempt]string{},
-		decodes: map[engine.Attempt]int{}, cancelled: map[engine.Attempt]int{},
+		prefills: map[engine.Attempt]int{}, decodes: map[engine.Attempt]int{}, cancelled: map[engine.Attempt]int{},
 		lines: make(chan engine.Event, 100), broken: make(chan struct{}),
 	}
 }
@@ -57,7 +58,10 @@
 }
 
 func (f *fakeEngine) Prefill(_ context.Context, r engine.PrefillRequest) (engine.PrefillResult, error) {
-	f.with(func() { f.running[r.Attempt] = "kv" })
+	f.with(func() {
+		f.prefills[r.Attempt]++
+		f.running[r.Attempt] = "kv"
+	})
 	return engine.PrefillResult{KV: "kv-" + r.Attempt.Request, PromptTokens: 100, KVBytes: 10, ExpiresMs: 60_000}, nil
 }
 
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -44,12 +44,17 @@
 }
 
 // Prefill runs the prefill of a granted attempt. A second call with the same
-// attempt waits for the result of the first.
+// attempt waits for the result of the first. With a reservation in the message
+// the slot is taken in the same step.
 func (s server) Prefill(ctx context.Context, q *pb.PrefillRequest) (*pb.PrefillReply, error) {
 	a, k := s.agent, key(q.GetAttempt(), pb.Phase_PHASE_PREFILL)
-	r, no := a.beginRun(k, q.GetAttempt().GetEntry(), false, limitOf(q.GetDeadlineMs()), func(r *run) { a.runPrefill(r, q) })
+	o := workOrder{key: k, entry: q.GetAttempt().GetEntry(), limit: limitOf(q.GetDeadlineMs())}
+	if q.GetReserve() != nil {
+		o.reserve = grantRequest(k, o.entry, q.GetReserve())
+	}
+	r, granted, no := a.beginRun(o, func(r *run) { a.runPrefill(r, q) })
 	if no != nil {
-		return &pb.PrefillReply{Refusal: refusal(no), Load: a.Load()}, nil
+		return a.noPrefill(granted, no), nil
 	}
 	for {
 		p := r.watch(0)
@@ -57,7 +62,7 @@
 		case p.prefill != nil:
 			return p.prefill, nil
 		case p.ended:
-			return &pb.PrefillReply{Refusal: refusal(p.refusal), Load: a.Load()}, nil
+			return a.noPrefill(true, p.refusal), nil
 		}
 		select {
 		case <-p.changed:
@@ -67,6 +72,10 @@
 	}
 }
 
+func (a *Agent) noPrefill(granted bool, no *grant.Refusal) *pb.PrefillReply {
+	return &pb.PrefillReply{Refusal: refusal(no), Granted: granted, Incarnation: a.incarnation, Load: a.Load()}
+}
+
 func (a *Agent) runPrefill(r *run, q *pb.PrefillRequest) {
 	if a.engine == nil || !a.send(r) {
 		a.abandon(r, nil)
@@ -87,7 +96,7 @@
 	reply := &pb.PrefillReply{
 		Kv: out.KV, Source: a.cfg.Backend, PromptTokens: uint32(out.PromptTokens),
 		CachedTokens: uint32(out.CachedTokens), KvBytes: uint64(out.KVBytes),
-		ExpiresMs: uint32(out.ExpiresMs),
+		ExpiresMs: uint32(out.ExpiresMs), Granted: true, Incarnation: a.incarnation,
 	}
 	// The slot is free before the entry hears of it, so that its next
 	// reservation finds the slot.
@@ -103,7 +112,8 @@
 // attempt attaches to the running stream, from any index it already holds.
 func (s server) Decode(q *pb.DecodeRequest, out pb.Agent_DecodeServer) error {
 	a, k := s.agent, key(q.GetAttempt(), pb.Phase_PHASE_DECODE)
-	r, no := a.beginRun(k, q.GetAttempt().GetEntry(), q.GetAttach(), limitOf(q.GetDeadlineMs()), func(r *run) { a.runDecode(r, q) })
+	o := workOrder{key: k, entry: q.GetAttempt().GetEntry(), attach: q.GetAttach(), limit: limitOf(q.GetDeadlineMs())}
+	r, _, no := a.beginRun(o, func(r *run) { a.runDecode(r, q) })
 	if no != nil {
 		return out.Send(&pb.DecodeEvent{Attempt: q.GetAttempt(), Refusal: refusal(no), Load: a.Load()})
 	}
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -98,7 +98,7 @@
 		Leaving:      l.Leaving, Down: l.Down,
 		TokenUs:           uint32(a.timing.perToken.Microseconds()),
 		PrefillUs:         uint32(a.timing.perThousand.Microseconds()),
-		EngineIncarnation: engineIncarnation,
+		EngineIncarnation: engineIncarnation, PrefillReserves: true,
 	}
 }
 
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -36,17 +36,22 @@
 // Reserve grants a slot, at once or after a bounded wait.
 func (s server) Reserve(ctx context.Context, q *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	a := s.agent
-	no, err := a.reserve(ctx, grant.Request{
-		Key: key(q.GetAttempt(), q.GetPhase()), Entry: q.GetAttempt().GetEntry(),
+	no, err := a.reserve(ctx, *grantRequest(key(q.GetAttempt(), q.GetPhase()), q.GetAttempt().GetEntry(), q))
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ReserveReply{Refusal: refusal(no), Incarnation: a.incarnation, Load: a.Load()}, nil
+}
+
+// grantRequest takes what q asks for, for the attempt k of entry.
+func grantRequest(k grant.Key, entry string, q *pb.ReserveRequest) *grant.Request {
+	return &grant.Request{
+		Key: k, Entry: entry,
 		Incarnation: q.GetIncarnation(), Fingerprint: q.GetFingerprint(),
 		Exclusive: q.GetExclusive(), Batch: q.GetBatch(), Organisation: q.GetOrganisation(),
 		PromptTokens: int(q.GetPromptTokens()),
 		Idle:         millis(q.GetIdleMs()), Wait: millis(q.GetWaitMs()),
-	})
-	if err != nil {
-		return nil, err
 	}
-	return &pb.ReserveReply{Refusal: refusal(no), Incarnation: a.incarnation, Load: a.Load()}, nil
 }
 
 func (a *Agent) reserve(ctx context.Context, q grant.Request) (*grant.Refusal, error) {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -133,23 +133,56 @@
 	return p
 }
 
+// workOrder is what an entry asks beginRun for.
+type workOrder struct {
+	key   grant.Key
+	entry string
+	// attach: never start, only attach.
+	attach bool
+	// reserve takes the slot in the same step, unless the attempt has its grant;
+	// nil for none.
+	reserve *grant.Request
+	limit   time.Duration
+}
+
 // beginRun starts the work of a grant, or returns the run of it that is there.
-// It returns the refusal if there is neither.
-func (a *Agent) beginRun(k grant.Key, entry string, attachOnly bool, limit time.Duration, work func(r *run)) (r *run, no *grant.Refusal) {
+// It returns the refusal if there is neither, and whether the attempt had a grant.
+func (a *Agent) beginRun(o workOrder, work func(r *run)) (r *run, granted bool, no *grant.Refusal) {
 	a.step(func(c *grant.Core, now time.Duration) {
-		if a.runs[k] != nil && c.Owns(k, entry) {
-			r = a.runs[k]
+		owned := c.Owns(o.key, o.entry)
+		if a.runs[o.key] != nil && owned {
+			r, granted = a.runs[o.key], true
 			return
 		}
-		if attachOnly {
-			no = c.Missing(now, k)
+		if o.attach {
+			no = c.Missing(now, o.key)
 			return
 		}
-		if r, no = a.startRun(c, now, k, entry, limit); no == nil {
+		if !owned && o.reserve != nil {
+			if no = reserveNow(c, now, *o.reserve); no != nil {
+				return
+			}
+			owned = true
+		}
+		granted = owned
+		if r, no = a.startRun(c, now, o.key, o.entry, o.limit); no == nil {
 			a.work.Go(func() { work(r) })
 		}
 	})
-	return r, no
+	return r, granted, no
+}
+
+// reserveNow takes a slot without a wait. Reservation and start are one step of
+// the core: a second copy of the message finds the run or nothing, never a
+// grant that nobody starts.
+func reserveNow(c *grant.Core, now time.Duration, q grant.Request) *grant.Refusal {
+	q.Wait = 0
+	if _, no := c.Reserve(now, q); no != nil {
+		countRefusal(no.Reason)
+		return no
+	}
+	countGrant()
+	return nil
 }
 
 // startRun is called within a step.
--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -256,7 +256,7 @@
 func (c *Conn) Prefill(ctx context.Context, r *pb.PrefillRequest) (*pb.PrefillReply, error) {
 	reply, err := c.client().Prefill(ctx, r)
 	if err == nil {
-		c.Heard(reply.Load, 0)
+		c.Heard(reply.Load, reply.Incarnation)
 	}
 	return reply, err
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -27,8 +27,6 @@
 	askAtMost = 3
 	// answerMargin is added to bounded waits for an agent's answer.
 	answerMargin = 300 * time.Millisecond
-	// prefillBound is how long one prefill may take beyond its prediction.
-	prefillBound = 30 * time.Second
 )
 
 // generation is the work on one completion. It is used by one goroutine.
@@ -66,6 +64,8 @@
 	target  target
 	attempt *pb.Attempt
 	phase   pb.Phase
+	// granted: the agent has said that the attempt has its slot.
+	granted bool
 	// released: the agent has been told that it is over.
 	released bool
 }
@@ -245,13 +245,8 @@
 		return "", err
 	}
 	defer decode.release()
-	prefill, err := g.reserve(ctx, pb.Phase_PHASE_PREFILL, decode.target.zone, reserveWait)
-	g.leave(it, err == nil)
-	if err != nil {
-		return "", err
-	}
+	prefill, kv, err := g.prefillAnywhere(ctx, it, decode.target.zone)
 	defer prefill.release()
-	kv, err := g.prefill(ctx, prefill)
 	if err != nil {
 		return "", err
 	}
@@ -336,7 +331,10 @@
 // reserve asks the best servers in turn for a grant. Only the last one asked
 // may queue the reservation, for up to wait.
 func (g *generation) reserve(ctx context.Context, phase pb.Phase, zone string, wait time.Duration) (*grant, *verdict.Error) {
-	list := g.e.choose(phase, g, zone)
+	return g.reserveAmong(ctx, g.e.choose(phase, g, zone), phase, wait)
+}
+
+func (g *generation) reserveAmong(ctx context.Context, list []target, phase pb.Phase, wait time.Duration) (*grant, *verdict.Error) {
 	if len(list) == 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "No server of pool %s can be used now.", g.to.choice.Pool).After(time.Second)
 	}
@@ -373,41 +371,56 @@
 }
 
 func (g *generation) reserveAtServer(ctx context.Context, t target, phase pb.Phase, wait time.Duration) (*grant, *verdict.Error) {
-	conn, cerr := g.e.agents.Conn(t.id, t.address)
-	if cerr != nil {
-		return nil, verdict.Wrap(cerr, verdict.NotRun, verdict.Unreachable, "The server's agent can't be reached.")
+	gr, err := g.grantAt(t, phase)
+	if err != nil {
+		return nil, err
 	}
-	g.number++
-	a := &pb.Attempt{Request: g.r.id, Number: g.number, Entry: g.e.agents.Entry}
 	if g.suspect {
 		wait = time.Until(g.r.deadline)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	conn.Hold(a)
-	conn.Expect(int64(g.r.promptTokens))
-	reply, err := conn.Reserve(ctx, &pb.ReserveRequest{
-		Attempt: a, Phase: phase, Incarnation: conn.Incarnation(), Fingerprint: g.r.fingerprint,
-		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
-		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
-		Batch: g.to.choice.Priority == Batch, Organisation: g.sharer(),
-	})
-	if err != nil {
+	reply, rerr := gr.conn.Reserve(ctx, g.reservation(gr, wait))
+	if rerr != nil {
 		// The grant may have been given: the release makes sure that it is
 		// not held until it lapses.
-		conn.Release(a, phase)
-		g.e.unheard(conn.ID(), err)
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
+		gr.release()
+		g.e.unheard(t.id, rerr)
+		return nil, verdict.Wrap(rerr, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
-		conn.Drop(a)
+		gr.conn.Drop(gr.attempt)
 		g.e.refused(t.id, reply.Refusal)
 		return nil, refusalError(reply.Refusal)
 	}
 	g.e.trusted(t.id)
+	gr.granted = true
+	return gr, nil
+}
+
+// grantAt begins an attempt at t, which renewals list from now on.
+func (g *generation) grantAt(t target, phase pb.Phase) (*grant, *verdict.Error) {
+	conn, err := g.e.agents.Conn(t.id, t.address)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Unreachable, "The server's agent can't be reached.")
+	}
+	g.number++
+	a := &pb.Attempt{Request: g.r.id, Number: g.number, Entry: g.e.agents.Entry}
+	conn.Hold(a)
+	conn.Expect(int64(g.r.promptTokens))
 	return &grant{conn: conn, target: t, attempt: a, phase: phase}, nil
 }
 
+// reservation is the message that asks for gr.
+func (g *generation) reservation(gr *grant, wait time.Duration) *pb.ReserveRequest {
+	return &pb.ReserveRequest{
+		Attempt: gr.attempt, Phase: gr.phase, Incarnation: gr.conn.Incarnation(), Fingerprint: g.r.fingerprint,
+		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
+		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
+		Batch: g.to.choice.Priority == Batch, Organisation: g.sharer(),
+	}
+}
+
 // sharer is the organisation whose share the request counts to at agents.
 func (g *generation) sharer() string {
 	if g.e.settings.Policy.Baseline() {
@@ -416,38 +429,6 @@
 	return g.r.organisation
 }
 
-// prefill runs the prefill under its grant.
-func (g *generation) prefill(ctx context.Context, gr *grant) (*pb.PrefillReply, *verdict.Error) {
-	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillBound)
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	ctx, drop := gr.conn.WhileKept(ctx)
-	defer drop()
-	g.touched = true
-	reply, err := gr.conn.Prefill(ctx, &pb.PrefillRequest{
-		Attempt: gr.attempt, Model: g.r.model, Prompt: []byte(g.r.prompt),
-		Priority: priorityOf(g.to.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
-	})
-	if err != nil {
-		g.e.unheard(gr.conn.ID(), err)
-		g.exclude[gr.target.id] = true
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.Unreachable, "The prefill server's agent gave no answer.")
-	}
-	if reply.Refusal != nil {
-		g.exclude[gr.target.id] = true
-		g.e.refused(gr.target.id, reply.Refusal)
-		return nil, refusalError(reply.Refusal)
-	}
-	prefillTokens.Add(int(reply.PromptTokens - reply.CachedTokens))
-	g.e.observed(gr.target.id, g.r, int(reply.CachedTokens))
-	return reply, nil
-}
-
-// wasted counts a prefill whose result nobody used.
-func wasted(kv *pb.PrefillReply) {
-	prefillWasted.Add(int(kv.PromptTokens - kv.CachedTokens))
-}
-
 func priorityOf(p string) uint32 {
 	if p == Interactive {
 		return 1
--- a/internal/entry/judgement.go
+++ b/internal/entry/judgement.go
@@ -35,6 +35,9 @@
 	crossed       = metrics.NewCounter("jayford_crossed_answers_total")
 	prefillTokens = metrics.NewCounter("jayford_prefill_tokens_total")
 	prefillWasted = metrics.NewCounter("jayford_prefill_wasted_tokens_total")
+	// prefillVain counts the bytes of prompts that went with a reservation that
+	// was refused.
+	prefillVain = metrics.NewCounter("jayford_prefill_vain_bytes_total")
 )
 
 func refusals(e *verdict.Error) *metrics.Counter {
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -25,7 +25,7 @@
 		early = g.reserveAt(ctx, prefill)
 		defer early.drop(g)
 	}
-	kv, err := g.prefill(ctx, prefill)
+	kv, err := g.prefill(ctx, prefill, nil)
 	if err != nil {
 		return "", err
 	}
