Ask for the list of instances each 2 s, and get it only when it is new

Cause: TestLeavingServerGetsNoNewWork failed with a decode that began 3.8 s after the platform's list had named its server as leaving; the bound is 3 s. Since the list is read each 5 s in place of 2 s, to save bytes, and until an entry that watches has read it nobody knows. The test passed since because its steps fall at the same time after each start; a busy machine moved them. Ruled out: the way from the watcher to the agents (0.06 s, CAPACITY.md), and the machine's load itself (drain and SIGTERM took 0 and 2 ms in the same run). Change: the list is asked for by its entity tag, as HTTP has it, each 2 s. A platform that gives tags, as the stand-in does now, sends it only when it is new; one that gives none sends it each time, and then a watching entry pays some 2.5 times what it did. Tests: TestWatcherReadsTheInstancesEachTwoSeconds (machine; before: read after 5.25 s), TestInstancesAreSentOnlyWhenTheyAreNew (stand-in; also another run of the platform).

--- a/internal/feed/machine.go
+++ b/internal/feed/machine.go
@@ -19,11 +19,11 @@
 	aroundMax    = time.Minute
 	retryMin     = 250 * time.Millisecond
 	retryMax     = 3 * time.Second
-	// instancesTick is a compromise: the list is 150 KB at full size, and lags
-	// by itself. What leaves refuses new work without it.
-	instancesTick  = 5 * time.Second
-	instancesRetry = 2 * time.Second
-	resyncMin      = 5 * time.Second
+	// instancesTick is how often the list of instances is asked for, and how soon
+	// again after a failure. A server that only the list names as leaving gets
+	// new work until then. The list is sent only when it is new.
+	instancesTick = 2 * time.Second
+	resyncMin     = 5 * time.Second
 	// coolFor is how long a failed upstream isn't tried again.
 	coolFor = 5 * time.Second
 	// settleAfter: a newcomer that has heard a peer waits this long for the
@@ -243,9 +243,6 @@
 	if c == CallInstances {
 		m.instancesBusy = false
 		m.nextInstances = now.Add(instancesTick)
-		if o != Done {
-			m.nextInstances = now.Add(instancesRetry)
-		}
 		return m.Tick(now)
 	}
 	m.busy = false
--- a/internal/feed/newcomer_test.go
+++ b/internal/feed/newcomer_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -45,5 +46,23 @@
 	})
 	assert.Assert(t, b.m.Ready())
 	assert.Assert(t, !known.IsZero(), "the list of instances isn't asked for")
-	assert.Assert(t, known.Sub(back) <= retryMax+instancesRetry+2*tickEvery, "instances are known after %s", known.Sub(back))
+	assert.Assert(t, known.Sub(back) <= retryMax+instancesTick+2*tickEvery, "instances are known after %s", known.Sub(back))
+}
+
+// Only the platform's list says that a server leaves. Until the entry that
+// watches for its availability zone has read the list again, the server gets new
+// work, which is promised to end within a few seconds.
+func TestWatcherReadsTheInstancesEachTwoSeconds(t *testing.T) {
+	list := fleet(1, 2, 3)
+	b := started(list[0].ID, list)
+	assert.Assert(t, b.m.Watches())
+	last, worst := b.now, time.Duration(0)
+	b.pass(time.Minute, func() {
+		if slices.Contains(b.calls, CallInstances) {
+			worst = max(worst, b.now.Sub(last))
+			last = b.now
+		}
+		b.answer(Done)
+	})
+	assert.Assert(t, worst > 0 && worst <= 2*time.Second+2*tickEvery, "read after %s", worst)
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,6 +38,12 @@
 	base    string
 	timeout time.Duration
 	client  *fasthttp.HostClient
+
+	mu sync.Mutex
+	// All below is guarded by mu: the list of instances that came last, with
+	// its entity tag, "" if the platform gives none.
+	instances []Instance
+	tag       string
 }
 
 // NewHTTP returns a client of the platform at addr ("ip:port"). Each call but
@@ -80,22 +87,41 @@
 	limit  time.Duration
 	// write: the call may change the store, so that no reply is unclear.
 	write bool
+	// unless is the entity tag of what the caller has, "" for none.
+	unless string
 }
 
 type reply struct {
 	status int
 	body   []byte
+	tag    string
 	err    error
 }
 
 // do runs a call and decodes its reply into out, which may be nil.
 func (h *HTTP) do(ctx context.Context, c call, out any) error {
+	r, err := h.run(ctx, c)
+	if err != nil || out == nil {
+		return err
+	}
+	return c.decode(r, out)
+}
+
+func (c call) decode(r reply, out any) error {
+	if err := json.Unmarshal(r.body, out); err != nil {
+		return c.noReply(eris.Wrap(err, "reply isn't JSON"))
+	}
+	return nil
+}
+
+// run runs a call whose outcome is no error.
+func (h *HTTP) run(ctx context.Context, c call) (reply, error) {
 	limit := c.limit
 	if d, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(d))
 	}
 	if ctx.Err() != nil || limit <= 0 {
-		return fmt.Errorf("%w: the caller's time is over", ErrUnavailable)
+		return reply{}, fmt.Errorf("%w: the caller's time is over", ErrUnavailable)
 	}
 	count(c.kind)
 	// The exchange goes on alone if ctx is cancelled first; limit ends it.
@@ -107,17 +133,11 @@
 	case <-ctx.Done():
 		r = reply{err: ctx.Err()}
 	}
-	if err := c.outcome(r); err != nil {
+	err := c.outcome(r)
+	if err != nil {
 		countFailure(c.kind)
-		return err
-	}
-	if out == nil {
-		return nil
-	}
-	if err := json.Unmarshal(r.body, out); err != nil {
-		return c.noReply(eris.Wrap(err, "reply isn't JSON"))
 	}
-	return nil
+	return r, err
 }
 
 func (h *HTTP) exchange(c call, limit time.Duration) reply {
@@ -127,8 +147,11 @@
 	req.Header.SetMethod(c.method)
 	req.SetRequestURI(h.base + c.path + "?" + c.query.Encode())
 	req.SetBodyRaw(c.body)
-	// The list of instances is read every few seconds, 180 KB at full size.
+	// The list of instances is 180 KB at full size.
 	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
+	if c.unless != "" {
+		req.Header.Set(fasthttp.HeaderIfNoneMatch, c.unless)
+	}
 	if err := h.client.DoTimeout(req, resp, limit); err != nil {
 		// The other idle connections may have gone silent with this one. Each
 		// would cost a call and its whole timeout to find out.
@@ -139,7 +162,8 @@
 	if err != nil {
 		return reply{err: eris.Wrap(err, "reply can't be uncompressed")}
 	}
-	return reply{status: resp.StatusCode(), body: append([]byte(nil), body...)}
+	tag := string(resp.Header.Peek(fasthttp.HeaderETag))
+	return reply{status: resp.StatusCode(), body: append([]byte(nil), body...), tag: tag}
 }
 
 // outcome maps a reply to the package's errors. What isn't known to have been
@@ -154,6 +178,11 @@
 	switch r.status {
 	case fasthttp.StatusOK:
 		return nil
+	case fasthttp.StatusNotModified:
+		if c.unless != "" {
+			return nil
+		}
+		return c.noReply(eris.Errorf("status %d", r.status))
 	case fasthttp.StatusNotFound:
 		return ErrNotFound
 	case fasthttp.StatusConflict:
@@ -266,12 +295,30 @@
 	return h.do(ctx, c, nil)
 }
 
-// Instances returns the lagging list of instances.
+// Instances returns the lagging list of instances, which must not be changed.
+// It is read every two seconds and changes some thousand times a day, so it is
+// asked for by its entity tag: a platform that gives one sends it only when it
+// is new.
 func (h *HTTP) Instances(ctx context.Context) ([]Instance, error) {
+	h.mu.Lock()
+	have, tag := h.instances, h.tag
+	h.mu.Unlock()
+	c := call{kind: "instances", method: fasthttp.MethodGet, path: "/instances", limit: h.timeout, unless: tag}
+	r, err := h.run(ctx, c)
+	switch {
+	case err != nil:
+		return nil, err
+	case r.status == fasthttp.StatusNotModified:
+		return have, nil
+	}
 	var list []Instance
-	c := call{kind: "instances", method: fasthttp.MethodGet, path: "/instances", limit: h.timeout}
-	err := h.do(ctx, c, &list)
-	return list, err
+	if err := c.decode(r, &list); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.instances, h.tag = list, r.tag
+	return list, nil
 }
 
 type fetched struct {
--- a/internal/standin/platform/gzip_test.go
+++ b/internal/standin/platform/gzip_test.go
@@ -44,3 +44,44 @@
 		assert.DeepEqual(t, got, list)
 	}
 }
+
+// An entry that watches asks for the list every two seconds, and mostly it is
+// as it was. It crosses the wire only when it is new; a platform without entity
+// tags sends it each time.
+func TestInstancesAreSentOnlyWhenTheyAreNew(t *testing.T) {
+	p, addr := serve(t, Options{})
+	bytes := 0
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	proxy := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Request.SetHost(addr)
+		assert.Check(t, fasthttp.Do(&ctx.Request, &ctx.Response))
+		bytes += len(ctx.Response.Body())
+	}}
+	go func() { _ = proxy.Serve(ln) }()
+	t.Cleanup(func() { _ = proxy.Shutdown() })
+	client := api.NewHTTP(ln.Addr().String(), callTimeout)
+	read := func(want ...api.Instance) int {
+		bytes = 0
+		got, err := client.Instances(context.Background())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, append([]api.Instance{}, want...))
+		return bytes
+	}
+	read()
+	assert.Equal(t, read(), 0)
+	in := api.Instance{ID: "s", Role: "agent", State: api.Live}
+	p.SetInstances([]api.Instance{in})
+	assert.Assert(t, read(in) > 0)
+	assert.Equal(t, read(in), 0)
+	in.State = api.Leaving
+	p.SetInstances([]api.Instance{in})
+	assert.Assert(t, read(in) > 0)
+	assert.Equal(t, read(in), 0)
+	// Another run of the platform may count its lists anew.
+	other, otherAddr := serve(t, Options{})
+	other.SetInstances(nil)
+	other.SetInstances([]api.Instance{{ID: "other"}})
+	addr = otherAddr
+	assert.Assert(t, read(api.Instance{ID: "other"}) > 0)
+}
--- a/internal/standin/platform/handle.go
+++ b/internal/standin/platform/handle.go
@@ -166,9 +166,16 @@
 		p.SetInstances(list)
 		return
 	}
-	if p.admit(ctx, func(m *Meter) *uint64 { return &m.Instances }, p.reads) {
-		writeJSON(ctx, p.visibleInstances())
+	if !p.admit(ctx, func(m *Meter) *uint64 { return &m.Instances }, p.reads) {
+		return
+	}
+	list, tag := p.visibleInstances()
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
 	}
+	writeJSON(ctx, list)
 }
 
 type fetched struct {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -76,6 +77,8 @@
 type timedInstances struct {
 	visible time.Time
 	list    []api.Instance
+	// tag is the list's entity tag.
+	tag string
 }
 
 // Platform is one stand-in.
@@ -86,6 +89,8 @@
 	writes  *rate.Limiter
 	weights *rate.Limiter
 	stop    chan struct{}
+	// begun, in nanoseconds, keeps the entity tags of two runs apart.
+	begun int64
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -94,6 +99,8 @@
 	outageChange chan struct{}
 	meter        Meter
 	instances    []timedInstances
+	// lists counts the lists of instances that were set.
+	lists int
 }
 
 // New returns a stand-in with an empty store.
@@ -108,6 +115,7 @@
 		writes:       limiter(o.WritesPerSecond),
 		weights:      limiter(o.WeightBytesPerSecond),
 		stop:         make(chan struct{}),
+		begun:        time.Now().UnixNano(),
 		outageChange: make(chan struct{}),
 	}
 }
@@ -161,7 +169,9 @@
 func (p *Platform) SetInstances(list []api.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.instances = append(p.instances, timedInstances{time.Now().Add(p.opts.InstanceLag), list})
+	p.lists++
+	tag := fmt.Sprintf(`"%d-%d"`, p.begun, p.lists)
+	p.instances = append(p.instances, timedInstances{time.Now().Add(p.opts.InstanceLag), list, tag})
 }
 
 // Meter returns the counts so far.
@@ -177,7 +187,8 @@
 // Put writes an object past the faults, for the set-up of a test.
 func (p *Platform) Put(o api.Object) (uint64, error) { return p.store.put(o) }
 
-func (p *Platform) visibleInstances() []api.Instance {
+// visibleInstances returns the list that is seen now, with its entity tag.
+func (p *Platform) visibleInstances() ([]api.Instance, string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -185,9 +196,9 @@
 		p.instances = p.instances[1:]
 	}
 	if len(p.instances) == 0 || p.instances[0].visible.After(now) {
-		return []api.Instance{}
+		return []api.Instance{}, fmt.Sprintf(`"%d-0"`, p.begun)
 	}
-	return p.instances[0].list
+	return p.instances[0].list, p.instances[0].tag
 }
 
 // admit counts the call, applies the faults and the rate limit, and reports
