Test regions that lose each other

Change: a test's system can have two regions. Each link before a process learns who speaks on a connection from the instance id in its first message, so it can cut the connections of the other region alone, present ones for good and new ones until the end; the far region has its own way to the platform. TestRegionsCutFromEachOther runs an entry pair and one server of each kind in the near region and four entries and two of each in the far one, under completions and calls of which every third may run but once, with a change by an operator and keyed calls in the far region while they are apart for 6 s. No change of the product was needed.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -41,6 +41,8 @@
 	links bool
 	// tls secures the connections between the daemons.
 	tls bool
+	// far says which zones are in another region than the platform; nil for none.
+	far func(zone string) bool
 }
 
 // node is a daemon with its settings and what stands beside it.
@@ -73,11 +75,13 @@
 	platform        *process
 	platformAddress string
 	platformLink    *link
-	entries         []*node
-	prefill         []*node
-	decode          []*node
-	services        []*node
-	store           *platform.HTTP
+	// farPlatform is the far region's way to the platform.
+	farPlatform *link
+	entries     []*node
+	prefill     []*node
+	decode      []*node
+	services    []*node
+	store       *platform.HTTP
 }
 
 // newCluster starts a system and waits until it serves.
@@ -94,6 +98,7 @@
 	})
 	if s.links {
 		c.platformLink = newLink(t, c.platformAddress)
+		c.farPlatform = newLink(t, c.platformAddress)
 	}
 	for i := range s.entries {
 		c.entries = append(c.entries, c.newNode(fmt.Sprintf("entry-%d", i), "entry", i))
@@ -171,10 +176,19 @@
 	return path
 }
 
+func (c *cluster) isFar(zone string) bool { return c.shape.far != nil && c.shape.far(zone) }
+
+func (c *cluster) region(zone string) string {
+	if c.isFar(zone) {
+		return "far-region"
+	}
+	return "region"
+}
+
 func zoneOf(i int) string { return string(rune('a'+i%3)) + "-zone" }
 
 func (c *cluster) process(p *settings.Process, n *node) {
-	p.ID, p.Region, p.AvailabilityZone = n.id, "region", n.zone
+	p.ID, p.Region, p.AvailabilityZone = n.id, c.region(n.zone), n.zone
 	p.Peer, p.Operator = n.peer, n.operator
 	p.Platform = c.platformAddress
 	if c.shape.tls {
@@ -183,6 +197,9 @@
 	if c.platformLink != nil {
 		p.Platform = c.platformLink.address
 	}
+	if c.isFar(n.zone) {
+		p.Platform = c.farPlatform.address
+	}
 	for _, e := range c.entries {
 		if e != n {
 			p.Seeds = append(p.Seeds, e.peerAddress())
@@ -315,7 +332,7 @@
 			continue
 		}
 		in := platform.Instance{
-			ID: n.id, Address: n.peerAddress(), Role: n.role, AvailabilityZone: n.zone, Region: "region", State: platform.Live,
+			ID: n.id, Address: n.peerAddress(), Role: n.role, AvailabilityZone: n.zone, Region: c.region(n.zone), State: platform.Live,
 		}
 		if n.leaving {
 			in.State = platform.Leaving
--- a/test/link_test.go
+++ b/test/link_test.go
@@ -20,6 +20,8 @@
 	lostToB, lostToA bool
 	// hold: requests on new connections are kept back.
 	hold bool
+	// apart says which sources are cut off; nil for none.
+	apart func(source string) bool
 }
 
 // linkConn is one connection through the link.
@@ -31,6 +33,8 @@
 	mu       sync.Mutex
 	quietToB bool
 	quietToA bool
+	// source is the instance id of the process at a, once it has named itself.
+	source string
 }
 
 // newLink returns a link that passes connections on to address to.
@@ -79,18 +83,21 @@
 	l.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Add(2)
-	go func() { defer wg.Done(); c.copy(c.a, c.b, &c.quietToB) }()
-	go func() { defer wg.Done(); c.copy(c.b, c.a, &c.quietToA) }()
+	go func() { defer wg.Done(); c.copy(c.a, c.b, &c.quietToB, l.identify) }()
+	go func() { defer wg.Done(); c.copy(c.b, c.a, &c.quietToA, nil) }()
 	wg.Wait()
 	l.mu.Lock()
 	delete(l.conns, c)
 	l.mu.Unlock()
 }
 
-func (c *linkConn) copy(from, to net.Conn, quiet *bool) {
+func (c *linkConn) copy(from, to net.Conn, quiet *bool, look func(c *linkConn, b []byte)) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		if look != nil {
+			look(c, buf[:n])
+		}
 		c.mu.Lock()
 		silent := *quiet
 		c.mu.Unlock()
