Dial at once for a call to an agent that is back

Cause, found by a test of its own: when an agent was out, the entry's connection to it waits between two dials, up to a second, and calls fail at once meanwhile though the agent listens again. If the other service's agent leaves just then, a call uses up its four tries in some milliseconds.

Change: a call, a reservation or a probe over a connection that waits between two dials dials at once and gives it 50 ms. An agent that lives answers in a few; one that is dead costs a call 50 ms, until it is doubted.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	pb "jayford.example/jayford/api/jayfordv1"
@@ -69,6 +70,23 @@
 
 func (c *Conn) client() pb.AgentClient { return c.line().api }
 
+// wake dials at once if the connection waits between two dials.
+//
+// The failure: an agent was out for some seconds and is back, but calls to it go
+// on failing at once for up to the longest such wait, a second. If the others
+// leave or are full meanwhile, a call uses up its tries in some milliseconds and
+// is refused beside a server that is well. An agent that lives answers the dial
+// within wakeTime; one that doesn't costs the call that much.
+func (l line) wake(ctx context.Context) {
+	if l.cc.GetState() != connectivity.TransientFailure {
+		return
+	}
+	l.cc.ResetConnectBackoff()
+	ctx, cancel := context.WithTimeout(ctx, wakeTime)
+	defer cancel()
+	l.cc.WaitForStateChange(ctx, connectivity.TransientFailure)
+}
+
 // Incarnation returns the agent's incarnation as last seen, 0 if unknown.
 func (c *Conn) Incarnation() uint64 {
 	c.mu.Lock()
@@ -187,7 +205,10 @@
 // Probe asks the agent for a sign of life by a renewal, which lists what is
 // live: an empty one would free it. A probe without an answer replaces the
 // connection, so that the next one goes over a new one.
-func (c *Conn) Probe(ctx context.Context) error { return c.renew(ctx) }
+func (c *Conn) Probe(ctx context.Context) error {
+	c.line().wake(ctx)
+	return c.renew(ctx)
+}
 
 // replace dials a new connection beside old, which is closed later. Only the
 // present connection is replaced: calls that were under way together time out
@@ -219,6 +240,7 @@
 // deadline is replaced.
 func (c *Conn) Reserve(ctx context.Context, r *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	used := c.line()
+	used.wake(ctx)
 	reply, err := used.api.Reserve(ctx, r)
 	switch {
 	case err == nil:
@@ -268,7 +290,9 @@
 
 // Call runs a call of a plain service.
 func (c *Conn) Call(ctx context.Context, r *pb.CallRequest) (*pb.CallReply, error) {
-	reply, err := c.client().Call(ctx, r)
+	used := c.line()
+	used.wake(ctx)
+	reply, err := used.api.Call(ctx, r)
 	if err == nil {
 		c.Heard(reply.Load, reply.Incarnation)
 	}
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -27,6 +27,8 @@
 	// renewTimeout is when a connection is suspected of being silent.
 	renewTimeout = 600 * time.Millisecond
 	dialTimeout  = 700 * time.Millisecond
+	// wakeTime bounds the wait for a connection that is dialled anew for a call.
+	wakeTime = 50 * time.Millisecond
 	// oldConnLinger lets streams on a replaced connection deliver what the
 	// network still holds.
 	oldConnLinger = 5 * time.Second
--- a/test/rolling_test.go
+++ b/test/rolling_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,15 +14,76 @@
 	"jayford.example/jayford/internal/ctl"
 	"jayford.example/jayford/internal/object"
 	platformstandin "jayford.example/jayford/internal/standin/platform"
+	servicestandin "jayford.example/jayford/internal/standin/service"
 )
 
 // stopBound is how long a graceful stop under load may take.
 const stopBound = 6 * time.Second
 
-// traffic sends completions and plain calls through the balancer until done
-// closes. Every other plain call may run but once.
-func (c *cluster) traffic(tag string, every time.Duration, done <-chan struct{}) (completions, calls *history, wg *sync.WaitGroup) {
+// balancerEvery is how often the balancer asks the entries for readiness, and so
+// how long it may still send to one that stops.
+const balancerEvery = 200 * time.Millisecond
+
+// balancer sends requests to the entries in turn that were ready when it last
+// asked.
+type balancer struct {
+	c *cluster
+
+	mu sync.Mutex
+	// ready is guarded by mu.
+	ready []*node
+}
+
+func (b *balancer) ask() {
+	var ready []*node
+	for _, e := range b.c.entries {
+		if isReady(e) {
+			ready = append(ready, e)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *balancer) run(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(balancerEvery):
+			b.ask()
+		}
+	}
+}
+
+func (b *balancer) entry(i int) *node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ready[i%len(b.ready)]
+}
+
+// rollingAsk is the i-th completion: most are short, some outlast all but a
+// graceful stop, and every other may run but once, so that it can't go on
+// elsewhere.
+func rollingAsk(i int) ask {
+	a := ask{prompt: fmt.Sprint("rolling ", i), maxTokens: 5 + i%25, stream: i%4 < 2, headers: map[string]string{}}
+	if i%10 < 2 {
+		a.maxTokens = 80
+	}
+	if i%2 == 0 {
+		a.headers[headerIdempotent] = "false"
+	}
+	return a
+}
+
+// traffic sends completions and plain calls through a balancer until done
+// closes. Every other one may run but once.
+func (c *cluster) traffic(every time.Duration, done <-chan struct{}) (completions, calls *history, wg *sync.WaitGroup) {
 	completions, calls, wg = &history{}, &history{}, &sync.WaitGroup{}
+	b := &balancer{c: c}
+	b.ask()
+	wg.Go(func() { b.run(done) })
 	wg.Go(func() {
 		for i := 0; ; i++ {
 			select {
@@ -29,18 +91,15 @@
 				return
 			case <-time.After(every):
 			}
-			wg.Go(func() {
-				a := ask{entry: c.readyEntry(i), prompt: fmt.Sprint(tag, " ", i), maxTokens: 5 + i%25, stream: i%2 == 0}
-				completions.add(complete(context.Background(), a))
-			})
-			wg.Go(func() {
-				method := http.MethodGet
-				if i%2 == 0 {
-					method = http.MethodPost
-				}
-				a := ask{entry: c.readyEntry(i), timeout: 20 * time.Second}
-				calls.add(exchange(context.Background(), a, method, fmt.Sprintf("/%s/%d", tag, i), nil))
-			})
+			a := rollingAsk(i)
+			a.entry = b.entry(i)
+			wg.Go(func() { completions.add(complete(context.Background(), a)) })
+			method := http.MethodGet
+			if i%2 == 0 {
+				method = http.MethodPost
+			}
+			call := ask{entry: a.entry, headers: a.headers, timeout: 20 * time.Second}
+			wg.Go(func() { calls.add(exchange(context.Background(), call, method, fmt.Sprint("/rolling/", i), nil)) })
 		}
 	})
 	return completions, calls, wg
@@ -94,11 +153,11 @@
 // predecessor had.
 func TestRollingRestartCutsNothing(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, shape{entries: 3, prefill: 2, decode: 3, services: 2})
+	c := newCluster(t, shape{entries: 3, prefill: 2, decode: 3, services: 2, service: servicestandin.Options{Delay: 150 * time.Millisecond}})
 	s := c.watchStatus()
 	o := &operators{c: c, actions: make(map[ctl.Action]int)}
 	done := make(chan struct{})
-	completions, calls, wg := c.traffic("rolling", 40*time.Millisecond, done)
+	completions, calls, wg := c.traffic(50*time.Millisecond, done)
 	dir := t.TempDir()
 	wg.Go(func() {
 		for i := 0; ; i++ {
@@ -136,9 +195,36 @@
 		len(c.nodes()), took.Round(time.Millisecond), entries.Round(time.Millisecond), agents.Round(time.Millisecond), versions,
 		completions.describe(), completions.attempts(), calls.kinds(), calls.attempts(), completions.times())
 	c.checkHistory(completions)
+	c.checkRunsOnce(completions)
 	c.checkPostsOnce("rolling")
 	assert.Check(t, versions >= 20, "the configuration hardly changed: %v", o.actions)
 	assert.Equal(t, completions.tally(), tally{whole: len(completions.all())}, "%s", completions.describe())
 	assert.Equal(t, calls.tally(), tally{whole: len(calls.all())}, "%s", calls.describe())
 	c.waitFree(freeBound)
 }
+
+// The agent of one of two services is out for some seconds and comes back; then
+// the other one's agent gets SIGTERM. The entry's connection to the first waits
+// between two dials, so that its calls fail at once though the agent listens
+// again, and the second refuses them as leaving. Both are proof that nothing ran,
+// and the first service is well: no call may be refused.
+func TestReturnedAgentServesWhenTheOtherLeaves(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, services: 2})
+	c.gets("warm", 40, 5*time.Millisecond)
+	c.services[0].kill()
+	c.gets("out", 100, 30*time.Millisecond)
+	c.services[0].start()
+	eventually(t, inForceWithin, "the first agent is back", c.services[0].backendUp)
+	c.services[1].signal(syscall.SIGTERM)
+	time.Sleep(20 * time.Millisecond)
+	posts, n := &history{}, 20
+	for i := range n {
+		c.book(posts, c.entries[0], fmt.Sprint("/book/", i), "")
+	}
+	gets := c.gets("other", n, time.Millisecond)
+	report(t, "one agent back, the other leaving: posts %s, %.2f attempts; gets %s, %.2f attempts", posts.kinds(), posts.attempts(), gets.kinds(), gets.attempts())
+	assert.Equal(t, posts.tally(), tally{whole: n}, "%s", posts.describe())
+	assert.Equal(t, gets.tally(), tally{whole: n}, "%s", gets.describe())
+	c.checkPostsOnce("book")
+}
