Measure what the lead of a region costs an entry

Cause: docs/CAPACITY.md said of the capacity controllers only that they aren't measured.

Ruled out: a whole region of processes, since the survey alone grows with the size; the other zones' watchers are simulated and answer with as many agents as a zone has.

Change: the part control runs an entry that holds its region's lease, with two watchers in each of 3 further availability zones, and one that is a candidate while the bench renews the lease, over 50 to 1,100 servers; the leader over 1 to 13 models as well.

--- a/internal/slopes/cmd/main.go
+++ b/internal/slopes/cmd/main.go
@@ -27,6 +27,7 @@
 	"declared": slopes.Declared,
 	"newcomer": slopes.Newcomer,
 	"claims":   slopes.Claims,
+	"control":  slopes.Control,
 	"secured":  slopes.Secured,
 	"served":   slopes.Served,
 }
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -54,16 +54,23 @@
 	return platform.Object{Kind: kind, Name: name, Spec: text, Operation: platform.NewOperation()}
 }
 
+// serverVersion is the version that all servers have.
+const serverVersion = "2026-11"
+
+// roleOf gives each third server the role prefill.
+func (f fleet) roleOf(i int) string {
+	if i/f.models%3 == 0 {
+		return object.RolePrefill
+	}
+	return object.RoleDecode
+}
+
 func (f fleet) objects() []platform.Object {
 	var out []platform.Object
 	for i := range f.servers {
-		role := object.RoleDecode
-		if i/f.models%3 == 0 {
-			role = object.RolePrefill
-		}
 		out = append(out, marshal(object.KindServer, serverName(i), object.Server{Format: object.Format, Labels: map[string]string{
-			object.LabelModel: modelName(i % f.models), object.LabelRole: role,
-			object.LabelVersion: "2026-11", object.LabelGroup: "general",
+			object.LabelModel: modelName(i % f.models), object.LabelRole: f.roleOf(i),
+			object.LabelVersion: serverVersion, object.LabelGroup: "general",
 		}}))
 	}
 	for i := range f.organisations {
