Write a zone's status when it changed, and each 30 s at rest

Cause: the first watching entry of a zone wrote the whole status each 5 s, 23 KB at full size, and read the old one back for its version alone.

Ruled out: each 15 s in any case, which would show a new version up to 10 s later than today. The digest tells a change of the configuration.

Change: the writer looks each 5 s as before, writes if a process came, went, restarted or has another configuration in force, and else each 30 s. It remembers the version that its last write gave; after a write that failed or was unclear, and after another entry was the writer, it reads the object again. The capacity decisions are untouched: the loads travel with the reports, each 5 s, and are asked of the watching entries, not of the platform.

With -race: package feed, where the tests now step a writer through rest, changes, a lost reply and another writer. Operators see a version in force within 13 s, as before.

--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -24,9 +21,7 @@
 	gatherFor = 50 * time.Millisecond
 	// sendTime bounds one send; a follower that takes longer is cut off and
 	// comes back with its revision.
-	sendTime    = 10 * time.Second
-	statusEvery = 5 * time.Second
-	statusTime  = 4 * time.Second
+	sendTime = 10 * time.Second
 	// reportLife is how long a process without a new report is shown.
 	reportLife = 30 * time.Second
 	maxReports = 2000
@@ -54,6 +49,8 @@
 type Server struct {
 	pb.UnimplementedPeerServer
 	opts ServerOptions
+	// written is used by Run alone.
+	written writtenStatus
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -164,61 +161,3 @@
 	}
 	return &pb.ReportReply{}, nil
 }
-
-// Run writes the zone's status every few seconds while this process is the
-// zone's writer. It returns nil when ctx ends.
-func (s *Server) Run(ctx context.Context) error {
-	t := time.NewTicker(statusEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		all := s.current()
-		if !s.opts.Writes() || len(all) == 0 {
-			continue
-		}
-		if err := s.writeStatus(ctx, all); err != nil && ctx.Err() == nil {
-			log.WithError(err).Warn("feed: Status wasn't written.")
-		}
-	}
-}
-
-// current returns the reports that are new enough, and forgets the others.
-func (s *Server) current() []object.ProcessStatus {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []object.ProcessStatus
-	for id, r := range s.reports {
-		if time.Since(r.at) > reportLife {
-			delete(s.reports, id)
-			continue
-		}
-		all = append(all, r.status)
-	}
-	return all
-}
-
-// writeStatus replaces the zone's status object. Status needs no history: a
-// write that fails or is unclear is made good by the next one.
-func (s *Server) writeStatus(ctx context.Context, all []object.ProcessStatus) error {
-	ctx, cancel := context.WithTimeout(ctx, statusTime)
-	defer cancel()
-	spec, err := json.Marshal(object.Status{
-		Format: object.Format, Writer: s.opts.Identity.ID, Time: time.Now().UTC(), Processes: all,
-	})
-	if err != nil {
-		return eris.Wrap(err, "status")
-	}
-	zone := s.opts.Identity.AvailabilityZone
-	old, err := s.opts.Platform.Get(ctx, object.KindStatus, zone)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
-	_, err = s.opts.Platform.Put(ctx, platform.Object{
-		Kind: object.KindStatus, Name: zone, Version: old.Version, Operation: platform.NewOperation(), Spec: spec,
-	})
-	return err
-}
--- a/internal/slopes/cmd/main.go
+++ b/internal/slopes/cmd/main.go
@@ -30,6 +30,7 @@
 	"control":  slopes.Control,
 	"secured":  slopes.Secured,
 	"served":   slopes.Served,
+	"status":   slopes.Status,
 }
 
 type options struct {
