Try a doubted service beside another one, and free calls that stand at it

Cause: TestFrozenAmongThree failed in a whole run (99% took 143 ms, 26 undisturbed; load average 11), and in 3 of 6 runs at 20 to 31 it took 200 to 673 ms. Traced by the slow calls of each run, two things: (1) a frozen service's agent answers probes, so it was trusted again once or twice a second, and each time a caller waited for its hedge: 6 of 10 slow calls of 600 in a calm run, 46 ms each, where the bound was 48 by nature (hedge and answer against twice an answer). (2) slow answers alone had spent the budget of hedges when the service froze; with nothing to overtake it, it got 10 calls in 0.23 s before it was doubted, and these waited up to 1.6 s for the budget. Ruled out: the order of asking, and the agents (frozen agents are found by renewals). Change: (1) doubt says when nothing but a proof of the agent's life came since (Unproven); the next call that may be repeated is a trial, goes to a second service at once within the budget of hedges, and judges the first by itself for twice a slow answer's time. (2) An answer that is four slow answers' time overdue is evidence without a winner, and calls that stand at a doubted server may use the retries' budget.

--- a/internal/entry/judgement.go
+++ b/internal/entry/judgement.go
@@ -70,6 +70,13 @@
 	return e.hedges.Allow(pool, pool)
 }
 
+func (e *Entry) mayRetry(organisation, pool string) bool {
+	e.policyMu.Lock()
+	defer e.policyMu.Unlock()
+	e.budget.Advance(time.Now())
+	return e.budget.Allow(organisation, pool)
+}
+
 // blameOf returns the state of a fingerprint, with the convictions that other
 // entries published.
 func (e *Entry) blameOf(fp uint64) blame.State {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -109,6 +109,15 @@
 	return ok && (v.State != doubt.Trusted || v.Leaving || m.rnd.Float64() >= v.Share)
 }
 
+// unproven reports whether the agent was doubted and its backend server hasn't
+// answered a request since.
+func (m *members) unproven(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.set.View(id, time.Now())
+	return ok && v.Unproven
+}
+
 // probes returns the agents to be probed now.
 func (m *members) probes() []platform.Instance {
 	m.mu.Lock()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -29,11 +29,20 @@
 	// failures and refusals count the tries that ended so.
 	failures int
 	refusals int
-	// open has the servers whose tries have not ended, in the order of asking.
-	open    []string
+	// open has the tries that have not ended, in the order of asking.
+	open    []openTry
 	results chan callResult
 }
 
+// openTry is a try that has not ended.
+type openTry struct {
+	server string
+	began  time.Time
+	// judged: the server's silence was noted, or the try is a trial, which
+	// judges its server by itself.
+	judged bool
+}
+
 // callService passes r to a plain service and returns its reply with the
 // number of tries.
 func (e *Entry) callService(ctx context.Context, r *request) (*pb.CallReply, int, *verdict.Error) {
@@ -79,11 +88,11 @@
 			err.Verdict = verdict.MayHaveRun
 			return nil, err
 		case <-hedge.C:
-			if !c.hedge(ctx) {
-				// The budget is spent. Without another look a call on a frozen
-				// server would wait until its deadline.
-				hedge.Reset(c.e.latency.hedgeAfter())
-			}
+			c.overdue()
+			c.hedge(ctx)
+			// If the budget is spent, without another look a call on a frozen
+			// server would wait until its deadline.
+			hedge.Reset(c.e.latency.hedgeAfter())
 		case res := <-c.results:
 			if res.err == nil {
 				c.overtaken(res.target.id)
@@ -106,7 +115,7 @@
 	if res.err.Crashed {
 		c.e.crashed(c.r.fingerprint, res.err.CrashedAlone)
 	}
-	c.open = slices.DeleteFunc(c.open, func(id string) bool { return id == res.target.id })
+	c.open = slices.DeleteFunc(c.open, func(o openTry) bool { return o.server == res.target.id })
 	if len(c.open) > 0 {
 		return nil
 	}
@@ -136,32 +145,69 @@
 // open: without this evidence it would get its share of all requests, each of
 // which would wait for its hedge.
 func (c *serviceCall) overtaken(winner string) {
-	for _, id := range c.open {
-		if id == winner {
+	for _, o := range c.open {
+		if o.server == winner {
 			return
 		}
-		c.e.members.outcome(id, doubt.Timeout)
+		if !o.judged {
+			c.e.members.outcome(o.server, doubt.Timeout)
+		}
+	}
+}
+
+// overdueAfter is when a try without an answer is evidence against its server,
+// in the usual times of a slow answer.
+const overdueAfter = 4
+
+// overdue notes the servers whose answers are long overdue. While the budget of
+// hedges is spent nobody overtakes a frozen server, and all callers that it got
+// meanwhile would wait, more of them with each moment that it is trusted.
+func (c *serviceCall) overdue() {
+	limit := overdueAfter * c.e.latency.hedgeAfter()
+	for i := range c.open {
+		o := &c.open[i]
+		if !o.judged && time.Since(o.began) >= limit {
+			o.judged = true
+			c.e.members.outcome(o.server, doubt.Timeout)
+		}
 	}
 }
 
+// mayRepeat reports whether the call may be sent to a second server.
+func (c *serviceCall) mayRepeat() bool {
+	return c.r.idempotent && len(c.to.targets.service) > 1
+}
+
 // hedgeTimer is set for calls that may be repeated: when an answer takes much
-// longer than usual the server may be frozen, and another one is asked too.
+// longer than usual the server may be frozen, and another one is asked too. With
+// a trial another one is asked at once.
 func (c *serviceCall) hedgeTimer() *time.Timer {
-	if !c.r.idempotent || len(c.to.targets.service) < 2 {
+	switch {
+	case !c.mayRepeat():
 		t := time.NewTimer(time.Hour)
 		t.Stop()
 		return t
+	case c.open[0].judged:
+		return time.NewTimer(0)
 	}
 	return time.NewTimer(c.e.latency.hedgeAfter())
 }
 
-func (c *serviceCall) hedge(ctx context.Context) bool {
-	if !c.e.mayHedge(c.to.choice.Pool) {
-		return false
+// hedge begins a second try beside the one that is open, if a budget allows it.
+// Slow answers alone may have spent that of hedges by the time that a server
+// freezes. Calls that stand at a doubted server are no guess any more: they may
+// take from the budget of retries.
+func (c *serviceCall) hedge(ctx context.Context) {
+	if len(c.open) != 1 || c.number >= maxTries {
+		return
+	}
+	pool := c.to.choice.Pool
+	stranded := c.e.members.unproven(c.open[0].server)
+	if !c.e.mayHedge(pool) && !(stranded && c.e.mayRetry(c.r.organisation, pool)) {
+		return
 	}
 	hedgesTotal.Inc()
 	_ = c.start(ctx)
-	return true
 }
 
 // start begins a try at the best server that has not been tried.
@@ -173,16 +219,50 @@
 	t := list[0]
 	c.exclude[t.id] = true
 	c.number++
-	c.open = append(c.open, t.id)
+	trial := c.mayRepeat() && c.e.members.unproven(t.id)
+	c.open = append(c.open, openTry{t.id, time.Now(), trial})
 	n := c.number
 	attemptsTotal.Inc()
+	end := func() {}
+	if trial {
+		ctx, end = c.e.trial(ctx, t.id)
+	}
 	go func() {
+		defer end()
 		reply, err := c.e.callOnce(ctx, c.r, t, n)
 		c.results <- callResult{reply, t, err}
 	}()
 	return nil
 }
 
+// trialFor is how long a trial may take, in the usual times of a slow answer.
+const trialFor = 2
+
+// trial returns the context of a try at a server that was doubted and whose
+// agent lives. The failure: the backend server is frozen still, each such try
+// waits for its hedge, and every hundredth caller notices. So another server is
+// asked at once, and when its answer ends ctx the trial goes on for as long as
+// slow answers take: only that tells a frozen server from one that was overtaken
+// by little. end must be called when the try has ended.
+func (e *Entry) trial(ctx context.Context, id string) (trying context.Context, end func()) {
+	until := time.Now().Add(trialFor * e.latency.hedgeAfter())
+	trying, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		t := time.NewTimer(time.Until(until))
+		defer t.Stop()
+		select {
+		case <-t.C:
+			e.members.outcome(id, doubt.Timeout)
+			cancel()
+		case <-trying.Done():
+		}
+	})
+	return trying, func() {
+		stop()
+		cancel()
+	}
+}
+
 // callOnce does one try at one server.
 func (e *Entry) callOnce(ctx context.Context, r *request, t target, number uint32) (*pb.CallReply, *verdict.Error) {
 	conn, cerr := e.agents.Conn(t.id, t.address)
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -143,6 +143,9 @@
 	// and up to 1. Use the server for a request if a random number in [0,1) is
 	// below it.
 	Share float64
+	// Unproven: since its doubt nothing but a proof of life of its agent came.
+	// The backend server may be frozen still, so the next use is a trial.
+	Unproven bool
 }
 
 // Set is the view of all servers. It isn't safe for concurrent use.
@@ -169,6 +172,8 @@
 	next    time.Time
 	// ramp began at, zero for a full share.
 	ramped time.Time
+	// unproven: no success by use since the last doubt.
+	unproven bool
 	// seen is the last proof of life, or when the server was last listed.
 	seen         time.Time
 	listed       bool
@@ -269,7 +274,7 @@
 func (s *Set) lives(x *server, now time.Time, o Outcome) {
 	x.seen, x.missed = now, 0
 	if o == Success {
-		x.strikes, x.backoff = 0, 0
+		x.strikes, x.backoff, x.unproven = 0, 0, false
 	}
 	if x.state == Trusted {
 		return
@@ -297,7 +302,7 @@
 }
 
 func (s *Set) doubt(x *server, now time.Time) {
-	x.state, x.strikes, x.missed = Doubted, 0, 0
+	x.state, x.strikes, x.missed, x.unproven = Doubted, 0, 0, true
 	x.backoff = min(max(2*x.backoff, s.opts.MinBackoff), s.opts.MaxBackoff)
 	x.next = now.Add(time.Duration((0.5 + s.rnd.Float64()) * float64(x.backoff)))
 }
@@ -348,6 +353,7 @@
 		State:            x.state,
 		Leaving:          x.leaving || now.Before(x.leavingUntil),
 		Share:            s.share(x, now),
+		Unproven:         x.unproven,
 	}, true
 }
 
--- a/internal/policy/doubt/doubt_test.go
+++ b/internal/policy/doubt/doubt_test.go
@@ -158,3 +158,22 @@
 	s.List(now, list)
 	assert.Assert(t, view(t, s, "0", now).Leaving)
 }
+
+// A backend server is frozen while its agent answers probes. Each time it is
+// trusted again a caller waits in vain, unless its use is known for a trial: it
+// stays one until the server itself has answered a request.
+func TestServerIsUnprovenUntilItIsOfUse(t *testing.T) {
+	s, _ := newSet(1)
+	unproven := func() bool { return view(t, s, "0", start).Unproven }
+	assert.Assert(t, !unproven())
+	s.Outcome("0", start, Timeout)
+	s.Outcome("0", start, Timeout)
+	assert.Assert(t, unproven())
+	s.Outcome("0", start, Alive)
+	assert.Equal(t, view(t, s, "0", start).State, Trusted)
+	assert.Assert(t, unproven())
+	s.Outcome("0", start, Refusal)
+	assert.Assert(t, unproven())
+	s.Outcome("0", start, Success)
+	assert.Assert(t, !unproven())
+}
