Don't reckon Retry-After by a standstill

A second way to minutes: after half a minute in which nothing drained, a lost server for example, callers of a pool that had served ten a second were told to come back after 1m29s, and for seconds after it served again as well. The rate counts the time since the last item was served, which is right for letting in (who comes meanwhile can't be served in time), but says nothing of when the pool serves again. When the next item was served the whole standstill went into the average besides.

Change: what is told follows the rate as it was up to the last item that was served, and of a standstill at most 2 s, or four usual intervals for pools that serve seldom, go into the average. Letting in isn't changed while nothing drains.

TestStandstillSendsNobodyAwayForMinutes fails before (1m29s) and passes now: at most 10 s while it stands and 12 s after.

--- a/internal/policy/admit/drain.go
+++ b/internal/policy/admit/drain.go
@@ -14,6 +14,13 @@
 	// linger is for how long after it ran empty the queue counts as non-empty:
 	// all that waited may be out to ask servers and about to come back.
 	linger = 500 * time.Millisecond
+	// stall is how long nothing may be served before it tells of a lost server, not
+	// of the rate, unless items are served as seldom: stallFactor times the usual
+	// interval.
+	stall       = 2 * time.Second
+	stallFactor = 4
+	// intervalMemory is the weight of one more interval in the usual one.
+	intervalMemory = 0.1
 	// minMeasured is the least time over which a rate is believed.
 	minMeasured = 250 * time.Millisecond
 )
@@ -27,6 +34,8 @@
 type drain struct {
 	cost float64
 	busy time.Duration
+	// interval is the usual time between two that are served.
+	interval time.Duration
 	// began is when the pool became full, since up to when busy counts.
 	began, since time.Time
 	// waiting: the queue isn't empty. last is when it was last seen so, and until
@@ -60,6 +69,11 @@
 	}
 	step := max(0, now.Sub(d.since))
 	d.since = now
+	usual := d.interval
+	d.interval += time.Duration(intervalMemory * float64(step-usual))
+	// A stall in full would leave a rate of near zero behind it: callers were
+	// told minutes by a pool that serves again.
+	step = min(step, max(stall, stallFactor*usual))
 	keep := math.Exp(-float64(step) / float64(drainMemory))
 	d.cost = d.cost*keep + cost
 	d.busy = time.Duration(float64(d.busy)*keep) + step
@@ -76,6 +90,13 @@
 
 func (d *drain) measured(now time.Time) bool { return d.cost > 0 && d.lasted(now) >= minMeasured }
 
+// steady is the rate without the time since the last item was served. While a
+// server is lost nobody knows for how long; the rate, which falls meanwhile, would
+// send callers away for minutes from a pool that serves again in seconds.
+func (d *drain) steady() float64 {
+	return d.cost / max(d.busy, minMeasured).Seconds()
+}
+
 // rate returns the cost served per second. Before anything was served it is
 // bounded by the wait so far, in which less than all that waits drained.
 func (d *drain) rate(now time.Time, waiting float64) float64 {
--- a/internal/policy/admit/drain_test.go
+++ b/internal/policy/admit/drain_test.go
@@ -134,3 +134,35 @@
 	push(t, q, now, Item{ID: "x", Organisation: "o", Interactive: true, Cost: 20, Deadline: now.Add(time.Second)})
 	assert.Assert(t, q.Push(now, Item{ID: "y", Organisation: "o", Cost: 20, Deadline: now.Add(time.Second)}) != nil)
 }
+
+// Callers are sent away for minutes by a pool that serves ten a second. A server
+// was lost and nothing drained for half a minute, then it served again. Neither
+// while it stands nor after it is the time told reckoned by the standstill.
+func TestStandstillSendsNobodyAwayForMinutes(t *testing.T) {
+	q := newQueue(Options{})
+	now, id := start, 0
+	refused := func() time.Duration {
+		id++
+		it := Item{ID: fmt.Sprint("x", id), Organisation: "o", Interactive: true, Cost: 20, Fingerprint: uint64(id), Deadline: now.Add(100 * time.Millisecond)}
+		err := q.Push(now, it)
+		assert.Assert(t, err != nil)
+		return err.RetryAfter
+	}
+	serve := func(n int) {
+		for range n {
+			now = now.Add(100 * time.Millisecond)
+			it, _ := q.Pop(now)
+			q.Served(now, it.ID)
+		}
+	}
+	for i := range 100 {
+		push(t, q, now, Item{ID: fmt.Sprint(i), Organisation: "o", Interactive: true, Cost: 20})
+	}
+	serve(30)
+	now = now.Add(30 * time.Second)
+	stands := refused()
+	assert.Assert(t, stands <= 10*time.Second, "told %s while it stands", stands)
+	serve(10)
+	after := refused()
+	assert.Assert(t, after <= 12*time.Second, "told %s after it", after)
+}
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -11,7 +11,7 @@
 	// newcomerPart is the part of a request's time that the queue may take up when
 	// it comes. A predicted wait is never exact; what was let in up to the last
 	// moment was found late after that time, when it could only be refused.
-	// The other half is for callers that come back at the time they were told.
+	// The rest is for callers that come back at the time they were told.
 	newcomerPart = 0.5
 	// keptFraction of MaxTotal is kept for these at most.
 	keptFraction = 8
@@ -93,8 +93,8 @@
 // part ahead of it drains at the organisation's share, but no longer than all
 // ahead of it takes. What is out to ask servers is ahead too: under overload that
 // is most of what isn't served yet. Interactive work is taken to pass all batch:
-// agents keep slots for it, and batch that finds none says nothing of these. While the pool isn't full, and before a drain rate is measured, it
-// predicts nothing.
+// agents keep slots for it, and batch that finds none says nothing of these. While
+// the pool isn't full, and before a drain rate is measured, it predicts nothing.
 func (q *Queue) predictWait(now time.Time, it *Item) time.Duration {
 	if !q.drain.full(now) || !q.drain.measured(now) {
 		return 0
@@ -160,8 +160,10 @@
 	if it.Fingerprint == 0 || !q.drain.measured(now) {
 		return q.jittered(wait)
 	}
-	rate := q.drain.rate(now, q.cost) * q.part(it)
-	after, ok := q.bookings.book(now, it.caller(), it.Cost, rate, wait)
+	steady := q.drain.steady()
+	slower := q.drain.rate(now, q.cost) / steady
+	wait = time.Duration(float64(wait) * min(1, slower))
+	after, ok := q.bookings.book(now, it.caller(), it.Cost, steady*q.part(it), wait)
 	if !ok {
 		return q.jittered(maxRetryAfter / 2)
 	}
