--- a/test/long_outage_test.go
+++ b/test/long_outage_test.go
@@ -76,7 +76,8 @@
 	return most
 }
 
-// The platform hangs and then refuses for many terms of its leases, as in an
+// The platform hangs and then refuses for many terms of its leases. All backoffs
+// but the distance of direct calls have grown to their bounds by the end, as in an
 // outage of an hour. Requests go on; a key is refused as not run within its bound
 // and can be sent again. When the platform is back, an operator's change is in
 // force everywhere within the bound, keys are claimed and the lease is renewed or
