--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -10,6 +10,7 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
+	"jayford.example/jayford/internal/policy/place"
 )
 
 var (
@@ -109,6 +110,8 @@
 	Load              grant.Load   `json:"load"`
 	Grants            []grant.View `json:"grants"`
 	Runs              int          `json:"runs"`
+	// Cache is what the agent knows of its engine's prefix cache.
+	Cache place.SummaryView `json:"cache"`
 }
 
 func (a *Agent) view() any {
@@ -117,5 +120,6 @@
 	return state{
 		Incarnation: a.incarnation, EngineIncarnation: a.engineIncarnation,
 		Load: a.core.Load(), Grants: a.core.Views(), Runs: len(a.runs),
+		Cache: a.cache.view(),
 	}
 }
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -46,7 +46,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pb.ReserveReply{Refusal: refusal(no), Incarnation: a.incarnation, Load: a.Load()}, nil
+	return &pb.ReserveReply{
+		Refusal: refusal(no), Incarnation: a.incarnation, Load: a.Load(),
+		Cache: a.cache.news(q.GetAttempt().GetEntry(), q.GetCacheEpoch(), q.GetCacheAfter(), a.now()),
+	}, nil
 }
 
 func (a *Agent) reserve(ctx context.Context, q grant.Request) (*grant.Refusal, error) {
@@ -110,6 +113,7 @@
 		reply.Convicted = c.Convicted(toldConvicted)
 	})
 	reply.Load = a.Load()
+	reply.Cache = a.cache.news(q.GetEntry(), q.GetCacheEpoch(), q.GetCacheAfter(), a.now())
 	return reply, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,6 +108,7 @@
 	o.Board.Part("queues", e.queuesView)
 	o.Board.Part("members", e.members.view)
 	e.agents.Beat = e.beat
+	e.agents.Caches = caches{e}
 	return e
 }
 
