Take the news of caches back out

Change: a plain revert. TestGapLowersTrustUntilRebuilt and the index's own code for events and gaps are as they were; what the try tested is gone with it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,7 +76,6 @@
 	pacer       *pacer
 	timing      timing
 	probe       chan struct{}
-	cache       *cacheNews
 	// life ends all work at the backend server. It outlives each RPC.
 	life context.Context
 	end  context.CancelFunc
@@ -111,7 +110,6 @@
 		begin:       time.Now(),
 		pacer:       newPacer(o.Settings.LinkBytesPerSecond),
 		probe:       make(chan struct{}, 1),
-		cache:       newCacheNews(o.Incarnation),
 		waiters:     make(map[grant.Key]chan *grant.Refusal),
 		runs:        make(map[grant.Key]*run),
 		orphans:     make(map[engine.Attempt]time.Time),
@@ -163,7 +161,6 @@
 	})
 	group.Go(func() error { a.tick(); return nil })
 	group.Go(func() error { a.watchServer(); return nil })
-	group.Go(func() error { a.watchCache(); return nil })
 	group.Go(func() error {
 		select {
 		case <-groupCtx.Done():
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -10,7 +10,6 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
-	"jayford.example/jayford/internal/policy/place"
 )
 
 var (
@@ -110,8 +109,6 @@
 	Load              grant.Load   `json:"load"`
 	Grants            []grant.View `json:"grants"`
 	Runs              int          `json:"runs"`
-	// Cache is what the agent knows of its engine's prefix cache.
-	Cache place.SummaryView `json:"cache"`
 }
 
 func (a *Agent) view() any {
@@ -120,6 +117,5 @@
 	return state{
 		Incarnation: a.incarnation, EngineIncarnation: a.engineIncarnation,
 		Load: a.core.Load(), Grants: a.core.Views(), Runs: len(a.runs),
-		Cache: a.cache.view(),
 	}
 }
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -46,10 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pb.ReserveReply{
-		Refusal: refusal(no), Incarnation: a.incarnation, Load: a.Load(),
-		Cache: a.cache.news(q.GetAttempt().GetEntry(), q.GetCacheEpoch(), q.GetCacheAfter(), a.now()),
-	}, nil
+	return &pb.ReserveReply{Refusal: refusal(no), Incarnation: a.incarnation, Load: a.Load()}, nil
 }
 
 func (a *Agent) reserve(ctx context.Context, q grant.Request) (*grant.Refusal, error) {
@@ -113,7 +110,6 @@
 		reply.Convicted = c.Convicted(toldConvicted)
 	})
 	reply.Load = a.Load()
-	reply.Cache = a.cache.news(q.GetEntry(), q.GetCacheEpoch(), q.GetCacheAfter(), a.now())
 	return reply, nil
 }
 
--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -131,20 +131,6 @@
 	c.hint.PendingTokens = 0
 }
 
-// cursor returns how far the news of the engine's cache were taken.
-func (c *Conn) cursor() (epoch, after uint32) {
-	if c.pool.Caches == nil {
-		return 0, 0
-	}
-	return c.pool.Caches.Cursor(c.id)
-}
-
-func (c *Conn) told(n *pb.CacheNews) {
-	if n != nil && c.pool.Caches != nil {
-		c.pool.Caches.Told(c.id, n)
-	}
-}
-
 func (c *Conn) wantsRenewal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -175,7 +161,6 @@
 	}
 	used := line{c.api, c.cc}
 	c.mu.Unlock()
-	req.CacheEpoch, req.CacheAfter = c.cursor()
 
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
@@ -188,7 +173,6 @@
 		c.failures = 0
 		c.mu.Unlock()
 		c.Heard(reply.Load, reply.Incarnation)
-		c.told(reply.Cache)
 		return nil
 	}
 	c.failures++
@@ -235,12 +219,10 @@
 // deadline is replaced.
 func (c *Conn) Reserve(ctx context.Context, r *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	used := c.line()
-	r.CacheEpoch, r.CacheAfter = c.cursor()
 	reply, err := used.api.Reserve(ctx, r)
 	switch {
 	case err == nil:
 		c.Heard(reply.Load, reply.Incarnation)
-		c.told(reply.Cache)
 	case status.Code(err) == codes.DeadlineExceeded:
 		c.replace(used.cc)
 	}
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -50,13 +50,6 @@
 	PendingTokens int64
 }
 
-// CacheIndex takes agents' news of their engines' prefix caches.
-type CacheIndex interface {
-	// Cursor returns how far the news of the agent with instance id were taken.
-	Cursor(id string) (epoch, after uint32)
-	Told(id string, n *pb.CacheNews)
-}
-
 // Pool holds one Conn for each agent in use.
 type Pool struct {
 	// Entry is the entry's instance id with its incarnation, "id#incarnation".
@@ -65,10 +58,7 @@
 	// Beat is told of each renewal's end, with the agent's instance id; nil for
 	// none. Set it before Run.
 	Beat func(id string, err error)
-	// Caches takes the agents' news of their engines' prefix caches; nil for
-	// none. Set it before Run.
-	Caches CacheIndex
-	log    *logrus.Entry
+	log  *logrus.Entry
 
 	mu sync.Mutex
 	// conns by instance id, guarded by mu.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,7 +108,6 @@
 	o.Board.Part("queues", e.queuesView)
 	o.Board.Part("members", e.members.view)
 	e.agents.Beat = e.beat
-	e.agents.Caches = caches{e}
 	return e
 }
 
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/settings"
 )
 
@@ -131,6 +132,24 @@
 	assert.Equal(t, len(Subset("e1", ids[:3], 16)), 3)
 }
 
+// Callers wait for prefills that were thought to be cached. A cache event for
+// the removal of a block is lost, then later events arrive. The gap shows in
+// the sequence, and the index counts half until it is rebuilt from the log.
+func TestGapLowersTrustUntilRebuilt(t *testing.T) {
+	p := NewPrefixes(8)
+	add := func(seq, h uint64) engine.CacheEvent { return engine.CacheEvent{Sequence: seq, Prefix: h} }
+	assert.Assert(t, p.Apply("s", engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{add(1, 10), add(2, 11)}}))
+	assert.Assert(t, p.Apply("s", engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{add(1, 10)}}), "a repeat is no gap")
+	assert.Equal(t, p.Cached("s", []uint64{10, 11, 12}), 512)
+	assert.Assert(t, !p.Apply("s", engine.CacheEvents{Incarnation: 1, Events: []engine.CacheEvent{add(2, 11), add(4, 20)}}))
+	assert.Equal(t, p.Cached("s", []uint64{10, 11}), 256)
+	log := []engine.CacheEvent{add(1, 10), add(2, 11), {Sequence: 3, Prefix: 11, Removed: true}, add(4, 20)}
+	assert.Assert(t, p.Rebuild("s", engine.CacheEvents{Incarnation: 1, Events: log}))
+	assert.Equal(t, p.Cached("s", []uint64{10, 11}), 256)
+	assert.Assert(t, p.Apply("s", engine.CacheEvents{Incarnation: 2}))
+	assert.Equal(t, p.Cached("s", []uint64{10}), 0)
+}
+
 func TestPrefixesAreBoundedAndCorrected(t *testing.T) {
 	p := NewPrefixes(4)
 	p.Placed("s", []uint64{1, 2, 3, 4, 5, 6})
--- a/internal/policy/place/prefixes.go
+++ b/internal/policy/place/prefixes.go
@@ -13,11 +13,10 @@
 )
 
 // Prefixes guesses which prompt prefixes each server has cached. Prompts are
-// given by their hashes, engine.PrefixHashes at each engine.CacheBlock tokens.
-// It is fed by the news of the servers' caches, which are late, partial and may
-// have a gap, by own placements and by the cached tokens that answers report.
-// Each server's index is bounded; the blocks longest unused go first. It isn't
-// safe for concurrent use.
+// given by their hashes, engine.PrefixHashes at each engine.CacheBlock tokens. It is fed by
+// the servers' cache events, which come late and with gaps, by own placements
+// and by the cached tokens that answers report. Each server's index is bounded;
+// the blocks longest unused go first. It isn't safe for concurrent use.
 type Prefixes struct {
 	perServer int
 	reuse     float64
@@ -26,62 +25,61 @@
 
 // prefixIndex is the index of one server.
 type prefixIndex struct {
-	// epoch and told are the cursor in the server's news.
-	epoch, told uint32
+	incarnation uint64
+	sequence    uint64
 	// gap: events were lost since the last rebuild. A block listed may have
 	// left the cache, and a prefill sent after it would be paid in full.
 	gap bool
 	// missed: the last answer that could tell found less cached than claimed.
 	missed bool
-	// blocks by the short hash of their prefix.
-	blocks map[uint32]*list.Element
+	blocks map[uint64]*list.Element
 	recent *list.List
 }
 
-// indexed is a block of the index. One that is gone stays listed, since not each
-// removal is told: without it the blocks behind one that is known to be gone
-// would still pass for cached.
-type indexed struct {
-	prefix uint32
-	gone   bool
-}
-
 // NewPrefixes returns an empty index of up to perServer blocks a server.
 func NewPrefixes(perServer int) *Prefixes {
 	return &Prefixes{perServer: perServer, reuse: initialReuse, servers: map[string]*prefixIndex{}}
 }
 
-// Told takes news of a server's cache. News from before the last one are passed
-// over. Another epoch empties the index, as the engine's cache is empty or what
-// was told of it can't be followed; a gap halves what Cached reports until news
-// say that it was closed.
-func (p *Prefixes) Told(server string, n News) {
+// Apply takes events of a server. Events seen before are passed over; a gap in
+// the sequences halves what Cached reports until Rebuild. Another incarnation
+// empties the index. It returns false while a rebuild is wanted.
+func (p *Prefixes) Apply(server string, ev engine.CacheEvents) bool {
 	x := p.index(server)
-	if x.epoch != n.Epoch {
-		if x.epoch != 0 {
+	if x.incarnation != ev.Incarnation {
+		fresh := x.incarnation == 0
+		if !fresh {
 			x.clear()
 		}
-		x.epoch, x.told = n.Epoch, 0
-	}
-	if n.Sequence < x.told {
-		return
-	}
-	x.told, x.gap = n.Sequence, n.Gap
-	for _, h := range n.Added {
-		x.add(h, false, p.perServer)
+		x.incarnation, x.sequence, x.gap = ev.Incarnation, 0, false
 	}
-	for _, h := range n.Removed {
-		x.add(h, true, p.perServer)
+	for _, e := range ev.Events {
+		if e.Sequence <= x.sequence {
+			continue
+		}
+		if e.Sequence != x.sequence+1 {
+			x.gap = true
+		}
+		x.sequence = e.Sequence
+		x.apply(e, p.perServer)
 	}
+	return !x.gap
 }
 
-// Cursor returns how far the news of a server were taken; zeros before any.
-func (p *Prefixes) Cursor(server string) (epoch, after uint32) {
+// Rebuild replaces a server's index by the whole event log and restores trust
+// in it, if the log itself has no gap.
+func (p *Prefixes) Rebuild(server string, ev engine.CacheEvents) bool {
+	p.Forget(server)
+	return p.Apply(server, ev)
+}
+
+// Sequence returns the last event taken from a server's incarnation.
+func (p *Prefixes) Sequence(server string) (incarnation, sequence uint64) {
 	x, ok := p.servers[server]
 	if !ok {
 		return 0, 0
 	}
-	return x.epoch, x.told
+	return x.incarnation, x.sequence
 }
 
 // Placed notes that a prompt with these hashes was sent to server, which will
@@ -89,7 +87,7 @@
 func (p *Prefixes) Placed(server string, hashes []uint64) {
 	x := p.index(server)
 	for _, h := range hashes {
-		x.add(Short(h), false, p.perServer)
+		x.add(h, p.perServer)
 	}
 }
 
@@ -111,7 +109,7 @@
 }
 
 // Cached returns how many tokens of the prompt with these hashes the server is
-// thought to have cached; half of it while the news have a gap or its last
+// thought to have cached; half of it while its events have a gap or its last
 // answer found less than claimed.
 func (p *Prefixes) Cached(server string, hashes []uint64) int {
 	x, ok := p.servers[server]
@@ -152,37 +150,46 @@
 }
 
 func (x *prefixIndex) clear() {
-	x.blocks = map[uint32]*list.Element{}
+	x.blocks = map[uint64]*list.Element{}
 	x.recent = list.New()
 }
 
-func (x *prefixIndex) add(h uint32, gone bool, limit int) {
+func (x *prefixIndex) apply(e engine.CacheEvent, limit int) {
+	if e.Removed {
+		x.remove(e.Prefix)
+		return
+	}
+	x.add(e.Prefix, limit)
+}
+
+func (x *prefixIndex) add(h uint64, limit int) {
 	if el, ok := x.blocks[h]; ok {
-		el.Value = indexed{h, gone}
 		x.recent.MoveToFront(el)
 		return
 	}
-	x.blocks[h] = x.recent.PushFront(indexed{h, gone})
+	x.blocks[h] = x.recent.PushFront(h)
 	for len(x.blocks) > limit {
-		oldest, _ := x.recent.Remove(x.recent.Back()).(indexed)
-		delete(x.blocks, oldest.prefix)
+		oldest, _ := x.recent.Back().Value.(uint64)
+		x.remove(oldest)
 	}
 }
 
-// cached returns the tokens of the longest prefix in the index, up to the first
-// block that is gone. An engine that holds a block holds those before it, also
-// where nothing was told of them.
+func (x *prefixIndex) remove(h uint64) {
+	el, ok := x.blocks[h]
+	if !ok {
+		return
+	}
+	x.recent.Remove(el)
+	delete(x.blocks, h)
+}
+
+// cached returns the tokens of the longest prefix in the index. An engine that
+// holds a block holds those before it, also where their events were lost.
 func (x *prefixIndex) cached(hashes []uint64) int {
-	n := 0
-	for i, h := range hashes {
-		el, ok := x.blocks[Short(h)]
-		if !ok {
-			continue
-		}
-		if b, _ := el.Value.(indexed); b.gone {
-			break
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if _, ok := x.blocks[hashes[i]]; ok {
+			return (i + 1) * engine.CacheBlock
 		}
-		n = i + 1
 	}
-	return n * engine.CacheBlock
+	return 0
 }
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -76,12 +76,8 @@
 	assert.NilError(t, err)
 	events, err := b.CacheEvents(t.Context(), 0)
 	assert.NilError(t, err)
-	summary, index := place.NewSummary(64, 1), place.NewPrefixes(64)
-	summary.Apply(events)
-	summary.Apply(events)
-	news, ok := summary.Since(0, 0, 64)
-	assert.Assert(t, ok)
-	index.Told("s", news)
+	index := place.NewPrefixes(64)
+	index.Apply("s", events)
 	assert.Equal(t, index.Cached("s", engine.PrefixHashes(prompt+" and a tail", engine.CacheBlock)), 512)
 }
 
