Record what cache events gave, and why they stay out

The index's comment said that it is fed by cache events, which is not so.

Ruled out: a page on what might be.

No code changes.

--- a/internal/policy/place/prefixes.go
+++ b/internal/policy/place/prefixes.go
@@ -13,10 +13,11 @@
 )
 
 // Prefixes guesses which prompt prefixes each server has cached. Prompts are
-// given by their hashes, engine.PrefixHashes at each engine.CacheBlock tokens. It is fed by
-// the servers' cache events, which come late and with gaps, by own placements
-// and by the cached tokens that answers report. Each server's index is bounded;
-// the blocks longest unused go first. It isn't safe for concurrent use.
+// given by their hashes, engine.PrefixHashes at each engine.CacheBlock tokens.
+// It is fed by own placements and by the cached tokens that answers report. It
+// can take the servers' cache events, which come late and with gaps, but no
+// entry gets them (docs/decisions/0009-cache-events.md). Each server's index is
+// bounded; the blocks longest unused go first. It isn't safe for concurrent use.
 type Prefixes struct {
 	perServer int
 	reuse     float64
