--- a/internal/slopes/entry.go
+++ b/internal/slopes/entry.go
@@ -178,10 +178,11 @@
 
 // An entry that has run for a while has a connection to each agent that it looks
 // at, 32 for each model. One that has just started opens some at each request,
-// and its first seconds say little of its days.
+// and its first seconds say little of its days. A higher rate takes longer: the
+// hints are fresher then, and the same agents are chosen again.
 const (
-	warmUpTime = 15 * time.Second
-	warmUpRate = 60
+	warmUpTime = 30 * time.Second
+	warmUpRate = 15
 )
 
 // warmUp sends requests until all connections are likely to be open, and returns
