--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -240,11 +240,7 @@
 
 // attemptEarly reserves the decode slot before the prefill is paid for.
 func (g *generation) attemptEarly(ctx context.Context, it admit.Item) (string, *verdict.Error) {
-	list := g.e.choose(pb.Phase_PHASE_DECODE, g, "")
-	if g.mayPrefillBeside(list) {
-		return g.attemptBeside(ctx, it, list)
-	}
-	decode, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_DECODE, list)
+	decode, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_DECODE, "")
 	if err != nil {
 		return "", err
 	}
@@ -309,11 +305,10 @@
 	return by
 }
 
-// reserveTurn reserves among list, and goes back to the queue while all servers
-// are full.
-func (g *generation) reserveTurn(ctx context.Context, it admit.Item, phase pb.Phase, list []target) (*grant, *verdict.Error) {
+// reserveTurn reserves, going back to the queue while all servers are full.
+func (g *generation) reserveTurn(ctx context.Context, it admit.Item, phase pb.Phase, zone string) (*grant, *verdict.Error) {
 	for {
-		gr, err := g.reserveAmong(ctx, list, phase, reserveWait)
+		gr, err := g.reserve(ctx, phase, zone, reserveWait)
 		if err == nil {
 			return gr, nil
 		}
@@ -324,12 +319,13 @@
 		if g.suspect {
 			// An agent answers at once while its server is kept open for others.
 			sleep(ctx, suspectPause)
-		} else if err := g.gate.again(ctx, it); err != nil {
+			continue
+		}
+		if err := g.gate.again(ctx, it); err != nil {
 			g.inGate = false
 			g.queued = true
 			return nil, err
 		}
-		list = g.e.choose(phase, g, "")
 	}
 }
 
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -14,7 +14,7 @@
 // attemptLate reserves the decode slot when the prefill has ended, or with
 // ReservePredicted shortly before its predicted end.
 func (g *generation) attemptLate(ctx context.Context, it admit.Item) (string, *verdict.Error) {
-	prefill, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_PREFILL, g.e.choose(pb.Phase_PHASE_PREFILL, g, ""))
+	prefill, err := g.reserveTurn(ctx, it, pb.Phase_PHASE_PREFILL, "")
 	if err != nil {
 		return "", err
 	}
@@ -66,16 +66,11 @@
 	}
 }
 
-func (g *generation) newPending(cancel context.CancelFunc) *pending {
-	p := &pending{ready: make(chan struct{}), done: make(chan struct{}), cancel: cancel, by: *g}
-	p.by.exclude = maps.Clone(g.exclude)
-	return p
-}
-
 // reserveAt asks for the decode slot when the prefill is about to end.
 func (g *generation) reserveAt(ctx context.Context, prefill *grant) *pending {
 	ctx, cancel := context.WithCancel(ctx)
-	p := g.newPending(cancel)
+	p := &pending{ready: make(chan struct{}), done: make(chan struct{}), cancel: cancel, by: *g}
+	p.by.exclude = maps.Clone(g.exclude)
 	delay := g.e.predictPrefill(prefill.target, g.r) - reserveWait
 	go func() {
 		defer close(p.done)
