--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -152,6 +152,7 @@
 // on one that ignores them. The old leader thaws and still believes it leads;
 // an order of its arrives late. Only the agent can refuse it for both engines.
 func TestFrozenLeaderIsRefused(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, leaderShape())
 	old, _ := c.leader(nil)
 	c.relabel(c.decode[0], object.RolePrefill)
@@ -180,6 +181,7 @@
 // of the former leader reaches it first. It must ask the platform before it
 // obeys anyone, and still obey the present leader.
 func TestRestartedAgentRefusesFormerLeader(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, leaderShape())
 	old, before := c.leader(nil)
 	assert.Assert(t, old.terminate(20*time.Second))
@@ -201,6 +203,7 @@
 // unclear. Then an engine restarts in its old role, which calls for an order.
 // None may come until the platform answers again and a lease is held.
 func TestNoOrderFromUnclearLease(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, leaderShape())
 	c.leader(nil)
 	n := c.decode[1]
@@ -252,6 +255,7 @@
 // without going back and forth, and not below the declared minimum. While they
 // follow, what finds no capacity is refused as not run.
 func TestRolesFollowDemand(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{
 		entries: 2, prefill: 3, decode: 3, entry: quick,
 		engine: enginestandin.Options{DecodeSlots: 4, PrefillPerThousand: 100 * time.Millisecond, OmitTokens: true},
