Word the budget's condition as the linter wants it

Ruled out: an exception, since the positive form reads better. Change: the condition is turned round; behaviour is the same.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -203,11 +203,10 @@
 	}
 	pool := c.to.choice.Pool
 	stranded := c.e.members.unproven(c.open[0].server)
-	if !c.e.mayHedge(pool) && !(stranded && c.e.mayRetry(c.r.organisation, pool)) {
-		return
+	if c.e.mayHedge(pool) || stranded && c.e.mayRetry(c.r.organisation, pool) {
+		hedgesTotal.Inc()
+		_ = c.start(ctx)
 	}
-	hedgesTotal.Inc()
-	_ = c.start(ctx)
 }
 
 // start begins a try at the best server that has not been tried.
