Test through processes that status shows what is in force where

Ruled out: the digests of the feed's own tests, which a fault between report, status object and client would pass. Change: TestStatusShowsWhatIsInForceWhere, by status objects, by the processes themselves, and with one of these gone.

--- a/test/observe_test.go
+++ b/test/observe_test.go
@@ -60,6 +60,55 @@
 	assert.Equal(t, len(c.services[0].calls()), 4, "the service gets what isn't the entry's own")
 }
 
+// statusBound is how soon status shows a version in force: processes report each
+// 5 s, and their availability zone's writer looks each 5 s.
+const statusBound = 13 * time.Second
+
+// An operator changes a label and asks who has it in force. The platform's status
+// objects show each process with the change within the bound, and so does each
+// process that is asked itself; one that is gone is told as unreachable, and hides
+// none of the others.
+func TestStatusShowsWhatIsInForceWhere(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, prefill: 1, decode: 1, services: 1})
+	_, code := c.jayfordctl("label", c.services[0].id, "colour=red")
+	assert.Equal(t, code, ctl.ExitOK)
+	begin := time.Now()
+	eventually(t, statusBound, "status objects", func() error { return c.allCurrent() })
+	report(t, "all processes shown with the change after %s", time.Since(begin).Round(100*time.Millisecond))
+	var asked []string
+	for _, n := range c.nodes() {
+		asked = append(asked, "--operator", n.operator)
+	}
+	assert.NilError(t, c.allCurrent(asked...))
+	c.services[0].kill()
+	out, code := c.client(append([]string{"--output", "json", "status"}, asked...)...)
+	assert.Equal(t, code, ctl.ExitUnreachable, out)
+	for _, n := range c.nodes() {
+		assert.Assert(t, strings.Contains(out, n.id), "%s isn't in %s", n.id, out)
+	}
+}
+
+// allCurrent returns an error unless status shows every process with the stored
+// configuration in force.
+func (c *cluster) allCurrent(args ...string) error {
+	out, code := c.client(append([]string{"--output", "json", "status"}, args...)...)
+	var status ctl.Status
+	if code != ctl.ExitOK || json.Unmarshal([]byte(out), &status) != nil {
+		return errorf("exit code %d: %s", code, out)
+	}
+	current := make(map[string]bool)
+	for _, p := range status.Processes {
+		current[p.ID] = p.Current
+	}
+	for _, n := range c.nodes() {
+		if !current[n.id] {
+			return errorf("%s isn't current: %s", n.id, out)
+		}
+	}
+	return nil
+}
+
 // client runs the operators' client and returns what it printed.
 func (c *cluster) client(args ...string) (string, int) {
 	cmd := exec.Command(filepath.Join(binaries, "jayfordctl"), append([]string{"--platform", c.platformAddress}, args...)...)
