Let explain say which servers aren't used, and why

Cause: explain named each server whose labels match as selected, also one that an operator drains, that the platform's list lacks, or that the entry has found lost: the question "why does nothing land there" had no answer. Change: Explanation.Without puts drained, unlisted or doubted in place of selected, by the routing table and the members of the entry that is asked.

--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -28,5 +28,27 @@
 		r.AvailabilityZone = e.settings.AvailabilityZone
 	}
 	t := e.routing.current()
-	return route.Explain(t.selectors, t.snapshot.Pools, t.snapshot.Servers, r, 0), nil
+	out := route.Explain(t.selectors, t.snapshot.Pools, t.snapshot.Servers, r, 0)
+	out.Without(e.unused(t))
+	return out, nil
+}
+
+// unused says why each server that labels could select isn't used now.
+func (e *Entry) unused(t *table) map[string]route.Reason {
+	listed := e.members.instances()
+	live := withoutDrained(t.snapshot, listed)
+	out := make(map[string]route.Reason)
+	for id := range t.snapshot.Servers {
+		_, isListed := listed[id]
+		_, isLive := live[id]
+		switch {
+		case !isListed:
+			out[id] = route.Unlisted
+		case !isLive:
+			out[id] = route.Drained
+		case e.members.away(id):
+			out[id] = route.Doubted
+		}
+	}
+	return out
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -118,6 +118,14 @@
 	return ok && v.Unproven
 }
 
+// away reports whether the agent is doubted or leaving by this entry's own use.
+func (m *members) away(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.set.View(id, time.Now())
+	return ok && (v.State != doubt.Trusted || v.Leaving)
+}
+
 // probes returns the agents to be probed now.
 func (m *members) probes() []platform.Instance {
 	m.mu.Lock()
--- a/internal/policy/route/explain.go
+++ b/internal/policy/route/explain.go
@@ -20,8 +20,16 @@
 	Mismatch Reason = "mismatch"
 	// NoTarget: it decides, but none of its targets has a positive weight.
 	NoTarget Reason = "no-target"
-	// Selected: the server's labels match the pool's.
+	// Selected: the server's labels match the pool's, and the entry uses it.
 	Selected Reason = "selected"
+	// Drained: the labels match, but an operator's intent drains the server.
+	Drained Reason = "drained"
+	// Unlisted: the labels match, but the platform's list lacks the server's
+	// agent or names it as leaving.
+	Unlisted Reason = "unlisted"
+	// Doubted: the labels match, but by the entry's own use the server is lost
+	// or leaving. It is asked last.
+	Doubted Reason = "doubted"
 	// NoPool: the chosen pool isn't declared.
 	NoPool Reason = "no-pool"
 	// NoLabels: the pool names no labels for the role.
@@ -99,6 +107,23 @@
 	return e
 }
 
+// Without replaces Selected by the reason for which the entry doesn't use a server
+// at present.
+func (e *Explanation) Without(unused map[string]Reason) {
+	refine := func(servers []ServerReason) {
+		for i := range servers {
+			why, ok := unused[servers[i].Server]
+			if ok && servers[i].Reason == Selected {
+				servers[i].Reason = why
+			}
+		}
+	}
+	refine(e.Servers)
+	for _, t := range e.Targets {
+		refine(t.Servers)
+	}
+}
+
 func explainTargets(targets []object.Target, pools map[string]object.Pool, servers map[string]object.Server) []TargetReason {
 	total := 0
 	for _, t := range targets {
--- a/test/observe_test.go
+++ b/test/observe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +18,7 @@
 	"jayford.example/jayford/internal/cli"
 	"jayford.example/jayford/internal/ctl"
 	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/policy/route"
 )
 
 // page returns the body of a page, whatever its status.
@@ -207,3 +209,41 @@
 		assert.Check(t, strings.Contains(out, path+want), "%s\nin\n%s", want, out)
 	}
 }
+
+// One service is drained by an operator, another one's agent is killed, a third is
+// taken off the platform's list while it is doubted. Explain must not name any of
+// them as selected, though their labels match, and must say why of each.
+func TestExplainTellsWhoIsNotUsed(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, services: 10})
+	// Those of the entry's availability zone, which are used first.
+	drained, killed, unlisted, used := c.services[0], c.services[3], c.services[6], c.services[9]
+	c.gets("before", 40, 5*time.Millisecond)
+	_, code := c.jayfordctl("drain", drained.id)
+	assert.Equal(t, code, ctl.ExitOK)
+	killed.kill()
+	unlisted.kill()
+	c.gets("killed", 40, 5*time.Millisecond)
+	unlisted.unlisted = true
+	c.publishInstances()
+	want := map[string]route.Reason{
+		drained.id: route.Drained, killed.id: route.Doubted, unlisted.id: route.Unlisted, used.id: route.Selected,
+	}
+	eventually(t, inForceWithin, "explain", func() error {
+		out, _ := c.client("explain", "--operator", c.entries[0].operator, "--method", "GET", "--path", "/faces/1")
+		var e route.Explanation
+		if err := json.Unmarshal([]byte(out), &e); err != nil {
+			return err
+		}
+		got := make(map[string]route.Reason)
+		for _, s := range e.Servers {
+			if _, ok := want[s.Server]; ok {
+				got[s.Server] = s.Reason
+			}
+		}
+		if !maps.Equal(got, want) {
+			return errorf("%v", got)
+		}
+		return nil
+	})
+}
