Share the slopes' agent under measure, and look seldom at calls that last

The new part served starts an agent with its entry and waits for both word for word as the part agent does (duplicates: 15 lines). And a call that may be repeated is now looked at each hedge time until it ends, which for a call of half a minute beside ones of a millisecond is 200 times a second. Ruled out: an end to the looks once a second server was asked, since the budget may be spent until then and a hedge may fail. Change: Bench.measured serves both parts; the engine's prefill time is its argument. After eight looks the pause doubles, up to 64 times. Not measured: processor time.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -80,6 +80,7 @@
 	}
 	hedge := c.hedgeTimer()
 	defer hedge.Stop()
+	looks := 0
 	worst := verdict.NotRun
 	for {
 		select {
@@ -92,7 +93,8 @@
 			c.hedge(ctx)
 			// If the budget is spent, without another look a call on a frozen
 			// server would wait until its deadline.
-			hedge.Reset(c.e.latency.hedgeAfter())
+			hedge.Reset(c.e.latency.hedgeAfter() << slower(looks))
+			looks++
 		case res := <-c.results:
 			if res.err == nil {
 				c.overtaken(res.target.id)
@@ -108,6 +110,17 @@
 	}
 }
 
+const (
+	// quickLooks at an open call come one after the other in a slow answer's
+	// time; then the pause doubles, slowest times at most. A call that lasts for
+	// long by nature would otherwise wake its entry for all of it.
+	quickLooks = 8
+	slowest    = 6
+)
+
+// slower is how many times the pause after so many looks has doubled.
+func slower(looks int) int { return min(max(0, looks-quickLooks), slowest) }
+
 // failed decides after a failed try. It returns the final error, or nil while
 // another try is open or begun.
 func (c *serviceCall) failed(ctx context.Context, res callResult, worst verdict.Verdict) *verdict.Error {
--- a/internal/slopes/agent.go
+++ b/internal/slopes/agent.go
@@ -11,6 +11,7 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/renewal"
+	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
 	"jayford.example/jayford/internal/transport"
 )
@@ -22,12 +23,14 @@
 	grantIdle = 10 * time.Second
 	// simulatedSlots hold a grant for each of the full number of entries.
 	simulatedSlots = 512
+	// quickPrefill, of 1,000 tokens, keeps an engine's time out of what is measured.
+	quickPrefill = time.Millisecond
 )
 
-func newEngine(slots int) *enginestandin.Engine {
+func newEngine(slots int, prefillPerThousand time.Duration) *enginestandin.Engine {
 	return enginestandin.New(enginestandin.Options{
 		Model: modelName(0), DecodeSlots: slots, OmitTokens: true, KVTTL: time.Minute, KVBytesPerToken: 1,
-		TokenTimePerSlot: time.Nanosecond, PrefillPerThousand: time.Millisecond, PrefillQueue: slots,
+		TokenTimePerSlot: time.Nanosecond, PrefillPerThousand: prefillPerThousand, PrefillQueue: slots,
 	})
 }
 
@@ -109,30 +112,40 @@
 	}
 }
 
+// measured starts an agent beside an engine, with an entry that brings it the
+// configuration, and waits until both are at rest.
+func (b *Bench) measured(engine *enginestandin.Engine, slots int) (p *process, a settings.Agent, err error) {
+	_, e, err := b.entry("entry-0", benchZone)
+	if err != nil {
+		return nil, a, err
+	}
+	address, err := b.serve(engine, new(meter))
+	if err != nil {
+		return nil, a, err
+	}
+	p, a, err = b.agent("agent-0", benchZone, address, slots)
+	if err != nil {
+		return nil, a, err
+	}
+	b.publish()
+	for _, operator := range []string{e.Operator, a.Operator} {
+		if err := waitStatus(operator); err != nil {
+			return nil, a, err
+		}
+	}
+	time.Sleep(settleTime)
+	return p, a, nil
+}
+
 // held measures an agent under the renewals of entries with so many attempts
 // each.
 func (b *Bench) held(entries, attempts int) (spent, error) {
 	var out spent
 	err := b.scene(fullFleet(deadAddress), func() error {
-		_, e, err := b.entry("entry-0", benchZone)
-		if err != nil {
-			return err
-		}
-		engine, err := b.serve(newEngine(simulatedSlots), new(meter))
-		if err != nil {
-			return err
-		}
-		p, a, err := b.agent("agent-0", benchZone, engine, simulatedSlots)
+		p, a, err := b.measured(newEngine(simulatedSlots, quickPrefill), simulatedSlots)
 		if err != nil {
 			return err
 		}
-		b.publish()
-		for _, operator := range []string{e.Operator, a.Operator} {
-			if err := waitStatus(operator); err != nil {
-				return err
-			}
-		}
-		time.Sleep(settleTime)
 		var wire meter
 		var all []*simulated
 		for i := range entries {
@@ -218,7 +231,7 @@
 	}
 	var decode *process
 	for _, role := range []string{"prefill", "decode"} {
-		backend, err := b.serve(newEngine(simulatedSlots), new(meter))
+		backend, err := b.serve(newEngine(simulatedSlots, quickPrefill), new(meter))
 		if err != nil {
 			return agent, entry, err
 		}
--- a/internal/slopes/feed.go
+++ b/internal/slopes/feed.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return entry, agent, err
 	}
-	engine, err := b.serve(newEngine(settings.DefaultAgent().Slots), new(meter))
+	engine, err := b.serve(newEngine(settings.DefaultAgent().Slots, quickPrefill), new(meter))
 	if err != nil {
 		return entry, agent, err
 	}
--- a/internal/slopes/platform.go
+++ b/internal/slopes/platform.go
@@ -26,7 +26,7 @@
 // called counts the platform's calls a second of a system at rest.
 func (b *Bench) called(zones, entriesPerZone, agentsPerZone int) (read, write float64, err error) {
 	err = b.scene(fleet{servers: 50, organisations: 20, models: 2, address: deadAddress}, func() error {
-		engine, err := b.serve(newEngine(settings.DefaultAgent().Slots), new(meter))
+		engine, err := b.serve(newEngine(settings.DefaultAgent().Slots, quickPrefill), new(meter))
 		if err != nil {
 			return err
 		}
--- a/internal/slopes/served.go
+++ b/internal/slopes/served.go
@@ -17,7 +17,6 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agents"
 	"jayford.example/jayford/internal/settings"
-	enginestandin "jayford.example/jayford/internal/standin/engine"
 )
 
 // At full size a model has 28 prefill and 56 decode engines. Each entry looks at
@@ -129,28 +128,10 @@
 func (b *Bench) serves(phase pb.Phase, entries int, perSecond float64) (spent, error) {
 	var out spent
 	err := b.scene(fullFleet(deadAddress), func() error {
-		_, e, err := b.entry("entry-0", benchZone)
+		p, a, err := b.measured(newEngine(standInSlots, prefillTime), servedSlots)
 		if err != nil {
 			return err
 		}
-		engine, err := b.serve(enginestandin.New(enginestandin.Options{
-			Model: modelName(0), DecodeSlots: standInSlots, OmitTokens: true, KVTTL: time.Minute, KVBytesPerToken: 1,
-			TokenTimePerSlot: time.Nanosecond, PrefillPerThousand: prefillTime, PrefillQueue: standInSlots,
-		}), new(meter))
-		if err != nil {
-			return err
-		}
-		p, a, err := b.agent("agent-0", benchZone, engine, servedSlots)
-		if err != nil {
-			return err
-		}
-		b.publish()
-		for _, operator := range []string{e.Operator, a.Operator} {
-			if err := waitStatus(operator); err != nil {
-				return err
-			}
-		}
-		time.Sleep(settleTime)
 		var wire meter
 		s := b.newServed(phase, entries, a.Peer, &wire)
 		for _, pool := range s.pools {
