Divide engines between the stages by orders under a lease; count gateways

And a request that came 5 s after SIGTERM, when its zone had no other gateway, was cut.

Ruled out: a controller without a lease (engines check no fence); an own count of gateways by their calls (none is made between them).

Change: internal/policy/stage decides, gateway/stages.go orders under the lease, peers keeps membership in the store and with it the share of the repeat budget. Late generations are refused at once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,6 +10,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/gateway"
 	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/peers"
 	"jayford.example/jayford/internal/settings"
 )
 
@@ -44,9 +46,39 @@
 			Revision: g.ConfigVersion(), Ready: g.Ready(), UptimeSeconds: int64(time.Since(begun).Seconds()),
 		}
 	}, nil, log)
+	members := peers.New(out.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone}, log.WithField("part", "peers"))
+	orders := gateway.StageOptions{
+		Store: out.Sources.Store, Share: s.Stages.PrefillShare, Term: s.Stages.LeaseTerm.D(),
+		Self: fmt.Sprintf("%s#%d", s.ID, begun.UnixNano()), Instance: s.ID,
+		Peers: func() []string { return ids(members.List()) },
+	}
 	return run(
-		ctx, server.Run,
+		ctx, server.Run, members.Run,
+		func(ctx context.Context) error { return g.RunStages(ctx, orders) },
+		func(ctx context.Context) error { return countPeers(ctx, g, members) },
 		func(ctx context.Context) error { return g.Follow(ctx, out.Sources) },
 		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
 	)
 }
+
+func ids(list []peers.Peer) []string {
+	out := make([]string, len(list))
+	for i, p := range list {
+		out[i] = p.ID
+	}
+	return out
+}
+
+// countPeers tells the gateway how many share its budget.
+func countPeers(ctx context.Context, g *gateway.Gateway, m *peers.Members) error {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			g.SetPeers(len(m.List()))
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,17 @@
 	noServerRetryAfter = 2 * time.Second
 )
 
+const (
+	// lastGeneration is how long after the begin of a stop generations are
+	// taken: the balancer has had time to see it, and most of the stop's time
+	// is left for them.
+	lastGeneration = 2800 * time.Millisecond
+	// lastCall is how long before its end plain calls are taken.
+	lastCall = 1200 * time.Millisecond
+	// stoppingRetryAfter sends callers elsewhere at once.
+	stoppingRetryAfter = 100 * time.Millisecond
+)
+
 // Budget bounds the sendings beyond the first of each request, over all
 // gateways together.
 type Budget struct {
@@ -58,7 +69,9 @@
 	pace    *pace
 
 	stopping atomic.Bool
-	inFlight atomic.Int64
+	// stopAt and stopBy bound a graceful stop; they are set before stopping.
+	stopAt, stopBy time.Time
+	inFlight       atomic.Int64
 
 	budgetMu sync.Mutex
 	// budget is guarded by budgetMu.
@@ -117,8 +130,25 @@
 // Stopping reports whether the gateway finishes what it has.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
-// Stop makes the gateway unready. Requests are served as before.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes the gateway unready; it will end by then. Requests are served as
+// before while they can be done in time.
+func (g *Gateway) Stop(by time.Time) {
+	g.stopAt, g.stopBy = time.Now(), by
+	g.stopping.Store(true)
+}
+
+// tooLate reports whether a request can't be done before the gateway ends.
+// Callers still come when the balancer has no other gateway in their zone. What
+// came too late was cut in the middle; refused at once, it is served elsewhere.
+func (g *Gateway) tooLate(r *Request) bool {
+	if !g.stopping.Load() {
+		return false
+	}
+	if r.Generation != nil {
+		return time.Since(g.stopAt) > lastGeneration
+	}
+	return time.Until(g.stopBy) < lastCall
+}
 
 // InFlight returns the number of requests whose answers haven't ended.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -140,6 +170,9 @@
 // Serve answers one request. ctx ends when its caller leaves. The reply's body
 // must be closed.
 func (g *Gateway) Serve(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
+	if g.tooLate(r) {
+		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "This gateway is about to end.").After(stoppingRetryAfter)
+	}
 	c := g.view.config.Load()
 	if c == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.PlatformDown, "No configuration is known yet.").After(unreadyRetryAfter)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -34,8 +34,8 @@
 	cleanup      = time.Second
 )
 
-// place is a reservation at a decode server.
-type place struct {
+// reservation is a reservation at a decode server.
+type reservation struct {
 	server catalog.Server
 	hold   string
 	end    func()
@@ -82,11 +82,11 @@
 
 // reserve finds a decode server with room. It waits for one as long as the
 // objective can still be met.
-func (g *Gateway) reserve(ctx context.Context, j *job) (place, *verdict.Error) {
+func (g *Gateway) reserve(ctx context.Context, j *job) (reservation, *verdict.Error) {
 	return g.reserveFor(ctx, j, j.r.Arrived.Add(time.Duration(reserveWithin*float64(j.route.Objective))))
 }
 
-func (g *Gateway) reserveFor(ctx context.Context, j *job, giveUp time.Time) (place, *verdict.Error) {
+func (g *Gateway) reserveFor(ctx context.Context, j *job, giveUp time.Time) (reservation, *verdict.Error) {
 	tokens := need(j.r.Generation)
 	for {
 		p, ok := g.reserveOnce(ctx, j, tokens)
@@ -95,17 +95,17 @@
 		}
 		pause := time.Duration((0.5 + rand.Float64()) * float64(reservePause))
 		if time.Now().Add(pause).After(giveUp) {
-			return place{}, verdict.New(verdict.NotRun, verdict.Overloaded, "No engine has room.").After(roomRetryAfter)
+			return reservation{}, verdict.New(verdict.NotRun, verdict.Overloaded, "No engine has room.").After(roomRetryAfter)
 		}
 		select {
 		case <-ctx.Done():
-			return place{}, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.Cancelled, "The caller left.")
+			return reservation{}, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.Cancelled, "The caller left.")
 		case <-time.After(pause):
 		}
 	}
 }
 
-func (g *Gateway) reserveOnce(ctx context.Context, j *job, tokens int) (place, bool) {
+func (g *Gateway) reserveOnce(ctx context.Context, j *job, tokens int) (reservation, bool) {
 	list := g.rank(g.view.usable(j.service.Name, catalog.Decode), func(x load) int { return x.Tokens })
 	tries := 0
 	for _, s := range list {
@@ -117,7 +117,7 @@
 		}
 		hold, err := g.backend.Reserve(ctx, s, tokens, j.service.Engine.HoldTTL)
 		if err == nil {
-			return place{server: s, hold: hold, end: g.loads.begin(s, tokens)}, true
+			return reservation{server: s, hold: hold, end: g.loads.begin(s, tokens)}, true
 		}
 		if err.Code == verdict.Overloaded {
 			g.loads.full(s, time.Now().Add(fullFor))
@@ -125,11 +125,11 @@
 		}
 		g.judge(ctx, s, err)
 	}
-	return place{}, false
+	return reservation{}, false
 }
 
 // decode runs the prefill and sends the request to its place.
-func (g *Gateway) decode(ctx context.Context, j *job, p place, after string) (*Answer, *verdict.Error) {
+func (g *Gateway) decode(ctx context.Context, j *job, p reservation, after string) (*Answer, *verdict.Error) {
 	c := Call{Request: j.r, Hold: p.hold, After: after}
 	from, result, ok := g.prefill(ctx, j)
 	if ok {
@@ -160,7 +160,7 @@
 
 // free gives back what a request that didn't run had taken. It goes on when
 // the caller has left.
-func (g *Gateway) free(p place, from catalog.Server, result string) {
+func (g *Gateway) free(p reservation, from catalog.Server, result string) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanup)
 		defer cancel()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -119,8 +119,8 @@
 // to the end: while the balancer still sends, a closed one would turn callers
 // away without an answer.
 func (s *Server) drain() {
-	s.g.Stop()
 	began := time.Now()
+	s.g.Stop(began.Add(s.opts.StopWithin))
 	quiet := began
 	for time.Since(began) < s.opts.StopWithin {
 		time.Sleep(stopTick)
--- /dev/null
+++ b/internal/gateway/stages.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/lease"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/place"
+	"jayford.example/jayford/internal/policy/stage"
+)
+
+const (
+	// stageScope names the lease under which engines get orders.
+	stageScope = "stages"
+	// stageTick is how often the division of engines is looked at.
+	stageTick = 500 * time.Millisecond
+	// stageSettle is how long the division must have been off before an order:
+	// a crashed engine is back within seconds, and a change takes as long.
+	stageSettle = 4 * time.Second
+	// stageCandidates is how many gateways ask for the lease; one stays when
+	// two are replaced at once.
+	stageCandidates = 3
+	orderTimeout    = time.Second
+)
+
+// StageOptions of a stage controller.
+type StageOptions struct {
+	Store platform.Store
+	// Share of a service's engines that prefill; 0 for no controller.
+	Share float64
+	// Term of the lease. It must not be shorter than the time within which two
+	// instances that order in turn count as two holders.
+	Term time.Duration
+	// Self names this start of the process, Instance the instance.
+	Self, Instance string
+	// Peers returns the ids of the gateways that live.
+	Peers func() []string
+}
+
+// stages keeps the engines divided between the stages. One gateway at a time
+// orders, by a lease; the others stand by. No call is made for it while the
+// division is as it should be.
+//
+// Engines that check no fencing number would take orders from two holders. So
+// a holder asks for its fence just before each order, and a successor waits for
+// a whole term after it took the lease: by then its predecessor, paused or cut
+// off, has seen its own time run out.
+type stages struct {
+	g      *Gateway
+	opts   StageOptions
+	lease  *lease.Runner
+	heldAt time.Time
+	offAt  time.Time
+	// ordered has the last order to each start of an engine.
+	ordered map[string]sentOrder
+}
+
+// sentOrder is an order that was sent. Until the engine can have carried it out
+// and told so, it counts as one of the stage that it was ordered to: without
+// that each look would order a further engine.
+type sentOrder struct {
+	to catalog.Stage
+	at time.Time
+}
+
+// RunStages keeps the division until ctx ends. It returns nil.
+func (g *Gateway) RunStages(ctx context.Context, o StageOptions) error {
+	if o.Share <= 0 {
+		<-ctx.Done()
+		return nil
+	}
+	s := &stages{g: g, opts: o, ordered: map[string]sentOrder{}}
+	s.lease = lease.NewRunner(lease.Options{
+		Store: o.Store, Scope: stageScope, Self: o.Self, Term: o.Term, Candidate: s.candidate, Keep: true,
+	})
+	done := make(chan error, 1)
+	go func() { done <- s.lease.Run(ctx) }()
+	t := time.NewTicker(stageTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return <-done
+		case <-t.C:
+			s.turn(ctx, time.Now())
+		}
+	}
+}
+
+// candidate says whether this gateway is to ask for the lease.
+func (s *stages) candidate() bool {
+	if !s.g.Ready() || len(s.wanted(1)) == 0 {
+		return false
+	}
+	ids := s.opts.Peers()
+	for _, id := range place.Subset(stageScope, ids, stageCandidates) {
+		if id == s.opts.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// change is an order that is due.
+type change struct {
+	server catalog.Server
+	to     catalog.Stage
+}
+
+// wanted returns at most limit changes a service.
+func (s *stages) wanted(limit int) []change {
+	c := s.g.Config()
+	if c == nil {
+		return nil
+	}
+	var out []change
+	for name, service := range c.Services {
+		if service.Engine == nil {
+			continue
+		}
+		byID := map[string]catalog.Server{}
+		var engines []stage.Engine
+		now := time.Now()
+		s.g.view.servers.Each(func(id string, x catalog.Server) bool {
+			if x.Service != name || x.Leaving {
+				return true
+			}
+			byID[id] = x
+			e := stage.Engine{ID: id, AvailabilityZone: x.AvailabilityZone, Stage: x.Stage, Away: s.g.view.doubted(x, now)}
+			if o, ok := s.ordered[start(x)]; ok && now.Sub(o.at) < service.Engine.SwitchTime+stageSettle {
+				e.Stage, e.Away = o.to, true
+			}
+			engines = append(engines, e)
+			return true
+		})
+		for _, d := range stage.Decide(engines, stage.Want(len(engines), s.opts.Share), limit) {
+			out = append(out, change{byID[d.ID], d.To})
+		}
+	}
+	return out
+}
+
+func (s *stages) turn(ctx context.Context, now time.Time) {
+	fence, held := s.lease.Fence()
+	if !held {
+		s.heldAt = time.Time{}
+		return
+	}
+	if s.heldAt.IsZero() {
+		s.heldAt = now
+	}
+	founding := s.lease.Founded()
+	if !founding && now.Sub(s.heldAt) < s.opts.Term {
+		return
+	}
+	limit := 1
+	if founding && len(s.ordered) == 0 {
+		// Nothing runs yet: all change at once.
+		limit = len(s.g.view.usableIDs())
+	}
+	due := s.wanted(limit)
+	if len(due) == 0 {
+		s.offAt = time.Time{}
+		return
+	}
+	if s.offAt.IsZero() {
+		s.offAt = now
+	}
+	if !founding && now.Sub(s.offAt) < stageSettle {
+		return
+	}
+	for _, c := range due {
+		s.order(ctx, c, fence)
+	}
+}
+
+// order sends one order, if the lease still holds when it leaves.
+func (s *stages) order(ctx context.Context, c change, fence uint64) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	log := s.g.log.WithFields(logrus.Fields{"server": c.server.ID, "stage": c.to.String(), "fence": fence})
+	report, err := s.g.backend.Report(ctx, c.server)
+	if err != nil || report.Busy || report.Stage == c.to {
+		log.WithError(err).WithField("busy", report.Busy).Debug("gateway: no order sent.")
+		return
+	}
+	fence, held := s.lease.Fence()
+	if !held {
+		return
+	}
+	s.ordered[start(c.server)] = sentOrder{c.to, time.Now()}
+	err = s.g.backend.Order(ctx, c.server, StageOrder{Stage: c.to, Holder: s.opts.Instance, Fence: fence, Orders: report.Orders})
+	if err != nil {
+		log.WithError(err).Warn("gateway: order failed or unclear.")
+		return
+	}
+	log.Info("gateway: stage ordered.")
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,7 +27,7 @@
 	ctx context.Context
 	j   *job
 
-	place  place
+	place  reservation
 	answer *Answer
 	events *events
 	// pending is the rest of the last event.
@@ -37,7 +37,7 @@
 	close   sync.Once
 }
 
-func (g *Gateway) streamed(ctx context.Context, j *job, p place, a *Answer) *Reply {
+func (g *Gateway) streamed(ctx context.Context, j *job, p reservation, a *Answer) *Reply {
 	s := &stream{g: g, ctx: ctx, j: j, place: p, answer: a, events: newEvents(a.Body), last: j.r.Generation.LastEvent}
 	return &Reply{Status: a.Status, Headers: a.Header, Length: -1, Body: s}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -141,3 +141,15 @@
 	now, ok := v.servers.Get(s.ID)
 	return ok && now.Same(s) && !now.Leaving
 }
+
+// usableIDs returns the ids of all servers that take new work.
+func (v *view) usableIDs() []string {
+	var out []string
+	v.servers.Each(func(id string, s catalog.Server) bool {
+		if !s.Leaving {
+			out = append(out, id)
+		}
+		return true
+	})
+	return out
+}
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -95,6 +95,11 @@
 	seen      Stored
 	seenSince time.Time
 	known     bool
+
+	// founded: this process's write made the object.
+	founded bool
+	// expected is the version that the write under way replaces.
+	expected uint64
 }
 
 // NewMachine returns a machine for the process self, "id#incarnation".
@@ -163,7 +168,7 @@
 // write counts the lease from before it asks.
 func (m *Machine) write(now time.Time, holder, operation string) Action {
 	m.busy = true
-	m.asked, m.operation = now, operation
+	m.asked, m.operation, m.expected = now, operation, m.seen.Version
 	m.next = now.Add(m.term / callsPerTerm)
 	return Action{Kind: ActionWrite, Version: m.seen.Version, Operation: operation, Lease: object.Lease{
 		Format: object.Format, Holder: holder, Term: m.term, Renewals: m.seen.Lease.Renewals + 1,
@@ -212,6 +217,7 @@
 	switch o {
 	case Written:
 		m.seen, m.seenSince = Stored{version, m.operation, l}, now
+		m.founded = m.founded || m.expected == 0
 		if l.Holder == m.self {
 			m.fence, m.until = version, m.asked.Add(m.counted())
 		}
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -53,6 +53,9 @@
 	Term time.Duration
 	// Candidate says whether the process is to ask for the lease.
 	Candidate func() bool
+	// Keep: the lease is left to lapse at the end instead of being given up, so
+	// that no successor acts within a term of this process's last act.
+	Keep bool
 }
 
 // Runner keeps a lease for its process. Its methods are safe for concurrent use.
@@ -77,6 +80,14 @@
 	return r.machine.Fence(time.Now())
 }
 
+// Founded reports whether this process made the lease: nobody can have held it
+// before.
+func (r *Runner) Founded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.founded
+}
+
 // View is the lease's part of the state dump.
 type View struct {
 	Scope  string `json:"scope"`
@@ -102,7 +113,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			r.release()
+			if !r.opts.Keep {
+				r.release()
+			}
 			return nil
 		case <-t.C:
 		}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,202 @@
+// Package peers is the membership of gateways, kept in the platform's object
+// API: each gateway has one object, which it renews while it lives.
+//
+// A gateway whose object stood still for Expiry by the observer's own clock is
+// taken for gone, so no two clocks are compared. The count may be wrong by the
+// gateways that came or went within Every or Expiry.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/platform"
+)
+
+// Kind of the objects.
+const Kind = "gateways"
+
+const (
+	// Every is how often a gateway renews its object and reads the others'.
+	// Two calls in ten seconds a gateway are far below the platform's rates,
+	// even with hundreds of them.
+	Every = 10 * time.Second
+	// Expiry lets a gateway miss two renewals.
+	Expiry = 35 * time.Second
+	// soon is the pause after a failed call, and after the first one, when the
+	// others have only just written.
+	soon        = time.Second
+	callTimeout = time.Second
+)
+
+// Peer is what a gateway says of itself.
+type Peer struct {
+	ID string `json:"id"`
+	// Address is "ip:port" of its listener for other gateways.
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availabilityZone"`
+	// Renewals rises, so that each write changes the object.
+	Renewals uint64 `json:"renewals"`
+}
+
+type sighting struct {
+	peer    Peer
+	version uint64
+	since   time.Time
+}
+
+// Members keeps this gateway's object and its view of the others.
+type Members struct {
+	store platform.Store
+	log   *logrus.Entry
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	self    Peer
+	version uint64
+	seen    map[string]sighting
+	known   bool
+}
+
+// New returns the membership of self; Run keeps it.
+func New(store platform.Store, self Peer, log *logrus.Entry) *Members {
+	return &Members{store: store, self: self, log: log, seen: map[string]sighting{}}
+}
+
+// Run renews and reads until ctx ends, then takes the object away. It returns
+// nil.
+func (m *Members) Run(ctx context.Context) error {
+	pause := time.Duration(0)
+	for first := true; ; first = false {
+		select {
+		case <-ctx.Done():
+			m.leave()
+			return nil
+		case <-time.After(pause):
+		}
+		pause = time.Duration((0.8 + 0.4*rand.Float64()) * float64(Every))
+		if err := m.turn(ctx); err != nil || first {
+			pause = soon
+			if err != nil {
+				m.log.WithError(err).Debug("peers: not renewed.")
+			}
+		}
+	}
+}
+
+func (m *Members) turn(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := m.renew(ctx); err != nil {
+		return err
+	}
+	l, err := m.store.List(ctx, Kind)
+	if err != nil {
+		return err
+	}
+	m.take(l.Objects, time.Now())
+	return nil
+}
+
+func (m *Members) renew(ctx context.Context) error {
+	m.mu.Lock()
+	m.self.Renewals++
+	self, version := m.self, m.version
+	m.mu.Unlock()
+	spec, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	v, err := m.store.Put(ctx, platform.Object{
+		Kind: Kind, Name: self.ID, Version: version, Operation: platform.NewOperation(), Spec: spec,
+	})
+	if err != nil {
+		// An earlier process of the instance, or a write whose answer was
+		// lost, left another version: it is read and then replaced.
+		o, getErr := m.store.Get(ctx, Kind, self.ID)
+		if getErr != nil && !errors.Is(getErr, platform.ErrNotFound) {
+			return errors.Join(err, getErr)
+		}
+		m.setVersion(o.Version)
+		return err
+	}
+	m.setVersion(v)
+	return nil
+}
+
+func (m *Members) setVersion(v uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version = v
+}
+
+// take reads the objects of all gateways as seen at now.
+func (m *Members) take(objects []platform.Object, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known = true
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		var p Peer
+		if err := json.Unmarshal(o.Spec, &p); err != nil || p.ID != o.Name {
+			m.log.WithError(err).WithField("object", o.Name).Warn("peers: an object can't be read.")
+			continue
+		}
+		listed[p.ID] = true
+		s, ok := m.seen[p.ID]
+		if !ok || s.version != o.Version {
+			m.seen[p.ID] = sighting{peer: p, version: o.Version, since: now}
+		}
+	}
+	for id := range m.seen {
+		if !listed[id] {
+			delete(m.seen, id)
+		}
+	}
+}
+
+// List returns the gateways that live, this one among them, sorted by id; nil
+// before the first reading.
+func (m *Members) List() []Peer { return m.list(time.Now()) }
+
+func (m *Members) list(now time.Time) []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.known {
+		return nil
+	}
+	out := []Peer{m.self}
+	for id, s := range m.seen {
+		if id != m.self.ID && now.Sub(s.since) < Expiry {
+			out = append(out, s.peer)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (m *Members) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	m.mu.Lock()
+	id, version := m.self.ID, m.version
+	m.mu.Unlock()
+	if version == 0 {
+		return
+	}
+	if err := m.store.Delete(ctx, Kind, id, version); err != nil {
+		m.log.WithError(err).Debug("peers: object not taken away, it expires.")
+	}
+}
--- /dev/null
+++ b/internal/policy/stage/stage.go
@@ -0,0 +1,92 @@
+// Package stage decides which engines prefill and which decode.
+package stage
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"jayford.example/jayford/internal/catalog"
+)
+
+// Engine is one engine as known now.
+type Engine struct {
+	ID, AvailabilityZone string
+	Stage                catalog.Stage
+	// Away engines count as capacity of their stage, but get no order.
+	Away bool
+}
+
+// Change is one engine's new stage.
+type Change struct {
+	ID string
+	To catalog.Stage
+}
+
+// Want returns how many of n engines should prefill: share of them, and at
+// least one of each stage.
+func Want(n int, share float64) int {
+	if n < 2 {
+		return 0
+	}
+	return min(n-1, max(1, int(math.Round(share*float64(n)))))
+}
+
+// Decide returns the changes that bring the engines to want prefill engines, at
+// most limit of them. It takes an engine from the availability zone that has
+// most of the old stage, so that each zone keeps some of both, and the one with
+// the lowest id there, so that two deciders agree.
+func Decide(engines []Engine, want, limit int) []Change {
+	now := slices.Clone(engines)
+	var out []Change
+	for len(out) < limit {
+		have := count(now, catalog.Prefill)
+		from, to := catalog.Prefill, catalog.Decode
+		switch {
+		case have < want:
+			from, to = catalog.Decode, catalog.Prefill
+		case have == want:
+			return out
+		}
+		i := pick(now, from)
+		if i < 0 {
+			return out
+		}
+		now[i].Stage = to
+		out = append(out, Change{now[i].ID, to})
+	}
+	return out
+}
+
+func count(engines []Engine, s catalog.Stage) int {
+	n := 0
+	for _, e := range engines {
+		if e.Stage == s {
+			n++
+		}
+	}
+	return n
+}
+
+// pick returns the index of the engine to take from a stage, -1 for none.
+func pick(engines []Engine, from catalog.Stage) int {
+	zones := map[string]int{}
+	for _, e := range engines {
+		if e.Stage == from {
+			zones[e.AvailabilityZone]++
+		}
+	}
+	best := -1
+	for i, e := range engines {
+		if e.Stage != from || e.Away {
+			continue
+		}
+		if best < 0 || cmp.Or(
+			cmp.Compare(zones[engines[best].AvailabilityZone], zones[e.AvailabilityZone]),
+			cmp.Compare(e.ID, engines[best].ID),
+		) < 0 {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/policy/stage/stage_test.go
@@ -0,0 +1,67 @@
+package stage
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jayford.example/jayford/internal/catalog"
+)
+
+func engines(prefill, decode int) []Engine {
+	var out []Engine
+	for i := range prefill + decode {
+		s := catalog.Decode
+		if i < prefill {
+			s = catalog.Prefill
+		}
+		out = append(out, Engine{ID: fmt.Sprint("e", i), AvailabilityZone: fmt.Sprint("az", i%3), Stage: s})
+	}
+	return out
+}
+
+func TestWantKeepsBothStages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 2000).Draw(t, "n")
+		w := Want(n, rapid.Float64Range(0, 1).Draw(t, "share"))
+		assert.Assert(t, w >= 1 && w < n)
+	})
+	assert.Equal(t, Want(1, 0.5), 0)
+	assert.Equal(t, Want(18, 0.2), 4)
+}
+
+// Each change must bring the fleet nearer to what is wanted and none may touch
+// an engine that is away; with room to move, the goal is reached.
+func TestDecideReachesTheGoal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		es := engines(rapid.IntRange(1, 20).Draw(t, "prefill"), rapid.IntRange(1, 40).Draw(t, "decode"))
+		want := Want(len(es), rapid.Float64Range(0, 1).Draw(t, "share"))
+		changes := Decide(es, want, len(es))
+		byID := map[string]int{}
+		for i, e := range es {
+			byID[e.ID] = i
+		}
+		for _, c := range changes {
+			assert.Assert(t, es[byID[c.ID]].Stage != c.To)
+			es[byID[c.ID]].Stage = c.To
+		}
+		assert.Equal(t, count(es, catalog.Prefill), want)
+		assert.Equal(t, len(Decide(es, want, len(es))), 0)
+	})
+}
+
+func TestDecideSparesEnginesThatAreAway(t *testing.T) {
+	es := engines(3, 1)
+	for i := range es[:3] {
+		es[i].Away = i != 1
+	}
+	assert.DeepEqual(t, Decide(es, 1, 4), []Change{{ID: "e1", To: catalog.Decode}})
+}
+
+func TestDecideTakesFromTheZoneWithMost(t *testing.T) {
+	es := engines(4, 2)
+	es[3].AvailabilityZone = "az0"
+	assert.DeepEqual(t, Decide(es, 3, 1), []Change{{ID: "e0", To: catalog.Decode}})
+}
