Log each decision on a request without waiting; send few stage orders

Ruled out, by the new decision log: short-lived prefill results (no failure outside the two engines under order) and lost answers.

Change: internal/logs (bounded buffer and rate, JSON lines), a note for each decision; a dead band for orders; a growing pause for a server that refuses.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,12 +8,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/daemon"
 	"jayford.example/jayford/internal/dev"
+	"jayford.example/jayford/internal/logs"
 	"jayford.example/jayford/internal/settings"
 )
 
@@ -25,6 +27,9 @@
 	ExitInvalid = 3
 )
 
+// flushTime bounds the wait for log lines at the end of a process.
+const flushTime = 200 * time.Millisecond
+
 // errInvalid marks settings that were refused; the reasons are printed.
 var errInvalid = errors.New("settings refused")
 
@@ -120,8 +125,8 @@
 	if err != nil {
 		return refuse(err)
 	}
-	log.SetLevel(lv)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	flush := logs.Install(log, os.Stdout, logs.Options{Level: lv})
+	defer flush(flushTime)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	return role(ctx, log)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
@@ -38,6 +40,7 @@
 			return nil, verdict.New(verdict.NotRun, verdict.NoServer, "The service has no server that works.").After(noServerRetryAfter)
 		}
 		reply, err := g.callOnce(ctx, j, s)
+		g.noteCall(j, s, reply, err)
 		if err == nil && (reply.Status < http.StatusInternalServerError || !g.again(ctx, j, verdict.Ran)) {
 			return reply, nil
 		}
@@ -55,6 +58,14 @@
 	}
 }
 
+func (g *Gateway) noteCall(j *job, s catalog.Server, reply *Reply, err *verdict.Error) {
+	if err != nil {
+		g.note(j, "gateway: call failed.", logrus.Fields{"server": start(s), "cause": err.Error(), "verdict": err.Verdict.String()})
+		return
+	}
+	g.note(j, "gateway: call answered.", logrus.Fields{"server": start(s), "status": reply.Status})
+}
+
 // pick returns the server that the request goes to next.
 func (g *Gateway) pick(j *job, stage catalog.Stage) (catalog.Server, bool) {
 	for _, s := range g.rank(g.view.usable(j.service.Name, stage), func(x load) int { return x.Requests }) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -158,11 +159,14 @@
 	r       *Request
 	route   *catalog.Route
 	service catalog.Service
+	// config is the version that routed the request.
+	config uint64
 	// until is when the final answer is due.
 	until time.Time
 	// sends counts the arrivals at servers, and runs those that may have run.
 	sends, runs int
-	refusals    int
+	// prefills counts the calls that only had the prompt read.
+	prefills int
 	// avoid has the starts of servers that failed this request.
 	avoid map[string]bool
 }
@@ -190,7 +194,7 @@
 		wait = min(wait, r.Patience)
 	}
 	j := &job{
-		r: r, route: route, service: service, until: r.Arrived.Add(wait - answerMargin),
+		r: r, route: route, service: service, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
 		avoid: make(map[string]bool),
 	}
 	g.inFlight.Add(1)
@@ -198,9 +202,11 @@
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	reply, err := g.serve(ctx, j)
 	if err != nil {
+		err = g.final(ctx, j, err)
 		cancel()
 		g.inFlight.Add(-1)
-		return nil, g.final(ctx, j, err)
+		g.note(j, "gateway: given up.", logrus.Fields{"code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(), "retryAfter": err.RetryAfter.Seconds()})
+		return nil, err
 	}
 	reply.Body = &countedBody{Body: reply.Body, end: func() {
 		cancel()
@@ -229,6 +235,17 @@
 	return &out
 }
 
+// note logs a decision that touches a request: its inputs are in fields.
+func (g *Gateway) note(j *job, msg string, fields logrus.Fields) {
+	e := g.log.WithFields(logrus.Fields{
+		"request": j.r.ID, "route": j.route.Name, "config": j.config, "sends": j.sends, "runs": j.runs,
+		"age": milliseconds(time.Since(j.r.Arrived)), "left": milliseconds(time.Until(j.until)),
+	})
+	e.WithFields(fields).Info(msg)
+}
+
+func milliseconds(d time.Duration) float64 { return math.Round(float64(d)/1e5) / 10 }
+
 // chooseTarget draws a service by weight.
 func chooseTarget(targets []catalog.Target) string {
 	total := 0.0
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
@@ -117,6 +119,7 @@
 		}
 		hold, err := g.backend.Reserve(ctx, s, tokens, j.service.Engine.HoldTTL)
 		if err == nil {
+			g.note(j, "gateway: room reserved.", logrus.Fields{"server": start(s), "tokens": tokens, "ownLoad": g.loads.get(s).Tokens, "asked": tries})
 			return reservation{server: s, hold: hold, end: g.loads.begin(s, tokens)}, true
 		}
 		if err.Code == verdict.Overloaded {
@@ -146,12 +149,16 @@
 	}
 	if err == nil {
 		j.runs++
+		g.loads.took(p.server)
+		g.note(j, "gateway: decode answered.", logrus.Fields{"server": start(p.server), "status": a.Status, "from": from.ID})
 		return a, nil
 	}
 	p.end()
+	g.note(j, "gateway: decode failed.", logrus.Fields{"server": start(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": from.ID})
 	if err.Verdict != verdict.NotRun {
 		j.runs++
 	} else {
+		g.loads.refused(p.server, time.Now())
 		g.free(p, from, result.Result)
 	}
 	g.judge(ctx, p.server, err)
@@ -185,9 +192,15 @@
 		return catalog.Server{}, Prefilled{}, false
 	}
 	queued := g.loads.get(s).Tokens + tokens
-	if g.pace.wait(queued) > time.Duration(prefillQueue*float64(j.route.Objective)) {
+	if w := g.pace.wait(queued); w > time.Duration(prefillQueue*float64(j.route.Objective)) {
+		g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "queued": queued, "expected": milliseconds(w)})
+		return catalog.Server{}, Prefilled{}, false
+	}
+	// Only the first such call that a server takes is free of the budget.
+	if j.prefills > 0 && !g.afford(j.service.Name) {
 		return catalog.Server{}, Prefilled{}, false
 	}
+	j.prefills++
 	end := g.loads.begin(s, tokens)
 	defer end()
 	began := time.Now()
@@ -197,12 +210,18 @@
 	if err != nil {
 		g.judge(ctx, s, err)
 		j.avoid[start(s)] = true
-		if err.Code == verdict.Overloaded {
+		if err.Code == verdict.Overloaded || err.Code == verdict.Leaving {
+			g.loads.refused(s, time.Now())
+			// A refused call is no first one.
 			g.owe(j.service.Name)
+			j.prefills--
 		}
+		g.note(j, "gateway: prefill failed.", logrus.Fields{"server": start(s), "cause": err.Error(), "took": milliseconds(time.Since(began))})
 		return catalog.Server{}, Prefilled{}, false
 	}
+	g.loads.took(s)
 	g.pace.took(queued, time.Since(began))
+	g.note(j, "gateway: prompt read.", logrus.Fields{"server": start(s), "queued": queued, "took": milliseconds(time.Since(began))})
 	g.view.outcome(s, doubt.Success)
 	return s, r, true
 }
@@ -210,7 +229,7 @@
 func (g *Gateway) pickPrefill(j *job) (catalog.Server, bool) {
 	now := time.Now()
 	for _, s := range g.rank(g.view.usable(j.service.Name, catalog.Prefill), func(x load) int { return x.Tokens }) {
-		if !j.avoid[start(s)] && !g.view.doubted(s, now) {
+		if !j.avoid[start(s)] && !g.view.doubted(s, now) && !now.Before(g.loads.get(s).Full) {
 			return s, true
 		}
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -14,8 +14,10 @@
 type load struct {
 	// Requests that run, and their booked tokens.
 	Requests, Tokens int
-	// Full is until when the server is taken for full: it refused a reservation.
+	// Full is until when the server is taken for full: it refused.
 	Full time.Time
+	// Refusals counts the sendings that it refused in a row.
+	Refusals int
 }
 
 // loads keeps the load by start of server.
@@ -45,10 +47,6 @@
 	l.table.Update(start(s), func(x load, _ bool) (load, bool) {
 		x.Requests += requests
 		x.Tokens += tokens
-		if tokens < 0 {
-			// Room has come free.
-			x.Full = time.Time{}
-		}
 		return x, x.Requests > 0 || !x.Full.IsZero()
 	})
 }
@@ -61,6 +59,31 @@
 	})
 }
 
+const (
+	firstShun = 150 * time.Millisecond
+	maxShun   = 2400 * time.Millisecond
+)
+
+// refused notes that the server refused a sending for which it had given room,
+// or a prefill. An engine that changes its stage does so for seconds and looks
+// the emptiest of all meanwhile: without a growing pause each gateway would
+// send it request after request, each with its prompt read in vain.
+func (l *loads) refused(s catalog.Server, now time.Time) {
+	l.table.Update(start(s), func(x load, _ bool) (load, bool) {
+		x.Full = now.Add(min(maxShun, firstShun<<min(x.Refusals, 8)))
+		x.Refusals++
+		return x, true
+	})
+}
+
+// took notes that the server took a sending.
+func (l *loads) took(s catalog.Server) {
+	l.table.Update(start(s), func(x load, ok bool) (load, bool) {
+		x.Refusals = 0
+		return x, ok
+	})
+}
+
 // rank orders candidates: doubted ones last, then full ones, then by the load
 // that less compares; equals in random order, so that gateways which know
 // nothing of each other don't all turn to the same server.
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -20,11 +20,14 @@
 	stageTick = 500 * time.Millisecond
 	// stageSettle is how long the division must have been off before an order:
 	// a crashed engine is back within seconds, and a change takes as long.
-	stageSettle = 4 * time.Second
+	stageSettle = 6 * time.Second
 	// stageCandidates is how many gateways ask for the lease; one stays when
 	// two are replaced at once.
 	stageCandidates = 3
 	orderTimeout    = time.Second
+	// foundingFor is how long after it made the lease a gateway divides the
+	// engines exactly: the whole system starts, and no caller is there yet.
+	foundingFor = 5 * time.Second
 )
 
 // StageOptions of a stage controller.
@@ -93,7 +96,7 @@
 
 // candidate says whether this gateway is to ask for the lease.
 func (s *stages) candidate() bool {
-	if !s.g.Ready() || len(s.wanted(1)) == 0 {
+	if !s.g.Ready() || len(s.wanted(1, s.exact())) == 0 {
 		return false
 	}
 	ids := s.opts.Peers()
@@ -111,8 +114,12 @@
 	to     catalog.Stage
 }
 
+// exact reports whether the division must be as wanted to the engine: nothing
+// runs yet, so a change costs nothing.
+func (s *stages) exact() bool { return s.lease.Founded() || s.lease.Holder() == "" }
+
 // wanted returns at most limit changes a service.
-func (s *stages) wanted(limit int) []change {
+func (s *stages) wanted(limit int, exact bool) []change {
 	c := s.g.Config()
 	if c == nil {
 		return nil
@@ -137,7 +144,11 @@
 			engines = append(engines, e)
 			return true
 		})
-		for _, d := range stage.Decide(engines, stage.Want(len(engines), s.opts.Share), limit) {
+		want := stage.Want(len(engines), s.opts.Share)
+		if !exact && !stage.Off(stage.Prefilling(engines), want) {
+			continue
+		}
+		for _, d := range stage.Decide(engines, want, limit) {
 			out = append(out, change{byID[d.ID], d.To})
 		}
 	}
@@ -157,12 +168,13 @@
 	if !founding && now.Sub(s.heldAt) < s.opts.Term {
 		return
 	}
+	// A founder divides all engines at once, in its first looks.
+	founding = founding && now.Sub(s.heldAt) < foundingFor
 	limit := 1
-	if founding && len(s.ordered) == 0 {
-		// Nothing runs yet: all change at once.
+	if founding {
 		limit = len(s.g.view.usableIDs())
 	}
-	due := s.wanted(limit)
+	due := s.wanted(limit, founding)
 	if len(due) == 0 {
 		s.offAt = time.Time{}
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -71,6 +73,7 @@
 		return nil
 	case errors.Is(err, io.EOF):
 		s.ended = true
+		s.g.note(s.j, "gateway: stream ended.", logrus.Fields{"server": start(s.place.server), "last": s.last})
 		s.g.view.outcome(s.place.server, doubt.Success)
 		return nil
 	}
@@ -119,6 +122,7 @@
 	}
 	s.g.judge(s.ctx, s.place.server, verdict.New(verdict.Ran, code, "The stream broke off."))
 	s.j.avoid[start(s.place.server)] = true
+	s.g.note(s.j, "gateway: stream broke off.", logrus.Fields{"server": start(s.place.server), "last": s.last, "cause": cause.Error(), "resumable": s.j.route.Resume})
 	for s.g.again(s.ctx, s.j, verdict.Ran) {
 		p, err := s.g.reserveFor(s.ctx, s.j, time.Now().Add(resumeWithin))
 		if err != nil {
@@ -127,6 +131,7 @@
 		a, err := s.g.decode(s.ctx, s.j, p, s.last)
 		if err == nil && a.Status == http.StatusOK {
 			s.place, s.answer, s.events = p, a, newEvents(a.Body)
+			s.g.note(s.j, "gateway: stream resumed.", logrus.Fields{"server": start(p.server), "last": s.last})
 			return nil
 		}
 		if err == nil {
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -88,6 +88,13 @@
 	return r.machine.founded
 }
 
+// Holder returns who held the lease when it was last read, "" if nobody.
+func (r *Runner) Holder() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Holder()
+}
+
 // View is the lease's part of the state dump.
 type View struct {
 	Scope  string `json:"scope"`
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,97 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+// The reader of standard output has stopped, and the pipe is full. Requests
+// must go on as before: lines are lost, not time, and one line says how many
+// once the reader is back.
+func TestStoppedReaderCostsLinesNotTime(t *testing.T) {
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	log := logrus.New()
+	flush := Install(log, w, Options{Buffer: 64, PerSecond: 1 << 20, Level: logrus.InfoLevel})
+	began := time.Now()
+	for range 20000 {
+		log.WithField("request", "r1").Info("gateway: answered.")
+	}
+	took := time.Since(began)
+	assert.Assert(t, took < 5*time.Second, "20000 lines took %s", took)
+
+	var out bytes.Buffer
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		_, _ = io.Copy(&out, r)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	log.Info("gateway: back.")
+	flush(time.Second)
+	assert.NilError(t, w.Close())
+	wg.Wait()
+	assert.Assert(t, strings.Contains(out.String(), `"lines were dropped`) || strings.Contains(out.String(), "lines were dropped"), "no word of the lost lines")
+	assert.Assert(t, strings.Contains(out.String(), "gateway: back."))
+}
+
+// One cause gives the same line a thousand times a second. Its first lines
+// stay, another kind isn't pushed out, and the rest is counted.
+func TestEachKindIsBounded(t *testing.T) {
+	var out syncBuffer
+	log := logrus.New()
+	flush := Install(log, &out, Options{PerSecond: 5, Level: logrus.InfoLevel})
+	at := time.Unix(1000, 0)
+	for i := range 1000 {
+		log.WithTime(at).WithField("n", i).Warn("gateway: server lost.")
+	}
+	log.WithTime(at).Info("gateway: answered.")
+	flush(time.Second)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	kinds := map[string]int{}
+	for _, l := range lines {
+		var v map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(l), &v), l)
+		msg, _ := v["msg"].(string)
+		kinds[msg]++
+	}
+	assert.Equal(t, kinds["gateway: server lost."], 5)
+	assert.Equal(t, kinds["gateway: answered."], 1)
+	assert.Assert(t, kinds["logs: lines were dropped."] >= 1)
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func BenchmarkLine(b *testing.B) {
+	log := logrus.New()
+	Install(log, io.Discard, Options{PerSecond: 1 << 30, Level: logrus.InfoLevel})
+	b.ReportAllocs()
+	for b.Loop() {
+		log.WithFields(logrus.Fields{"request": "9c41d07be2a35f68", "server": "i-7f3a91c2", "tokens": 5200}).Info("gateway: reserved.")
+	}
+}
--- a/internal/policy/stage/stage.go
+++ b/internal/policy/stage/stage.go
@@ -32,6 +32,15 @@
 	return min(n-1, max(1, int(math.Round(share*float64(n)))))
 }
 
+// Off reports whether have prefill engines are too far from want to be left.
+// A change takes its engine away for seconds, and all gateways learn of it from
+// refusals, so small lacks and short ones are not worth it: below two thirds of
+// want prompts wait, above one and a half decode lacks memory.
+func Off(have, want int) bool { return 3*have < 2*want || 2*have > 3*want }
+
+// Prefilling counts the engines that prefill.
+func Prefilling(engines []Engine) int { return count(engines, catalog.Prefill) }
+
 // Decide returns the changes that bring the engines to want prefill engines, at
 // most limit of them. It takes an engine from the availability zone that has
 // most of the old stage, so that each zone keeps some of both, and the one with
--- a/internal/policy/stage/stage_test.go
+++ b/internal/policy/stage/stage_test.go
@@ -65,3 +65,11 @@
 	es[3].AvailabilityZone = "az0"
 	assert.DeepEqual(t, Decide(es, 3, 1), []Change{{ID: "e0", To: catalog.Decode}})
 }
+
+// An engine crashes and is back after some seconds. An order for each such lack
+// would take two further engines away, there and back.
+func TestSmallLacksAreLeft(t *testing.T) {
+	assert.Assert(t, !Off(4, 4) && !Off(3, 4) && !Off(6, 4))
+	assert.Assert(t, Off(2, 4) && Off(7, 4))
+	assert.Assert(t, Off(1, 2) && !Off(2, 2) && Off(0, 1))
+}
