--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -126,8 +126,10 @@
 			return nil
 		case <-t.C:
 		}
+		// Asked without the lock: the answer may depend on the lease.
+		candidate := r.opts.Candidate()
 		r.mu.Lock()
-		a := r.machine.Tick(time.Now(), r.opts.Candidate(), platform.NewOperation())
+		a := r.machine.Tick(time.Now(), candidate, platform.NewOperation())
 		r.mu.Unlock()
 		r.carryOut(ctx, a)
 		held = r.note(held)
