--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -31,6 +31,7 @@
 	whole    bool
 	verdict  string
 	code     string
+	message  string
 	request  string
 	retry    string
 	attempts string
@@ -48,6 +49,7 @@
 	Error *struct {
 		Code    string `json:"code"`
 		Verdict string `json:"verdict"`
+		Message string `json:"message"`
 	} `json:"error"`
 }
 
@@ -111,7 +113,7 @@
 
 func (o *answer) take(b answerBody) {
 	if b.Error != nil {
-		o.code = b.Error.Code
+		o.code, o.message = b.Error.Code, b.Error.Message
 		o.verdict = b.Error.Verdict
 	}
 	for _, c := range b.Choices {
--- a/test/history_test.go
+++ b/test/history_test.go
@@ -62,7 +62,7 @@
 	kinds := make(map[string]int)
 	for _, a := range h.all() {
 		if !a.whole {
-			kinds[fmt.Sprintf("%d %s %s %v", a.status, a.code, a.verdict, a.err)]++
+			kinds[fmt.Sprintf("%d %s %s %q %v", a.status, a.code, a.verdict, a.message, a.err)]++
 		}
 	}
 	return fmt.Sprintf("%s; %v", h.tally(), kinds)
