Record failed tries of a late lane and short-first; watch longer; ask ten servers

Changes, reverted: the shorter and the punctual first, by a level that settles at one in four, or three in four, requests without room at their first try.

Conclusion: room isn't found better by order; the next look is at what takes it.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,7 +15,7 @@
 const (
 	// watchWait bounds one watch. A silent connection is found within it and
 	// one call's timeout, well before a leaving server stops taking work.
-	watchWait = 2500 * time.Millisecond
+	watchWait = 4 * time.Second
 	// lapseGrace is how long an entry that went while the platform was away is
 	// kept after its return: servers that live are listed again within about
 	// two seconds, and without the grace a short outage would leave no server.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -20,7 +20,7 @@
 	// reserveTries is how many servers are asked in one round; reservePause is
 	// the mean wait between two rounds. A server has a place free each some
 	// tens of milliseconds at peak.
-	reserveTries = 3
+	reserveTries = 10
 	reservePause = 30 * time.Millisecond
 	// fullFor is how long a server that refused is taken for full.
 	fullFor = 60 * time.Millisecond
