Let callers whose objective is lost stay for 1.5 s and ask seldom

Cause: refused callers come back once, and are refused again in the same burst (2 in 100 on the grown sites), which is their last try.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -22,6 +22,11 @@
 	// tens of milliseconds at peak.
 	reserveTries = 10
 	reservePause = 30 * time.Millisecond
+	// lateWithin is how long a caller stays whose objective is lost: bursts last
+	// some seconds, and one that is refused may come back once only.
+	lateWithin = 1500 * time.Millisecond
+	// lateFactor is how much more seldom it asks.
+	lateFactor = 8
 	// fullFor is how long a server that refused is taken for full.
 	fullFor = 60 * time.Millisecond
 	// roomRetryAfter is told to a caller that found no room: about a
@@ -82,13 +87,29 @@
 	return x.Prompt + min(out, x.MaxOutput)
 }
 
-// reserve finds a decode server with room. It waits for one as long as the
-// objective can still be met.
+// reserve finds a decode server with room. A caller whose objective can still be
+// met asks often; one that is late stays for some seconds and asks seldom, so that
+// it takes room mostly when others leave it.
 func (g *Gateway) reserve(ctx context.Context, j *job) (reservation, *verdict.Error) {
-	return g.reserveFor(ctx, j, j.r.Arrived.Add(time.Duration(reserveWithin*float64(j.route.Objective))))
+	inTime := j.r.Arrived.Add(time.Duration(reserveWithin * float64(j.route.Objective)))
+	if j.late() {
+		inTime = j.r.Arrived
+	}
+	return g.reserveFor(ctx, j, inTime, j.r.Arrived.Add(lateWithin))
 }
 
-func (g *Gateway) reserveFor(ctx context.Context, j *job, giveUp time.Time) (reservation, *verdict.Error) {
+// freshPatience is the least part of a route's timeout that a caller's first try
+// names as its patience: 0.85 to 1 were seen.
+const freshPatience = 0.83
+
+// late reports whether the caller was refused or cut before and came back, so
+// that the objective, which counts from its first try, can't be met any more.
+func (j *job) late() bool {
+	return j.r.Patience > 0 && float64(j.r.Patience) < freshPatience*float64(j.route.Timeout)
+}
+
+// reserveFor asks often until inTime, then seldom until giveUp.
+func (g *Gateway) reserveFor(ctx context.Context, j *job, inTime, giveUp time.Time) (reservation, *verdict.Error) {
 	tokens := need(j.r.Generation)
 	for {
 		p, ok := g.reserveOnce(ctx, j, tokens)
@@ -96,6 +117,9 @@
 			return p, nil
 		}
 		pause := time.Duration((0.5 + rand.Float64()) * float64(reservePause))
+		if time.Now().Add(pause).After(inTime) {
+			pause *= lateFactor
+		}
 		if time.Now().Add(pause).After(giveUp) {
 			return reservation{}, verdict.New(verdict.NotRun, verdict.Overloaded, "No engine has room.").After(roomRetryAfter)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -124,7 +124,7 @@
 	s.j.avoid[start(s.place.server)] = true
 	s.g.note(s.j, "gateway: stream broke off.", logrus.Fields{"server": start(s.place.server), "last": s.last, "cause": cause.Error(), "resumable": s.j.route.Resume})
 	for s.g.again(s.ctx, s.j, verdict.Ran) {
-		p, err := s.g.reserveFor(s.ctx, s.j, time.Now().Add(resumeWithin))
+		p, err := s.g.reserveFor(s.ctx, s.j, time.Now().Add(resumeWithin), time.Now().Add(resumeWithin))
 		if err != nil {
 			break
 		}
