Gather news for a quarter of a second

Ruled out: longer watches (a connection that went silent must be found within the time that a leaving server still takes work) and fewer watchers, for now.

Change: a pause of 250 ms after news, so that changes come in groups.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -21,6 +21,10 @@
 	// retryPause is the mean wait after a failed call. Each call is paid for,
 	// and the platform's rates are shared by all processes.
 	retryPause = 250 * time.Millisecond
+	// gather is the pause after news. Changes come in groups, as when a fleet
+	// starts or a zone is emptied, and each would cost a call: with it a start of
+	// 41 servers takes a gateway some ten calls in place of forty.
+	gather = 250 * time.Millisecond
 	// awayAfter is how long calls must have failed for the platform to count as
 	// away: single failures are ordinary.
 	awayAfter = 600 * time.Millisecond
@@ -77,6 +81,9 @@
 		return err
 	}
 	f.apply(l, false)
+	if len(l.Objects) > 0 {
+		sleep(ctx, gather)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,106 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/platform"
+)
+
+// script is a store that answers watches from a list of replies and blocks then.
+type script struct {
+	platform.Store
+	mu      sync.Mutex
+	lists   int
+	replies []reply
+}
+
+type reply struct {
+	listing platform.Listing
+	err     error
+}
+
+func (s *script) List(context.Context, string) (platform.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return platform.Listing{Revision: uint64(10 * s.lists), Objects: []platform.Object{{Name: "listed"}}}, nil
+}
+
+func (s *script) Watch(ctx context.Context, _ string, _ uint64) (platform.Listing, error) {
+	s.mu.Lock()
+	if len(s.replies) > 0 {
+		r := s.replies[0]
+		s.replies = s.replies[1:]
+		s.mu.Unlock()
+		return r.listing, r.err
+	}
+	s.mu.Unlock()
+	<-ctx.Done()
+	return platform.Listing{}, errors.New("silent")
+}
+
+type applied struct {
+	names []string
+	full  bool
+	away  time.Duration
+}
+
+func follow(t *testing.T, s *script, until func([]applied) bool) []applied {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var mu sync.Mutex
+	var got []applied
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, Log: logrus.NewEntry(log), Apply: func(os []platform.Object, full bool, away time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		a := applied{full: full, away: away}
+		for _, o := range os {
+			a.names = append(a.names, o.Name)
+		}
+		got = append(got, a)
+		if until(got) {
+			cancel()
+		}
+	}})
+	assert.NilError(t, f.Run(ctx))
+	mu.Lock()
+	defer mu.Unlock()
+	return got
+}
+
+// The store drops its history while a server leaves. A watch can't tell of it
+// any more; without a new listing the server would get work for ever.
+func TestDroppedHistoryIsListedAnew(t *testing.T) {
+	s := &script{replies: []reply{
+		{listing: platform.Listing{Revision: 11, Objects: []platform.Object{{Name: "a"}}}},
+		{err: platform.ErrCompacted},
+	}}
+	got := follow(t, s, func(a []applied) bool { return len(a) == 3 })
+	assert.Equal(t, len(got), 3)
+	assert.Assert(t, got[0].full && !got[1].full && got[2].full)
+	assert.Equal(t, s.lists, 2)
+}
+
+// The store is away for a second and comes back without news. What follows must
+// hear of the outage, since entries may have lapsed in it.
+func TestOutageIsTold(t *testing.T) {
+	var failures []reply
+	for range 6 {
+		failures = append(failures, reply{err: platform.ErrUnavailable})
+	}
+	s := &script{replies: append(failures, reply{listing: platform.Listing{Revision: 12}})}
+	got := follow(t, s, func(a []applied) bool { return len(a) == 2 })
+	assert.Equal(t, len(got), 2)
+	assert.Assert(t, got[1].away >= awayAfter, "away %s", got[1].away)
+}
