Refuse crashing contents, oversized requests, and models before a configuration

(2) The controller's candidacy is asked on the lease's goroutine while it writes its orders: a data race, seen by reading. (3) A request that crashes its server came again without a bound. (4) The configuration's limits for callers weren't looked at. (5) 'jayfordd dev' answered /v1/models with an empty list and printed its advice before the entry knew any configuration.

Change: who lost the lease founds nothing any more; state under a lock; contents under which three servers broke off in 30 s are refused; limits; 503 until ready.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"jayford.example/jayford/internal/daemon"
@@ -31,6 +32,7 @@
 	region     = "dev"
 	stopWithin = 3 * time.Second
 	setupTime  = 5 * time.Second
+	readyTick  = 20 * time.Millisecond
 )
 
 // Options of the dev role.
@@ -191,10 +193,29 @@
 		defer s.stopAgents()
 		return daemon.RunEntry(s.roles, e, s.opts.Log)
 	})
-	s.greet(e)
+	go s.greetWhenReady(e)
 	return nil
 }
 
+// greetWhenReady prints what to try once a try would be answered.
+func (s *system) greetWhenReady(e settings.Entry) {
+	client := fasthttp.Client{NoDefaultUserAgentHeader: true}
+	t := time.NewTicker(readyTick)
+	defer t.Stop()
+	for {
+		status, _, err := client.GetTimeout(nil, "http://"+e.Listen+"/readyz", setupTime)
+		if err == nil && status == fasthttp.StatusOK {
+			s.greet(e)
+			return
+		}
+		select {
+		case <-s.roles.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 func (s *system) greet(e settings.Entry) {
 	fmt.Printf(`jayford runs on %s, the operators' listener is %s, the platform %s. Try:
 
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -253,7 +253,13 @@
 	Object string `json:"object"`
 }
 
+// models lists the models in force. Before any configuration is known an empty
+// list would pass for the truth with scripts that wait for the first 200.
 func (s *server) models(ctx *fasthttp.RequestCtx) {
+	if !s.e.ready() {
+		s.refuse(ctx, nil, 0, verdict.New(verdict.NotRun, verdict.PlatformDown, "No configuration is in force yet.").After(time.Second))
+		return
+	}
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for _, m := range s.e.models() {
 		list.Data = append(list.Data, modelItem{m, "model"})
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -22,6 +22,10 @@
 	// Headers are those to be passed on.
 	Headers []upstream.Header
 	Body    []byte
+	// Content tells requests with equal bodies apart, "" if nothing else does.
+	Content string
+	// HeaderBytes is the size of the headers as they came.
+	HeaderBytes int
 	// Arrived is when the request had been read.
 	Arrived time.Time
 	// Patience is how long the caller waits from then on; 0 if it names none.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	budgetMu sync.Mutex
 	// budget is guarded by budgetMu.
 	budget *retry.Budget
+
+	crashes crashes
 }
 
 // New returns a gateway and adds its state to the board's dump.
@@ -193,6 +195,12 @@
 	if r.Patience > 0 {
 		wait = min(wait, r.Patience)
 	}
+	if err := oversized(r, c.Limits); err != nil {
+		return nil, err
+	}
+	if g.crashes.convicted(r.fingerprint(), time.Now()) {
+		return nil, verdict.New(verdict.NotRun, verdict.Crashes, "This request crashed the servers that ran it.")
+	}
 	j := &job{
 		r: r, route: route, service: service, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
 		avoid: make(map[string]bool),
@@ -215,6 +223,17 @@
 	return reply, nil
 }
 
+// oversized refuses what is over the limits that the operators set for callers.
+func oversized(r *Request, l catalog.Limits) *verdict.Error {
+	switch {
+	case l.BodyBytes > 0 && len(r.Body) > l.BodyBytes:
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "The body is over %d bytes.", l.BodyBytes)
+	case l.HeaderBytes > 0 && r.HeaderBytes > l.HeaderBytes:
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "The headers are over %d bytes.", l.HeaderBytes)
+	}
+	return nil
+}
+
 func (g *Gateway) serve(ctx context.Context, j *job) (*Reply, *verdict.Error) {
 	if j.service.Engine != nil && j.r.Generation != nil {
 		return g.generate(ctx, j)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -185,6 +185,9 @@
 		return a, nil
 	}
 	p.end()
+	if err.Verdict != verdict.NotRun && ctx.Err() == nil {
+		g.crashes.note(j.r.fingerprint(), start(p.server), time.Now())
+	}
 	g.note(j, "gateway: decode failed.", logrus.Fields{"server": start(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": from.ID})
 	if err.Verdict != verdict.NotRun {
 		j.runs++
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,11 +59,18 @@
 // a whole term after it took the lease: by then its predecessor, paused or cut
 // off, has seen its own time run out.
 type stages struct {
-	g      *Gateway
-	opts   StageOptions
-	lease  *lease.Runner
+	g     *Gateway
+	opts  StageOptions
+	lease *lease.Runner
+	// offAt is since when the division is off, zero if it isn't.
+	offAt time.Time
+
+	mu sync.Mutex
+	// All below is guarded by mu: the lease's goroutine asks for candidacy.
+	// heldAt is since when the lease is held, zero if it isn't; lapsed says that
+	// it was lost once.
 	heldAt time.Time
-	offAt  time.Time
+	lapsed bool
 	// ordered has the last order to each start of an engine.
 	ordered map[string]sentOrder
 }
@@ -121,7 +129,12 @@
 
 // exact reports whether the division must be as wanted to the engine: nothing
 // runs yet, so a change costs nothing.
-func (s *stages) exact() bool { return s.lease.Founded() || s.lease.Holder() == "" }
+func (s *stages) exact() bool {
+	s.mu.Lock()
+	lapsed := s.lapsed
+	s.mu.Unlock()
+	return s.lease.Founded() && !lapsed || s.lease.Holder() == ""
+}
 
 // wanted returns at most limit changes a service.
 func (s *stages) wanted(limit int, exact bool) []change {
@@ -143,7 +156,7 @@
 			}
 			byID[id] = x
 			e := stage.Engine{ID: id, AvailabilityZone: x.AvailabilityZone, Stage: x.Stage, Away: s.g.view.doubted(x, now)}
-			if o, ok := s.ordered[start(x)]; ok && now.Sub(o.at) < service.Engine.SwitchTime+orderSettle {
+			if o, ok := s.lastOrder(x); ok && now.Sub(o.at) < service.Engine.SwitchTime+orderSettle {
 				e.Stage, e.Away = o.to, true
 			}
 			engines = append(engines, e)
@@ -160,21 +173,38 @@
 	return out
 }
 
-func (s *stages) turn(ctx context.Context, now time.Time) {
-	fence, held := s.lease.Fence()
+func (s *stages) lastOrder(x catalog.Server) (sentOrder, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.ordered[start(x)]
+	return o, ok
+}
+
+// hold notes whether the lease is held, and returns for how long and whether
+// this gateway founded it. Who lost it in between founds nothing any more: the
+// engines are in use.
+func (s *stages) hold(now time.Time, held bool) (since time.Duration, founding bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !held {
+		s.lapsed = s.lapsed || !s.heldAt.IsZero()
 		s.heldAt = time.Time{}
-		return
+		return 0, false
 	}
 	if s.heldAt.IsZero() {
 		s.heldAt = now
 	}
-	founding := s.lease.Founded()
-	if !founding && now.Sub(s.heldAt) < s.opts.Term {
+	since = now.Sub(s.heldAt)
+	return since, s.lease.Founded() && !s.lapsed && since < foundingFor
+}
+
+func (s *stages) turn(ctx context.Context, now time.Time) {
+	_, held := s.lease.Fence()
+	since, founding := s.hold(now, held)
+	if !held || !founding && since < s.opts.Term {
+		s.offAt = time.Time{}
 		return
 	}
-	// A founder divides all engines at once, in its first looks.
-	founding = founding && now.Sub(s.heldAt) < foundingFor
 	limit := 1
 	if founding {
 		limit = len(s.g.view.usableIDs())
@@ -191,15 +221,15 @@
 		return
 	}
 	for _, c := range due {
-		s.order(ctx, c, fence)
+		s.order(ctx, c)
 	}
 }
 
 // order sends one order, if the lease still holds when it leaves.
-func (s *stages) order(ctx context.Context, c change, fence uint64) {
+func (s *stages) order(ctx context.Context, c change) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	log := s.g.log.WithFields(logrus.Fields{"server": c.server.ID, "stage": c.to.String(), "fence": fence})
+	log := s.g.log.WithFields(logrus.Fields{"server": start(c.server), "stage": c.to.String()})
 	report, err := s.g.backend.Report(ctx, c.server)
 	if err != nil || report.Busy || report.Stage == c.to {
 		log.WithError(err).WithField("busy", report.Busy).Debug("gateway: no order sent.")
@@ -209,11 +239,13 @@
 	if !held {
 		return
 	}
+	s.mu.Lock()
 	s.ordered[start(c.server)] = sentOrder{c.to, time.Now()}
+	s.mu.Unlock()
 	err = s.g.backend.Order(ctx, c.server, StageOrder{Stage: c.to, Holder: s.opts.Instance, Fence: fence, Orders: report.Orders})
 	if err != nil {
 		log.WithError(err).Warn("gateway: order failed or unclear.")
 		return
 	}
-	log.Info("gateway: stage ordered.")
+	log.WithField("fence", fence).WithField("orders", report.Orders).Info("gateway: stage ordered.")
 }
