--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -83,7 +83,9 @@
 	}
 	end := g.loads.begin(s, 0)
 	j.sends++
+	began := time.Now()
 	a, err := g.backend.Send(ctx, s, c)
+	countSending("call", err)
 	if err != nil {
 		end()
 		if err.Verdict != verdict.NotRun {
@@ -102,6 +104,7 @@
 		end()
 		return nil, err
 	}
+	observe(callSeconds, began)
 	g.view.outcome(s, doubt.Success)
 	reply.Body = &countedBody{Body: reply.Body, end: end}
 	return reply, nil
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"jayford.example/jayford/internal/catalog"
@@ -66,6 +67,7 @@
 			continue
 		}
 		if g.SetConfig(c) {
+			configVersion.Set(c.Version)
 			g.log.WithField("version", c.Version).WithField("revision", o.Version).Info("gateway: configuration in force.")
 		}
 	}
@@ -111,6 +113,11 @@
 			delete(r.known, o.Name)
 			continue
 		}
+		if before, ok := r.known[o.Name]; !ok || before.server != s {
+			r.g.log.WithFields(logrus.Fields{
+				"server": start(s), "address": s.Address, "stage": s.Stage.String(), "leaving": s.Leaving, "revision": o.Version,
+			}).Info("gateway: server listed.")
+		}
 		r.known[o.Name] = member{server: s}
 	}
 	if full {
@@ -136,6 +143,7 @@
 		}
 		return
 	}
+	r.g.log.WithField("server", start(m.server)).Info("gateway: server gone.")
 	delete(r.known, name)
 }
 
@@ -159,5 +167,6 @@
 	for _, m := range r.known {
 		list = append(list, m.server)
 	}
+	serversListed.Set(uint64(len(list)))
 	r.g.SetServers(list)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		opts: o, log: o.Log.WithField("part", "gateway"), backend: o.Backend,
-		view: newView(o.Board), loads: newLoads(o.Board), pace: newPace(),
+		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), pace: newPace(),
 		budget: retry.NewBudget(retry.Options{
 			Ratio: o.Budget.Ratio * budgetCaution, MinPerSecond: budgetLeastRate,
 			Burst: o.Budget.Slack * budgetCaution / unknownPeers,
@@ -111,6 +111,8 @@
 	if n < 1 || g.view.peers.Swap(int64(n)) == int64(n) {
 		return
 	}
+	peersKnown.Set(uint64(n))
+	g.log.WithField("gateways", n).Info("gateway: shares of the budget changed.")
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
 	g.budget.SetBurst(g.opts.Budget.Slack * budgetCaution / float64(n))
@@ -176,6 +178,14 @@
 // Serve answers one request. ctx ends when its caller leaves. The reply's body
 // must be closed.
 func (g *Gateway) Serve(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
+	reply, err := g.route(ctx, r)
+	if err != nil {
+		countRefusal(err)
+	}
+	return reply, err
+}
+
+func (g *Gateway) route(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	if g.tooLate(r) {
 		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "This gateway is about to end.").After(stoppingRetryAfter)
 	}
@@ -205,6 +215,7 @@
 		r: r, route: route, service: service, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
 		avoid: make(map[string]bool),
 	}
+	requestsTotal.Inc()
 	g.inFlight.Add(1)
 	g.first(service.Name)
 	ctx, cancel := context.WithDeadline(ctx, j.until)
@@ -296,7 +307,13 @@
 func (g *Gateway) afford(service string) bool {
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
-	return g.budget.Allow(service, service)
+	if !g.budget.Allow(service, service) {
+		budgetEmpty.Inc()
+		g.log.WithField("service", service).Warn("gateway: the budget for repeats is empty.")
+		return false
+	}
+	repeatsTotal.Inc()
+	return true
 }
 
 // owe takes a repeat that has happened already: a first sending that a server
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -118,9 +118,11 @@
 // reserveFor asks often until inTime, then seldom until giveUp.
 func (g *Gateway) reserveFor(ctx context.Context, j *job, inTime, giveUp time.Time) (reservation, *verdict.Error) {
 	tokens := need(j.r.Generation)
+	began := time.Now()
 	for {
 		p, ok := g.reserveOnce(ctx, j, tokens)
 		if ok {
+			observe(reserveSeconds, began)
 			return p, nil
 		}
 		pause := time.Duration((0.5 + rand.Float64()) * float64(reservePause))
@@ -173,6 +175,7 @@
 	c.MaxIdle = repeatableFresh
 	j.sends++
 	a, err := g.backend.Send(ctx, p.server, c)
+	countSending("decode", err)
 	if err == nil {
 		if err = proved(a); err != nil {
 			_ = a.Body.Close()
@@ -227,6 +230,7 @@
 	}
 	queued := g.loads.get(s).Tokens + tokens
 	if w := g.pace.wait(queued); w > time.Duration(prefillQueue*float64(j.route.Objective)) {
+		prefillsSkipped.Inc()
 		g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "queued": queued, "expected": milliseconds(w)})
 		return catalog.Server{}, Prefilled{}, false
 	}
@@ -241,6 +245,7 @@
 	ctx, cancel := context.WithTimeout(ctx, prefillWithin)
 	defer cancel()
 	r, err := g.backend.Prefill(ctx, s, Call{Request: j.r, Left: time.Until(j.until)})
+	countSending("prefill", err)
 	if err != nil {
 		g.judge(ctx, s, err)
 		j.avoid[start(s)] = true
@@ -254,6 +259,7 @@
 		return catalog.Server{}, Prefilled{}, false
 	}
 	g.loads.took(s)
+	observe(prefillSeconds, began)
 	g.pace.took(queued, time.Since(began))
 	g.note(j, "gateway: prompt read.", logrus.Fields{"server": start(s), "queued": queued, "took": milliseconds(time.Since(began))})
 	g.view.outcome(s, doubt.Success)
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+var (
+	requestsTotal   = metrics.NewCounter("jayford_gateway_requests_total")
+	repeatsTotal    = metrics.NewCounter("jayford_gateway_repeats_total")
+	budgetEmpty     = metrics.NewCounter("jayford_gateway_budget_empty_total")
+	resumesTotal    = metrics.NewCounter("jayford_gateway_resumes_total")
+	brokenStreams   = metrics.NewCounter("jayford_gateway_broken_streams_total")
+	ordersTotal     = metrics.NewCounter("jayford_gateway_stage_orders_total")
+	reserveSeconds  = metrics.NewHistogram("jayford_gateway_reserve_seconds")
+	prefillSeconds  = metrics.NewHistogram("jayford_gateway_prefill_seconds")
+	firstEventTime  = metrics.NewHistogram("jayford_gateway_first_event_seconds")
+	betweenEvents   = metrics.NewHistogram("jayford_gateway_between_events_seconds")
+	callSeconds     = metrics.NewHistogram("jayford_gateway_call_seconds")
+	configVersion   = metrics.NewCounter("jayford_gateway_config_version")
+	serversListed   = metrics.NewCounter("jayford_gateway_servers_listed")
+	peersKnown      = metrics.NewCounter("jayford_gateway_peers")
+	prefillsSkipped = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
+)
+
+// countRefusal counts a request that ended with the gateway's own answer.
+func countRefusal(e *verdict.Error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_refusals_total{code=%q,verdict=%q}", e.Code, e.Verdict)).Inc()
+}
+
+// countSending counts one arrival at a server, or the try of one.
+func countSending(kind string, err *verdict.Error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = string(err.Code)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_sendings_total{kind=%q,outcome=%q}", kind, outcome)).Inc()
+}
+
+func observe(h *metrics.Histogram, since time.Time) { h.Update(time.Since(since).Seconds()) }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -247,5 +247,6 @@
 		log.WithError(err).Warn("gateway: order failed or unclear.")
 		return
 	}
+	ordersTotal.Inc()
 	log.WithField("fence", fence).WithField("orders", report.Orders).Info("gateway: stage ordered.")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,8 +35,10 @@
 	// pending is the rest of the last event.
 	pending []byte
 	last    string
-	ended   bool
-	close   sync.Once
+	// heard is when the last event came, zero before the first.
+	heard time.Time
+	ended bool
+	close sync.Once
 }
 
 func (g *Gateway) streamed(ctx context.Context, j *job, p reservation, a *Answer) *Reply {
@@ -69,6 +71,7 @@
 		if ev.ID != "" {
 			s.last = ev.ID
 		}
+		s.observe()
 		s.pending = ev.Raw
 		return nil
 	case errors.Is(err, io.EOF):
@@ -81,6 +84,16 @@
 	return s.resume(err)
 }
 
+// observe notes the time to the first event, or between two.
+func (s *stream) observe() {
+	if s.heard.IsZero() {
+		observe(firstEventTime, s.j.r.Arrived)
+	} else {
+		observe(betweenEvents, s.heard)
+	}
+	s.heard = time.Now()
+}
+
 // seen reports whether the event was delivered before.
 func (s *stream) seen(id string) bool {
 	a, errA := strconv.ParseInt(id, 10, 64)
@@ -124,6 +137,7 @@
 	s.g.judge(s.ctx, s.place.server, verdict.New(verdict.Ran, code, "The stream broke off."))
 	s.j.avoid[start(s.place.server)] = true
 	s.g.crashes.note(s.j.r.fingerprint(), start(s.place.server), time.Now())
+	brokenStreams.Inc()
 	s.g.note(s.j, "gateway: stream broke off.", logrus.Fields{"server": start(s.place.server), "last": s.last, "cause": cause.Error(), "resumable": s.j.route.Resume})
 	for !s.g.crashes.convicted(s.j.r.fingerprint(), time.Now()) && s.g.again(s.ctx, s.j, verdict.Ran) {
 		p, err := s.g.reserveFor(s.ctx, s.j, time.Now().Add(resumeWithin), time.Now().Add(resumeWithin))
@@ -133,6 +147,7 @@
 		a, err := s.g.decode(s.ctx, s.j, p, s.last)
 		if err == nil && a.Status == http.StatusOK {
 			s.place, s.answer, s.events = p, a, newEvents(a.Body)
+			resumesTotal.Inc()
 			s.g.note(s.j, "gateway: stream resumed.", logrus.Fields{"server": start(p.server), "last": s.last})
 			return nil
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/doubt"
@@ -25,13 +27,16 @@
 	// peers is how many gateways share the budget for repeats, 0 if unknown.
 	peers atomic.Int64
 
+	log *logrus.Entry
+
 	mu sync.Mutex
 	// health is guarded by mu.
 	health *doubt.Set
 }
 
-func newView(b *board.Board) *view {
+func newView(b *board.Board, log *logrus.Entry) *view {
 	return &view{
+		log:     log,
 		servers: board.NewTable[catalog.Server](b, "servers"),
 		health: doubt.NewSet(doubt.Options{
 			MinBackoff: healthMinBackoff, MaxBackoff: healthMaxBackoff,
@@ -105,9 +110,16 @@
 
 // outcome notes what a use of s showed.
 func (v *view) outcome(s catalog.Server, o doubt.Outcome) {
+	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.health.Outcome(start(s), time.Now(), o)
+	before, _ := v.health.View(start(s), now)
+	v.health.Outcome(start(s), now, o)
+	if after, ok := v.health.View(start(s), now); ok && after.State != before.State {
+		v.log.WithFields(logrus.Fields{
+			"server": start(s), "state": after.State.String(), "before": before.State.String(), "evidence": o.String(),
+		}).Info("gateway: server's health changed.")
+	}
 }
 
 // doubted reports whether s is used only if nothing else is left.
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -128,6 +128,10 @@
 		return Reply{}, fmt.Errorf("%w: the caller's time is over", ErrUnavailable)
 	}
 	count(c.Kind)
+	began := time.Now()
+	defer func() {
+		metrics.GetOrCreateHistogram(fmt.Sprintf("jayford_platform_call_seconds{kind=%q}", c.Kind)).Update(time.Since(began).Seconds())
+	}()
 	// The exchange goes on alone if ctx is cancelled first; limit ends it.
 	replies := make(chan Reply, 1)
 	go func() { replies <- h.exchange(c, limit) }()
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -70,6 +70,15 @@
 	weightLost   = 2
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	names := [...]string{"success", "refusal", "alive", "timeout", "missed-beat", "connection-lost", "frozen", "down"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
+
 func (o Outcome) weight() int {
 	switch o {
 	case Success, Refusal, Alive:
--- a/test/members_test.go
+++ b/test/members_test.go
@@ -134,6 +134,7 @@
 // connections too. When the zone returns, every entry would turn to it at once.
 // Nobody may notice either but by some delay, and the return must not cost tries.
 func TestZoneCutReturnsWithoutStampede(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{entries: 3, services: 6, links: true, service: servicestandin.Options{Delay: 10 * time.Millisecond}})
 	var zone []*node
 	for _, s := range c.services {
--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -117,6 +117,7 @@
 // As before. Who can't be served in time hears it at once, not after having
 // waited, and who follows a Retry-After is served more often than not.
 func TestOverloadRefusesAtOnceAndRetryAfterIsHonoured(t *testing.T) {
+	t.Parallel()
 	o := runOverload(t)
 	assert.Assert(t, len(o.refused) > 0)
 	late := o.refused[len(o.refused)*95/100]
@@ -131,6 +132,7 @@
 // would take gigabytes: what goes beyond the entry's bound is refused at once, as
 // not run, and the rest gets its answers.
 func TestLongPromptsAreBoundedTogether(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{
 		entries: 1, prefill: 1, decode: 1, engine: enginestandin.Options{DecodeSlots: 2, PrefillPerThousand: time.Millisecond},
 		agent: func(a *settings.Agent) { a.Slots = 2 },
@@ -160,6 +162,7 @@
 // Refusals still come at once, each says truthfully that nothing ran, and who
 // follows its Retry-After is served more often than not.
 func TestOverloadWithCallersWhoComeBackElsewhere(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{
 		entries: 2, prefill: 1, decode: 1,
 		engine: enginestandin.Options{TokenTime: 20 * time.Millisecond},
--- a/test/recovery_test.go
+++ b/test/recovery_test.go
@@ -14,6 +14,7 @@
 // each goes on elsewhere behind the tokens that its caller has. Nobody gets a
 // cut answer, and nobody waits long for being near a crash.
 func TestEngineKilledUnderLoad(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, shape{entries: 2, prefill: 2, decode: 3})
 	h := &history{}
 	const n = 200
