--- a/internal/experiment/overhead_test.go
+++ b/internal/experiment/overhead_test.go
@@ -21,17 +21,17 @@
 	var prefills, decodes atomic.Int32
 	mux := http.NewServeMux()
 	mux.HandleFunc(engine.PathPrefill, func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintf(w, `{"kv":"kv-%d"}`, prefills.Add(1))
+		_, _ = fmt.Fprintf(w, `{"kv":"kv-%d"}`, prefills.Add(1))
 	})
 	mux.HandleFunc(engine.PathDecode, func(w http.ResponseWriter, _ *http.Request) {
 		n := decodes.Add(1)
 		if n == 1 {
 			w.WriteHeader(http.StatusGone)
-			fmt.Fprint(w, `{"code":"kv-gone"}`)
+			_, _ = fmt.Fprint(w, `{"code":"kv-gone"}`)
 			return
 		}
 		attempt := fmt.Sprintf(`{"attempt":{"request":"direct-7","number":%d},`, n)
-		fmt.Fprint(w, attempt+`"token":{"index":0}}`+"\n"+attempt+`"finish":"length","tokens":1}`+"\n")
+		_, _ = fmt.Fprint(w, attempt+`"token":{"index":0}}`+"\n"+attempt+`"finish":"length","tokens":1}`+"\n")
 	})
 	server := httptest.NewServer(mux)
 	defer server.Close()
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -96,9 +96,9 @@
 }
 
 // answer returns a sealed answer.
-func answer(status int, body io.Reader) *Answer {
+func answer(body io.Reader) *Answer {
 	return &Answer{
-		Response: &upstream.Response{Status: status, Header: http.Header{}, Length: -1, Body: io.NopCloser(body)},
+		Response: &upstream.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(body)},
 		Sealed:   true,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -72,7 +73,9 @@
 	stopping atomic.Bool
 	// stopAt and stopBy bound a graceful stop; they are set before stopping.
 	stopAt, stopBy time.Time
-	inFlight       atomic.Int64
+	// closing: no request is begun any more.
+	closing  atomic.Bool
+	inFlight atomic.Int64
 
 	budgetMu sync.Mutex
 	// budget is guarded by budgetMu.
@@ -142,12 +145,18 @@
 	g.stopping.Store(true)
 }
 
+// Close makes the gateway refuse all requests, as its process is about to end.
+func (g *Gateway) Close() { g.closing.Store(true) }
+
 // tooLate reports whether a request can't be done before the gateway ends.
 // Callers still come when the balancer has no other gateway in their zone. What
 // came too late was cut in the middle; refused at once, it is served elsewhere.
 func (g *Gateway) tooLate(r *Request) bool {
-	if !g.stopping.Load() {
+	switch {
+	case !g.stopping.Load():
 		return false
+	case g.closing.Load():
+		return true
 	}
 	if r.Generation != nil {
 		return time.Since(g.stopAt) > lastGeneration
@@ -259,7 +268,7 @@
 	if j.runs > 0 && out.Verdict == verdict.NotRun {
 		out.Verdict = verdict.MayHaveRun
 	}
-	if ctx.Err() != nil && context.Cause(ctx) == context.DeadlineExceeded {
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		out.Code = verdict.Deadline
 	}
 	return &out
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -36,7 +35,7 @@
 			refusals--
 			return nil, full()
 		}
-		return answer(http.StatusOK, text("booked")), nil
+		return answer(text("booked")), nil
 	}
 	g := newGateway(t, f)
 	reply, err := g.Serve(t.Context(), call("/once/x"))
@@ -73,8 +72,8 @@
 // reach a caller as a success; a repeatable call is asked for again.
 func TestAnswerWithoutProofIsNoAnswer(t *testing.T) {
 	for _, broken := range []*Answer{
-		{Response: answer(http.StatusOK, text("forged")).Response},
-		answer(http.StatusOK, io.MultiReader(text("half"), errReader{io.ErrUnexpectedEOF})),
+		{Response: answer(text("forged")).Response},
+		answer(io.MultiReader(text("half"), errReader{io.ErrUnexpectedEOF})),
 	} {
 		first := true
 		f := &fakeBackend{}
@@ -83,7 +82,7 @@
 				first = false
 				return broken, nil
 			}
-			return answer(http.StatusOK, text("whole")), nil
+			return answer(text("whole")), nil
 		}
 		g := newGateway(t, f)
 		reply, err := g.Serve(t.Context(), call("/again/x"))
@@ -114,10 +113,10 @@
 	f.send = func(_ catalog.Server, c Call) (*Answer, *verdict.Error) {
 		if c.After == "" {
 			torn := eventsOf("1", "2") + "id: 3\nda"
-			return answer(http.StatusOK, io.MultiReader(text(torn), errReader{io.ErrUnexpectedEOF})), nil
+			return answer(io.MultiReader(text(torn), errReader{io.ErrUnexpectedEOF})), nil
 		}
 		assert.Equal(t, c.After, "2")
-		return answer(http.StatusOK, text(eventsOf("2", "3", "4"))), nil
+		return answer(text(eventsOf("2", "3", "4"))), nil
 	}
 	g := newGateway(t, f)
 	reply, err := g.Serve(t.Context(), generation("/stream/x"))
@@ -135,7 +134,7 @@
 // break off, so that it doesn't look complete.
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
-		return answer(http.StatusOK, io.MultiReader(text(eventsOf("1")), errReader{io.ErrUnexpectedEOF})), nil
+		return answer(io.MultiReader(text(eventsOf("1")), errReader{io.ErrUnexpectedEOF})), nil
 	}}
 	g := newGateway(t, f)
 	reply, err := g.Serve(t.Context(), generation("/stream-once/x"))
@@ -146,6 +145,20 @@
 	assert.Equal(t, len(f.sends()), 1)
 }
 
+// An engine answers, and breaks off before its first event. The caller must get
+// an answer that says that it may have run. With the answer's head held back by
+// the library until the first bytes of the body, it saw a closed connection.
+func TestStreamWithoutAnyEventIsAnswered(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		return answer(errReader{io.ErrUnexpectedEOF}), nil
+	}}
+	g := newGateway(t, f)
+	_, err := g.Serve(t.Context(), generation("/stream-once/x"))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, err.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, g.InFlight(), int64(0))
+}
+
 // All engines are full. No prompt may be read for nothing, and the caller hears
 // soon that it has not run, and when to come back.
 func TestFullEnginesCostNoPrefill(t *testing.T) {
@@ -171,7 +184,7 @@
 			refused = s.ID
 			return nil, full()
 		}
-		return answer(http.StatusOK, text(eventsOf("1"))), nil
+		return answer(text(eventsOf("1"))), nil
 	}
 	g := newGateway(t, f)
 	reply, err := g.Serve(t.Context(), generation("/stream/x"))
@@ -217,7 +230,7 @@
 // other. What can't end before it does is refused at once and not cut.
 func TestLateGenerationsAreRefusedWhileStopping(t *testing.T) {
 	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
-		return answer(http.StatusOK, text(eventsOf("1"))), nil
+		return answer(text(eventsOf("1"))), nil
 	}}
 	g := newGateway(t, f)
 	g.Stop(time.Now().Add(7 * time.Second))
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -68,7 +68,7 @@
 			return whole(a)
 		}
 		if err == nil {
-			return g.streamed(ctx, j, p, a), nil
+			return g.streamed(ctx, j, p, a)
 		}
 		last = err
 		j.avoid[start(p.server)] = true
@@ -119,7 +119,7 @@
 func (g *Gateway) reserveFor(ctx context.Context, j *job, inTime, giveUp time.Time) (reservation, *verdict.Error) {
 	tokens := need(j.r.Generation)
 	began := time.Now()
-	for {
+	for round := 1; ; round++ {
 		p, ok := g.reserveOnce(ctx, j, tokens)
 		if ok {
 			observe(reserveSeconds, began)
@@ -130,7 +130,9 @@
 			pause *= lateFactor
 		}
 		if time.Now().Add(pause).After(giveUp) {
-			return reservation{}, verdict.New(verdict.NotRun, verdict.Overloaded, "No engine has room.").After(roomRetryAfter)
+			return reservation{}, verdict.New(
+				verdict.NotRun, verdict.Overloaded, "No engine has room for %d tokens, asked in %d rounds of up to %d.", tokens, round, reserveTries,
+			).After(roomRetryAfter)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -51,6 +51,10 @@
 	// that was on its way when the last answer went out is still served.
 	quietStop = 500 * time.Millisecond
 	stopTick  = 20 * time.Millisecond
+	// closeRefuse is how long all requests are refused before the listener
+	// closes, closeLinger how long the answers have to leave after it.
+	closeRefuse = 150 * time.Millisecond
+	closeLinger = 100 * time.Millisecond
 	// heldRetryAfter is told to a caller refused for the memory of others.
 	heldRetryAfter = time.Second
 )
@@ -112,6 +116,7 @@
 	case <-ctx.Done():
 	}
 	s.drain()
+	s.close(l)
 	return nil
 }
 
@@ -134,6 +139,16 @@
 	s.g.log.WithField("requests", s.g.InFlight()).Warn("gateway: stop time is up, requests are cut.")
 }
 
+// close ends the callers' side. A request that came just when nothing ran any
+// more was read and cut by the process's end, so that its caller couldn't know
+// whether it ran. Now it is refused, and what comes after that finds no listener.
+func (s *Server) close(l net.Listener) {
+	s.g.Close()
+	time.Sleep(closeRefuse)
+	_ = l.Close()
+	time.Sleep(closeLinger)
+}
+
 func (s *Server) answerReady(ctx *fasthttp.RequestCtx) {
 	switch {
 	case string(ctx.Path()) != s.opts.ReadyPath:
--- /dev/null
+++ b/internal/gateway/server_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// bareProtocol takes each HTTP request for a plain call.
+type bareProtocol struct{}
+
+func (bareProtocol) Decode(ctx *fasthttp.RequestCtx) (*Request, *verdict.Error) {
+	return call(string(ctx.Path())), nil
+}
+
+func (bareProtocol) Reply(resp *fasthttp.Response, r *Reply) { resp.SetStatusCode(r.Status) }
+
+func (bareProtocol) Refuse(resp *fasthttp.Response, _ *Request, e *verdict.Error) {
+	resp.SetStatusCode(http.StatusServiceUnavailable)
+	resp.SetBodyString(e.Message)
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// A gateway stops while callers go on coming, as they do when its zone has no
+// other. Each must get a whole answer or find no listener. One that came just
+// when nothing ran any more was read, and cut by the process's end.
+func TestCallersWhoComeToTheEndOfAStopAreAnswered(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		time.Sleep(5 * time.Millisecond)
+		return answer(text("fine")), nil
+	}}
+	g := newGateway(t, f)
+	addr := free(t)
+	s := NewServer(g, ServerOptions{
+		Listen: addr, Ready: free(t), ReadyPath: "/ready", MaxHeaderBytes: 4096, MaxBodyBytes: 4096, MaxHeldBytes: 1 << 20,
+		HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: time.Second, WriteTimeout: time.Second,
+		StopWithin: 5 * time.Second, Protocol: bareProtocol{},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ask := func() (int, error) {
+		resp, err := client.Post("http://"+addr+"/once/x", "", strings.NewReader("x"))
+		if err != nil {
+			return 0, err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, err
+	}
+	for range 100 {
+		if status, err := ask(); err == nil && status == http.StatusOK {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	refused := 0
+	for {
+		status, err := ask()
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			break
+		}
+		assert.NilError(t, err)
+		if status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	assert.NilError(t, <-ended)
+	assert.Assert(t, refused > 0)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,9 +41,15 @@
 	close sync.Once
 }
 
-func (g *Gateway) streamed(ctx context.Context, j *job, p reservation, a *Answer) *Reply {
+// streamed returns the reply once its first event is there. Until then the caller
+// can still be told of a failure; afterwards a broken stream only breaks off.
+func (g *Gateway) streamed(ctx context.Context, j *job, p reservation, a *Answer) (*Reply, *verdict.Error) {
 	s := &stream{g: g, ctx: ctx, j: j, place: p, answer: a, events: newEvents(a.Body), last: j.r.Generation.LastEvent}
-	return &Reply{Status: a.Status, Headers: a.Header, Length: -1, Body: s}
+	if err := s.advance(); err != nil {
+		_ = s.Close()
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ServerLost, "The engine broke off before its first event.")
+	}
+	return &Reply{Status: a.Status, Headers: a.Header, Length: -1, Body: s}, nil
 }
 
 // Read returns bytes of whole events as they come.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -115,7 +115,7 @@
 	defer v.mu.Unlock()
 	before, _ := v.health.View(start(s), now)
 	v.health.Outcome(start(s), now, o)
-	if after, ok := v.health.View(start(s), now); ok && after.State != before.State {
+	if after, ok := v.health.View(start(s), now); ok && after.Away() != before.Away() {
 		v.log.WithFields(logrus.Fields{
 			"server": start(s), "state": after.State.String(), "before": before.State.String(), "evidence": o.String(),
 		}).Info("gateway: server's health changed.")
@@ -148,12 +148,6 @@
 	return out
 }
 
-// still reports whether the start of a server is listed and takes work.
-func (v *view) still(s catalog.Server) bool {
-	now, ok := v.servers.Get(s.ID)
-	return ok && now.Same(s) && !now.Leaving
-}
-
 // usableIDs returns the ids of all servers that take new work.
 func (v *view) usableIDs() []string {
 	var out []string
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -93,11 +93,7 @@
 	return n, err
 }
 
-// kill closes the connection under a running exchange. The reset spares the
-// server the wait for a close in order.
-func (c *conn) kill() { c.close() }
-
-func (c *conn) close() { c.once.Do(func() { _ = c.Conn.Close() }) }
+func (c *conn) close() { c.once.Do(func() { _ = c.Close() }) }
 
 var (
 	dials  = metrics.NewCounter("jayford_upstream_dials_total")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, &Error{Refused: isRefused(err), cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { c.kill() })
+	stop := context.AfterFunc(ctx, c.close)
 	resp, err := c.exchange(r)
 	if err != nil {
 		stop()
@@ -88,7 +88,7 @@
 func (c *conn) answer(r *Request) (*Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxStrange {
-		resp, err := http.ReadResponse(c.r, req)
+		resp, err := http.ReadResponse(c.r, req) //nolint:bodyclose // the caller closes it with the connection
 		if err != nil {
 			return nil, eris.Wrap(err, "read answer")
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -88,8 +88,8 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nextra")
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 6\r\n\r\nsecond")
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nextra")
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 6\r\n\r\nsecond")
 	})
 	p := newPool()
 	body, err := do(t, p, addr, "1")
@@ -208,7 +208,7 @@
 			if err != nil {
 				return
 			}
-			fmt.Fprintf(c, "HTTP/1.1 413 Too Large\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Id"))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 413 Too Large\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Id"))
 			if _, err := io.Copy(io.Discard, req.Body); err != nil {
 				return
 			}
--- a/test/observe_test.go
+++ b/test/observe_test.go
@@ -131,7 +131,7 @@
 	assert.Assert(t, got.request != "")
 	eventually(t, 2*time.Second, "log line", func() error {
 		for line := range strings.Lines(c.entries[0].logs()) {
-			if strings.Contains(line, got.request) && strings.Contains(line, `msg="entry: `) {
+			if strings.Contains(line, got.request) && strings.Contains(line, `"msg":"entry: `) {
 				return nil
 			}
 		}
