Keep a SIGHUP during a stop from ending the process

The handler of SIGHUP was undone with the stop's begin, and the signal had its default effect again.

Ruled out: the listener's backlog at the end of a stop (the gateways ran on for seconds) and kills (none).

Change: the handler stays. Lines at start, listening, stop, drained and end.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -23,8 +23,9 @@
 // requests.
 func watchSettings(ctx context.Context, path string, now settings.Gateway, log *logrus.Logger) {
 	hup := make(chan os.Signal, 1)
+	// Never undone: a SIGHUP that comes while the process stops would have its
+	// default effect, which is to end it in the middle of its requests.
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	seen := modified(path)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,6 +41,11 @@
 		StopWithin: s.StopWithin.D(), Protocol: out.Protocol,
 	})
 	begun := time.Now()
+	log.WithFields(logrus.Fields{
+		"part": "gateway", "id": s.ID, "availabilityZone": s.AvailabilityZone, "platform": s.Platform, "build": build(),
+		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare,
+	}).Info("gateway: starting.")
+	defer func() { log.WithField("part", "gateway").Info("gateway: ended.") }()
 	ops := operator.New(b, func() operator.Status {
 		return operator.Status{
 			ID: s.ID, Role: RoleGateway, AvailabilityZone: s.AvailabilityZone,
@@ -61,6 +67,21 @@
 	)
 }
 
+// build names the sources that the program was built from, as far as the build
+// recorded them.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
+
 func ids(list []peers.Peer) []string {
 	out := make([]string, len(list))
 	for i, p := range list {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"jayford.example/jayford/internal/callers"
@@ -110,6 +111,7 @@
 	go func() { failed <- s.http.Serve(&callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout}) }()
 	probe := &fasthttp.Server{Handler: s.answerReady, NoDefaultServerHeader: true, Logger: s.g.log}
 	go func() { failed <- probe.Serve(ready) }()
+	s.g.log.WithFields(logrus.Fields{"address": s.opts.Listen, "ready": s.opts.Ready}).Info("gateway: listening.")
 	select {
 	case err := <-failed:
 		return eris.Wrap(err, "gateway: serve")
@@ -126,6 +128,10 @@
 func (s *Server) drain() {
 	began := time.Now()
 	s.g.Stop(began.Add(s.opts.StopWithin))
+	s.g.log.WithFields(logrus.Fields{"requests": s.g.InFlight(), "within": s.opts.StopWithin.String()}).Info("gateway: stopping, readiness fails now.")
+	defer func() {
+		s.g.log.WithField("took", milliseconds(time.Since(began))).Info("gateway: drained.")
+	}()
 	quiet := began
 	for time.Since(began) < s.opts.StopWithin {
 		time.Sleep(stopTick)
