Earn half of the budget's slack by time; bound the HTTP library's lines

The library's lines have addresses in their text, so that each was a kind of its own and no bound held.

Ruled out: the whole slack as a burst that refills (a window would see it twice).

Change: half of the share is saved up, half earned over the window. One kind of line for the library.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,7 +31,7 @@
 	b := board.New()
 	g := gateway.New(gateway.Options{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Backend: out.Backend, Board: b,
-		Budget: gateway.Budget{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack}, Log: log,
+		Budget: gateway.Budget{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window.D()}, Log: log,
 	})
 	server := gateway.NewServer(g, gateway.ServerOptions{
 		Listen: s.Listen, Ready: s.Ready, ReadyPath: out.ReadyPath,
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -149,7 +149,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(Options{ID: "g1", Backend: f, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100}, Log: log})
+	g := New(Options{ID: "g1", Backend: f, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Log: log})
 	g.SetPeers(1)
 	g.SetConfig(testConfig())
 	g.SetServers(testServers())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,15 @@
 	// Ratio is how many each request earns.
 	Ratio float64
 	// Slack is how many there may be besides, in any Window.
-	Slack float64
+	Slack  float64
+	Window time.Duration
+}
+
+// share returns one gateway's part of the slack: what it can save up, and what
+// time earns it a second. Half of it each, since a window can see both.
+func (b Budget) share(gateways float64) (burst, perSecond float64) {
+	half := b.Slack * budgetCaution / gateways / 2
+	return half, half / b.Window.Seconds()
 }
 
 // Options of a Gateway.
@@ -86,12 +94,12 @@
 
 // New returns a gateway and adds its state to the board's dump.
 func New(o Options) *Gateway {
+	burst, perSecond := o.Budget.share(unknownPeers)
 	g := &Gateway{
 		opts: o, log: o.Log.WithField("part", "gateway"), backend: o.Backend,
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), pace: newPace(),
 		budget: retry.NewBudget(retry.Options{
-			Ratio: o.Budget.Ratio * budgetCaution, MinPerSecond: budgetLeastRate,
-			Burst: o.Budget.Slack * budgetCaution / unknownPeers,
+			Ratio: o.Budget.Ratio * budgetCaution, MinPerSecond: perSecond, Burst: burst,
 		}),
 	}
 	return g
@@ -104,9 +112,6 @@
 	// unknownPeers is how many gateways are assumed while their number isn't
 	// known; a guess too high only costs repeats.
 	unknownPeers = 24
-	// budgetLeastRate is above zero only since the library takes 0 for its
-	// default.
-	budgetLeastRate = 1e-6
 )
 
 // SetPeers tells how many gateways share the budget.
@@ -118,7 +123,7 @@
 	g.log.WithField("gateways", n).Info("gateway: shares of the budget changed.")
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
-	g.budget.SetBurst(g.opts.Budget.Slack * budgetCaution / float64(n))
+	g.budget.SetSlack(g.opts.Budget.share(float64(n)))
 }
 
 // SetConfig puts c in force unless a newer one is, and says whether it did.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -84,11 +85,20 @@
 		NoDefaultContentType:         true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       g.log,
+		Logger:                       httpLog{g.log},
 	}
 	return s
 }
 
+// httpLog takes the library's own lines. They have addresses in their text; as
+// one kind of line they are bounded together.
+type httpLog struct{ log *logrus.Entry }
+
+// Printf logs one line.
+func (l httpLog) Printf(format string, args ...any) {
+	l.log.WithField("detail", fmt.Sprintf(format, args...)).Info("gateway: connection ended with an error.")
+}
+
 func (s *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	return fasthttp.RequestConfig{ReadTimeout: s.opts.BodyTimeout}
 }
@@ -109,7 +119,7 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- s.http.Serve(&callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout}) }()
-	probe := &fasthttp.Server{Handler: s.answerReady, NoDefaultServerHeader: true, Logger: s.g.log}
+	probe := &fasthttp.Server{Handler: s.answerReady, NoDefaultServerHeader: true, Logger: httpLog{s.g.log}}
 	go func() { failed <- probe.Serve(ready) }()
 	s.g.log.WithFields(logrus.Fields{"address": s.opts.Listen, "ready": s.opts.Ready}).Info("gateway: listening.")
 	select {
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -91,9 +91,10 @@
 // zero, and then pays it off before it allows another.
 func (b *Budget) Charge(key string) { b.bucket(key).tokens-- }
 
-// SetBurst changes what can be saved up. What is saved already is cut to it.
-func (b *Budget) SetBurst(burst float64) {
-	b.opts.Burst = max(1, burst)
+// SetSlack changes what can be saved up and what time earns. What is saved
+// already is cut to it.
+func (b *Budget) SetSlack(burst, perSecond float64) {
+	b.opts.Burst, b.opts.MinPerSecond = max(1, burst), perSecond
 	for _, x := range b.buckets {
 		x.tokens = min(x.tokens, b.opts.Burst)
 	}
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,3 +109,44 @@
 	assert.Assert(t, !d.Retry, "an earlier try may have run")
 	assert.Equal(t, d.Final.Verdict, verdict.MayHaveRun)
 }
+
+// Several processes share a slack of 40 repeats in any ten seconds, half of it
+// saved up and half earned by time. However each spends its share, no window may
+// see more than the slack and the part of its first tries.
+func TestSlackHoldsInAnyWindow(t *testing.T) {
+	const (
+		slack, processes, ratio = 40.0, 4, 0.1
+		window                  = 10 * time.Second
+	)
+	start := time.Unix(0, 0)
+	var repeats []time.Time
+	for range processes {
+		b := NewBudget(Options{Ratio: ratio, Burst: 1, MinPerSecond: 1e-6})
+		share := slack / processes / 2
+		b.SetSlack(share, share/window.Seconds())
+		for at := time.Duration(0); at < 60*time.Second; at += 50 * time.Millisecond {
+			now := start.Add(at)
+			b.Advance(now)
+			if at%time.Second == 0 {
+				b.First("s")
+			}
+			if b.Allow("s", "s") {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	slices.SortFunc(repeats, time.Time.Compare)
+	most := 0
+	for i, first := range repeats {
+		n := 0
+		for _, r := range repeats[i:] {
+			if r.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	firsts := processes * int(window/time.Second)
+	assert.Assert(t, float64(most) <= slack+ratio*float64(firsts), "%d repeats", most)
+	assert.Assert(t, len(repeats) > 2*int(slack), "the slack isn't earned again: %d", len(repeats))
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -30,10 +30,11 @@
 }
 
 // Budget bounds the sendings beyond the first of each request, over all
-// gateways together: Ratio for each request, and Slack in any window.
+// gateways together: Ratio for each request, and Slack in any Window.
 type Budget struct {
-	Ratio float64 `json:"ratio"`
-	Slack float64 `json:"slack"`
+	Ratio  float64  `json:"ratio"`
+	Slack  float64  `json:"slack"`
+	Window Duration `json:"window"`
 }
 
 // Stages holds what the division of engines between prefill and decode depends
@@ -59,7 +60,7 @@
 			IdleTimeout:    Duration(15 * time.Second),
 			WriteTimeout:   Duration(10 * time.Second),
 		},
-		Budget: Budget{Ratio: 0.2, Slack: 50},
+		Budget: Budget{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
 		Stages: Stages{LeaseTerm: Duration(4 * time.Second)},
 	}
 	g.StopWithin = Duration(7500 * time.Millisecond)
@@ -101,6 +102,7 @@
 	duration(d, "limits.writeTimeout", l.WriteTimeout, minWait, maxWait)
 	strictjson.Range(d, "budget.ratio", g.Budget.Ratio, 0, 1)
 	strictjson.Range(d, "budget.slack", g.Budget.Slack, 0, maxQueue)
+	duration(d, "budget.window", g.Budget.Window, minTerm, maxWait)
 	strictjson.Range(d, "stages.prefillShare", g.Stages.PrefillShare, 0, 1)
 	duration(d, "stages.leaseTerm", g.Stages.LeaseTerm, minTerm, maxWait)
 }
