Keep a server's answer of failure until another has one

Cause: found by reading. A repeatable call whose server answered 500 dropped that answer before another server had one; if none did, its caller got our 502 in place of the server's own words. TestAnswerOfFailureIsKeptUntilAnotherIsThere fails first in three forms (refused, lost, without proof).

The line that a server is trusted again repeated the line of the changed health.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -28,33 +28,42 @@
 	repeatableFresh = 4 * time.Second
 )
 
-// call passes a request to a plain service, and again where that is safe.
+// call passes a request to a plain service, and again where that is safe. An
+// answer of failure is kept until another server has one: dropped at once, it
+// would be lost to the caller whenever no other server answers.
 func (g *Gateway) call(ctx context.Context, j *job) (*Reply, *verdict.Error) {
-	var last *verdict.Error
+	var kept *Reply
+	last := verdict.New(verdict.NotRun, verdict.NoServer, "The service has no server that works.").After(noServerRetryAfter)
 	for {
-		s, ok := g.pick(j, catalog.NoStage)
+		s, ok := g.pick(j)
 		if !ok {
-			if last != nil {
-				return nil, last
-			}
-			return nil, verdict.New(verdict.NotRun, verdict.NoServer, "The service has no server that works.").After(noServerRetryAfter)
+			break
 		}
 		reply, err := g.callOnce(ctx, j, s)
 		g.noteCall(j, s, reply, err)
-		if err == nil && (reply.Status < http.StatusInternalServerError || !g.again(ctx, j, verdict.Ran)) {
-			return reply, nil
-		}
-		if err == nil {
-			_ = reply.Body.Close()
-			j.avoid[start(s)] = true
-			continue
-		}
-		g.judge(ctx, s, err)
-		last = err
 		j.avoid[start(s)] = true
-		if !g.again(ctx, j, err.Verdict) {
-			return nil, last
+		ran := verdict.Ran
+		if err != nil {
+			g.judge(ctx, s, err)
+			last, ran = err, err.Verdict
+		} else {
+			kept.discard()
+			kept = reply
 		}
+		if err == nil && reply.Status < http.StatusInternalServerError || !g.again(ctx, j, ran) {
+			break
+		}
+	}
+	if kept != nil {
+		return kept, nil
+	}
+	return nil, last
+}
+
+// discard closes a reply that no caller gets; r may be nil.
+func (r *Reply) discard() {
+	if r != nil {
+		_ = r.Body.Close()
 	}
 }
 
@@ -67,8 +76,8 @@
 }
 
 // pick returns the server that the request goes to next.
-func (g *Gateway) pick(j *job, stage catalog.Stage) (catalog.Server, bool) {
-	for _, s := range g.rank(g.view.usable(j.service.Name, stage), func(x load) int { return x.Requests }) {
+func (g *Gateway) pick(j *job) (catalog.Server, bool) {
+	for _, s := range g.rank(g.view.usable(j.service.Name, catalog.NoStage), func(x load) int { return x.Requests }) {
 		if !j.avoid[start(s)] {
 			return s, true
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -68,6 +69,35 @@
 	assert.Equal(t, err.Verdict, verdict.MayHaveRun)
 }
 
+// A server answers a repeatable call with its own 500, and then no other server
+// has an answer, as all refuse or the connections break. The caller must get the
+// 500 that is there, whole, and not an error of the gateway's in its place.
+func TestAnswerOfFailureIsKeptUntilAnotherIsThere(t *testing.T) {
+	for _, later := range []func() (*Answer, *verdict.Error){
+		func() (*Answer, *verdict.Error) { return nil, full() },
+		func() (*Answer, *verdict.Error) { return nil, lost() },
+		func() (*Answer, *verdict.Error) { return &Answer{Response: answer(text("forged")).Response}, nil },
+	} {
+		n := 0
+		f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
+			if n++; n > 1 {
+				return later()
+			}
+			a := answer(text("the server's own words"))
+			a.Status = http.StatusInternalServerError
+			return a, nil
+		}}
+		g := newGateway(t, f)
+		reply, err := g.Serve(t.Context(), call("/again/x"))
+		assert.Assert(t, n > 1)
+		assert.Assert(t, err == nil, "%v", err)
+		assert.Equal(t, reply.Status, http.StatusInternalServerError)
+		body, readErr := io.ReadAll(reply.Body)
+		assert.NilError(t, readErr)
+		assert.Equal(t, string(body), "the server's own words")
+	}
+}
+
 // A server's answer lacks its proof, or breaks off in the middle. Neither may
 // reach a caller as a success; a repeatable call is asked for again.
 func TestAnswerWithoutProofIsNoAnswer(t *testing.T) {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -52,5 +52,4 @@
 		return
 	}
 	g.view.outcome(s, doubt.Alive)
-	g.log.WithField("server", s.ID).Info("gateway: server trusted again.")
 }
