Choose servers from an immutable list, without scanning all of them

Change: a list of servers is made once per change, by service and stage, each with the name of its start; the ten best are kept in one pass under one lock.

Ruled out as a cause of changed results: the order among candidates is the same, by what is against them, load and chance.

--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/board"
+	"jayford.example/jayford/internal/catalog"
+)
+
+// fleetSize is the size to build towards: servers of all services.
+const (
+	fleetSize   = 1100
+	fleetZones  = 11
+	fleetModels = 13
+)
+
+// fleetGateway knows fleetSize servers: of each model's a fifth prefill, and half of
+// the servers are of one model.
+func fleetGateway(b *testing.B) *Gateway {
+	b.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Options{ID: "g1", Backend: &fakeBackend{}, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 1e10}, Log: log})
+	c := testConfig()
+	var list []catalog.Server
+	for i := range fleetSize {
+		s := catalog.Server{
+			ID: fmt.Sprintf("i-%012d", i), Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			AvailabilityZone: fmt.Sprint("az", i%fleetZones), Service: modelService, Stage: catalog.Decode,
+		}
+		if i%5 == 0 {
+			s.Stage = catalog.Prefill
+		}
+		if i%2 == 0 {
+			s.Service = fmt.Sprint("model-", i%fleetModels)
+		}
+		list = append(list, s)
+	}
+	g.SetConfig(c)
+	g.SetServers(list)
+	return g
+}
+
+// BenchmarkChooseDecode ranks the decode servers of the largest model, as each
+// round of a request's search for room does.
+func BenchmarkChooseDecode(b *testing.B) {
+	g := fleetGateway(b)
+	j := &job{avoid: map[string]bool{}}
+	b.ReportAllocs()
+	for b.Loop() {
+		list := g.best(j, g.view.list().usable(modelService, catalog.Decode), reserveTries, func(x load) int { return x.Tokens })
+		if len(list) != reserveTries {
+			b.Fatal(len(list))
+		}
+	}
+}
+
+// BenchmarkCandidacy is what each tick of the lease asks of a gateway.
+func BenchmarkCandidacy(b *testing.B) {
+	g := fleetGateway(b)
+	s := &stages{g: g, opts: StageOptions{Share: 0.2}, ordered: map[string]sentOrder{}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if n := len(s.wanted(1, false)); n != 0 {
+			b.Fatal(n)
+		}
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -77,10 +77,9 @@
 
 // pick returns the server that the request goes to next.
 func (g *Gateway) pick(j *job) (catalog.Server, bool) {
-	for _, s := range g.rank(g.view.usable(j.service.Name, catalog.NoStage), func(x load) int { return x.Requests }) {
-		if !j.avoid[start(s)] {
-			return s, true
-		}
+	list := g.view.list().usable(j.service.Name, catalog.NoStage)
+	for _, s := range g.best(j, list, 1, func(x load) int { return x.Requests }) {
+		return s.Server, true
 	}
 	return catalog.Server{}, false
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -176,3 +176,12 @@
 func full() *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.Overloaded, "full")
 }
+
+// usable counts the servers that take new work.
+func usable(g *Gateway) int {
+	n := 0
+	for _, list := range g.view.list().pools {
+		n += len(list)
+	}
+	return n
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 
 // Ready reports whether new callers are welcome.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.view.config.Load() != nil && g.view.listed.Load()
+	return !g.stopping.Load() && g.view.config.Load() != nil && g.view.listing.Load() != nil
 }
 
 // Stopping reports whether the gateway finishes what it has.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -233,14 +233,19 @@
 	defer f.mu.Unlock()
 	assert.DeepEqual(t, f.released, []string{"hold-" + refused})
 	assert.DeepEqual(t, f.discarded, []string{"kv-f1"})
-	assert.Assert(t, time.Now().Before(g.loads.get(g.mustServer(t, refused)).Full))
+	assert.Assert(t, time.Now().Before(g.loads.get(g.startOf(t, refused)).Full))
 }
 
-func (g *Gateway) mustServer(t *testing.T, id string) catalog.Server {
+// startOf returns the name of a listed server's start.
+func (g *Gateway) startOf(t *testing.T, id string) string {
 	t.Helper()
-	s, ok := g.view.servers.Get(id)
-	assert.Assert(t, ok)
-	return s
+	for _, c := range g.view.list().all {
+		if c.ID == id {
+			return c.start
+		}
+	}
+	t.Fatalf("%s isn't listed", id)
+	return ""
 }
 
 // The caller leaves while its request waits for room. Nothing may be sent.
@@ -292,18 +297,18 @@
 	g := newGateway(t, &fakeBackend{})
 	r := &roster{g: g, decoder: fakeDecoder{}, known: map[string]member{}}
 	r.apply([]platform.Object{{Name: "p1"}, {Name: "p2"}, {Name: "p3"}}, true, 0)
-	assert.Equal(t, len(g.view.usableIDs()), 3)
+	assert.Equal(t, usable(g), 3)
 
 	r.apply([]platform.Object{{Name: "p1"}}, true, 4*time.Second)
-	assert.Equal(t, len(g.view.usableIDs()), 3)
+	assert.Equal(t, usable(g), 3)
 	r.apply([]platform.Object{{Name: "p2"}}, false, 0)
 	r.graceUntil = time.Now()
 	r.expire()
-	assert.Equal(t, len(g.view.usableIDs()), 2)
+	assert.Equal(t, usable(g), 2)
 
 	// Without an outage an entry that goes is gone.
 	r.apply([]platform.Object{{Name: "p2", Deleted: true}}, false, 0)
-	assert.Equal(t, len(g.view.usableIDs()), 1)
+	assert.Equal(t, usable(g), 1)
 }
 
 type fakeDecoder struct{}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -144,25 +144,18 @@
 }
 
 func (g *Gateway) reserveOnce(ctx context.Context, j *job, tokens int) (reservation, bool) {
-	list := g.rank(g.view.usable(j.service.Name, catalog.Decode), func(x load) int { return x.Tokens })
-	tries := 0
-	for _, s := range list {
-		if j.avoid[start(s)] {
-			continue
-		}
-		if tries++; tries > reserveTries {
-			break
-		}
-		hold, err := g.backend.Reserve(ctx, s, tokens, j.service.Engine.HoldTTL)
+	list := g.view.list().usable(j.service.Name, catalog.Decode)
+	for i, s := range g.best(j, list, reserveTries, func(x load) int { return x.Tokens }) {
+		hold, err := g.backend.Reserve(ctx, s.Server, tokens, j.service.Engine.HoldTTL)
 		if err == nil {
-			g.note(j, "gateway: room reserved.", logrus.Fields{"server": start(s), "tokens": tokens, "ownLoad": g.loads.get(s).Tokens, "asked": tries})
-			return reservation{server: s, hold: hold, end: g.loads.begin(s, tokens)}, true
+			g.note(j, "gateway: room reserved.", logrus.Fields{"server": s.start, "tokens": tokens, "ownLoad": s.load, "asked": i + 1})
+			return reservation{server: s.Server, hold: hold, end: g.loads.begin(s.Server, tokens)}, true
 		}
 		if err.Code == verdict.Overloaded {
-			g.loads.full(s, time.Now().Add(fullFor))
+			g.loads.full(s.start, time.Now().Add(fullFor))
 			continue
 		}
-		g.judge(ctx, s, err)
+		g.judge(ctx, s.Server, err)
 	}
 	return reservation{}, false
 }
@@ -231,7 +224,7 @@
 	if !ok {
 		return catalog.Server{}, Prefilled{}, false
 	}
-	queued := g.loads.get(s).Tokens + tokens
+	queued := g.loads.get(start(s)).Tokens + tokens
 	if w := g.pace.wait(queued); w > time.Duration(prefillQueue*float64(j.route.Objective)) {
 		prefillsSkipped.Inc()
 		g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "queued": queued, "expected": milliseconds(w)})
@@ -269,12 +262,11 @@
 	return s, r, true
 }
 
+// pickPrefill returns the prefill server with the shortest queue, if one is fit.
 func (g *Gateway) pickPrefill(j *job) (catalog.Server, bool) {
-	now := time.Now()
-	for _, s := range g.rank(g.view.usable(j.service.Name, catalog.Prefill), func(x load) int { return x.Tokens }) {
-		if !j.avoid[start(s)] && !g.view.doubted(s, now) && !now.Before(g.loads.get(s).Full) {
-			return s, true
-		}
+	list := g.view.list().usable(j.service.Name, catalog.Prefill)
+	for _, s := range g.best(j, list, 1, func(x load) int { return x.Tokens }) {
+		return s.Server, s.against == fit
 	}
 	return catalog.Server{}, false
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -25,8 +25,8 @@
 
 func newLoads(b *board.Board) *loads { return &loads{board.NewTable[load](b, "loads")} }
 
-func (l *loads) get(s catalog.Server) load {
-	x, _ := l.table.Get(start(s))
+func (l *loads) get(start string) load {
+	x, _ := l.table.Get(start)
 	return x
 }
 
@@ -53,8 +53,8 @@
 }
 
 // full notes that the server refused for lack of room.
-func (l *loads) full(s catalog.Server, until time.Time) {
-	l.table.Update(start(s), func(x load, _ bool) (load, bool) {
+func (l *loads) full(start string, until time.Time) {
+	l.table.Update(start, func(x load, _ bool) (load, bool) {
 		x.Full = until
 		return x, true
 	})
@@ -85,35 +85,55 @@
 	})
 }
 
-// rank orders candidates: doubted ones last, then full ones, then by the load
-// that less compares; equals in random order, so that gateways which know
-// nothing of each other don't all turn to the same server.
-func (g *Gateway) rank(list []catalog.Server, by func(load) int) []catalog.Server {
+// The order of the candidates that have other things against them than load.
+const (
+	fit = iota
+	isFull
+	isDoubted
+)
+
+// rankKey decides who of two candidates is asked first.
+type rankKey struct {
+	against int
+	load    int
+	// turn is drawn: equals are in random order, so that gateways which know
+	// nothing of each other don't all turn to the same server.
+	turn uint32
+}
+
+func (k rankKey) compare(o rankKey) int {
+	return cmp.Or(cmp.Compare(k.against, o.against), cmp.Compare(k.load, o.load), cmp.Compare(k.turn, o.turn))
+}
+
+type ranked struct {
+	candidate
+	rankKey
+}
+
+// best returns at most n candidates that the request may go to, best first:
+// doubted ones last, then full ones, then by the load.
+func (g *Gateway) best(j *job, list []candidate, n int, of func(load) int) []ranked {
 	now := time.Now()
-	type ranked struct {
-		s     catalog.Server
-		away  int
-		value int
-	}
-	rs := make([]ranked, len(list))
-	for i, s := range list {
-		x := g.loads.get(s)
-		r := ranked{s: s, value: by(x)}
-		if now.Before(x.Full) {
-			r.away = 1
+	doubted := g.view.doubted(list, now)
+	out := make([]ranked, 0, n+1)
+	for i := range list {
+		if j.avoid[list[i].start] {
+			continue
 		}
-		if g.view.doubted(s, now) {
-			r.away = 2
+		x := g.loads.get(list[i].start)
+		k := rankKey{load: of(x), turn: rand.Uint32()}
+		switch {
+		case doubted[i]:
+			k.against = isDoubted
+		case now.Before(x.Full):
+			k.against = isFull
 		}
-		rs[i] = r
-	}
-	rand.Shuffle(len(rs), func(i, j int) { rs[i], rs[j] = rs[j], rs[i] })
-	slices.SortStableFunc(rs, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.away, b.away), cmp.Compare(a.value, b.value))
-	})
-	out := make([]catalog.Server, len(rs))
-	for i, r := range rs {
-		out[i] = r.s
+		if len(out) == n && k.compare(out[n-1].rankKey) >= 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(out, k, func(e ranked, k rankKey) int { return e.compare(k) })
+		out = slices.Insert(out, at, ranked{list[i], k})
+		out = out[:min(len(out), n)]
 	}
 	return out
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -26,10 +26,9 @@
 			continue
 		}
 		byStart := make(map[string]catalog.Server)
-		g.view.servers.Each(func(_ string, s catalog.Server) bool {
-			byStart[start(s)] = s
-			return true
-		})
+		for _, c := range g.view.list().all {
+			byStart[c.start] = c.Server
+		}
 		for _, id := range due {
 			if s, ok := byStart[id]; ok {
 				go g.probeOne(ctx, s)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,36 +148,33 @@
 		if service.Engine == nil {
 			continue
 		}
-		byID := map[string]catalog.Server{}
-		var engines []stage.Engine
+		list := s.g.view.list().engines(name)
 		now := time.Now()
-		s.g.view.servers.Each(func(id string, x catalog.Server) bool {
-			if x.Service != name || x.Leaving {
-				return true
-			}
-			byID[id] = x
-			e := stage.Engine{ID: id, AvailabilityZone: x.AvailabilityZone, Stage: x.Stage, Away: s.g.view.doubted(x, now)}
-			if o, ok := s.lastOrder(x); ok && now.Sub(o.at) < service.Engine.SwitchTime+orderSettle {
+		doubted := s.g.view.doubted(list, now)
+		engines := make([]stage.Engine, 0, len(list))
+		for i, x := range list {
+			e := stage.Engine{ID: x.ID, AvailabilityZone: x.AvailabilityZone, Stage: x.Stage, Away: doubted[i]}
+			if o, ok := s.lastOrder(x.start); ok && now.Sub(o.at) < service.Engine.SwitchTime+orderSettle {
 				e.Stage, e.Away = o.to, true
 			}
 			engines = append(engines, e)
-			return true
-		})
+		}
 		want := stage.Want(len(engines), s.opts.Share)
 		if !exact && !stage.Off(stage.Prefilling(engines), want) {
 			continue
 		}
 		for _, d := range stage.Decide(engines, want, limit) {
-			out = append(out, change{byID[d.ID], d.To})
+			i := slices.IndexFunc(list, func(c candidate) bool { return c.ID == d.ID })
+			out = append(out, change{list[i].Server, d.To})
 		}
 	}
 	return out
 }
 
-func (s *stages) lastOrder(x catalog.Server) (sentOrder, bool) {
+func (s *stages) lastOrder(start string) (sentOrder, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.ordered[start(x)]
+	o, ok := s.ordered[start]
 	return o, ok
 }
 
@@ -207,7 +205,7 @@
 	}
 	limit := 1
 	if founding {
-		limit = len(s.g.view.usableIDs())
+		limit = len(s.g.view.list().all)
 	}
 	due := s.wanted(limit, founding)
 	if len(due) == 0 {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,10 +19,9 @@
 // A wrong belief costs a refusal by the server, which checks its own identity,
 // room and stage. None of it can make a request run twice.
 type view struct {
-	config  atomic.Pointer[catalog.Config]
-	servers *board.Table[catalog.Server]
-	// listed: a list of servers was taken.
-	listed atomic.Bool
+	config atomic.Pointer[catalog.Config]
+	// listing is the last list of servers, nil before the first.
+	listing atomic.Pointer[listing]
 	// peers is how many gateways share the budget for repeats, 0 if unknown.
 	peers atomic.Int64
 
@@ -35,15 +33,16 @@
 }
 
 func newView(b *board.Board, log *logrus.Entry) *view {
-	return &view{
-		log:     log,
-		servers: board.NewTable[catalog.Server](b, "servers"),
+	v := &view{
+		log: log,
 		health: doubt.NewSet(doubt.Options{
 			MinBackoff: healthMinBackoff, MaxBackoff: healthMaxBackoff,
 			ProbeTimeout: probeTimeout, Ramp: healthRamp, StrikeFor: strikeFor,
 			ProbesPerZone: probesPerZone,
 		}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	b.Part("servers", func() any { return v.list().all })
+	return v
 }
 
 const (
@@ -57,11 +56,6 @@
 	probesPerZone    = 4
 )
 
-// start names one start of a server.
-func start(s catalog.Server) string {
-	return s.ID + "#" + strconv.FormatInt(s.Incarnation, 10)
-}
-
 // setConfig puts c in force unless a newer one is.
 func (v *view) setConfig(c *catalog.Config) bool {
 	for {
@@ -77,35 +71,23 @@
 
 // setServers replaces the whole list.
 func (v *view) setServers(list []catalog.Server) {
-	keep := make(map[string]bool, len(list))
-	for _, s := range list {
-		keep[s.ID] = true
-		v.servers.Put(s.ID, s)
+	l := newListing(list)
+	v.listing.Store(l)
+	health := make([]doubt.Instance, 0, len(list))
+	for _, c := range l.all {
+		health = append(health, doubt.Instance{ID: c.start, AvailabilityZone: c.AvailabilityZone, Leaving: c.Leaving})
 	}
-	var gone []string
-	v.servers.Each(func(id string, _ catalog.Server) bool {
-		if !keep[id] {
-			gone = append(gone, id)
-		}
-		return true
-	})
-	for _, id := range gone {
-		v.servers.Delete(id)
-	}
-	v.listed.Store(true)
-	v.refreshHealth()
-}
-
-// refreshHealth tells the health set who is there.
-func (v *view) refreshHealth() {
-	var list []doubt.Instance
-	v.servers.Each(func(_ string, s catalog.Server) bool {
-		list = append(list, doubt.Instance{ID: start(s), AvailabilityZone: s.AvailabilityZone, Leaving: s.Leaving})
-		return true
-	})
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.health.List(time.Now(), list)
+	v.health.List(time.Now(), health)
+}
+
+// list returns the last list of servers, an empty one before the first.
+func (v *view) list() *listing {
+	if l := v.listing.Load(); l != nil {
+		return l
+	}
+	return newListing(nil)
 }
 
 // outcome notes what a use of s showed.
@@ -122,12 +104,17 @@
 	}
 }
 
-// doubted reports whether s is used only if nothing else is left.
-func (v *view) doubted(s catalog.Server, now time.Time) bool {
+// doubted reports for each of the list whether it is used only if nothing else
+// is left.
+func (v *view) doubted(list []candidate, now time.Time) []bool {
+	out := make([]bool, len(list))
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	h, ok := v.health.View(start(s), now)
-	return ok && h.Away()
+	for i := range list {
+		h, ok := v.health.View(list[i].start, now)
+		out[i] = ok && h.Away()
+	}
+	return out
 }
 
 func (v *view) probes(now time.Time) []string {
@@ -135,27 +122,3 @@
 	defer v.mu.Unlock()
 	return v.health.Probes(now)
 }
-
-// usable returns the servers of a service and stage that take new work.
-func (v *view) usable(service string, stage catalog.Stage) []catalog.Server {
-	var out []catalog.Server
-	v.servers.Each(func(_ string, s catalog.Server) bool {
-		if s.Service == service && s.Stage == stage && !s.Leaving {
-			out = append(out, s)
-		}
-		return true
-	})
-	return out
-}
-
-// usableIDs returns the ids of all servers that take new work.
-func (v *view) usableIDs() []string {
-	var out []string
-	v.servers.Each(func(id string, s catalog.Server) bool {
-		if !s.Leaving {
-			out = append(out, id)
-		}
-		return true
-	})
-	return out
-}
