Keep a starting gateway's first callers until it knows where to send them

Cause: after all gateways lost power while the platform's store was away, they were up at 36.9 s and the store answered at 37.84. In between each refused what came ("no configuration is known", 321 tries), though 0.2 s after the store's return all served again: of 214 requests asked in the two seconds 2 were in time, 93 late, 96 refused. These lines were missing from the log, since a request refused before it had a route was only counted; it is logged now ("gateway: refused.").

Ruled out: the follower's pause (known 0.03 to 0.3 s after the return); readiness (the balancer uses all of a zone's gateways when too few are ready); asking a peer (all had lost power).

Change: a caller who comes within 1.5 s of the process's start waits until configuration and servers are known, but not past the answer's own time; after that 1.5 s all are refused at once, as nobody knows for how long. An order of servers without a list counts as not known, too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,10 @@
 	// unreadyRetryAfter is told while no configuration is known: about the time
 	// that a start takes.
 	unreadyRetryAfter = time.Second
+	// startWithin is how long after its start a gateway keeps callers who come
+	// before it knows configuration and servers: mostly it does after a tenth of
+	// that. After it they are refused at once, as nobody knows for how long.
+	startWithin = 1500 * time.Millisecond
 	// noServerRetryAfter is told while a service has no server: about the time
 	// that a crashed one takes to come back.
 	noServerRetryAfter = 2 * time.Second
@@ -79,6 +83,9 @@
 	loads   *loads
 	pace    *pace
 
+	// startedBy is when callers are no longer kept for want of a configuration.
+	startedBy time.Time
+
 	stopping atomic.Bool
 	// stopAt and stopBy bound a graceful stop; they are set before stopping.
 	stopAt, stopBy time.Time
@@ -97,7 +104,8 @@
 func New(o Options) *Gateway {
 	burst, perSecond := o.Budget.share(unknownPeers)
 	g := &Gateway{
-		opts: o, log: o.Log.WithField("part", "gateway"), backend: o.Backend,
+		startedBy: time.Now().Add(startWithin),
+		opts:      o, log: o.Log.WithField("part", "gateway"), backend: o.Backend,
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), pace: newPace(),
 		budget: retry.NewBudget(retry.Options{
 			Ratio: o.Budget.Ratio * budgetCaution, MinPerSecond: perSecond, Burst: burst,
@@ -138,7 +146,7 @@
 
 // Ready reports whether new callers are welcome.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.view.config.Load() != nil && g.view.listing.Load() != nil
+	return !g.stopping.Load() && g.view.known()
 }
 
 // Stopping reports whether the gateway finishes what it has.
@@ -201,12 +209,41 @@
 }
 
 func (g *Gateway) route(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
+	g.view.await(ctx, r.latest(g.startedBy))
+	j, err := g.plan(r)
+	if err != nil {
+		g.log.WithFields(logrus.Fields{
+			"request": r.ID, "config": g.ConfigVersion(), "code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(),
+		}).Info("gateway: refused.")
+		return nil, err
+	}
+	requestsTotal.Inc()
+	g.inFlight.Add(1)
+	g.first(j.service.Name)
+	ctx, cancel := context.WithDeadline(ctx, j.until)
+	reply, err := g.serve(ctx, j)
+	if err != nil {
+		err = g.final(ctx, j, err)
+		cancel()
+		g.inFlight.Add(-1)
+		g.note(j, "gateway: given up.", logrus.Fields{"code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(), "retryAfter": err.RetryAfter.Seconds()})
+		return nil, err
+	}
+	reply.Body = &countedBody{ReadCloser: reply.Body, end: func() {
+		cancel()
+		g.inFlight.Add(-1)
+	}}
+	return reply, nil
+}
+
+// plan says where a request goes and until when, or why it can't be served.
+func (g *Gateway) plan(r *Request) (*job, *verdict.Error) {
 	if g.tooLate(r) {
 		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "This gateway is about to end.").After(stoppingRetryAfter)
 	}
 	c := g.view.config.Load()
-	if c == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.PlatformDown, "No configuration is known yet.").After(unreadyRetryAfter)
+	if c == nil || g.view.listing.Load() == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.PlatformDown, "No configuration or no list of servers is known yet.").After(unreadyRetryAfter)
 	}
 	route := c.Match(r.HostName, r.Path)
 	if route == nil {
@@ -216,37 +253,28 @@
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "The route leads to no service.").After(noServerRetryAfter)
 	}
-	wait := route.Timeout
-	if r.Patience > 0 {
-		wait = min(wait, r.Patience)
-	}
 	if err := oversized(r, c.Limits); err != nil {
 		return nil, err
 	}
 	if g.crashes.convicted(r.fingerprint(), time.Now()) {
 		return nil, verdict.New(verdict.NotRun, verdict.Crashes, "This request crashed the servers that ran it.")
 	}
-	j := &job{
+	wait := route.Timeout
+	if r.Patience > 0 {
+		wait = min(wait, r.Patience)
+	}
+	return &job{
 		r: r, route: route, service: service, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
 		avoid: make(map[string]bool),
+	}, nil
+}
+
+// latest returns by, or when the caller must have its answer if that is earlier.
+func (r *Request) latest(by time.Time) time.Time {
+	if end := r.Arrived.Add(r.Patience - answerMargin); r.Patience > 0 && end.Before(by) {
+		return end
 	}
-	requestsTotal.Inc()
-	g.inFlight.Add(1)
-	g.first(service.Name)
-	ctx, cancel := context.WithDeadline(ctx, j.until)
-	reply, err := g.serve(ctx, j)
-	if err != nil {
-		err = g.final(ctx, j, err)
-		cancel()
-		g.inFlight.Add(-1)
-		g.note(j, "gateway: given up.", logrus.Fields{"code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(), "retryAfter": err.RetryAfter.Seconds()})
-		return nil, err
-	}
-	reply.Body = &countedBody{ReadCloser: reply.Body, end: func() {
-		cancel()
-		g.inFlight.Add(-1)
-	}}
-	return reply, nil
+	return by
 }
 
 // oversized refuses what is over the limits that the operators set for callers.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,8 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/verdict"
@@ -318,3 +320,26 @@
 func (fakeDecoder) Server(o platform.Object) (catalog.Server, error) {
 	return catalog.Server{ID: o.Name, Service: plainService, Address: "10.0.0.1:1"}, nil
 }
+
+// All gateways have lost power and start again, and the first requests come
+// before the platform has answered. Those that are refused come back once at most,
+// while an answer some hundred milliseconds later would have served them; but
+// nobody may be kept when the platform stays away.
+func TestStartingGatewayKeepsItsFirstCallers(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("fine")), nil }}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Options{ID: "g1", Backend: f, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Log: log})
+	time.AfterFunc(100*time.Millisecond, func() { g.SetConfig(testConfig()) })
+	time.AfterFunc(200*time.Millisecond, func() { g.SetServers(testServers()) })
+	reply, err := g.Serve(t.Context(), call("/once/x"))
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, reply.Status, http.StatusOK)
+
+	g = New(Options{ID: "g1", Backend: f, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Log: log})
+	time.Sleep(startWithin)
+	began := time.Now()
+	_, err = g.Serve(t.Context(), call("/once/x"))
+	assert.Equal(t, err.Code, verdict.PlatformDown)
+	assert.Assert(t, time.Since(began) < 100*time.Millisecond)
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -82,6 +83,19 @@
 	v.health.List(time.Now(), health)
 }
 
+// known reports whether there is a configuration and a list of servers.
+func (v *view) known() bool { return v.config.Load() != nil && v.listing.Load() != nil }
+
+// await waits until both are known, but no longer than until by.
+func (v *view) await(ctx context.Context, by time.Time) {
+	for !v.known() && ctx.Err() == nil && time.Now().Before(by) {
+		time.Sleep(knownTick)
+	}
+}
+
+// knownTick is how often a kept caller's request looks for what it needs.
+const knownTick = 10 * time.Millisecond
+
 // list returns the last list of servers, an empty one before the first.
 func (v *view) list() *listing {
 	if l := v.listing.Load(); l != nil {
