--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -57,7 +57,7 @@
 // Run follows until ctx ends. It returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -104,3 +105,18 @@
 	assert.Equal(t, len(got), 2)
 	assert.Assert(t, got[1].away >= awayAfter, "away %s", got[1].away)
 }
+
+// A process stops while its watch hangs. Whoever reads the logs of that stop must
+// not be sent after an outage of the platform that there wasn't.
+func TestStopIsNoOutage(t *testing.T) {
+	var lines strings.Builder
+	log := logrus.New()
+	log.SetOutput(&lines)
+	f := New(Options{
+		Store: &script{}, Kind: "servers", Wait: time.Minute, Log: logrus.NewEntry(log), Apply: func([]platform.Object, bool, time.Duration) {},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	assert.NilError(t, f.Run(ctx))
+	assert.Equal(t, lines.String(), "")
+}
