--- a/internal/standin/faultnet/listener.go
+++ b/internal/standin/faultnet/listener.go
@@ -1,5 +1,6 @@
-// Package faultnet gives the stand-ins a listener whose connections can be cut or
-// made silent, and the small waits around a simulated restart.
+// Package faultnet gives the stand-ins a listener whose connections can be cut,
+// reset, delayed or made silent in one or both directions, and the small waits
+// around a simulated restart.
 package faultnet
 
 import (
@@ -12,9 +13,11 @@
 // writeTimeout bounds one write to a client that reads nothing.
 const writeTimeout = 10 * time.Second
 
-// Listener is a listener that can cut its connections or make them silent.
+// Listener is a listener that can do harm to its connections.
 type Listener struct {
 	net.Listener
+	// delay of each read, in nanoseconds.
+	delay atomic.Int64
 
 	mu sync.Mutex
 	// open is guarded by mu; nil once cut.
@@ -56,6 +59,31 @@
 	}
 }
 
+// Reset ends the present connections with a reset; new ones work.
+func (s *Listener) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+// Delay holds back what comes over all connections, by d for each read.
+func (s *Listener) Delay(d time.Duration) { s.delay.Store(int64(d)) }
+
+// Mute cuts the present connections one way: what clients send arrives, what
+// they are answered vanishes. New connections work.
+func (s *Listener) Mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.muted.Store(true)
+	}
+}
+
 // Silence makes the present connections silent, but for except; new ones work.
 func (s *Listener) Silence(except net.Conn) {
 	s.mu.Lock()
@@ -79,6 +107,7 @@
 	net.Conn
 	set    *Listener
 	silent atomic.Bool
+	muted  atomic.Bool
 	cut    chan struct{}
 }
 
@@ -89,12 +118,13 @@
 		<-c.cut
 		return 0, net.ErrClosed
 	}
+	time.Sleep(time.Duration(c.set.delay.Load()))
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
+	if c.silent.Load() || c.muted.Load() {
 		return len(p), nil
 	}
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -106,7 +136,7 @@
 // Close implements net.Conn. The socket of a silent connection stays open until
 // the engine dies, else the client would see a close.
 func (c *conn) Close() error {
-	if c.silent.Load() {
+	if c.silent.Load() || c.muted.Load() {
 		return nil
 	}
 	c.set.remove(c)
