Share the budget for repeats below one each, and let what was earned lapse

Cause: found when the sums for 370 gateways were looked at again. A bucket started with at least one whole repeat and could save one up, however small its share: 370 gateways could spend 370 at once of a slack of 82, and after a quiet time again. (With a strict share none could ever have repeated.)

Change: buckets start with, and time fills them to, the share as it is; less than a whole repeat is drawn for, with that probability, and gone either way; what first tries earn beyond the share lapses with the window. Entries keep their budget as it was (no draws, a share of 40).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), pace: newPace(),
 		budget: retry.NewBudget(retry.Options{
 			Ratio: o.Budget.Ratio * budgetCaution, MinPerSecond: perSecond, Burst: burst,
+			Draw: rand.Float64, Window: o.Budget.Window,
 		}),
 	}
 	return g
