--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/wait"
 )
 
 // Action says what apply did, or diff would do, with one object.
@@ -153,7 +154,7 @@
 func explainConflict(ctx context.Context, store platform.Store, p plan, o Outcome) Outcome {
 	o.Action = Conflicted
 	now, err := store.Get(ctx, p.want.Kind, p.want.Name)
-	for errors.Is(err, platform.ErrUnavailable) && pause(ctx) {
+	for errors.Is(err, platform.ErrUnavailable) && wait.Sleep(ctx, readPause) {
 		now, err = store.Get(ctx, p.want.Kind, p.want.Name)
 	}
 	switch {
--- a/internal/ctl/object.go
+++ b/internal/ctl/object.go
@@ -13,6 +13,7 @@
 
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/wait"
 )
 
 type getCommand struct {
@@ -234,22 +235,12 @@
 
 const readPause = 100 * time.Millisecond
 
-// pause waits before another reading. It is false when ctx has ended.
-func pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(readPause):
-		return true
-	}
-}
-
 // deleteSettled deletes and, where no reply came, reads back. A repeat is safe
 // because it names the version: it can't remove a later object of this name.
 func deleteSettled(ctx context.Context, store platform.Store, kind, name string, version uint64) error {
 	err := store.Delete(ctx, kind, name, version)
 	for errors.Is(err, platform.ErrUnclear) {
-		if !pause(ctx) {
+		if !wait.Sleep(ctx, readPause) {
 			return err
 		}
 		have, readErr := store.Get(ctx, kind, name)
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -9,6 +9,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -49,7 +50,7 @@
 		if err == nil && tries < attachAtMost {
 			// A stream that never reached the agent starts with this call, one
 			// that did is attached to: the agent knows the attempt's number.
-			sleep(ctx, attachPause)
+			wait.Sleep(ctx, attachPause)
 			continue
 		}
 		s.countWaste()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -13,6 +13,7 @@
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/settings"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -197,7 +198,7 @@
 		return d.Final
 	}
 	g.log.WithError(err).Info("entry: another attempt.")
-	if !sleep(ctx, d.After) {
+	if !wait.Sleep(ctx, d.After) {
 		return contextVerdict(ctx)
 	}
 	return nil
@@ -254,20 +255,6 @@
 	return g.decode(ctx, decode, prefill, kv)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (g *generation) item() admit.Item {
 	if g.e.settings.Policy.Baseline() {
 		// No shares and no prediction: the request's context ends its wait.
@@ -319,7 +306,7 @@
 		}
 		if g.suspect {
 			// An agent answers at once while its server is kept open for others.
-			sleep(ctx, suspectPause)
+			wait.Sleep(ctx, suspectPause)
 			continue
 		}
 		if err := g.gate.again(ctx, it); err != nil {
--- a/internal/entry/judgement.go
+++ b/internal/entry/judgement.go
@@ -20,6 +20,7 @@
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -121,7 +122,7 @@
 			return nil
 		case fp := <-e.convictions:
 			e.agents.Convict(ctx, []uint64{fp})
-			for e.publish(ctx, fp) != nil && sleep(ctx, platformRetry) {
+			for e.publish(ctx, fp) != nil && wait.Sleep(ctx, platformRetry) {
 				e.log.Debug("entry: a conviction waits for the platform.")
 			}
 		}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -10,6 +10,7 @@
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 // callResult is the outcome of one try of a call.
@@ -147,7 +148,7 @@
 	if !d.Retry || c.number >= maxTries {
 		return &err
 	}
-	sleep(ctx, d.After)
+	wait.Sleep(ctx, d.After)
 	if c.start(ctx) != nil {
 		return &err
 	}
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -23,6 +23,7 @@
 	"jayford.example/jayford/internal/standin/loopback"
 	platformstandin "jayford.example/jayford/internal/standin/platform"
 	servicestandin "jayford.example/jayford/internal/standin/service"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -252,12 +253,12 @@
 	defer cancel()
 	for _, t := range c.targets {
 		for ask(ctx, "http://"+t+"/readyz") != nil {
-			if !sleep(ctx, readyPoll) {
+			if !wait.Sleep(ctx, readyPoll) {
 				return eris.Errorf("experiment: entry %s isn't ready within %s", t, setupTime)
 			}
 		}
 	}
-	sleep(ctx, settle)
+	wait.Sleep(ctx, settle)
 	return nil
 }
 
@@ -277,14 +278,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -12,6 +12,7 @@
 	"jayford.example/jayford/internal/load"
 	"jayford.example/jayford/internal/settings"
 	enginestandin "jayford.example/jayford/internal/standin/engine"
+	"jayford.example/jayford/internal/wait"
 )
 
 // Options of a run.
@@ -162,7 +163,7 @@
 	go func() {
 		rnd := rand.New(rand.NewPCG(seed, seed))
 		n := 0
-		for ; sleep(ctx, every); n++ {
+		for ; wait.Sleep(ctx, every); n++ {
 			c.engines[rnd.IntN(len(c.engines))].Control(enginestandin.Control{Crash: true})
 		}
 		done <- n
--- a/internal/experiment/sample.go
+++ b/internal/experiment/sample.go
@@ -11,6 +11,7 @@
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/wait"
 )
 
 // sampleEvery is short against the life of an answer at all time scales in use.
@@ -47,7 +48,7 @@
 func (c *cluster) sample(ctx context.Context, d time.Duration) Use {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	for sleep(ctx, sampleEvery) {
+	for wait.Sleep(ctx, sampleEvery) {
 		for _, w := range c.watched {
 			w.take(ctx)
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -59,7 +60,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
+			wait.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		}
 	}
 	return nil
@@ -82,7 +83,7 @@
 	}
 	f.apply(l, false)
 	if len(l.Objects) > 0 {
-		sleep(ctx, gather)
+		wait.Sleep(ctx, gather)
 	}
 	return nil
 }
@@ -125,12 +126,3 @@
 	}
 	return away
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -44,7 +46,7 @@
 	v, err := store.Put(ctx, o)
 	pause := firstReadBack
 	for errors.Is(err, ErrUnclear) && !errors.Is(err, ErrSuperseded) {
-		if !sleep(ctx, pause) {
+		if !wait.Sleep(ctx, pause) {
 			return 0, err
 		}
 		pause = min(2*pause, maxReadBack)
@@ -83,14 +85,3 @@
 	}
 	return v, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"jayford.example/jayford/internal/standin/faultnet"
+	"jayford.example/jayford/internal/wait"
 )
 
 // Phases in which a marked prompt crashes the engine.
@@ -132,7 +132,7 @@
 		g.mu.Lock()
 		d := time.Until(g.until)
 		g.mu.Unlock()
-		if d <= 0 || !faultnet.Sleep(ctx, d) {
+		if d <= 0 || !wait.Sleep(ctx, d) {
 			return
 		}
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jayford.example/jayford/internal/standin/faultnet"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -63,7 +64,7 @@
 		if err := e.live(ctx, ln, incarnation); err != nil {
 			return err
 		}
-		if !faultnet.Sleep(ctx, e.opts.RestartAfter) {
+		if !wait.Sleep(ctx, e.opts.RestartAfter) {
 			return nil
 		}
 		if ln = faultnet.Listen(ctx, addr); ln == nil {
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -4,12 +4,12 @@
 	"github.com/rotisserie/eris"
 
 	"jayford.example/jayford/internal/engine"
-	"jayford.example/jayford/internal/standin/faultnet"
+	"jayford.example/jayford/internal/wait"
 )
 
 // order applies an order, once per operation.
 func (l *life) order(o engine.Order) error {
-	if !faultnet.Sleep(l.ctx, l.e.opts.OrderTime) {
+	if !wait.Sleep(l.ctx, l.e.opts.OrderTime) {
 		return l.ctx.Err()
 	}
 	l.mu.Lock()
--- a/internal/standin/engine/pace.go
+++ b/internal/standin/engine/pace.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"jayford.example/jayford/internal/standin/faultnet"
+	"jayford.example/jayford/internal/wait"
 )
 
 // lagLimit is the lateness that a pacer makes good. What is later than this was
@@ -24,7 +24,7 @@
 		p.due = now
 	}
 	p.due = p.due.Add(d)
-	if faultnet.Sleep(ctx, p.due.Sub(now)) {
+	if wait.Sleep(ctx, p.due.Sub(now)) {
 		return true
 	}
 	*p = pacer{}
--- a/internal/standin/faultnet/restart.go
+++ b/internal/standin/faultnet/restart.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/wait"
 )
 
 // listenRetry is the pause before a port is tried again.
@@ -19,27 +21,12 @@
 		if err == nil {
 			return ln
 		}
-		if !Sleep(ctx, listenRetry) {
+		if !wait.Sleep(ctx, listenRetry) {
 			return nil
 		}
 	}
 }
 
-// Sleep waits for d. It returns false as soon as ctx ends.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // DebugLog keeps fasthttp's lines on cut connections off the usual log: cutting
 // them is what these servers are for.
 type DebugLog struct{ Entry *logrus.Entry }
--- a/internal/standin/service/life.go
+++ b/internal/standin/service/life.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"jayford.example/jayford/internal/standin/faultnet"
+	"jayford.example/jayford/internal/wait"
 )
 
 // life is one incarnation of the service.
@@ -48,7 +49,7 @@
 
 func (l *life) call(c *fasthttp.RequestCtx) {
 	for d := l.s.frozen(); d > 0; d = l.s.frozen() {
-		if !faultnet.Sleep(l.ctx, d) {
+		if !wait.Sleep(l.ctx, d) {
 			return
 		}
 	}
@@ -58,7 +59,7 @@
 		return
 	}
 	for d := delay; d > 0; d = l.s.stalled() {
-		if !faultnet.Sleep(l.ctx, d) {
+		if !wait.Sleep(l.ctx, d) {
 			return
 		}
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jayford.example/jayford/internal/standin/faultnet"
+	"jayford.example/jayford/internal/wait"
 )
 
 // Paths of the stand-in itself; all others are echoed.
@@ -135,7 +136,7 @@
 		if err := s.live(ctx, ln); err != nil {
 			return err
 		}
-		if !faultnet.Sleep(ctx, s.opts.RestartAfter) {
+		if !wait.Sleep(ctx, s.opts.RestartAfter) {
 			return nil
 		}
 		if ln = faultnet.Listen(ctx, addr); ln == nil {
