--- a/internal/callers/drain.go
+++ b/internal/callers/drain.go
@@ -19,7 +19,7 @@
 func (l *Listener) Drain() error {
 	raw, err := l.SyscallConn()
 	if err != nil {
-		return eris.Wrap(err, "callers: listener's descriptor")
+		return eris.Wrap(errors.Join(err, l.Close()), "callers: listener's descriptor")
 	}
 	var rest []int
 	l.drainMu.Lock()
