Count the grace for lapsed entries from the begin of the answered call

Cause: a gateway was cut off from the store for 6 s. Its watch was back at 23.5 s but had nothing to tell until 25.31, when an entry went because its server left. Ruled out: a late list on the other gateways; the six others took it away at 25.31. Change: follow tells with each answer when its call began, and the grace counts from there: by then the platform was back. While calls fail a watch may take 1 s in place of 4, so that the return is seen soon and the grace ends while its gateway is still known to be out of touch. TestServerThatLeavesAfterAnOutageIsGone fails without the change (2 servers usable in place of 1).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,6 +26,9 @@
 	// starts or a zone is emptied, and each would cost a call: with it a start of
 	// 41 servers takes a gateway some ten calls in place of forty.
 	gather = 250 * time.Millisecond
+	// awayWait bounds one watch while the platform is away: its return is seen
+	// within it and one call's timeout.
+	awayWait = time.Second
 	// awayAfter is how long calls must have failed for the platform to count as
 	// away: single failures are ordinary.
 	awayAfter = 600 * time.Millisecond
@@ -36,13 +39,23 @@
 	Store platform.Store
 	Kind  string
 	// Wait bounds one watch. A connection that went silent is found after it.
-	Wait time.Duration
-	// Apply takes objects: the whole kind if full, else what changed. away is
-	// how long the platform had been away just before, or 0.
-	Apply func(objects []platform.Object, full bool, away time.Duration)
+	Wait  time.Duration
+	Apply func(News)
 	Log   *logrus.Entry
 }
 
+// News is what one answer of the platform told.
+type News struct {
+	// Objects are the whole kind if Full, else what changed.
+	Objects []platform.Object
+	Full    bool
+	// Away is how long the platform had been away just before, or 0.
+	Away time.Duration
+	// Asked is when the answered call began. By then the platform was back: an
+	// answer to a watch may come long after it.
+	Asked time.Time
+}
+
 // Follower follows one kind.
 type Follower struct {
 	opts     Options
@@ -74,8 +87,9 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, f.opts.Wait)
+	limited, cancel := context.WithTimeout(ctx, f.patience())
 	defer cancel()
+	asked := time.Now()
 	l, err := f.opts.Store.Watch(limited, f.opts.Kind, f.revision)
 	if errors.Is(err, platform.ErrCompacted) {
 		f.opts.Log.WithField("kind", f.opts.Kind).Info("follow: history dropped, listing anew.")
@@ -85,20 +99,30 @@
 	if err != nil {
 		return err
 	}
-	f.apply(l, false)
+	f.apply(News{Objects: l.Objects, Asked: asked}, l.Revision)
 	if len(l.Objects) > 0 {
 		wait.Sleep(ctx, gather)
 	}
 	return nil
 }
 
+// patience returns how long the next watch may take. While the platform is away
+// a call may hang until its end and would see the return only after it.
+func (f *Follower) patience() time.Duration {
+	if f.failing.IsZero() {
+		return f.opts.Wait
+	}
+	return min(f.opts.Wait, awayWait)
+}
+
 func (f *Follower) list(ctx context.Context) error {
+	asked := time.Now()
 	l, err := f.listAll(ctx)
 	if err != nil {
 		return err
 	}
 	f.listed = true
-	f.apply(l, true)
+	f.apply(News{Objects: l.Objects, Full: true, Asked: asked}, l.Revision)
 	return nil
 }
 
@@ -126,15 +150,15 @@
 			f.pages = platform.Listing{}
 			return all, nil
 		}
-		f.opts.Apply(p.Objects, false, 0)
+		f.opts.Apply(News{Objects: p.Objects, Asked: time.Now()})
 	}
 }
 
-func (f *Follower) apply(l platform.Listing, full bool) {
-	away := f.regained()
-	f.revision = max(f.revision, l.Revision)
-	if full || len(l.Objects) > 0 || away > 0 {
-		f.opts.Apply(l.Objects, full, away)
+func (f *Follower) apply(n News, revision uint64) {
+	n.Away = f.regained()
+	f.revision = max(f.revision, revision)
+	if n.Full || len(n.Objects) > 0 || n.Away > 0 {
+		f.opts.Apply(n)
 	}
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -53,6 +53,7 @@
 	names []string
 	full  bool
 	away  time.Duration
+	asked time.Time
 }
 
 func follow(t *testing.T, s *script, until func([]applied) bool) []applied {
@@ -63,11 +64,11 @@
 	var got []applied
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, Log: logrus.NewEntry(log), Apply: func(os []platform.Object, full bool, away time.Duration) {
+	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, Log: logrus.NewEntry(log), Apply: func(n News) {
 		mu.Lock()
 		defer mu.Unlock()
-		a := applied{full: full, away: away}
-		for _, o := range os {
+		a := applied{full: n.Full, away: n.Away, asked: n.Asked}
+		for _, o := range n.Objects {
 			a.names = append(a.names, o.Name)
 		}
 		got = append(got, a)
@@ -107,6 +108,43 @@
 	assert.Assert(t, got[1].away >= awayAfter, "away %s", got[1].away)
 }
 
+// hanging is a store that fails two watches and notes how long each might take.
+type hanging struct {
+	script
+	waits []time.Duration
+}
+
+func (s *hanging) Watch(ctx context.Context, _ string, _ uint64) (platform.Listing, error) {
+	end, _ := ctx.Deadline()
+	s.waits = append(s.waits, time.Until(end).Round(time.Second))
+	if len(s.waits) < 3 {
+		return platform.Listing{}, platform.ErrUnavailable
+	}
+	time.Sleep(50 * time.Millisecond)
+	return platform.Listing{Revision: 12, Objects: []platform.Object{{Name: "a"}}}, nil
+}
+
+// Calls to the platform fail, and the next ones hang. With a watch's whole patience
+// each, the platform would be back for seconds before anybody saw it, and what left
+// since would be taken for lapsed. What follows is told when the answered call began.
+func TestReturnIsSeenSoon(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s := &hanging{}
+	var news []News
+	f := New(Options{Store: s, Kind: "servers", Wait: 4 * time.Second, Log: logrus.NewEntry(log), Apply: func(n News) {
+		news = append(news, n)
+		if len(news) == 2 {
+			cancel()
+		}
+	}})
+	assert.NilError(t, f.Run(ctx))
+	assert.DeepEqual(t, s.waits[:3], []time.Duration{4 * time.Second, awayWait, awayWait})
+	assert.Assert(t, time.Since(news[1].Asked) >= 50*time.Millisecond)
+}
+
 // A process stops while its watch hangs. Whoever reads the logs of that stop must
 // not be sent after an outage of the platform that there wasn't.
 func TestStopIsNoOutage(t *testing.T) {
@@ -114,7 +152,7 @@
 	log := logrus.New()
 	log.SetOutput(&lines)
 	f := New(Options{
-		Store: &script{}, Kind: "servers", Wait: time.Minute, Log: logrus.NewEntry(log), Apply: func([]platform.Object, bool, time.Duration) {},
+		Store: &script{}, Kind: "servers", Wait: time.Minute, Log: logrus.NewEntry(log), Apply: func(News) {},
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
@@ -150,9 +188,9 @@
 	defer cancel()
 	s := &pagedScript{}
 	var got []applied
-	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, Log: logrus.NewEntry(log), Apply: func(os []platform.Object, full bool, _ time.Duration) {
-		got = append(got, applied{full: full, names: []string{fmt.Sprint(len(os))}})
-		if full {
+	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, Log: logrus.NewEntry(log), Apply: func(n News) {
+		got = append(got, applied{full: n.Full, names: []string{fmt.Sprint(len(n.Objects))}})
+		if n.Full {
 			cancel()
 		}
 	}})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -20,6 +20,9 @@
 	// lapseGrace is how long an entry that went while the platform was away is
 	// kept after its return: servers that live are listed again within about
 	// two seconds, and without the grace a short outage would leave no server.
+	// It counts from the begin of the call that was answered first: by then the
+	// platform was back. Counted from the answer, which a watch gives when there
+	// is news, it kept a server that really left, and sent it work for as long.
 	lapseGrace = 2200 * time.Millisecond
 )
 
@@ -43,7 +46,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	config := follow.New(follow.Options{
 		Store: s.Store, Kind: s.ConfigKind, Wait: watchWait, Log: g.log,
-		Apply: func(objects []platform.Object, _ bool, _ time.Duration) { g.takeConfig(s, objects) },
+		Apply: func(n follow.News) { g.takeConfig(s, n.Objects) },
 	})
 	roster := &roster{g: g, decoder: s.Decoder, known: map[string]member{}}
 	servers := follow.New(follow.Options{
@@ -92,16 +95,16 @@
 	graceUntil time.Time
 }
 
-func (r *roster) apply(objects []platform.Object, full bool, away time.Duration) {
+func (r *roster) apply(n follow.News) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if away > 0 {
-		r.graceUntil = now.Add(lapseGrace)
-		time.AfterFunc(lapseGrace, r.expire)
+	if n.Away > 0 {
+		r.graceUntil = n.Asked.Add(lapseGrace)
+		time.AfterFunc(r.graceUntil.Sub(now), r.expire)
 	}
-	seen := make(map[string]bool, len(objects))
-	for _, o := range objects {
+	seen := make(map[string]bool, len(n.Objects))
+	for _, o := range n.Objects {
 		seen[o.Name] = true
 		if o.Deleted {
 			r.gone(o.Name, now)
@@ -120,7 +123,7 @@
 		}
 		r.known[o.Name] = member{server: s}
 	}
-	if full {
+	if n.Full {
 		r.g.view.complete.Store(true)
 		for name := range r.known {
 			if !seen[name] {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -298,18 +299,31 @@
 func TestLapsedEntriesOutliveAnOutage(t *testing.T) {
 	g := newGateway(t, &fakeBackend{})
 	r := &roster{g: g, decoder: fakeDecoder{}, known: map[string]member{}}
-	r.apply([]platform.Object{{Name: "p1"}, {Name: "p2"}, {Name: "p3"}}, true, 0)
+	r.apply(follow.News{Objects: []platform.Object{{Name: "p1"}, {Name: "p2"}, {Name: "p3"}}, Full: true})
 	assert.Equal(t, usable(g), 3)
 
-	r.apply([]platform.Object{{Name: "p1"}}, true, 4*time.Second)
+	r.apply(follow.News{Objects: []platform.Object{{Name: "p1"}}, Full: true, Away: 4 * time.Second, Asked: time.Now()})
 	assert.Equal(t, usable(g), 3)
-	r.apply([]platform.Object{{Name: "p2"}}, false, 0)
+	r.apply(follow.News{Objects: []platform.Object{{Name: "p2"}}})
 	r.graceUntil = time.Now()
 	r.expire()
 	assert.Equal(t, usable(g), 2)
 
 	// Without an outage an entry that goes is gone.
-	r.apply([]platform.Object{{Name: "p2", Deleted: true}}, false, 0)
+	r.apply(follow.News{Objects: []platform.Object{{Name: "p2", Deleted: true}}})
+	assert.Equal(t, usable(g), 1)
+}
+
+// One gateway was cut off from the store and is back, but its watch has nothing to
+// tell for two seconds. Then a server leaves for good and its entry goes. Taken for
+// lapsed in the outage, it would get work for two seconds more, longer than it serves.
+func TestServerThatLeavesAfterAnOutageIsGone(t *testing.T) {
+	g := newGateway(t, &fakeBackend{})
+	r := &roster{g: g, decoder: fakeDecoder{}, known: map[string]member{}}
+	r.apply(follow.News{Objects: []platform.Object{{Name: "p1"}, {Name: "p2"}}, Full: true})
+	r.apply(follow.News{
+		Objects: []platform.Object{{Name: "p2", Deleted: true}}, Away: 6 * time.Second, Asked: time.Now().Add(-lapseGrace),
+	})
 	assert.Equal(t, usable(g), 1)
 }
 
--- a/internal/gateway/roster_bench_test.go
+++ b/internal/gateway/roster_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/platform"
 )
 
@@ -24,6 +25,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		r := &roster{g: fleetGateway(b), decoder: listDecoder{}, known: map[string]member{}}
-		r.apply(objects, true, 0)
+		r.apply(follow.News{Objects: objects, Full: true})
 	}
 }
