Tell gateways of each other's load on engines by datagrams

Cause: a gateway knew its own bookings only. Change: package peerload. Each gateway tells up to 24 others which bookings changed, and all of them once a second. Prefill and decode engines are chosen by the sum.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/gateway"
 	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/peerload"
 	"jayford.example/jayford/internal/peers"
 	"jayford.example/jayford/internal/settings"
 )
@@ -53,13 +54,18 @@
 		}
 	}, nil, log)
 	members := peers.New(out.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone}, log.WithField("part", "peers"))
+	load := peerload.New(peerload.Options{
+		Listen: s.Peer, Own: g.Booked, Log: log.WithField("part", "peerload"),
+		Peers: func() []string { return addresses(members.List(), s.ID, s.AvailabilityZone) },
+	})
+	g.SharePeerLoad(load)
 	orders := gateway.StageOptions{
 		Store: out.Sources.Store, Share: s.Stages.PrefillShare, Term: s.Stages.LeaseTerm.D(),
 		Self: fmt.Sprintf("%s#%d", s.ID, begun.UnixNano()), Instance: s.ID,
 		Peers: func() []string { return ids(members.List()) },
 	}
 	return run(
-		ctx, server.Run, members.Run,
+		ctx, server.Run, members.Run, load.Run,
 		func(ctx context.Context) error { return g.RunStages(ctx, orders) },
 		func(ctx context.Context) error { return countPeers(ctx, g, members) },
 		func(ctx context.Context) error { return g.Follow(ctx, out.Sources) },
@@ -90,6 +96,22 @@
 	return out
 }
 
+// addresses returns the other gateways' addresses, those of the same availability
+// zone first.
+func addresses(list []peers.Peer, self, zone string) []string {
+	var near, far []string
+	for _, p := range list {
+		switch {
+		case p.ID == self:
+		case p.AvailabilityZone == zone:
+			near = append(near, p.Address)
+		default:
+			far = append(far, p.Address)
+		}
+	}
+	return append(near, far...)
+}
+
 // countPeers tells the gateway how many share its budget.
 func countPeers(ctx context.Context, g *gateway.Gateway, m *peers.Members) error {
 	t := time.NewTicker(time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,6 +139,13 @@
 	g.budget.SetSlack(g.opts.Budget.share(float64(n)))
 }
 
+// SharePeerLoad makes the gateway choose engines by p's load too. It must be
+// called before the first request.
+func (g *Gateway) SharePeerLoad(p PeerLoad) { g.loads.peers = p }
+
+// Booked returns the tokens that this gateway has booked by start of engine.
+func (g *Gateway) Booked() map[string]int { return g.loads.booked() }
+
 // SetConfig puts c in force unless a newer one is, and says whether it did.
 func (g *Gateway) SetConfig(c *catalog.Config) bool { return g.view.setConfig(c) }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -116,7 +116,7 @@
 	if !ok {
 		return catalog.Server{}, Prefilled{}, false
 	}
-	queued := g.loads.get(start(s)).Tokens + tokens
+	queued := g.loads.tokens(start(s)) + tokens
 	if w := g.pace.wait(queued); w > time.Duration(prefillQueue*float64(j.route.Objective)) {
 		prefillsSkipped.Inc()
 		g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "queued": queued, "expected": milliseconds(w)})
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -20,16 +20,49 @@
 	Refusals int
 }
 
+// PeerLoad knows what the other gateways have running on engines.
+type PeerLoad interface {
+	// Changed is told that this gateway's own bookings changed.
+	Changed()
+	// Tokens returns what the others have booked on a start of an engine.
+	Tokens(start string) int
+}
+
 // loads keeps the load by start of server.
-type loads struct{ table *board.Table[load] }
+type loads struct {
+	table *board.Table[load]
+	// peers is nil if the others' load isn't known; it is set before use.
+	peers PeerLoad
+}
 
-func newLoads(b *board.Board) *loads { return &loads{board.NewTable[load](b, "loads")} }
+func newLoads(b *board.Board) *loads { return &loads{table: board.NewTable[load](b, "loads")} }
 
 func (l *loads) get(start string) load {
 	x, _ := l.table.Get(start)
 	return x
 }
 
+// tokens returns the tokens that all gateways have booked on a start.
+func (l *loads) tokens(start string) int {
+	own := l.get(start).Tokens
+	if l.peers == nil {
+		return own
+	}
+	return own + l.peers.Tokens(start)
+}
+
+// booked returns this gateway's own tokens by start.
+func (l *loads) booked() map[string]int {
+	out := map[string]int{}
+	l.table.Each(func(start string, x load) bool {
+		if x.Tokens > 0 {
+			out[start] = x.Tokens
+		}
+		return true
+	})
+	return out
+}
+
 // begin books a request of so many tokens and returns what ends it. The end may
 // be called again: a stream is ended by its failure and by its close.
 func (l *loads) begin(s catalog.Server, tokens int) func() {
@@ -50,6 +83,9 @@
 		x.Tokens += tokens
 		return x, x.Requests > 0 || !x.Full.IsZero()
 	})
+	if tokens != 0 && l.peers != nil {
+		l.peers.Changed()
+	}
 }
 
 // full notes that the server refused for lack of room.
@@ -138,8 +174,8 @@
 	return out
 }
 
-// byTokens ranks engines by the tokens that this gateway has booked there.
-func (g *Gateway) byTokens(_ string, own load) int { return own.Tokens }
+// byTokens ranks engines by the tokens that all gateways have booked there.
+func (g *Gateway) byTokens(start string, _ load) int { return g.loads.tokens(start) }
 
 // byRequests ranks servers by the requests that this gateway has there.
 func byRequests(_ string, own load) int { return own.Requests }
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -84,3 +84,32 @@
 	wg.Wait()
 	assert.Equal(t, m.most, 1)
 }
+
+// peerLoad has other gateways' bookings.
+type peerLoad map[string]int
+
+func (peerLoad) Changed() {}
+
+func (p peerLoad) Tokens(start string) int { return p[start] }
+
+// Other gateways have prompts queued at one prefill engine and fill a decode engine.
+// To this gateway, which knows its own bookings only, all engines look alike, and its
+// callers wait behind theirs while the others are idle.
+func TestEnginesAreChosenByTheLoadOfAllGateways(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("")), nil }}
+	g := newGateway(t, f)
+	f2 := catalog.Server{ID: "f2", Service: modelService, Address: "10.0.0.3:2", AvailabilityZone: "a", Stage: catalog.Prefill}
+	g.SetServers(append(testServers(), f2))
+	g.SharePeerLoad(peerLoad{"f1#0": 8000, "d1#0": 9000, "d3#0": 700})
+	for range 20 {
+		reply, err := g.Serve(t.Context(), generation("/stream/"))
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+	}
+	for _, s := range f.sends() {
+		assert.Equal(t, s.server, "d2")
+	}
+	for _, s := range f.prefills {
+		assert.Equal(t, s, "f2")
+	}
+}
--- /dev/null
+++ b/internal/peerload/bench_test.go
@@ -0,0 +1,53 @@
+package peerload
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// running is how many engines a gateway has booked at 5 requests a second of 3.5 s.
+const running = 18
+
+func bookings() map[string]int {
+	out := map[string]int{}
+	for i := range running {
+		out[fmt.Sprintf("i-%012d#0", i)] = 6000 + i
+	}
+	return out
+}
+
+// BenchmarkNews makes what one change sends, and reports its size.
+func BenchmarkNews(b *testing.B) {
+	e := New(Options{})
+	own := bookings()
+	e.news(own, true)
+	size := 0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		own["i-000000000000#0"] = i % 9000
+		n := e.news(own, false)
+		size = proto.Size(n)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
+// BenchmarkTake reads one change of one of 24 peers.
+func BenchmarkTake(b *testing.B) {
+	e := New(Options{})
+	from := New(Options{})
+	for i := range maxPeers {
+		e.known[fmt.Sprint("10.0.0.", i, ":1")] = true
+	}
+	own := bookings()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		own["i-000000000000#0"] = i % 9000
+		text, err := proto.Marshal(from.news(own, false))
+		if err != nil {
+			b.Fatal(err)
+		}
+		e.take("10.0.0.1:1", text)
+	}
+}
--- /dev/null
+++ b/internal/peerload/peerload_test.go
@@ -0,0 +1,177 @@
+package peerload
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+)
+
+func news(start uint32, sequence uint64, whole bool, tokens ...uint32) *pb.LoadNews {
+	n := &pb.LoadNews{Start: start, Sequence: sequence, Whole: whole}
+	for i, x := range tokens {
+		n.Engines = append(n.Engines, &pb.EngineLoad{Engine: uint64(i), Tokens: x})
+	}
+	return n
+}
+
+// Datagrams come late, twice and never, and peers start anew. The sums must be
+// those of what each peer told last, whatever came before, or a queue that isn't
+// there would keep requests away from an engine for ever.
+func TestSumsAreOfTheLastNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable()
+		now := time.Unix(0, 0)
+		want := map[string]map[uint64]int{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "news") {
+			from := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "from")
+			n := news(rapid.Uint32Range(1, 2).Draw(t, "start"), uint64(i+1), rapid.Bool().Draw(t, "whole"),
+				rapid.SliceOfN(rapid.Uint32Range(0, 9), 0, 4).Draw(t, "tokens")...)
+			if p := table.peers[from]; p == nil || p.start != n.Start || n.Whole {
+				want[from] = map[uint64]int{}
+			}
+			for _, e := range n.Engines {
+				want[from][e.Engine] = int(e.Tokens)
+			}
+			assert.Assert(t, table.take(from, n, now))
+			assert.Assert(t, !table.take(from, news(n.Start, n.Sequence, true, 7, 7), now), "taken twice")
+		}
+		sums := map[uint64]int{}
+		for _, engines := range want {
+			for e, tokens := range engines {
+				sums[e] += tokens
+			}
+		}
+		maps.DeleteFunc(sums, func(_ uint64, n int) bool { return n == 0 })
+		assert.DeepEqual(t, table.sums, sums)
+		table.expire(now.Add(time.Hour), time.Minute)
+		assert.Equal(t, len(table.sums), 0)
+	})
+}
+
+// own is a gateway's bookings.
+type own struct {
+	mu     sync.Mutex
+	tokens map[string]int
+}
+
+func (o *own) get() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.tokens)
+}
+
+func (o *own) set(engine string, tokens int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tokens[engine] = tokens
+}
+
+func exchange(ctx context.Context, t *testing.T, listen string, peers ...string) (*Exchange, *own) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o := &own{tokens: map[string]int{}}
+	e := New(Options{Listen: listen, Own: o.get, Log: logrus.NewEntry(log), Peers: func() []string { return slices.Clone(peers) }})
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	t.Cleanup(func() { assert.NilError(t, <-done) })
+	return e, o
+}
+
+// freeAddress returns an address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Close())
+	return c.LocalAddr().String()
+}
+
+func told(e *Exchange, engine string, tokens int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if got := e.Tokens(engine); got != tokens {
+			return poll.Continue("%d tokens on %s", got, engine)
+		}
+		return poll.Success()
+	}
+}
+
+// A gateway books an engine, ends that, and dies. Its peer must know each of it
+// within moments: the first of some milliseconds, and the death before a queue
+// that is gone costs anybody an idle engine for long.
+func TestPeersKnowEachOthersLoad(t *testing.T) {
+	a, b := freeAddress(t), freeAddress(t)
+	all, end := context.WithCancel(t.Context())
+	one, kill := context.WithCancel(all)
+	x, bookings := exchange(one, t, a, b)
+	y, _ := exchange(all, t, b, a)
+	t.Cleanup(end)
+
+	bookings.set("e1", 5000)
+	bookings.set("e2", 300)
+	x.Changed()
+	poll.WaitOn(t, told(y, "e1", 5000), poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, y.Tokens("e2"), 300)
+	began := time.Now()
+	bookings.set("e1", 0)
+	x.Changed()
+	poll.WaitOn(t, told(y, "e1", 0), poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	t.Logf("an end was known after %s", time.Since(began))
+	assert.Equal(t, y.Tokens("e2"), 300)
+	kill()
+	poll.WaitOn(t, told(y, "e2", 0), poll.WithTimeout(silentAfter+3*wholeEvery), poll.WithDelay(10*time.Millisecond))
+}
+
+// Anybody can send a datagram. One from a sender that isn't listed as a gateway,
+// or that is no message, must change nothing.
+func TestStrangersAreNotHeard(t *testing.T) {
+	a, b := freeAddress(t), freeAddress(t)
+	ctx, end := context.WithCancel(t.Context())
+	x, _ := exchange(ctx, t, a, b)
+	t.Cleanup(end)
+	conn, err := net.Dial("udp", a)
+	assert.NilError(t, err)
+	defer conn.Close()
+	before, stray := received.Get(), unknown.Get()
+	n := &pb.LoadNews{Start: 1, Sequence: 1, Engines: []*pb.EngineLoad{{Engine: xxhash.Sum64String("e1"), Tokens: 9}}}
+	text, err := proto.Marshal(n)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		// Until the exchange listens, writes come back as errors.
+		for _, datagram := range [][]byte{text, {0xff}} {
+			if _, err := conn.Write(datagram); err != nil {
+				return poll.Continue("%v", err)
+			}
+		}
+		if unknown.Get() == stray {
+			return poll.Continue("nothing came")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, x.Tokens("e1"), 0)
+	assert.Equal(t, received.Get(), before)
+}
+
+// A gateway with hundreds of engines booked must still fit into one datagram.
+func TestNewsFitIntoADatagram(t *testing.T) {
+	e := New(Options{})
+	many := map[string]int{}
+	for i := range 500 {
+		many[time.Duration(i).String()] = 1 << 20
+	}
+	assert.Assert(t, proto.Size(e.news(many, true)) <= maxDatagram)
+}
