Bound one question for room to 150 ms

Six engines go dark at 4.95 s; nobody has bookings there any more, so all gateways take them for the emptiest and ask them first, and a question had no bound but the connection's. Change: a question that has no answer after 150 ms, thirty times its usual, counts against the engine's health and the next one is asked. What it may have taken lapses.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -23,6 +23,8 @@
 	prefill func(s catalog.Server) (Prefilled, *verdict.Error)
 	reserve func(s catalog.Server, tokens int) (string, *verdict.Error)
 	report  Report
+	// dark servers answer no question for room.
+	dark map[string]bool
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -55,7 +57,11 @@
 	return Prefilled{Result: "kv-" + s.ID, Tokens: 10}, nil
 }
 
-func (f *fakeBackend) Reserve(_ context.Context, s catalog.Server, tokens int, _ time.Duration) (string, *verdict.Error) {
+func (f *fakeBackend) Reserve(ctx context.Context, s catalog.Server, tokens int, _ time.Duration) (string, *verdict.Error) {
+	if f.dark[s.ID] {
+		<-ctx.Done()
+		return "", verdict.New(verdict.NotRun, verdict.Unreachable, "no answer")
+	}
 	if f.reserve != nil {
 		return f.reserve(s, tokens)
 	}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -21,6 +21,11 @@
 	// tens of milliseconds at peak.
 	reserveTries = 10
 	reservePause = 30 * time.Millisecond
+	// askWithin bounds one question for room. An engine answers within some
+	// milliseconds. One that went dark doesn't, and looks the emptiest of all, as
+	// nobody has anything on it: without the bound each request waited for it
+	// until its connection was given up, and was late.
+	askWithin = 150 * time.Millisecond
 	// fullFor is how long a server that refused is taken for full.
 	fullFor = 60 * time.Millisecond
 	// roomRetryAfter is told to a caller that found no room: about a
@@ -188,7 +193,9 @@
 
 // ask asks one engine for room. An engine that is full isn't held against it.
 func (g *Gateway) ask(ctx context.Context, j *job, s ranked, tokens int) (string, *verdict.Error) {
-	hold, err := g.backend.Reserve(ctx, s.Server, tokens, j.service.Engine.HoldTTL)
+	asked, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	hold, err := g.backend.Reserve(asked, s.Server, tokens, j.service.Engine.HoldTTL)
 	if err != nil && err.Code != verdict.Overloaded {
 		g.judge(ctx, s.Server, err)
 	}
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -113,3 +113,22 @@
 		assert.Equal(t, s, "f2")
 	}
 }
+
+// Two of three engines lose their power. Nobody has anything booked there any more,
+// so they look the emptiest and are asked first. A caller must not wait for them
+// until the connections are given up: the third engine has room.
+func TestDarkEnginesAreSoonPassedBy(t *testing.T) {
+	f := &fakeBackend{
+		dark: map[string]bool{"d1": true, "d2": true},
+		send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("")), nil },
+	}
+	g := newGateway(t, f)
+	g.SharePeerLoad(peerLoad{"d3#0": 5000})
+	for _, bound := range []time.Duration{3 * askWithin, askWithin} {
+		began := time.Now()
+		reply, err := g.Serve(t.Context(), generation("/stream/"))
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+		assert.Assert(t, time.Since(began) < bound, "took %s", time.Since(began))
+	}
+}
