A starting gateway reads who is there before it writes

Cause: a gateway first wrote its own object of the membership. After a kill its old one still stands in the store, so the write was refused, and the next turn came a second later. Ruled out: slow datagrams; the addresses were missing. Change: the list is read first, which also tells the version of the own object, so that a conflict or a lost answer needs no further call. TestStartingGatewayKnowsTheOthersAtOnce: without it, nobody known after the first turn. The membership had no test of its own; it has three.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -90,20 +89,22 @@
 	}
 }
 
+// turn reads before it writes: a gateway that starts, perhaps with all others, is
+// to know them before its first callers come, whatever becomes of its own object.
 func (m *Members) turn(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := m.renew(ctx); err != nil {
-		return err
-	}
 	l, err := m.store.List(ctx, Kind)
 	if err != nil {
 		return err
 	}
 	m.take(l.Objects, time.Now())
-	return nil
+	return m.renew(ctx)
 }
 
+// renew writes this gateway's object. An earlier process of the instance, or a
+// write whose answer was lost, may have left another version than the one that
+// was read; the next reading tells it.
 func (m *Members) renew(ctx context.Context) error {
 	m.mu.Lock()
 	m.self.Renewals++
@@ -116,18 +117,10 @@
 	v, err := m.store.Put(ctx, platform.Object{
 		Kind: Kind, Name: self.ID, Version: version, Operation: platform.NewOperation(), Spec: spec,
 	})
-	if err != nil {
-		// An earlier process of the instance, or a write whose answer was
-		// lost, left another version: it is read and then replaced.
-		o, getErr := m.store.Get(ctx, Kind, self.ID)
-		if getErr != nil && !errors.Is(getErr, platform.ErrNotFound) {
-			return errors.Join(err, getErr)
-		}
-		m.setVersion(o.Version)
-		return err
+	if err == nil {
+		m.setVersion(v)
 	}
-	m.setVersion(v)
-	return nil
+	return err
 }
 
 func (m *Members) setVersion(v uint64) {
@@ -141,6 +134,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.known = true
+	m.version = 0
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		var p Peer
@@ -149,6 +143,9 @@
 			continue
 		}
 		listed[p.ID] = true
+		if p.ID == m.self.ID {
+			m.version = o.Version
+		}
 		s, ok := m.seen[p.ID]
 		if !ok || s.version != o.Version {
 			m.seen[p.ID] = sighting{peer: p, version: o.Version, since: now}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,100 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/platform"
+)
+
+var errConflict = errors.New("another version is there")
+
+// memory is a store of one kind.
+type memory struct {
+	platform.Store
+	objects map[string]platform.Object
+	calls   int
+	// lose makes the next write's answer be lost.
+	lose bool
+}
+
+func (s *memory) List(context.Context, string) (platform.Listing, error) {
+	s.calls++
+	var l platform.Listing
+	for _, o := range s.objects {
+		l.Objects = append(l.Objects, o)
+	}
+	return l, nil
+}
+
+func (s *memory) Put(_ context.Context, o platform.Object) (uint64, error) {
+	s.calls++
+	if s.objects[o.Name].Version != o.Version {
+		return 0, errConflict
+	}
+	o.Version++
+	s.objects[o.Name] = o
+	if s.lose {
+		s.lose = false
+		return 0, platform.ErrUnclear
+	}
+	return o.Version, nil
+}
+
+func members(s platform.Store, id string) *Members {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(s, Peer{ID: id, Address: "10.0.0.1:" + id}, logrus.NewEntry(log))
+}
+
+func stored(t *testing.T, id string) platform.Object {
+	t.Helper()
+	spec, err := json.Marshal(Peer{ID: id, Address: "10.0.0.1:" + id})
+	assert.NilError(t, err)
+	return platform.Object{Name: id, Version: 7, Spec: spec}
+}
+
+// All gateways were killed and start at once; their callers are there within a tenth
+// of a second. The objects of the starts before are still in the store, its own among
+// them. A gateway that first wrote, and was refused for its own old object, knew nobody
+// for a second and chose engines blindly meanwhile.
+func TestStartingGatewayKnowsTheOthersAtOnce(t *testing.T) {
+	s := &memory{objects: map[string]platform.Object{"1": stored(t, "1"), "2": stored(t, "2")}}
+	m := members(s, "1")
+	assert.Assert(t, m.List() == nil)
+	assert.NilError(t, m.turn(t.Context()))
+	assert.Equal(t, len(m.List()), 2)
+	assert.Equal(t, s.calls, 2)
+	assert.Equal(t, s.objects["1"].Version, uint64(8))
+}
+
+// The answer to a renewal is lost though it was written. The gateway must find its
+// version by itself, or its object would stand still and the others take it for gone.
+func TestRenewalGoesOnAfterALostAnswer(t *testing.T) {
+	s := &memory{objects: map[string]platform.Object{}, lose: true}
+	m := members(s, "1")
+	assert.ErrorIs(t, m.turn(t.Context()), platform.ErrUnclear)
+	assert.NilError(t, m.turn(t.Context()))
+	assert.Equal(t, s.objects["1"].Version, uint64(2))
+}
+
+// A gateway dies without a word. Its object stands still, and after Expiry by the
+// observer's clock it no longer counts; one that renews does.
+func TestPeerThatStandsStillExpires(t *testing.T) {
+	m := members(&memory{}, "1")
+	now := time.Now()
+	m.take([]platform.Object{stored(t, "2"), stored(t, "3")}, now)
+	renewed := stored(t, "3")
+	renewed.Version++
+	m.take([]platform.Object{stored(t, "2"), renewed}, now.Add(Expiry-time.Second))
+	live := m.list(now.Add(Expiry + time.Second))
+	assert.Equal(t, len(live), 2)
+	assert.Equal(t, live[1].ID, "3")
+}
