Gateways tell each other of engines lost under a request

Cause: a request that crashes the engines that run it was convicted by each gateway for itself, after three crashes there. Ruled out: an object in the platform's store for each loss: calls are paid for, and the store may be away just when servers crash. Change: package peerload becomes gossip. Its datagrams also carry the fingerprint of a request and the engine that broke off under it, for 2.5 s; where the fleet is larger than what one gateway tells, those that hear of it tell it on. TestLossReachesAll: 28 gateways.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -10,8 +10,8 @@
 
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/gateway"
+	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/operator"
-	"jayford.example/jayford/internal/peerload"
 	"jayford.example/jayford/internal/peers"
 	"jayford.example/jayford/internal/settings"
 )
@@ -54,18 +54,18 @@
 		}
 	}, nil, log)
 	members := peers.New(out.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone}, log.WithField("part", "peers"))
-	load := peerload.New(peerload.Options{
-		Listen: s.Peer, Own: g.Booked, Log: log.WithField("part", "peerload"),
-		Peers: func() []string { return addresses(members.List(), s.ID, s.AvailabilityZone) },
+	exchange := gossip.New(gossip.Options{
+		Listen: s.Peer, Own: g.Booked, OnLoss: g.NoteLoss, Log: log.WithField("part", "gossip"),
+		Peers: func() (near, far []string) { return addresses(members.List(), s.ID, s.AvailabilityZone) },
 	})
-	g.SharePeerLoad(load)
+	g.Join(exchange)
 	orders := gateway.StageOptions{
 		Store: out.Sources.Store, Share: s.Stages.PrefillShare, Term: s.Stages.LeaseTerm.D(),
 		Self: fmt.Sprintf("%s#%d", s.ID, begun.UnixNano()), Instance: s.ID,
 		Peers: func() []string { return ids(members.List()) },
 	}
 	return run(
-		ctx, server.Run, members.Run, load.Run,
+		ctx, server.Run, members.Run, exchange.Run,
 		func(ctx context.Context) error { return g.RunStages(ctx, orders) },
 		func(ctx context.Context) error { return countPeers(ctx, g, members) },
 		func(ctx context.Context) error { return g.Follow(ctx, out.Sources) },
@@ -97,9 +97,8 @@
 }
 
 // addresses returns the other gateways' addresses, those of the same availability
-// zone first.
-func addresses(list []peers.Peer, self, zone string) []string {
-	var near, far []string
+// zone apart.
+func addresses(list []peers.Peer, self, zone string) (near, far []string) {
 	for _, p := range list {
 		switch {
 		case p.ID == self:
@@ -109,7 +108,7 @@
 			far = append(far, p.Address)
 		}
 	}
-	return append(near, far...)
+	return near, far
 }
 
 // countPeers tells the gateway how many share its budget.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -19,21 +19,23 @@
 
 // crashes remembers under which contents servers broke off. A request that
 // crashes its server comes again, by its caller's retry under another id, and
-// would take one server after the other down with all that runs there.
+// would take one server after the other down with all that runs there. It may come
+// to another gateway each time, so they tell each other.
 type crashes struct {
 	mu sync.Mutex
-	// seen is guarded by mu: by fingerprint, the starts of servers lost under it
-	// and when the last one was.
+	// seen is guarded by mu: by fingerprint, the keys of engines lost under it and
+	// when the last one was.
 	seen map[uint64]*lostUnder
 }
 
 type lostUnder struct {
-	starts map[string]bool
-	last   time.Time
+	engines map[uint64]bool
+	last    time.Time
 }
 
-// note says that the start of a server broke off under a content.
-func (c *crashes) note(fp uint64, start string, now time.Time) {
+// note says that an engine, by its key, broke off under a content. It reports
+// whether that was news.
+func (c *crashes) note(fp, engine uint64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.seen == nil {
@@ -44,11 +46,13 @@
 	}
 	x := c.seen[fp]
 	if x == nil || now.Sub(x.last) > crashMemory {
-		x = &lostUnder{starts: map[string]bool{}}
+		x = &lostUnder{engines: map[uint64]bool{}}
 		c.seen[fp] = x
 	}
-	x.starts[start] = true
+	known := x.engines[engine]
+	x.engines[engine] = true
 	x.last = now
+	return !known
 }
 
 // forget drops what is old, and all if nothing is.
@@ -74,7 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x := c.seen[fp]
-	return x != nil && len(x.starts) >= crashesToConvict && now.Sub(x.last) <= crashMemory
+	return x != nil && len(x.engines) >= crashesToConvict && now.Sub(x.last) <= crashMemory
 }
 
 // fingerprint tells contents apart: a caller's retry has another id.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -139,9 +140,22 @@
 	g.budget.SetSlack(g.opts.Budget.share(float64(n)))
 }
 
-// SharePeerLoad makes the gateway choose engines by p's load too. It must be
-// called before the first request.
-func (g *Gateway) SharePeerLoad(p PeerLoad) { g.loads.peers = p }
+// Join makes the gateway choose engines by its peers' load too, and tell them of
+// engines that it loses. It must be called before the first request.
+func (g *Gateway) Join(p Peers) { g.loads.peers = p }
+
+// NoteLoss takes an engine's loss under a content from a peer, and reports whether
+// it was news. The engine is named by gossip.Key.
+func (g *Gateway) NoteLoss(content, engine uint64) bool {
+	return g.crashes.note(content, engine, time.Now())
+}
+
+// lost notes that the server broke off under the job's content.
+func (g *Gateway) lost(j *job, s catalog.Server) {
+	if g.crashes.note(j.content, gossip.Key(start(s)), time.Now()) && g.loads.peers != nil {
+		g.loads.peers.Lost(j.content, start(s))
+	}
+}
 
 // Booked returns the tokens that this gateway has booked by start of engine.
 func (g *Gateway) Booked() map[string]int { return g.loads.booked() }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -20,19 +20,21 @@
 	Refusals int
 }
 
-// PeerLoad knows what the other gateways have running on engines.
-type PeerLoad interface {
+// Peers are the other gateways.
+type Peers interface {
 	// Changed is told that this gateway's own bookings changed.
 	Changed()
 	// Tokens returns what the others have booked on a start of an engine.
 	Tokens(start string) int
+	// Lost is told that a start of an engine broke off while it ran a content.
+	Lost(content uint64, start string)
 }
 
 // loads keeps the load by start of server.
 type loads struct {
 	table *board.Table[load]
-	// peers is nil if the others' load isn't known; it is set before use.
-	peers PeerLoad
+	// peers is nil if there are none; it is set before use.
+	peers Peers
 }
 
 func newLoads(b *board.Board) *loads { return &loads{table: board.NewTable[load](b, "loads")} }
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -90,6 +92,8 @@
 
 func (peerLoad) Changed() {}
 
+func (peerLoad) Lost(uint64, string) {}
+
 func (p peerLoad) Tokens(start string) int { return p[start] }
 
 // Other gateways have prompts queued at one prefill engine and fill a decode engine.
@@ -100,7 +104,7 @@
 	g := newGateway(t, f)
 	f2 := catalog.Server{ID: "f2", Service: modelService, Address: "10.0.0.3:2", AvailabilityZone: "a", Stage: catalog.Prefill}
 	g.SetServers(append(testServers(), f2))
-	g.SharePeerLoad(peerLoad{"f1#0": 8000, "d1#0": 9000, "d3#0": 700})
+	g.Join(peerLoad{"f1#0": 8000, "d1#0": 9000, "d3#0": 700})
 	for range 20 {
 		reply, err := g.Serve(t.Context(), generation("/stream/"))
 		assert.Assert(t, err == nil, "%v", err)
@@ -123,7 +127,7 @@
 		send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("")), nil },
 	}
 	g := newGateway(t, f)
-	g.SharePeerLoad(peerLoad{"d3#0": 5000})
+	g.Join(peerLoad{"d3#0": 5000})
 	for _, bound := range []time.Duration{3 * askWithin, askWithin} {
 		began := time.Now()
 		reply, err := g.Serve(t.Context(), generation("/stream/"))
@@ -145,10 +149,49 @@
 		read int
 	}{{0.6, 1}, {1, 0}} {
 		f.prefills = nil
-		g.SharePeerLoad(peerLoad{"f1#0": int(c.part * float64(objective/firstPace))})
+		g.Join(peerLoad{"f1#0": int(c.part * float64(objective/firstPace))})
 		reply, err := g.Serve(t.Context(), generation("/stream/"))
 		assert.Assert(t, err == nil, "%v", err)
 		reply.discard()
 		assert.Equal(t, len(f.prefills), c.read, "a queue of %g objectives", c.part)
 	}
 }
+
+// peersOf hands the losses of one gateway to another.
+type peersOf struct{ to *Gateway }
+
+func (peersOf) Changed() {}
+
+func (peersOf) Tokens(string) int { return 0 }
+
+func (p peersOf) Lost(content uint64, start string) { p.to.NoteLoss(content, gossip.Key(start)) }
+
+// A request crashes each engine that begins to run it. Its caller sends it again under
+// another id, and comes to another gateway each time. Each gateway sees one or two
+// crashes only; together they have seen three, and no further engine may be lost.
+func TestCrashingRequestIsConvictedByAllGatewaysTogether(t *testing.T) {
+	crash := func(catalog.Server, Call) (*Answer, *verdict.Error) { return nil, lost() }
+	f1, f2 := &fakeBackend{send: crash}, &fakeBackend{send: crash}
+	g1, g2 := newGateway(t, f1), newGateway(t, f2)
+	g1.Join(peersOf{g2})
+	g2.Join(peersOf{g1})
+	_, err := g1.Serve(t.Context(), generation("/stream/"))
+	assert.Assert(t, err.Verdict != verdict.NotRun)
+	first := map[string]bool{}
+	for _, s := range f1.sends() {
+		first[s.server] = true
+	}
+	assert.Equal(t, len(first), 2)
+
+	// The last engine that is left to it is the third.
+	g2.SetServers(slices.DeleteFunc(testServers(), func(s catalog.Server) bool { return first[s.ID] }))
+	_, err = g2.Serve(t.Context(), generation("/stream/"))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(f2.sends()), 1)
+
+	for _, g := range []*Gateway{g1, g2} {
+		_, err = g.Serve(t.Context(), generation("/stream/"))
+		assert.Equal(t, err.Code, verdict.Crashes)
+	}
+	assert.Equal(t, len(f1.sends())+len(f2.sends()), 3)
+}
--- a/internal/peerload/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -1,4 +1,4 @@
-package peerload
+package gossip
 
 import (
 	"fmt"
@@ -33,11 +33,11 @@
 	b.ReportMetric(float64(size), "bytes")
 }
 
-// BenchmarkTake reads one change of one of 24 peers.
+// BenchmarkTake reads one change of one of a gateway's peers.
 func BenchmarkTake(b *testing.B) {
 	e := New(Options{})
 	from := New(Options{})
-	for i := range maxPeers {
+	for i := range maxNear + maxFar {
 		e.known[fmt.Sprint("10.0.0.", i, ":1")] = true
 	}
 	own := bookings()
--- a/internal/peerload/peerload.go
+++ b/internal/gossip/gossip.go
@@ -1,13 +1,16 @@
-// Package peerload tells gateways of each other's load on engines.
+// Package gossip tells gateways of each other's load on engines, and of requests
+// under which engines broke off.
 //
 // Each gateway knows what it has booked itself, and chooses the engine with the
 // shortest queue. Dozens of gateways that don't know of each other choose the
-// same one, and prompts wait behind each other while other engines are idle.
+// same one, and prompts wait behind each other while other engines are idle. And a
+// request that crashes its engine comes again at another gateway each time; only
+// what all have seen convicts it soon.
 //
 // A gateway sends its peers a datagram when its bookings change, with the engines
 // that changed, and the whole once a second. A lost one costs a choice that is a
 // little worse until then; no promise rests on what is told here.
-package peerload
+package gossip
 
 import (
 	"context"
@@ -26,6 +29,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/place"
 )
 
 const (
@@ -36,28 +40,47 @@
 	wholeEvery = time.Second
 	// silentAfter is when a peer's load is forgotten: it missed two of these.
 	silentAfter = 2500 * time.Millisecond
-	// maxPeers bounds the peers that are told. At 5 requests a second, three
-	// datagrams a request and 30 bytes each they cost 11 KB/s.
-	maxPeers = 24
+	// maxNear and maxFar bound the peers that are told, of the same availability
+	// zone and of others. At 5 requests a second, three datagrams a request and 30
+	// bytes each they cost 11 KB/s together.
+	maxNear = 20
+	maxFar  = 4
+	// lossToldFor is how long a loss is told: two whole datagrams at the least.
+	lossToldFor = 2500 * time.Millisecond
+	// maxLosses bounds the losses in one datagram.
+	maxLosses = 8
 	// maxDatagram is the least that any link takes in one piece, less headers.
 	maxDatagram = 1200
 )
 
 var (
-	sent     = metrics.NewCounter("jayford_peerload_sent_total")
-	received = metrics.NewCounter("jayford_peerload_received_total")
-	unknown  = metrics.NewCounter("jayford_peerload_unknown_senders_total")
+	sent     = metrics.NewCounter("jayford_gossip_sent_total")
+	received = metrics.NewCounter("jayford_gossip_received_total")
+	unknown  = metrics.NewCounter("jayford_gossip_unknown_senders_total")
 )
 
 // Options of an Exchange.
 type Options struct {
 	// Listen is the "ip:port" from which and at which datagrams are exchanged.
 	Listen string
-	// Peers returns the other gateways' addresses, nearest first.
-	Peers func() []string
+	// Peers returns the addresses of the other gateways in the same availability
+	// zone and in others.
+	Peers func() (near, far []string)
 	// Own returns the booked tokens by engine.
 	Own func() map[string]int
-	Log *logrus.Entry
+	// OnLoss takes the loss of an engine that a peer told, and reports whether it
+	// was news.
+	OnLoss func(content, engine uint64) bool
+	Log    *logrus.Entry
+}
+
+// Key names one start of an engine among gateways.
+func Key(start string) uint64 { return xxhash.Sum64String(start) }
+
+// toldLoss is a loss that is told for a while.
+type toldLoss struct {
+	loss  *pb.Loss
+	since time.Time
 }
 
 // Exchange tells peers of this gateway's load and knows theirs.
@@ -71,6 +94,10 @@
 	table *table
 	// known has the peers' addresses, guarded by mu.
 	known map[string]bool
+	// partly: not all peers are told directly; guarded by mu.
+	partly bool
+	// losses are those that are told now, guarded by mu.
+	losses []toldLoss
 
 	// sequence and last are used by the sender alone; last is what was sent.
 	sequence uint64
@@ -93,23 +120,33 @@
 	}
 }
 
+// Lost tells the peers that an engine broke off while it ran a content.
+func (e *Exchange) Lost(content uint64, start string) { e.pass(content, Key(start)) }
+
+func (e *Exchange) pass(content, engine uint64) {
+	e.mu.Lock()
+	e.losses = append(e.losses, toldLoss{&pb.Loss{Content: content, Engine: engine}, time.Now()})
+	e.mu.Unlock()
+	e.Changed()
+}
+
 // Tokens returns what the peers have booked on an engine.
 func (e *Exchange) Tokens(engine string) int {
-	h := xxhash.Sum64String(engine)
+	key := Key(engine)
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.table.sums[h]
+	return e.table.sums[key]
 }
 
 // Run exchanges until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
 	at, err := net.ResolveUDPAddr("udp", e.opts.Listen)
 	if err != nil {
-		return eris.Wrapf(err, "peerload: address %s", e.opts.Listen)
+		return eris.Wrapf(err, "gossip: address %s", e.opts.Listen)
 	}
 	conn, err := net.ListenUDP("udp", at)
 	if err != nil {
-		return eris.Wrapf(err, "peerload: listen on %s", e.opts.Listen)
+		return eris.Wrapf(err, "gossip: listen on %s", e.opts.Listen)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receive(ctx, conn) })
@@ -130,7 +167,7 @@
 		}
 		if err != nil {
 			// A datagram to a peer that is gone comes back as an error.
-			e.opts.Log.WithError(err).Debug("peerload: not received.")
+			e.opts.Log.WithError(err).Debug("gossip: not received.")
 			continue
 		}
 		e.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), buf[:n])
@@ -139,20 +176,40 @@
 
 // take applies a datagram. Only what a listed peer sent counts.
 func (e *Exchange) take(from string, text []byte) {
-	var n pb.LoadNews
+	var n pb.News
 	if err := proto.Unmarshal(text, &n); err != nil {
-		e.opts.Log.WithError(err).WithField("from", from).Warn("peerload: a datagram can't be read.")
+		e.opts.Log.WithError(err).WithField("from", from).Warn("gossip: a datagram can't be read.")
 		return
 	}
+	if !e.apply(from, &n) {
+		return
+	}
+	for _, l := range n.Losses {
+		if e.opts.OnLoss(l.Content, l.Engine) && e.passesOn() {
+			e.pass(l.Content, l.Engine)
+		}
+	}
+}
+
+// apply takes a peer's load, and reports whether it is to be heard.
+func (e *Exchange) apply(from string, n *pb.News) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.known[from] {
 		unknown.Inc()
-		return
+		return false
 	}
-	if e.table.take(from, &n, time.Now()) {
+	if e.table.take(from, n, time.Now()) {
 		received.Inc()
 	}
+	return true
+}
+
+// passesOn reports whether peers tell on what they hear, since nobody tells all.
+func (e *Exchange) passesOn() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.partly
 }
 
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
@@ -179,40 +236,55 @@
 
 // refresh forgets silent peers and returns who is to be told.
 func (e *Exchange) refresh() []netip.AddrPort {
-	known := map[string]bool{}
-	var to []netip.AddrPort
-	for _, a := range e.opts.Peers() {
+	near, far := e.opts.Peers()
+	known := make(map[string]bool, len(near)+len(far))
+	for _, a := range slices.Concat(near, far) {
 		known[a] = true
+	}
+	// Near ones stay the same, as they sum up what they hear. Far ones are drawn,
+	// so that a loss reaches all.
+	told := slices.Concat(place.Subset(e.opts.Listen, near, maxNear), drawn(far, maxFar))
+	var to []netip.AddrPort
+	for _, a := range told {
 		p, err := netip.ParseAddrPort(a)
 		if err != nil {
-			e.opts.Log.WithError(err).WithField("peer", a).Debug("peerload: no address.")
+			e.opts.Log.WithError(err).WithField("peer", a).Debug("gossip: no address.")
 			continue
 		}
-		if len(to) < maxPeers {
-			to = append(to, p)
-		}
+		to = append(to, p)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.known = known
+	e.partly = len(told) < len(known)
 	e.table.expire(time.Now(), silentAfter)
 	return to
 }
 
+// drawn returns n of the list, or all if they are few, as in a fleet of dozens.
+func drawn(list []string, n int) []string {
+	if len(list) <= maxNear {
+		return list
+	}
+	out := slices.Clone(list)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:n]
+}
+
 // tell sends the engines that changed, or all of them.
 func (e *Exchange) tell(conn *net.UDPConn, to []netip.AddrPort, whole bool) {
 	n := e.news(e.opts.Own(), whole)
-	if len(to) == 0 || len(n.Engines) == 0 && !whole {
+	if len(to) == 0 || len(n.Engines)+len(n.Losses) == 0 && !whole {
 		return
 	}
 	text, err := proto.Marshal(n)
 	if err != nil || len(text) > maxDatagram {
-		e.opts.Log.WithError(err).WithField("bytes", len(text)).Warn("peerload: not sent.")
+		e.opts.Log.WithError(err).WithField("bytes", len(text)).Warn("gossip: not sent.")
 		return
 	}
 	for _, a := range to {
 		if _, err := conn.WriteToUDPAddrPort(text, a); err != nil {
-			e.opts.Log.WithError(err).WithField("peer", a.String()).Debug("peerload: not sent.")
+			e.opts.Log.WithError(err).WithField("peer", a.String()).Debug("gossip: not sent.")
 			continue
 		}
 		sent.Inc()
@@ -220,16 +292,16 @@
 }
 
 // maxEngines fit into a datagram, those with the most tokens first.
-const maxEngines = 70
+const maxEngines = 60
 
 // news returns what is to be told of the bookings own.
-func (e *Exchange) news(own map[string]int, whole bool) *pb.LoadNews {
+func (e *Exchange) news(own map[string]int, whole bool) *pb.News {
 	now := make(map[uint64]uint32, len(own))
 	for engine, tokens := range own {
-		now[xxhash.Sum64String(engine)] = uint32(max(0, tokens))
+		now[Key(engine)] = uint32(max(0, tokens))
 	}
 	e.sequence++
-	n := &pb.LoadNews{Start: e.start, Sequence: e.sequence, Whole: whole}
+	n := &pb.News{Start: e.start, Sequence: e.sequence, Whole: whole}
 	for engine, tokens := range now {
 		if whole || e.last[engine] != tokens {
 			n.Engines = append(n.Engines, &pb.EngineLoad{Engine: engine, Tokens: tokens})
@@ -243,5 +315,18 @@
 	slices.SortFunc(n.Engines, func(a, b *pb.EngineLoad) int { return int(b.Tokens) - int(a.Tokens) })
 	n.Engines = n.Engines[:min(len(n.Engines), maxEngines)]
 	e.last = now
+	n.Losses = e.toTell(time.Now())
 	return n
 }
+
+// toTell returns the newest losses that are still told.
+func (e *Exchange) toTell(now time.Time) []*pb.Loss {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.losses = slices.DeleteFunc(e.losses, func(l toldLoss) bool { return now.Sub(l.since) > lossToldFor })
+	var out []*pb.Loss
+	for _, l := range e.losses[max(0, len(e.losses)-maxLosses):] {
+		out = append(out, l.loss)
+	}
+	return out
+}
--- a/internal/peerload/peerload_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package peerload
+package gossip
 
 import (
 	"context"
@@ -20,8 +20,8 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 )
 
-func news(start uint32, sequence uint64, whole bool, tokens ...uint32) *pb.LoadNews {
-	n := &pb.LoadNews{Start: start, Sequence: sequence, Whole: whole}
+func news(start uint32, sequence uint64, whole bool, tokens ...uint32) *pb.News {
+	n := &pb.News{Start: start, Sequence: sequence, Whole: whole}
 	for i, x := range tokens {
 		n.Engines = append(n.Engines, &pb.EngineLoad{Engine: uint64(i), Tokens: x})
 	}
@@ -66,6 +66,26 @@
 type own struct {
 	mu     sync.Mutex
 	tokens map[string]int
+	// losses counts how often each loss was heard.
+	losses map[uint64]int
+}
+
+func (o *own) take(content, _ uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.losses[content]++
+	return o.losses[content] == 1
+}
+
+func (o *own) heard(content uint64) poll.Check {
+	return func(poll.LogT) poll.Result {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.losses[content] == 0 {
+			return poll.Continue("not heard")
+		}
+		return poll.Success()
+	}
 }
 
 func (o *own) get() map[string]int {
@@ -84,8 +104,11 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	o := &own{tokens: map[string]int{}}
-	e := New(Options{Listen: listen, Own: o.get, Log: logrus.NewEntry(log), Peers: func() []string { return slices.Clone(peers) }})
+	o := &own{tokens: map[string]int{}, losses: map[uint64]int{}}
+	e := New(Options{
+		Listen: listen, Own: o.get, Log: logrus.NewEntry(log), Peers: func() ([]string, []string) { return slices.Clone(peers), nil },
+		OnLoss: o.take,
+	})
 	done := make(chan error, 1)
 	go func() { done <- e.Run(ctx) }()
 	t.Cleanup(func() { assert.NilError(t, <-done) })
@@ -147,7 +170,7 @@
 	assert.NilError(t, err)
 	defer conn.Close()
 	before, stray := received.Get(), unknown.Get()
-	n := &pb.LoadNews{Start: 1, Sequence: 1, Engines: []*pb.EngineLoad{{Engine: xxhash.Sum64String("e1"), Tokens: 9}}}
+	n := &pb.News{Start: 1, Sequence: 1, Engines: []*pb.EngineLoad{{Engine: xxhash.Sum64String("e1"), Tokens: 9}}}
 	text, err := proto.Marshal(n)
 	assert.NilError(t, err)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -175,3 +198,25 @@
 	}
 	assert.Assert(t, proto.Size(e.news(many, true)) <= maxDatagram)
 }
+
+// A request crashed its engine at one gateway and its caller comes again at another.
+// With more gateways than one tells by itself, those that hear of it tell it on.
+func TestLossReachesAll(t *testing.T) {
+	const gateways = maxNear + 8
+	var all []string
+	for range gateways {
+		all = append(all, freeAddress(t))
+	}
+	ctx, end := context.WithCancel(t.Context())
+	exchanges := make([]*Exchange, gateways)
+	owners := make([]*own, gateways)
+	for i, a := range all {
+		others := slices.DeleteFunc(slices.Clone(all), func(o string) bool { return o == a })
+		exchanges[i], owners[i] = exchange(ctx, t, a, others...)
+	}
+	t.Cleanup(end)
+	exchanges[0].Lost(42, "e1")
+	for _, o := range owners[1:] {
+		poll.WaitOn(t, o.heard(42), poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	}
+}
--- a/internal/peerload/table.go
+++ b/internal/gossip/table.go
@@ -1,4 +1,4 @@
-package peerload
+package gossip
 
 import (
 	"time"
@@ -26,7 +26,7 @@
 
 // take applies what the peer at an address told. It reports whether that was new:
 // datagrams may overtake one another.
-func (t *table) take(from string, n *pb.LoadNews, now time.Time) bool {
+func (t *table) take(from string, n *pb.News, now time.Time) bool {
 	p := t.peers[from]
 	if p == nil || p.start != n.Start {
 		t.drop(from)
