Entries log each decision on a request

Cause: an entry wrote a line for failures only; of a request that was answered late, or on its second server, the log said nothing, and of a refusal only at the level debug. Ruled out: a line a token or a renewal; what bounds the volume (60 lines of a kind a second, a buffer that never blocks) is the same for all processes. Change: one line each for a slot granted, a prompt read, another attempt, a try of a plain call, the answer and the refusal, with server, attempt, incarnation, the configuration's revision, code, verdict and time to come back. Measured: TestDecisionsOnARequestAreFoundInTheLog through processes.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -108,7 +108,9 @@
 	if err.Verdict == verdict.NotRun && g.claimed {
 		g.e.unclaim(g.r)
 	}
-	g.log.WithError(err).Info("entry: request ended without a whole answer.")
+	g.log.WithError(err).WithFields(logrus.Fields{
+		"code": err.Code, "verdict": err.Verdict.String(), "attempts": g.number, "retryAfter": err.RetryAfter.Seconds(),
+	}).Info("entry: request ended without a whole answer.")
 	return err
 }
 
@@ -138,6 +140,7 @@
 		finish, err := g.attempt(ctx)
 		if err == nil {
 			g.settle()
+			g.log.WithFields(logrus.Fields{"finish": finish, "attempts": g.number, "tokens": g.out.len()}).Info("entry: request answered.")
 			return finish, nil
 		}
 		if ctx.Err() != nil {
@@ -197,7 +200,7 @@
 	if !d.Retry {
 		return d.Final
 	}
-	g.log.WithError(err).Info("entry: another attempt.")
+	g.log.WithError(err).WithFields(logrus.Fields{"after": d.After.Seconds(), "failures": g.failures, "refusals": g.refusals}).Info("entry: another attempt.")
 	if !wait.Sleep(ctx, d.After) {
 		return contextVerdict(ctx)
 	}
@@ -384,6 +387,11 @@
 	}
 	g.e.trusted(t.id)
 	gr.granted = true
+	hint := g.e.agents.Hint(t.id)
+	g.log.WithFields(logrus.Fields{
+		"server": t.id, "incarnation": reply.Incarnation, "phase": phase.String(), "attempt": gr.attempt.Number,
+		"pending": hint.Pending, "revision": g.e.revision(),
+	}).Info("entry: slot granted.")
 	return gr, nil
 }
 
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agents"
 	"jayford.example/jayford/internal/policy/admit"
@@ -111,6 +113,10 @@
 	if reserve != nil {
 		g.e.trusted(gr.target.id)
 	}
+	g.log.WithFields(logrus.Fields{
+		"server": gr.target.id, "incarnation": reply.Incarnation, "attempt": gr.attempt.Number, "withReservation": reserve != nil,
+		"tokens": reply.PromptTokens, "cached": reply.CachedTokens,
+	}).Info("entry: prompt read.")
 	prefillTokens.Add(int(reply.PromptTokens - reply.CachedTokens))
 	g.e.observed(gr.target.id, g.r, int(reply.CachedTokens))
 	return reply, nil
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -67,7 +67,10 @@
 	id := ""
 	if r != nil {
 		id = r.id
-		s.e.log.WithFields(logrus.Fields{"request": r.id, "organisation": r.organisation}).WithError(e).Debug("entry: refused.")
+		s.e.log.WithFields(logrus.Fields{
+			"request": r.id, "organisation": r.organisation, "code": e.Code, "verdict": e.Verdict.String(),
+			"attempts": attempts, "retryAfter": e.RetryAfter.Seconds(),
+		}).WithError(e).Info("entry: refused.")
 	}
 	setAttempts(ctx, attempts)
 	setRefusal(&ctx.Response, id, e)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/doubt"
@@ -98,6 +100,7 @@
 			hedge.Reset(usual << slower(looks))
 			looks++
 		case res := <-c.results:
+			c.note(res)
 			if res.err == nil {
 				c.overtaken(res.target.id)
 				return res.reply, nil
@@ -112,6 +115,18 @@
 	}
 }
 
+// note logs how a try ended.
+func (c *serviceCall) note(res callResult) {
+	log := c.e.log.WithFields(logrus.Fields{
+		"request": c.r.id, "organisation": c.r.organisation, "server": res.target.id, "attempts": c.number, "revision": c.e.revision(),
+	})
+	if res.err != nil {
+		log.WithError(res.err).WithFields(logrus.Fields{"code": res.err.Code, "verdict": res.err.Verdict.String()}).Info("entry: call failed.")
+		return
+	}
+	log.WithField("status", res.reply.Status).Info("entry: call answered.")
+}
+
 const (
 	// quickLooks at an open call come one after the other in a slow answer's
 	// time; then the pause doubles, slowest times at most. A call that lasts for
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -197,3 +197,6 @@
 
 // generates says whether the pool has servers for both phases.
 func (p *poolTargets) generates() bool { return len(p.prefill) > 0 && len(p.decode) > 0 }
+
+// revision returns the configuration's revision that requests are routed by.
+func (e *Entry) revision() uint64 { return e.routing.current().snapshot.Revision }
--- a/test/observe_test.go
+++ b/test/observe_test.go
@@ -139,6 +139,28 @@
 	})
 }
 
+// A caller complains of an answer that came late or wrong. With the request's id an
+// operator finds which servers it was given, by which configuration, and how its tries
+// ended; a completion's and a plain call's answer leave lines as a refusal does.
+func TestDecisionsOnARequestAreFoundInTheLog(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, prefill: 1, decode: 1})
+	got := complete(context.Background(), ask{entry: c.entries[0], prompt: "told", maxTokens: 5})
+	assert.Equal(t, got.code, "", "%+v", got)
+	for _, want := range []string{
+		`"msg":"entry: slot granted."`, `"phase":"PHASE_DECODE"`, `"msg":"entry: prompt read."`, `"msg":"entry: request answered."`,
+	} {
+		eventually(t, 2*time.Second, want, func() error {
+			for line := range strings.Lines(c.entries[0].logs()) {
+				if strings.Contains(line, got.request) && strings.Contains(line, want) {
+					return nil
+				}
+			}
+			return errorf("no line of %s has %s:\n%s", got.request, want, c.entries[0].logs())
+		})
+	}
+}
+
 // daemon runs jayfordd as a process of its own.
 func daemon(t *testing.T, args ...string) *process {
 	p := &process{t: t, name: args[0], path: filepath.Join(binaries, "jayfordd"), args: args}
