Gossip: a pause after a failed read, and waits that end with the process

Cause: read as a newcomer, the receiver would spin if its socket failed for good, and the sender's pause didn't end with its context. Neither was seen. Change: both wait through wait.Sleep; the bound below which all peers of other zones are told has a name of its own. Measured: nothing but the package's tests.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -30,6 +30,7 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/policy/place"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -45,6 +46,8 @@
 	// bytes each they cost 11 KB/s together.
 	maxNear = 20
 	maxFar  = 4
+	// shortList is how many of other zones are all told.
+	shortList = 20
 	// lossToldFor is how long a loss is told: two whole datagrams at the least.
 	lossToldFor = 2500 * time.Millisecond
 	// maxLosses bounds the losses in one datagram.
@@ -168,6 +171,7 @@
 		if err != nil {
 			// A datagram to a peer that is gone comes back as an error.
 			e.opts.Log.WithError(err).Debug("gossip: not received.")
+			wait.Sleep(ctx, gather)
 			continue
 		}
 		e.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), buf[:n])
@@ -224,7 +228,7 @@
 			to = e.refresh()
 			e.tell(conn, to, true)
 		case <-e.changed:
-			time.Sleep(gather)
+			wait.Sleep(ctx, gather)
 			if len(to) == 0 {
 				// The peers weren't known yet when this process started.
 				to = e.refresh()
@@ -261,9 +265,9 @@
 	return to
 }
 
-// drawn returns n of the list, or all if they are few, as in a fleet of dozens.
+// drawn returns n of the list, or all of one that is short, as in a fleet of dozens.
 func drawn(list []string, n int) []string {
-	if len(list) <= maxNear {
+	if len(list) <= shortList {
 		return list
 	}
 	out := slices.Clone(list)
