jayfordctl summary: what became of all requests, by outcome and moment

Change: the last line of a stream says when its first event came, its longest pause and why it is late (room, first event, pause, came back), a caller who leaves a stream leaves a line, a plain answer says if it was late; the verb counts all requests by route and outcome, and what was lost by moment.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -106,6 +106,7 @@
 		{"dump", "Print the state of one process.", &dumpCommand{client: c}},
 		{"explain", "Say where a described request would land, and why.", &explainCommand{client: c}},
 		{"trace", "Tell the story of one request from the processes' logs.", &traceCommand{client: c}},
+		{"summary", "Tell what became of all requests from the processes' logs.", &summaryCommand{client: c}},
 		{"keys", "Make certificates for the processes' own connections.", &keysCommand{}},
 		{"load", "Send an open-loop load and report on it.", &loadCommand{client: c}},
 	}
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -58,16 +58,11 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	var all []LogLine
-	t := Trace{Request: c.Args.ID}
-	for _, f := range c.Args.Files {
-		lines, unread, err := readLog(f)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
-		t.Unread += unread
+	all, unread, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
 	}
+	t := Trace{Request: c.Args.ID, Unread: unread}
 	t.join(all)
 	if len(t.Lines) == 0 {
 		return eris.Wrapf(errInvalid, "no line of request %s in %d lines (%d of them not structured)", t.Request, len(all)+t.Unread, t.Unread)
@@ -75,6 +70,19 @@
 	return c.client.print(t, t.text)
 }
 
+// readLogs reads all files, and counts the lines that aren't structured.
+func readLogs(paths []string) (all []LogLine, unread int, err error) {
+	for _, p := range paths {
+		lines, n, err := readLog(p)
+		if err != nil {
+			return nil, 0, err
+		}
+		all = append(all, lines...)
+		unread += n
+	}
+	return all, unread, nil
+}
+
 func readLog(path string) ([]LogLine, int, error) {
 	var r io.Reader = os.Stdin
 	if path != "-" {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -72,7 +72,11 @@
 		g.note(j, "gateway: call failed.", logrus.Fields{"server": start(s), "cause": err.Error(), "verdict": err.Verdict.String()})
 		return
 	}
-	g.note(j, "gateway: call answered.", logrus.Fields{"server": start(s), "status": reply.Status})
+	late := ""
+	if o := j.route.Objective; o > 0 && time.Since(j.r.Arrived) > o {
+		late = "answer"
+	}
+	g.note(j, "gateway: call answered.", logrus.Fields{"server": start(s), "status": reply.Status, "late": late})
 }
 
 // pick returns the server that the request goes to next.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -221,6 +221,8 @@
 	sends, runs int
 	// prefills counts the calls that only had the prompt read.
 	prefills int
+	// waited is how long after it had been read the request got room at an engine.
+	waited time.Duration
 	// rounds counts how often engines were asked for room.
 	rounds int
 	// avoid has the starts of servers that failed this request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,8 +37,11 @@
 	last    string
 	// heard is when the last event came, zero before the first.
 	heard time.Time
-	ended bool
-	close sync.Once
+	// first is the time to the first event from when the request had been read, and
+	// longest the longest pause since.
+	first, longest time.Duration
+	ended          bool
+	close          sync.Once
 }
 
 // streamed returns the reply once its first event is there. Until then the caller
@@ -82,7 +85,7 @@
 		return nil
 	case errors.Is(err, io.EOF):
 		s.ended = true
-		s.g.note(s.j, "gateway: stream ended.", logrus.Fields{"server": start(s.held.server), "last": s.last})
+		s.g.note(s.j, "gateway: stream ended.", s.fields())
 		s.g.view.outcome(s.held.server, doubt.Success)
 		s.g.crashes.cleared(s.j.content)
 		s.held.finished()
@@ -97,15 +100,49 @@
 	step := eventTokens(s.j.service.Engine)
 	written := eventNumber(s.last) * step
 	if s.heard.IsZero() {
+		s.first = now.Sub(s.j.r.Arrived)
 		observe(firstEventTime, s.j.r.Arrived)
 		s.held.wrote(written, step, 0)
 	} else {
+		s.longest = max(s.longest, now.Sub(s.heard))
 		observe(betweenEvents, s.heard)
 		s.held.wrote(written, step, now.Sub(s.heard))
 	}
 	s.heard = now
 }
 
+// Why a stream is late.
+const (
+	lateCaller = "came back"
+	lateRoom   = "room"
+	lateFirst  = "first event"
+	latePaused = "pause"
+)
+
+// fields tell how the stream went, for its last log line.
+func (s *stream) fields() logrus.Fields {
+	return logrus.Fields{
+		"server": start(s.held.server), "last": s.last, "first": milliseconds(s.first),
+		"pause": milliseconds(s.longest), "late": s.late(),
+	}
+}
+
+// late says why the stream misses its objective, "" if it doesn't.
+func (s *stream) late() string {
+	objective, gap := s.j.route.Objective, s.j.route.Gap
+	switch {
+	case s.j.late():
+		return lateCaller
+	case objective > 0 && s.first > objective && s.j.waited > s.j.inTime().Sub(s.j.r.Arrived):
+		return lateRoom
+	case objective > 0 && s.first > objective:
+		return lateFirst
+	case gap > 0 && s.longest > gap:
+		return latePaused
+	}
+	return ""
+}
+
 // eventNumber is how many events there are up to the one of an id, 0 for none.
 func eventNumber(id string) int {
 	n, err := strconv.Atoi(id)
@@ -190,6 +227,9 @@
 // Close ends the stream. One that hasn't ended is given up at its server.
 func (s *stream) Close() error {
 	s.close.Do(func() {
+		if !s.ended && s.ctx.Err() != nil {
+			s.g.note(s.j, "gateway: stream left.", s.fields())
+		}
 		_ = s.answer.Body.Close()
 		s.held.end()
 	})
