Foresee only what all peers have told, and look up unknown senders

A gateway that starts knows nothing of what others have on engines; and its own news weren't heard for up to ten seconds, until the others read the list of gateways again. Ruled out: the stop (the exchange goes on until the last stream has ended). Change: the load is known in full only once each listed peer was heard, or has been silent for 2.5 s; until then the whole is reserved. Who hears a stranger reads the list, at most once a second.

--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -47,7 +48,7 @@
 	e := New(Options{})
 	from := New(Options{})
 	for i := range maxNear + maxFar {
-		e.known[fmt.Sprint("10.0.0.", i, ":1")] = true
+		e.known[fmt.Sprint("10.0.0.", i, ":1")] = time.Time{}
 	}
 	own := bookings()
 	b.ReportAllocs()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -77,7 +77,9 @@
 	// OnLoss takes the loss of an engine that a peer told, and reports whether it
 	// was news.
 	OnLoss func(content, engine uint64) bool
-	Log    *logrus.Entry
+	// OnStranger is told that somebody who isn't among Peers has sent something.
+	OnStranger func()
+	Log        *logrus.Entry
 }
 
 // Load is what a gateway has on one start of an engine.
@@ -102,13 +104,14 @@
 type Exchange struct {
 	opts    Options
 	start   uint32
+	began   time.Time
 	changed chan struct{}
 
 	mu sync.RWMutex
 	// table is guarded by mu.
 	table *table
-	// known has the peers' addresses, guarded by mu.
-	known map[string]bool
+	// known has the peers' addresses and since when they are known, guarded by mu.
+	known map[string]time.Time
 	// partly: not all peers are told directly; guarded by mu.
 	partly bool
 	// losses are those that are told now, guarded by mu.
@@ -124,7 +127,7 @@
 func New(o Options) *Exchange {
 	return &Exchange{
 		opts: o, start: rand.Uint32(), changed: make(chan struct{}, 1), table: newTable(),
-		known: map[string]bool{}, last: map[uint64]uint64{},
+		known: map[string]time.Time{}, began: time.Now(), last: map[uint64]uint64{},
 	}
 }
 
@@ -146,8 +149,25 @@
 	e.Changed()
 }
 
-// Complete reports whether all peers tell this gateway their load, and it them.
-func (e *Exchange) Complete() bool { return !e.passesOn() }
+// Complete reports whether this gateway knows the load of all its peers.
+//
+// One that has just started knows of none, and of a peer that came back it has
+// heard nothing yet: engines look empty that are full. Who has been silent for some
+// time since it is known is gone.
+func (e *Exchange) Complete() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	now := time.Now()
+	if e.partly || len(e.known) == 0 && now.Sub(e.began) < silentAfter {
+		return false
+	}
+	for a, since := range e.known {
+		if e.table.peers[a] == nil && now.Sub(since) < silentAfter {
+			return false
+		}
+	}
+	return true
+}
 
 // Need returns what the peers' requests need on an engine.
 func (e *Exchange) Need(engine string) memory.Need {
@@ -215,8 +235,9 @@
 func (e *Exchange) apply(from string, n *pb.News) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.known[from] {
+	if _, ok := e.known[from]; !ok {
 		unknown.Inc()
+		e.opts.OnStranger()
 		return false
 	}
 	if e.table.take(from, n, time.Now()) {
@@ -257,14 +278,11 @@
 // refresh forgets silent peers and returns who is to be told.
 func (e *Exchange) refresh() []netip.AddrPort {
 	near, far := e.opts.Peers()
-	known := make(map[string]bool, len(near)+len(far))
-	for _, a := range slices.Concat(near, far) {
-		known[a] = true
-	}
+	listed := slices.Concat(near, far)
 	// Near ones stay the same, as they sum up what they hear. Far ones are drawn,
 	// so that a loss reaches all.
 	told := slices.Concat(near, far)
-	if len(known) > smallFleet {
+	if len(listed) > smallFleet {
 		told = slices.Concat(place.Subset(e.opts.Listen, near, maxNear), drawn(far, maxFar))
 	}
 	var to []netip.AddrPort
@@ -278,9 +296,17 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
+	known := make(map[string]time.Time, len(listed))
+	for _, a := range listed {
+		known[a] = now
+		if since, ok := e.known[a]; ok {
+			known[a] = since
+		}
+	}
 	e.known = known
-	e.partly = len(told) < len(known)
-	e.table.expire(time.Now(), silentAfter)
+	e.partly = len(told) < len(listed)
+	e.table.expire(now, silentAfter)
 	return to
 }
 
@@ -333,7 +359,7 @@
 	now := make(map[uint64]uint64, len(own))
 	e.sequence++
 	n := &pb.News{Start: e.start, Sequence: e.sequence, Whole: whole}
-	foresight := e.Complete()
+	foresight := !e.passesOn()
 	for engine, load := range own {
 		key := Key(engine)
 		now[key] = load.Revision
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -108,7 +108,7 @@
 	o := &own{loads: map[string]Load{}, losses: map[uint64]int{}}
 	e := New(Options{
 		Listen: listen, Own: o.get, Log: logrus.NewEntry(log), Peers: func() ([]string, []string) { return slices.Clone(peers), nil },
-		OnLoss: o.take,
+		OnLoss: o.take, OnStranger: func() {},
 	})
 	done := make(chan error, 1)
 	go func() { done <- e.Run(ctx) }()
@@ -221,3 +221,37 @@
 		poll.WaitOn(t, o.heard(42), poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 	}
 }
+
+// A gateway starts beside one that fills an engine. Until it has heard of that the
+// engine looks empty, and what it sent there would preempt the other's generations.
+// It must know that it doesn't know; and of a peer that is gone nobody hears again.
+func TestAStartingGatewayKnowsThatItHasNotHeardAll(t *testing.T) {
+	a, b, gone := freeAddress(t), freeAddress(t), freeAddress(t)
+	ctx, end := context.WithCancel(t.Context())
+	x, _ := exchange(ctx, t, a, b)
+	assert.Assert(t, !x.Complete(), "nobody is known yet")
+	y, bookings := exchange(ctx, t, b, a, gone)
+	t.Cleanup(end)
+	bookings.set("e1", 5000)
+	complete := func(e *Exchange) poll.Check {
+		return func(poll.LogT) poll.Result {
+			if !e.Complete() {
+				return poll.Continue("not complete")
+			}
+			return poll.Success()
+		}
+	}
+	poll.WaitOn(t, complete(x), poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, int(x.Need("e1")[0]), 5000)
+	poll.WaitOn(t, complete(y), poll.WithTimeout(silentAfter+3*wholeEvery), poll.WithDelay(time.Millisecond))
+}
+
+// A gateway was replaced and the others have not read of the new one yet. What it
+// sends is not heard, but they are told to read.
+func TestAStrangerIsLookedUp(t *testing.T) {
+	looked := 0
+	e := New(Options{OnStranger: func() { looked++ }})
+	assert.Assert(t, !e.apply("10.0.0.9:1", news(1, 1, true, 7)))
+	assert.Equal(t, looked, 1)
+	assert.Equal(t, len(e.table.peers), 0)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -63,11 +63,14 @@
 	version uint64
 	seen    map[string]sighting
 	known   bool
+
+	// look asks for a reading out of turn.
+	look chan struct{}
 }
 
 // New returns the membership of self; Run keeps it.
 func New(store platform.Store, self Peer, log *logrus.Entry) *Members {
-	return &Members{store: store, self: self, log: log, seen: map[string]sighting{}}
+	return &Members{store: store, self: self, log: log, seen: map[string]sighting{}, look: make(chan struct{}, 1)}
 }
 
 // Run renews and reads until ctx ends, then takes the object away. It returns
@@ -75,7 +78,7 @@
 func (m *Members) Run(ctx context.Context) error {
 	pause := time.Duration(0)
 	for first := true; ; first = false {
-		if !wait.Sleep(ctx, pause) {
+		if !m.await(ctx, pause) {
 			m.leave()
 			return nil
 		}
@@ -89,9 +92,40 @@
 	}
 }
 
-// turn reads before it writes: a gateway that starts, perhaps with all others, is
-// to know them before its first callers come, whatever becomes of its own object.
-func (m *Members) turn(ctx context.Context) error {
+// Look has the others read soon: one is there that isn't known. It never waits.
+func (m *Members) Look() {
+	select {
+	case m.look <- struct{}{}:
+	default:
+	}
+}
+
+// await waits for the next turn and reads meanwhile when asked to, not more often
+// than each second. It reports whether ctx still holds.
+func (m *Members) await(ctx context.Context, pause time.Duration) bool {
+	due := time.Now().Add(pause)
+	for {
+		turn := time.NewTimer(time.Until(due))
+		select {
+		case <-ctx.Done():
+			turn.Stop()
+			return false
+		case <-turn.C:
+			return true
+		case <-m.look:
+			turn.Stop()
+		}
+		if err := m.read(ctx); err != nil {
+			m.log.WithError(err).Debug("peers: not read.")
+		}
+		if !wait.Sleep(ctx, min(soon, max(0, time.Until(due)))) {
+			return false
+		}
+	}
+}
+
+// read takes the list of all gateways.
+func (m *Members) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	l, err := m.store.List(ctx, Kind)
@@ -99,6 +133,17 @@
 		return err
 	}
 	m.take(l.Objects, time.Now())
+	return nil
+}
+
+// turn reads before it writes: a gateway that starts, perhaps with all others, is
+// to know them before its first callers come, whatever becomes of its own object.
+func (m *Members) turn(ctx context.Context) error {
+	if err := m.read(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	return m.renew(ctx)
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -112,3 +113,25 @@
 	assert.Equal(t, len(live), 2)
 	assert.Equal(t, live[1].ID, "3")
 }
+
+// A gateway comes between two turns and is heard of by its datagrams. Waiting for the
+// next turn, ten seconds of its load would be unknown; a reading out of turn finds it,
+// and however often it is asked for there is one in a second.
+func TestAGatewayIsLookedUpOutOfTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memory{objects: map[string]platform.Object{}}
+		m := members(s, "g1")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan bool)
+		go func() { done <- m.await(ctx, Every) }()
+		s.objects["g2"] = stored(t, "g2")
+		for range 30 {
+			m.Look()
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, len(m.Seen()), 2)
+		assert.Assert(t, s.calls <= 4, "%d readings in 3 s", s.calls)
+		assert.Assert(t, <-done)
+	})
+}
