--- a/internal/gateway/foresight_test.go
+++ b/internal/gateway/foresight_test.go
@@ -75,7 +75,7 @@
 // engine will need and reserves the whole, so that nothing of it is preempted.
 func TestWhoDoesNotKnowAllReservesTheWhole(t *testing.T) {
 	g := newGateway(t, &fakeBackend{})
-	whole := need(generation("/stream/").Generation)
+	whole := wholeRoom(generation("/stream/").Generation)
 	assert.Assert(t, held(t, g, generation("/stream/")) < whole)
 	g.Join(peerNeeds{partly: true})
 	assert.Equal(t, held(t, g, generation("/stream/")), whole)
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -72,8 +72,8 @@
 // one where 1 was tried; 1.5 lies between them.
 const outputMargin = 1.5
 
-// need returns the memory that is reserved for a generation, in tokens.
-func need(x *Generation) int {
+// wholeRoom is the memory that a generation is expected not to outgrow, in tokens.
+func wholeRoom(x *Generation) int {
 	out := int(outputMargin * float64(x.Hint))
 	if out <= 0 {
 		out = x.MaxOutput / 2
@@ -87,7 +87,7 @@
 func (g *Gateway) claim(j *job, after int) memory.Generation {
 	x := j.generation(after)
 	if !g.foresees(j) {
-		x.Held = need(j.r.Generation)
+		x.Held = wholeRoom(j.r.Generation)
 		return x
 	}
 	x.Held = x.Prompt + x.Written + int(heldPart*float64(g.loads.runs.expected(x)))
@@ -127,7 +127,7 @@
 	}
 	return reservation{}, verdict.New(
 		verdict.NotRun, verdict.Overloaded, "No engine has room for %d tokens, asked in %d rounds of up to %d.",
-		need(j.r.Generation), j.rounds, reserveTries,
+		wholeRoom(j.r.Generation), j.rounds, reserveTries,
 	).After(roomRetryAfter)
 }
 
@@ -208,7 +208,7 @@
 // reserveSpare reserves room at an engine that keeps some room beside it: it
 // takes room for both, gives that back and takes its own.
 func (g *Gateway) reserveSpare(ctx context.Context, j *job, x memory.Generation) (reservation, bool) {
-	spare := int(lateSpare * float64(need(j.r.Generation)))
+	spare := int(lateSpare * float64(wholeRoom(j.r.Generation)))
 	for i, s := range g.emptiest(j) {
 		if !g.fits(j, s.start, x, spare) {
 			continue
--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -88,7 +88,10 @@
 // lasts is the probability that it still runs with more tokens written.
 func (g guess) lasts(written, more float64) float64 {
 	so := g.survival(written)
-	if so < leastSurvival {
+	switch {
+	case more == 0:
+		return 1
+	case so < leastSurvival:
 		return 0.5
 	}
 	return g.survival(written+more) / so
--- a/internal/policy/memory/memory_test.go
+++ b/internal/policy/memory/memory_test.go
@@ -201,7 +201,7 @@
 				assert.Equal(t, n[i], 0.0)
 			}
 		}
-		assert.Assert(t, n[0] >= float64(x.Prompt+x.Written) || x.Written > 0)
+		assert.Assert(t, n[0] >= float64(x.Prompt+x.Written), "%v now", n[0])
 		if l.Fits(50_000, Need{}, n, 1) {
 			smaller := x
 			smaller.Prompt /= 2
