Long prompts wait for a prefill engine where they would hold up streams

A decode engine reads at half speed, and what it writes for others stands still for longer than callers allow if the prompt is long. Change: a prompt whose reading, at half of the measured pace, and one event together exceed the route's longest pause stays with the prefill engines, late alone. The test fails without the change.

--- a/internal/ctl/summary.go
+++ b/internal/ctl/summary.go
@@ -156,19 +156,23 @@
 }
 
 func (s Summary) text(w io.Writer) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "route\toutcome\trequests")
+	var b strings.Builder
+	b.WriteString("route\toutcome\trequests\n")
 	for _, route := range slices.Sorted(maps.Keys(s.Routes)) {
 		for _, outcome := range slices.Sorted(maps.Keys(s.Routes[route])) {
-			fmt.Fprintf(t, "%s\t%s\t%d\n", cmp.Or(route, "(none)"), outcome, s.Routes[route][outcome])
+			fmt.Fprintf(&b, "%s\t%s\t%d\n", cmp.Or(route, "(none)"), outcome, s.Routes[route][outcome])
 		}
 	}
-	fmt.Fprintln(t, "\nfrom\trequests\tnot in time")
+	b.WriteString("\nfrom\trequests\tnot in time\n")
 	for _, m := range s.Moments {
-		fmt.Fprintf(t, "%s\t%d\t%s\n", m.Begin.Format(time.RFC3339Nano), m.All, m.lost())
+		fmt.Fprintf(&b, "%s\t%d\t%s\n", m.Begin.Format(time.RFC3339Nano), m.All, m.lost())
 	}
 	if s.Unread > 0 {
-		fmt.Fprintf(t, "%d lines aren't structured log lines.\n", s.Unread)
+		fmt.Fprintf(&b, "%d lines aren't structured log lines.\n", s.Unread)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(t, b.String()); err != nil {
+		return err
 	}
 	return t.Flush()
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -119,7 +119,7 @@
 		return catalog.Server{}, Prefilled{}, false
 	}
 	queued := g.loads.tokens(start(s)) + tokens
-	if w := g.pace.wait(queued); w > time.Duration(prefillQueue*float64(j.route.Objective)) {
+	if w := g.pace.wait(queued); w > time.Duration(prefillQueue*float64(j.route.Objective)) && !g.holdsUpStreams(j) {
 		prefillsSkipped.Inc()
 		g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "queued": queued, "expected": milliseconds(w)})
 		return catalog.Server{}, Prefilled{}, false
@@ -156,6 +156,21 @@
 	return s, r, true
 }
 
+// decodeReadsSlower is how much longer an engine takes to read a prompt that also
+// writes.
+const decodeReadsSlower = 2
+
+// holdsUpStreams reports whether a decode engine that read the prompt itself would
+// hold up all that it writes for longer than callers allow a pause to be. One caller
+// in time would make several others late.
+func (g *Gateway) holdsUpStreams(j *job) bool {
+	if j.route.Gap <= 0 {
+		return false
+	}
+	reading := decodeReadsSlower * g.pace.wait(j.r.Generation.Prompt)
+	return reading+g.loads.runs.between(eventTokens(j.service.Engine)) > j.route.Gap
+}
+
 // pickPrefill returns the prefill server with the shortest queue, if one is fit.
 func (g *Gateway) pickPrefill(j *job) (catalog.Server, bool) {
 	list := g.view.list().usable(j.service.Name, catalog.Prefill)
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -169,6 +169,28 @@
 	}
 }
 
+// The prefill engines are behind by more than a prompt can wait, and the decode engine
+// that gave it room writes for others. Reading a long prompt there would stop these
+// for longer than their callers allow, so it is late alone; a short one is read there.
+func TestLongPromptsDoNotHoldUpStreams(t *testing.T) {
+	for _, c := range []struct{ tokens, read int }{{5500, 1}, {2000, 0}} {
+		f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("")), nil }}
+		g := newGateway(t, f)
+		config := testConfig()
+		config.Version++
+		config.Routes[2].Gap = 200 * time.Millisecond
+		g.SetConfig(config)
+		behind := int(config.Routes[2].Objective / g.pace.wait(1))
+		g.loads.begin(catalog.Server{ID: "f1"}, behind)
+		r := generation("/stream/")
+		r.Generation.Prompt = c.tokens
+		reply, err := g.Serve(t.Context(), r)
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+		assert.Equal(t, len(f.prefills), c.read, "%d tokens", c.tokens)
+	}
+}
+
 // peersOf hands the losses of one gateway to another.
 type peersOf struct{ to *Gateway }
 
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// between is the usual time between two events of so many tokens.
+func (r *runs) between(tokens int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(float64(tokens) / r.pace * float64(time.Second))
+}
+
 // finished notes that the generation ended by itself.
 func (x *run) finished() {
 	x.of.mu.Lock()
