A generation that fits no engine with a margin runs alone

Cause: found when the change was read again: the margin counts the generation itself, so one of more than some 60% of an engine's memory would have been refused by each engine, also by empty ones, for as long as it came. Change: an engine with nothing on it is asked whatever the margin says; the engine decides.

--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -126,8 +126,13 @@
 // Fits reports whether x has room beside what an engine of so many tokens is
 // expected to need. risk is how many standard deviations are kept free: some write
 // more than expected, some end later, and of what came in the last moments nobody
-// else knows yet. No more is kept than for each to write twice the usual output.
+// else knows yet. No more is kept than for each to write twice the usual output. An
+// engine with nothing on it has room for any that it can hold at all, which it says
+// itself: with a margin a large one would find room nowhere and never.
 func (l *Lengths) Fits(capacity int, others, x Need, risk float64) bool {
+	if others == (Need{}) {
+		return true
+	}
 	sum := others.Plus(x)
 	size := math.Max(l.size(), x.Peak())
 	longest := sum[0] * (1 + 2*l.usual()/size)
