Tests of the exchange draw addresses that differ

Ruled out: losses that don't reach all: the gateway that hadn't heard was the one that couldn't listen. Change: all addresses of a test are held until the last is drawn; bounds are as before. Conclusion: the test was wrong.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -116,13 +116,18 @@
 	return e, o
 }
 
-// freeAddress returns an address at which nothing listens.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n different addresses at which nothing listens. All are held until the last is drawn: one
+// that was given back before may be drawn a second time.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, c.Close())
-	return c.LocalAddr().String()
+	var out []string
+	for range n {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		out = append(out, c.LocalAddr().String())
+	}
+	return out
 }
 
 func told(e *Exchange, engine string, tokens int) poll.Check {
@@ -138,7 +143,8 @@
 // within moments: the first of some milliseconds, and the death before a queue
 // that is gone costs anybody an idle engine for long.
 func TestPeersKnowEachOthersLoad(t *testing.T) {
-	a, b := freeAddress(t), freeAddress(t)
+	addresses := freeAddresses(t, 2)
+	a, b := addresses[0], addresses[1]
 	all, end := context.WithCancel(t.Context())
 	one, kill := context.WithCancel(all)
 	x, bookings := exchange(one, t, a, b)
@@ -163,7 +169,8 @@
 // Anybody can send a datagram. One from a sender that isn't listed as a gateway,
 // or that is no message, must change nothing.
 func TestStrangersAreNotHeard(t *testing.T) {
-	a, b := freeAddress(t), freeAddress(t)
+	addresses := freeAddresses(t, 2)
+	a, b := addresses[0], addresses[1]
 	ctx, end := context.WithCancel(t.Context())
 	x, _ := exchange(ctx, t, a, b)
 	t.Cleanup(end)
@@ -204,10 +211,7 @@
 // With more gateways than one tells by itself, those that hear of it tell it on.
 func TestLossReachesAll(t *testing.T) {
 	const gateways = smallFleet + 8
-	var all []string
-	for range gateways {
-		all = append(all, freeAddress(t))
-	}
+	all := freeAddresses(t, gateways)
 	ctx, end := context.WithCancel(t.Context())
 	exchanges := make([]*Exchange, gateways)
 	owners := make([]*own, gateways)
@@ -226,7 +230,8 @@
 // engine looks empty, and what it sent there would preempt the other's generations.
 // It must know that it doesn't know; and of a peer that is gone nobody hears again.
 func TestAStartingGatewayKnowsThatItHasNotHeardAll(t *testing.T) {
-	a, b, gone := freeAddress(t), freeAddress(t), freeAddress(t)
+	addresses := freeAddresses(t, 3)
+	a, b, gone := addresses[0], addresses[1], addresses[2]
 	ctx, end := context.WithCancel(t.Context())
 	x, _ := exchange(ctx, t, a, b)
 	assert.Assert(t, !x.Complete(), "nobody is known yet")
