Read again: leftovers of a try that wasn't kept, and small things done twice

Cause: the whole change was read once more. giveBack had grown its arguments for room to grow, which was reverted; the list of all peers was joined twice; a new revision was drawn for plain calls, which no peer is told of, against its comment; one reason of lateness was a bare word beside named ones; one comment quoted the users' page. Figures: none; tests of gateway, exchange and memory pass with the race detector, the linter is clean. Conclusion: no behaviour is changed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -74,7 +74,7 @@
 	}
 	late := ""
 	if o := j.route.Objective; o > 0 && time.Since(j.r.Arrived) > o {
-		late = "answer"
+		late = lateAnswer
 	}
 	g.note(j, "gateway: call answered.", logrus.Fields{"server": start(s), "status": reply.Status, "late": late})
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -86,20 +86,20 @@
 		j.runs++
 	} else {
 		g.loads.refused(p.server, time.Now())
-		g.giveBack(p.server, p.hold, from, result.Result)
+		g.free(p, from, result.Result)
 	}
 	g.judge(ctx, p.server, err)
 	return nil, err
 }
 
-// giveBack gives back room that nothing ran in, and a prefill's result if there is
-// one. It goes on when the caller has left.
-func (g *Gateway) giveBack(s catalog.Server, hold string, from catalog.Server, result string) {
+// free gives back what a request that didn't run had taken. It goes on when
+// the caller has left.
+func (g *Gateway) free(p reservation, from catalog.Server, result string) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanup)
 		defer cancel()
-		if err := g.backend.Release(ctx, s, hold); err != nil {
-			g.log.WithError(err).WithField("server", s.ID).Debug("gateway: reservation not given back, it lapses by itself.")
+		if err := g.backend.Release(ctx, p.server, p.hold); err != nil {
+			g.log.WithError(err).WithField("server", p.server.ID).Debug("gateway: reservation not given back, it lapses by itself.")
 		}
 		if result == "" {
 			return
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -117,7 +117,9 @@
 	l.table.Update(start(s), func(x load, _ bool) (load, bool) {
 		x.Requests += requests
 		x.Tokens += tokens
-		x.Revision = rand.Uint64()
+		if tokens != 0 {
+			x.Revision = rand.Uint64()
+		}
 		return x, x.Requests > 0 || !x.Full.IsZero()
 	})
 	if tokens != 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,8 +111,9 @@
 	s.heard = now
 }
 
-// Why a stream is late.
+// Why a request is late: a plain call by its answer, a stream by one of the others.
 const (
+	lateAnswer = "answer"
 	lateCaller = "came back"
 	lateRoom   = "room"
 	lateFirst  = "first event"
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -281,7 +281,7 @@
 	listed := slices.Concat(near, far)
 	// Near ones stay the same, as they sum up what they hear. Far ones are drawn,
 	// so that a loss reaches all.
-	told := slices.Concat(near, far)
+	told := listed
 	if len(listed) > smallFleet {
 		told = slices.Concat(place.Subset(e.opts.Listen, near, maxNear), drawn(far, maxFar))
 	}
--- a/internal/policy/memory/lengths.go
+++ b/internal/policy/memory/lengths.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// firstSpread is the deviation of the guess before outputs were seen: "often far
-	// off" is e to the half, up or down.
+	// firstSpread is the deviation of the logarithm of a guess before outputs were
+	// seen: one in three is off by more than 1.6 times, up or down.
 	firstSpread = 0.5
 	// leastSeen is how many outputs must have been seen before they count.
 	leastSeen = 12
