Agents admit who came first to its entry, not who asked first

Cause: a caller's request waits at an agent for 250 ms in vain, goes back to its entry's queue and asks again behind callers who came later. All that wait are out to ask at once, so the order of arrival was lost among them: with six waiting and one slot free each 110 ms, one in fifteen is passed by for 1.7 s and then refused late.

Change: a reservation tells how long its request has waited, and the agent's queue takes the one that came first among equals (class, organisation's slots, turn). An entry of an older version tells nothing and is taken to have just come, as before.

Test: TestWhoCameFirstIsAdmittedFirst, seen to fail on the order of asking.

--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -80,6 +80,8 @@
 	// may queue. Both are cut to the limits of Config.
 	Idle time.Duration
 	Wait time.Duration
+	// Waited is how long the request has waited at its entry so far.
+	Waited time.Duration
 }
 
 // Refusal says why an attempt was refused or ended, and whether it may have run.
@@ -145,7 +147,9 @@
 	Request
 	pair  *pair
 	state state
-	// created is when the Request came, admitted when it got its slot.
+	// arrived is when the entry's caller came, created when the Request did, admitted
+	// when it got its slot.
+	arrived  time.Duration
 	created  time.Duration
 	admitted time.Duration
 	// until bounds the states waiting, idle and kept.
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -450,3 +450,30 @@
 	mustRun(t, c, interactiveFor+ms, batch("b3"))
 	assert.Equal(t, c.Load().Used, 2)
 }
+
+// A caller's request waits for a slot in vain, goes back to its entry's queue and asks
+// again, now behind callers who came later. If these go first each time, it is refused
+// at the end of its time beside others who waited a fraction of it.
+func TestWhoCameFirstIsAdmittedFirst(t *testing.T) {
+	c := up(t, 1)
+	mustRun(t, c, 0, decode("run"))
+	for _, x := range []struct {
+		id     string
+		waited time.Duration
+	}{{"later", 20 * ms}, {"second", 300 * ms}, {"first", 900 * ms}} {
+		r := decode(x.id)
+		r.Waited = x.waited
+		o, _ := c.Reserve(0, r)
+		assert.Equal(t, o, Waiting)
+	}
+	for i, want := range []string{"first", "second", "later"} {
+		now := time.Duration(i+1) * ms
+		for k, g := range c.grants {
+			if g.holdsSlot() {
+				c.Done(now, k, 0)
+				break
+			}
+		}
+		assert.DeepEqual(t, actions(c), []string{"admit " + want})
+	}
+}
--- a/internal/agent/grant/reserve.go
+++ b/internal/agent/grant/reserve.go
@@ -89,7 +89,7 @@
 	if r.Exclusive && c.exclusive != nil {
 		return Refused, c.fullRetry(r.Key.Phase)
 	}
-	g := &grant{Request: r, pair: p, created: c.now}
+	g := &grant{Request: r, pair: p, arrived: c.now - r.Waited, created: c.now}
 	if !r.Batch && r.Key.Phase == pb.Phase_PHASE_DECODE {
 		c.interactiveUntil = c.now + interactiveFor
 	}
@@ -264,7 +264,7 @@
 
 // next returns the waiting attempt that fits and comes first: interactive
 // before batch, then the organisation with fewest slots, then the one served
-// longest ago, then the oldest.
+// longest ago, then the caller who came first.
 func (c *Core) next(p int) *grant {
 	var best *grant
 	for _, g := range c.queues[p] {
@@ -289,5 +289,7 @@
 	if x, y := c.served[a.Organisation], c.served[b.Organisation]; x != y {
 		return x < y
 	}
-	return false
+	// A request that goes back to its entry's queue and asks again has lost its place
+	// here. By the order of asking it could be passed by until it is too late.
+	return a.arrived < b.arrived
 }
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -47,7 +47,7 @@
 		Incarnation: q.GetIncarnation(), Fingerprint: q.GetFingerprint(),
 		Exclusive: q.GetExclusive(), Batch: q.GetBatch(), Organisation: q.GetOrganisation(),
 		PromptTokens: int(q.GetPromptTokens()),
-		Idle:         millis(q.GetIdleMs()), Wait: millis(q.GetWaitMs()),
+		Idle:         millis(q.GetIdleMs()), Wait: millis(q.GetWaitMs()), Waited: millis(q.GetWaitedMs()),
 	}
 }
 
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -415,6 +415,7 @@
 		Exclusive: g.suspect, IdleMs: uint32(grantIdle.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		PromptTokens: uint32(g.r.promptTokens), MaxTokens: uint32(g.r.maxTokens),
 		Batch: g.to.choice.Priority == Batch, Organisation: g.sharer(),
+		WaitedMs: uint32(time.Since(g.r.arrived).Milliseconds()),
 	}
 }
 
