Prompts pass by engines that are gone, and long ones get the budget for repeats

Cause: after one failed prefill a prompt was left to its decode engine, which reads it at half the speed and stops what it writes. When a quarter of the engines crashes beside a burst, each of 68 gateways finds that out by itself, by refused connections at which nothing arrived. And what the budget for repeats had went to whoever came.

Change: policy/prefill decides by what became of each try. A connection that failed costs no budget and the next engine is asked, six at most. A repeat is drawn for prompts that would hold up streams; short ones are left to the decode engine. A long one without budget, whose decode engine writes for others, is refused at once as not run, to come back in 0.5 s. An answer that has begun always goes on.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/gossip"
+	"jayford.example/jayford/internal/policy/prefill"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -219,8 +220,8 @@
 	until time.Time
 	// sends counts the arrivals at servers, and runs those that may have run.
 	sends, runs int
-	// prefills counts the calls that only had the prompt read.
-	prefills int
+	// reading is how far the prompt is read.
+	reading prefill.Reading
 	// waited is how long after it had been read the request got room at an engine.
 	waited time.Duration
 	// rounds counts how often engines were asked for room.
--- /dev/null
+++ b/internal/gateway/prefill_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/verdict"
+)
+
+func refusedDial() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Unreachable, "connection refused")
+}
+
+// manyPrefill returns a gateway before engines of which so many prefill, with a budget
+// for repeats that is empty.
+func manyPrefill(t *testing.T, f *fakeBackend, engines int) *Gateway {
+	t.Helper()
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text(eventsOf("1"))), nil }
+	g := newGateway(t, f)
+	config := testConfig()
+	config.Version++
+	for i := range config.Routes {
+		config.Routes[i].Gap = 200 * time.Millisecond
+	}
+	config.Services[modelService].Engine.KVTokens = 40_000
+	g.SetConfig(config)
+	list := testServers()
+	for i := range engines - 1 {
+		list = append(list, catalog.Server{
+			ID: "f" + string(rune('2'+i)), Service: modelService, Address: "10.0.0.3:2", AvailabilityZone: "a", Stage: catalog.Prefill,
+		})
+	}
+	g.SetServers(list)
+	g.first(modelService)
+	for range 1000 {
+		g.owe(modelService)
+	}
+	return g
+}
+
+func longPrompt() *Request {
+	r := generation("/stream/")
+	r.Generation.Prompt = 6000
+	return r
+}
+
+// Three of four prefill engines are gone and refuse connections, and the budget for
+// repeats is empty. Nothing arrived at them, so the fourth must read the prompt, where a
+// decode engine that reads it would stop the streams of others.
+func TestPromptsPassByEnginesThatAreGone(t *testing.T) {
+	for range 20 {
+		f := &fakeBackend{prefill: func(s catalog.Server) (Prefilled, *verdict.Error) {
+			if s.ID != "f1" {
+				return Prefilled{}, refusedDial()
+			}
+			return Prefilled{Result: "kv"}, nil
+		}}
+		g := manyPrefill(t, f, 4)
+		reply, err := g.Serve(t.Context(), longPrompt())
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+		assert.Equal(t, f.sends()[0].call.Result, "kv")
+	}
+}
+
+// Answers of prefills are lost and no repeat is left. A long prompt would stop the
+// streams of the engine that gave it room: its caller is refused at once and told when to
+// come again, what it had taken is given back, and no engine runs it. On an engine that
+// writes for nobody else it is served.
+func TestLongPromptsThatNobodyReadAreRefused(t *testing.T) {
+	for _, busy := range []int{4000, 0} {
+		f := &fakeBackend{prefill: func(catalog.Server) (Prefilled, *verdict.Error) { return Prefilled{}, lost() }}
+		g := manyPrefill(t, f, 4)
+		g.Join(peerLoad{"d1#0": busy, "d2#0": busy, "d3#0": busy})
+		reply, err := g.Serve(t.Context(), longPrompt())
+		assert.Equal(t, len(f.prefills), 1)
+		if busy == 0 {
+			assert.Assert(t, err == nil, "%v", err)
+			reply.discard()
+			continue
+		}
+		assert.Assert(t, err != nil)
+		assert.Equal(t, err.Verdict, verdict.NotRun)
+		assert.Equal(t, err.RetryAfter, unreadRetryAfter)
+		assert.Equal(t, len(f.sends()), 0)
+		for range 100 {
+			f.mu.Lock()
+			released := len(f.released)
+			f.mu.Unlock()
+			if released == 1 {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.mu.Lock()
+		assert.Equal(t, len(f.released), 1)
+		f.mu.Unlock()
+		assert.Equal(t, len(g.Load()), 0)
+	}
+}
+
+// An engine breaks off under a stream that has begun, and no repeat is left to have its
+// prompt read apart. The caller has a part of the answer: it goes on and isn't refused.
+func TestAnAnswerThatHasBegunIsNotGivenUp(t *testing.T) {
+	f := &fakeBackend{}
+	g := manyPrefill(t, f, 1)
+	g.Join(peerLoad{"d1#0": 4000, "d2#0": 4000, "d3#0": 4000})
+	r := longPrompt()
+	r.Generation.LastEvent = "2"
+	f.prefill = func(catalog.Server) (Prefilled, *verdict.Error) { return Prefilled{}, lost() }
+	reply, err := g.Serve(t.Context(), r)
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+	assert.Equal(t, len(f.sends()), 1)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -206,7 +206,13 @@
 		if !ok {
 			break
 		}
-		a, err := s.g.decode(s.ctx, s.j, p, s.last)
+		// A prompt of an answer that has begun is never given up.
+		read, err := s.g.read(s.ctx, s.j, p, s.last)
+		if err != nil {
+			p.end()
+			break
+		}
+		a, err := s.g.decode(s.ctx, s.j, p, read, s.last)
 		if err == nil && a.Status == http.StatusOK {
 			s.held, s.answer, s.events = p, a, newEvents(a.Body)
 			resumesTotal.Inc()
