All gateways of a fleet tell each other their load within a bound of bytes

Cause: above 40 peers a gateway told 24 and heard 24. So no gateway of 68 knew enough to foresee an engine's memory: the whole was reserved, and engines were chosen on partial sums.

Change: who is told follows from what telling costs. All are, while the mean over a minute stays within 15 KB/s sent; beyond it 24 as before, with hysteresis. What was sent whole to all each second goes to 24 peers a second in turn, newcomers first. A datagram says whether its sender tells all, and a gateway foresees only if all that it hears do. A gateway of an older version doesn't say so, and the whole is reserved while versions are mixed.

Tests: TestAFleetIsToldWithinTheBound (4, 67, 369 peers; a burst doesn't change who is told), TestEveryPeerGetsEverythingInTurn, TestPartialNewsAreNotComplete. TestLossReachesAll forces a fleet where only some are told by its cost in place of its number: 48 as before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -31,7 +32,6 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/policy/memory"
-	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/wait"
 )
 
@@ -39,18 +39,11 @@
 	// gather is how long changes are collected before they are sent: a request
 	// books its decode engine and its prefill within some milliseconds.
 	gather = 8 * time.Millisecond
-	// wholeEvery is how often everything is sent.
+	// wholeEvery is how often some peers are told everything.
 	wholeEvery = time.Second
-	// silentAfter is when a peer's load is forgotten: it missed two of these.
-	silentAfter = 2500 * time.Millisecond
-	// maxNear and maxFar bound the peers that are told, of the same availability
-	// zone and of others. At 5 requests a second, three datagrams a request and 30
-	// bytes each they cost 11 KB/s together.
-	maxNear = 20
-	maxFar  = 4
-	// smallFleet is how many peers are all told. Each gateway must judge alike
-	// whether all of them are: who isn't told all can't foresee what is needed.
-	smallFleet = 40
+	// missedWholes is how many times a peer may have missed being told everything
+	// until the load that it knows of is forgotten.
+	missedWholes = 2.5
 	// lossToldFor is how long a loss is told: two whole datagrams at the least.
 	lossToldFor = 2500 * time.Millisecond
 	// maxLosses bounds the losses in one datagram.
@@ -60,9 +53,10 @@
 )
 
 var (
-	sent     = metrics.NewCounter("jayford_gossip_sent_total")
-	received = metrics.NewCounter("jayford_gossip_received_total")
-	unknown  = metrics.NewCounter("jayford_gossip_unknown_senders_total")
+	sent      = metrics.NewCounter("jayford_gossip_sent_total")
+	sentBytes = metrics.NewCounter("jayford_gossip_sent_bytes_total")
+	received  = metrics.NewCounter("jayford_gossip_received_total")
+	unknown   = metrics.NewCounter("jayford_gossip_unknown_senders_total")
 )
 
 // Options of an Exchange.
@@ -112,13 +106,13 @@
 	table *table
 	// known has the peers' addresses and since when they are known, guarded by mu.
 	known map[string]time.Time
-	// partly: not all peers are told directly; guarded by mu.
-	partly bool
+	// audience is guarded by mu.
+	audience *audience
 	// losses are those that are told now, guarded by mu.
 	losses []toldLoss
 
-	// sequence and last are used by the sender alone; last has the revisions that
-	// were sent.
+	// sequence and last are used by the sender alone; last has the revisions that all
+	// who are told have got.
 	sequence uint64
 	last     map[uint64]uint64
 }
@@ -126,7 +120,7 @@
 // New returns an exchange; Run starts it.
 func New(o Options) *Exchange {
 	return &Exchange{
-		opts: o, start: rand.Uint32(), changed: make(chan struct{}, 1), table: newTable(),
+		opts: o, start: rand.Uint32(), changed: make(chan struct{}, 1), table: newTable(), audience: newAudience(),
 		known: map[string]time.Time{}, began: time.Now(), last: map[uint64]uint64{},
 	}
 }
@@ -153,22 +147,30 @@
 //
 // One that has just started knows of none, and of a peer that came back it has
 // heard nothing yet: engines look empty that are full. Who has been silent for some
-// time since it is known is gone.
+// time since it is known is gone. A peer that tells only some may have left others
+// out that this gateway hears nothing of.
 func (e *Exchange) Complete() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	now := time.Now()
-	if e.partly || len(e.known) == 0 && now.Sub(e.began) < silentAfter {
+	silent := e.silentAfterLocked()
+	if len(e.known) == 0 && now.Sub(e.began) < silent {
 		return false
 	}
 	for a, since := range e.known {
-		if e.table.peers[a] == nil && now.Sub(since) < silentAfter {
+		p := e.table.peers[a]
+		if p == nil && now.Sub(since) < silent || p != nil && !p.toAll {
 			return false
 		}
 	}
 	return true
 }
 
+// silentAfterLocked is when a peer's load is forgotten.
+func (e *Exchange) silentAfterLocked() time.Duration {
+	return time.Duration(missedWholes * float64(seconds(len(e.known))) * float64(wholeEvery))
+}
+
 // Need returns what the peers' requests need on an engine.
 func (e *Exchange) Need(engine string) memory.Need {
 	key := Key(engine)
@@ -250,75 +252,77 @@
 func (e *Exchange) passesOn() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.partly
+	return !e.audience.all
 }
 
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
 	whole := time.NewTicker(wholeEvery)
 	defer whole.Stop()
-	to := e.refresh()
+	e.refresh()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-whole.C:
-			to = e.refresh()
-			e.tell(conn, to, true)
+			e.refresh()
+			// What changed in the last moments goes to all first: the others don't
+			// get what some are told now.
+			e.tell(conn, e.told(), false)
+			e.tell(conn, e.second(), true)
 		case <-e.changed:
 			wait.Sleep(ctx, gather)
-			if len(to) == 0 {
-				// The peers weren't known yet when this process started.
-				to = e.refresh()
-			}
-			e.tell(conn, to, false)
+			e.tell(conn, e.told(), false)
 		}
 	}
 }
 
-// refresh forgets silent peers and returns who is to be told.
-func (e *Exchange) refresh() []netip.AddrPort {
+// refresh forgets silent peers and looks who is to be told.
+func (e *Exchange) refresh() {
 	near, far := e.opts.Peers()
-	listed := slices.Concat(near, far)
-	// Near ones stay the same, as they sum up what they hear. Far ones are drawn,
-	// so that a loss reaches all.
-	told := listed
-	if len(listed) > smallFleet {
-		told = slices.Concat(place.Subset(e.opts.Listen, near, maxNear), drawn(far, maxFar))
-	}
-	var to []netip.AddrPort
-	for _, a := range told {
-		p, err := netip.ParseAddrPort(a)
-		if err != nil {
-			e.opts.Log.WithError(err).WithField("peer", a).Debug("gossip: no address.")
-			continue
-		}
-		to = append(to, p)
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	known := make(map[string]time.Time, len(listed))
-	for _, a := range listed {
+	known := make(map[string]time.Time, len(near)+len(far))
+	for _, a := range slices.Concat(near, far) {
 		known[a] = now
 		if since, ok := e.known[a]; ok {
 			known[a] = since
 		}
 	}
 	e.known = known
-	e.partly = len(told) < len(listed)
-	e.table.expire(now, silentAfter)
-	return to
+	before := e.audience.all
+	e.audience.list(e.opts.Listen, near, far)
+	if e.audience.all != before {
+		e.opts.Log.WithFields(logrus.Fields{
+			"all": e.audience.all, "peers": len(known), "bytesPerSecond": math.Round(e.audience.cost),
+		}).Info("gossip: other peers are told.")
+	}
+	e.table.expire(now, e.silentAfterLocked())
 }
 
-// drawn returns n of the list, or all of a shorter one.
-func drawn(list []string, n int) []string {
-	out := slices.Clone(list)
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+// second returns the peers that are told everything now.
+func (e *Exchange) second() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.audience.second()
+}
+
+// told returns the peers that are told of changes.
+func (e *Exchange) told() []string {
+	e.mu.RLock()
+	known := len(e.known)
+	e.mu.RUnlock()
+	if known == 0 {
+		// The peers weren't known yet when this process started.
+		e.refresh()
+	}
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.audience.told
 }
 
 // tell sends the engines that changed, or all of them.
-func (e *Exchange) tell(conn *net.UDPConn, to []netip.AddrPort, whole bool) {
+func (e *Exchange) tell(conn *net.UDPConn, to []string, whole bool) {
 	n := e.news(e.opts.Own(), whole)
 	if len(to) == 0 || len(n.Engines)+len(n.Losses) == 0 && !whole {
 		return
@@ -328,13 +332,21 @@
 		e.opts.Log.WithError(err).WithField("bytes", len(text)).Warn("gossip: not sent.")
 		return
 	}
-	for _, a := range to {
-		if _, err := conn.WriteToUDPAddrPort(text, a); err != nil {
-			e.opts.Log.WithError(err).WithField("peer", a.String()).Debug("gossip: not sent.")
+	for _, peer := range to {
+		a, err := netip.ParseAddrPort(peer)
+		if err == nil {
+			_, err = conn.WriteToUDPAddrPort(text, a)
+		}
+		if err != nil {
+			e.opts.Log.WithError(err).WithField("peer", peer).Debug("gossip: not sent.")
 			continue
 		}
 		sent.Inc()
+		sentBytes.Add(len(text))
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.audience.sent(len(text), len(to))
 }
 
 // maxEngineBytes is the part of a datagram for engines; what comes with it and the
@@ -358,13 +370,13 @@
 func (e *Exchange) news(own map[string]Load, whole bool) *pb.News {
 	now := make(map[uint64]uint64, len(own))
 	e.sequence++
-	n := &pb.News{Start: e.start, Sequence: e.sequence, Whole: whole}
-	foresight := !e.passesOn()
+	toAll := !e.passesOn()
+	n := &pb.News{Start: e.start, Sequence: e.sequence, Whole: whole, ToAll: toAll}
 	for engine, load := range own {
 		key := Key(engine)
 		now[key] = load.Revision
 		if whole || e.last[key] != load.Revision {
-			n.Engines = append(n.Engines, encode(key, load.Need, foresight))
+			n.Engines = append(n.Engines, encode(key, load.Need, toAll))
 		}
 	}
 	for engine := range e.last {
@@ -374,7 +386,9 @@
 	}
 	slices.SortFunc(n.Engines, func(a, b *pb.EngineLoad) int { return int(b.Tokens) - int(a.Tokens) })
 	n.Engines = fitting(n.Engines)
-	e.last = now
+	if !whole {
+		e.last = now
+	}
 	n.Losses = e.toTell(time.Now())
 	return n
 }
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -47,7 +47,9 @@
 	start    uint32
 	sequence uint64
 	heard    time.Time
-	needs    map[uint64]memory.Need
+	// toAll: it tells all that it knows of.
+	toAll bool
+	needs map[uint64]memory.Need
 }
 
 func newTable() *table { return &table{peers: map[string]*peer{}, sums: map[uint64]memory.Need{}} }
@@ -63,7 +65,7 @@
 	} else if n.Sequence <= p.sequence {
 		return false
 	}
-	p.sequence, p.heard = n.Sequence, now
+	p.sequence, p.heard, p.toAll = n.Sequence, now, n.ToAll
 	if n.Whole {
 		t.clear(p)
 	}
