A gateway's share of the budget for repeats is there at once

Cause: a gateway's share was a bucket filled by time, which held at most half of its slack: 1.03 repeats of the 3.9 that it may make in ten seconds (68 gateways).

Repeats are drawn for an answer that has begun while a prefill engine is expected to read it in time, whatever its length; when the queues are long it is left to the decode engine, as newcomers can still be in time. What only gateways used of Budget is gone from it. One gateway that tells only some of its peers no longer makes all others reserve the whole: a tenth may.

Tried first: each begun answer read apart whatever the queue.

TestAnswersThatHaveBegunAreReadApart.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,12 +58,8 @@
 	Window time.Duration
 }
 
-// share returns one gateway's part of the slack: what it can save up, and what
-// time earns it a second. Half of it each, since a window can see both.
-func (b Budget) share(gateways float64) (burst, perSecond float64) {
-	half := b.Slack * budgetCaution / gateways / 2
-	return half, half / b.Window.Seconds()
-}
+// share returns one gateway's part of the slack.
+func (b Budget) share(gateways int) float64 { return b.Slack * budgetCaution / float64(gateways) }
 
 // Options of a Gateway.
 type Options struct {
@@ -100,22 +96,21 @@
 
 	budgetMu sync.Mutex
 	// budget is guarded by budgetMu.
-	budget *retry.Budget
+	budget *retry.Share
 
 	crashes crashes
 }
 
 // New returns a gateway and adds its state to the board's dump.
 func New(o Options) *Gateway {
-	burst, perSecond := o.Budget.share(unknownPeers)
 	g := &Gateway{
 		startedBy: time.Now().Add(startWithin), lateTurn: make(chan struct{}, 1),
 		opts: o, log: o.Log.WithField("part", "gateway"), backend: o.Backend,
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), pace: newPace(),
-		budget: retry.NewBudget(retry.Options{
-			Ratio: o.Budget.Ratio * budgetCaution, MinPerSecond: perSecond, Burst: burst,
-			Draw: rand.Float64, Window: o.Budget.Window,
-		}),
+		budget: retry.NewShare(retry.ShareOptions{
+			Ratio: o.Budget.Ratio * budgetCaution, Slack: o.Budget.share(unknownPeers),
+			Window: o.Budget.Window, Draw: rand.Float64,
+		}, time.Now()),
 	}
 	return g
 }
@@ -138,7 +133,7 @@
 	g.log.WithField("gateways", n).Info("gateway: shares of the budget changed.")
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
-	g.budget.SetSlack(g.opts.Budget.share(float64(n)))
+	g.budget.SetSlack(g.opts.Budget.share(n))
 }
 
 // Join makes the gateway choose engines by its peers' load too, and tell them of
@@ -383,7 +378,8 @@
 func (g *Gateway) afford(service string) bool {
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
-	if !g.budget.Allow(service, service) {
+	g.budget.Advance(time.Now())
+	if !g.budget.Allow(service) {
 		budgetEmpty.Inc()
 		g.log.WithField("service", service).Warn("gateway: the budget for repeats is empty.")
 		return false
@@ -397,6 +393,7 @@
 func (g *Gateway) owe(service string) {
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
+	g.budget.Advance(time.Now())
 	g.budget.Charge(service)
 }
 
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -35,8 +35,14 @@
 // gave room, which costs no further arrival. An error means that the request is refused.
 func (g *Gateway) read(ctx context.Context, j *job, p reservation, after string) (prefilled, *verdict.Error) {
 	for {
+		s, ok := g.pickPrefill(j)
+		if !ok {
+			return prefilled{}, nil
+		}
+		expected := g.expectedRead(j, s)
 		prompt := prefill.Prompt{
 			HoldsUp: g.holdsUpStreams(j), Alone: g.alone(p), Begun: j.runs > 0 || eventNumber(after) > 0,
+			Soon: expected < j.route.Gap,
 		}
 		step := j.reading.Next(prompt)
 		if step == prefill.AskOnBudget {
@@ -52,8 +58,9 @@
 			return prefilled{}, nil
 		case prefill.Ask, prefill.AskOnBudget:
 		}
-		s, ok := g.pickPrefill(j)
-		if !ok || g.passedBy(j, s, prompt) {
+		if !prompt.HoldsUp && expected > time.Duration(prefillQueue*float64(j.route.Objective)) {
+			prefillsSkipped.Inc()
+			g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "expected": milliseconds(expected)})
 			return prefilled{}, nil
 		}
 		if out, ok := g.prefill(ctx, j, s); ok || ctx.Err() != nil {
@@ -77,16 +84,10 @@
 	return int(g.loads.need(at, g.loads.get(at))[0]) <= p.Held
 }
 
-// passedBy reports whether the queue at s, the shortest one, is too long.
-func (g *Gateway) passedBy(j *job, s catalog.Server, prompt prefill.Prompt) bool {
-	queued := g.loads.tokens(start(s)) + j.r.Generation.Prompt
-	expected := g.pace.wait(queued)
-	if prompt.HoldsUp || expected <= time.Duration(prefillQueue*float64(j.route.Objective)) {
-		return false
-	}
-	prefillsSkipped.Inc()
-	g.note(j, "gateway: prefill left to the decode server.", logrus.Fields{"best": start(s), "queued": queued, "expected": milliseconds(expected)})
-	return true
+// expectedRead is how long s is expected to take until it has read the prompt behind its
+// queue.
+func (g *Gateway) expectedRead(j *job, s catalog.Server) time.Duration {
+	return g.pace.wait(g.loads.tokens(start(s)) + j.r.Generation.Prompt)
 }
 
 // prefill has the prompt read at s.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,6 +44,9 @@
 	// missedWholes is how many times a peer may have missed being told everything
 	// until the load that it knows of is forgotten.
 	missedWholes = 2.5
+	// maxPartly is the part of the peers that may tell only some: a few busy ones
+	// among many leave out little.
+	maxPartly = 0.1
 	// lossToldFor is how long a loss is told: two whole datagrams at the least.
 	lossToldFor = 2500 * time.Millisecond
 	// maxLosses bounds the losses in one datagram.
@@ -147,8 +150,8 @@
 //
 // One that has just started knows of none, and of a peer that came back it has
 // heard nothing yet: engines look empty that are full. Who has been silent for some
-// time since it is known is gone. A peer that tells only some may have left others
-// out that this gateway hears nothing of.
+// time since it is known is gone. Where peers tell only some, there are others like
+// them that this gateway hears nothing of.
 func (e *Exchange) Complete() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -157,13 +160,20 @@
 	if len(e.known) == 0 && now.Sub(e.began) < silent {
 		return false
 	}
+	heard, partly := 0, 0
 	for a, since := range e.known {
 		p := e.table.peers[a]
-		if p == nil && now.Sub(since) < silent || p != nil && !p.toAll {
+		switch {
+		case p != nil && !p.toAll:
+			partly++
+			heard++
+		case p != nil:
+			heard++
+		case now.Sub(since) < silent:
 			return false
 		}
 	}
-	return true
+	return float64(partly) <= maxPartly*float64(heard)
 }
 
 // silentAfterLocked is when a peer's load is forgotten.
--- a/internal/policy/prefill/prefill.go
+++ b/internal/policy/prefill/prefill.go
@@ -56,6 +56,9 @@
 	Alone bool
 	// Begun: its request may have run, so that it can't be refused as not run.
 	Begun bool
+	// Soon: a prefill engine is expected to read it before its caller takes the pause
+	// for too long.
+	Soon bool
 }
 
 // Reading is one prompt on its way. The zero value is one that nobody was asked to read.
@@ -96,10 +99,10 @@
 		return r.WithoutBudget(p)
 	case r.lost == 0 || r.paid:
 		return Ask
-	case !p.HoldsUp || p.Alone:
-		return Leave
+	case p.Begun && p.Soon, p.HoldsUp && !p.Alone:
+		return AskOnBudget
 	}
-	return AskOnBudget
+	return Leave
 }
 
 // WithoutBudget returns the step where no further engine may be asked.
--- a/internal/policy/prefill/prefill_test.go
+++ b/internal/policy/prefill/prefill_test.go
@@ -108,6 +108,28 @@
 	assert.Equal(t, r.Next(Prompt{}), Leave)
 }
 
+// An engine crashes under streams, and each of them is read anew beside others. Their
+// callers wait in the middle of an answer: the budget is theirs as long as it helps them,
+// and they don't queue before newcomers who can still be in time when it doesn't. Without
+// the budget the answer goes on all the same.
+func TestAnswersThatHaveBegunAreReadApart(t *testing.T) {
+	for _, c := range []struct {
+		p    Prompt
+		want Step
+	}{
+		{Prompt{Begun: true, Soon: true}, AskOnBudget},
+		{Prompt{Begun: true, Soon: true, Alone: true}, AskOnBudget},
+		{Prompt{Begun: true}, Leave},
+		{Prompt{Begun: true, HoldsUp: true}, AskOnBudget},
+		{Prompt{Begun: true, HoldsUp: true, Alone: true}, Leave},
+	} {
+		var r Reading
+		r.Read()
+		assert.Equal(t, r.Next(c.p), c.want, "%+v", c.p)
+		assert.Equal(t, r.WithoutBudget(c.p), Leave)
+	}
+}
+
 // Whatever fails: an answer that may have begun is never refused, a prompt that holds
 // nobody up is never given up, and no more than the bounds are asked.
 func TestPromptsEnd(t *testing.T) {
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
 )
 
@@ -35,15 +34,6 @@
 	MinPerSecond float64
 	// Burst bounds what can be saved up, in retries.
 	Burst float64
-	// Draw returns a random number in [0,1). With it less than a whole retry can
-	// be spent: it allows one with that probability, and is gone either way. So
-	// a budget can be shared by more processes than it has retries. Without it
-	// (nil) a whole one must be saved up.
-	Draw func() float64
-	// Window is how long what first tries earned is good for, in the mean; 0 for
-	// ever. Retries are counted by window: what many processes saved up before
-	// it would come on top.
-	Window time.Duration
 }
 
 // Budget limits retries by organisation and by target, a pool, to a part of
@@ -51,11 +41,7 @@
 // pool stays overloaded after its cause has gone. It isn't safe for concurrent
 // use.
 type Budget struct {
-	opts Options
-	// share is what a bucket starts with, and what time fills it up to. It can
-	// be below one retry, as first tries alone may fill a bucket to a whole one:
-	// hundreds of processes that started with one each would break the budget.
-	share   float64
+	opts    Options
 	now     time.Time
 	buckets map[string]*bucket
 }
@@ -70,9 +56,7 @@
 	o.Ratio = cmp.Or(o.Ratio, DefaultRatio)
 	o.MinPerSecond = cmp.Or(o.MinPerSecond, DefaultMinPerSecond)
 	o.Burst = cmp.Or(o.Burst, DefaultBurst)
-	b := &Budget{opts: o, buckets: map[string]*bucket{}}
-	b.SetSlack(o.Burst, o.MinPerSecond)
-	return b
+	return &Budget{opts: o, buckets: map[string]*bucket{}}
 }
 
 // Advance sets the time. Call it before First and Allow.
@@ -100,46 +84,7 @@
 		}
 		return true
 	}
-	return b.draw(o, t)
-}
-
-// lapse takes away what was earned beyond the share too long ago.
-func (b *Budget) lapse(x *bucket, d time.Duration) {
-	if beyond := x.tokens - b.share; beyond > 0 && b.opts.Window > 0 {
-		x.tokens = b.share + beyond*math.Exp(-d.Seconds()/b.opts.Window.Seconds())
-	}
-}
-
-// draw spends what is there of one retry, and allows one with that probability.
-func (b *Budget) draw(o, t *bucket) bool {
-	if b.opts.Draw == nil || o.tokens <= 0 || t.tokens <= 0 {
-		return false
-	}
-	p := o.spend()
-	if t != o {
-		p *= t.spend()
-	}
-	return b.opts.Draw() < p
-}
-
-// spend takes up to one retry and returns how much it was.
-func (x *bucket) spend() float64 {
-	n := min(1, x.tokens)
-	x.tokens -= n
-	return n
-}
-
-// Charge takes a retry that has happened already; the bucket may fall below
-// zero, and then pays it off before it allows another.
-func (b *Budget) Charge(key string) { b.bucket(key).tokens-- }
-
-// SetSlack changes what can be saved up and what time earns. What is saved
-// already is cut to it.
-func (b *Budget) SetSlack(burst, perSecond float64) {
-	b.share, b.opts.Burst, b.opts.MinPerSecond = burst, max(1, burst), perSecond
-	for _, x := range b.buckets {
-		x.tokens = min(x.tokens, b.opts.Burst)
-	}
+	return false
 }
 
 // Len returns the number of buckets held.
@@ -151,13 +96,12 @@
 		if len(b.buckets) >= maxKeys {
 			b.sweep()
 		}
-		x = &bucket{tokens: b.share, at: b.now}
+		x = &bucket{tokens: b.opts.Burst, at: b.now}
 		b.buckets[key] = x
 		return x
 	}
 	if d := b.now.Sub(x.at); d > 0 {
-		b.lapse(x, d)
-		x.tokens = max(x.tokens, min(b.share, x.tokens+d.Seconds()*b.opts.MinPerSecond))
+		x.tokens = min(b.opts.Burst, x.tokens+d.Seconds()*b.opts.MinPerSecond)
 		x.at = b.now
 	}
 	return x
@@ -169,7 +113,7 @@
 func (b *Budget) sweep() {
 	keep := max(idleAfter, time.Duration(b.opts.Burst/b.opts.MinPerSecond*float64(time.Second)))
 	for key, x := range b.buckets {
-		if x.tokens >= b.share || b.now.Sub(x.at) > keep {
+		if x.tokens >= b.opts.Burst || b.now.Sub(x.at) > keep {
 			delete(b.buckets, key)
 		}
 	}
