Gateways that choose at once look at a part of the engines each

Ruled out: engines that differ by less than 1,024 tokens taken as alike (no fewer preempted: the engine that all take is emptier by a whole generation); a margin by sizes; room kept for large generations.

Change: policy/place.Crowd estimates how many placements of the others are still unknown here, from the own rate, the number of gateways and 15 ms until news arrive. With n of them a gateway puts aside n in n+1 engines, others each time, and ranks the rest by load as before. With few gateways or little load all are looked at.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/gossip"
+	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/policy/prefill"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
@@ -98,6 +99,10 @@
 	// budget is guarded by budgetMu.
 	budget *retry.Share
 
+	crowdMu sync.Mutex
+	// crowd is guarded by crowdMu.
+	crowd place.Crowd
+
 	crashes crashes
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -170,14 +170,18 @@
 // rankKey decides who of two candidates is asked first.
 type rankKey struct {
 	against int
-	load    int
+	// aside is 1 for a candidate that is looked at only if the others don't do.
+	aside int
+	load  int
 	// turn is drawn: equals are in random order, so that gateways which know
 	// nothing of each other don't all turn to the same server.
 	turn uint32
 }
 
 func (k rankKey) compare(o rankKey) int {
-	return cmp.Or(cmp.Compare(k.against, o.against), cmp.Compare(k.load, o.load), cmp.Compare(k.turn, o.turn))
+	return cmp.Or(
+		cmp.Compare(k.against, o.against), cmp.Compare(k.aside, o.aside), cmp.Compare(k.load, o.load), cmp.Compare(k.turn, o.turn),
+	)
 }
 
 type ranked struct {
@@ -185,11 +189,13 @@
 	rankKey
 }
 
-// best returns at most n candidates that the request may go to, best first:
-// doubted ones last, then full ones, then by the load.
+// best returns at most n candidates that the request may go to, best first: doubted
+// ones last, then full ones, then by the load. Where many gateways choose at once, a part
+// of the candidates is put aside, another one each time.
 func (g *Gateway) best(j *job, list []candidate, n int, of func(start string, own load) int) []ranked {
 	now := time.Now()
 	doubted := g.view.doubted(list, now)
+	part := g.crowdPart(now)
 	out := make([]ranked, 0, n+1)
 	for i := range list {
 		if j.avoid[list[i].start] {
@@ -197,6 +203,9 @@
 		}
 		x := g.loads.get(list[i].start)
 		k := rankKey{load: of(list[i].start, x), turn: rand.Uint32()}
+		if rand.Float64() >= part {
+			k.aside = 1
+		}
 		switch {
 		case doubted[i]:
 			k.against = isDoubted
@@ -213,6 +222,20 @@
 	return out
 }
 
+// crowdPart is which part of the candidates is looked at first.
+func (g *Gateway) crowdPart(now time.Time) float64 {
+	g.crowdMu.Lock()
+	defer g.crowdMu.Unlock()
+	return g.crowd.Part(int(g.view.peers.Load())-1, now)
+}
+
+// placed notes that this gateway placed a generation.
+func (g *Gateway) placed() {
+	g.crowdMu.Lock()
+	defer g.crowdMu.Unlock()
+	g.crowd.Placed(time.Now())
+}
+
 // byTokens ranks engines by the memory that all gateways' requests need there.
 func (g *Gateway) byTokens(start string, own load) int {
 	return int(g.loads.need(start, own).Peak())
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -249,6 +249,7 @@
 // take books the room that s gave, as the asked-th of its round.
 func (g *Gateway) take(j *job, s ranked, hold string, x memory.Generation, asked int) reservation {
 	j.waited = time.Since(j.r.Arrived)
+	g.placed()
 	g.note(j, "gateway: room reserved.", logrus.Fields{
 		"server": s.start, "tokens": x.Held, "load": s.load, "asked": asked, "rounds": j.rounds, "late": j.missed(),
 	})
