--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -29,8 +29,7 @@
 		after := j.r.Generation.LastEvent
 		read, err := g.read(ctx, j, p, after)
 		if err != nil {
-			p.end()
-			g.free(p, read)
+			g.giveBack(p, read)
 			return nil, err
 		}
 		a, err := g.decode(ctx, j, p, read, after)
@@ -85,6 +84,12 @@
 	return nil, err
 }
 
+// giveBack ends a reservation that isn't used.
+func (g *Gateway) giveBack(p reservation, read prefilled) {
+	p.end()
+	g.free(p, read)
+}
+
 // free gives back what a request that didn't run had taken. It goes on when
 // the caller has left.
 func (g *Gateway) free(p reservation, read prefilled) {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -170,7 +170,7 @@
 // rankKey decides who of two candidates is asked first.
 type rankKey struct {
 	against int
-	// aside is 1 for a candidate that is looked at only if the others don't do.
+	// aside is 1 for an engine that is looked at only if the others don't do.
 	aside int
 	load  int
 	// turn is drawn: equals are in random order, so that gateways which know
@@ -191,7 +191,7 @@
 
 // best returns at most n candidates that the request may go to, best first: doubted
 // ones last, then full ones, then by the load. Where many gateways choose at once, a part
-// of the candidates is put aside, another one each time.
+// of the engines is put aside, another one each time.
 func (g *Gateway) best(j *job, list []candidate, n int, of func(start string, own load) int) []ranked {
 	now := time.Now()
 	doubted := g.view.doubted(list, now)
@@ -203,7 +203,7 @@
 		}
 		x := g.loads.get(list[i].start)
 		k := rankKey{load: of(list[i].start, x), turn: rand.Uint32()}
-		if rand.Float64() >= part {
+		if list[i].Stage != catalog.NoStage && rand.Float64() >= part {
 			k.aside = 1
 		}
 		switch {
@@ -222,7 +222,7 @@
 	return out
 }
 
-// crowdPart is which part of the candidates is looked at first.
+// crowdPart is which part of the engines is looked at first.
 func (g *Gateway) crowdPart(now time.Time) float64 {
 	g.crowdMu.Lock()
 	defer g.crowdMu.Unlock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -209,7 +209,7 @@
 		// A prompt of an answer that has begun is never given up.
 		read, err := s.g.read(s.ctx, s.j, p, s.last)
 		if err != nil {
-			p.end()
+			s.g.giveBack(p, read)
 			break
 		}
 		a, err := s.g.decode(s.ctx, s.j, p, read, s.last)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -8,8 +8,9 @@
 // what all have seen convicts it soon.
 //
 // A gateway sends its peers a datagram when its bookings change, with the engines
-// that changed, and the whole once a second. A lost one costs a choice that is a
-// little worse until then; no promise rests on what is told here.
+// that changed, and to each peer the whole each second, or in its turn in a large fleet.
+// A lost one costs a choice that is a little worse until then; no promise rests on what
+// is told here.
 package gossip
 
 import (
@@ -47,7 +48,7 @@
 	// maxMissing is the part of the peers that may not have been heard, or tell only
 	// some. In a large fleet some are always being replaced, and leave out little.
 	maxMissing = 0.05
-	// lossToldFor is how long a loss is told: two whole datagrams at the least.
+	// lossToldFor is how long a loss goes with each datagram.
 	lossToldFor = 2500 * time.Millisecond
 	// maxLosses bounds the losses in one datagram.
 	maxLosses = 8
