--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -58,9 +58,12 @@
 type Pager interface {
 	// ListPage returns the page that begins behind after, "" for the first.
 	ListPage(ctx context.Context, kind, after string) (Page, error)
+	// ListStalePage does the same as ListStale, by pages.
+	ListStalePage(ctx context.Context, kind, after string) (Page, error)
 }
 
-// StaleLister is a Store that lists at a fraction of the cost what may be seconds old.
+// StaleLister is a Store that lists at a fraction of the cost what may be seconds old,
+// and outside of its rate of calls.
 type StaleLister interface {
 	ListStale(ctx context.Context, kind string) (Listing, error)
 }
