--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,9 +9,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,8 +26,6 @@
 	// starts or a zone is emptied, and each would cost a call: with it a start of
 	// 41 servers takes a gateway some ten calls in place of forty.
 	gather = 250 * time.Millisecond
-	// catchUpWait bounds the watch that brings what is newer than an old listing.
-	catchUpWait = 200 * time.Millisecond
 	// awayWait bounds one watch while the platform is away: its return is seen
 	// within it and one call's timeout.
 	awayWait = time.Second
@@ -45,11 +41,7 @@
 	// Wait bounds one watch. A connection that went silent is found after it.
 	Wait  time.Duration
 	Apply func(News)
-	// StaleStart lets the first listing be some seconds old: hundreds of processes that
-	// start at once before thousands of objects would need all of the platform's rate
-	// for seconds. What has changed since comes with a watch from the listing's revision.
-	StaleStart bool
-	Log        *logrus.Entry
+	Log   *logrus.Entry
 }
 
 // News is what one answer of the platform told.
@@ -69,10 +61,8 @@
 	opts     Options
 	revision uint64
 	listed   bool
-	// stale: the next listing may be old.
-	stale bool
 	// pages has what was listed so far, and next begins the next page. The
-	// revision is the oldest page's: what changed since comes with the watch.
+	// revision is the first page's: what changed since comes with the watch.
 	pages platform.Listing
 	next  string
 	// failing is since when calls have failed, zero if the last succeeded.
@@ -80,10 +70,7 @@
 }
 
 // New returns a follower; Run starts it.
-func New(o Options) *Follower {
-	_, pages := o.Store.(platform.Pager)
-	return &Follower{opts: o, stale: o.StaleStart && pages}
-}
+func New(o Options) *Follower { return &Follower{opts: o} }
 
 // Run follows until ctx ends. It returns nil.
 func (f *Follower) Run(ctx context.Context) error {
@@ -131,38 +118,14 @@
 func (f *Follower) list(ctx context.Context) error {
 	asked := time.Now()
 	l, err := f.listAll(ctx)
-	if err == nil && f.stale {
-		l, err = f.catchUp(ctx, l)
-	}
-	if errors.Is(err, platform.ErrCompacted) {
-		// What the listing lacks is no longer to be had.
-		f.stale = false
-		return nil
-	}
 	if err != nil {
 		return err
 	}
-	f.listed, f.stale = true, false
+	f.listed = true
 	f.apply(News{Objects: l.Objects, Full: true, Asked: asked}, l.Revision)
 	return nil
 }
 
-// catchUp returns the listing as it is now.
-func (f *Follower) catchUp(ctx context.Context, l platform.Listing) (platform.Listing, error) {
-	limited, cancel := context.WithTimeout(ctx, catchUpWait)
-	defer cancel()
-	news, err := f.opts.Store.Watch(limited, f.opts.Kind, l.Revision)
-	if err != nil {
-		return platform.Listing{}, err
-	}
-	objects := make(map[string]platform.Object, len(l.Objects))
-	for _, o := range slices.Concat(l.Objects, news.Objects) {
-		objects[o.Name] = o
-	}
-	maps.DeleteFunc(objects, func(_ string, o platform.Object) bool { return o.Deleted })
-	return platform.Listing{Revision: max(l.Revision, news.Revision), Objects: slices.Collect(maps.Values(objects))}, nil
-}
-
 // listAll lists the kind. Pages are applied as they come: when hundreds of
 // processes start at once before thousands of objects, the platform needs seconds
 // for all pages of all of them, and the first page is enough to begin with. A
@@ -172,19 +135,14 @@
 	if !ok {
 		return f.opts.Store.List(ctx, f.opts.Kind)
 	}
-	page := pager.ListPage
-	if f.stale {
-		page = pager.ListStalePage
-	}
 	for {
-		p, err := page(ctx, f.opts.Kind, f.next)
+		p, err := pager.ListPage(ctx, f.opts.Kind, f.next)
 		if err != nil {
 			return platform.Listing{}, err
 		}
 		if f.next == "" {
 			f.pages = platform.Listing{Revision: p.Revision}
 		}
-		f.pages.Revision = min(f.pages.Revision, p.Revision)
 		f.pages.Objects = append(f.pages.Objects, p.Objects...)
 		f.next = p.Next
 		if f.next == "" {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -166,14 +165,6 @@
 	script
 	asked  []string
 	failed bool
-	// stale counts the old pages, and watched are the revisions that watches began from.
-	stale   int
-	watched []uint64
-}
-
-func (s *pagedScript) Watch(ctx context.Context, kind string, revision uint64) (platform.Listing, error) {
-	s.watched = append(s.watched, revision)
-	return s.script.Watch(ctx, kind, revision)
 }
 
 func (s *pagedScript) ListPage(_ context.Context, _, after string) (platform.Page, error) {
@@ -187,61 +178,6 @@
 	return platform.Page{Listing: l, Next: next}, nil
 }
 
-func (s *pagedScript) ListStalePage(ctx context.Context, kind, after string) (platform.Page, error) {
-	s.stale++
-	p, err := s.ListPage(ctx, kind, after)
-	// Each page is older than the one before.
-	p.Revision = 40 - p.Revision
-	return p, err
-}
-
-// All processes start at once, and their listings are some seconds old, each page of
-// another age. What has changed since the oldest must be known before the list counts as
-// whole: a server that has gone meanwhile would get work for as long as it is listed.
-func TestAnOldListingIsCaughtUpWith(t *testing.T) {
-	s := &pagedScript{failed: true}
-	s.replies = []reply{{listing: platform.Listing{Revision: 50, Objects: []platform.Object{
-		{Name: "of a", Deleted: true}, {Name: "new"},
-	}}}}
-	got := followStale(t, s)
-	assert.Equal(t, s.stale, 3)
-	assert.DeepEqual(t, s.watched, []uint64{27})
-	assert.DeepEqual(t, got, []string{"new", "of ", "of b"})
-}
-
-// The platform has dropped its history since the old listing was made. What the listing
-// lacks is lost; only a fresh one tells it, and the same old one again would go on for ever.
-func TestAnOldListingBeforeDroppedHistoryIsReadAnew(t *testing.T) {
-	s := &pagedScript{failed: true}
-	s.replies = []reply{{err: platform.ErrCompacted}}
-	got := followStale(t, s)
-	assert.Equal(t, s.stale, 3)
-	assert.Equal(t, len(s.asked), 6)
-	assert.DeepEqual(t, got, []string{"of ", "of a", "of b"})
-}
-
-// followStale follows until the first whole listing and returns its sorted names.
-func followStale(t *testing.T, s *pagedScript) []string {
-	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	var names []string
-	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, StaleStart: true, Log: logrus.NewEntry(log), Apply: func(n News) {
-		if !n.Full {
-			return
-		}
-		for _, o := range n.Objects {
-			names = append(names, o.Name)
-		}
-		cancel()
-	}})
-	assert.NilError(t, f.Run(ctx))
-	slices.Sort(names)
-	return names
-}
-
 // Hundreds of processes start before thousands of servers. Callers must not wait
 // for the last page of the list, and a failed call must not begin it anew. What
 // changed while it was read comes with the watch from the first page's revision.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -50,7 +50,7 @@
 	})
 	roster := &roster{g: g, decoder: s.Decoder, known: map[string]member{}}
 	servers := follow.New(follow.Options{
-		Store: s.Store, Kind: s.ServerKind, Wait: watchWait, Log: g.log, Apply: roster.apply, StaleStart: true,
+		Store: s.Store, Kind: s.ServerKind, Wait: watchWait, Log: g.log, Apply: roster.apply,
 	})
 	group.Go(func() error { return config.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -58,12 +58,9 @@
 type Pager interface {
 	// ListPage returns the page that begins behind after, "" for the first.
 	ListPage(ctx context.Context, kind, after string) (Page, error)
-	// ListStalePage does the same as ListStale, by pages.
-	ListStalePage(ctx context.Context, kind, after string) (Page, error)
 }
 
-// StaleLister is a Store that lists at a fraction of the cost what may be seconds old,
-// and outside of its rate of calls.
+// StaleLister is a Store that lists at a fraction of the cost what may be seconds old.
 type StaleLister interface {
 	ListStale(ctx context.Context, kind string) (Listing, error)
 }
