The share of the budget is counted by the steady clock

Cause, found by reading the change again: Share numbered its parts by the time of day. A step forward by seconds would have taken what was spent for long past and allowed it again within the window; a step back would have held repeats up.

Change: parts are counted from the process's start by the time since. No test steps the time of day (a test can't make a time whose two clocks differ); the tests of the window, of hundreds of processes and of restarts hold as they were.

--- a/internal/policy/retry/share.go
+++ b/internal/policy/retry/share.go
@@ -30,10 +30,11 @@
 // of it can be spent at once, as when a server is lost under many requests.
 // It isn't safe for concurrent use.
 type Share struct {
-	opts ShareOptions
-	// part is the number of the part of time that runs, and began that of the first.
-	part, began int64
-	targets     map[string]*history
+	opts  ShareOptions
+	began time.Time
+	// part is the number of the part of time that runs, counted from began.
+	part    int64
+	targets map[string]*history
 }
 
 // history counts by parts of the last window and the part that runs.
@@ -46,13 +47,12 @@
 
 // NewShare returns a share of a process that starts at now.
 func NewShare(o ShareOptions, now time.Time) *Share {
-	s := &Share{opts: o, targets: map[string]*history{}}
-	s.part = s.partOf(now)
-	s.began = s.part
-	return s
+	return &Share{opts: o, began: now, targets: map[string]*history{}}
 }
 
-func (s *Share) partOf(t time.Time) int64 { return t.UnixNano() / max(1, int64(s.opts.Window)/parts) }
+// partOf counts by the time since began, which a step of the time of day doesn't change:
+// a step forward would forget what was spent.
+func (s *Share) partOf(t time.Time) int64 { return int64(t.Sub(s.began) / max(1, s.opts.Window/parts)) }
 
 // Advance sets the time. Call it before the other methods.
 func (s *Share) Advance(now time.Time) { s.part = max(s.part, s.partOf(now)) }
@@ -93,7 +93,7 @@
 			sum.firsts += c.firsts
 		}
 	}
-	since := min(1, startPart+(1-startPart)*float64(s.part-s.began)/parts)
+	since := min(1, startPart+(1-startPart)*float64(s.part)/parts)
 	return s.opts.Ratio*sum.firsts + since*s.opts.Slack - sum.repeats
 }
 
