jayfordd catches SIGHUP from the start of a gateway

Cause: the handler was registered only once the settings were loaded and the logs installed, so a SIGHUP in the first tenth of a second ended the process. Ruled out: a handler for all roles, as entry and agent have no reload and a hangup should end them.

The rolling test's balancer divided by zero while no entry was ready. It now sends to all entries then, as load balancers do; requests that are refused still count against the test. Red before: the test of the balancer panics.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -81,6 +81,8 @@
 
 // Execute runs a gateway.
 func (c *gatewayCommand) Execute([]string) error {
+	// The platform may send a SIGHUP as soon as the process exists.
+	hup := catchHangups()
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil {
 		return reportInvalid(err)
@@ -89,7 +91,7 @@
 		return nil
 	}
 	return runRole(s.LogLevel, func(ctx context.Context, log *logrus.Logger) error {
-		go watchSettings(ctx, c.Settings, s, log)
+		go watchSettings(ctx, c.Settings, s, hup, log)
 		return c.run(ctx, s, log)
 	})
 }
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -17,15 +17,19 @@
 // which may come without a signal.
 const pollInterval = 5 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when the file changes. A new
-// log level takes effect at once; all other changes need a restart, which is
-// logged. Without the handler a SIGHUP would end the process and abort its
-// requests.
-func watchSettings(ctx context.Context, path string, current settings.Gateway, log *logrus.Logger) {
+// catchHangups returns a channel that gets the process's SIGHUPs. Without it a SIGHUP
+// would end the process. There is no signal.Stop: a SIGHUP during shutdown would then
+// abort requests.
+func catchHangups() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
-	// There is no signal.Stop: during shutdown a SIGHUP would then have its
-	// default effect and end the process in the middle of its requests.
 	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+// watchSettings reloads the settings on SIGHUP and when the file changes. A new
+// log level takes effect at once; all other changes need a restart, which is
+// logged.
+func watchSettings(ctx context.Context, path string, current settings.Gateway, hup <-chan os.Signal, log *logrus.Logger) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	seen := modTime(path)
--- a/test/rolling_test.go
+++ b/test/rolling_test.go
@@ -57,12 +57,26 @@
 	}
 }
 
+// entry returns the next ready entry. If none is ready it returns the next of all, as
+// load balancers do.
 func (b *balancer) entry(i int) *node {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return b.c.entries[i%len(b.c.entries)]
+	}
 	return b.ready[i%len(b.ready)]
 }
 
+// Guards against a division by zero while no entry is ready.
+func TestBalancerServesWithoutReadyEntries(t *testing.T) {
+	t.Parallel()
+	b := &balancer{c: &cluster{entries: []*node{{id: "entry-1"}, {id: "entry-2"}}}}
+	assert.Equal(t, b.entry(1).id, "entry-2")
+	b.ready = b.c.entries[:1]
+	assert.Equal(t, b.entry(1).id, "entry-1")
+}
+
 // rollingRequest returns the i-th completion: most are short, some take longer than
 // anything but a graceful stop allows, and every other one is non-idempotent, so
 // that it can't continue on another server.
