Quotas: gateways exchange tokens that are spent at most once

Change: each gateway creates its part of an organisation's rate as tokens with a life of (burst + half the platform's slack) / rate; who lacks some asks the organisation's pool, chosen by rendezvous hashing, which collects what others don't need. The state machine is pure (policy/quota), package quota runs it over UDP. A token leaves its holder before it is sent and counts once, for an ask that is still remembered, with its life counted from the ask; so no clock is compared and a lost datagram only loses tokens. Shares: a gateway creates only what it can show that all others who create count it for.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,8 @@
 	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/peers"
+	policyquota "jayford.example/jayford/internal/policy/quota"
+	"jayford.example/jayford/internal/quota"
 	"jayford.example/jayford/internal/settings"
 )
 
@@ -53,19 +55,26 @@
 			Revision: g.ConfigVersion(), Ready: g.Ready(), UptimeSeconds: int64(time.Since(started).Seconds()),
 		}
 	}, nil, log)
-	members := peers.New(deps.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone}, log.WithField("part", "peers"))
+	members := peers.New(deps.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone, Quota: s.Quota.Listen}, log.WithField("part", "peers"))
 	exchange := gossip.New(gossip.Options{
 		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnCrash: g.RecordPeerCrash, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
 	g.Join(exchange)
+	quotas := quota.New(quota.Options{
+		Self: s.ID, Listen: s.Quota.Listen, Members: func() ([]quota.Member, time.Duration) { return registered(members) },
+		OnUnknownSender: members.RequestRead, Spare: quotaSpareFraction * s.Quota.Slack, Board: b, Log: log.WithField("part", "quota"),
+	})
+	if s.Quota.Listen != "" {
+		g.LimitOrganisations(quotas)
+	}
 	orders := gateway.StageOptions{
 		Store: deps.Sources.Store, Share: s.Stages.PrefillShare, Term: s.Stages.LeaseTerm.D(),
 		Self: fmt.Sprintf("%s#%d", s.ID, started.UnixNano()), Instance: s.ID,
 		Peers: func() []string { return ids(members.List()) },
 	}
 	return run(
-		ctx, server.Run, members.Run, exchange.Run,
+		ctx, server.Run, members.Run, exchange.Run, quotas.Run,
 		func(ctx context.Context) error { return g.RunStages(ctx, orders) },
 		func(ctx context.Context) error { return updatePeers(ctx, g, members) },
 		func(ctx context.Context) error { return g.Follow(ctx, deps.Sources) },
@@ -96,6 +105,20 @@
 	return out
 }
 
+// quotaSpareFraction is the part of the slack of quotas that gateways may hold beyond the
+// bursts. The rest covers gateways that don't count each other.
+const quotaSpareFraction = 0.5
+
+// registered returns the gateways that may create tokens of quotas.
+func registered(m *peers.Members) ([]quota.Member, time.Duration) {
+	list, complete := m.Registered(policyquota.ForgetAfter)
+	out := make([]quota.Member, 0, len(list))
+	for _, p := range list {
+		out = append(out, quota.Member{ID: p.ID, Address: p.Quota})
+	}
+	return out, complete
+}
+
 // addresses returns the addresses of the other gateways, split into those in the
 // same availability zone and those in others.
 func addresses(list []peers.Peer, self, zone string) (near, far []string) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/policy/prefill"
 	"jayford.example/jayford/internal/policy/retry"
+	"jayford.example/jayford/internal/quota"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -85,6 +86,8 @@
 	backend Backend
 	view    *view
 	keys    admission.Checker
+	// quotas is nil if quotas aren't enforced; it is set before use.
+	quotas Quotas
 	// platformAvailability tracks for how long the platform has been reachable for this gateway.
 	platformAvailability follow.Availability
 	limits               *limits
@@ -164,6 +167,19 @@
 // lost engines to them. It must be called before the first request.
 func (g *Gateway) Join(p Peers) { g.loads.peers = p }
 
+// Quotas takes the cost of requests from organisations' quotas.
+type Quotas interface {
+	SetOrganisations(o *catalog.Organisations)
+	// Take waits at most for patience. An error refuses the request.
+	Take(ctx context.Context, organisation string, cost float64, patience time.Duration) (quota.Receipt, *verdict.Error)
+	// Return gives back what a request took that hasn't run.
+	Return(r quota.Receipt)
+}
+
+// LimitOrganisations makes the gateway enforce organisations' quotas. It must be called
+// before the first request.
+func (g *Gateway) LimitOrganisations(q Quotas) { g.quotas = q }
+
 // RecordPeerCrash records the loss of an engine under a request, as reported by a peer. It
 // reports whether the loss was unknown before. The engine is given by its gossip.EngineKey,
 // the request by its fingerprint.
@@ -190,7 +206,15 @@
 
 // SetConfig puts c in force unless the current configuration is the same version or
 // newer, and reports whether it did.
-func (g *Gateway) SetConfig(c *catalog.Config) bool { return g.view.setConfig(c) }
+func (g *Gateway) SetConfig(c *catalog.Config) bool {
+	if !g.view.setConfig(c) {
+		return false
+	}
+	if g.quotas != nil {
+		g.quotas.SetOrganisations(c.Organisations)
+	}
+	return true
+}
 
 // Config returns the configuration in force, nil if none is loaded.
 func (g *Gateway) Config() *catalog.Config { return g.view.config.Load() }
@@ -295,7 +319,7 @@
 	g.inFlight.Add(1)
 	g.countRequest(j.service.Name)
 	ctx, cancel := context.WithDeadline(ctx, j.until)
-	reply, err := g.serve(ctx, j)
+	reply, err := g.serveWithinQuota(ctx, j)
 	if err != nil {
 		err = g.finalError(ctx, j, err)
 		cancel()
@@ -385,6 +409,40 @@
 	return g.call(ctx, j)
 }
 
+const (
+	// quotaPatience is the part of its objective that a request may wait for its quota,
+	// maxQuotaPatience the most.
+	quotaPatience    = 0.4
+	maxQuotaPatience = 200 * time.Millisecond
+)
+
+// serveWithinQuota serves a request if its organisation's quota allows it. A request that
+// hasn't run costs nothing.
+func (g *Gateway) serveWithinQuota(ctx context.Context, j *job) (*Reply, *verdict.Error) {
+	o := j.organisation
+	if g.quotas == nil || o == nil || !o.Quota.IsLimited() {
+		return g.serve(ctx, j)
+	}
+	patience := min(maxQuotaPatience, time.Duration(quotaPatience*float64(j.route.LatencyObjective)))
+	receipt, err := g.quotas.Take(ctx, o.Name, o.Quota.Cost(j.tokens()), patience)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := g.serve(ctx, j)
+	if err != nil && err.Verdict == verdict.NotRun && j.runs == 0 {
+		g.quotas.Return(receipt)
+	}
+	return reply, err
+}
+
+// tokens returns the prompt and output tokens of a generation, 0 for other requests.
+func (j *job) tokens() int {
+	if x := j.r.Generation; x != nil {
+		return x.Prompt + x.MaxOutput
+	}
+	return 0
+}
+
 // finalError returns the error for the caller: its verdict is NotRun only if no
 // attempt of the request may have run.
 func (g *Gateway) finalError(ctx context.Context, j *job, err *verdict.Error) *verdict.Error {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/wait"
 )
@@ -46,6 +47,8 @@
 	// Address is "ip:port" of its listener for other gateways.
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availabilityZone"`
+	// Quota is "ip:port" of its exchange of quotas, "" if it takes no part in it.
+	Quota string `json:"quota,omitempty"`
 	// Renewals counts the renewals, so that each write changes the object.
 	Renewals uint64 `json:"renewals"`
 }
@@ -57,6 +60,13 @@
 	since   time.Time
 }
 
+// renewal is a write of this gateway's object. A listing that has its version shows all
+// that was written before startedAt, a boot time.
+type renewal struct {
+	version   uint64
+	startedAt time.Duration
+}
+
 // Members maintains this gateway's object and its view of the others.
 type Members struct {
 	store platform.Store
@@ -70,6 +80,10 @@
 	renewed    bool
 	observed   map[string]observation
 	selfListed bool
+	// renewal is the last renewal that succeeded, and complete the boot time as of which
+	// the view lacks no gateway, 0 if that is unknown.
+	renewal  renewal
+	complete time.Duration
 	// lastRead is when the others were last read.
 	lastRead time.Time
 
@@ -146,12 +160,14 @@
 		}
 		return err
 	}
+	began := boottime.Now()
 	l, err := m.store.List(ctx, Kind)
 	if err != nil {
 		return err
 	}
 	m.setVersion(0)
 	m.apply(l.Objects, time.Now())
+	m.setComplete(began)
 	return nil
 }
 
@@ -185,6 +201,7 @@
 	if err != nil {
 		return err
 	}
+	began := boottime.Now()
 	v, err := m.store.Put(ctx, platform.Object{
 		Kind: Kind, Name: self.ID, Version: version, Operation: platform.NewOperation(), Spec: spec,
 	})
@@ -192,11 +209,17 @@
 	defer m.mu.Unlock()
 	m.renewed = err == nil
 	if m.renewed {
-		m.version = v
+		m.version, m.renewal = v, renewal{v, began}
 	}
 	return err
 }
 
+func (m *Members) setComplete(at time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.complete = max(m.complete, at)
+}
+
 func (m *Members) setVersion(v uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -217,6 +240,9 @@
 		listed[p.ID] = true
 		if p.ID == m.self.ID {
 			m.version = max(m.version, o.Version)
+			if m.renewal.version > 0 && o.Version >= m.renewal.version {
+				m.complete = max(m.complete, m.renewal.startedAt)
+			}
 		}
 		// A lower version comes from a listing that is older than an earlier one.
 		s, ok := m.observed[p.ID]
@@ -274,6 +300,21 @@
 	return out
 }
 
+// Registered returns the gateways whose objects are stored and were changed within
+// forgetAfter, and the boot time as of which none is missing, 0 if that is unknown. Unlike
+// List it includes those that haven't renewed their object lately.
+func (m *Members) Registered(forgetAfter time.Duration) ([]Peer, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Peer
+	for _, s := range m.observed {
+		if time.Since(s.since) < forgetAfter {
+			out = append(out, s.peer)
+		}
+	}
+	return out, m.complete
+}
+
 func (m *Members) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/policy/quota/machine.go
@@ -0,0 +1,415 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// collectInterval is how often a pool collects the tokens of an organisation in use.
+	collectInterval = 250 * time.Millisecond
+	// minCollectPause is the least pause between two collections of an organisation.
+	minCollectPause = 60 * time.Millisecond
+	// activeFor is how long after the last ask an organisation counts as in use.
+	activeFor = 2 * time.Second
+	// holdAsk is how long a pool holds an ask that it can't grant while it collects.
+	holdAsk = 25 * time.Millisecond
+	// answerTimeout is how long an asked gateway may take before another is asked.
+	answerTimeout = 150 * time.Millisecond
+	// suspectFor is how long a gateway that didn't answer isn't asked.
+	suspectFor = time.Second
+	// rememberAsks is how long an ask is remembered, and its answer accepted.
+	rememberAsks = 3 * time.Second
+	// useMemory is the time over which the use of a gateway is averaged, keepUse for how
+	// long a gateway keeps what it uses itself from a collection.
+	useMemory = time.Second
+	keepUse   = 500 * time.Millisecond
+	// aheadUse is for how long a gateway asks ahead, by its use.
+	aheadUse = 300 * time.Millisecond
+	// richFactor is how many times an ask's wish a pool must hold to grant more than the
+	// need.
+	richFactor = 4
+	// maxDenied bounds how long a denial is taken to hold for later requests.
+	maxDenied = 100 * time.Millisecond
+)
+
+// account is an organisation's account with what the machine knows about its use.
+type account struct {
+	*Account
+	key  uint64
+	name string
+	// used is the average use of this gateway in tokens per second as of usedAt.
+	used   float64
+	usedAt time.Duration
+	// asked is when this gateway was last asked for tokens, or asked itself as the pool,
+	// collected when it last collected.
+	asked, collected time.Duration
+	// held are the asks that wait for a collection.
+	held []heldAsk
+	// denied is the last denial.
+	denied denial
+	// order are the gateways by their rank as the pool.
+	order []string
+}
+
+type heldAsk struct {
+	from  string
+	id    uint64
+	part  Part
+	until time.Duration
+}
+
+// denial is the answer that a need can't be met before a time. It holds until expires.
+type denial struct {
+	need            float64
+	before, expires time.Duration
+}
+
+// ask is an ask that this gateway sent.
+type ask struct {
+	to string
+	at time.Duration
+	// overdue: the receiver was found not to answer in time.
+	overdue bool
+}
+
+// Machine is one gateway's part of the exchange of tokens. It isn't safe for concurrent
+// use.
+type Machine struct {
+	self     string
+	shares   *Shares
+	peers    []string
+	accounts map[uint64]*account
+	byName   map[string]*account
+	asks     map[uint64]ask
+	// suspects are gateways that don't answer, with the time until which they aren't asked.
+	suspects  map[string]time.Duration
+	lastHello time.Duration
+}
+
+// NewMachine returns the Machine of the gateway self.
+func NewMachine(self string) *Machine {
+	return &Machine{
+		self: self, shares: NewShares(self), accounts: map[uint64]*account{}, byName: map[string]*account{},
+		asks: map[uint64]ask{}, suspects: map[string]time.Duration{},
+	}
+}
+
+// SetListed sets the listed gateways, including this one, complete as of read.
+func (m *Machine) SetListed(ids []string, read, now time.Duration) {
+	m.shares.SetListed(ids, read, now)
+	m.peers = slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == m.self })
+	for _, a := range m.accounts {
+		a.order = nil
+	}
+}
+
+// SetLimits sets the limited organisations. An account whose limit changes passes what it
+// holds on to the new one.
+func (m *Machine) SetLimits(now time.Duration, limits map[string]Limit) {
+	for name, a := range m.byName {
+		if _, ok := limits[name]; !ok {
+			delete(m.accounts, a.key)
+			delete(m.byName, name)
+		}
+	}
+	for name, l := range limits {
+		key := KeyOf(name, l)
+		before := m.byName[name]
+		if before != nil && before.key == key {
+			continue
+		}
+		a := &account{Account: NewAccount(l, now), key: key, name: name, usedAt: now}
+		if before != nil {
+			a.Adopt(now, before.Account)
+			a.used, a.usedAt = before.used, before.usedAt
+			delete(m.accounts, before.key)
+		}
+		m.accounts[key], m.byName[name] = a, a
+	}
+}
+
+// Outcome says whether a request may be sent.
+type Outcome int
+
+// The outcomes.
+const (
+	// Granted: the tokens are taken, or the organisation isn't limited.
+	Granted Outcome = iota
+	// Short: other gateways may have the tokens.
+	Short
+	// Denied: there are too few tokens at present.
+	Denied
+	// Impossible: the request costs more than can ever be held.
+	Impossible
+)
+
+// Take takes a request's tokens from the organisation's account. wait is when a denied
+// request may succeed.
+func (m *Machine) Take(now time.Duration, name string, tokens float64) (t Taken, o Outcome, wait time.Duration) {
+	a := m.byName[name]
+	if a == nil {
+		return Taken{}, Granted, 0
+	}
+	if tokens > a.limit.Capacity() {
+		return Taken{}, Impossible, 0
+	}
+	m.create(a, now)
+	if t, ok := a.Take(now, tokens); ok {
+		a.recordUse(now, tokens)
+		return t, Granted, 0
+	}
+	if a.denied.expires > now && tokens >= a.denied.need {
+		return Taken{}, Denied, a.denied.before - now
+	}
+	return Taken{}, Short, a.timeToCreate(tokens - a.Balance(now))
+}
+
+// Return gives back what a request took that hasn't run.
+func (m *Machine) Return(now time.Duration, name string, t Taken) {
+	if a := m.byName[name]; a != nil {
+		a.Return(now, t)
+		a.recordUse(now, -t.Tokens)
+	}
+}
+
+// Balance returns the tokens that this gateway holds for an organisation.
+func (m *Machine) Balance(now time.Duration, name string) float64 {
+	if a := m.byName[name]; a != nil {
+		return a.Balance(now)
+	}
+	return 0
+}
+
+// Ask returns the messages that get the tokens which the account lacks for a request.
+func (m *Machine) Ask(now time.Duration, name string, tokens float64) []Envelope {
+	a := m.byName[name]
+	if a == nil {
+		return nil
+	}
+	pool := m.pool(a, now)
+	if pool == m.self {
+		a.asked = now
+		return m.collect(now, []*account{a}, minCollectPause)
+	}
+	need := tokens - a.Balance(now)
+	if need <= 0 {
+		return nil
+	}
+	part := Part{Account: a.key, Need: need, Want: need + a.use(now)*aheadUse.Seconds()}
+	return []Envelope{m.newAsk(now, pool, Message{Parts: []Part{part}})}
+}
+
+// Receive handles a message of a listed gateway and returns the answers to it.
+func (m *Machine) Receive(now time.Duration, from string, msg Message) []Envelope {
+	switch {
+	case msg.Answer:
+		return m.receiveAnswer(now, from, msg)
+	case msg.Collect || len(msg.Parts) == 0:
+		return []Envelope{m.answerCollection(now, from, msg)}
+	}
+	var out []Envelope
+	for _, p := range msg.Parts {
+		out = append(out, m.receiveAsk(now, heldAsk{from: from, id: msg.ID, part: p, until: now + holdAsk})...)
+	}
+	return out
+}
+
+func (m *Machine) receiveAnswer(now time.Duration, from string, msg Message) []Envelope {
+	x, ok := m.asks[msg.ID]
+	if !ok || x.to != from {
+		return nil
+	}
+	delete(m.asks, msg.ID)
+	delete(m.suspects, from)
+	m.shares.Answered(from)
+	var out []Envelope
+	for _, p := range msg.Parts {
+		a := m.accounts[p.Account]
+		if a == nil {
+			continue
+		}
+		a.Receive(now, x.at, p.Lots)
+		if len(p.Lots) == 0 && p.Wait > 0 {
+			a.denied = denial{need: p.Need, before: now + p.Wait, expires: now + min(p.Wait, maxDenied)}
+		}
+		out = append(out, m.serveHeld(now, a)...)
+	}
+	return out
+}
+
+// answerCollection gives a pool what this gateway doesn't need itself.
+func (m *Machine) answerCollection(now time.Duration, from string, msg Message) Envelope {
+	out := Envelope{To: from, Message: Message{ID: msg.ID, Answer: true}}
+	for _, p := range msg.Parts {
+		a := m.accounts[p.Account]
+		if a == nil {
+			continue
+		}
+		m.create(a, now)
+		if lots := a.Give(now, a.transferable(now)-a.use(now)*keepUse.Seconds()); len(lots) > 0 {
+			out.Parts = append(out.Parts, Part{Account: p.Account, Lots: lots})
+		}
+	}
+	return out
+}
+
+// receiveAsk grants an ask, or holds it while this gateway collects.
+func (m *Machine) receiveAsk(now time.Duration, x heldAsk) []Envelope {
+	a := m.accounts[x.part.Account]
+	if a == nil {
+		return nil
+	}
+	m.create(a, now)
+	a.asked = now
+	if out, ok := m.grant(now, a, x); ok {
+		return []Envelope{out}
+	}
+	a.held = append(a.held, x)
+	return m.collect(now, []*account{a}, minCollectPause)
+}
+
+// grant returns the answer to an ask if the account holds what it needs.
+func (m *Machine) grant(now time.Duration, a *account, x heldAsk) (Envelope, bool) {
+	tokens, most := x.part.Need, a.transferable(now)
+	if most < tokens {
+		return Envelope{}, false
+	}
+	if most >= richFactor*x.part.Want {
+		tokens = x.part.Want
+	}
+	part := Part{Account: a.key, Lots: a.Give(now, tokens)}
+	return Envelope{To: x.from, Message: Message{ID: x.id, Answer: true, Parts: []Part{part}}}, true
+}
+
+// serveHeld grants the held asks that can be granted, in the order of their arrival.
+func (m *Machine) serveHeld(now time.Duration, a *account) []Envelope {
+	var out []Envelope
+	for len(a.held) > 0 {
+		e, ok := m.grant(now, a, a.held[0])
+		if !ok {
+			break
+		}
+		out = append(out, e)
+		a.held = a.held[1:]
+	}
+	return out
+}
+
+// Tick does what is due: it denies the asks that were held for long enough, collects for
+// organisations in use and gives up on unanswered asks.
+func (m *Machine) Tick(now time.Duration) []Envelope {
+	var out []Envelope
+	var due []*account
+	for _, a := range m.accounts {
+		out = append(out, m.denyHeld(now, a)...)
+		if now-a.asked < activeFor && a.asked > 0 && m.pool(a, now) == m.self {
+			due = append(due, a)
+		}
+	}
+	m.checkAsks(now)
+	out = append(out, m.collect(now, due, collectInterval)...)
+	if now-m.lastHello >= collectInterval {
+		m.lastHello = now
+		for _, id := range m.shares.Unanswered() {
+			out = append(out, m.newAsk(now, id, Message{}))
+		}
+	}
+	return out
+}
+
+func (m *Machine) denyHeld(now time.Duration, a *account) []Envelope {
+	var out []Envelope
+	for len(a.held) > 0 && a.held[0].until <= now {
+		x := a.held[0]
+		a.held = a.held[1:]
+		m.create(a, now)
+		part := Part{Account: a.key, Need: x.part.Need, Wait: max(time.Millisecond, a.timeToCreate(x.part.Need-a.Balance(now)))}
+		out = append(out, Envelope{To: x.from, Message: Message{ID: x.id, Answer: true, Parts: []Part{part}}})
+	}
+	return out
+}
+
+// checkAsks suspects the gateways that didn't answer in time and forgets old asks.
+func (m *Machine) checkAsks(now time.Duration) {
+	for id, x := range m.asks {
+		if now-x.at > rememberAsks {
+			delete(m.asks, id)
+			continue
+		}
+		if !x.overdue && now-x.at > answerTimeout {
+			m.suspects[x.to] = now + suspectFor
+			x.overdue = true
+			m.asks[id] = x
+		}
+	}
+}
+
+// collect asks all others for what they don't need of the accounts that weren't
+// collected within pause.
+func (m *Machine) collect(now time.Duration, list []*account, pause time.Duration) []Envelope {
+	var parts []Part
+	for _, a := range list {
+		if now-a.collected >= pause || a.collected == 0 {
+			a.collected = now
+			parts = append(parts, Part{Account: a.key})
+		}
+	}
+	if len(parts) == 0 {
+		return nil
+	}
+	var out []Envelope
+	for _, id := range m.peers {
+		if !m.isSuspect(id, now) {
+			out = append(out, m.newAsk(now, id, Message{Collect: true, Parts: parts}))
+		}
+	}
+	return out
+}
+
+func (m *Machine) newAsk(now time.Duration, to string, msg Message) Envelope {
+	msg.ID = rand.Uint64()
+	m.asks[msg.ID] = ask{to: to, at: now}
+	return Envelope{To: to, Message: msg}
+}
+
+func (m *Machine) isSuspect(id string, now time.Duration) bool {
+	until, ok := m.suspects[id]
+	if ok && until <= now {
+		delete(m.suspects, id)
+		return false
+	}
+	return ok
+}
+
+// pool returns the gateway that is asked first for an account's tokens.
+func (m *Machine) pool(a *account, now time.Duration) string {
+	if a.order == nil {
+		a.order = rank(a.key, append(slices.Clone(m.peers), m.self))
+	}
+	for _, id := range a.order {
+		if id == m.self || !m.isSuspect(id, now) {
+			return id
+		}
+	}
+	return m.self
+}
+
+func (m *Machine) create(a *account, now time.Duration) { a.Create(now, m.shares.Fraction(now)) }
+
+// timeToCreate returns how long all gateways take to create so many tokens.
+func (a *account) timeToCreate(tokens float64) time.Duration {
+	return time.Duration(max(0, tokens) / a.limit.PerSecond * float64(time.Second))
+}
+
+// recordUse adds to the average use of this gateway.
+func (a *account) recordUse(now time.Duration, tokens float64) {
+	a.used = max(0, a.use(now)+tokens/useMemory.Seconds())
+	a.usedAt = now
+}
+
+// use returns the average use of this gateway in tokens per second.
+func (a *account) use(now time.Duration) float64 {
+	return a.used * decay(now-a.usedAt, useMemory)
+}
--- /dev/null
+++ b/internal/quota/exchange.go
@@ -0,0 +1,289 @@
+// Package quota takes what requests cost from organisations' quotas, which all gateways
+// share. It runs the state machine of package policy/quota over UDP.
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"jayford.example/jayford/internal/board"
+	"jayford.example/jayford/internal/boottime"
+	policy "jayford.example/jayford/internal/policy/quota"
+	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
+)
+
+const (
+	// tickInterval is how often the machine does what is due.
+	tickInterval = 25 * time.Millisecond
+	// listInterval is how often the list of gateways is read from its source.
+	listInterval = time.Second
+	// askAgainAfter is how long a request waits for tokens until it asks again.
+	askAgainAfter = 40 * time.Millisecond
+	// maxDatagramBytes bounds a received datagram.
+	maxDatagramBytes = 8 << 10
+	// receivePause is the pause after a failed receive.
+	receivePause = 10 * time.Millisecond
+	// retrySpread is the mean jitter of a Retry-After: callers that return together would
+	// find the quota used up again. maxRetryAfter bounds it, as quotas change.
+	retrySpread   = 250 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+var (
+	sent      = metrics.NewCounter("jayford_quota_sent_total")
+	sentBytes = metrics.NewCounter("jayford_quota_sent_bytes_total")
+	received  = metrics.NewCounter("jayford_quota_received_total")
+	unknown   = metrics.NewCounter("jayford_quota_unknown_senders_total")
+	waitTime  = metrics.NewHistogram("jayford_quota_wait_seconds")
+)
+
+// Member is a gateway that takes part in the exchange.
+type Member struct{ ID, Address string }
+
+// Options of an Exchange.
+type Options struct {
+	// Self is this gateway's ID, Listen the "ip:port" of its datagrams, "" if it takes no
+	// part.
+	Self, Listen string
+	// Members returns the gateways that may create tokens, including this one, and the
+	// boot time as of which the list is complete, 0 if that is unknown.
+	Members func() (list []Member, read time.Duration)
+	// OnUnknownSender is called when a datagram comes from an address that isn't listed.
+	OnUnknownSender func()
+	// Spare is how many tokens beyond its burst all gateways may hold for an
+	// organisation.
+	Spare float64
+	Board *board.Board
+	Log   *logrus.Entry
+}
+
+// Exchange holds this gateway's tokens and exchanges them with the other gateways.
+type Exchange struct {
+	opts Options
+	conn *net.UDPConn
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	machine *policy.Machine
+	// addresses are the other gateways' by their ID, ids the reverse.
+	addresses map[string]netip.AddrPort
+	ids       map[netip.AddrPort]string
+	// arrived is closed and replaced when an answer arrives.
+	arrived chan struct{}
+	// usage is by organisation.
+	usage map[string]*usage
+}
+
+// New returns an Exchange; Run starts it.
+func New(o Options) *Exchange {
+	x := &Exchange{
+		opts: o, machine: policy.NewMachine(o.Self), addresses: map[string]netip.AddrPort{}, ids: map[netip.AddrPort]string{},
+		arrived: make(chan struct{}), usage: map[string]*usage{},
+	}
+	o.Board.AddView("quotas", x.dump)
+	return x
+}
+
+// Receipt is what a request has taken from its organisation's quota.
+type Receipt struct {
+	organisation string
+	taken        policy.Taken
+}
+
+// Take takes a request's cost from the organisation's quota. It waits at most for
+// patience if other gateways have to be asked. An error means that the request is refused.
+func (x *Exchange) Take(ctx context.Context, organisation string, cost float64, patience time.Duration) (Receipt, *verdict.Error) {
+	began := boottime.Now()
+	var o policy.Outcome
+	var later time.Duration
+	for {
+		x.mu.Lock()
+		now := boottime.Now()
+		var t policy.Taken
+		t, o, later = x.machine.Take(now, organisation, cost)
+		left := began + patience - now
+		hopeless := o == policy.Impossible || o == policy.Denied && later >= left
+		if o == policy.Granted || hopeless || left <= 0 || ctx.Err() != nil {
+			x.countLocked(organisation, cost, o == policy.Granted)
+			x.mu.Unlock()
+			if o == policy.Granted {
+				waitTime.Update((now - began).Seconds())
+				return Receipt{organisation, t}, nil
+			}
+			break
+		}
+		out, arrived := x.machine.Ask(now, organisation, cost), x.arrived
+		x.mu.Unlock()
+		x.send(out)
+		pause := min(left, askAgainAfter)
+		if o == policy.Denied {
+			pause = min(left, max(later, time.Millisecond))
+		}
+		waitFor(ctx, arrived, pause)
+	}
+	if o == policy.Impossible {
+		return Receipt{}, verdict.New(verdict.NotRun, verdict.OverQuota, "The request costs %.0f, more than the organisation's quota ever allows at once.", cost)
+	}
+	return Receipt{}, verdict.New(
+		verdict.NotRun, verdict.OverQuota, "The organisation has used up its quota.",
+	).WithRetryAfter(min(maxRetryAfter, later) + time.Duration((0.5+rand.Float64())*float64(retrySpread)))
+}
+
+// waitFor waits until c is closed, for d at most.
+func waitFor(ctx context.Context, c <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-c:
+	}
+}
+
+// Return gives back what a request took that hasn't run.
+func (x *Exchange) Return(r Receipt) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.machine.Return(boottime.Now(), r.organisation, r.taken)
+	if u := x.usage[r.organisation]; u != nil {
+		u.Used -= r.taken.Tokens
+	}
+}
+
+// Run exchanges tokens until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	if x.opts.Listen == "" {
+		<-ctx.Done()
+		return nil
+	}
+	at, err := net.ResolveUDPAddr("udp", x.opts.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "quota: resolve address %s", x.opts.Listen)
+	}
+	conn, err := net.ListenUDP("udp", at)
+	if err != nil {
+		return eris.Wrapf(err, "quota: listen on %s", x.opts.Listen)
+	}
+	x.mu.Lock()
+	x.conn = conn
+	x.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return x.receive(ctx, conn) })
+	group.Go(func() error { return x.tick(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return conn.Close()
+	})
+	return group.Wait()
+}
+
+func (x *Exchange) tick(ctx context.Context) error {
+	var listed time.Duration
+	for wait.Sleep(ctx, tickInterval) {
+		now := boottime.Now()
+		if listed == 0 || now-listed >= listInterval {
+			x.updateMembers(now)
+			listed = now
+		}
+		x.mu.Lock()
+		out := x.machine.Tick(now)
+		x.mu.Unlock()
+		x.send(out)
+	}
+	return nil
+}
+
+func (x *Exchange) updateMembers(now time.Duration) {
+	list, read := x.opts.Members()
+	ids := make([]string, 0, len(list))
+	addresses, byAddress := map[string]netip.AddrPort{}, map[netip.AddrPort]string{}
+	for _, m := range list {
+		ids = append(ids, m.ID)
+		a, err := netip.ParseAddrPort(m.Address)
+		if err != nil || m.ID == x.opts.Self {
+			continue
+		}
+		addresses[m.ID], byAddress[a] = a, m.ID
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.addresses, x.ids = addresses, byAddress
+	x.machine.SetListed(ids, read, now)
+}
+
+func (x *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
+	buf := make([]byte, maxDatagramBytes)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			// A datagram that was sent to a dead peer can surface here as an error.
+			x.opts.Log.WithError(err).Debug("quota: receive failed.")
+			wait.Sleep(ctx, receivePause)
+			continue
+		}
+		m, err := decode(buf[:n])
+		if err != nil {
+			x.opts.Log.WithError(err).WithField("from", from.String()).Warn("quota: cannot decode datagram.")
+			continue
+		}
+		x.handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m)
+	}
+}
+
+// handle passes a message to the machine. Messages of unlisted senders are ignored.
+func (x *Exchange) handle(from netip.AddrPort, m policy.Message) {
+	x.mu.Lock()
+	id, ok := x.ids[from]
+	if !ok {
+		x.mu.Unlock()
+		unknown.Inc()
+		x.opts.OnUnknownSender()
+		return
+	}
+	received.Inc()
+	out := x.machine.Receive(boottime.Now(), id, m)
+	if m.Answer && len(m.Parts) > 0 {
+		close(x.arrived)
+		x.arrived = make(chan struct{})
+	}
+	x.mu.Unlock()
+	x.send(out)
+}
+
+func (x *Exchange) send(list []policy.Envelope) {
+	if len(list) == 0 {
+		return
+	}
+	x.mu.Lock()
+	conn, addresses := x.conn, x.addresses
+	x.mu.Unlock()
+	for _, e := range list {
+		to, ok := addresses[e.To]
+		if conn == nil || !ok {
+			continue
+		}
+		text, err := encode(e.Message)
+		if err == nil {
+			_, err = conn.WriteToUDPAddrPort(text, to)
+		}
+		if err != nil {
+			x.opts.Log.WithError(err).WithField("peer", e.To).Debug("quota: send failed.")
+			continue
+		}
+		sent.Inc()
+		sentBytes.Add(len(text))
+	}
+}
--- /dev/null
+++ b/internal/quota/usage.go
@@ -0,0 +1,89 @@
+package quota
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jayford.example/jayford/internal/boottime"
+	"jayford.example/jayford/internal/catalog"
+	policy "jayford.example/jayford/internal/policy/quota"
+)
+
+// maxLabelled bounds the organisations that have metrics of their own.
+const maxLabelled = 500
+
+// usage is what an organisation used at this gateway.
+type usage struct {
+	PerSecond, Burst float64
+	// Used is in tokens, Refused counts requests.
+	Used    float64
+	Refused int
+	// Balance is how many tokens this gateway holds, Reading the age of the list of
+	// gateways in seconds. Both are set in dumps only.
+	Balance, Reading float64
+}
+
+// SetOrganisations sets the organisations with their quotas.
+func (x *Exchange) SetOrganisations(o *catalog.Organisations) {
+	limits := map[string]policy.Limit{}
+	if o != nil {
+		for name, org := range o.All() {
+			if q := org.Quota; q.IsLimited() {
+				limits[name] = policy.Limit{PerSecond: q.PerSecond, Burst: q.Burst, Spare: x.opts.Spare}
+			}
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.machine.SetLimits(boottime.Now(), limits)
+	for name := range x.usage {
+		if _, ok := limits[name]; !ok {
+			delete(x.usage, name)
+		}
+	}
+	for name, l := range limits {
+		if x.usage[name] == nil {
+			x.usage[name] = &usage{}
+		}
+		x.usage[name].PerSecond, x.usage[name].Burst = l.PerSecond, l.Burst
+	}
+}
+
+// countLocked counts a request that was granted or refused.
+func (x *Exchange) countLocked(organisation string, cost float64, granted bool) {
+	u := x.usage[organisation]
+	if u == nil {
+		return
+	}
+	if granted {
+		u.Used += cost
+	} else {
+		u.Refused++
+	}
+	if len(x.usage) > maxLabelled {
+		return
+	}
+	if granted {
+		metrics.GetOrCreateFloatCounter(fmt.Sprintf("jayford_quota_used_total{organisation=%q}", organisation)).Add(cost)
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_quota_refusals_total{organisation=%q}", organisation)).Inc()
+}
+
+// dump returns the organisations' usage for the state dump.
+func (x *Exchange) dump() any {
+	_, read := x.opts.Members()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := boottime.Now()
+	out := make(map[string]usage, len(x.usage))
+	for name, u := range x.usage {
+		c := *u
+		c.Balance = x.machine.Balance(now, name)
+		c.Reading = (now - read).Truncate(time.Millisecond).Seconds()
+		out[name] = c
+	}
+	return out
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,6 +22,7 @@
 	maxLinkRate    = 1 << 40
 	minWait        = time.Millisecond
 	maxWait        = time.Hour
+	maxQuotaSlack  = 1e12
 	maxLapse       = time.Minute
 	minLapse       = 100 * time.Millisecond
 	minTerm        = time.Second
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,6 +17,17 @@
 	Budget Budget        `json:"budget"`
 	Stages Stages        `json:"stages"`
 	Keys   Keys          `json:"keys"`
+	Quota  Quota         `json:"quota"`
+}
+
+// Quota holds the settings of organisations' quotas.
+type Quota struct {
+	// Listen is the "ip:port" at which gateways exchange what is left of the quotas, by
+	// UDP. Without it quotas aren't enforced.
+	Listen string `json:"listen,omitempty"`
+	// Slack is how many tokens or requests of an organisation beyond its quota are
+	// tolerated in any window.
+	Slack float64 `json:"slack"`
 }
 
 // Keys holds the settings for callers' keys.
@@ -117,6 +128,10 @@
 	duration(d, "budget.window", g.Budget.Window, minTerm, maxWait)
 	strictjson.Range(d, "stages.prefillShare", g.Stages.PrefillShare, 0, 1)
 	duration(d, "stages.leaseTerm", g.Stages.LeaseTerm, minTerm, maxWait)
+	if g.Quota.Listen != "" {
+		d.Listener("quota.listen", g.Quota.Listen)
+	}
+	strictjson.Range(d, "quota.slack", g.Quota.Slack, 0, maxQuotaSlack)
 	if g.Keys.Expiry != 0 {
 		duration(d, "keys.expiry", g.Keys.Expiry, minTerm, maxWait)
 	}
