--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -107,7 +107,7 @@
 
 // quotaSpareFraction is the part of the slack of quotas that gateways may hold beyond the
 // bursts. The rest covers gateways that don't count each other.
-const quotaSpareFraction = 0.5
+const quotaSpareFraction = 0.9
 
 // registered returns the gateways that may create tokens of quotas.
 func registered(m *peers.Members) ([]quota.Member, time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -459,7 +459,7 @@
 // logRequest logs a decision about a request, with its inputs as fields.
 func (g *Gateway) logRequest(j *job, msg string, fields logrus.Fields) {
 	e := g.log.WithFields(logrus.Fields{
-		"request": j.r.ID, "route": j.route.Name, "config": j.config, "sends": j.sends, "runs": j.runs,
+		"request": j.r.ID, "route": j.route.Name, "organisation": j.organisationName(), "config": j.config, "sends": j.sends, "runs": j.runs,
 		"age": milliseconds(time.Since(j.r.Arrived)), "left": milliseconds(time.Until(j.until)),
 	})
 	e.WithFields(fields).Info(msg)
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/catalog"
@@ -44,10 +45,15 @@
 		}
 	}
 	for name, l := range limits {
-		if x.usage[name] == nil {
-			x.usage[name] = &usage{}
+		u := x.usage[name]
+		if u == nil {
+			u = &usage{}
+			x.usage[name] = u
 		}
-		x.usage[name].PerSecond, x.usage[name].Burst = l.PerSecond, l.Burst
+		if u.PerSecond != l.PerSecond || u.Burst != l.Burst {
+			x.opts.Log.WithFields(logrus.Fields{"organisation": name, "perSecond": l.PerSecond, "burst": l.Burst}).Info("quota: limit set.")
+		}
+		u.PerSecond, u.Burst = l.PerSecond, l.Burst
 	}
 }
 
