Quotas: a restarted fleet begins with a credit; faster joining

Cause: tokens live in memory. Change: a starting gateway reads the list every 50 ms, greets every 100 ms and takes any message of a peer as proof that it is listed. A gateway whose predecessor ran for the window and 3 s more, by what that one wrote into its object and once that object is replaced, begins with its part of 0.45 of the slack, good for 3 s; what is held beyond the burst shrinks to 0.45 from 0.9. Ruled out: a credit at each start (two starts in a window count twice), a clock in the store (clocks aren't compared). Test: the drawn schedules include credits; five restarts in a row gain one credit, and without the wait of a window and 3 s that test fails. Tests over loopback, of the wire, and of the gateway's use of both.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -63,7 +63,8 @@
 	g.Join(exchange)
 	quotas := quota.New(quota.Options{
 		Self: s.ID, Listen: s.Quota.Listen, Members: func() ([]quota.Member, time.Duration) { return registered(members) },
-		OnUnknownSender: members.RequestRead, Spare: quotaSpareFraction * s.Quota.Slack, Board: b, Log: log.WithField("part", "quota"),
+		OnUnknownSender: members.RequestRead, Spare: quotaSpareFraction * s.Quota.Slack,
+		StartCredit: quotaCreditFraction * s.Quota.Slack, Window: s.Quota.Window.D(), PredecessorUptime: members.PredecessorUptime, Board: b, Log: log.WithField("part", "quota"),
 	})
 	if s.Quota.Listen != "" {
 		g.LimitOrganisations(quotas)
@@ -105,9 +106,12 @@
 	return out
 }
 
-// quotaSpareFraction is the part of the slack of quotas that gateways may hold beyond the
-// bursts. The rest covers gateways that don't count each other.
-const quotaSpareFraction = 0.9
+// Parts of the slack of quotas: what gateways may hold beyond the bursts, and what they may
+// begin with after a restart. The rest covers gateways that don't count each other.
+const (
+	quotaSpareFraction  = 0.45
+	quotaCreditFraction = 0.45
+)
 
 // registered returns the gateways that may create tokens of quotas.
 func registered(m *peers.Members) ([]quota.Member, time.Duration) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -49,6 +49,9 @@
 	AvailabilityZone string `json:"availabilityZone"`
 	// Quota is "ip:port" of its exchange of quotas, "" if it takes no part in it.
 	Quota string `json:"quota,omitempty"`
+	// UptimeMs is for how long the process had run when it wrote this, in milliseconds,
+	// including suspension.
+	UptimeMs int64 `json:"uptimeMs,omitempty"`
 	// Renewals counts the renewals, so that each write changes the object.
 	Renewals uint64 `json:"renewals"`
 }
@@ -69,8 +72,9 @@
 
 // Members maintains this gateway's object and its view of the others.
 type Members struct {
-	store platform.Store
-	log   *logrus.Entry
+	store   platform.Store
+	log     *logrus.Entry
+	started time.Duration
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -84,6 +88,10 @@
 	// the view lacks no gateway, 0 if that is unknown.
 	renewal  renewal
 	complete time.Duration
+	// predecessor is the uptime in the object that this process found at its start, and
+	// replaced is set once it has replaced that object by its own.
+	predecessor time.Duration
+	replaced    bool
 	// lastRead is when the others were last read.
 	lastRead time.Time
 
@@ -93,7 +101,7 @@
 
 // New returns the Members of the gateway self; Run starts it.
 func New(store platform.Store, self Peer, log *logrus.Entry) *Members {
-	return &Members{store: store, self: self, log: log, observed: map[string]observation{}, readRequests: make(chan struct{}, 1)}
+	return &Members{store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, readRequests: make(chan struct{}, 1)}
 }
 
 // Run reads and renews until ctx ends, then deletes this gateway's object. It always
@@ -195,6 +203,7 @@
 func (m *Members) renew(ctx context.Context) error {
 	m.mu.Lock()
 	m.self.Renewals++
+	m.self.UptimeMs = (boottime.Now() - m.started).Milliseconds()
 	self, version := m.self, m.version
 	m.mu.Unlock()
 	spec, err := json.Marshal(self)
@@ -209,7 +218,7 @@
 	defer m.mu.Unlock()
 	m.renewed = err == nil
 	if m.renewed {
-		m.version, m.renewal = v, renewal{v, began}
+		m.version, m.renewal, m.replaced = v, renewal{v, began}, true
 	}
 	return err
 }
@@ -240,6 +249,9 @@
 		listed[p.ID] = true
 		if p.ID == m.self.ID {
 			m.version = max(m.version, o.Version)
+			if !m.replaced {
+				m.predecessor = time.Duration(p.UptimeMs) * time.Millisecond
+			}
 			if m.renewal.version > 0 && o.Version >= m.renewal.version {
 				m.complete = max(m.complete, m.renewal.startedAt)
 			}
@@ -300,6 +312,15 @@
 	return out
 }
 
+// PredecessorUptime returns for how long the process ran that this one replaced, as far as
+// that one wrote it, and 0 if it found none. It reports false until this process has
+// replaced its predecessor's object, so that the next one can't find it too.
+func (m *Members) PredecessorUptime() (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.predecessor, m.replaced
+}
+
 // Registered returns the gateways whose objects are stored and were changed within
 // forgetAfter, and the boot time as of which none is missing, 0 if that is unknown. Unlike
 // List it includes those that haven't renewed their object lately.
--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// helloInterval is how often a starting gateway greets those that haven't answered.
+	helloInterval = 100 * time.Millisecond
 	// collectInterval is how often a pool collects the tokens of an organisation in use.
 	collectInterval = 250 * time.Millisecond
 	// minCollectPause is the least pause between two collections of an organisation.
@@ -86,13 +88,18 @@
 	// suspects are gateways that don't answer, with the time until which they aren't asked.
 	suspects  map[string]time.Duration
 	lastHello time.Duration
+	// credit is what each account begins with, until creditEnds. credited are the
+	// organisations that have had it.
+	credit     float64
+	creditEnds time.Duration
+	credited   map[string]bool
 }
 
 // NewMachine returns the Machine of the gateway self.
 func NewMachine(self string) *Machine {
 	return &Machine{
 		self: self, shares: NewShares(self), accounts: map[uint64]*account{}, byName: map[string]*account{},
-		asks: map[uint64]ask{}, suspects: map[string]time.Duration{},
+		asks: map[uint64]ask{}, suspects: map[string]time.Duration{}, credited: map[string]bool{},
 	}
 }
 
@@ -128,6 +135,32 @@
 		}
 		m.accounts[key], m.byName[name] = a, a
 	}
+	m.applyCredit(now)
+}
+
+// CreditLife is how long the tokens of a start credit may be spent.
+const CreditLife = 3 * time.Second
+
+// GrantCredit gives each organisation's account so many tokens, once. All tokens are lost
+// when all gateways restart, and a whole fleet would refuse until it has created new ones.
+//
+// A gateway may be granted a credit once in a window and CreditLife. All credits together
+// then add no more to a window than one credit of each gateway.
+func (m *Machine) GrantCredit(now time.Duration, tokens float64) {
+	m.credit, m.creditEnds = tokens, now+CreditLife
+	m.applyCredit(now)
+}
+
+func (m *Machine) applyCredit(now time.Duration) {
+	if now >= m.creditEnds {
+		return
+	}
+	for name, a := range m.byName {
+		if !m.credited[name] {
+			m.credited[name] = true
+			a.insert(lot{tokens: m.credit, expires: m.creditEnds})
+		}
+	}
 }
 
 // Outcome says whether a request may be sent.
@@ -174,6 +207,9 @@
 	}
 }
 
+// Fraction returns the fraction of each organisation's rate that this gateway creates.
+func (m *Machine) Fraction(now time.Duration) float64 { return m.shares.Fraction(now) }
+
 // Balance returns the tokens that this gateway holds for an organisation.
 func (m *Machine) Balance(now time.Duration, name string) float64 {
 	if a := m.byName[name]; a != nil {
@@ -203,6 +239,8 @@
 
 // Receive handles a message of a listed gateway and returns the answers to it.
 func (m *Machine) Receive(now time.Duration, from string, msg Message) []Envelope {
+	// Gateways send only to those that they list.
+	m.shares.Answered(from)
 	switch {
 	case msg.Answer:
 		return m.receiveAnswer(now, from, msg)
@@ -223,7 +261,6 @@
 	}
 	delete(m.asks, msg.ID)
 	delete(m.suspects, from)
-	m.shares.Answered(from)
 	var out []Envelope
 	for _, p := range msg.Parts {
 		a := m.accounts[p.Account]
@@ -310,7 +347,7 @@
 	}
 	m.checkAsks(now)
 	out = append(out, m.collect(now, due, collectInterval)...)
-	if now-m.lastHello >= collectInterval {
+	if now-m.lastHello >= helloInterval {
 		m.lastHello = now
 		for _, id := range m.shares.Unanswered() {
 			out = append(out, m.newAsk(now, id, Message{}))
--- a/internal/policy/quota/shares.go
+++ b/internal/policy/quota/shares.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// Answered records that another gateway has answered, so that it lists this one.
+// Answered records a message of another gateway, which shows that it lists this one.
 func (s *Shares) Answered(id string) { s.answered[id] = true }
 
 // Unanswered returns the listed gateways that haven't answered yet, none once this
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -25,8 +25,10 @@
 const (
 	// tickInterval is how often the machine does what is due.
 	tickInterval = 25 * time.Millisecond
-	// listInterval is how often the list of gateways is read from its source.
-	listInterval = time.Second
+	// listInterval is how often the list of gateways is read from its source, and
+	// startListInterval the same until this gateway creates its share.
+	listInterval      = time.Second
+	startListInterval = 50 * time.Millisecond
 	// askAgainAfter is how long a request waits for tokens until it asks again.
 	askAgainAfter = 40 * time.Millisecond
 	// maxDatagramBytes bounds a received datagram.
@@ -63,8 +65,15 @@
 	// Spare is how many tokens beyond its burst all gateways may hold for an
 	// organisation.
 	Spare float64
-	Board *board.Board
-	Log   *logrus.Entry
+	// StartCredit is how many tokens of each organisation all gateways together may begin
+	// with, if each of them has run before for the Window in which quotas are counted.
+	StartCredit float64
+	Window      time.Duration
+	// PredecessorUptime returns for how long the process ran that this one replaced, and
+	// false while that isn't known.
+	PredecessorUptime func() (time.Duration, bool)
+	Board             *board.Board
+	Log               *logrus.Entry
 }
 
 // Exchange holds this gateway's tokens and exchanges them with the other gateways.
@@ -82,6 +91,8 @@
 	arrived chan struct{}
 	// usage is by organisation.
 	usage map[string]*usage
+	// creditDecided is set once it is known whether this gateway begins with a credit.
+	creditDecided bool
 }
 
 // New returns an Exchange; Run starts it.
@@ -191,7 +202,11 @@
 	var listed time.Duration
 	for wait.Sleep(ctx, tickInterval) {
 		now := boottime.Now()
-		if listed == 0 || now-listed >= listInterval {
+		interval := listInterval
+		if x.isStarting(now) {
+			interval = startListInterval
+		}
+		if now-listed >= interval {
 			x.updateMembers(now)
 			listed = now
 		}
@@ -203,6 +218,12 @@
 	return nil
 }
 
+func (x *Exchange) isStarting(now time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.machine.Fraction(now) == 0
+}
+
 func (x *Exchange) updateMembers(now time.Duration) {
 	list, read := x.opts.Members()
 	ids := make([]string, 0, len(list))
@@ -219,6 +240,23 @@
 	defer x.mu.Unlock()
 	x.addresses, x.ids = addresses, byAddress
 	x.machine.SetListed(ids, read, now)
+	x.grantCreditLocked(now, len(ids))
+}
+
+// grantCreditLocked grants the start credit once, if the process that this one replaced
+// ran for so long that no window has two credits of the gateway.
+func (x *Exchange) grantCreditLocked(now time.Duration, gateways int) {
+	uptime, ok := x.opts.PredecessorUptime()
+	if x.creditDecided || !ok || gateways == 0 {
+		return
+	}
+	x.creditDecided = true
+	if uptime < x.opts.Window+policy.CreditLife {
+		return
+	}
+	credit := x.opts.StartCredit / float64(gateways)
+	x.opts.Log.WithFields(logrus.Fields{"tokens": credit, "predecessor": uptime.String()}).Info("quota: starting with a credit.")
+	x.machine.GrantCredit(now, credit)
 }
 
 func (x *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,8 +26,9 @@
 	// UDP. Without it quotas aren't enforced.
 	Listen string `json:"listen,omitempty"`
 	// Slack is how many tokens or requests of an organisation beyond its quota are
-	// tolerated in any window.
-	Slack float64 `json:"slack"`
+	// tolerated in any Window.
+	Slack  float64  `json:"slack"`
+	Window Duration `json:"window"`
 }
 
 // Keys holds the settings for callers' keys.
@@ -83,6 +84,7 @@
 		},
 		Budget: Budget{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
 		Stages: Stages{LeaseTerm: Duration(4 * time.Second)},
+		Quota:  Quota{Window: Duration(10 * time.Second)},
 	}
 	g.StopWithin = Duration(7500 * time.Millisecond)
 	return g
@@ -132,6 +134,7 @@
 		d.Listener("quota.listen", g.Quota.Listen)
 	}
 	strictjson.Range(d, "quota.slack", g.Quota.Slack, 0, maxQuotaSlack)
+	duration(d, "quota.window", g.Quota.Window, minTerm, maxWait)
 	if g.Keys.Expiry != 0 {
 		duration(d, "keys.expiry", g.Keys.Expiry, minTerm, maxWait)
 	}
