--- a/internal/policy/quota/shares.go
+++ b/internal/policy/quota/shares.go
@@ -9,9 +9,10 @@
 	// joinAfter is how long after its registration a gateway counts as known to all that
 	// rely on their readings.
 	joinAfter = 35 * time.Second
-	// MaxSilence is how long a gateway that can't read the list goes on creating. It
-	// stops before the others stop counting it, which is after ForgetAfter.
-	MaxSilence  = 9 * time.Minute
+	// MaxSilence is how long a gateway that can't read the list goes on creating.
+	MaxSilence = 9 * time.Minute
+	// ForgetAfter is how long a gateway that doesn't renew its entry is counted. It has
+	// stopped creating by then.
 	ForgetAfter = 10 * time.Minute
 	// silentFraction is the fraction of the listed gateways that needn't have answered a
 	// starting one: some entries are of gateways that are gone.
