--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -333,6 +333,7 @@
 	out := b.run(ExitOK, "explain", "--operator", address, "--model", "m", "--zone", "z")
 	assert.Assert(t, strings.Contains(out, `"zone": [`), out)
 	b.run(ExitUnreachable, "dump", "127.0.0.1:1")
+	b.run(ExitUnreachable, "quotas", "--operator", "127.0.0.1:1")
 	b.run(ExitUsage, "dump", "localhost:80")
 }
 
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -21,9 +21,12 @@
 	// Used is in tokens, Refused counts requests.
 	Used    float64
 	Refused int
-	// Balance is how many tokens this gateway holds, Reading the age of the list of
-	// gateways in seconds. Both are set in dumps only.
-	Balance, Reading float64
+	// usedTotal and refusedTotal are nil if too many organisations have metrics.
+	usedTotal    *metrics.FloatCounter
+	refusedTotal *metrics.Counter
+	// Held is how many tokens this gateway holds, ListAge the age of its list of gateways
+	// in seconds. Both are set in dumps only.
+	Held, ListAge float64
 }
 
 // SetOrganisations sets the organisations with their quotas.
@@ -48,6 +51,10 @@
 		u := x.usage[name]
 		if u == nil {
 			u = &usage{}
+			if len(x.usage) < maxLabelled {
+				u.usedTotal = metrics.GetOrCreateFloatCounter(fmt.Sprintf("jayford_quota_used_total{organisation=%q}", name))
+				u.refusedTotal = metrics.GetOrCreateCounter(fmt.Sprintf("jayford_quota_refusals_total{organisation=%q}", name))
+			}
 			x.usage[name] = u
 		}
 		if u.PerSecond != l.PerSecond || u.Burst != l.Burst {
@@ -68,14 +75,13 @@
 	} else {
 		u.Refused++
 	}
-	if len(x.usage) > maxLabelled {
-		return
-	}
-	if granted {
-		metrics.GetOrCreateFloatCounter(fmt.Sprintf("jayford_quota_used_total{organisation=%q}", organisation)).Add(cost)
-		return
+	switch {
+	case u.usedTotal == nil:
+	case granted:
+		u.usedTotal.Add(cost)
+	default:
+		u.refusedTotal.Inc()
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_quota_refusals_total{organisation=%q}", organisation)).Inc()
 }
 
 // dump returns the organisations' usage for the state dump.
@@ -87,8 +93,8 @@
 	out := make(map[string]usage, len(x.usage))
 	for name, u := range x.usage {
 		c := *u
-		c.Balance = x.machine.Balance(now, name)
-		c.Reading = (now - read).Truncate(time.Millisecond).Seconds()
+		c.Held = x.machine.Balance(now, name)
+		c.ListAge = (now - read).Truncate(time.Millisecond).Seconds()
 		out[name] = c
 	}
 	return out
