Quotas: collections rarer in large fleets; gateways outlive an older listing

Cause: a pool's collection asks all gateways; at 370 gateways and 220 organisations that would be some 1,500 datagrams a second and pool. Change: above 48 gateways collections become rarer in proportion, and an ask under another limit is answered at once with nothing, so that its receiver isn't taken for dead.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/policy/prefill"
 	"jayford.example/jayford/internal/policy/retry"
-	"jayford.example/jayford/internal/quota"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -167,19 +166,6 @@
 // lost engines to them. It must be called before the first request.
 func (g *Gateway) Join(p Peers) { g.loads.peers = p }
 
-// Quotas takes the cost of requests from organisations' quotas.
-type Quotas interface {
-	SetOrganisations(o *catalog.Organisations)
-	// Take waits at most for patience. An error refuses the request.
-	Take(ctx context.Context, organisation string, cost float64, patience time.Duration) (quota.Receipt, *verdict.Error)
-	// Return gives back what a request took that hasn't run.
-	Return(r quota.Receipt)
-}
-
-// LimitOrganisations makes the gateway enforce organisations' quotas. It must be called
-// before the first request.
-func (g *Gateway) LimitOrganisations(q Quotas) { g.quotas = q }
-
 // RecordPeerCrash records the loss of an engine under a request, as reported by a peer. It
 // reports whether the loss was unknown before. The engine is given by its gossip.EngineKey,
 // the request by its fingerprint.
@@ -288,14 +274,6 @@
 	avoid map[string]bool
 }
 
-// organisationName returns the name of the caller's organisation, "" if it has none.
-func (j *job) organisationName() string {
-	if j.organisation == nil {
-		return ""
-	}
-	return j.organisation.Name
-}
-
 // Serve handles one request. ctx ends when the caller disconnects. The reply's body
 // must be closed.
 func (g *Gateway) Serve(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
@@ -376,13 +354,6 @@
 	}, nil
 }
 
-// recheckKey checks that the key with which the request was accepted is still in service.
-// Between its arrival and its sending a request may have waited for its turn, and the
-// process may have been suspended.
-func (g *Gateway) recheckKey(j *job) *verdict.Error {
-	return g.keys.Recheck(g.view.confirmed(), j.organisation, j.r.Credentials)
-}
-
 // capDeadline returns by, or the caller's own deadline if that is earlier.
 func (r *Request) capDeadline(by time.Time) time.Time {
 	if end := r.Arrived.Add(r.CallerTimeout - answerMargin); r.CallerTimeout > 0 && end.Before(by) {
@@ -409,40 +380,6 @@
 	return g.call(ctx, j)
 }
 
-const (
-	// quotaPatience is the part of its objective that a request may wait for its quota,
-	// maxQuotaPatience the most.
-	quotaPatience    = 0.4
-	maxQuotaPatience = 200 * time.Millisecond
-)
-
-// serveWithinQuota serves a request if its organisation's quota allows it. A request that
-// hasn't run costs nothing.
-func (g *Gateway) serveWithinQuota(ctx context.Context, j *job) (*Reply, *verdict.Error) {
-	o := j.organisation
-	if g.quotas == nil || o == nil || !o.Quota.IsLimited() {
-		return g.serve(ctx, j)
-	}
-	patience := min(maxQuotaPatience, time.Duration(quotaPatience*float64(j.route.LatencyObjective)))
-	receipt, err := g.quotas.Take(ctx, o.Name, o.Quota.Cost(j.tokens()), patience)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := g.serve(ctx, j)
-	if err != nil && err.Verdict == verdict.NotRun && j.runs == 0 {
-		g.quotas.Return(receipt)
-	}
-	return reply, err
-}
-
-// tokens returns the prompt and output tokens of a generation, 0 for other requests.
-func (j *job) tokens() int {
-	if x := j.r.Generation; x != nil {
-		return x.Prompt + x.MaxOutput
-	}
-	return 0
-}
-
 // finalError returns the error for the caller: its verdict is NotRun only if no
 // attempt of the request may have run.
 func (g *Gateway) finalError(ctx context.Context, j *job, err *verdict.Error) *verdict.Error {
@@ -459,9 +396,12 @@
 // logRequest logs a decision about a request, with its inputs as fields.
 func (g *Gateway) logRequest(j *job, msg string, fields logrus.Fields) {
 	e := g.log.WithFields(logrus.Fields{
-		"request": j.r.ID, "route": j.route.Name, "organisation": j.organisationName(), "config": j.config, "sends": j.sends, "runs": j.runs,
+		"request": j.r.ID, "route": j.route.Name, "config": j.config, "sends": j.sends, "runs": j.runs,
 		"age": milliseconds(time.Since(j.r.Arrived)), "left": milliseconds(time.Until(j.until)),
 	})
+	if j.organisation != nil {
+		e = e.WithField("organisation", j.organisation.Name)
+	}
 	e.WithFields(fields).Info(msg)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,9 @@
 	// maxListAge is the age of the last reading beyond which an unchanged object no
 	// longer means that its gateway is gone.
 	maxListAge = 2 * RenewInterval
+	// unlistedGrace is how long a gateway that a listing lacks still counts as registered: a
+	// listing may be some seconds older than the one before.
+	unlistedGrace = 2 * RenewInterval
 	// retryDelay is the pause after a failed call, after the first turn, since the
 	// others have only just written then, and between readings that RequestRead requests.
 	retryDelay  = time.Second
@@ -63,6 +66,12 @@
 	since   time.Time
 }
 
+// registration is a gateway's object, and when it was last listed.
+type registration struct {
+	observation
+	listed time.Time
+}
+
 // renewal is a write of this gateway's object. A listing that has its version shows all
 // that was written before startedAt, a boot time.
 type renewal struct {
@@ -84,6 +93,9 @@
 	renewed    bool
 	observed   map[string]observation
 	selfListed bool
+	// registered are the gateways whose objects were listed lately, with those that a
+	// listing lacked.
+	registered map[string]registration
 	// renewal is the last renewal that succeeded, and complete the boot time as of which
 	// the view lacks no gateway, 0 if that is unknown.
 	renewal  renewal
@@ -101,7 +113,7 @@
 
 // New returns the Members of the gateway self; Run starts it.
 func New(store platform.Store, self Peer, log *logrus.Entry) *Members {
-	return &Members{store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, readRequests: make(chan struct{}, 1)}
+	return &Members{store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{}, readRequests: make(chan struct{}, 1)}
 }
 
 // Run reads and renews until ctx ends, then deletes this gateway's object. It always
@@ -259,14 +271,21 @@
 		// A lower version comes from a listing that is older than an earlier one.
 		s, ok := m.observed[p.ID]
 		if !ok || s.version < o.Version {
-			m.observed[p.ID] = observation{peer: p, version: o.Version, since: now}
+			s = observation{peer: p, version: o.Version, since: now}
+			m.observed[p.ID] = s
 		}
+		m.registered[p.ID] = registration{observation: s, listed: now}
 	}
 	for id := range m.observed {
 		if !listed[id] {
 			delete(m.observed, id)
 		}
 	}
+	for id, r := range m.registered {
+		if now.Sub(r.listed) > unlistedGrace {
+			delete(m.registered, id)
+		}
+	}
 	m.selfListed = m.selfListed || listed[m.self.ID]
 	m.lastRead = now
 }
@@ -321,16 +340,16 @@
 	return m.predecessor, m.replaced
 }
 
-// Registered returns the gateways whose objects are stored and were changed within
-// forgetAfter, and the boot time as of which none is missing, 0 if that is unknown. Unlike
-// List it includes those that haven't renewed their object lately.
+// Registered returns the gateways whose objects were stored within unlistedGrace and were
+// changed within forgetAfter, and the boot time as of which none is missing, 0 if that is
+// unknown. Unlike List it includes those that haven't renewed their object lately.
 func (m *Members) Registered(forgetAfter time.Duration) ([]Peer, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []Peer
-	for _, s := range m.observed {
-		if time.Since(s.since) < forgetAfter {
-			out = append(out, s.peer)
+	for _, r := range m.registered {
+		if time.Since(r.since) < forgetAfter {
+			out = append(out, r.peer)
 		}
 	}
 	return out, m.complete
--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -13,6 +13,9 @@
 	collectInterval = 250 * time.Millisecond
 	// minCollectPause is the least pause between two collections of an organisation.
 	minCollectPause = 60 * time.Millisecond
+	// collectFleet is the number of gateways above which collections become rarer in
+	// proportion, as each of them asks all gateways.
+	collectFleet = 48
 	// activeFor is how long after the last ask an organisation counts as in use.
 	activeFor = 2 * time.Second
 	// holdAsk is how long a pool holds an ask that it can't grant while it collects.
@@ -249,6 +252,11 @@
 	}
 	var out []Envelope
 	for _, p := range msg.Parts {
+		if m.accounts[p.Account] == nil {
+			// The sender goes by another limit.
+			out = append(out, Envelope{To: from, Message: Message{ID: msg.ID, Answer: true}})
+			continue
+		}
 		out = append(out, m.receiveAsk(now, heldAsk{from: from, id: msg.ID, part: p, until: now + holdAsk})...)
 	}
 	return out
@@ -295,9 +303,6 @@
 // receiveAsk grants an ask, or holds it while this gateway collects.
 func (m *Machine) receiveAsk(now time.Duration, x heldAsk) []Envelope {
 	a := m.accounts[x.part.Account]
-	if a == nil {
-		return nil
-	}
 	m.create(a, now)
 	a.asked = now
 	if out, ok := m.grant(now, a, x); ok {
@@ -384,8 +389,9 @@
 }
 
 // collect asks all others for what they don't need of the accounts that weren't
-// collected within pause.
+// collected within pause, or longer in a large fleet.
 func (m *Machine) collect(now time.Duration, list []*account, pause time.Duration) []Envelope {
+	pause = time.Duration(float64(pause) * max(1, float64(len(m.peers))/collectFleet))
 	var parts []Part
 	for _, a := range list {
 		if now-a.collected >= pause || a.collected == 0 {
