--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -26,7 +26,7 @@
 	keyExpiryMargin = 200 * time.Millisecond
 	// unknownKeyMaxAge is the age of a configuration up to which it can tell that a key
 	// is unknown: a key may have been added since.
-	unknownKeyMaxAge = 5 * time.Second
+	unknownKeyMaxAge = 10 * time.Second
 	// unconfirmedRetryAfter is the Retry-After while the configuration isn't confirmed:
 	// other gateways may have confirmed theirs.
 	unconfirmedRetryAfter = 500 * time.Millisecond
