--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -18,7 +17,6 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/boottime"
 	policy "jayford.example/jayford/internal/policy/quota"
-	"jayford.example/jayford/internal/verdict"
 	"jayford.example/jayford/internal/wait"
 )
 
@@ -29,16 +27,10 @@
 	// startListInterval the same until this gateway creates its share.
 	listInterval      = time.Second
 	startListInterval = 50 * time.Millisecond
-	// askAgainAfter is how long a request waits for tokens until it asks again.
-	askAgainAfter = 40 * time.Millisecond
 	// maxDatagramBytes bounds a received datagram.
 	maxDatagramBytes = 8 << 10
 	// receivePause is the pause after a failed receive.
 	receivePause = 10 * time.Millisecond
-	// retrySpread is the mean jitter of a Retry-After: callers that return together would
-	// find the quota used up again. maxRetryAfter bounds it, as quotas change.
-	retrySpread   = 250 * time.Millisecond
-	maxRetryAfter = 10 * time.Second
 )
 
 var (
@@ -105,62 +97,6 @@
 	return x
 }
 
-// Receipt is what a request has taken from its organisation's quota.
-type Receipt struct {
-	organisation string
-	taken        policy.Taken
-}
-
-// Take takes a request's cost from the organisation's quota. It waits at most for
-// patience if other gateways have to be asked. An error means that the request is refused.
-func (x *Exchange) Take(ctx context.Context, organisation string, cost float64, patience time.Duration) (Receipt, *verdict.Error) {
-	began := boottime.Now()
-	var o policy.Outcome
-	var later time.Duration
-	for {
-		x.mu.Lock()
-		now := boottime.Now()
-		var t policy.Taken
-		t, o, later = x.machine.Take(now, organisation, cost)
-		left := began + patience - now
-		hopeless := o == policy.Impossible || o == policy.Denied && later >= left
-		if o == policy.Granted || hopeless || left <= 0 || ctx.Err() != nil {
-			x.countLocked(organisation, cost, o == policy.Granted)
-			x.mu.Unlock()
-			if o == policy.Granted {
-				waitTime.Update((now - began).Seconds())
-				return Receipt{organisation, t}, nil
-			}
-			break
-		}
-		out, arrived := x.machine.Ask(now, organisation, cost), x.arrived
-		x.mu.Unlock()
-		x.send(out)
-		pause := min(left, askAgainAfter)
-		if o == policy.Denied {
-			pause = min(left, max(later, time.Millisecond))
-		}
-		waitFor(ctx, arrived, pause)
-	}
-	if o == policy.Impossible {
-		return Receipt{}, verdict.New(verdict.NotRun, verdict.OverQuota, "The request costs %.0f, more than the organisation's quota ever allows at once.", cost)
-	}
-	return Receipt{}, verdict.New(
-		verdict.NotRun, verdict.OverQuota, "The organisation has used up its quota.",
-	).WithRetryAfter(min(maxRetryAfter, later) + time.Duration((0.5+rand.Float64())*float64(retrySpread)))
-}
-
-// waitFor waits until c is closed, for d at most.
-func waitFor(ctx context.Context, c <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-c:
-	}
-}
-
 // Return gives back what a request took that hasn't run.
 func (x *Exchange) Return(r Receipt) {
 	x.mu.Lock()
--- a/internal/quota/exchange_test.go
+++ b/internal/quota/exchange_test.go
@@ -152,3 +152,29 @@
 		}
 	})
 }
+
+// Guards against requests that ask anew whenever any answer arrives: the more of them
+// wait, the more each of them asks.
+func TestWaitingRequestsDontMultiplyAsks(t *testing.T) {
+	const waiting, patience = 40, 400 * time.Millisecond
+	f := newTestFleet(t, 3, catalog.Quota{PerSecond: 50_000, Burst: 50_000, InTokens: true})
+	time.Sleep(300 * time.Millisecond)
+	before := sent.Get()
+	var requests sync.WaitGroup
+	for range waiting {
+		requests.Go(func() { _, _ = f.list[0].Take(t.Context(), "one", 5000, patience) })
+	}
+	requests.Wait()
+	asks := uint64(waiting * (patience/askAgainAfter + 1))
+	// Each has an answer, and pools collect meanwhile.
+	assert.Assert(t, sent.Get()-before < 2*asks, "%d datagrams", sent.Get()-before)
+}
+
+func TestTakeEndsWithItsCaller(t *testing.T) {
+	f := newTestFleet(t, 1, catalog.Quota{PerSecond: 100, Burst: 1000, InTokens: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := f.list[0].Take(ctx, "one", 900, time.Minute)
+	assert.Equal(t, err.Code, verdict.Cancelled)
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+}
