A configuration that is gone from the listing confirms nothing

Cause: after a new listing without the configuration, which was deleted while the gateway couldn't watch, the old one was still confirmed by each answer, and its keys accepted for good. Change: a whole listing confirms only if it has the configuration.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -75,6 +75,10 @@
 }
 
 func (c *configSource) apply(n follow.Update) {
+	if n.Full {
+		// The configuration may be missing from the listing.
+		c.current = false
+	}
 	for _, o := range n.Objects {
 		if o.Name != c.sources.ConfigName {
 			continue
--- a/internal/gateway/organisations_test.go
+++ b/internal/gateway/organisations_test.go
@@ -156,14 +156,21 @@
 }
 
 // Guards against keys that are accepted on the word of a configuration that can't be
-// confirmed, such as one that a newer one, which couldn't be decoded, has replaced.
+// confirmed: the stored one couldn't be decoded, was deleted, or is gone from the listing.
 func TestUnconfirmedConfigurationAcceptsNoKey(t *testing.T) {
 	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("x")), nil }}
 	g, _ := keyedGateway(t, f, io.Discard)
 	g.view.confirmedAt.Store(int64(boottime.Now() - 10*time.Second))
 	source := &configSource{g: g, sources: Sources{ConfigName: "main", Decoder: brokenDecoder{}}}
+	source.current = true
 	source.apply(follow.Update{Objects: []platform.Object{{Name: "main"}}})
 	source.confirm(boottime.Now())
+	source.current = true
+	source.apply(follow.Update{Objects: []platform.Object{{Name: "main", Deleted: true}}})
+	source.confirm(boottime.Now())
+	source.current = true
+	source.apply(follow.Update{Full: true})
+	source.confirm(boottime.Now())
 	_, err := g.Serve(t.Context(), withKey(call("/again/x"), secretKey))
 	assert.Equal(t, err.Code, verdict.PlatformDown)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -93,8 +93,8 @@
 }
 
 // confirmed returns the configuration in force, nil if there is none, and its age, 0 if it
-// declares no organisations. The time is read first: a configuration that comes into force in between is newer than the
-// one that was confirmed.
+// declares no organisations. The time is read first: a configuration that comes into force
+// in between is newer than the one that was confirmed.
 func (v *view) confirmed() admission.Confirmed {
 	at := time.Duration(v.confirmedAt.Load())
 	c := v.config.Load()
