--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -395,14 +396,15 @@
 
 // logRequest logs a decision about a request, with its inputs as fields.
 func (g *Gateway) logRequest(j *job, msg string, fields logrus.Fields) {
-	e := g.log.WithFields(logrus.Fields{
+	all := logrus.Fields{
 		"request": j.r.ID, "route": j.route.Name, "config": j.config, "sends": j.sends, "runs": j.runs,
 		"age": milliseconds(time.Since(j.r.Arrived)), "left": milliseconds(time.Until(j.until)),
-	})
+	}
 	if j.organisation != nil {
-		e = e.WithField("organisation", j.organisation.Name)
+		all["organisation"] = j.organisation.Name
 	}
-	e.WithFields(fields).Info(msg)
+	maps.Copy(all, fields)
+	g.log.WithFields(all).Info(msg)
 }
 
 func milliseconds(d time.Duration) float64 { return math.Round(float64(d)/1e5) / 10 }
