Quotas: an answer to a collection fits into a datagram

Cause: a pool asked for all its organisations at once, and an answer with up to 32 lots of each was cut off at 8 KB: the tokens were lost. Change: 64 organisations an ask, and a buffer of 64 KB. The test, two gateways and 1,200 organisations, fails without (the datagram is too large).

--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -16,6 +16,9 @@
 	// collectFleet is the number of gateways above which collections become rarer in
 	// proportion, as each of them asks all gateways.
 	collectFleet = 48
+	// maxCollectParts bounds the accounts in one ask of a collection, so that its answer
+	// fits into a datagram.
+	maxCollectParts = 64
 	// activeFor is how long after the last ask an organisation counts as in use.
 	activeFor = 2 * time.Second
 	// holdAsk is how long a pool holds an ask that it can't grant while it collects.
@@ -399,13 +402,13 @@
 			parts = append(parts, Part{Account: a.key})
 		}
 	}
-	if len(parts) == 0 {
-		return nil
-	}
 	var out []Envelope
 	for _, id := range m.peers {
-		if !m.isSuspect(id, now) {
-			out = append(out, m.newAsk(now, id, Message{Collect: true, Parts: parts}))
+		if m.isSuspect(id, now) {
+			continue
+		}
+		for some := range slices.Chunk(parts, maxCollectParts) {
+			out = append(out, m.newAsk(now, id, Message{Collect: true, Parts: some}))
 		}
 	}
 	return out
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -27,8 +27,8 @@
 	// startListInterval the same until this gateway creates its share.
 	listInterval      = time.Second
 	startListInterval = 50 * time.Millisecond
-	// maxDatagramBytes bounds a received datagram.
-	maxDatagramBytes = 8 << 10
+	// maxDatagramBytes is the most that a datagram holds.
+	maxDatagramBytes = 64 << 10
 	// receivePause is the pause after a failed receive.
 	receivePause = 10 * time.Millisecond
 )
--- a/internal/quota/exchange_test.go
+++ b/internal/quota/exchange_test.go
@@ -109,6 +109,47 @@
 	}
 }
 
+// Guards against a collection whose answer doesn't fit into a datagram: two gateways and
+// a thousand organisations, each with as many lots as an account has.
+func TestCollectionsFitIntoDatagrams(t *testing.T) {
+	const organisations = 1200
+	now := time.Hour
+	limits := map[string]policy.Limit{}
+	for i := range organisations {
+		limits[fmt.Sprint("organisation-", i)] = policy.Limit{PerSecond: 1e6, Burst: 1e7}
+	}
+	ids := []string{"g0", "g1"}
+	pool, other := policy.NewMachine("g0"), policy.NewMachine("g1")
+	for _, m := range []*policy.Machine{pool, other} {
+		m.SetLimits(now, limits)
+		m.SetListed(ids, now, now)
+		m.Receive(now, "g0", policy.Message{Answer: true})
+		m.Receive(now, "g1", policy.Message{Answer: true})
+	}
+	for range 40 {
+		now += 300 * time.Millisecond
+		for name := range limits {
+			_, _, _ = other.Take(now, name, 1)
+		}
+	}
+	collected := 0
+	for name := range limits {
+		for _, e := range pool.Ask(now, name, 1e7) {
+			pool.Receive(now, "g1", policy.Message{ID: e.ID, Answer: true})
+		}
+	}
+	now += time.Second
+	for _, e := range pool.Tick(now) {
+		for _, answer := range other.Receive(now, "g0", e.Message) {
+			text, err := encode(answer.Message)
+			assert.NilError(t, err)
+			assert.Assert(t, len(text) < maxDatagramBytes-100, "%d bytes for %d accounts", len(text), len(e.Parts))
+			collected += len(answer.Parts)
+		}
+	}
+	assert.Assert(t, collected > organisations/3, collected)
+}
+
 // Guards against tokens that appear on their way by rounding.
 func TestEncodingAddsNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
