--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,8 +36,8 @@
 	var last *verdict.Error
 	for {
 		if err := g.recheckKey(j); err != nil {
-			kept.discard()
-			return nil, err
+			last = err
+			break
 		}
 		s, ok := g.pick(j)
 		if !ok && last == nil {
--- a/internal/gateway/organisations_test.go
+++ b/internal/gateway/organisations_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -155,6 +156,24 @@
 	assert.Equal(t, len(f.prefills)+len(f.sends()), 0)
 }
 
+// Guards against the loss of an answer that is ready because the request's key was removed
+// before it could be retried.
+func TestReadyAnswerOutlivesItsKey(t *testing.T) {
+	f := &fakeBackend{}
+	var g *Gateway
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		g.SetConfig(configWithKeys(11))
+		a := answer(text("failed"))
+		a.Status = http.StatusInternalServerError
+		return a, nil
+	}
+	g, _ = keyedGateway(t, f, io.Discard)
+	reply, err := g.Serve(t.Context(), withKey(call("/again/x"), secretKey))
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, reply.Status, http.StatusInternalServerError)
+	assert.Equal(t, len(f.sends()), 1)
+}
+
 // Guards against keys that are accepted on the word of a configuration that can't be
 // confirmed: the stored one couldn't be decoded, was deleted, or is gone from the listing.
 func TestUnconfirmedConfigurationAcceptsNoKey(t *testing.T) {
