A bound for removed keys of 0.2 s or less is a bound

Cause: the margin of 0.2 s made such a bound 0, which stands for none, so that removed keys were accepted for good. The settings allow 1 s and more, so no gateway could be started so. Ruled out: to check it in the settings alone, as the type is used without them. Change: whether there is a bound is kept by itself. The test failed before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -47,14 +47,16 @@
 }
 
 // Checker checks callers' keys.
-type Checker struct{ maxAge time.Duration }
+type Checker struct {
+	// maxAge is the age from which a configuration doesn't tell of keys any more, if
+	// isBound is set.
+	maxAge  time.Duration
+	isBound bool
+}
 
 // NewChecker returns a Checker.
 func NewChecker(o Options) Checker {
-	if o.KeyExpiry <= 0 {
-		return Checker{}
-	}
-	return Checker{maxAge: max(0, o.KeyExpiry-keyExpiryMargin)}
+	return Checker{maxAge: o.KeyExpiry - keyExpiryMargin, isBound: o.KeyExpiry > 0}
 }
 
 // RequiresKey reports whether a request of the route needs a key.
@@ -104,4 +106,4 @@
 	return nil
 }
 
-func (k Checker) expired(age time.Duration) bool { return k.maxAge > 0 && age >= k.maxAge }
+func (k Checker) expired(age time.Duration) bool { return k.isBound && age >= k.maxAge }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -133,3 +133,12 @@
 		}
 	})
 }
+
+// Guards against a bound that is so short that it counts as none.
+func TestShortBoundIsABound(t *testing.T) {
+	c := configWith(map[string]string{"k1": "one"})
+	for _, expiry := range []time.Duration{time.Millisecond, keyExpiryMargin} {
+		_, err := NewChecker(Options{KeyExpiry: expiry}).Identify(Confirmed{c, time.Hour}, keyed, catalog.CredentialsOf("k1"))
+		assert.Assert(t, err != nil && err.Code == verdict.PlatformDown, "%v", expiry)
+	}
+}
