Quotas: what was taken under another limit isn't given back

Cause: tokens that a request had taken went, when it was refused, into the account of its organisation's present limit, whole and with their old life. Found in reading. Ruled out: to shrink them as held tokens are, as a limit may change twice while a request waits. Change: they are lost.

--- a/internal/policy/quota/account.go
+++ b/internal/policy/quota/account.go
@@ -98,6 +98,8 @@
 	Tokens float64
 	// expires is when the oldest of them would have expired.
 	expires time.Duration
+	// account is the key of the account (KeyOf) if the Machine took them.
+	account uint64
 }
 
 // Take takes the tokens that expire first, and reports false if there are too few.
--- a/internal/policy/quota/bound_test.go
+++ b/internal/policy/quota/bound_test.go
@@ -177,3 +177,18 @@
 	assert.Assert(t, f.worstWindow(simWindow) > 2*f.credit, f.worstWindow(simWindow))
 	assert.Assert(t, f.worstWindow(simWindow) <= allowed, "%.0f of %.0f", f.worstWindow(simWindow), allowed)
 }
+
+// Guards against tokens of a higher limit that are given back after it was lowered.
+func TestTokensOfAnotherLimitAreNotReturned(t *testing.T) {
+	now := 100 * time.Second
+	m := NewMachine("g0")
+	m.SetListed([]string{"g0"}, now, now)
+	m.SetLimits(now, map[string]Limit{"org": {PerSecond: 10_000, Burst: 80_000}})
+	_, _, _ = m.Take(now, "org", 1)
+	now += 5 * time.Second
+	taken, o, _ := m.Take(now, "org", 40_000)
+	assert.Equal(t, o, Granted)
+	m.SetLimits(now, map[string]Limit{"org": {PerSecond: 100, Burst: 1000}})
+	m.Return(now, "org", taken)
+	assert.Assert(t, m.Balance(now, "org") <= 1000, m.Balance(now, "org"))
+}
--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -196,6 +196,7 @@
 	}
 	m.create(a, now)
 	if t, ok := a.Take(now, tokens); ok {
+		t.account = a.key
 		a.recordUse(now, tokens)
 		return t, Granted, 0
 	}
@@ -205,9 +206,10 @@
 	return Taken{}, Short, a.timeToCreate(tokens - a.Balance(now))
 }
 
-// Return gives back what a request took that hasn't run.
+// Return gives back what a request took that hasn't run. What was taken under another
+// limit is lost, as the new one may be lower.
 func (m *Machine) Return(now time.Duration, name string, t Taken) {
-	if a := m.byName[name]; a != nil {
+	if a := m.byName[name]; a != nil && t.account == a.key {
 		a.Return(now, t)
 		a.recordUse(now, -t.Tokens)
 	}
