Reading the change as a newcomer: comments, a lock, a function with two jobs

The package comment of admission promised quotas, which stand elsewhere, and that of policy/quota a sum of 1 where Shares names cases of 1.1. The connection stood above the lock that guards it; SetOrganisations set limits and usage; an unused name is gone; an address that can't be parsed is logged. The simulated fleet gives back what some requests took. No behaviour changes but that log line.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,6 +1,5 @@
-// Package admission decides which requests a gateway accepts from a caller: it finds the
-// organisation that the caller's key belongs to and takes the request's cost from the
-// organisation's quota.
+// Package admission finds the organisation that a caller's key belongs to, and decides
+// whether the configuration at hand can still be relied on for that.
 //
 // It guarantees:
 //   - A request runs for an organisation only if its key was in the newest configuration
--- a/internal/policy/quota/bound_test.go
+++ b/internal/policy/quota/bound_test.go
@@ -56,6 +56,7 @@
 		cost := min(l.Capacity(), l.PerSecond) / float64(rapid.IntRange(1, 20).Draw(t, "costs"))
 		demand := min(200, rapid.Float64Range(0.5, 6).Draw(t, "demand")*l.PerSecond/cost)
 		active := rapid.IntRange(1, len(f.machines)).Draw(t, "active")
+		f.returned = rapid.Float64Range(0, 0.6).Draw(t, "returned")
 		f.credit = rapid.Float64Range(0, 20_000).Draw(t, "credit")
 		c := chaos{t, f}
 		f.repeats = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "alwaysRepeated")
@@ -78,6 +79,7 @@
 		high := Limit{PerSecond: 50_000, Burst: rapid.Float64Range(0, 200_000).Draw(t, "burst"), Spare: 10_000}
 		low := Limit{PerSecond: rapid.Float64Range(500, 50_000).Draw(t, "low"), Burst: rapid.Float64Range(0, high.Burst).Draw(t, "lowBurst"), Spare: 10_000}
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 6, high)
+		f.returned = rapid.Float64Range(0, 0.9).Draw(t, "returned")
 		f.load(40, 5*time.Second, func() float64 { return 1500 }, func() int { return f.rnd.IntN(6) })
 		f.run(time.Duration(rapid.IntRange(0, 5000).Draw(t, "idleMs")) * time.Millisecond)
 		for i := range f.machines {
--- a/internal/policy/quota/doc.go
+++ b/internal/policy/quota/doc.go
@@ -16,5 +16,6 @@
 //     life from when it asked, which is before the token was sent.
 //   - So in any window w an organisation spends at most f*(rate*w + burst + spare) tokens,
 //     where f is the sum of the fractions at which gateways create and spare is part of
-//     the tolerance. Shares keeps f at 1 or less, see there.
+//     the tolerance. Shares keeps f at 1, or at 1.1 in the cases that it names. Start
+//     credits come on top, one of each gateway at most.
 package quota
--- a/internal/policy/quota/fleet_test.go
+++ b/internal/policy/quota/fleet_test.go
@@ -18,10 +18,13 @@
 	queue    events
 	// latency and loss are the network's; drops reports whether a message between two
 	// gateways is cut off.
-	latency  time.Duration
-	loss     float64
-	repeats  float64
-	drops    func(from, to int) bool
+	latency time.Duration
+	loss    float64
+	repeats float64
+	drops   func(from, to int) bool
+	// returned is the part of the granted requests that don't run and give back what they
+	// took.
+	returned float64
 	spent    []spending
 	waiting  []*simRequest
 	granted  int
@@ -157,8 +160,10 @@
 	f.waiting = nil
 	for _, r := range list {
 		m := f.machines[r.gateway]
-		_, o, later := m.Take(f.now, r.name, r.tokens)
+		taken, o, later := m.Take(f.now, r.name, r.tokens)
 		switch {
+		case o == Granted && f.rnd.Float64() < f.returned:
+			f.after(time.Duration(f.rnd.Float64()*float64(2*time.Second)), func() { m.Return(f.now, r.name, taken) })
 		case o == Granted:
 			f.granted++
 			f.spent = append(f.spent, spending{f.now, r.tokens})
--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -35,8 +35,8 @@
 	keepUse   = 500 * time.Millisecond
 	// aheadUse is for how long a gateway asks ahead, by its use.
 	aheadUse = 300 * time.Millisecond
-	// richFactor is how many times an ask's wish a pool must hold to grant more than the
-	// need.
+	// richFactor is how many times Part.Want a pool must hold to grant that and not only
+	// Part.Need.
 	richFactor = 4
 	// maxDenied bounds how long a denial is taken to hold for later requests.
 	maxDenied = 100 * time.Millisecond
@@ -45,8 +45,7 @@
 // account is an organisation's account with what the machine knows about its use.
 type account struct {
 	*Account
-	key  uint64
-	name string
+	key uint64
 	// used is the average use of this gateway in tokens per second as of usedAt.
 	used   float64
 	usedAt time.Duration
@@ -133,7 +132,7 @@
 		if before != nil && before.key == key {
 			continue
 		}
-		a := &account{Account: NewAccount(l, now), key: key, name: name, usedAt: now}
+		a := &account{Account: NewAccount(l, now), key: key, usedAt: now}
 		if before != nil {
 			a.Adopt(now, before.Account)
 			a.used, a.usedAt = before.used, before.usedAt
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -71,10 +71,10 @@
 // Exchange holds this gateway's tokens and exchanges them with the other gateways.
 type Exchange struct {
 	opts Options
-	conn *net.UDPConn
 
 	mu sync.Mutex
-	// All below is guarded by mu.
+	// All below is guarded by mu. conn is nil until Run has opened it.
+	conn    *net.UDPConn
 	machine *policy.Machine
 	// addresses are the other gateways' by their ID, ids the reverse.
 	addresses map[string]netip.AddrPort
@@ -166,8 +166,12 @@
 	addresses, byAddress := map[string]netip.AddrPort{}, map[netip.AddrPort]string{}
 	for _, m := range list {
 		ids = append(ids, m.ID)
+		if m.ID == x.opts.Self || m.Address == "" {
+			continue
+		}
 		a, err := netip.ParseAddrPort(m.Address)
-		if err != nil || m.ID == x.opts.Self {
+		if err != nil {
+			x.opts.Log.WithError(err).WithField("peer", m.ID).Debug("quota: address can't be parsed, gateway left out.")
 			continue
 		}
 		addresses[m.ID], byAddress[a] = a, m.ID
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -29,6 +29,16 @@
 	Held, ListAge float64
 }
 
+func newUsage(organisation string, hasMetrics bool) *usage {
+	if !hasMetrics {
+		return &usage{}
+	}
+	return &usage{
+		usedTotal:    metrics.GetOrCreateFloatCounter(fmt.Sprintf("jayford_quota_used_total{organisation=%q}", organisation)),
+		refusedTotal: metrics.GetOrCreateCounter(fmt.Sprintf("jayford_quota_refusals_total{organisation=%q}", organisation)),
+	}
+}
+
 // SetOrganisations sets the organisations with their quotas.
 func (x *Exchange) SetOrganisations(o *catalog.Organisations) {
 	limits := map[string]policy.Limit{}
@@ -42,6 +52,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.machine.SetLimits(boottime.Now(), limits)
+	x.setUsageLocked(limits)
+}
+
+// setUsageLocked keeps the usage of the limited organisations, and logs new limits.
+func (x *Exchange) setUsageLocked(limits map[string]policy.Limit) {
 	for name := range x.usage {
 		if _, ok := limits[name]; !ok {
 			delete(x.usage, name)
@@ -50,11 +65,7 @@
 	for name, l := range limits {
 		u := x.usage[name]
 		if u == nil {
-			u = &usage{}
-			if len(x.usage) < maxLabelled {
-				u.usedTotal = metrics.GetOrCreateFloatCounter(fmt.Sprintf("jayford_quota_used_total{organisation=%q}", name))
-				u.refusedTotal = metrics.GetOrCreateCounter(fmt.Sprintf("jayford_quota_refusals_total{organisation=%q}", name))
-			}
+			u = newUsage(name, len(x.usage) < maxLabelled)
 			x.usage[name] = u
 		}
 		if u.PerSecond != l.PerSecond || u.Burst != l.Burst {
