Admission: a stall after a lost server no longer counts as a slow pool

Callers saw: innocent requests refused as not run ("The first token can't come in time.") while one request crashed its servers, though the pool served again within half a second.

Cause: the drain rate leaves a lost server's stall out only until the first item is served. That item then makes the whole stall count, 20 tokens in 0.4 s, and five that wait predict 2 s of queue against 0.7 s allowed.

Change: the measurement is suspended for the second after a loss; neither time nor served cost counts. Each entry's queues hear of a server found down or gone, under whatever entry's request. A rate that was never measured still begins when the pool became full.

Ruled out: agents refusing (the code is the queue's own prediction); a cold start (the refusals come 1.2 s after the first request). Why enough: with the stall left out nothing is measured, so nothing is predicted; what does wait too long still expires at its own deadline.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,6 +111,7 @@
 	o.Board.AddView("queues", e.queuesView)
 	o.Board.AddView("members", e.members.view)
 	e.agents.OnRenewal = e.recordHeartbeat
+	m.onLost = e.serverLost
 	return e
 }
 
@@ -169,6 +170,20 @@
 	return g
 }
 
+// serverLost tells the gates of a server's pools that it was lost, under whatever
+// entry's request.
+func (e *Entry) serverLost(id string) {
+	pools := e.routing.current().pools
+	e.gatesMu.Lock()
+	defer e.gatesMu.Unlock()
+	for name, g := range e.gates {
+		p := pools[name]
+		if p.generates(id) {
+			g.serverLost()
+		}
+	}
+}
+
 func (e *Entry) queuesView() any {
 	e.gatesMu.Lock()
 	defer e.gatesMu.Unlock()
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -105,7 +105,7 @@
 	g.admitLocked()
 }
 
-// serverLost tells the queue that a server was lost while it ran a request.
+// serverLost tells the queue that a server of the pool was lost.
 func (g *admissionGate) serverLost() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -39,6 +39,8 @@
 	log *logrus.Entry
 	// version increases when the set of routable agents changes.
 	version atomic.Uint64
+	// onLost, if not nil, is called when a server is found to be gone or down.
+	onLost func(id string)
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -100,11 +102,16 @@
 func (m *members) observe(id string, o doubt.Outcome) {
 	now := time.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if before, after, turned := m.set.RecordTransition(id, now, o); turned {
-		m.log.WithFields(logrus.Fields{
-			"server": id, "state": after.String(), "before": before.String(), "evidence": o.String(),
-		}).Info("entry: server's health changed.")
+	before, after, turned := m.set.RecordTransition(id, now, o)
+	m.mu.Unlock()
+	if !turned {
+		return
+	}
+	m.log.WithFields(logrus.Fields{
+		"server": id, "state": after.String(), "before": before.String(), "evidence": o.String(),
+	}).Info("entry: server's health changed.")
+	if m.onLost != nil && before == doubt.Trusted && (o == doubt.Down || o == doubt.ConnectionLost) {
+		m.onLost(id)
 	}
 }
 
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -200,5 +201,11 @@
 // canGenerate reports whether the pool has servers for both phases.
 func (p *poolTargets) canGenerate() bool { return len(p.prefill) > 0 && len(p.decode) > 0 }
 
+// generates reports whether the server takes part in the pool's generations.
+func (p *poolTargets) generates(id string) bool {
+	is := func(t target) bool { return t.id == id }
+	return slices.ContainsFunc(p.decode, is) || slices.ContainsFunc(p.prefill, is)
+}
+
 // revision returns the revision of the configuration used for routing.
 func (e *Entry) revision() uint64 { return e.routing.current().snapshot.Revision }
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -106,8 +106,6 @@
 	batchItems       int
 	drain            drain
 	bookings         *bookings
-	// lostUntil is the time until which a stall is attributed to a lost server.
-	lostUntil time.Time
 }
 
 // org is the state of one organisation.
@@ -489,9 +487,5 @@
 	}
 }
 
-// lostServerGrace is how long a lost server explains that nothing is served. By then
-// its requests have been retried elsewhere or it is back.
-const lostServerGrace = time.Second
-
 // Lost records that a server of the pool was lost.
-func (q *Queue) Lost(now time.Time) { q.lostUntil = now.Add(lostServerGrace) }
+func (q *Queue) Lost(now time.Time) { q.drain.lost(now) }
--- a/internal/policy/admit/drain.go
+++ b/internal/policy/admit/drain.go
@@ -19,6 +19,9 @@
 	// stallFactor times the usual interval.
 	stallThreshold = 2 * time.Second
 	stallFactor    = 4
+	// lostServerGrace is how long a lost server may distort the rate. By then its requests
+	// have been retried elsewhere or it is back.
+	lostServerGrace = time.Second
 	// intervalWeight is the weight of one more interval in the moving average.
 	intervalWeight = 0.1
 	// minMeasureTime is the least time over which a measured rate is used.
@@ -43,6 +46,23 @@
 	// non-empty, and lingerUntil the end of the linger period.
 	waiting                  bool
 	lastWaiting, lingerUntil time.Time
+	// lostUntil is the end of lostServerGrace. Until then neither time nor served cost
+	// counts.
+	lostUntil time.Time
+}
+
+// lost records that a server of the pool was lost, which suspends the measurement. The
+// requests that ran there are retried while capacity is missing, and a rate measured in
+// such a stall would refuse callers whose deadline can be met, also after the stall: the
+// first item served ends it, and its length would count as the time that one item took.
+func (d *drain) lost(now time.Time) { d.lostUntil = now.Add(lostServerGrace) }
+
+// measuredFrom is the start of the time that isn't accounted for in busy yet.
+func (d *drain) measuredFrom() time.Time {
+	if d.lostUntil.After(d.busyUntil) {
+		return d.lostUntil
+	}
+	return d.busyUntil
 }
 
 // observe records whether any item waits.
@@ -68,8 +88,11 @@
 	if !d.full(now) {
 		return
 	}
-	step := max(0, now.Sub(d.busyUntil))
+	step := max(0, now.Sub(d.measuredFrom()))
 	d.busyUntil = now
+	if now.Before(d.lostUntil) {
+		return
+	}
 	usual := d.interval
 	d.interval += time.Duration(intervalWeight * float64(step-usual))
 	// Cap long stalls: counted in full, a stall would leave a rate near zero, and
@@ -84,12 +107,12 @@
 // the last item was served, so that the rate falls while nothing drains.
 func (d *drain) measureTime(now time.Time) time.Duration { return d.busy + d.idle(now) }
 
-// idle is the time since the last item was served, while the pool is full.
+// idle is the measured time since the last item was served, while the pool is full.
 func (d *drain) idle(now time.Time) time.Duration {
 	if !d.full(now) {
 		return 0
 	}
-	return max(0, now.Sub(d.busyUntil))
+	return max(0, now.Sub(d.measuredFrom()))
 }
 
 func (d *drain) measured(now time.Time) bool {
@@ -106,9 +129,13 @@
 // rate returns the cost served per second. Before anything was served it is bounded by
 // the time since the pool became full, in which less than the waiting cost has drained.
 func (d *drain) rate(now time.Time, waiting float64) float64 {
-	busy := max(d.measureTime(now), time.Millisecond).Seconds()
+	const least = time.Millisecond
 	if d.cost > 0 {
-		return d.cost / busy
+		return d.cost / max(d.measureTime(now), least).Seconds()
+	}
+	full := time.Duration(0)
+	if d.full(now) {
+		full = now.Sub(d.fullSince)
 	}
-	return max(waiting, minCost) / busy
+	return max(waiting, minCost) / max(full, least).Seconds()
 }
--- a/internal/policy/admit/drain_test.go
+++ b/internal/policy/admit/drain_test.go
@@ -196,3 +196,34 @@
 	err = q.Push(now, Item{ID: "late", Organisation: "o", Interactive: true, Cost: 20, Deadline: now.Add(1200 * time.Millisecond)})
 	assert.Assert(t, err != nil)
 }
+
+// Guards against refusing callers whose deadline can be met once servers that were lost
+// serve again: the first item served after the stall made the whole stall count.
+func TestStallOfALostServerDoesNotCountOnceItEnds(t *testing.T) {
+	q := newQueue(Options{})
+	now := start
+	q.Lost(now)
+	for i := range 5 {
+		push(t, q, now, Item{ID: fmt.Sprint("w", i), Organisation: "o", Interactive: true, Cost: 20})
+	}
+	now = now.Add(400 * time.Millisecond)
+	it, _ := q.Pop(now)
+	q.Served(now, it.ID)
+	now = now.Add(100 * time.Millisecond)
+	push(t, q, now, Item{ID: "newcomer", Organisation: "o", Interactive: true, Cost: 20, Deadline: now.Add(1700 * time.Millisecond)})
+}
+
+// Guards against a drain rate that is too high for seconds after a server was lost: the
+// time of the stall doesn't count, so what is served in it mustn't count either.
+func TestWorkServedInAStallDoesNotRaiseTheRate(t *testing.T) {
+	q, now := drainingQueue(t) // 40 items of cost 10 wait, one is served a second.
+	before := q.drain.rate(now, q.cost)
+	q.Lost(now)
+	for range 9 {
+		now = now.Add(lostServerGrace / 10)
+		it, _ := q.Pop(now)
+		q.Served(now, it.ID)
+	}
+	now = now.Add(lostServerGrace / 10)
+	assert.Equal(t, q.drain.rate(now, q.cost), before)
+}
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -106,14 +106,8 @@
 		return 0
 	}
 	share := q.shareOf(it.Organisation)
-	// A stall just after a server was lost says nothing about the rate. Counting it
-	// would refuse callers whose deadline can be met.
-	at := now
-	if now.Before(q.lostUntil) {
-		at = now.Add(-q.drain.idle(now))
-	}
-	mine := q.drainTime(at, own+it.Cost, share/(weight+share))
-	return min(mine, q.drainTime(at, own+others+it.Cost, 1))
+	mine := q.drainTime(now, own+it.Cost, share/(weight+share))
+	return min(mine, q.drainTime(now, own+others+it.Cost, 1))
 }
 
 // ahead returns the cost of waiting and outstanding items that go before it: of its own
