Agents: what a restarted agent refuses for its old incarnation is sent again

Callers saw: one request of some 200 refused as not run (503, leaving) while the processes are replaced one after the other. Known red TestRollingRestartCutsNothing.

Its log: try 1 at the second service, which had just begun to stop: leaving. Try 2 at the first, back for 70 ms: refused, "incarnation". Tries 3 and 4 at the second again: leaving. Refused after 75 ms and four tries.

Cause: an entry addresses an agent's last known incarnation. A restarted agent refuses the first message of each entry, which tells the entry the new number; but the call took that for a failed server, and ranked it with the leaving one.

Change: the message is sent again at once for the present incarnation, for calls, reservations and prefills with a reservation. Such a refusal proves that nothing ran, and its reply names the incarnation.

Ruled out: the retry budget (three tries after refusals cost none). Why enough: the one reply that made the entry pass the agent by is gone; an agent that restarts twice within a round trip refuses again, and the next try follows.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -209,12 +209,23 @@
 	c.cc.Close()
 }
 
+// refusedAsRestarted reports whether an agent refused a request that was meant for its
+// previous incarnation. It has run nothing, and is sent again for the present one: the
+// agent may be the only one that accepts work.
+func refusedAsRestarted(r *pb.Refusal) bool {
+	return r.GetReason() == pb.Reason_REASON_INCARNATION && r.GetVerdict() == pb.Verdict_VERDICT_NOT_RUN
+}
+
 // Reserve requests a grant. A connection without a reply within ctx's deadline is
 // replaced.
 func (c *Conn) Reserve(ctx context.Context, r *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	used := c.channelForUse()
 	used.skipBackoff(ctx)
 	reply, err := used.api.Reserve(ctx, r)
+	if err == nil && refusedAsRestarted(reply.Refusal) {
+		r.Incarnation = reply.Incarnation
+		reply, err = used.api.Reserve(ctx, r)
+	}
 	switch {
 	case err == nil:
 		c.UpdateHint(reply.Load, reply.Incarnation)
@@ -247,9 +258,14 @@
 	_ = c.renew(context.Background())
 }
 
-// Prefill runs a prefill under an existing grant.
+// Prefill runs a prefill under an existing grant, or under the one that r reserves.
 func (c *Conn) Prefill(ctx context.Context, r *pb.PrefillRequest) (*pb.PrefillReply, error) {
-	reply, err := c.client().Prefill(ctx, r)
+	used := c.channelForUse()
+	reply, err := used.api.Prefill(ctx, r)
+	if err == nil && r.Reserve != nil && refusedAsRestarted(reply.Refusal) {
+		r.Reserve.Incarnation = reply.Incarnation
+		reply, err = used.api.Prefill(ctx, r)
+	}
 	if err == nil {
 		c.UpdateHint(reply.Load, reply.Incarnation)
 	}
@@ -266,6 +282,10 @@
 	used := c.channelForUse()
 	used.skipBackoff(ctx)
 	reply, err := used.api.Call(ctx, r)
+	if err == nil && refusedAsRestarted(reply.Refusal) {
+		r.Incarnation = reply.Incarnation
+		reply, err = used.api.Call(ctx, r)
+	}
 	if err == nil {
 		c.UpdateHint(reply.Load, reply.Incarnation)
 	}
--- /dev/null
+++ b/internal/entry/service_test.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/transport"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// fakeAgent is an agent beside a plain service.
+type fakeAgent struct {
+	pb.UnimplementedAgentServer
+	incarnation uint64
+	leaving     bool
+	// takes is how long a call takes.
+	takes time.Duration
+	// silent is how many renewal streams, from the first, aren't answered.
+	silent atomic.Int32
+	// ended counts calls that ended before they were answered.
+	ended atomic.Int32
+}
+
+func (a *fakeAgent) Call(ctx context.Context, r *pb.CallRequest) (*pb.CallReply, error) {
+	reply := &pb.CallReply{Incarnation: a.incarnation, Load: &pb.Load{Slots: 4, Leaving: a.leaving}}
+	switch {
+	case a.leaving:
+		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_LEAVING, Verdict: pb.Verdict_VERDICT_NOT_RUN}
+		return reply, nil
+	case r.GetIncarnation() != 0 && r.GetIncarnation() != a.incarnation:
+		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_INCARNATION, Verdict: pb.Verdict_VERDICT_NOT_RUN}
+		return reply, nil
+	}
+	select {
+	case <-time.After(a.takes):
+		reply.Status = http.StatusOK
+		return reply, nil
+	case <-ctx.Done():
+		a.ended.Add(1)
+		return nil, ctx.Err()
+	}
+}
+
+func (a *fakeAgent) RenewStream(s grpc.BidiStreamingServer[pb.RenewFrame, pb.RenewAck]) error {
+	if a.silent.Add(-1) >= 0 {
+		<-s.Context().Done()
+		return s.Context().Err()
+	}
+	for {
+		if _, err := s.Recv(); err != nil {
+			return err
+		}
+		if err := s.Send(&pb.RenewAck{}); err != nil {
+			return err
+		}
+	}
+}
+
+// serve starts the agent's server on l.
+func (a *fakeAgent) serve(t *testing.T, l net.Listener) {
+	server := grpc.NewServer(transport.ServerOptions()...)
+	pb.RegisterAgentServer(server, a)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+// serviceEntry returns an entry and the targets of a plain service whose agents listen
+// at the addresses.
+func serviceEntry(addresses map[string]string) (*Entry, poolTargets) {
+	e, _ := newTestEntry(0)
+	var p poolTargets
+	var list []platform.Instance
+	for id, address := range addresses {
+		p.service = append(p.service, target{id: id, address: address})
+		list = append(list, platform.Instance{ID: id, Role: "agent", Address: address, State: platform.Live})
+	}
+	e.members.update(time.Now(), list)
+	return e, p
+}
+
+// post runs one non-idempotent call.
+func post(ctx context.Context, e *Entry, p poolTargets) (*pb.CallReply, *verdict.Error) {
+	r := &request{id: e.nextID(), organisation: "o", method: http.MethodPost, uri: "/book", deadline: time.Now().Add(10 * time.Second)}
+	c := &serviceCall{e: e, r: r, dest: destination{targets: p}, exclude: make(map[string]bool), results: make(chan callResult, maxTries)}
+	return c.run(ctx)
+}
+
+// Guards against refusing a call while an agent has just restarted and the other one is
+// leaving: the restarted one refused the first call for its old incarnation, and was
+// then ranked behind the leaving one.
+func TestRestartedAgentServesWhileTheOtherLeaves(t *testing.T) {
+	t.Parallel()
+	for range 20 {
+		restarted, leaving := &fakeAgent{incarnation: 2}, &fakeAgent{incarnation: 1, leaving: true}
+		l, m := listen(t), listen(t)
+		restarted.serve(t, l)
+		leaving.serve(t, m)
+		e, p := serviceEntry(map[string]string{"restarted": l.Addr().String(), "leaving": m.Addr().String()})
+		conn, err := e.agents.Conn("restarted", l.Addr().String())
+		assert.NilError(t, err)
+		conn.UpdateHint(nil, 1)
+		e.members.markLeaving("restarted")
+		_, failed := post(t.Context(), e, p)
+		assert.Assert(t, failed == nil, "%v", failed)
+	}
+}
