Calls: tries that ran nothing don't use up a call's tries

Callers saw: one request of some 220 refused as not run (502, unreachable) while the processes are replaced one after the other. Known red TestRollingRestartCutsNothing.

Provoked by a test with the delay forced: an agent that returns accepts connections 150 ms late, as beside load, while the other agent is leaving.

Cause: a call has four tries. A connection that is in its backoff is given 50 ms to open; then the call fails at once with the error of the last dial, "connection refused". With two services of which one is leaving, two such failures and two refusals end the call within some 100 ms, though one server is about to take it and the deadline is seconds away. Once all servers had been tried, the one that refused as leaving was as likely to be asked again as the one that comes back.

Change: only tries that may have run count against maxTries; those proven not to have run are bounded by the retry policy, its backoff and budget, as generations are. A server that refused a call as leaving isn't asked by it again while another is left.

Ruled out: a longer wait for each connection, which would delay each call to a server that is gone. TestSlowConnectionToAReturnedAgentIsAwaited failed before. Why enough: five failures with backoff give a connection some 400 ms.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,10 +29,15 @@
 	r        *request
 	dest     destination
 	attempts uint32
-	exclude  map[string]bool
-	// failures and refusals count the tries that failed or were refused.
+	// exclude holds the servers that have been tried; leaving are those among them that
+	// refused because they are leaving.
+	exclude map[string]bool
+	leaving map[string]bool
+	// failures and refusals count the tries that failed or were refused. unsent counts
+	// those of both that are proven not to have run.
 	failures int
 	refusals int
+	unsent   int
 	// open holds the tries that haven't ended, in the order they were started.
 	open    []openTry
 	results chan callResult
@@ -62,7 +68,7 @@
 	if err := e.claim(ctx, r); err != nil {
 		return nil, 0, err
 	}
-	c := &serviceCall{e: e, r: r, dest: dest, exclude: make(map[string]bool), results: make(chan callResult, maxTries)}
+	c := newServiceCall(e, r, dest)
 	ctx, cancel := context.WithCancel(ctx)
 	// Cancel the tries that are still open when one has answered.
 	defer cancel()
@@ -74,9 +80,20 @@
 	return reply, int(c.attempts), err
 }
 
-// maxTries bounds the tries of one call, hedges included.
+// maxTries bounds the tries of one call that may have run, hedges included. Those that
+// are proven not to have run are bounded by the retry policy.
 const maxTries = 4
 
+func newServiceCall(e *Entry, r *request, dest destination) *serviceCall {
+	return &serviceCall{
+		e: e, r: r, dest: dest, exclude: make(map[string]bool), leaving: make(map[string]bool),
+		results: make(chan callResult, maxTries),
+	}
+}
+
+// exhausted reports whether the call may not be tried again.
+func (c *serviceCall) exhausted() bool { return int(c.attempts)-c.unsent >= maxTries }
+
 func (c *serviceCall) run(ctx context.Context) (*pb.CallReply, *verdict.Error) {
 	if err := c.start(ctx); err != nil {
 		return nil, err
@@ -143,6 +160,12 @@
 // started, and the final error otherwise.
 func (c *serviceCall) handleFailure(ctx context.Context, res callResult, worst verdict.Verdict) *verdict.Error {
 	c.exclude[res.target.id] = true
+	if res.err.Code == verdict.Leaving {
+		c.leaving[res.target.id] = true
+	}
+	if res.err.Verdict == verdict.NotRun {
+		c.unsent++
+	}
 	if res.err.Crashed {
 		c.e.recordCrash(c.r.fingerprint, res.err.CrashedAlone)
 	}
@@ -161,7 +184,7 @@
 		Organisation: c.r.organisation, Target: c.dest.choice.Pool, Idempotent: c.r.idempotent,
 		Attempts: c.failures, Refusals: c.refusals, MayHaveRun: worst != verdict.NotRun, Deadline: c.r.deadline,
 	})
-	if !d.Retry || c.attempts >= maxTries {
+	if !d.Retry || c.exhausted() {
 		return &err
 	}
 	wait.Sleep(ctx, d.Delay)
@@ -230,7 +253,7 @@
 // retry budget: its hedge isn't a guess but replaces a try that has probably
 // failed.
 func (c *serviceCall) hedge(ctx context.Context) {
-	if len(c.open) != 1 || c.attempts >= maxTries {
+	if len(c.open) != 1 || c.exhausted() {
 		return
 	}
 	pool := c.dest.choice.Pool
@@ -241,8 +264,15 @@
 	}
 }
 
-// start starts a try at the best server that hasn't been tried.
+// start starts a try at the best server that hasn't been tried. Once all have, it is
+// one that didn't refuse as leaving: a server whose connection failed may be back.
 func (c *serviceCall) start(ctx context.Context) *verdict.Error {
+	if len(c.exclude) >= len(c.dest.targets.service) {
+		c.exclude = maps.Clone(c.leaving)
+		for _, o := range c.open {
+			c.exclude[o.server] = true
+		}
+	}
 	list := c.e.chooseService(c.dest.targets.service, c.exclude)
 	if len(list) == 0 {
 		return verdict.New(verdict.NotRun, verdict.NoServer, "No server of pool %s can be used now.", c.dest.choice.Pool).WithRetryAfter(time.Second)
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -96,8 +96,7 @@
 // post runs one non-idempotent call.
 func post(ctx context.Context, e *Entry, p poolTargets) (*pb.CallReply, *verdict.Error) {
 	r := &request{id: e.nextID(), organisation: "o", method: http.MethodPost, uri: "/book", deadline: time.Now().Add(10 * time.Second)}
-	c := &serviceCall{e: e, r: r, dest: destination{targets: p}, exclude: make(map[string]bool), results: make(chan callResult, maxTries)}
-	return c.run(ctx)
+	return newServiceCall(e, r, destination{targets: p}).run(ctx)
 }
 
 // Guards against refusing a call while an agent has just restarted and the other one is
@@ -119,3 +118,35 @@
 		assert.Assert(t, failed == nil, "%v", failed)
 	}
 }
+
+// slowListener delays each connection, as an agent does that has hardly any processor
+// time.
+type slowListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	time.Sleep(l.delay)
+	return c, err
+}
+
+// Guards against refusing a call while the connection to an agent that has just come
+// back is slow to open and the other agent is leaving.
+func TestSlowConnectionToAReturnedAgentIsAwaited(t *testing.T) {
+	t.Parallel()
+	returned, leaving := &fakeAgent{}, &fakeAgent{leaving: true}
+	l, m := listen(t), listen(t)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	leaving.serve(t, m)
+	e, p := serviceEntry(map[string]string{"returned": address, "leaving": m.Addr().String()})
+	_, failed := post(t.Context(), e, p)
+	assert.Assert(t, failed != nil)
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	returned.serve(t, slowListener{l, 150 * time.Millisecond})
+	_, failed = post(t.Context(), e, p)
+	assert.Assert(t, failed == nil, "%v", failed)
+}
