Calls: one that can't be repeated outlives the replacement of its connection

Callers saw: 502, "may have run", for running calls that can't be repeated, five at a moment; the service had been working on them and was told to stop. Seen in known red TestRollingRestartCutsNothing.

Log: five calls of one entry at one agent end in the same millisecond with "context canceled"; nobody was stopping; the agent's stop came 3.8 s later.

Cause: a renewal that isn't acknowledged within 0.6 s replaces the connection, and all calls on the old one were given up. Streams attach again over the new one; a call can't, and its end makes the agent cancel it at the service. So a slow moment of an agent cut work that was going on.

Change: only calls that may be repeated are given up with the connection. Others wait for their reply on the old one, which closes 5 s later; if it is dead, they end then, as "may have run", 4 s later than before. Attempts are renewed over the new connection meanwhile, so the agent goes on.

Ruled out: the agent's end, a restart (the next log line of either is seconds away). TestReplacedConnectionDoesNotCutARunningCall failed before. A call that takes more than 5 s from the replacement on is still cut.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -343,8 +343,14 @@
 	for _, h := range r.headers {
 		req.Headers = append(req.Headers, &pb.Header{Key: h.key, Value: h.value})
 	}
-	ctx, cancel := conn.ConnectionContext(ctx)
-	defer cancel()
+	if r.idempotent {
+		// Another server can answer. A call that can't be repeated waits on the old
+		// connection until that closes: a renewal without a reply may mean that the
+		// agent is slow, and giving up would make it cancel the call midway.
+		var cancel context.CancelFunc
+		ctx, cancel = conn.ConnectionContext(ctx)
+		defer cancel()
+	}
 	began := time.Now()
 	reply, err := conn.Call(ctx, req)
 	if err != nil {
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -150,3 +150,23 @@
 	_, failed = post(t.Context(), e, p)
 	assert.Assert(t, failed == nil, "%v", failed)
 }
+
+// Guards against cutting running calls that can't be repeated when their connection is
+// replaced because a renewal went unanswered for a moment.
+func TestReplacedConnectionDoesNotCutARunningCall(t *testing.T) {
+	t.Parallel()
+	a := &fakeAgent{takes: 1500 * time.Millisecond}
+	a.silent.Store(1)
+	l := listen(t)
+	a.serve(t, l)
+	e, p := serviceEntry(map[string]string{"service": l.Addr().String()})
+	conn, err := e.agents.Conn("service", l.Addr().String())
+	assert.NilError(t, err)
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		_ = conn.Probe(context.WithoutCancel(t.Context()))
+	}()
+	_, failed := post(t.Context(), e, p)
+	assert.Assert(t, failed == nil, "%v", failed)
+	assert.Equal(t, a.ended.Load(), int32(0))
+}
