Prefill: attached to again when its connection is replaced

A prefill whose connection is replaced because a renewal went unanswered was given up as "may have run", which ends a generation that can't be repeated; others paid for a second prefill. The agent goes on with a run whose entry lost its connection and lets it attach again; token streams do, prefills didn't.

Change: the same prefill is sent over the new connection, three times at most; the agent attaches it to the run, or reserves if it never arrived.

--- a/internal/entry/service_test.go
+++ b/internal/entry/agent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,11 +14,12 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/settings"
 	"jayford.example/jayford/internal/transport"
 	"jayford.example/jayford/internal/verdict"
 )
 
-// fakeAgent is an agent beside a plain service.
+// fakeAgent is an agent beside a plain service or a prefill engine.
 type fakeAgent struct {
 	pb.UnimplementedAgentServer
 	incarnation uint64
@@ -26,6 +28,9 @@
 	takes time.Duration
 	// silent is how many renewal streams, from the first, aren't answered.
 	silent atomic.Int32
+	// prefillEnd is set by the first prefill, under prefill.
+	prefill    sync.Once
+	prefillEnd time.Time
 	// ended counts calls that ended before they were answered.
 	ended atomic.Int32
 }
@@ -50,6 +55,17 @@
 	}
 }
 
+// Prefill runs one prefill, to which further calls attach.
+func (a *fakeAgent) Prefill(ctx context.Context, _ *pb.PrefillRequest) (*pb.PrefillReply, error) {
+	a.prefill.Do(func() { a.prefillEnd = time.Now().Add(a.takes) })
+	select {
+	case <-time.After(time.Until(a.prefillEnd)):
+		return &pb.PrefillReply{Granted: true, PromptTokens: 1}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (a *fakeAgent) RenewStream(s grpc.BidiStreamingServer[pb.RenewFrame, pb.RenewAck]) error {
 	if a.silent.Add(-1) >= 0 {
 		<-s.Context().Done()
@@ -156,17 +172,38 @@
 func TestReplacedConnectionDoesNotCutARunningCall(t *testing.T) {
 	t.Parallel()
 	a := &fakeAgent{takes: 1500 * time.Millisecond}
+	e, p := a.replacingConnection(t)
+	_, failed := post(t.Context(), e, p)
+	assert.Assert(t, failed == nil, "%v", failed)
+	assert.Equal(t, a.ended.Load(), int32(0))
+}
+
+// Guards against ending generations that can't be repeated when the connection to their
+// prefill agent is replaced while the agent goes on.
+func TestPrefillIsAttachedToOverANewConnection(t *testing.T) {
+	t.Parallel()
+	a := &fakeAgent{takes: 1500 * time.Millisecond}
+	e, p := a.replacingConnection(t)
+	g := generationOf(settings.PlacementPolicy)
+	g.e, g.log, g.exclude = e, e.log, make(map[string]bool)
+	gr, failed := g.newGrant(p.service[0], pb.Phase_PHASE_PREFILL)
+	assert.Assert(t, failed == nil, "%v", failed)
+	_, failed = g.prefill(t.Context(), gr, nil)
+	assert.Assert(t, failed == nil, "%v", failed)
+}
+
+// replacingConnection serves an agent and returns an entry that knows it as "server"
+// and replaces its connection 0.8 s later, as a renewal isn't answered.
+func (a *fakeAgent) replacingConnection(t *testing.T) (*Entry, poolTargets) {
 	a.silent.Store(1)
 	l := listen(t)
 	a.serve(t, l)
-	e, p := serviceEntry(map[string]string{"service": l.Addr().String()})
-	conn, err := e.agents.Conn("service", l.Addr().String())
+	e, p := serviceEntry(map[string]string{"server": l.Addr().String()})
+	conn, err := e.agents.Conn("server", l.Addr().String())
 	assert.NilError(t, err)
 	go func() {
 		time.Sleep(200 * time.Millisecond)
 		_ = conn.Probe(context.WithoutCancel(t.Context()))
 	}()
-	_, failed := post(t.Context(), e, p)
-	assert.Assert(t, failed == nil, "%v", failed)
-	assert.Equal(t, a.ended.Load(), int32(0))
+	return e, p
 }
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -15,6 +15,8 @@
 const (
 	// prefillSlack is how long a prefill may take beyond its prediction.
 	prefillSlack = 30 * time.Second
+	// maxPrefillSends bounds how often a prefill is sent as its connection is replaced.
+	maxPrefillSends = 3
 	// maxRoomHintAge is the maximum age of a load hint for sending a prompt along
 	// with its reservation. An older one says little about free capacity.
 	maxRoomHintAge = 10 * time.Second
@@ -93,10 +95,8 @@
 	limit := min(time.Until(g.r.deadline), g.e.predictPrefill(gr.target, g.r)+prefillSlack)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	ctx, drop := gr.conn.ConnectionContext(ctx)
-	defer drop()
 	g.dispatched = true
-	reply, err := gr.conn.Prefill(ctx, &pb.PrefillRequest{
+	reply, err := sendPrefill(ctx, gr.conn, &pb.PrefillRequest{
 		Attempt: gr.attempt, Model: g.r.model, Prompt: []byte(g.r.prompt), Reserve: reserve,
 		Priority: priorityOf(g.dest.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
 	})
@@ -124,6 +124,20 @@
 	return reply, nil
 }
 
+// sendPrefill runs a prefill. If its connection is replaced meanwhile, it attaches to
+// the same attempt over the new one.
+func sendPrefill(ctx context.Context, conn *agents.Conn, q *pb.PrefillRequest) (*pb.PrefillReply, error) {
+	for n := 1; ; n++ {
+		kept, drop := conn.ConnectionContext(ctx)
+		reply, err := conn.Prefill(kept, q)
+		replaced := kept.Err() != nil && ctx.Err() == nil
+		drop()
+		if err == nil || !replaced || n == maxPrefillSends {
+			return reply, err
+		}
+	}
+}
+
 // prefillCallError returns the error of a prefill call that the agent didn't
 // answer. Only a refused connection proves that a call with its own reservation
 // ran nothing.
