Status: readiness is read before the configuration

A process took the configuration's revision and then asked whether it is ready. Both change in this order at a start, so a status could say "ready" beside revision 0, and an operator's script would take an entry without any configuration for a ready one. Read the other way round that can't be. No test of its own: the window is two statements wide, and nothing can be forced between them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,11 +101,13 @@
 }
 
 func (c *core) status() operator.Status {
+	// Read before the configuration, which may come into force in between.
+	ready := c.ready()
 	snap := c.config.Current()
 	return operator.Status{
 		ID: c.process.ID, Role: c.role, AvailabilityZone: c.process.AvailabilityZone,
 		Revision: snap.Revision, Digest: snap.Digest, Incarnation: c.incarnation,
-		Ready:         c.ready(),
+		Ready:         ready,
 		UptimeSeconds: int64(time.Since(c.started).Seconds()),
 	}
 }
