State dump tells whose it is; the status check compares answers of one process

Callers saw nothing. Known red TestConfigurationIsInForceEverywhere (and once TestRollingRestartCutsNothing): "label of version 0 after 279" of an agent that was restarted, while no revision went back.

Two hypotheses gave the same record: a process that says it is ready without the configuration, or a sample whose two answers, /status and /debug/state, come from the process before and the one after a restart. The dump didn't say whose it is. Now it has the status with the incarnation.

Change of the check: a sample whose answers come from different incarnations isn't taken. It is as strict: what one process says of itself is compared as before, across restarts too, each 0.1 s.

The entry stays until the test has passed many times beside load.

--- a/test/config_test.go
+++ b/test/config_test.go
@@ -37,8 +37,10 @@
 // contendedSerials has the serials of the two objects that operators change concurrently.
 type contendedSerials struct{ label, selector string }
 
-// configDump is the part of a state dump that shows the contended objects.
+// configDump is the part of a state dump that shows the contended objects, and whose
+// dump it is.
 type configDump struct {
+	Status operator.Status `json:"status"`
 	Config struct {
 		Servers   map[string]object.Server
 		Selectors []struct {
@@ -95,6 +97,11 @@
 		if getJSON(n.operator, operator.PathStatus, &st) != nil || getJSON(n.operator, operator.PathState, &dump) != nil {
 			continue
 		}
+		if dump.Status.Incarnation != st.Incarnation {
+			// The process was restarted between the two answers, so they don't
+			// describe one state.
+			continue
+		}
 		s.mu.Lock()
 		s.samples[n.id] = append(s.samples[n.id], sample{time.Now(), st.Incarnation, st.Revision, st.Ready, dump.serials()})
 		s.mu.Unlock()
