Entries: a server whose last report said that it is out is probed

Callers saw: refusals ("No capacity came free in 1.7 s.", "The first token can't come in time.") while one of four decode engines stood idle for the rest of the run. Known red TestRolesFollowDemand.

Reproduced on the untouched code: 1 of 6 runs beside three other tests (load average 56): 31 refusals, 9 of them in the last third. Its logs: prefill-0 becomes a decode engine, and 3 s later the same order is repeated as its labels lagged, for which it is emptied once more. From then on, for 22 s, neither entry sends it anything, with 12 slots held at the other three at each refusal. The last thing that one entry heard from it were ends of streams during the emptying; the other heard nothing since the first order.

Cause: an agent's load travels with each reply, and its "leaving" and "down" ranked the server last until the next reply. A refusal marks the server in the membership, which is probed; a report beside a stream's end, a release or a prefill marked only the hint. A server that is ranked last gets no request (at most three are tried), so no reply ever corrected the hint.

Change: a report that a server is down or leaving, or no longer, goes to the membership, whichever reply brings it; the hint itself ranks nobody. The membership probes a leaving server each second, and a doubted one.

Ruled out: the labels (three changes, as the test demands), the engine's role (the order ended without an error), a lack of capacity (4 of 16 slots free). Test TestServerThatReportedToBeOutIsUsedAgain failed before, for both reports. Looked for elsewhere: Used and Queued of a hint are discounted by its age; hasRoom reads the flags only to save a round trip. Gateways take both from the platform's entries, which expire, and from answers to requests that they place by.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -146,18 +146,29 @@
 // UpdateHint stores an agent's incarnation and load in its hint and resets the pending
 // counts. Incarnation 0 and a nil load mean that the reply had none.
 func (c *Conn) UpdateHint(l *pb.Load, incarnation uint64) {
+	changed := c.storeHint(l, incarnation)
+	if changed && c.pool.OnAvailability != nil {
+		c.pool.OnAvailability(c.id, l)
+	}
+}
+
+// storeHint reports whether the load says otherwise than the one before whether the
+// server takes work.
+func (c *Conn) storeHint(l *pb.Load, incarnation uint64) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if incarnation != 0 {
 		c.hint.Incarnation = incarnation
 	}
 	if l == nil {
-		return
+		return false
 	}
+	old := c.hint.Load
 	c.hint.Load = l
 	c.hint.At = time.Now()
 	c.hint.Pending = 0
 	c.hint.PendingTokens = 0
+	return old.GetDown() != l.GetDown() || old.GetLeaving() != l.GetLeaving()
 }
 
 func (c *Conn) needsRenewal() bool {
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -67,7 +67,10 @@
 	// OnRenewal, if not nil, is called after each renewal with the agent's instance id
 	// and the renewal's error. Set it before Run.
 	OnRenewal func(id string, err error)
-	log       *logrus.Entry
+	// OnAvailability, if not nil, is called when an agent reports for the first time that
+	// its server is down or leaving, or no longer is. Set it before the first connection.
+	OnAvailability func(id string, l *pb.Load)
+	log            *logrus.Entry
 	// sequence numbers the renewals to all agents. An agent keeps the last number
 	// of each entry for longer than an idle connection stays open. If numbering
 	// restarted with each connection, the agent would discard the renewals as out
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -14,6 +14,7 @@
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/settings"
 	"jayford.example/jayford/internal/transport"
 	"jayford.example/jayford/internal/verdict"
@@ -75,7 +76,7 @@
 		if _, err := s.Recv(); err != nil {
 			return err
 		}
-		if err := s.Send(&pb.RenewAck{}); err != nil {
+		if err := s.Send(&pb.RenewAck{Load: &pb.Load{Slots: 4, Leaving: a.leaving}}); err != nil {
 			return err
 		}
 	}
@@ -207,3 +208,26 @@
 	}()
 	return e, p
 }
+
+// Guards against a server that is never used again: the last reply from its agent said
+// that it is leaving or down, and no request went there that could learn otherwise.
+func TestServerThatReportedToBeOutIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	for name, report := range map[string]*pb.Load{"leaving": {Leaving: true}, "down": {Down: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, l := &fakeAgent{}, listen(t)
+			a.serve(t, l)
+			e, p := serviceEntry(map[string]string{"server": l.Addr().String()})
+			go func() { _ = e.watchMembers(t.Context()) }()
+			conn, err := e.agents.Conn("server", l.Addr().String())
+			assert.NilError(t, err)
+			conn.UpdateHint(report, 1)
+			assert.Assert(t, e.candidates(p.service)[0].LastResort)
+			const within = doubt.DefaultLeavingProbeInterval + time.Second
+			for begin := time.Now(); e.candidates(p.service)[0].LastResort; time.Sleep(10 * time.Millisecond) {
+				assert.Assert(t, time.Since(begin) < within, "still ranked last")
+			}
+		})
+	}
+}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -75,7 +75,7 @@
 	out := make([]place.Candidate, len(list))
 	for i, t := range list {
 		out[i] = candidate(t, e.agents.Hint(t.id), now)
-		out[i].LastResort = out[i].LastResort || e.rankedLast(t.id)
+		out[i].LastResort = e.rankedLast(t.id)
 	}
 	return out
 }
@@ -93,7 +93,6 @@
 	c.QueuedTokens = int64(l.QueuedTokens)
 	c.PrefillPerThousand = time.Duration(l.PrefillUs) * time.Microsecond
 	c.TokenTime = time.Duration(l.TokenUs) * time.Microsecond
-	c.LastResort = l.Down || l.Leaving
 	return c
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,6 +111,7 @@
 	o.Board.AddView("queues", e.queuesView)
 	o.Board.AddView("members", e.members.view)
 	e.agents.OnRenewal = e.recordHeartbeat
+	e.agents.OnAvailability = e.recordAvailability
 	m.onLost = e.serverLost
 	return e
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/doubt"
 )
@@ -231,6 +232,20 @@
 	e.recordAnswer(in.ID)
 }
 
+// recordAvailability records an agent's report that its server is down or leaving, or no
+// longer is. A server that is out of use gets no requests whose replies could tell that
+// it is back; its membership is probed.
+func (e *Entry) recordAvailability(id string, l *pb.Load) {
+	if l.GetDown() {
+		e.members.observe(id, doubt.Down)
+	}
+	if l.GetLeaving() {
+		e.members.markLeaving(id)
+	} else {
+		e.members.clearLeaving(id)
+	}
+}
+
 // recordAnswer records that an agent answered a heartbeat or probe, and the state
 // of its backend server according to its last load report.
 func (e *Entry) recordAnswer(id string) {
