Entries: a server with one unanswered request is probed

Callers saw nothing; operators were told by explain that a dead server is selected, for as long as no request went there. Known red TestExplainTellsWhoIsNotUsed.

Cause: what a single unanswered request means was left to the next request, and placement passes such a server by.

Change: an entry probes a trusted server 0.1 to 0.3 s after a request there wasn't answered, unless it answers before. The probe's failure makes it doubted. Gateways don't: their probe opens a connection that is paid for, and their requests aren't hedged.

Two tests; TestUnansweredRequestIsFollowedByAProbe failed before. What remains: a server that no request tried at all since it died isn't doubted; the first caller there is served by another one.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -31,7 +31,9 @@
 	maxProbeBackoff = time.Second
 )
 
-var memberOptions = doubt.Options{MaxBackoff: maxProbeBackoff}
+// A server with an unanswered request looks loaded and is passed by, so that no further
+// request would show whether it has failed.
+var memberOptions = doubt.Options{MaxBackoff: maxProbeBackoff, ProbeUnanswered: true}
 
 // members is the entry's view of which agents exist and are usable. It combines
 // the platform's instance list, which lags, with the outcomes of the entry's own
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -116,6 +116,9 @@
 	// whether it still does. Orders to change its stage take a server out for a tenth
 	// of a second or for some seconds, far less than LeavingTimeout.
 	LeavingProbeInterval time.Duration
+	// ProbeUnanswered: a trusted server is probed after a single request that wasn't
+	// answered. Otherwise only the next request there shows whether it has failed.
+	ProbeUnanswered bool
 }
 
 // Defaults of Options.
@@ -204,6 +207,9 @@
 	leavingUntil time.Time
 	// leavingProbeAt is when a server that refused as leaving is probed next.
 	leavingProbeAt time.Time
+	// checkAt is when a trusted server is probed because its last request wasn't
+	// answered, or zero.
+	checkAt time.Time
 }
 
 // NewSet returns an empty set. rnd is the source of jitter.
@@ -294,6 +300,10 @@
 		x.lastFailure = now
 		if x.failures+x.missedBeats >= doubtThreshold {
 			s.markDoubted(x, now)
+			return
+		}
+		if s.opts.ProbeUnanswered {
+			x.checkAt = now.Add(s.jittered(s.opts.MinBackoff))
 		}
 	case Doubted:
 		// The other requests that fail with the same connection are no new
@@ -315,7 +325,7 @@
 // the backoff stays and a single failure is enough until the first success.
 // Otherwise the server would always be tried again after the shortest backoff.
 func (s *Set) recordAlive(x *server, now time.Time, o Outcome) {
-	x.lastSeen, x.missedBeats = now, 0
+	x.lastSeen, x.missedBeats, x.checkAt = now, 0, time.Time{}
 	if o == Success {
 		x.failures, x.backoff, x.unproven = 0, 0, false
 	}
@@ -346,12 +356,19 @@
 
 func (s *Set) markDoubted(x *server, now time.Time) {
 	x.state, x.failures, x.missedBeats, x.unproven = Doubted, 0, 0, true
+	x.checkAt = time.Time{}
 	x.backoff = min(max(2*x.backoff, s.opts.MinBackoff), s.opts.MaxBackoff)
-	x.next = now.Add(time.Duration((0.5 + s.rnd.Float64()) * float64(x.backoff)))
+	x.next = now.Add(s.jittered(x.backoff))
+}
+
+// jittered returns d changed by up to a half.
+func (s *Set) jittered(d time.Duration) time.Duration {
+	return time.Duration((0.5 + s.rnd.Float64()) * float64(d))
 }
 
 // Probes returns the sorted ids of the servers to probe now and marks the doubted
-// ones as probing. A probe is a small call on a new connection, as an existing one can
+// ones as probing. Trusted servers are among them if they refused as leaving, or if a
+// request wasn't answered. A probe is a small call on a new connection, as an existing one can
 // stay silent while new ones work; its result goes to Record, and to MarkLeaving or
 // ClearLeaving. Call it a few times per second: it scans the set.
 func (s *Set) Probes(now time.Time) []string {
@@ -370,6 +387,9 @@
 		case x.state == Trusted && now.Before(x.leavingUntil) && !now.Before(x.leavingProbeAt):
 			x.leavingProbeAt = now.Add(s.opts.LeavingProbeInterval)
 			out = append(out, x.id)
+		case x.state == Trusted && !x.checkAt.IsZero() && !now.Before(x.checkAt):
+			x.checkAt = time.Time{}
+			out = append(out, x.id)
 		}
 	}
 	out = append(out, s.startProbes(due, inFlight, now)...)
--- a/internal/policy/doubt/doubt_test.go
+++ b/internal/policy/doubt/doubt_test.go
@@ -196,3 +196,32 @@
 	assert.Equal(t, view(t, s, "0", now).Share, 1.0, "the server was never doubted")
 	assert.Equal(t, len(s.Probes(now.Add(time.Minute))), 0)
 }
+
+// Guards against a dead server that stays trusted for long: one request there wasn't
+// answered, and no other was sent that would fail.
+func TestUnansweredRequestIsFollowedByAProbe(t *testing.T) {
+	s, _ := newSet(2)
+	s.opts.ProbeUnanswered = true
+	s.Record("1", start, Timeout)
+	probed := start
+	for ; len(s.Probes(probed)) == 0; probed = probed.Add(50 * time.Millisecond) {
+		assert.Assert(t, probed.Sub(start) < 2*DefaultMinBackoff, "no probe")
+	}
+	assert.Equal(t, view(t, s, "1", probed).State, Trusted)
+	s.Record("1", probed, Timeout)
+	assert.Equal(t, view(t, s, "1", probed).State, Doubted)
+}
+
+// Guards against probes without end of a server whose agent answered the first.
+func TestAnsweredProbeOfATrustedServerIsTheLast(t *testing.T) {
+	s, _ := newSet(1)
+	s.opts.ProbeUnanswered = true
+	s.Record("0", start, Timeout)
+	now := start.Add(2 * DefaultMinBackoff)
+	assert.DeepEqual(t, s.Probes(now), []string{"0"})
+	s.Record("0", now, Alive)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		assert.Equal(t, len(s.Probes(now)), 0)
+	}
+}
