Entries: who is refused as not run by all servers is told when to come back

Callers saw: 503 or 502 without Retry-After, as not run, where all servers of a pool refused as leaving or couldn't be reached; seen in the logs of the known red TestRollingRestartCutsNothing ("retryAfter": 0). The delay came from an agent's refusal, which has one only when it is full. Now such a refusal names a second, for causes that pass. TestCallRefusedByAllHasRetryAfter failed before.

--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -136,6 +136,19 @@
 	}
 }
 
+// Guards against a refusal without a time to come back, while all agents are leaving.
+func TestCallRefusedByAllHasRetryAfter(t *testing.T) {
+	t.Parallel()
+	l, m := listen(t), listen(t)
+	(&fakeAgent{leaving: true}).serve(t, l)
+	(&fakeAgent{leaving: true}).serve(t, m)
+	e, p := serviceEntry(map[string]string{"a": l.Addr().String(), "b": m.Addr().String()})
+	_, failed := post(t.Context(), e, p)
+	assert.Assert(t, failed != nil)
+	assert.Equal(t, failed.Verdict, verdict.NotRun)
+	assert.Assert(t, failed.RetryAfter > 0, "%+v", failed)
+}
+
 // slowListener delays each connection, as an agent does that has hardly any processor
 // time.
 type slowListener struct {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -112,6 +112,7 @@
 		changed.Verdict = verdict.MayHaveRun
 		err = &changed
 	}
+	err = withRetryAfter(err)
 	// Only a claimed key is released: earlier refusals must not call the
 	// platform, or wait for it when it is down.
 	if err.Verdict == verdict.NotRun && g.claimed {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -32,6 +32,23 @@
 	}
 }
 
+// unavailableRetryAfter is the retry delay for callers whose request found no server that
+// took it, if none named another.
+const unavailableRetryAfter = time.Second
+
+// withRetryAfter returns err with a retry delay if it has none and the request hasn't run
+// for a cause that passes.
+func withRetryAfter(err *verdict.Error) *verdict.Error {
+	if err.Verdict != verdict.NotRun || err.RetryAfter > 0 {
+		return err
+	}
+	switch err.Code {
+	case verdict.Overloaded, verdict.Leaving, verdict.Unreachable, verdict.ServerLost, verdict.Transfer:
+		return err.WithRetryAfter(unavailableRetryAfter)
+	}
+	return err
+}
+
 // refusalError converts an agent's refusal to an error.
 func refusalError(r *pb.Refusal) *verdict.Error {
 	v := verdict.MayHaveRun
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -185,11 +185,11 @@
 		Attempts: c.failures, Refusals: c.refusals, MayHaveRun: worst != verdict.NotRun, Deadline: c.r.deadline,
 	})
 	if !d.Retry || c.exhausted() {
-		return &err
+		return withRetryAfter(&err)
 	}
 	wait.Sleep(ctx, d.Delay)
 	if c.start(ctx) != nil {
-		return &err
+		return withRetryAfter(&err)
 	}
 	return nil
 }
