Entries: an agent that ended its connection is probed

Callers saw: the first request to a server that had died since its last one paid for a try; operators read "selected" of it for as long as none came.

Cause: health is learned from requests alone, though the kernel tells at once that the agent's connection was closed.

Change: a connection that the agent ends has the agent probed 0.1 to 0.3 s later. The probe's refusal makes it doubted; an agent that restarted or refuses as leaving is known before a request finds out. A server behind a cut isn't found this way, but by the unanswered request.

Ruled out: a probe that another process answered (none was sent). Test TestAgentThatEndedItsConnectionIsProbed failed before. Cost, worked out and not measured: one small message for each connection to an agent that ends, at full size 211 entries at once for an agent of a prefill engine, and their probes each second at most until it is back or off the list.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -52,9 +52,24 @@
 	c.api = pb.NewAgentClient(cc)
 	c.dials++
 	c.lastUse = time.Now()
+	if c.pool.OnDisconnect != nil {
+		go c.watch(cc)
+	}
 	return nil
 }
 
+// watch reports each time that the agent ends the connection, until it is closed here.
+func (c *Conn) watch(cc *grpc.ClientConn) {
+	for state := cc.GetState(); state != connectivity.Shutdown; {
+		cc.WaitForStateChange(context.Background(), state)
+		next := cc.GetState()
+		if state == connectivity.Ready && next != connectivity.Ready && next != connectivity.Shutdown {
+			c.pool.OnDisconnect(c.id)
+		}
+		state = next
+	}
+}
+
 // channel is the gRPC connection that a Conn had when a call began.
 type channel struct {
 	api pb.AgentClient
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -70,7 +70,10 @@
 	// OnAvailability, if not nil, is called when an agent reports for the first time that
 	// its server is down or leaving, or no longer is. Set it before the first connection.
 	OnAvailability func(id string, l *pb.Load)
-	log            *logrus.Entry
+	// OnDisconnect, if not nil, is called when an agent ends a connection. Set it before
+	// the first connection.
+	OnDisconnect func(id string)
+	log          *logrus.Entry
 	// sequence numbers the renewals to all agents. An agent keeps the last number
 	// of each entry for longer than an idle connection stays open. If numbering
 	// restarted with each connection, the agent would discard the renewals as out
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -82,12 +82,13 @@
 	}
 }
 
-// serve starts the agent's server on l.
-func (a *fakeAgent) serve(t *testing.T, l net.Listener) {
+// serve starts the agent's server on l and returns it.
+func (a *fakeAgent) serve(t *testing.T, l net.Listener) *grpc.Server {
 	server := grpc.NewServer(transport.ServerOptions()...)
 	pb.RegisterAgentServer(server, a)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
+	return server
 }
 
 func listen(t *testing.T) net.Listener {
@@ -244,3 +245,18 @@
 		})
 	}
 }
+
+// Guards against a dead server that counts as healthy until a request is sent there.
+func TestAgentThatEndedItsConnectionIsProbed(t *testing.T) {
+	t.Parallel()
+	l := listen(t)
+	server := (&fakeAgent{}).serve(t, l)
+	e, p := serviceEntry(map[string]string{"server": l.Addr().String()})
+	go func() { _ = e.watchMembers(t.Context()) }()
+	_, failed := post(t.Context(), e, p)
+	assert.Assert(t, failed == nil, "%v", failed)
+	server.Stop()
+	for begin := time.Now(); !e.members.unavailable("server"); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Since(begin) < time.Second, "still trusted")
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,6 +112,7 @@
 	o.Board.AddView("members", e.members.view)
 	e.agents.OnRenewal = e.recordHeartbeat
 	e.agents.OnAvailability = e.recordAvailability
+	e.agents.OnDisconnect = m.check
 	m.onLost = e.serverLost
 	return e
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// check has an agent probed soon, as it ended a connection.
+func (m *members) check(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.set.Check(id, time.Now())
+}
+
 // markLeaving records that an agent refused work because it is leaving.
 func (m *members) markLeaving(id string) {
 	now := time.Now()
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -207,8 +207,7 @@
 	leavingUntil time.Time
 	// leavingProbeAt is when a server that refused as leaving is probed next.
 	leavingProbeAt time.Time
-	// checkAt is when a trusted server is probed because its last request wasn't
-	// answered, or zero.
+	// checkAt is when a trusted server is probed once, or zero.
 	checkAt time.Time
 }
 
@@ -303,7 +302,7 @@
 			return
 		}
 		if s.opts.ProbeUnanswered {
-			x.checkAt = now.Add(s.jittered(s.opts.MinBackoff))
+			s.check(x, now)
 		}
 	case Doubted:
 		// The other requests that fail with the same connection are no new
@@ -366,9 +365,23 @@
 	return time.Duration((0.5 + s.rnd.Float64()) * float64(d))
 }
 
+// Check has a trusted server probed soon, as its connection was closed: it may have died,
+// and placement may pass it by for long.
+func (s *Set) Check(id string, now time.Time) {
+	if x, ok := s.servers[id]; ok && x.state == Trusted {
+		s.check(x, now)
+	}
+}
+
+func (s *Set) check(x *server, now time.Time) {
+	if x.checkAt.IsZero() {
+		x.checkAt = now.Add(s.jittered(s.opts.MinBackoff))
+	}
+}
+
 // Probes returns the sorted ids of the servers to probe now and marks the doubted
-// ones as probing. Trusted servers are among them if they refused as leaving, or if a
-// request wasn't answered. A probe is a small call on a new connection, as an existing one can
+// ones as probing. Trusted servers are among them if they refused as leaving, after
+// Check, and with Options.ProbeUnanswered. A probe is a small call on a new connection, as an existing one can
 // stay silent while new ones work; its result goes to Record, and to MarkLeaving or
 // ClearLeaving. Call it a few times per second: it scans the set.
 func (s *Set) Probes(now time.Time) []string {
