Membership: calls from before a server's recovery are no evidence against it

Callers saw nothing; a server behind a healed cut came into use a second later than it could. Known red TestCutBetweenEntryAndAgent ("the healed server got no work").

Cause: the call that timed out was sent before the probe that found the server alive, on the connection from the cut. A failure counted by the time at which it was seen. A server that was just found alive is doubted by a single one.

Change: a failed call that began before the server was last found alive again isn't counted. Entries tell when calls began; gateways don't hold calls back over a probe and are unchanged.

TestCallsFromBeforeTheRecoveryAreNoEvidence failed before.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -388,12 +388,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+replyMargin)
 	defer cancel()
+	began := time.Now()
 	reply, rerr := gr.conn.Reserve(ctx, g.reservation(gr, wait))
 	if rerr != nil {
 		// The agent may have granted the slot: release it so that it isn't held
 		// until it lapses.
 		gr.release()
-		g.e.recordCallError(t.id, rerr)
+		g.e.recordCallError(t.id, began, rerr)
 		return nil, verdict.Wrap(rerr, verdict.NotRun, verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -100,12 +100,13 @@
 	return out
 }
 
-// observe records the outcome of a call to an agent, and logs a change of its
-// state.
-func (m *members) observe(id string, o doubt.Outcome) {
-	now := time.Now()
+// observe records what is known now of an agent, and logs a change of its state.
+func (m *members) observe(id string, o doubt.Outcome) { m.observeCall(id, time.Now(), o) }
+
+// observeCall is observe for the outcome of a call that began at the given time.
+func (m *members) observeCall(id string, began time.Time, o doubt.Outcome) {
 	m.mu.Lock()
-	before, after, turned := m.set.RecordTransition(id, now, o)
+	before, after, turned := m.set.RecordTransition(id, began, time.Now(), o)
 	m.mu.Unlock()
 	if !turned {
 		return
@@ -292,9 +293,9 @@
 
 // recordCallError records a call to an agent that failed with err. A call that
 // this entry cancelled is no evidence against the agent.
-func (e *Entry) recordCallError(id string, err error) {
+func (e *Entry) recordCallError(id string, began time.Time, err error) {
 	if status.Code(err) != codes.Canceled {
-		e.members.observe(id, outcomeOfError(err))
+		e.members.observeCall(id, began, outcomeOfError(err))
 	}
 }
 
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -96,12 +96,13 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	g.dispatched = true
+	began := time.Now()
 	reply, err := sendPrefill(ctx, gr.conn, &pb.PrefillRequest{
 		Attempt: gr.attempt, Model: g.r.model, Prompt: []byte(g.r.prompt), Reserve: reserve,
 		Priority: priorityOf(g.dest.choice.Priority), DeadlineMs: uint64(limit.Milliseconds()),
 	})
 	if err != nil {
-		g.e.recordCallError(gr.conn.ID(), err)
+		g.e.recordCallError(gr.conn.ID(), began, err)
 		return nil, g.prefillCallError(gr, reserve, err)
 	}
 	gr.granted = gr.granted || reply.Granted
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -204,7 +204,7 @@
 			return
 		}
 		if !o.judged {
-			c.e.members.observe(o.server, doubt.Timeout)
+			c.e.members.observeCall(o.server, o.began, doubt.Timeout)
 		}
 	}
 }
@@ -221,7 +221,7 @@
 		o := &c.open[i]
 		if !o.judged && time.Since(o.began) >= limit {
 			o.judged = true
-			c.e.members.observe(o.server, doubt.Timeout)
+			c.e.members.observeCall(o.server, o.began, doubt.Timeout)
 		}
 	}
 }
@@ -307,14 +307,15 @@
 // frozen server from a slightly slower one. end must be called when the try has
 // ended.
 func (e *Entry) trialContext(ctx context.Context, id string) (trying context.Context, end func()) {
-	until := time.Now().Add(trialFactor * e.latency.hedgeDelay())
+	began := time.Now()
+	until := began.Add(trialFactor * e.latency.hedgeDelay())
 	trying, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() {
 		t := time.NewTimer(time.Until(until))
 		defer t.Stop()
 		select {
 		case <-t.C:
-			e.members.observe(id, doubt.Timeout)
+			e.members.observeCall(id, began, doubt.Timeout)
 			cancel()
 		case <-trying.Done():
 		}
@@ -354,7 +355,7 @@
 	began := time.Now()
 	reply, err := conn.Call(ctx, req)
 	if err != nil {
-		e.recordCallError(t.id, err)
+		e.recordCallError(t.id, began, err)
 		return nil, verdict.Wrap(err, verdictOfRPC(err), verdict.Unreachable, "The server's agent gave no answer.")
 	}
 	if reply.Refusal != nil {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -145,7 +145,7 @@
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if before, after, turned := v.health.RecordTransition(serverKey(s), now, o); turned {
+	if before, after, turned := v.health.RecordTransition(serverKey(s), now, now, o); turned {
 		v.log.WithFields(logrus.Fields{
 			"server": serverKey(s), "state": after.String(), "before": before.String(), "evidence": o.String(),
 		}).Info("gateway: server's health changed.")
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -207,6 +207,8 @@
 	leavingUntil time.Time
 	// leavingProbeAt is when a server that refused as leaving is probed next.
 	leavingProbeAt time.Time
+	// recoveredAt is when a failed server was last found alive again.
+	recoveredAt time.Time
 	// checkAt is when a trusted server is probed once, or zero.
 	checkAt time.Time
 }
@@ -310,11 +312,21 @@
 	}
 }
 
-// RecordTransition calls Record and returns the state before and after it, and whether
+// RecordCall records the outcome of a call that began at the given time. A failure is
+// ignored if the server was found alive again since: what was sent while it was down
+// fails late, and says nothing about the present.
+func (s *Set) RecordCall(id string, began, now time.Time, o Outcome) {
+	if x, ok := s.servers[id]; ok && o.weight() > 0 && began.Before(x.recoveredAt) {
+		return
+	}
+	s.Record(id, now, o)
+}
+
+// RecordTransition calls RecordCall and returns the state before and after it, and whether
 // View.LastResort changed.
-func (s *Set) RecordTransition(id string, now time.Time, o Outcome) (before, after State, lastResortChanged bool) {
+func (s *Set) RecordTransition(id string, began, now time.Time, o Outcome) (before, after State, lastResortChanged bool) {
 	was, _ := s.View(id, now)
-	s.Record(id, now, o)
+	s.RecordCall(id, began, now, o)
 	is, ok := s.View(id, now)
 	return was.State, is.State, ok && was.LastResort() != is.LastResort()
 }
@@ -331,7 +343,7 @@
 	if x.state == Trusted {
 		return
 	}
-	x.state, x.rampStart = Trusted, now
+	x.state, x.rampStart, x.recoveredAt = Trusted, now, now
 	if o != Success {
 		x.failures, x.lastFailure = doubtThreshold-1, now
 	}
--- a/internal/policy/doubt/doubt_test.go
+++ b/internal/policy/doubt/doubt_test.go
@@ -225,3 +225,19 @@
 		assert.Equal(t, len(s.Probes(now)), 0)
 	}
 }
+
+// Guards against a server that is doubted again as soon as its link has healed, by calls
+// that were sent into the cut and fail late.
+func TestCallsFromBeforeTheRecoveryAreNoEvidence(t *testing.T) {
+	s, _ := newSet(1)
+	s.Record("0", start, ConnectionLost)
+	recovered := start.Add(time.Second)
+	s.Record("0", recovered, Alive)
+	late := recovered.Add(100 * time.Millisecond)
+	for range 3 {
+		s.RecordCall("0", start.Add(500*time.Millisecond), late, Timeout)
+	}
+	assert.Equal(t, view(t, s, "0", late).State, Trusted)
+	s.RecordCall("0", recovered.Add(time.Millisecond), late, Timeout)
+	assert.Equal(t, view(t, s, "0", late).State, Doubted)
+}
