Entries: a leaving agent's answers prolong its leave; names and comments read again

Found in the reading: since a hint's flags rank nobody any more, a server whose drain takes longer than the ten seconds for which a refusal counts was tried again each ten seconds, though its probes and heartbeats answered "leaving". An answer that says so now counts like a refusal. TestAnswerOfALeavingAgentProlongsItsLeave failed before.

Comments say what is done instead of why it was wanted; a counter's name says what it counts.

--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -58,7 +58,7 @@
 	return nil
 }
 
-// watch reports each time that the agent ends the connection, until it is closed here.
+// watch calls OnDisconnect whenever the agent ends the connection, until cc is closed.
 func (c *Conn) watch(cc *grpc.ClientConn) {
 	for state := cc.GetState(); state != connectivity.Shutdown; {
 		cc.WaitForStateChange(context.Background(), state)
@@ -167,8 +167,8 @@
 	}
 }
 
-// storeHint reports whether the load says otherwise than the one before whether the
-// server takes work.
+// storeHint does the storing. It reports whether the server is down or leaving now and
+// wasn't by the load before, or the reverse.
 func (c *Conn) storeHint(l *pb.Load, incarnation uint64) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,9 +235,9 @@
 	c.cc.Close()
 }
 
-// refusedAsRestarted reports whether an agent refused a request that was meant for its
-// previous incarnation. It has run nothing, and is sent again for the present one: the
-// agent may be the only one that accepts work.
+// refusedAsRestarted reports whether an agent refused a request because it was meant for
+// its previous incarnation. The request hasn't run and can be sent again at once for the
+// present one, which the reply names.
 func refusedAsRestarted(r *pb.Refusal) bool {
 	return r.GetReason() == pb.Reason_REASON_INCARNATION && r.GetVerdict() == pb.Verdict_VERDICT_NOT_RUN
 }
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -260,3 +260,16 @@
 		assert.Assert(t, time.Since(begin) < time.Second, "still trusted")
 	}
 }
+
+// Guards against requests to a server whose drain takes longer than a refusal counts.
+func TestAnswerOfALeavingAgentProlongsItsLeave(t *testing.T) {
+	t.Parallel()
+	e, _ := serviceEntry(map[string]string{"server": "127.0.0.1:9"})
+	conn, err := e.agents.Conn("server", "127.0.0.1:9")
+	assert.NilError(t, err)
+	conn.UpdateHint(&pb.Load{Leaving: true}, 1)
+	e.members.set.MarkLeaving("server", time.Now().Add(-doubt.DefaultLeavingTimeout))
+	assert.Assert(t, !e.members.unavailable("server"))
+	e.recordAnswer("server")
+	assert.Assert(t, e.members.unavailable("server"))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -172,8 +172,8 @@
 	return g
 }
 
-// serverLost tells the gates of a server's pools that it was lost, under whatever
-// entry's request.
+// serverLost tells the gates of a server's pools that it was lost. It may have run
+// requests of other entries only.
 func (e *Entry) serverLost(id string) {
 	pools := e.routing.current().pools
 	e.gatesMu.Lock()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -260,13 +260,11 @@
 // of its backend server according to its last load report.
 func (e *Entry) recordAnswer(id string) {
 	l := e.agents.Hint(id).Load
-	if l != nil && l.Down {
-		e.members.observe(id, doubt.Down)
-		return
+	if !l.GetDown() {
+		e.members.observe(id, doubt.Alive)
 	}
-	e.members.observe(id, doubt.Alive)
-	if l != nil && !l.Leaving {
-		e.members.clearLeaving(id)
+	if l != nil {
+		e.recordAvailability(id, l)
 	}
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -33,11 +33,11 @@
 	// refused because they are leaving.
 	exclude map[string]bool
 	leaving map[string]bool
-	// failures and refusals count the tries that failed or were refused. unsent counts
+	// failures and refusals count the tries that failed or were refused. notRun counts
 	// those of both that are proven not to have run.
 	failures int
 	refusals int
-	unsent   int
+	notRun   int
 	// open holds the tries that haven't ended, in the order they were started.
 	open    []openTry
 	results chan callResult
@@ -92,7 +92,7 @@
 }
 
 // exhausted reports whether the call may not be tried again.
-func (c *serviceCall) exhausted() bool { return int(c.attempts)-c.unsent >= maxTries }
+func (c *serviceCall) exhausted() bool { return int(c.attempts)-c.notRun >= maxTries }
 
 func (c *serviceCall) run(ctx context.Context) (*pb.CallReply, *verdict.Error) {
 	if err := c.start(ctx); err != nil {
@@ -164,7 +164,7 @@
 		c.leaving[res.target.id] = true
 	}
 	if res.err.Verdict == verdict.NotRun {
-		c.unsent++
+		c.notRun++
 	}
 	if res.err.Crashed {
 		c.e.recordCrash(c.r.fingerprint, res.err.CrashedAlone)
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -109,8 +109,8 @@
 	// UnlistedGracePeriod is how long a server missing from the list is kept after
 	// it was last listed or seen alive.
 	UnlistedGracePeriod time.Duration
-	// LeavingTimeout is how long a server counts as leaving after it refused a request
-	// for that reason. Then it may be tried again, as a drain can be cancelled.
+	// LeavingTimeout is how long a server counts as leaving after it last said so. Then it
+	// may be tried again, as a drain can be cancelled.
 	LeavingTimeout time.Duration
 	// LeavingProbeInterval is how often a server that refused as leaving is probed for
 	// whether it still does. Orders to change its stage take a server out for a tenth
@@ -259,7 +259,8 @@
 	return out
 }
 
-// MarkLeaving records that the server refused a request because it is leaving.
+// MarkLeaving records that the server refused a request because it is leaving, or
+// reports that it is.
 func (s *Set) MarkLeaving(id string, now time.Time) {
 	if x, ok := s.servers[id]; ok {
 		x.leavingUntil = now.Add(s.opts.LeavingTimeout)
@@ -392,10 +393,10 @@
 }
 
 // Probes returns the sorted ids of the servers to probe now and marks the doubted
-// ones as probing. Trusted servers are among them if they refused as leaving, after
-// Check, and with Options.ProbeUnanswered. A probe is a small call on a new connection, as an existing one can
-// stay silent while new ones work; its result goes to Record, and to MarkLeaving or
-// ClearLeaving. Call it a few times per second: it scans the set.
+// ones as probing. Trusted servers are among them if they are leaving, after Check, and
+// with Options.ProbeUnanswered. A probe is a small call on a new connection, as an
+// existing one can stay silent while new ones work; its result goes to Record, and to
+// MarkLeaving or ClearLeaving. Call it a few times per second: it scans the set.
 func (s *Set) Probes(now time.Time) []string {
 	inFlight := map[string]int{}
 	var due []*server
