Revert "Admission: requests that pass straight through don't keep the pool full"

A failed try. With it the drain rate begins anew whenever a pool becomes full, and its first quarter of a second holds one or two items: too little to refuse by. Seen in TestCutBetweenEntryAndAgent: 5 and 4 of 120 requests refused as not run at the onset of the shortage behind the cut, in 2 of 10 runs beside other tests (load average 50 and 73).

So a pool that stays full under steady traffic gives the rate a useful history, by accident.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -260,7 +260,6 @@
 	}
 	it.Cost = max(it.Cost, minCost)
 	q.insert(it, true)
-	q.drain.requeued = true
 }
 
 // refund takes back what Pop charged.
