Revert "Admission: a request enters the queue and is admitted at one time"

Cause, as far as the logs tell: beside load a pool seems full now and then by pauses of the entry, so that the drain rate has a history of what was offered. That history lets newcomers wait at the onset of a shortage, and they are served in time. Without it the rate comes from the first one or two items.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -25,9 +25,6 @@
 // admissionGate admits the requests of one pool in the order of the fair-share
 // queue, as fast as agents grant reservations.
 type admissionGate struct {
-	// now is the clock, which tests replace.
-	now func() time.Time
-
 	mu sync.Mutex
 	// All below is guarded by mu.
 	queue   *admit.Queue
@@ -54,23 +51,20 @@
 }
 
 func newAdmissionGate(q *admit.Queue) *admissionGate {
-	return &admissionGate{now: time.Now, queue: q, waiters: make(map[string]*waiter)}
+	return &admissionGate{queue: q, waiters: make(map[string]*waiter)}
 }
 
 // enter queues the item and waits until it is admitted. After it returned nil,
 // leave or reenter must be called.
 func (g *admissionGate) enter(ctx context.Context, it admit.Item) *verdict.Error {
 	g.mu.Lock()
-	// One time for both: a pause of this process in between isn't a queue that doesn't
-	// drain.
-	now := g.now()
-	if err := g.queue.Push(now, it); err != nil {
+	if err := g.queue.Push(time.Now(), it); err != nil {
 		g.refused++
 		g.mu.Unlock()
 		return lateAsOverload(err)
 	}
 	w := g.addWaiterLocked(it.ID)
-	g.admitLocked(now)
+	g.admitLocked()
 	g.mu.Unlock()
 	return g.wait(ctx, it, w)
 }
@@ -82,9 +76,8 @@
 	g.reserving--
 	g.queue.Requeue(it)
 	w := g.addWaiterLocked(it.ID)
-	now := g.now()
-	g.backOffLocked(now)
-	g.admitLocked(now)
+	g.backOffLocked(time.Now())
+	g.admitLocked()
 	g.mu.Unlock()
 	return g.wait(ctx, it, w)
 }
@@ -95,14 +88,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reserving--
-	now := g.now()
 	if granted {
-		g.queue.Served(now, it.ID)
+		g.queue.Served(time.Now(), it.ID)
 		g.backoff = 0
 	} else {
 		g.queue.Settle(it.ID)
 	}
-	g.admitLocked(now)
+	g.admitLocked()
 }
 
 // slotFreed resumes admission after a request ended, since a slot may be free.
@@ -110,14 +102,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pausedUntil = time.Time{}
-	g.admitLocked(g.now())
+	g.admitLocked()
 }
 
 // serverLost tells the queue that a server of the pool was lost.
 func (g *admissionGate) serverLost() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Lost(g.now())
+	g.queue.Lost(time.Now())
 }
 
 // backOffLocked pauses admission because all servers tried were full. Requests
@@ -151,7 +143,7 @@
 		// Admitted at the same time: pass the place on.
 		g.reserving--
 		g.queue.Settle(it.ID)
-		g.admitLocked(g.now())
+		g.admitLocked()
 	default:
 		delete(g.waiters, it.ID)
 		g.queue.Remove(it.ID)
@@ -176,7 +168,8 @@
 
 // admitLocked expires overdue items and admits as many others as the bound and
 // the pause allow.
-func (g *admissionGate) admitLocked(now time.Time) {
+func (g *admissionGate) admitLocked() {
+	now := time.Now()
 	for _, it := range g.queue.Expire(now) {
 		if w := g.waiters[it.ID]; w != nil {
 			delete(g.waiters, it.ID)
@@ -218,7 +211,7 @@
 	g.timer = time.AfterFunc(d, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.admitLocked(g.now())
+		g.admitLocked()
 	})
 }
 
