--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -25,6 +25,9 @@
 // admissionGate admits the requests of one pool in the order of the fair-share
 // queue, as fast as agents grant reservations.
 type admissionGate struct {
+	// now is the clock, which tests replace.
+	now func() time.Time
+
 	mu sync.Mutex
 	// All below is guarded by mu.
 	queue   *admit.Queue
@@ -51,20 +54,23 @@
 }
 
 func newAdmissionGate(q *admit.Queue) *admissionGate {
-	return &admissionGate{queue: q, waiters: make(map[string]*waiter)}
+	return &admissionGate{now: time.Now, queue: q, waiters: make(map[string]*waiter)}
 }
 
 // enter queues the item and waits until it is admitted. After it returned nil,
 // leave or reenter must be called.
 func (g *admissionGate) enter(ctx context.Context, it admit.Item) *verdict.Error {
 	g.mu.Lock()
-	if err := g.queue.Push(time.Now(), it); err != nil {
+	// One time for both: a pause of this process in between isn't a queue that doesn't
+	// drain.
+	now := g.now()
+	if err := g.queue.Push(now, it); err != nil {
 		g.refused++
 		g.mu.Unlock()
 		return lateAsOverload(err)
 	}
 	w := g.addWaiterLocked(it.ID)
-	g.admitLocked()
+	g.admitLocked(now)
 	g.mu.Unlock()
 	return g.wait(ctx, it, w)
 }
@@ -76,8 +82,9 @@
 	g.reserving--
 	g.queue.Requeue(it)
 	w := g.addWaiterLocked(it.ID)
-	g.backOffLocked(time.Now())
-	g.admitLocked()
+	now := g.now()
+	g.backOffLocked(now)
+	g.admitLocked(now)
 	g.mu.Unlock()
 	return g.wait(ctx, it, w)
 }
@@ -88,13 +95,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reserving--
+	now := g.now()
 	if granted {
-		g.queue.Served(time.Now(), it.ID)
+		g.queue.Served(now, it.ID)
 		g.backoff = 0
 	} else {
 		g.queue.Settle(it.ID)
 	}
-	g.admitLocked()
+	g.admitLocked(now)
 }
 
 // slotFreed resumes admission after a request ended, since a slot may be free.
@@ -102,14 +110,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pausedUntil = time.Time{}
-	g.admitLocked()
+	g.admitLocked(g.now())
 }
 
 // serverLost tells the queue that a server of the pool was lost.
 func (g *admissionGate) serverLost() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Lost(time.Now())
+	g.queue.Lost(g.now())
 }
 
 // backOffLocked pauses admission because all servers tried were full. Requests
@@ -143,7 +151,7 @@
 		// Admitted at the same time: pass the place on.
 		g.reserving--
 		g.queue.Settle(it.ID)
-		g.admitLocked()
+		g.admitLocked(g.now())
 	default:
 		delete(g.waiters, it.ID)
 		g.queue.Remove(it.ID)
@@ -168,8 +176,7 @@
 
 // admitLocked expires overdue items and admits as many others as the bound and
 // the pause allow.
-func (g *admissionGate) admitLocked() {
-	now := time.Now()
+func (g *admissionGate) admitLocked(now time.Time) {
 	for _, it := range g.queue.Expire(now) {
 		if w := g.waiters[it.ID]; w != nil {
 			delete(g.waiters, it.ID)
@@ -211,7 +218,7 @@
 	g.timer = time.AfterFunc(d, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.admitLocked()
+		g.admitLocked(g.now())
 	})
 }
 
--- a/internal/entry/gate_test.go
+++ b/internal/entry/gate_test.go
@@ -39,6 +39,33 @@
 	return e, e.gateFor("model")
 }
 
+// Guards against refusing callers of a pool that has room at an entry that is often paused
+// by its machine: a pause between queueing a request and admitting it looked like a wait.
+func TestPausesOfTheProcessAreNoFullPool(t *testing.T) {
+	_, g := newTestEntry(1)
+	const pause = 40 * time.Millisecond
+	clock := time.Now()
+	// Each two readings of the clock have a pause between them.
+	g.now = func() time.Time {
+		clock = clock.Add(pause)
+		return clock
+	}
+	enter := func(id string) admit.Item {
+		it := admit.Item{ID: id, Organisation: "o", Interactive: true, Cost: 40, Deadline: clock.Add(1700 * time.Millisecond)}
+		err := g.enter(t.Context(), it)
+		assert.Assert(t, err == nil, "%s: %v", id, err)
+		return it
+	}
+	for i := range 20 {
+		clock = clock.Add(300 * time.Millisecond)
+		g.leave(enter(fmt.Sprint("passing ", i)), true)
+	}
+	enter("outstanding 1")
+	enter("outstanding 2")
+	clock = clock.Add(400 * time.Millisecond)
+	enter("newcomer")
+}
+
 // Guards against refusing callers at an entry that had no request at the server that
 // was lost: it took the stall for a slow pool.
 func TestLossUnderAnotherEntrysRequestIsNoSlowPool(t *testing.T) {
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -260,6 +260,7 @@
 	}
 	it.Cost = max(it.Cost, minCost)
 	q.insert(it, true)
+	q.drain.requeued = true
 }
 
 // refund takes back what Pop charged.
--- a/internal/policy/admit/drain.go
+++ b/internal/policy/admit/drain.go
@@ -42,6 +42,10 @@
 	// fullSince is when the pool became full, busyUntil the time up to which busy
 	// counts.
 	fullSince, busyUntil time.Time
+	// waitingSince is when the queue last became non-empty. requeued is set if an item
+	// found all servers full since the queue was last empty.
+	waitingSince time.Time
+	requeued     bool
 	// waiting is set while the queue isn't empty. lastWaiting is when it last was
 	// non-empty, and lingerUntil the end of the linger period.
 	waiting                  bool
@@ -68,10 +72,18 @@
 // observe records whether any item waits.
 func (d *drain) observe(now time.Time, waiting bool) {
 	switch {
-	case waiting && !d.waiting && !now.Before(d.lingerUntil):
-		d.fullSince, d.busyUntil = now, now
-	case !waiting && d.waiting && d.lastWaiting.Sub(d.fullSince) >= minNonEmpty:
-		d.lingerUntil = d.lastWaiting.Add(linger)
+	case waiting && !d.waiting:
+		d.waitingSince = now
+		if !now.Before(d.lingerUntil) {
+			d.fullSince, d.busyUntil = now, now
+		}
+	case !waiting && d.waiting:
+		// Items that pass straight through don't prolong it: steady traffic would keep
+		// the pool full for ever.
+		if d.requeued || d.lastWaiting.Sub(d.waitingSince) >= minNonEmpty {
+			d.lingerUntil = d.lastWaiting.Add(linger)
+		}
+		d.requeued = false
 	}
 	d.waiting = waiting
 	if waiting {
--- a/internal/policy/admit/drain_test.go
+++ b/internal/policy/admit/drain_test.go
@@ -227,3 +227,36 @@
 	now = now.Add(lostServerGrace / 10)
 	assert.Equal(t, q.drain.rate(now, q.cost), before)
 }
+
+// Guards against refusing callers of a pool that has room, after a pause of the process
+// of some tenths of a second: requests that pass straight through kept the pool full for
+// as long as they came.
+func TestPassingRequestsDoNotKeepThePoolFull(t *testing.T) {
+	q := newQueue(Options{})
+	now, id := start, 0
+	pop := func() Item {
+		id++
+		push(t, q, now, Item{ID: fmt.Sprint(id), Organisation: "o", Interactive: true, Cost: 20})
+		it, ok := q.Pop(now)
+		assert.Assert(t, ok)
+		return it
+	}
+	first := pop()
+	q.Requeue(first)
+	q.Expire(now)
+	now = now.Add(50 * time.Millisecond)
+	_, _ = q.Pop(now)
+	q.Served(now, first.ID)
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		it := pop()
+		now = now.Add(time.Millisecond)
+		q.Served(now, it.ID)
+	}
+	assert.Assert(t, !q.drain.full(now))
+	// Three requests are read at once behind the pause.
+	pop()
+	now = now.Add(300 * time.Millisecond)
+	pop()
+	push(t, q, now, Item{ID: "newcomer", Organisation: "o", Interactive: true, Cost: 20, Deadline: now.Add(1500 * time.Millisecond)})
+}
