--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// storeHint does the storing. It reports whether the server is down or leaving now and
-// wasn't by the load before, or the reverse.
+// storeHint stores an agent's report, and returns whether it differs from the one before
+// in that the server is down or leaving.
 func (c *Conn) storeHint(l *pb.Load, incarnation uint64) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,11 +235,26 @@
 	c.cc.Close()
 }
 
-// refusedAsRestarted reports whether an agent refused a request because it was meant for
-// its previous incarnation. The request hasn't run and can be sent again at once for the
-// present one, which the reply names.
-func refusedAsRestarted(r *pb.Refusal) bool {
-	return r.GetReason() == pb.Reason_REASON_INCARNATION && r.GetVerdict() == pb.Verdict_VERDICT_NOT_RUN
+// agentReply is the reply to a request that is meant for one incarnation of an agent.
+type agentReply interface {
+	GetRefusal() *pb.Refusal
+	GetIncarnation() uint64
+}
+
+// sendToIncarnation sends a request that is meant for the incarnation *expected. An agent
+// that has restarted refuses it without running it and names its new incarnation, for
+// which the request is sent again.
+func sendToIncarnation[R agentReply](expected *uint64, send func() (R, error)) (R, error) {
+	reply, err := send()
+	if err != nil {
+		return reply, err
+	}
+	r := reply.GetRefusal()
+	if r.GetReason() != pb.Reason_REASON_INCARNATION || r.GetVerdict() != pb.Verdict_VERDICT_NOT_RUN {
+		return reply, nil
+	}
+	*expected = reply.GetIncarnation()
+	return send()
 }
 
 // Reserve requests a grant. A connection without a reply within ctx's deadline is
@@ -247,11 +262,7 @@
 func (c *Conn) Reserve(ctx context.Context, r *pb.ReserveRequest) (*pb.ReserveReply, error) {
 	used := c.channelForUse()
 	used.skipBackoff(ctx)
-	reply, err := used.api.Reserve(ctx, r)
-	if err == nil && refusedAsRestarted(reply.Refusal) {
-		r.Incarnation = reply.Incarnation
-		reply, err = used.api.Reserve(ctx, r)
-	}
+	reply, err := sendToIncarnation(&r.Incarnation, func() (*pb.ReserveReply, error) { return used.api.Reserve(ctx, r) })
 	switch {
 	case err == nil:
 		c.UpdateHint(reply.Load, reply.Incarnation)
@@ -287,11 +298,12 @@
 // Prefill runs a prefill under an existing grant, or under the one that r reserves.
 func (c *Conn) Prefill(ctx context.Context, r *pb.PrefillRequest) (*pb.PrefillReply, error) {
 	used := c.channelForUse()
-	reply, err := used.api.Prefill(ctx, r)
-	if err == nil && r.Reserve != nil && refusedAsRestarted(reply.Refusal) {
-		r.Reserve.Incarnation = reply.Incarnation
-		reply, err = used.api.Prefill(ctx, r)
+	// A prefill under an existing grant names no incarnation.
+	expected := new(uint64)
+	if r.Reserve != nil {
+		expected = &r.Reserve.Incarnation
 	}
+	reply, err := sendToIncarnation(expected, func() (*pb.PrefillReply, error) { return used.api.Prefill(ctx, r) })
 	if err == nil {
 		c.UpdateHint(reply.Load, reply.Incarnation)
 	}
@@ -307,11 +319,7 @@
 func (c *Conn) Call(ctx context.Context, r *pb.CallRequest) (*pb.CallReply, error) {
 	used := c.channelForUse()
 	used.skipBackoff(ctx)
-	reply, err := used.api.Call(ctx, r)
-	if err == nil && refusedAsRestarted(reply.Refusal) {
-		r.Incarnation = reply.Incarnation
-		reply, err = used.api.Call(ctx, r)
-	}
+	reply, err := sendToIncarnation(&r.Incarnation, func() (*pb.CallReply, error) { return used.api.Call(ctx, r) })
 	if err == nil {
 		c.UpdateHint(reply.Load, reply.Incarnation)
 	}
--- a/internal/agents/pool.go
+++ b/internal/agents/pool.go
@@ -67,8 +67,8 @@
 	// OnRenewal, if not nil, is called after each renewal with the agent's instance id
 	// and the renewal's error. Set it before Run.
 	OnRenewal func(id string, err error)
-	// OnAvailability, if not nil, is called when an agent reports for the first time that
-	// its server is down or leaving, or no longer is. Set it before the first connection.
+	// OnAvailability, if not nil, is called when an agent's report changes in that its
+	// server is down or leaving. Set it before the first connection.
 	OnAvailability func(id string, l *pb.Load)
 	// OnDisconnect, if not nil, is called when an agent ends a connection. Set it before
 	// the first connection.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -31,8 +31,8 @@
 	maxProbeBackoff = time.Second
 )
 
-// A server with an unanswered request looks loaded and is passed by, so that no further
-// request would show whether it has failed.
+// memberOptions include a probe after an unanswered request: a server with one looks loaded
+// and gets no further request that would show whether it has failed.
 var memberOptions = doubt.Options{MaxBackoff: maxProbeBackoff, ProbeUnanswered: true}
 
 // members is the entry's view of which agents exist and are usable. It combines
@@ -119,7 +119,7 @@
 	}
 }
 
-// check has an agent probed soon, as it ended a connection.
+// check schedules a probe of an agent that ended a connection.
 func (m *members) check(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -36,8 +36,8 @@
 // took it, if none named another.
 const unavailableRetryAfter = time.Second
 
-// withRetryAfter returns err with a retry delay if it has none and the request hasn't run
-// for a cause that passes.
+// withRetryAfter sets the retry delay of err, and returns it, if it has none and the
+// request hasn't run for a temporary cause.
 func withRetryAfter(err *verdict.Error) *verdict.Error {
 	if err.Verdict != verdict.NotRun || err.RetryAfter > 0 {
 		return err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -52,8 +52,8 @@
 	log     *logrus.Entry
 }
 
-// New returns a Server and adds the status to the board's dump, which so tells whose it
-// is. explain may be nil for a role that doesn't route requests.
+// New returns a Server, and adds the status to the board's dump so that it identifies the
+// process. explain may be nil for a role that doesn't route requests.
 func New(b *board.Board, status func() Status, explain func(*fasthttp.Args) (any, error), log *logrus.Logger) *Server {
 	b.AddView("status", func() any { return status() })
 	return &Server{board: b, status: status, explain: explain, log: log.WithField("part", "operator")}
--- a/internal/policy/admit/drain.go
+++ b/internal/policy/admit/drain.go
@@ -55,10 +55,8 @@
 	lostUntil time.Time
 }
 
-// lost records that a server of the pool was lost, which suspends the measurement. The
-// requests that ran there are retried while capacity is missing, and a rate measured in
-// such a stall would refuse callers whose deadline can be met, also after the stall: the
-// first item served ends it, and its length would count as the time that one item took.
+// lost records that a server of the pool was lost, which suspends the measurement: while
+// its requests are retried, little is served of a pool that soon serves again.
 func (d *drain) lost(now time.Time) { d.lostUntil = now.Add(lostServerGrace) }
 
 // measuredFrom is the start of the time that isn't accounted for in busy yet.
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -378,8 +378,7 @@
 	return time.Duration((0.5 + s.rnd.Float64()) * float64(d))
 }
 
-// Check has a trusted server probed soon, as its connection was closed: it may have died,
-// and placement may pass it by for long.
+// Check schedules a probe of a trusted server, such as one that closed a connection.
 func (s *Set) Check(id string, now time.Time) {
 	if x, ok := s.servers[id]; ok && x.state == Trusted {
 		s.check(x, now)
