--- a/internal/agents/pool_test.go
+++ b/internal/agents/pool_test.go
@@ -49,9 +49,9 @@
 	reply := &pb.ReserveReply{Incarnation: 7}
 	a.withCore(func(now time.Duration) {
 		k := grant.Key{Request: q.GetAttempt().GetRequest(), Number: q.GetAttempt().GetNumber(), Phase: q.GetPhase()}
-		_, no := a.core.Reserve(now, grant.Request{Key: k, Entry: q.GetAttempt().GetEntry(), Idle: time.Minute})
+		_, no := a.core.Reserve(now, grant.Request{Key: k, Entry: q.GetAttempt().GetEntry(), Incarnation: q.GetIncarnation(), Idle: time.Minute})
 		if no != nil {
-			reply.Refusal = &pb.Refusal{Reason: no.Reason}
+			reply.Refusal = &pb.Refusal{Reason: no.Reason, Verdict: no.Verdict}
 		}
 	})
 	return reply, nil
@@ -145,3 +145,18 @@
 	time.Sleep(leaseDuration + leaseDuration/4)
 	assert.Equal(t, agent.live(), 1)
 }
+
+// Guards against taking a restarted agent for one without room: it refuses a reservation
+// for its previous incarnation.
+func TestReservationIsSentAgainToARestartedAgent(t *testing.T) {
+	t.Parallel()
+	c, err := newPool(t).Conn("agent-1", serve(t, newCoreAgent()))
+	assert.NilError(t, err)
+	const previous = 3
+	c.UpdateHint(nil, previous)
+	at := &pb.Attempt{Request: "a", Number: 1, Entry: c.pool.Entry}
+	reply, err := c.Reserve(t.Context(), &pb.ReserveRequest{Attempt: at, Phase: pb.Phase_PHASE_DECODE, Incarnation: c.Incarnation()})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Refusal == nil, "%v", reply.Refusal)
+	assert.Equal(t, c.Incarnation(), uint64(7))
+}
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -25,6 +25,10 @@
 	pb.UnimplementedAgentServer
 	incarnation uint64
 	leaving     bool
+	// calls counts the calls.
+	calls atomic.Int32
+	// full is how many calls, from the first, are refused for lack of a slot.
+	full atomic.Int32
 	// takes is how long a call takes.
 	takes time.Duration
 	// silent is how many renewal streams, from the first, aren't answered.
@@ -37,6 +41,7 @@
 }
 
 func (a *fakeAgent) Call(ctx context.Context, r *pb.CallRequest) (*pb.CallReply, error) {
+	a.calls.Add(1)
 	reply := &pb.CallReply{Incarnation: a.incarnation, Load: &pb.Load{Slots: 4, Leaving: a.leaving}}
 	switch {
 	case a.leaving:
@@ -45,6 +50,9 @@
 	case r.GetIncarnation() != 0 && r.GetIncarnation() != a.incarnation:
 		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_INCARNATION, Verdict: pb.Verdict_VERDICT_NOT_RUN}
 		return reply, nil
+	case a.full.Add(-1) >= 0:
+		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_FULL, Verdict: pb.Verdict_VERDICT_NOT_RUN}
+		return reply, nil
 	}
 	select {
 	case <-time.After(a.takes):
@@ -57,7 +65,11 @@
 }
 
 // Prefill runs one prefill, to which further calls attach.
-func (a *fakeAgent) Prefill(ctx context.Context, _ *pb.PrefillRequest) (*pb.PrefillReply, error) {
+func (a *fakeAgent) Prefill(ctx context.Context, r *pb.PrefillRequest) (*pb.PrefillReply, error) {
+	if r.GetReserve() != nil && r.GetReserve().GetIncarnation() != a.incarnation {
+		refusal := &pb.Refusal{Reason: pb.Reason_REASON_INCARNATION, Verdict: pb.Verdict_VERDICT_NOT_RUN}
+		return &pb.PrefillReply{Refusal: refusal, Incarnation: a.incarnation}, nil
+	}
 	a.prefill.Do(func() { a.prefillEnd = time.Now().Add(a.takes) })
 	select {
 	case <-time.After(time.Until(a.prefillEnd)):
@@ -137,6 +149,43 @@
 	}
 }
 
+// Guards against giving up a call whose tries were all refused before they ran.
+func TestRefusalsDoNotUseUpACallsTries(t *testing.T) {
+	t.Parallel()
+	a, l := &fakeAgent{}, listen(t)
+	a.full.Store(maxTries + 1)
+	a.serve(t, l)
+	e, p := serviceEntry(map[string]string{"server": l.Addr().String()})
+	_, failed := post(t.Context(), e, p)
+	assert.Assert(t, failed == nil, "%v", failed)
+}
+
+// Guards against failing a prefill at an agent that has restarted.
+func TestPrefillIsSentAgainToARestartedAgent(t *testing.T) {
+	t.Parallel()
+	l := listen(t)
+	(&fakeAgent{incarnation: 2}).serve(t, l)
+	e, p := serviceEntry(map[string]string{"server": l.Addr().String()})
+	conn, err := e.agents.Conn("server", l.Addr().String())
+	assert.NilError(t, err)
+	conn.UpdateHint(nil, 1)
+	g := generationOf(settings.PlacementPolicy)
+	g.e, g.log = e, e.log
+	_, _, failed := g.prefillWithReservation(t.Context(), p.service[0])
+	assert.Assert(t, failed == nil, "%v", failed)
+}
+
+// Guards against a dead server that stays trusted: a request there wasn't answered, and
+// none followed.
+func TestEntryProbesAServerThatDidNotAnswer(t *testing.T) {
+	t.Parallel()
+	e, _ := serviceEntry(map[string]string{"server": "127.0.0.1:9"})
+	e.members.observe("server", doubt.Timeout)
+	for begin := time.Now(); len(e.members.dueProbes()) == 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Since(begin) < time.Second, "no probe")
+	}
+}
+
 // Guards against a refusal without a time to come back, while all agents are leaving.
 func TestCallRefusedByAllHasRetryAfter(t *testing.T) {
 	t.Parallel()
@@ -178,8 +227,10 @@
 	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	returned.serve(t, slowListener{l, 150 * time.Millisecond})
+	leaving.calls.Store(0)
 	_, failed = post(t.Context(), e, p)
 	assert.Assert(t, failed == nil, "%v", failed)
+	assert.Assert(t, leaving.calls.Load() <= 1, "the leaving agent was asked %d times", leaving.calls.Load())
 }
 
 // Guards against cutting running calls that can't be repeated when their connection is
--- a/internal/policy/doubt/doubt_test.go
+++ b/internal/policy/doubt/doubt_test.go
@@ -212,14 +212,15 @@
 	assert.Equal(t, view(t, s, "1", probed).State, Doubted)
 }
 
-// Guards against probes without end of a server whose agent answered the first.
-func TestAnsweredProbeOfATrustedServerIsTheLast(t *testing.T) {
-	s, _ := newSet(1)
+// Guards against probes of a trusted server that is being probed or has answered since.
+func TestTrustedServerIsProbedOnceUnlessItAnswers(t *testing.T) {
+	s, _ := newSet(2)
 	s.opts.ProbeUnanswered = true
 	s.Record("0", start, Timeout)
+	s.Record("1", start, Timeout)
+	s.Record("1", start, Refusal)
 	now := start.Add(2 * DefaultMinBackoff)
 	assert.DeepEqual(t, s.Probes(now), []string{"0"})
-	s.Record("0", now, Alive)
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
 		assert.Equal(t, len(s.Probes(now)), 0)
