Tests: runs of test/ and platform/ have ports of their own

Cause: go test runs test/ and platform/ at the same time, and both took ports of one range at one address; a port that a killed process leaves is free until it is started again. Change: a range for each of the two packages, and JAYFORD_TEST_HOST holds for both.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -3,6 +3,7 @@
 package loopback
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
@@ -17,6 +18,13 @@
 // Host is the usual loopback address.
 const Host = "127.0.0.1"
 
+// envTestHost sets the loopback address of the tests' processes. Concurrent runs of the
+// same tests each need one of their own: 127.0.0.2 and so on.
+const envTestHost = "JAYFORD_TEST_HOST"
+
+// TestHost returns the address that JAYFORD_TEST_HOST sets, or Host.
+func TestHost() string { return cmp.Or(os.Getenv(envTestHost), Host) }
+
 // Range is a range of ports, both ends included.
 type Range struct{ First, Last int }
 
@@ -25,7 +33,8 @@
 // kernel's ephemeral ports, since an outgoing connection could otherwise occupy a
 // port before its listener opens or while its process restarts.
 var (
-	Tests      = Range{12000, 21999}
+	Tests      = Range{12000, 16999}
+	Soak       = Range{17000, 21999}
 	Experiment = Range{22000, 27000}
 	Slopes     = Range{27001, 30000}
 	Dev        = Range{30001, 32767}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -128,11 +127,7 @@
 	}
 }
 
-// envHost sets the loopback address of all listeners. Concurrent runs of the tests
-// each need one of their own: 127.0.0.2 and so on.
-const envHost = "JAYFORD_TEST_HOST"
-
-var addresses = loopback.New(cmp.Or(os.Getenv(envHost), loopback.Host), loopback.Tests)
+var addresses = loopback.New(loopback.TestHost(), loopback.Tests)
 
 // freeAddress returns an unused loopback address.
 func freeAddress(t *testing.T) string {
