Admission: the onset of a shortage is no drain rate

What callers saw: an organisation that doesn't flood was refused as not run ("The first token can't come in time.") while another one filled the pool, in TestFloodIsRefusedAtOnce. Cause: the drain rate is the cost served while the pool is full, by the time. When a pool has just become full, all its items began at about the same time: nothing drains for a service time, and the first item that ends, one of twenty, was taken for all that drains in 1.3 s. The rate was 18 times too low. Evidence: the log of the listed failure (slots taken at 9.61 s, first end 10.90, refusal 10.98, 20 held). TestFirstItemsOfAShortageAreNoRate, that timeline without a network, fails without the change. Change: the queue knows the items in service and how long those took that ended. By Little's law their cost by that time is the rate of a full pool, also from the first end on. The larger of both rates counts. It is void when nothing ended for a service time: servers that no longer answer would count for ever (TestStalledItemsInServiceAreNoRate). Ruled out: an upper confidence bound of the measured rate. It admits too much while the onset's few items are counted, and callers would be refused late; not built.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -105,12 +105,15 @@
 	g.admitLocked(now)
 }
 
-// slotFreed resumes admission after a request ended, since a slot may be free.
-func (g *admissionGate) slotFreed() {
+// slotFreed resumes admission after the request with this id ended, since a slot may be
+// free.
+func (g *admissionGate) slotFreed(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.now()
+	g.queue.Ended(now, id)
 	g.pausedUntil = time.Time{}
-	g.admitLocked(g.now())
+	g.admitLocked(now)
 }
 
 // serverLost tells the queue that a server of the pool was lost.
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -229,7 +229,7 @@
 		g.refusedByQueue = true
 		return "", err
 	}
-	defer g.gate.slotFreed()
+	defer g.gate.slotFreed(it.ID)
 	if p := g.e.settings.Policy; p.Reserve == settings.ReserveEarly && !p.Baseline() {
 		return g.attemptEarly(ctx, it)
 	}
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -105,6 +105,7 @@
 	served, batchDue float64
 	batchItems       int
 	drain            drain
+	service          *service
 	bookings         *bookings
 }
 
@@ -152,6 +153,7 @@
 		outstanding:     map[string]Item{},
 		outstandingOrgs: map[*org]struct{}{},
 
+		service:  newService(),
 		bookings: newBookings(),
 	}
 }
@@ -273,15 +275,20 @@
 }
 
 // Served settles a popped item that was served. Only served items count towards the
-// drain rate.
+// drain rate. Call Ended when its service ends.
 func (q *Queue) Served(now time.Time, id string) {
 	q.drain.observe(now, q.Len() > 0)
 	if it, ok := q.outstanding[id]; ok {
 		q.drain.served(now, it.Cost)
+		q.service.begin(now, id, it.Cost)
 	}
 	q.Settle(id)
 }
 
+// Ended records that the service of an item has ended, whatever its result. It does
+// nothing for an item that wasn't served.
+func (q *Queue) Ended(now time.Time, id string) { q.service.end(now, id) }
+
 // Settle makes the charge of a popped item final, including one that was abandoned.
 // Each popped item must be served, settled or requeued.
 //
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -147,8 +147,14 @@
 
 // drainTime is the time that cost takes to drain at a fraction of the measured rate.
 func (q *Queue) drainTime(now time.Time, cost, part float64) time.Duration {
-	seconds := cost / (part * q.drain.rate(now, q.cost))
-	return clampSeconds(seconds)
+	return clampSeconds(cost / (part * q.rate(now)))
+}
+
+// rate is the cost drained per second, as measured or as expected of the items in
+// service. Each is too low for a while: the first while a pool has just become full, the
+// second once its items have become few.
+func (q *Queue) rate(now time.Time) float64 {
+	return max(q.drain.rate(now, q.cost), q.service.rate(now))
 }
 
 // RetryAfter returns when the caller of an expired item should retry.
@@ -163,8 +169,8 @@
 	if it.Fingerprint == 0 || !q.drain.measured(now) {
 		return q.jittered(wait)
 	}
-	steady := q.drain.busyRate()
-	slower := q.drain.rate(now, q.cost) / steady
+	steady := max(q.drain.busyRate(), q.service.rate(now))
+	slower := q.rate(now) / steady
 	wait = time.Duration(float64(wait) * min(1, slower))
 	after, ok := q.bookings.book(now, it.caller(), it.Cost, steady*q.drainShare(it), wait)
 	if !ok {
