Agents: a grant that ends unused is logged with its cause

A decode was refused as unknown_grant 1.3 s after its grant (TestRollingRestartCutsNothing beside load). Two causes are possible, and the logs can't tell them: the lease lapsed, as no renewal was read for 2 s, or a renewal didn't list the attempt, as it was written before the grant and read after it. Both end an idle grant without a word. Change: the agent logs each grant that it ends before its work began: request, attempt, entry, cause (lapsed, unlisted, idle), its age and the time since the entry's last renewal. Decisions are as before. TestUnusedGrantsAreTold.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -281,11 +281,21 @@
 	defer a.mu.Unlock()
 	f(a.core, a.now())
 	countLapses(a.core.TakeLapses())
+	for _, u := range a.core.TakeUnused() {
+		a.logUnused(u)
+	}
 	for _, act := range a.core.Ready() {
 		a.carryOut(act)
 	}
 }
 
+func (a *Agent) logUnused(u grant.Unused) {
+	a.log.WithFields(logrus.Fields{
+		"request": u.Key.Request, "attempt": u.Key.Number, "phase": u.Key.Phase.String(), "entry": u.Entry,
+		"cause": u.Cause.String(), "age": u.Age.Seconds(), "renewed": u.Renewed.Seconds(),
+	}).Warn("agent: A grant ended before it was used.")
+}
+
 // carryOut is called with mu held.
 func (a *Agent) carryOut(act grant.Action) {
 	refusal := act.Refusal
--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -211,6 +211,7 @@
 	fences            map[string]uint64
 	ordering          bool
 	lapses            int
+	unused            []Unused
 	out               []Action
 }
 
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -478,3 +478,34 @@
 		assert.DeepEqual(t, actions(c), []string{"admit " + want})
 	}
 }
+
+// A grant that an agent ends by itself is told of with its cause, as its entry can't
+// tell a lapse from a renewal that doesn't list it.
+func TestUnusedGrantsAreTold(t *testing.T) {
+	c := up(t, 3)
+	for _, id := range []string{"lapses", "unlisted", "stale", "released"} {
+		r := decode(id)
+		r.Entry = id + "#1"
+		r.Idle = time.Second
+		if id == "lapses" {
+			r.Idle = 10 * time.Second
+		}
+		_, _ = c.Reserve(0, r)
+		if id == "unlisted" {
+			c.Renew(10*ms, r.Entry, 1, nil)
+			c.Renew(20*ms, r.Entry, 2, nil)
+		}
+		if id == "released" {
+			c.Release(30*ms, r.Key, r.Entry)
+		}
+	}
+	for now := 100 * ms; now <= lapse; now += 100 * ms {
+		c.Tick(now)
+	}
+	got := map[string]Cause{}
+	for _, u := range c.TakeUnused() {
+		got[u.Key.Request] = u.Cause
+	}
+	assert.DeepEqual(t, got, map[string]Cause{"lapses": Lapsed, "unlisted": Unlisted, "stale": Idle})
+	assert.Equal(t, len(c.TakeUnused()), 0)
+}
--- a/internal/agent/grant/lease.go
+++ b/internal/agent/grant/lease.go
@@ -83,7 +83,7 @@
 	if g.state != stopping {
 		c.lapses++
 	}
-	c.finish(g, pb.Reason_REASON_CANCELLED)
+	c.end(g, pb.Reason_REASON_CANCELLED, Lapsed)
 }
 
 // Renew extends the grants of an entry and returns the listed attempts that
@@ -132,7 +132,7 @@
 	l.unconfirmed = false
 	for _, g := range c.sorted() {
 		if g.lease == l && g.created < before && !listed[g.Key.Attempt()] {
-			c.finish(g, pb.Reason_REASON_CANCELLED)
+			c.end(g, pb.Reason_REASON_CANCELLED, Unlisted)
 		}
 	}
 }
@@ -202,7 +202,7 @@
 		case g.state == waiting && c.now >= g.until:
 			c.finish(g, pb.Reason_REASON_FULL)
 		case (g.state == idle || g.state == kept) && c.now >= g.until:
-			c.finish(g, pb.Reason_REASON_UNKNOWN_GRANT)
+			c.end(g, pb.Reason_REASON_UNKNOWN_GRANT, Idle)
 		}
 	}
 	for id, l := range c.leases {
