Agents: a renewal from before an attempt doesn't end it

What callers saw: while agents are replaced in turn, a decode refused as unknown_grant 1.3 s after its grant, or an answer cut as cancelled (TestRollingRestartCutsNothing beside load). Cause: an agent ended what a renewal didn't list if it was created before the previous renewal was read. An entry writes a renewal once the previous one was answered or timed out after 0.6 s; two that time out at an agent that has just restarted are read after a reservation over the connection that replaced theirs. Read one after the other, the second ended the grant. The time of reading says nothing about when the renewal was written. TestRenewalsFromBeforeAGrantDoNotEndIt and TestAttemptNamesTheFirstRenewalThatListsIt failed before (the field had no effect). Change: an attempt names the sequence of the first renewal that can list it, taken under the lock under which renewals take theirs; earlier renewals say nothing about it. That is exact, and a lost release is found by the first renewal in place of the second. Entries of releases without the field get the old rule. Looked for elsewhere: calls and prefills with a reservation go the same way and are covered; gateways have no renewals.

--- a/internal/agent/grant/grant.go
+++ b/internal/agent/grant/grant.go
@@ -73,6 +73,9 @@
 	Key Key
 	// Entry is "id#incarnation".
 	Entry string
+	// ListedFrom is the sequence of the first renewal that can list the attempt, 0 if
+	// unknown.
+	ListedFrom uint64
 	// Incarnation is the agent incarnation that the entry expects; 0 for any.
 	Incarnation  uint64
 	Fingerprint  uint64
--- a/internal/agent/grant/grant_test.go
+++ b/internal/agent/grant/grant_test.go
@@ -509,3 +509,20 @@
 	assert.DeepEqual(t, got, map[string]Cause{"lapses": Lapsed, "unlisted": Unlisted, "stale": Idle})
 	assert.Equal(t, len(c.TakeUnused()), 0)
 }
+
+// Guards against ending a grant that its entry is about to use: two renewals that timed
+// out at the entry are read after the grant, which was requested over the connection
+// that replaced theirs. The first renewal that can list the attempt decides.
+func TestRenewalsFromBeforeAGrantDoNotEndIt(t *testing.T) {
+	c := up(t, 2)
+	used, unlisted := decode("used"), decode("unlisted")
+	used.ListedFrom, unlisted.ListedFrom = 3, 3
+	_, _ = c.Reserve(10*ms, used)
+	_, _ = c.Reserve(10*ms, unlisted)
+	c.Renew(20*ms, used.Entry, 1, nil)
+	c.Renew(30*ms, used.Entry, 2, nil)
+	assert.Equal(t, len(c.TakeUnused()), 0)
+	c.Renew(40*ms, used.Entry, 3, []Attempt{used.Key.Attempt()})
+	assert.Assert(t, c.Start(50*ms, used.Key, used.Entry) == nil)
+	assert.Assert(t, !c.HasGrant(unlisted.Key.Attempt()), "its release was lost")
+}
--- a/internal/agent/grant/lease.go
+++ b/internal/agent/grant/lease.go
@@ -89,10 +89,9 @@
 // Renew extends the grants of an entry and returns the listed attempts that
 // have none.
 //
-// An attempt that isn't listed is cancelled if it was created before the
-// previous renewal. Entries list an attempt from before its Reserve until its
-// Release is answered, and send a renewal only after the previous one was
-// answered or timed out. So if an attempt is not listed, its Release was lost.
+// An attempt is cancelled if a renewal that can list it doesn't. Entries list an
+// attempt from before its Reserve until its Release is answered, so its Release was
+// lost.
 func (c *Core) Renew(now time.Duration, entry string, sequence uint64, wanted []Attempt) []Attempt {
 	c.advance(now)
 	defer c.admit()
@@ -131,12 +130,26 @@
 	l.expires = c.now + c.cfg.LapseAfter
 	l.unconfirmed = false
 	for _, g := range c.sorted() {
-		if g.lease == l && g.created < before && !listed[g.Key.Attempt()] {
+		if g.lease == l && g.canBeListed(l.sequence, before) && !listed[g.Key.Attempt()] {
 			c.end(g, pb.Reason_REASON_CANCELLED, Unlisted)
 		}
 	}
 }
 
+// canBeListed reports whether the renewal with this sequence was written after the entry
+// had begun to list g. previous is when the renewal before it arrived.
+//
+// The time of arrival doesn't tell: a renewal that timed out can be read after a grant
+// that was requested later, over another connection. It stands in only for entries of
+// releases without ListedFrom, which send a renewal once the previous one was answered
+// or timed out.
+func (g *grant) canBeListed(sequence uint64, previous time.Duration) bool {
+	if g.ListedFrom != 0 {
+		return sequence >= g.ListedFrom
+	}
+	return g.created < previous
+}
+
 func (c *Core) missing(l *lease, wanted []Attempt) []Attempt {
 	var out []Attempt
 	for _, a := range wanted {
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -43,7 +43,7 @@
 // grantRequest converts q to a grant request for the attempt k of entry.
 func grantRequest(k grant.Key, entry string, q *pb.ReserveRequest) *grant.Request {
 	return &grant.Request{
-		Key: k, Entry: entry,
+		Key: k, Entry: entry, ListedFrom: q.GetAttempt().GetListedFrom(),
 		Incarnation: q.GetIncarnation(), Fingerprint: q.GetFingerprint(),
 		Exclusive: q.GetExclusive(), Batch: q.GetBatch(), Organisation: q.GetOrganisation(),
 		PromptTokens: int(q.GetPromptTokens()),
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -114,7 +114,7 @@
 		wait = timeLimit(q.GetDeadlineMs())
 	}
 	return a.reserve(ctx, grant.Request{
-		Key: k, Entry: entry, Incarnation: q.GetIncarnation(),
+		Key: k, Entry: entry, ListedFrom: q.GetAttempt().GetListedFrom(), Incarnation: q.GetIncarnation(),
 		Fingerprint: q.GetFingerprint(), Exclusive: q.GetExclusive(), Wait: wait,
 	})
 }
--- a/internal/agents/conn.go
+++ b/internal/agents/conn.go
@@ -135,10 +135,13 @@
 	return ctx, cancel
 }
 
-// StartRenewing includes an attempt in the renewals to this agent.
+// StartRenewing includes an attempt in the renewals to this agent, and sets its ListedFrom.
+// Call it before the attempt is sent.
 func (c *Conn) StartRenewing(a *pb.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Renewals take their sequence under the same lock.
+	a.ListedFrom = c.pool.sequence.Load() + 1
 	c.live[renewal.Attempt{Request: a.Request, Number: a.Number}] = struct{}{}
 }
 
--- a/internal/agents/renew_test.go
+++ b/internal/agents/renew_test.go
@@ -149,3 +149,19 @@
 	assert.Equal(t, h.Incarnation, uint64(7))
 	assert.Assert(t, time.Since(h.At) < 2*renewInterval)
 }
+
+// Guards against an agent ending a grant by a renewal that was written before the
+// attempt: the attempt names the first renewal that lists it.
+func TestAttemptNamesTheFirstRenewalThatListsIt(t *testing.T) {
+	p := newPool(t)
+	c, err := p.Conn("agent-1", "127.0.0.1:1")
+	assert.NilError(t, err)
+	s := renewal.NewSender(p.Entry)
+	before := c.frame(s)
+	at := &pb.Attempt{Request: "r", Number: 1, Entry: p.Entry}
+	c.StartRenewing(at)
+	assert.Assert(t, at.ListedFrom > before.Sequence)
+	first := c.frame(s)
+	assert.Assert(t, first.Sequence >= at.ListedFrom)
+	assert.Equal(t, len(first.Added), 1)
+}
