Admission: items in service are named so; a service is a plain backend service here

Reading the change as a newcomer: "service" stands for plain services in this project, and the type that tracks admitted items bore that name. Renamed to inService, constants in one block, units in the item's fields. No behaviour changed; the package's tests pass.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -105,7 +105,7 @@
 	served, batchDue float64
 	batchItems       int
 	drain            drain
-	service          *service
+	inService        *inService
 	bookings         *bookings
 }
 
@@ -153,8 +153,8 @@
 		outstanding:     map[string]Item{},
 		outstandingOrgs: map[*org]struct{}{},
 
-		service:  newService(),
-		bookings: newBookings(),
+		inService: newInService(),
+		bookings:  newBookings(),
 	}
 }
 
@@ -280,14 +280,14 @@
 	q.drain.observe(now, q.Len() > 0)
 	if it, ok := q.outstanding[id]; ok {
 		q.drain.served(now, it.Cost)
-		q.service.begin(now, id, it.Cost)
+		q.inService.begin(now, id, it.Cost)
 	}
 	q.Settle(id)
 }
 
 // Ended records that the service of an item has ended, whatever its result. It does
 // nothing for an item that wasn't served.
-func (q *Queue) Ended(now time.Time, id string) { q.service.end(now, id) }
+func (q *Queue) Ended(now time.Time, id string) { q.inService.end(now, id) }
 
 // Settle makes the charge of a popped item final, including one that was abandoned.
 // Each popped item must be served, settled or requeued.
--- a/internal/policy/admit/service.go
+++ b/internal/policy/admit/inservice.go
@@ -2,15 +2,19 @@
 
 import "time"
 
-// endedDecay is the weight that earlier items keep in the average service time when
-// one more ends.
-const endedDecay = 0.9
+const (
+	// endedDecay is the weight that earlier items keep in the average service time when
+	// one more ends.
+	endedDecay = 0.9
+	// minServiceTime bounds the rate while items end at once.
+	minServiceTime = time.Millisecond
+)
 
-// service tracks the items that are being served, from their grant to their end. By
+// inService tracks the items that are being served, from their grant to their end. By
 // Little's law their cost divided by the time that one takes is the rate at which a full
 // pool drains. Served items alone show that rate only after some service times: when a
 // pool has just become full nothing drains, and then all servers are free at once.
-type service struct {
+type inService struct {
 	items map[string]servedItem
 	cost  float64
 	// costSeconds is the sum of cost times start, in seconds since origin.
@@ -23,11 +27,16 @@
 	lastEnd time.Time
 }
 
-type servedItem struct{ cost, start float64 }
+// servedItem is an item in service.
+type servedItem struct {
+	cost float64
+	// start is in seconds since inService.origin.
+	start float64
+}
 
-func newService() *service { return &service{items: map[string]servedItem{}} }
+func newInService() *inService { return &inService{items: map[string]servedItem{}} }
 
-func (s *service) begin(now time.Time, id string, cost float64) {
+func (s *inService) begin(now time.Time, id string, cost float64) {
 	if _, ok := s.items[id]; ok {
 		return
 	}
@@ -41,7 +50,7 @@
 	s.costSeconds += it.cost * it.start
 }
 
-func (s *service) end(now time.Time, id string) {
+func (s *inService) end(now time.Time, id string) {
 	it, ok := s.items[id]
 	if !ok {
 		return
@@ -58,7 +67,7 @@
 // rate returns the cost that is expected to end per second, or 0 if that isn't known. It
 // falls once the items in service are older than those that ended, and is unknown when
 // none has ended for a service time: the servers may no longer answer.
-func (s *service) rate(now time.Time) float64 {
+func (s *inService) rate(now time.Time) float64 {
 	if len(s.items) == 0 || s.endedCost == 0 {
 		return 0
 	}
@@ -69,6 +78,3 @@
 	age := now.Sub(s.origin).Seconds() - s.costSeconds/s.cost
 	return s.cost / max(took, age)
 }
-
-// minServiceTime bounds the rate while items end at once.
-const minServiceTime = time.Millisecond
--- a/internal/policy/admit/service_test.go
+++ b/internal/policy/admit/inservice_test.go
@@ -57,7 +57,7 @@
 }
 
 func TestRateOfTheItemsInService(t *testing.T) {
-	s := newService()
+	s := newInService()
 	assert.Equal(t, s.rate(start), 0.0)
 	now := start
 	// Ten items of cost 30 at a time, each for 2 s, and half as often one of cost 60.
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -154,7 +154,7 @@
 // service. Each is too low for a while: the first while a pool has just become full, the
 // second once its items have become few.
 func (q *Queue) rate(now time.Time) float64 {
-	return max(q.drain.rate(now, q.cost), q.service.rate(now))
+	return max(q.drain.rate(now, q.cost), q.inService.rate(now))
 }
 
 // RetryAfter returns when the caller of an expired item should retry.
@@ -169,7 +169,7 @@
 	if it.Fingerprint == 0 || !q.drain.measured(now) {
 		return q.jittered(wait)
 	}
-	steady := max(q.drain.busyRate(), q.service.rate(now))
+	steady := max(q.drain.busyRate(), q.inService.rate(now))
 	slower := q.rate(now) / steady
 	wait = time.Duration(float64(wait) * min(1, slower))
 	after, ok := q.bookings.book(now, it.caller(), it.Cost, steady*q.drainShare(it), wait)
