Entries: a try that its hedge overtook counts as a latency

Cause: the hedge delay is the 95th percentile of the latencies, and tries that were cancelled since their hedge answered first were missing from them. Those are the slow ones: while all servers are slow the delay stays as short as the fast answers are, and more and more calls are hedged. TestOvertakenTriesCountAsLatencies failed before. Change: a try that was overtaken counts with the time that it took so far. Trials of suspected servers don't: they are hedged at once. openTry tells a trial from a judged try for it. Looked for elsewhere: no other average of times is kept from answers that something else may cut short (agents' timings and the gateway's prefill speed are of what ended by itself).

--- /dev/null
+++ b/internal/entry/hedge_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// get runs one idempotent call.
+func get(t *testing.T, e *Entry, p poolTargets) (*pb.CallReply, *verdict.Error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := &request{id: e.nextID(), organisation: "o", method: http.MethodGet, uri: "/face", idempotent: true, deadline: time.Now().Add(10 * time.Second)}
+	return newServiceCall(e, r, destination{targets: p}).run(ctx)
+}
+
+// Guards against hedging ever more calls while all servers are slow: tries that were
+// overtaken by their hedge were missing from the latencies, so the hedge delay stayed
+// as short as that of the fastest answers.
+func TestOvertakenTriesCountAsLatencies(t *testing.T) {
+	t.Parallel()
+	const slow = 300 * time.Millisecond
+	a, b := &fakeAgent{takes: slow}, &fakeAgent{}
+	l, m := listen(t), listen(t)
+	a.serve(t, l)
+	b.serve(t, m)
+	e, p := serviceEntry(map[string]string{"slow": l.Addr().String(), "fast": m.Addr().String()})
+	calls := int64(0)
+	for a.ended.Load() == 0 {
+		assert.Assert(t, calls < 100, "no call was hedged")
+		calls++
+		_, failed := get(t, e, p)
+		assert.Assert(t, failed == nil, "%v", failed)
+		time.Sleep(10 * time.Millisecond)
+	}
+	e.latency.mu.Lock()
+	defer e.latency.mu.Unlock()
+	h := e.latency.current
+	assert.Equal(t, h.TotalCount(), calls+1, "of the hedged call, both tries")
+	assert.Assert(t, h.Max() >= hedgeDefaultDelay.Microseconds(), "%d us", h.Max())
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -47,6 +47,8 @@
 type openTry struct {
 	server string
 	began  time.Time
+	// trial is set for a try at a server that was suspected of failure.
+	trial bool
 	// judged is set once a timeout of the server was recorded. It is also set
 	// for a trial, which records its timeout itself.
 	judged bool
@@ -198,11 +200,17 @@
 // and haven't answered. If a backend server is frozen, its agent is still alive
 // and connected: without this evidence the server would keep its share of the
 // requests, each of which would wait for a hedge.
+//
+// What they took so far counts as a latency. Without the slow tries the hedge delay
+// would stay short while all servers are slow, and more and more calls would be hedged.
 func (c *serviceCall) recordOvertaken(winner string) {
 	for _, o := range c.open {
 		if o.server == winner {
 			return
 		}
+		if !o.trial {
+			c.e.latency.add(time.Since(o.began))
+		}
 		if !o.judged {
 			c.e.members.observeCall(o.server, o.began, doubt.Timeout)
 		}
@@ -241,7 +249,7 @@
 		t := time.NewTimer(time.Hour)
 		t.Stop()
 		return t
-	case c.open[0].judged:
+	case c.open[0].trial:
 		return time.NewTimer(0)
 	}
 	return time.NewTimer(c.e.latency.hedgeDelay())
@@ -281,7 +289,7 @@
 	c.exclude[t.id] = true
 	c.attempts++
 	trial := c.canHedge() && c.e.members.unproven(t.id)
-	c.open = append(c.open, openTry{t.id, time.Now(), trial})
+	c.open = append(c.open, openTry{server: t.id, began: time.Now(), trial: trial, judged: trial})
 	n := c.attempts
 	attemptsTotal.Inc()
 	end := func() {}
