Entries: two hedges in reserve in place of four, and fewer for their calls

Cause: each entry kept four hedges in reserve and earned 0.2 a second beside 8% of its calls, whatever the number of entries. At 3.6 calls a second at each of four entries that allows 20 hedges of 56 calls within 4 s when all servers become slow at once (TestHedgesOfSeveralEntriesStayFew, which failed before; its bound is that of the region's return, 1.2 attempts a call). Change: two in reserve, as two overtaken tries doubt a frozen server; 6% of the calls, which is what lies above the 95th percentile and a little to fill the reserve; 0.03 a second. Ruled out: one in reserve: the second call at a frozen server would wait for four hedge delays. Fewer hedges by a later percentile: a frozen server would be found later by all.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,7 +102,7 @@
 		incarnation: o.Incarnation,
 		gates:       make(map[string]*admissionGate),
 		retryBudget: retry.NewBudget(retry.Options{Ratio: o.Settings.Policy.RetryRatio}),
-		hedgeBudget: retry.NewBudget(retry.Options{Ratio: hedgeRatio, MinPerSecond: hedgeMinPerSecond, Burst: hedgeBurst}),
+		hedgeBudget: newHedgeBudget(),
 		blame:       blame.New(blame.Options{}),
 		prefixes:    place.NewPrefixIndex(prefixesPerServer),
 		convictions: make(chan uint64, convictionBuffer),
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -5,14 +5,18 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jayford.example/jayford/internal/policy/retry"
 )
 
 const (
 	// hedgeRatio bounds hedges to a fraction of the calls. Without a bound an
 	// overloaded, slow service would get twice its load.
-	hedgeRatio        = 0.08
-	hedgeMinPerSecond = 0.2
-	hedgeBurst        = 4
+	hedgeRatio        = 0.06
+	hedgeMinPerSecond = 0.03
+	// hedgeBurst is enough to doubt a frozen server, which takes two overtaken tries. The
+	// bursts of all entries add up when all servers become slow at once.
+	hedgeBurst        = 2
 	hedgeMinDelay     = 5 * time.Millisecond
 	hedgeDefaultDelay = 50 * time.Millisecond
 	hedgePercentile   = 95
@@ -21,6 +25,10 @@
 	latencyMinSamples = 20
 )
 
+func newHedgeBudget() *retry.Budget {
+	return retry.NewBudget(retry.Options{Ratio: hedgeRatio, MinPerSecond: hedgeMinPerSecond, Burst: hedgeBurst})
+}
+
 // latencies tracks call latencies in two histograms, the current window and the
 // one before.
 type latencies struct {
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -46,3 +46,31 @@
 	assert.Equal(t, h.TotalCount(), calls+1, "of the hedged call, both tries")
 	assert.Assert(t, h.Max() >= hedgeDefaultDelay.Microseconds(), "%d us", h.Max())
 }
+
+// Guards against a stampede of hedges when all servers become slow at once, as behind a
+// partition: each of several entries with a few calls a second spent a burst of its own.
+func TestHedgesOfSeveralEntriesStayFew(t *testing.T) {
+	const (
+		entries     = 4
+		interval    = 280 * time.Millisecond // between the calls at one entry
+		calm, slow  = 10 * time.Second, 4 * time.Second
+		maxAttempts = 1.2
+	)
+	calls, hedges := 0, 0
+	for range entries {
+		b := newHedgeBudget()
+		now := time.Now()
+		for at := time.Duration(0); at < calm+slow; at += interval {
+			b.Advance(now.Add(at))
+			b.RecordFirst("pool")
+			if at < calm {
+				continue
+			}
+			calls++
+			if b.Allow("pool", "pool") {
+				hedges++
+			}
+		}
+	}
+	assert.Assert(t, float64(calls+hedges) <= maxAttempts*float64(calls), "%d hedges of %d calls", hedges, calls)
+}
