Experiment: instant engines keep a prefill's result as long as real ones

Cause: the tool that measures an entry's overhead scales the times of its stand-ins by 0.05 and makes the engines instant. The life of a prefill's result was scaled with them, to 40 ms, though what lies between prefill and decode there is the delay of the processes, which isn't scaled. Change: with instant engines the result lives for the real 0.8 s. What the test checks is as before: each call on both paths is answered.

--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -103,6 +103,9 @@
 		OmitTokenEntries:   true,
 	}
 	if d.Instant {
+		// The delays of the processes themselves aren't scaled; a result that lives for
+		// less is lost to them.
+		o.KVTTL = kvTTL
 		// Zero would select the defaults.
 		o.TokenTime, o.TokenTimePerSlot, o.PrefillPerThousand = 1, 1, 1
 		o.LinkBytesPerSecond = instantLink
