Reading the change as a newcomer: comments of grants, items in service and instant engines

Comments say what the code does in the field's terms, units and zero values stand at their fields; the test of unused grants is named for what fails without it. No behaviour changed.

--- a/internal/agent/grant/lease_test.go
+++ b/internal/agent/grant/lease_test.go
@@ -7,9 +7,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// A grant that an agent ends by itself is told of with its cause, as its entry can't
-// tell a lapse from a renewal that doesn't list it.
-func TestUnusedGrantsAreTold(t *testing.T) {
+// Guards against refusals as unknown_grant without a cause in any log: an entry can't
+// distinguish a lapse from a renewal that didn't list its attempt.
+func TestUnusedGrantsAreReported(t *testing.T) {
 	c := up(t, 3)
 	for _, id := range []string{"lapses", "unlisted", "stale", "released"} {
 		r := decode(id)
--- a/internal/agent/grant/unused.go
+++ b/internal/agent/grant/unused.go
@@ -6,7 +6,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 )
 
-// Cause is why a grant ended without a message about it.
+// Cause is why the agent ended a grant by itself.
 type Cause int
 
 // The causes.
@@ -15,7 +15,7 @@
 	Lapsed Cause = iota
 	// Unlisted: a renewal of its entry didn't list it.
 	Unlisted
-	// Idle: it was unused for longer than Request.Idle.
+	// Idle: it was unused for longer than Request.Idle or Config.MaxIdle.
 	Idle
 )
 
@@ -28,15 +28,16 @@
 	return "unknown"
 }
 
-// Unused tells of a grant that ended before its work began. Its entry learns of it only
-// by using it, as a refusal with REASON_UNKNOWN_GRANT.
+// Unused describes a grant that the agent ended before its work began. Its entry isn't
+// notified: when it uses the grant, it gets a refusal with REASON_UNKNOWN_GRANT.
 type Unused struct {
 	Key   Key
 	Entry string
 	Cause Cause
-	// Age is the time since the grant was requested, Renewed the time since the last
-	// renewal of its entry.
-	Age, Renewed time.Duration
+	// Age is the time since the grant was requested.
+	Age time.Duration
+	// Renewed is the time since the last renewal of its entry, 0 for Unlisted.
+	Renewed time.Duration
 }
 
 // TakeUnused returns the grants that ended unused since the last call.
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -103,8 +103,8 @@
 		OmitTokenEntries:   true,
 	}
 	if d.Instant {
-		// The delays of the processes themselves aren't scaled; a result that lives for
-		// less is lost to them.
+		// What remains between prefill and decode are delays of the processes, which
+		// TimeScale doesn't scale.
 		o.KVTTL = kvTTL
 		// Zero would select the defaults.
 		o.TokenTime, o.TokenTimePerSlot, o.PrefillPerThousand = 1, 1, 1
--- a/internal/policy/admit/inservice.go
+++ b/internal/policy/admit/inservice.go
@@ -11,9 +11,9 @@
 )
 
 // inService tracks the items that are being served, from their grant to their end. By
-// Little's law their cost divided by the time that one takes is the rate at which a full
-// pool drains. Served items alone show that rate only after some service times: when a
-// pool has just become full nothing drains, and then all servers are free at once.
+// Little's law their cost divided by the mean service time is the rate at which a full
+// pool drains. The measured drain rate is too low for some service times after a pool
+// became full, since all its items began at about the same time.
 type inService struct {
 	items map[string]servedItem
 	cost  float64
