Gateways: SIGHUP is caught before the other packages are initialised

Suspected: the soak sends SIGHUPs at random moments, also right behind a start. It was caught in the command, behind the initialisation of all packages (10 ms). Change: a package that imports os, os/signal and syscall alone catches it when it is initialised, at 1 ms.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,6 +15,7 @@
 
 	"jayford.example/jayford/internal/daemon"
 	"jayford.example/jayford/internal/dev"
+	"jayford.example/jayford/internal/hangup"
 	"jayford.example/jayford/internal/logs"
 	"jayford.example/jayford/internal/settings"
 )
@@ -81,8 +82,7 @@
 
 // Execute runs a gateway.
 func (c *gatewayCommand) Execute([]string) error {
-	// The platform may send a SIGHUP as soon as the process exists.
-	hup := catchHangups()
+	hup := hangup.Catch()
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil {
 		return reportInvalid(err)
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,15 +15,6 @@
 // which may come without a signal.
 const pollInterval = 5 * time.Second
 
-// catchHangups returns a channel that gets the process's SIGHUPs. Without it a SIGHUP
-// would end the process. There is no signal.Stop: a SIGHUP during shutdown would then
-// abort requests.
-func catchHangups() <-chan os.Signal {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	return hup
-}
-
 // watchSettings reloads the settings on SIGHUP and when the file changes. A new
 // log level takes effect at once; all other changes need a restart, which is
 // logged.
