Agents: what an unlisted grant means, as the code has it

An entry stops listing it when it sends the release, so a renewal can also come first; that is a normal end, and its log line is one of information, not a warning. Comments and the level of one line changed, no decision.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -293,7 +293,7 @@
 	a.log.WithFields(logrus.Fields{
 		"request": u.Key.Request, "attempt": u.Key.Number, "phase": u.Key.Phase.String(), "entry": u.Entry,
 		"cause": u.Cause.String(), "age": u.Age.Seconds(), "renewed": u.Renewed.Seconds(),
-	}).Warn("agent: A grant ended before it was used.")
+	}).Info("agent: A grant ended before it was used.")
 }
 
 // carryOut is called with mu held.
--- a/internal/agent/grant/lease.go
+++ b/internal/agent/grant/lease.go
@@ -90,8 +90,7 @@
 // have none.
 //
 // An attempt is cancelled if a renewal that can list it doesn't. Entries list an
-// attempt from before its Reserve until its Release is answered, so its Release was
-// lost.
+// attempt from before its Reserve until they send its Release, which may be lost.
 func (c *Core) Renew(now time.Duration, entry string, sequence uint64, wanted []Attempt) []Attempt {
 	c.advance(now)
 	defer c.admit()
@@ -139,10 +138,9 @@
 // canBeListed reports whether the renewal with this sequence was written after the entry
 // had begun to list g. previous is when the renewal before it arrived.
 //
-// The time of arrival doesn't tell: a renewal that timed out can be read after a grant
-// that was requested later, over another connection. It stands in only for entries of
-// releases without ListedFrom, which send a renewal once the previous one was answered
-// or timed out.
+// The order of arrival doesn't show that: a renewal that timed out can be read after a
+// grant that was requested later, over another connection. It is used only for entries
+// of releases without ListedFrom.
 func (g *grant) canBeListed(sequence uint64, previous time.Duration) bool {
 	if g.ListedFrom != 0 {
 		return sequence >= g.ListedFrom
