--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -144,7 +144,7 @@
 	}{
 		{"entry", "Accept callers on an entry instance.", &entryCommand{}},
 		{"agent", "Admit requests to the backend server of this instance.", &agentCommand{}},
-		{"gateway", "Accept callers where backend servers do their own admission control.", &gatewayCommand{run: gateway}},
+		{hangup.GatewayRole, "Accept callers where backend servers do their own admission control.", &gatewayCommand{run: gateway}},
 		{"dev", "Run a small system with stand-ins in one process.", &devCommand{}},
 	}
 	for _, c := range commands {
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -11,13 +11,13 @@
 	"syscall"
 )
 
-// gatewayRole is the subcommand of gateways. Other roles are ended by a SIGHUP.
-const gatewayRole = "gateway"
+// GatewayRole is the subcommand of gateways. Other roles are ended by a SIGHUP.
+const GatewayRole = "gateway"
 
 var caught = make(chan os.Signal, 1)
 
 func init() {
-	if len(os.Args) > 1 && os.Args[1] == gatewayRole {
+	if len(os.Args) > 1 && os.Args[1] == GatewayRole {
 		Catch()
 	}
 }
--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -1,8 +1,11 @@
 package hangup
 
 import (
+	"errors"
 	"go/parser"
 	"go/token"
+	"os"
+	"os/exec"
 	"slices"
 	"strconv"
 	"syscall"
@@ -24,12 +27,31 @@
 	}
 }
 
-func TestHangupsAreCaught(t *testing.T) {
-	c := Catch()
-	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
+const otherRole = "entry"
+
+// TestMain runs the role that is given in place of the tests' flags: the process gets a
+// SIGHUP before anything but the initialisation of packages has run.
+func TestMain(m *testing.M) {
+	if len(os.Args) < 2 || os.Args[1] != GatewayRole && os.Args[1] != otherRole {
+		os.Exit(m.Run())
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		os.Exit(1)
+	}
 	select {
-	case <-c:
+	case <-caught:
 	case <-time.After(5 * time.Second):
-		t.Fatal("no signal")
+		os.Exit(1)
 	}
 }
+
+// Guards against a SIGHUP that ends a gateway before its command runs. Other roles are
+// ended by it, as are most programs.
+func TestHangupBeforeTheCommandEndsOnlyOtherRoles(t *testing.T) {
+	assert.NilError(t, exec.Command(os.Args[0], GatewayRole).Run())
+	err := exec.Command(os.Args[0], otherRole).Run()
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(err, &exit), "%v", err)
+	status, _ := exit.Sys().(syscall.WaitStatus)
+	assert.Equal(t, status.Signal(), syscall.SIGHUP)
+}
