--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -12,7 +12,8 @@
 const (
 	// hedgeRatio bounds hedges to a fraction of the calls. Without a bound an
 	// overloaded, slow service would get twice its load.
-	hedgeRatio        = 0.06
+	hedgeRatio = 0.06
+	// hedgeMinPerSecond refills the burst of a pool that gets few calls.
 	hedgeMinPerSecond = 0.03
 	// hedgeBurst is enough to doubt a frozen server, which takes two overtaken tries. The
 	// bursts of all entries add up when all servers become slow at once.
