Gateway: losses under a request are logged with its fingerprint

The logs of the incident couldn't tell whether retries of a call are recognised, or whether its losses are counted at all. No logic changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -76,7 +76,9 @@
 
 func (g *Gateway) logCall(j *job, s catalog.Server, reply *Reply, err *verdict.Error) {
 	if err != nil {
-		g.logRequest(j, "gateway: call failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "verdict": err.Verdict.String()})
+		g.logRequest(j, "gateway: call failed.", logrus.Fields{
+			"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "cause": err.Error(), "verdict": err.Verdict.String(),
+		})
 		return
 	}
 	late := ""
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -81,6 +82,9 @@
 	return x != nil && len(x.engines) >= crashThreshold && now.Sub(x.last) <= crashWindow
 }
 
+// formatFingerprint returns a fingerprint as it is logged.
+func formatFingerprint(fp uint64) string { return strconv.FormatUint(fp, 16) }
+
 // fingerprint identifies a request by its content, as a caller's retry has another id.
 func (r *Request) fingerprint() uint64 {
 	h := xxhash.New()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,7 +177,9 @@
 // recordCrash records that the server broke off while it ran the job's request, and
 // reports it to the peers.
 func (g *Gateway) recordCrash(j *job, s catalog.Server) {
-	if g.crashes.record(j.fingerprint, gossip.EngineKey(serverKey(s)), time.Now()) && g.loads.peers != nil {
+	isNew := g.crashes.record(j.fingerprint, gossip.EngineKey(serverKey(s)), time.Now())
+	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "new": isNew})
+	if isNew && g.loads.peers != nil {
 		g.loads.peers.ReportCrash(j.fingerprint, serverKey(s))
 	}
 }
