--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,7 +35,7 @@
 	var kept *Reply
 	var last *verdict.Error
 	for {
-		if err := g.recheckKey(j); err != nil {
+		if err := g.recheck(ctx, j); err != nil {
 			last = err
 			break
 		}
@@ -121,32 +121,67 @@
 	end := g.loads.begin(s, 0)
 	j.sends++
 	began := time.Now()
+	j.sentAt = began
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
-	if err != nil {
-		end()
-		if err.Verdict != verdict.NotRun {
-			j.runs++
+	if err == nil || err.Verdict != verdict.NotRun {
+		j.runs++
+	}
+	g.recordAnswer(s, began, err)
+	if err == nil {
+		if err := verifyAnswer(a); err != nil {
+			end()
+			_ = a.Body.Close()
+			return nil, err
 		}
-		return nil, err
 	}
-	j.runs++
-	if err := verifyAnswer(a); err != nil {
-		end()
-		_ = a.Body.Close()
-		return nil, err
+	var reply *Reply
+	if err == nil {
+		reply, err = bufferReply(a)
 	}
-	reply, err := bufferReply(a)
 	if err != nil {
 		end()
+		if isLoss(ctx, err) {
+			g.recordLoss(j, s, began)
+		}
 		return nil, err
 	}
 	observe(callSeconds, began)
 	g.view.recordOutcome(s, doubt.Success)
+	reply.Body = &endHookBody{ReadCloser: reply.Body, onEnd: func(err error) { g.replyEnded(ctx, j, s, reply, err) }}
 	reply.Body = &closeHookBody{ReadCloser: reply.Body, onClose: end}
 	return reply, nil
 }
 
+// replyEnded records how the body of a server's reply ended.
+func (g *Gateway) replyEnded(ctx context.Context, j *job, s catalog.Server, r *Reply, err error) {
+	switch {
+	case errors.Is(err, io.EOF):
+		if r.Status < http.StatusInternalServerError {
+			g.crashes.recordSuccess(j.fingerprint)
+		}
+	case ctx.Err() == nil:
+		g.recordLoss(j, s, j.sentAt)
+	}
+}
+
+// endHookBody calls onEnd once with the error that ends the body, io.EOF if it is complete.
+type endHookBody struct {
+	io.ReadCloser
+	ended bool
+	onEnd func(error)
+}
+
+// Read implements io.Reader.
+func (b *endHookBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !b.ended {
+		b.ended = true
+		b.onEnd(err)
+	}
+	return n, err
+}
+
 // verifyAnswer rejects an answer that lacks the server's proof of identity or has an
 // encoding that wasn't requested.
 func verifyAnswer(a *Answer) *verdict.Error {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -1,94 +1,138 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
+	"github.com/sirupsen/logrus"
 
-const (
-	// crashThreshold is how many engines must be lost under a request before it is
-	// refused. One or two losses happen to any request while servers are replaced; a
-	// third on yet another server, within crashWindow of the one before, hardly ever does.
-	crashThreshold = 3
-	crashWindow    = 30 * time.Second
-	// maxCrashRecords bounds the requests that are tracked.
-	maxCrashRecords = 4096
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/gossip"
+	"jayford.example/jayford/internal/policy/blame"
+	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
-// crashTracker counts the engines that were lost while they ran a request, by the
-// request's fingerprint. The caller of a request that crashes its engine retries it
-// under another id, which would crash one engine after the other with all that runs
-// there. The retries reach different gateways, so the gateways exchange these losses.
-type crashTracker struct {
+// crashes attributes lost servers to the requests that ran there. The caller of a
+// request that crashes its server retries it under another id, at any gateway, so the
+// gateways exchange these losses.
+type crashes struct {
+	// nonEmpty is whether the ledger has records. Mostly it has none, and each answer
+	// checks this without a lock.
+	nonEmpty atomic.Bool
+
 	mu sync.Mutex
-	// records is guarded by mu. It has the keys of the engines lost under each
-	// fingerprint, and when the last one was.
-	records map[uint64]*crashRecord
+	// ledger is guarded by mu.
+	ledger *blame.Ledger
 }
 
-type crashRecord struct {
-	engines map[uint64]bool
-	last    time.Time
-}
+func newCrashes() *crashes { return &crashes{ledger: blame.NewLedger(blame.LedgerOptions{})} }
 
-// record records the loss of an engine, given by its key, under a request. It reports
-// whether the loss was unknown before.
-func (c *crashTracker) record(fp, engine uint64, now time.Time) bool {
+func (c *crashes) record(x blame.Loss) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.records == nil {
-		c.records = map[uint64]*crashRecord{}
-	}
-	if len(c.records) >= maxCrashRecords {
-		c.evict(now)
-	}
-	x := c.records[fp]
-	if x == nil || now.Sub(x.last) > crashWindow {
-		x = &crashRecord{engines: map[uint64]bool{}}
-		c.records[fp] = x
+	c.nonEmpty.Store(true)
+	return c.ledger.RecordLoss(x, time.Now())
+}
+
+// update changes the ledger if it has records.
+func (c *crashes) update(f func(l *blame.Ledger, now time.Time)) {
+	if !c.nonEmpty.Load() {
+		return
 	}
-	known := x.engines[engine]
-	x.engines[engine] = true
-	x.last = now
-	return !known
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.ledger, time.Now())
+	c.nonEmpty.Store(c.ledger.Len() > 0)
 }
 
-// evict drops the expired records, and all of them if there are still too many.
-func (c *crashTracker) evict(now time.Time) {
-	for fp, x := range c.records {
-		if now.Sub(x.last) > crashWindow {
-			delete(c.records, fp)
-		}
+// recordSuccess records that a request has succeeded.
+func (c *crashes) recordSuccess(fp uint64) {
+	c.update(func(l *blame.Ledger, now time.Time) { l.RecordSuccess(fp, now) })
+}
+
+func (c *crashes) judge(fp uint64) (j blame.Judgement) {
+	c.update(func(l *blame.Ledger, now time.Time) { j = l.Judge(fp, now) })
+	return j
+}
+
+func (c *crashes) convictions(limit int) (out []blame.Loss) {
+	c.update(func(l *blame.Ledger, now time.Time) { out = l.Convictions(limit, now) })
+	return out
+}
+
+// RecordPeerLoss records the loss of a server under a request, as reported by a peer. It
+// reports whether the loss was unknown before. The server is given by its gossip.EngineKey,
+// the request by its fingerprint.
+func (g *Gateway) RecordPeerLoss(x blame.Loss) bool { return g.crashes.record(x) }
+
+// Convictions returns at most limit losses for which this gateway refuses requests.
+func (g *Gateway) Convictions(limit int) []blame.Loss { return g.crashes.convictions(limit) }
+
+// isLoss reports whether an attempt failed because its connection to the server broke,
+// which happens when the server crashes. A caller that left, a timeout and an answer of
+// the server, however wrong, are no losses.
+func isLoss(ctx context.Context, err *verdict.Error) bool {
+	return ctx.Err() == nil && err.Code == verdict.ServerLost && err.Verdict != verdict.NotRun
+}
+
+// recordLoss records that the server was lost while it ran the job's request, which it
+// was sent at began, and reports it to the peers.
+func (g *Gateway) recordLoss(j *job, s catalog.Server, began time.Time) {
+	x := blame.Loss{Request: j.fingerprint, Server: gossip.EngineKey(serverKey(s)), Began: began, Lost: time.Now()}
+	isNew := g.crashes.record(x)
+	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
+		"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "new": isNew, "ran": milliseconds(x.Lost.Sub(began)),
+	})
+	if isNew && g.loads.peers != nil {
+		g.loads.peers.ReportLoss(x)
 	}
-	if len(c.records) >= maxCrashRecords {
-		clear(c.records)
+}
+
+// recordAnswer records the answer of a server to a call that was sent at a time, unless it
+// failed without one. It shows that the server hadn't crashed before.
+func (g *Gateway) recordAnswer(s catalog.Server, sent time.Time, err *verdict.Error) {
+	if err == nil || err.Code == verdict.Overloaded {
+		g.crashes.update(func(l *blame.Ledger, now time.Time) { l.RecordAnswer(gossip.EngineKey(serverKey(s)), sent, now) })
 	}
 }
 
-// clear drops the record of a request that completed.
-func (c *crashTracker) clear(fp uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.records, fp)
+// refuseCrashing refuses a request that is known to crash servers, or is held back as it
+// may. If too little is known yet of a server that was just lost, it waits.
+func (g *Gateway) refuseCrashing(ctx context.Context, j *job) *verdict.Error {
+	for {
+		x := g.crashes.judge(j.fingerprint)
+		switch {
+		case x.Convicted:
+			return verdict.New(verdict.NotRun, verdict.Crashes, "This request crashed the servers that ran it.")
+		case x.Held > 0:
+			return verdict.New(verdict.NotRun, verdict.Overloaded, "Servers crashed under this request and others.").WithRetryAfter(x.Held)
+		case x.Unsettled == 0 || !wait.Sleep(ctx, x.Unsettled):
+			return nil
+		}
+	}
 }
 
-func (c *crashTracker) blocked(fp uint64, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	x := c.records[fp]
-	return x != nil && len(x.engines) >= crashThreshold && now.Sub(x.last) <= crashWindow
+// recheck checks before each attempt what may have changed since the request was accepted.
+func (g *Gateway) recheck(ctx context.Context, j *job) *verdict.Error {
+	if err := g.recheckKey(j); err != nil {
+		return err
+	}
+	return g.refuseCrashing(ctx, j)
 }
 
 // formatFingerprint returns a fingerprint as it is logged.
 func formatFingerprint(fp uint64) string { return strconv.FormatUint(fp, 16) }
 
-// fingerprint identifies a request by its content, as a caller's retry has another id.
-func (r *Request) fingerprint() uint64 {
+// fingerprint identifies a request by its content and its caller's organisation, as a
+// caller's retry has another id.
+func (r *Request) fingerprint(organisation string) uint64 {
 	h := xxhash.New()
-	for _, s := range []string{r.Method, "\x00", r.Host, "\x00", r.URI, "\x00", r.Content, "\x00"} {
+	for _, s := range []string{r.Method, "\x00", r.Host, "\x00", r.URI, "\x00", organisation, "\x00", r.Content, "\x00"} {
 		_, _ = h.WriteString(s)
 	}
 	_, _ = h.Write(r.Body)
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -1,13 +1,21 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 // numbered returns the n-th request of a caller: the same content, each under its own id.
@@ -39,7 +47,7 @@
 			var last *verdict.Error
 			for n := range 8 {
 				for i, g := range []*Gateway{g1, g2} {
-					g.SetServers(restarted(int64(n + 1)))
+					g.SetServers(restarted(int64(2*n + i + 1)))
 					_, last = g.Serve(t.Context(), numbered(path, 2*n+i))
 				}
 			}
@@ -49,3 +57,187 @@
 		})
 	}
 }
+
+// crashingServer simulates a server that ends while it runs a request with a path, takes
+// all its requests down, and is back at once as another incarnation.
+type crashingServer struct {
+	path string
+
+	mu sync.Mutex
+	// All below is guarded by mu. down closes when the current incarnation ends.
+	incarnation int64
+	down        chan struct{}
+	restart     func(incarnation int64)
+}
+
+const (
+	// servingTime is how long a request runs, crashTime how long until the server ends.
+	servingTime = 30 * time.Millisecond
+	crashTime   = 10 * time.Millisecond
+)
+
+func (c *crashingServer) send(s catalog.Server, x Call) (*Answer, *verdict.Error) {
+	c.mu.Lock()
+	down, current := c.down, c.incarnation
+	c.mu.Unlock()
+	if s.Incarnation != current {
+		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "another incarnation")
+	}
+	if x.Request.Path != c.path {
+		select {
+		case <-time.After(servingTime):
+			return answer(text("served")), nil
+		case <-down:
+			return nil, lost()
+		}
+	}
+	time.Sleep(crashTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.incarnation == current {
+		close(down)
+		c.incarnation++
+		c.down = make(chan struct{})
+		c.restart(c.incarnation)
+	}
+	return nil, lost()
+}
+
+// Guards against the refusal of requests that ran on the same servers as one that crashes
+// them: sixty callers at two gateways, all on the one server of the service.
+func TestManyBesideACrashingCallAreServed(t *testing.T) {
+	server := &crashingServer{path: "/again/bad", down: make(chan struct{}), incarnation: 1}
+	f := &fakeBackend{send: server.send}
+	g1, g2 := newGateway(t, f), newGateway(t, f)
+	g1.Join(crashForwarder{g2})
+	g2.Join(crashForwarder{g1})
+	gateways := []*Gateway{g1, g2}
+	server.restart = func(incarnation int64) {
+		for _, g := range gateways {
+			g.SetServers([]catalog.Server{{ID: "p1", Service: plainService, Address: "10.0.0.1:1", Incarnation: incarnation}})
+		}
+	}
+	server.restart(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var group sync.WaitGroup
+	var refused, served atomic.Int64
+	for caller := range 60 {
+		group.Go(func() {
+			// A caller retries until its request is served.
+			for n, done := 0, 0; ctx.Err() == nil; n++ {
+				reply, err := gateways[(caller+n)%2].Serve(ctx, numbered(fmt.Sprintf("/again/%d/%d", caller, done), n))
+				switch {
+				case err == nil:
+					reply.discard()
+					served.Add(1)
+					done++
+				case err.Code == verdict.Crashes:
+					refused.Add(1)
+					done++
+				default:
+					wait.Sleep(ctx, err.RetryAfter)
+				}
+			}
+		})
+	}
+	code := verdict.Code("")
+	for n := 0; code != verdict.Crashes && n < 100; n++ {
+		_, err := gateways[n%2].Serve(ctx, numbered(server.path, n))
+		code = err.Code
+		wait.Sleep(ctx, max(servingTime/2, err.RetryAfter))
+	}
+	before := served.Load()
+	time.Sleep(10 * servingTime)
+	cancel()
+	group.Wait()
+	assert.Equal(t, code, verdict.Crashes)
+	assert.Equal(t, refused.Load(), int64(0))
+	assert.Assert(t, served.Load()-before >= 60)
+	assert.Assert(t, server.incarnation <= 7, "%d servers ended", server.incarnation-1)
+}
+
+// Guards against a request that is sent on between its own tries, once the gateways know
+// together that it crashes servers.
+func TestRefusalHoldsBetweenTries(t *testing.T) {
+	for _, r := range []*Request{call("/again/x"), generation("/stream/")} {
+		t.Run(r.Path, func(t *testing.T) {
+			var g *Gateway
+			f := &fakeBackend{}
+			f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+				// Meanwhile a peer reports two other servers.
+				now := time.Now()
+				fp := r.fingerprint("")
+				g.RecordPeerLoss(blame.Loss{Request: fp, Server: 1, Began: now.Add(-time.Second), Lost: now.Add(-time.Second)})
+				g.RecordPeerLoss(blame.Loss{Request: fp, Server: 2, Began: now.Add(-time.Second), Lost: now.Add(-500 * time.Millisecond)})
+				return nil, lost()
+			}
+			g = newGateway(t, f)
+			_, err := g.Serve(t.Context(), r)
+			assert.Equal(t, err.Verdict, verdict.MayHaveRun)
+			assert.Equal(t, len(f.sends()), 1)
+			_, err = g.Serve(t.Context(), r)
+			assert.Equal(t, err.Code, verdict.Crashes)
+			assert.Equal(t, err.Verdict, verdict.NotRun)
+		})
+	}
+}
+
+// Guards against a prompt that crashes one prefill engine after the other.
+func TestCrashingPrefillIsRefused(t *testing.T) {
+	f := &fakeBackend{prefill: func(catalog.Server) (Prefilled, *verdict.Error) { return Prefilled{}, lost() }}
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) { return nil, full() }
+	g := newGateway(t, f)
+	var last *verdict.Error
+	for n := range 8 {
+		g.SetServers(restarted(int64(n + 1)))
+		_, last = g.Serve(t.Context(), generation("/stream/"))
+	}
+	assert.Equal(t, last.Code, verdict.Crashes)
+	assert.Equal(t, len(f.prefills), 3)
+}
+
+// Guards against the refusal of a request whose answers got lost on the way, three times
+// at servers that go on serving others.
+func TestLostAnswersConvictNobody(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, c Call) (*Answer, *verdict.Error) {
+		if c.Request.Path == "/once/unlucky" {
+			return nil, lost()
+		}
+		return answer(text("served")), nil
+	}
+	g := newGateway(t, f)
+	for n := range 12 {
+		_, err := g.Serve(t.Context(), numbered("/once/unlucky", n))
+		assert.Equal(t, err.Code, verdict.ServerLost, "attempt %d", n)
+		for i := range 3 {
+			// Each server answers somebody.
+			g.SetServers(testServers()[i : i+1])
+			reply, err := g.Serve(t.Context(), numbered("/once/other", 100*n+i))
+			assert.Assert(t, err == nil, "%v", err)
+			reply.discard()
+		}
+		g.SetServers(testServers())
+	}
+}
+
+// Guards against a large answer that breaks off behind the part that was buffered: its
+// server is lost too.
+func TestLossWithinALargeAnswerCounts(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		return answer(io.MultiReader(bytes.NewReader(make([]byte, retryBufferBytes)), errReader{io.ErrUnexpectedEOF})), nil
+	}
+	g := newGateway(t, f)
+	for n := range 3 {
+		g.SetServers(restarted(int64(n + 1)))
+		reply, err := g.Serve(t.Context(), numbered("/once/x", n))
+		assert.Assert(t, err == nil, "%v", err)
+		_, readErr := io.ReadAll(reply.Body)
+		assert.ErrorIs(t, readErr, io.ErrUnexpectedEOF)
+		reply.discard()
+	}
+	_, err := g.Serve(t.Context(), numbered("/once/x", 3))
+	assert.Equal(t, err.Code, verdict.Crashes)
+}
--- a/internal/gateway/foresight_test.go
+++ b/internal/gateway/foresight_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/memory"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -21,7 +22,7 @@
 
 func (peerNeeds) NotifyLoadChange() {}
 
-func (peerNeeds) ReportCrash(uint64, string) {}
+func (peerNeeds) ReportLoss(blame.Loss) {}
 
 func (p peerNeeds) Need(start string) memory.Need { return p.needs[start] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,7 @@
 	// other gateways.
 	contention place.PlacementRate
 
-	crashes crashTracker
+	crashes *crashes
 }
 
 // New returns a gateway and adds its state to the board's dump.
@@ -125,7 +125,7 @@
 	g := &Gateway{
 		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
 		opts: o, log: o.Log.WithField("part", "gateway"), backend: o.Backend, keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
-		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(),
+		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), crashes: newCrashes(),
 		budget: retry.NewWindowBudget(retry.WindowBudgetOptions{
 			Ratio: o.Budget.Ratio * budgetSafetyFactor, Slack: o.Budget.share(assumedGateways),
 			Window: o.Budget.Window, Draw: rand.Float64,
@@ -164,26 +164,9 @@
 }
 
 // Join makes the gateway include its peers' load in the choice of engines, and report
-// lost engines to them. It must be called before the first request.
+// lost servers to them. It must be called before the first request.
 func (g *Gateway) Join(p Peers) { g.loads.peers = p }
 
-// RecordPeerCrash records the loss of an engine under a request, as reported by a peer. It
-// reports whether the loss was unknown before. The engine is given by its gossip.EngineKey,
-// the request by its fingerprint.
-func (g *Gateway) RecordPeerCrash(content, engine uint64) bool {
-	return g.crashes.record(content, engine, time.Now())
-}
-
-// recordCrash records that the server broke off while it ran the job's request, and
-// reports it to the peers.
-func (g *Gateway) recordCrash(j *job, s catalog.Server) {
-	isNew := g.crashes.record(j.fingerprint, gossip.EngineKey(serverKey(s)), time.Now())
-	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "new": isNew})
-	if isNew && g.loads.peers != nil {
-		g.loads.peers.ReportCrash(j.fingerprint, serverKey(s))
-	}
-}
-
 // Load returns this gateway's own load on engines, by server key.
 func (g *Gateway) Load() map[string]gossip.Load { return g.loads.own() }
 
@@ -255,7 +238,7 @@
 // job is one request in progress.
 type job struct {
 	r *Request
-	// fingerprint identifies r by its content.
+	// fingerprint identifies r by its content and its caller's organisation.
 	fingerprint uint64
 	route       *catalog.Route
 	service     catalog.Service
@@ -267,6 +250,8 @@
 	until time.Time
 	// sends counts the attempts, runs those that may have run.
 	sends, runs int
+	// sentAt is when the last attempt began.
+	sentAt time.Time
 	// prefillState is the progress of the prompt's prefill.
 	prefillState prefill.Attempts
 	// reserveWait is the time from the request's arrival to its reservation.
@@ -343,18 +328,16 @@
 	if err := checkSize(r, c.Limits); err != nil {
 		return nil, err
 	}
-	fingerprint := r.fingerprint()
-	if g.crashes.blocked(fingerprint, time.Now()) {
-		return nil, verdict.New(verdict.NotRun, verdict.Crashes, "This request crashed the servers that ran it.")
-	}
 	wait := route.Timeout
 	if r.CallerTimeout > 0 {
 		wait = min(wait, r.CallerTimeout)
 	}
-	return &job{
-		r: r, fingerprint: fingerprint, route: route, service: service, organisation: organisation, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
+	j := &job{
+		r: r, route: route, service: service, organisation: organisation, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
 		avoid: make(map[string]bool),
-	}, nil
+	}
+	j.fingerprint = r.fingerprint(j.organisationName())
+	return j, nil
 }
 
 // capDeadline returns by, or the caller's own deadline if that is earlier.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -19,6 +19,9 @@
 func (g *Gateway) generate(ctx context.Context, j *job) (*Reply, *verdict.Error) {
 	var last *verdict.Error
 	for {
+		if err := g.recheck(ctx, j); err != nil {
+			return nil, err
+		}
 		p, err := g.reserve(ctx, j)
 		if err != nil {
 			if last != nil {
@@ -29,7 +32,7 @@
 		after := j.r.Generation.LastEventID
 		result, err := g.prefill(ctx, j, p, after)
 		if err == nil {
-			err = g.recheckKey(j)
+			err = g.recheck(ctx, j)
 		}
 		if err != nil {
 			g.abandon(p, result)
@@ -59,8 +62,13 @@
 		Timeout: time.Until(j.until), MaxIdle: maxIdleRepeatable,
 	}
 	j.sends++
+	j.sentAt = time.Now()
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
+	g.recordAnswer(p.server, j.sentAt, err)
+	if err != nil && isLoss(ctx, err) {
+		g.recordLoss(j, p.server, j.sentAt)
+	}
 	if err == nil {
 		if err = verifyAnswer(a); err != nil {
 			_ = a.Body.Close()
@@ -73,9 +81,6 @@
 		return a, nil
 	}
 	p.end()
-	if err.Verdict != verdict.NotRun && ctx.Err() == nil {
-		g.recordCrash(j, p.server)
-	}
 	g.logRequest(j, "gateway: decode failed.", logrus.Fields{"server": serverKey(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": result.from.ID})
 	if err.Verdict != verdict.NotRun {
 		j.runs++
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -9,6 +9,7 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/gossip"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/memory"
 )
 
@@ -24,7 +25,7 @@
 	Refusals int
 }
 
-// Peers exchanges load and crashes with the other gateways.
+// Peers exchanges load and lost servers with the other gateways.
 type Peers interface {
 	// NotifyLoadChange is called when this gateway's own load has changed.
 	NotifyLoadChange()
@@ -35,8 +36,8 @@
 	// PlatformReachableSince returns the earliest time since which the platform has been
 	// reachable for a peer, by reports received later than after; zero if it is for none.
 	PlatformReachableSince(after time.Time) time.Time
-	// ReportCrash is called when an engine was lost while it ran a request.
-	ReportCrash(fingerprint uint64, key string)
+	// ReportLoss is called when a server was lost while it ran a request.
+	ReportLoss(x blame.Loss)
 }
 
 // loads keeps this gateway's load by server key.
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -46,7 +46,7 @@
 // value if it is left to the decode engine.
 func (g *Gateway) tryPrefill(ctx context.Context, j *job, p reservation, after string) (prefillResult, *verdict.Error) {
 	for {
-		if err := g.recheckKey(j); err != nil {
+		if err := g.recheck(ctx, j); err != nil {
 			return prefillResult{}, err
 		}
 		s, ok := g.pickPrefill(j)
@@ -118,7 +118,11 @@
 	defer cancel()
 	r, err := g.backend.Prefill(ctx, s, Call{Request: j.r, Organisation: j.organisationName(), Timeout: time.Until(j.until)})
 	countSending("prefill", err)
+	g.recordAnswer(s, began, err)
 	if err != nil {
+		if isLoss(ctx, err) {
+			g.recordLoss(j, s, began)
+		}
 		g.prefillFailed(ctx, j, s, err)
 		g.logRequest(j, "gateway: prefill failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(time.Since(began))})
 		return prefillResult{}, false
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/catalog"
-	"jayford.example/jayford/internal/gossip"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/memory"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -102,7 +102,7 @@
 
 func (peerLoad) NotifyLoadChange() {}
 
-func (peerLoad) ReportCrash(uint64, string) {}
+func (peerLoad) ReportLoss(blame.Loss) {}
 
 func (p peerLoad) Need(start string) memory.Need { return memory.Need{float64(p[start])} }
 
@@ -202,9 +202,7 @@
 func (crashForwarder) LoadComplete() bool                         { return true }
 func (crashForwarder) PlatformReachableSince(time.Time) time.Time { return time.Time{} }
 
-func (p crashForwarder) ReportCrash(content uint64, start string) {
-	p.to.RecordPeerCrash(content, gossip.EngineKey(start))
-}
+func (p crashForwarder) ReportLoss(x blame.Loss) { p.to.RecordPeerLoss(x) }
 
 // A request crashes each engine that runs it, and its caller's retries reach different
 // gateways. Each gateway sees only one or two crashes; together they have seen three,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,7 @@
 		s.ended = true
 		s.g.logRequest(s.j, "gateway: stream ended.", s.fields())
 		s.g.view.recordOutcome(s.reservation.server, doubt.Success)
-		s.g.crashes.clear(s.j.fingerprint)
+		s.g.crashes.recordSuccess(s.j.fingerprint)
 		s.reservation.completed()
 		return nil
 	}
@@ -199,10 +199,12 @@
 	}
 	s.g.recordFailure(s.ctx, s.reservation.server, verdict.New(verdict.Ran, code, "The stream was interrupted."))
 	s.j.avoid[serverKey(s.reservation.server)] = true
-	s.g.recordCrash(s.j, s.reservation.server)
+	if !errors.Is(cause, errLargeEvent) {
+		s.g.recordLoss(s.j, s.reservation.server, s.j.sentAt)
+	}
 	brokenStreams.Inc()
 	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
-	for !s.g.crashes.blocked(s.j.fingerprint, time.Now()) && s.g.allowRetry(s.ctx, s.j, verdict.Ran) {
+	for s.g.refuseCrashing(s.ctx, s.j) == nil && s.g.allowRetry(s.ctx, s.j, verdict.Ran) {
 		p, ok := s.g.reserveUntil(s.ctx, s.j, eventNumber(s.lastID), time.Now().Add(resumeTimeout))
 		if !ok {
 			break
@@ -210,7 +212,7 @@
 		// A request whose answer has begun is never refused for want of a prefill.
 		result, err := s.g.prefill(s.ctx, s.j, p, s.lastID)
 		if err == nil {
-			err = s.g.recheckKey(s.j)
+			err = s.g.recheck(s.ctx, s.j)
 		}
 		if err != nil {
 			s.g.abandon(p, result)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,5 +1,5 @@
 // Package gossip exchanges state between gateways over UDP: their load on engines,
-// requests during which an engine was lost, and their contact with the platform.
+// requests under which a server was lost, and their contact with the platform.
 //
 // A gateway itself knows only what it has booked, and chooses the engine with the shortest
 // queue. Dozens of gateways that don't know of each other's load choose the same one, and
@@ -31,6 +31,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/memory"
 	"jayford.example/jayford/internal/wait"
 )
@@ -48,10 +49,6 @@
 	// as complete. In a large fleet some gateways are always being replaced, and they
 	// account for little load.
 	maxMissingFraction = 0.05
-	// lossRepeatPeriod is how long a loss is repeated in each datagram.
-	lossRepeatPeriod = 2500 * time.Millisecond
-	// maxLosses bounds the losses in one datagram.
-	maxLosses = 8
 	// maxDatagramBytes fits into one packet on any link: the smallest MTU less headers.
 	maxDatagramBytes = 1200
 )
@@ -75,9 +72,12 @@
 	// PlatformReachableFor returns for how long the platform has been reachable for this
 	// gateway, 0 if it isn't. It may be nil.
 	PlatformReachableFor func() time.Duration
-	// OnCrash handles the loss of an engine that a peer reported, and returns whether
-	// it was new.
-	OnCrash func(content, engine uint64) bool
+	// OnLoss handles the loss of a server under a request that a peer reported, and
+	// returns whether it was new.
+	OnLoss func(blame.Loss) bool
+	// Convictions returns at most limit losses for which this gateway refuses requests.
+	// Peers that start learn of them by full updates. It may be nil.
+	Convictions func(limit int) []blame.Loss
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
 	Log             *logrus.Entry
@@ -96,13 +96,6 @@
 // argument is the gateway's key for that incarnation.
 func EngineKey(start string) uint64 { return xxhash.Sum64String(start) }
 
-// activeLoss is a loss, the crash of an engine under a request, that is repeated in datagrams
-// for lossRepeatPeriod.
-type activeLoss struct {
-	loss  *pb.Loss
-	since time.Time
-}
-
 // Exchange sends this gateway's load to its peers and keeps theirs.
 type Exchange struct {
 	opts        Options
@@ -118,8 +111,8 @@
 	known map[string]time.Time
 	// recipients is guarded by mu.
 	recipients *recipients
-	// losses are repeated in datagrams, guarded by mu.
-	losses []activeLoss
+	// losses are those to report, guarded by mu.
+	losses lossQueue
 
 	// sequence and lastRevisions are used only by the sending goroutine. lastRevisions has
 	// the revision of each engine that was last sent to all recipients.
@@ -143,13 +136,10 @@
 	}
 }
 
-// ReportCrash reports to the peers that an engine was lost while it ran a request with this
-// content fingerprint.
-func (e *Exchange) ReportCrash(content uint64, start string) { e.queueLoss(content, EngineKey(start)) }
-
-func (e *Exchange) queueLoss(content, engine uint64) {
+// ReportLoss reports to the peers that a server was lost while it ran a request.
+func (e *Exchange) ReportLoss(x blame.Loss) {
 	e.mu.Lock()
-	e.losses = append(e.losses, activeLoss{&pb.Loss{Content: content, Engine: engine}, time.Now()})
+	e.losses.add(x, time.Now())
 	e.mu.Unlock()
 	e.NotifyLoadChange()
 }
@@ -247,9 +237,10 @@
 	if !e.apply(from, &n) {
 		return
 	}
+	now := time.Now()
 	for _, l := range n.Losses {
-		if e.opts.OnCrash(l.Content, l.Engine) && e.sendsToSubset() {
-			e.queueLoss(l.Content, l.Engine)
+		if x := decodeLoss(l, now); e.opts.OnLoss(x) && e.sendsToSubset() {
+			e.ReportLoss(x)
 		}
 	}
 }
@@ -419,18 +410,26 @@
 	if !full {
 		e.lastRevisions = now
 	}
-	n.Losses = e.activeLosses(time.Now())
+	n.Losses = e.nextLosses(full, time.Now())
 	return n
 }
 
-// activeLosses returns the newest losses that are still repeated.
-func (e *Exchange) activeLosses(now time.Time) []*pb.Loss {
+// nextLosses returns the losses for the next datagram. A full update has those of convicted
+// requests besides.
+func (e *Exchange) nextLosses(full bool, now time.Time) []*pb.Loss {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.losses = slices.DeleteFunc(e.losses, func(l activeLoss) bool { return now.Sub(l.since) > lossRepeatPeriod })
-	var out []*pb.Loss
-	for _, l := range e.losses[max(0, len(e.losses)-maxLosses):] {
-		out = append(out, l.loss)
+	list := e.losses.next(maxLosses, now)
+	unsent := e.losses.hasUnsent()
+	e.mu.Unlock()
+	if unsent {
+		e.NotifyLoadChange()
+	}
+	if full && e.opts.Convictions != nil {
+		list = append(list, e.opts.Convictions(maxLosses-len(list))...)
+	}
+	out := make([]*pb.Loss, 0, len(list))
+	for _, x := range list {
+		out = append(out, encodeLoss(x, now))
 	}
 	return out
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/memory"
 )
 
@@ -71,11 +72,11 @@
 	losses map[uint64]int
 }
 
-func (o *fakeGateway) recordLoss(content, _ uint64) bool {
+func (o *fakeGateway) recordLoss(x blame.Loss) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.losses[content]++
-	return o.losses[content] == 1
+	o.losses[x.Request]++
+	return o.losses[x.Request] == 1
 }
 
 func (o *fakeGateway) received(content uint64) poll.Check {
@@ -114,7 +115,7 @@
 	o := &fakeGateway{loads: map[string]Load{}, losses: map[uint64]int{}}
 	e := New(Options{
 		Listen: listen, OwnLoad: o.get, Log: logrus.NewEntry(log), Peers: func() ([]string, []string) { return slices.Clone(peers), nil },
-		OnCrash: o.recordLoss, OnUnknownSender: func() {},
+		OnLoss: o.recordLoss, OnUnknownSender: func() {},
 	})
 	return e, o
 }
@@ -257,7 +258,7 @@
 		run(ctx, t, exchanges[i])
 	}
 	t.Cleanup(end)
-	exchanges[0].ReportCrash(42, "e1")
+	exchanges[0].ReportLoss(blame.Loss{Request: 42, Server: EngineKey("e1")})
 	for _, o := range owners[1:] {
 		poll.WaitOn(t, o.received(42), poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 	}
--- /dev/null
+++ b/internal/gossip/losses_test.go
@@ -0,0 +1,81 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/policy/blame"
+)
+
+// Guards against losses that are never sent because a server took down more requests than
+// one datagram holds.
+func TestAllLossesAreSentInTurn(t *testing.T) {
+	var q lossQueue
+	now := time.Now()
+	for i := range uint64(20) {
+		q.add(blame.Loss{Request: i, Server: 1}, now)
+	}
+	sent := map[uint64]int{}
+	for q.hasUnsent() {
+		list := q.next(maxLosses, now)
+		assert.Equal(t, len(list), maxLosses)
+		for _, x := range list {
+			sent[x.Request]++
+		}
+	}
+	assert.Equal(t, len(sent), 20)
+	assert.Equal(t, len(q.next(maxLosses, now.Add(lossRepeatPeriod+1))), 0)
+	for i := range uint64(1000) {
+		q.add(blame.Loss{Request: i, Server: 2}, now)
+	}
+	assert.Equal(t, len(q.list), maxQueuedLosses)
+}
+
+// Guards against datagrams that don't fit one packet with losses and load at their largest.
+func TestLossesFitBesideLoad(t *testing.T) {
+	e, _ := newExchange("10.0.0.1:1", "10.0.0.2:1")
+	e.opts.Convictions = func(limit int) []blame.Loss { return make([]blame.Loss, limit) }
+	many := map[string]Load{}
+	for i := range 500 {
+		many[time.Duration(i).String()] = load(1<<20, 1)
+	}
+	now := time.Now()
+	for i := range uint64(maxQueuedLosses) {
+		e.losses.add(blame.Loss{Request: ^i, Server: ^i, Began: now.Add(-time.Hour), Lost: now.Add(-time.Hour)}, now)
+	}
+	n := e.buildUpdate(many, true)
+	assert.Equal(t, len(n.Losses), maxLosses)
+	assert.Assert(t, proto.Size(n) <= maxDatagramBytes, "%d bytes", proto.Size(n))
+}
+
+// Guards against a gateway that starts after a request was convicted, and would have it
+// crash servers again.
+func TestStartingGatewayLearnsConvictions(t *testing.T) {
+	addresses := freeAddresses(t, 2)
+	a, _ := newExchange(addresses[0], addresses[1])
+	b, owner := newExchange(addresses[1], addresses[0])
+	began := time.Now().Add(-time.Minute)
+	a.opts.Convictions = func(int) []blame.Loss {
+		return []blame.Loss{{Request: 42, Server: 7, Began: began, Lost: began.Add(time.Second)}}
+	}
+	got := make(chan blame.Loss, 1)
+	b.opts.OnLoss = func(x blame.Loss) bool {
+		isNew := owner.recordLoss(x)
+		if isNew {
+			got <- x
+		}
+		return isNew
+	}
+	run(t.Context(), t, a)
+	run(t.Context(), t, b)
+	select {
+	case x := <-got:
+		assert.Equal(t, x.Lost.Sub(x.Began), time.Second)
+		assert.Assert(t, x.Lost.Sub(began.Add(time.Second)).Abs() < 500*time.Millisecond)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no conviction within 5 s")
+	}
+}
--- /dev/null
+++ b/internal/policy/blame/ledger.go
@@ -0,0 +1,344 @@
+package blame
+
+import (
+	"cmp"
+	"container/list"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Defaults of LedgerOptions.
+const (
+	DefaultCrashes    = 3
+	DefaultSettleTime = 100 * time.Millisecond
+	DefaultMinHold    = time.Second
+	DefaultLossWindow = 2 * time.Minute
+	DefaultRefuseFor  = 10 * time.Minute
+)
+
+const (
+	// maxLosses bounds the losses that are held of one request.
+	maxLosses = 16
+	// overlapTolerance is the overlap up to which two runs still count as one after the
+	// other: reported times are off by a network delay.
+	overlapTolerance = 10 * time.Millisecond
+	// holdSpread is the ratio of the longest hold to the shortest.
+	holdSpread = 5
+)
+
+// LedgerOptions are the options of a Ledger. Zero values select the defaults.
+type LedgerOptions struct {
+	// Crashes is how many servers must be lost under a request, one after the other,
+	// to convict it.
+	Crashes int
+	// MinHold is the shortest time for which a request is held back if it has more
+	// losses than that and others have the same.
+	MinHold time.Duration
+	// SettleTime is how long after a loss the request isn't judged, until the losses of
+	// the other requests on the same server are known.
+	SettleTime time.Duration
+	// Window is how long a request's losses count after the last one, RefuseFor how long
+	// a conviction lasts after it.
+	Window, RefuseFor time.Duration
+	// Limit is the maximum number of requests held, convicted or not.
+	Limit int
+}
+
+// Loss is the loss of a server under a request.
+type Loss struct {
+	// Request is the request's fingerprint, Server a hash of the server's incarnation.
+	Request, Server uint64
+	// Began is when the server began the request, Lost when the server was lost.
+	Began, Lost time.Time
+}
+
+// Ledger finds the requests that crash servers from the losses alone, for a router that
+// can't have a request run alone and learns only a part of what a server runs.
+//
+// A server takes down all that it runs. These rules keep the others from being convicted:
+//   - Losses count only in sequence: of runs that overlapped, one counts. A request that
+//     runs on many servers at once loses them all to one failure of a network or a zone.
+//   - While another request has been lost with all the same servers, neither is convicted.
+//     If they go on to be lost together, each is held back for a while of its own length:
+//     the next loss is then without the others.
+//   - What a convicted request has crashed no longer counts against others.
+//   - A loss no longer counts once the request has succeeded or the server has answered.
+//
+// It isn't safe for concurrent use.
+type Ledger struct {
+	opts    LedgerOptions
+	records map[uint64]*list.Element
+	// suspects and convicted are separate, each with the latest loss first, so that
+	// many suspects don't evict a conviction.
+	suspects, convicted *list.List
+	// byServer has the fingerprints of the requests that were lost with each server.
+	byServer map[uint64]map[uint64]bool
+}
+
+// account has the losses of one request.
+type account struct {
+	fp     uint64
+	losses []accountLoss
+	// until is when the account, and a conviction, ends.
+	until     time.Time
+	convicted bool
+}
+
+type accountLoss struct {
+	Loss
+	// void: the loss no longer counts. It is kept to recognise repeated reports.
+	void bool
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger(o LedgerOptions) *Ledger {
+	o.Crashes = cmp.Or(o.Crashes, DefaultCrashes)
+	o.MinHold = cmp.Or(o.MinHold, DefaultMinHold)
+	o.SettleTime = cmp.Or(o.SettleTime, DefaultSettleTime)
+	o.Window = cmp.Or(o.Window, DefaultLossWindow)
+	o.RefuseFor = cmp.Or(o.RefuseFor, DefaultRefuseFor)
+	o.Limit = cmp.Or(o.Limit, DefaultLimit)
+	return &Ledger{
+		opts: o, records: map[uint64]*list.Element{}, suspects: list.New(), convicted: list.New(), byServer: map[uint64]map[uint64]bool{},
+	}
+}
+
+// RecordLoss records a loss and reports whether it was unknown.
+func (l *Ledger) RecordLoss(x Loss, now time.Time) bool {
+	a := l.find(x.Request, now)
+	if a == nil {
+		a = &account{fp: x.Request}
+		l.records[x.Request] = l.suspects.PushFront(a)
+		l.evict(l.suspects)
+	}
+	if len(a.losses) >= maxLosses || slices.ContainsFunc(a.losses, func(o accountLoss) bool { return o.Server == x.Server }) {
+		return false
+	}
+	void := l.hasCulprit(x.Server, now)
+	a.losses = append(a.losses, accountLoss{Loss: x, void: void})
+	slices.SortFunc(a.losses, func(a, b accountLoss) int { return a.Lost.Compare(b.Lost) })
+	lasts := l.opts.Window
+	if a.convicted {
+		lasts = l.opts.RefuseFor
+		l.absolveOthers(a)
+	}
+	a.until = now.Add(lasts)
+	l.listOf(a).MoveToFront(l.records[x.Request])
+	if l.byServer[x.Server] == nil {
+		l.byServer[x.Server] = map[uint64]bool{}
+	}
+	l.byServer[x.Server][x.Request] = true
+	return true
+}
+
+// RecordSuccess records that a request has succeeded.
+func (l *Ledger) RecordSuccess(fp uint64, now time.Time) {
+	if a := l.find(fp, now); a != nil {
+		l.void(a, func(accountLoss) bool { return true })
+	}
+}
+
+// RecordAnswer records that a server has answered a request that was sent at a time:
+// what was reported lost before was no crash.
+func (l *Ledger) RecordAnswer(server uint64, sent, now time.Time) {
+	for fp := range l.byServer[server] {
+		if a := l.find(fp, now); a != nil {
+			l.void(a, func(x accountLoss) bool { return x.Server == server && x.Lost.Before(sent) })
+		}
+	}
+}
+
+// Judgement says whether a request may run.
+type Judgement struct {
+	// Convicted: the request crashes servers.
+	Convicted bool
+	// Unsettled is the time after which the request can be judged, 0 for now.
+	Unsettled time.Duration
+	// Held is the time for which the request is held back, 0 if it isn't.
+	Held time.Duration
+}
+
+// Judge judges a request.
+func (l *Ledger) Judge(fp uint64, now time.Time) Judgement {
+	a := l.find(fp, now)
+	if a == nil || a.convicted {
+		return Judgement{Convicted: a != nil}
+	}
+	crashes := a.sequence()
+	if len(crashes) < l.opts.Crashes {
+		return Judgement{}
+	}
+	last := crashes[len(crashes)-1].Lost
+	if wait := last.Add(l.opts.SettleTime).Sub(now); wait > 0 {
+		return Judgement{Unsettled: wait}
+	}
+	if !l.hasRival(a, now) {
+		l.convict(a, now)
+		return Judgement{Convicted: true}
+	}
+	return Judgement{Held: max(0, last.Add(l.hold(fp, len(crashes))).Sub(now))}
+}
+
+// hold returns how long after its last loss a request is held back that has rivals. All
+// gateways hold it for the same time, which doubles with each further loss.
+func (l *Ledger) hold(fp uint64, crashes int) time.Duration {
+	more := crashes - l.opts.Crashes
+	if more <= 0 {
+		return 0
+	}
+	shortest := l.opts.MinHold << (more - 1)
+	draw := rand.New(rand.NewPCG(fp, uint64(crashes))).Float64()
+	return shortest + time.Duration(draw*(holdSpread-1)*float64(shortest))
+}
+
+// Convictions returns the losses of the convicted requests, the latest request first, at
+// most limit of them and only whole requests.
+func (l *Ledger) Convictions(limit int, now time.Time) []Loss {
+	var out []Loss
+	for el := l.convicted.Front(); el != nil; el = el.Next() {
+		a := accountOf(el)
+		if !now.Before(a.until) {
+			continue
+		}
+		crashes := a.sequence()[:l.opts.Crashes]
+		if len(out)+len(crashes) > limit {
+			break
+		}
+		for _, x := range crashes {
+			out = append(out, x.Loss)
+		}
+	}
+	return out
+}
+
+// Len returns the number of requests held.
+func (l *Ledger) Len() int { return len(l.records) }
+
+// sequence returns the most losses that count of runs which didn't overlap.
+func (a *account) sequence() []accountLoss {
+	var out []accountLoss
+	for _, x := range a.losses {
+		if !x.void && (len(out) == 0 || x.Began.Add(overlapTolerance).After(out[len(out)-1].Lost)) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// hasRival reports whether another request has been lost with all servers that count
+// against a.
+func (l *Ledger) hasRival(a *account, now time.Time) bool {
+	first := slices.IndexFunc(a.losses, func(x accountLoss) bool { return !x.void })
+	for fp := range l.byServer[a.losses[first].Server] {
+		if fp == a.fp {
+			continue
+		}
+		other := l.find(fp, now)
+		if other != nil && other.explains(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// explains reports whether all losses that count against b also count against a.
+func (a *account) explains(b *account) bool {
+	for _, x := range b.losses {
+		same := func(o accountLoss) bool { return !o.void && o.Server == x.Server }
+		if !x.void && !slices.ContainsFunc(a.losses, same) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Ledger) convict(a *account, now time.Time) {
+	l.suspects.Remove(l.records[a.fp])
+	a.convicted, a.until = true, now.Add(l.opts.RefuseFor)
+	l.records[a.fp] = l.convicted.PushFront(a)
+	l.evict(l.convicted)
+	l.absolveOthers(a)
+}
+
+// absolveOthers voids the losses of other requests on servers that a has crashed.
+func (l *Ledger) absolveOthers(a *account) {
+	for _, x := range a.losses {
+		if x.void {
+			continue
+		}
+		for fp := range l.byServer[x.Server] {
+			other := accountOf(l.records[fp])
+			if !other.convicted {
+				l.void(other, func(o accountLoss) bool { return o.Server == x.Server })
+			}
+		}
+	}
+}
+
+// hasCulprit reports whether a convicted request was lost with the server.
+func (l *Ledger) hasCulprit(server uint64, now time.Time) bool {
+	for fp := range l.byServer[server] {
+		if a := l.find(fp, now); a != nil && a.convicted {
+			return true
+		}
+	}
+	return false
+}
+
+// void makes losses no longer count, and ends a conviction that rested on them.
+func (l *Ledger) void(a *account, which func(accountLoss) bool) {
+	for i := range a.losses {
+		a.losses[i].void = a.losses[i].void || which(a.losses[i])
+	}
+	if a.convicted && len(a.sequence()) < l.opts.Crashes {
+		l.convicted.Remove(l.records[a.fp])
+		a.convicted = false
+		l.records[a.fp] = l.suspects.PushFront(a)
+		l.evict(l.suspects)
+	}
+}
+
+// find returns the account of a request, nil if it has none or an expired one.
+func (l *Ledger) find(fp uint64, now time.Time) *account {
+	el, ok := l.records[fp]
+	if !ok {
+		return nil
+	}
+	a := accountOf(el)
+	if !a.until.IsZero() && !now.Before(a.until) {
+		l.remove(el)
+		return nil
+	}
+	return a
+}
+
+func accountOf(el *list.Element) *account {
+	a, _ := el.Value.(*account)
+	return a
+}
+
+func (l *Ledger) listOf(a *account) *list.List {
+	if a.convicted {
+		return l.convicted
+	}
+	return l.suspects
+}
+
+func (l *Ledger) evict(from *list.List) {
+	if from.Len() > max(1, l.opts.Limit/2) {
+		l.remove(from.Back())
+	}
+}
+
+func (l *Ledger) remove(el *list.Element) {
+	a := accountOf(el)
+	l.listOf(a).Remove(el)
+	delete(l.records, a.fp)
+	for _, x := range a.losses {
+		delete(l.byServer[x.Server], a.fp)
+		if len(l.byServer[x.Server]) == 0 {
+			delete(l.byServer, x.Server)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/blame/ledger_test.go
@@ -0,0 +1,194 @@
+package blame
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const runTime = 60 * time.Millisecond
+
+// lose records that the server was lost under the requests at a time, after runTime.
+func lose(l *Ledger, at time.Time, server uint64, requests ...uint64) {
+	for _, fp := range requests {
+		l.RecordLoss(Loss{Request: fp, Server: server, Began: at.Add(-runTime), Lost: at}, at)
+	}
+}
+
+func after(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+
+func isConvicted(l *Ledger, fp uint64, now time.Time) bool {
+	return l.Judge(fp, now).Convicted
+}
+
+func TestThirdLossConvicts(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for i := range 3 {
+		assert.Assert(t, !isConvicted(l, 1, after(i)))
+		lose(l, after(i), uint64(i), 1)
+	}
+	assert.Equal(t, l.Judge(1, after(2)), Judgement{Unsettled: DefaultSettleTime})
+	assert.Assert(t, isConvicted(l, 1, after(3)))
+	assert.Equal(t, len(l.Convictions(8, after(3))), 3)
+	assert.Assert(t, isConvicted(l, 1, after(2).Add(DefaultRefuseFor-time.Second)))
+	assert.Assert(t, !isConvicted(l, 1, after(3).Add(DefaultRefuseFor)))
+	assert.Equal(t, l.Len(), 0)
+}
+
+// Guards against counting a loss twice that several gateways report.
+func TestRepeatedReportCountsOnce(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for i := range 5 {
+		lose(l, after(i), 7, 1)
+	}
+	assert.Assert(t, !isConvicted(l, 1, after(5)))
+}
+
+// Guards against the conviction of a popular request that was running on many servers
+// when a zone or a network failed.
+func TestLossesAtOnceCountOnce(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for server := range uint64(20) {
+		lose(l, start.Add(time.Duration(server)*time.Millisecond), server, 1)
+	}
+	assert.Assert(t, !isConvicted(l, 1, after(1)))
+}
+
+// Guards against the conviction of requests that were lost on the same servers as the one
+// that crashes them. It is told from them by the first server that it crashes without them.
+func TestOthersOnTheSameServersAreAbsolved(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for i := range 3 {
+		lose(l, after(i), uint64(i), 1, 2, 3)
+	}
+	for fp := range uint64(4) {
+		assert.Assert(t, !isConvicted(l, fp, after(4)))
+	}
+	lose(l, after(5), 9, 2)
+	assert.Assert(t, isConvicted(l, 2, after(6)))
+	lose(l, after(7), 10, 1, 2)
+	for i, fp := range []uint64{1, 3} {
+		assert.Assert(t, !isConvicted(l, fp, after(8)), "request %d", i)
+		// What it loses by itself counts from now on.
+		lose(l, after(9), uint64(20+i), fp)
+		lose(l, after(10), uint64(30+i), fp)
+		assert.Assert(t, !isConvicted(l, fp, after(11)))
+	}
+}
+
+// Guards against a crashing request that goes on because others are always beside it: all
+// are held back, and come back one by one.
+func TestThoseLostTogetherAreHeldApart(t *testing.T) {
+	const culprit = 50
+	var all []uint64
+	for fp := range uint64(culprit + 1) {
+		all = append(all, fp)
+	}
+	l := NewLedger(LedgerOptions{})
+	for i := range 4 {
+		lose(l, after(i), uint64(i), all...)
+	}
+	crashes := 4
+	for now := after(4); !isConvicted(l, culprit, now); now = now.Add(runTime) {
+		assert.Assert(t, now.Before(after(30)), "not convicted")
+		var running []uint64
+		for _, fp := range all {
+			if j := l.Judge(fp, now); j == (Judgement{}) {
+				running = append(running, fp)
+			}
+			assert.Assert(t, !isConvicted(l, fp, now), "request %d", fp)
+		}
+		if !slices.Contains(running, culprit) {
+			for _, fp := range running {
+				l.RecordSuccess(fp, now)
+			}
+			continue
+		}
+		lose(l, now, uint64(crashes), running...)
+		crashes++
+	}
+	assert.Assert(t, crashes <= 6, "%d crashes", crashes)
+}
+
+// Guards against losses that were none: the request has succeeded since, or the server
+// answers.
+func TestLossesThatAreDisproved(t *testing.T) {
+	for name, disprove := range map[string]func(*Ledger){
+		"success": func(l *Ledger) { l.RecordSuccess(1, after(4)) },
+		"answer":  func(l *Ledger) { l.RecordAnswer(1, after(3), after(4)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(LedgerOptions{})
+			for i := range 3 {
+				lose(l, after(i), uint64(i), 1)
+			}
+			assert.Assert(t, isConvicted(l, 1, after(3)))
+			disprove(l)
+			assert.Assert(t, !isConvicted(l, 1, after(5)))
+			// A late report of the same loss doesn't count again.
+			lose(l, after(5), 1, 1)
+			assert.Assert(t, !isConvicted(l, 1, after(6)))
+		})
+	}
+	t.Run("answer to an earlier request", func(t *testing.T) {
+		l := NewLedger(LedgerOptions{})
+		for i := range 3 {
+			lose(l, after(i), uint64(i), 1)
+		}
+		l.RecordAnswer(1, start, after(4))
+		assert.Assert(t, isConvicted(l, 1, after(5)))
+	})
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	l := NewLedger(LedgerOptions{Limit: 10})
+	for i := range 3 {
+		lose(l, after(i), uint64(i), 1)
+	}
+	assert.Assert(t, isConvicted(l, 1, after(3)))
+	for fp := range uint64(1000) {
+		lose(l, after(4), 5, 100+fp)
+	}
+	assert.Equal(t, l.Len(), 6)
+	assert.Equal(t, len(l.byServer[5]), 5)
+	assert.Assert(t, isConvicted(l, 1, after(5)))
+	l.Judge(1099, after(4).Add(DefaultLossWindow))
+	assert.Equal(t, l.Len(), 5)
+}
+
+// A request crashes its servers beside up to forty others, each of which is lost up to
+// four times and then succeeds or is given up. Only that one is convicted.
+func TestOneOfManyIsConvicted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(LedgerOptions{})
+		const culprit = 1000
+		others := rapid.IntRange(0, 40).Draw(t, "others")
+		lost := make([]int, others)
+		for i := range 6 {
+			at := start.Add(time.Duration(i) * time.Minute)
+			requests := []uint64{culprit}
+			for fp := range others {
+				if lost[fp] < 4 && rapid.Bool().Draw(t, "beside") {
+					lost[fp]++
+					requests = append(requests, uint64(fp))
+				}
+			}
+			lose(l, at, uint64(i), rapid.Permutation(requests).Draw(t, "order")...)
+			for fp := range others {
+				assert.Assert(t, !isConvicted(l, uint64(fp), at.Add(time.Second)))
+				if lost[fp] > 0 && rapid.Bool().Draw(t, "succeeds") {
+					l.RecordSuccess(uint64(fp), at.Add(2*time.Second))
+					lost[fp] = 4
+				}
+			}
+			if isConvicted(l, culprit, at.Add(3*time.Second)) {
+				assert.Assert(t, i >= DefaultCrashes-1)
+				return
+			}
+		}
+		t.Fatal("not convicted")
+	})
+}
