Entries: a call isn't tried again once it is known to crash servers

What callers saw: a call that had ended two servers while each ran it alone was sent to a third within the same request, and one that was served after a lost server ran alone for ten minutes.

Cause: the same class as in the gateway: generations check before each try and clear a request that succeeds, calls checked once and never cleared. Found by comparing the readers of answers.

--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -29,6 +29,8 @@
 	calls atomic.Int32
 	// full is how many calls, from the first, are refused for lack of a slot.
 	full atomic.Int32
+	// crashes is how many calls, from the first, the server is lost under.
+	crashes atomic.Int32
 	// takes is how long a call takes.
 	takes time.Duration
 	// silent is how many renewal streams, from the first, aren't answered.
@@ -53,6 +55,9 @@
 	case a.full.Add(-1) >= 0:
 		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_FULL, Verdict: pb.Verdict_VERDICT_NOT_RUN}
 		return reply, nil
+	case a.crashes.Add(-1) >= 0:
+		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_SERVER_LOST, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN, CrashedAlone: true}
+		return reply, nil
 	}
 	select {
 	case <-time.After(a.takes):
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -38,6 +38,8 @@
 	failures int
 	refusals int
 	notRun   int
+	// crashes counts the tries under which a server was lost.
+	crashes int
 	// open holds the tries that haven't ended, in the order they were started.
 	open    []openTry
 	results chan callResult
@@ -64,8 +66,8 @@
 	if len(dest.targets.service) == 0 {
 		return nil, 0, verdict.New(verdict.NotRun, verdict.NoServer, "Pool %s has no live service.", dest.choice.Pool).WithRetryAfter(time.Second)
 	}
-	if e.blameState(r.fingerprint) == blame.Convicted {
-		return nil, 0, crashRefusal()
+	if err := e.refuseConvicted(r); err != nil {
+		return nil, 0, err
 	}
 	if err := e.claim(ctx, r); err != nil {
 		return nil, 0, err
@@ -122,6 +124,9 @@
 			c.logResult(res)
 			if res.err == nil {
 				c.recordOvertaken(res.target.id)
+				if c.crashes > 0 {
+					c.e.recordCleared(c.r.fingerprint)
+				}
 				return res.reply, nil
 			}
 			if res.err.Verdict != verdict.NotRun {
@@ -169,6 +174,7 @@
 		c.notRun++
 	}
 	if res.err.Crashed {
+		c.crashes++
 		c.e.recordCrash(c.r.fingerprint, res.err.CrashedAlone)
 	}
 	c.open = slices.DeleteFunc(c.open, func(o openTry) bool { return o.server == res.target.id })
@@ -190,10 +196,15 @@
 		return withRetryAfter(&err)
 	}
 	wait.Sleep(ctx, d.Delay)
-	if c.start(ctx) != nil {
-		return withRetryAfter(&err)
+	refusal := c.start(ctx)
+	switch {
+	case refusal == nil:
+		return nil
+	case refusal.Code == verdict.Crashes:
+		refusal.Verdict = worst
+		return refusal
 	}
-	return nil
+	return withRetryAfter(&err)
 }
 
 // recordOvertaken records a timeout for servers that were tried before the winner
@@ -275,6 +286,9 @@
 // start starts a try at the best server that hasn't been tried. Once all have, it is
 // one that didn't refuse as leaving: a server whose connection failed may be back.
 func (c *serviceCall) start(ctx context.Context) *verdict.Error {
+	if err := c.e.refuseConvicted(c.r); err != nil {
+		return err
+	}
 	if len(c.exclude) >= len(c.dest.targets.service) {
 		c.exclude = maps.Clone(c.leaving)
 		for _, o := range c.open {
@@ -304,6 +318,14 @@
 	return nil
 }
 
+// refuseConvicted refuses a request that is known to crash servers.
+func (e *Entry) refuseConvicted(r *request) *verdict.Error {
+	if e.blameState(r.fingerprint) == blame.Convicted {
+		return crashRefusal()
+	}
+	return nil
+}
+
 // trialFactor is the timeout of a trial in hedge delays.
 const trialFactor = 2
 
