Gateway: a server that asked for a pause gets nothing until its end

What callers saw: little, but one sending in three to a service was wasted on a server that shed its load, and drew on the retries of all gateways.

Cause: the adapter read a 503 as a refusal and dropped its Retry-After; a server that refuses looks idle and alive, so it was chosen first.

The adapter reports what any answer says of its server in one callback (Signals, in place of the limit alone), health checks and control calls included. A pause of a server's incarnation is kept until its end; the choice of servers leaves it out, and the backend that all exchanges go through refuses them, whoever chose the server and when. If all servers of a pool pause, a request is refused at once, with the soonest end as Retry-After, also in the middle of a search for room.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -112,6 +112,14 @@
 	Orders uint64
 }
 
+// Signals are what an answer says about its server, beside answering the request.
+type Signals struct {
+	// Limit is the server's rate limit, nil if the answer doesn't tell whether it has one.
+	Limit *RateLimit
+	// Pause is how long the server wants no request from this gateway, 0 for no wish.
+	Pause time.Duration
+}
+
 // RateLimit is the rate limit in a server's answer.
 type RateLimit struct {
 	// Present is false if the answer carried no limit.
@@ -136,9 +144,10 @@
 	Order(ctx context.Context, s catalog.Server, o StageOrder) error
 	// Probe runs the server's health check.
 	Probe(ctx context.Context, s catalog.Server, path string) error
-	// OnLimit registers f, which is called with the rate limit of each answer, also if
-	// there is none. It must be called before any other method.
-	OnLimit(f func(catalog.Server, RateLimit))
+	// OnSignals registers f, which is called with the signals in each answer, whatever
+	// its status, before the answer is returned. It must be called before any other
+	// method.
+	OnSignals(f func(catalog.Server, Signals))
 	// CloseConnections closes the pooled connections to the server.
 	CloseConnections(s catalog.Server)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,10 +40,8 @@
 			break
 		}
 		s, ok := g.pick(j)
-		if !ok && last == nil {
-			last = g.noServerError(j)
-		}
 		if !ok {
+			last = g.noServerError(j, last)
 			break
 		}
 		reply, err := g.callOnce(ctx, j, s)
@@ -104,9 +102,16 @@
 	}
 }
 
-// noServerError returns the refusal of a request for which pick found no server.
-func (g *Gateway) noServerError(j *job) *verdict.Error {
+// noServerError returns the refusal of a request for which pick found no server; last is
+// the error of its last attempt, nil if there was none.
+func (g *Gateway) noServerError(j *job, last *verdict.Error) *verdict.Error {
 	list := g.view.list().usable(j.service.Name, catalog.NoStage)
+	if err := g.allPausingError(list); err != nil {
+		return err
+	}
+	if last != nil {
+		return last
+	}
 	if next := g.limits.wait(list, time.Now()); next > 0 {
 		return rateLimitedError(next)
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -96,7 +97,7 @@
 // recordAnswer records the answer of a server to a call that was sent at a time, unless it
 // failed without one. It shows that the server hadn't crashed before.
 func (g *Gateway) recordAnswer(s catalog.Server, sent time.Time, err *verdict.Error) {
-	if err == nil || err.Code == verdict.Overloaded {
+	if err == nil || err.Code == verdict.Overloaded && !errors.Is(err, errPausing) {
 		g.crashes.update(func(l *blame.Ledger, now time.Time) { l.RecordAnswer(gossip.EngineKey(serverKey(s)), sent, now) })
 	}
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -23,6 +23,8 @@
 	prefill func(s catalog.Server) (Prefilled, *verdict.Error)
 	reserve func(s catalog.Server, tokens int) (string, *verdict.Error)
 	report  Report
+	// signal reports signals of a server to the gateway.
+	signal func(catalog.Server, Signals)
 	// unresponsive servers don't answer reservation requests.
 	unresponsive map[string]bool
 
@@ -105,7 +107,7 @@
 	return nil
 }
 
-func (f *fakeBackend) OnLimit(func(catalog.Server, RateLimit)) {}
+func (f *fakeBackend) OnSignals(signal func(catalog.Server, Signals)) { f.signal = signal }
 
 func (f *fakeBackend) CloseConnections(catalog.Server) {}
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	// platformAvailability tracks for how long the platform has been reachable for this gateway.
 	platformAvailability follow.Availability
 	limits               *limits
+	pauses               *pauses
 	loads                *loads
 	prefillSpeed         *prefillSpeed
 
@@ -124,7 +125,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
-		opts: o, log: o.Log.WithField("part", "gateway"), backend: o.Backend, keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
+		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), crashes: newCrashes(),
 		budget: retry.NewWindowBudget(retry.WindowBudgetOptions{
 			Ratio: o.Budget.Ratio * budgetSafetyFactor, Slack: o.Budget.share(assumedGateways),
@@ -132,10 +133,23 @@
 		}, time.Now()),
 	}
 	g.limits = newLimits(o.ID, o.Board, g.log)
-	g.backend.OnLimit(func(s catalog.Server, n RateLimit) { g.limits.update(s, n, time.Now()) })
+	g.pauses = newPauses(o.Board, g.log)
+	g.backend = pausingBackend{Backend: o.Backend, pauses: g.pauses}
+	g.backend.OnSignals(g.recordSignals)
 	return g
 }
 
+// recordSignals records what an answer says about its server.
+func (g *Gateway) recordSignals(s catalog.Server, x Signals) {
+	now := time.Now()
+	if x.Limit != nil {
+		g.limits.update(s, *x.Limit, now)
+	}
+	if x.Pause > 0 {
+		g.pauses.update(s, x.Pause, now)
+	}
+}
+
 const (
 	// budgetSafetyFactor is the part of the budget that is used: the servers can count
 	// slightly more retries than were decided here.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -195,7 +195,7 @@
 
 // best returns at most n candidates for the request, in the order in which to try
 // them: by load, with full ones behind the others and suspect ones last. Candidates at
-// their rate limit are left out. While many gateways choose at once, a random share of
+// their rate limit, and those that pause, are left out. While many gateways choose at once, a random share of
 // the engines is preferred, drawn anew for each choice.
 func (g *Gateway) best(j *job, list []candidate, n int, of func(key string, own load) int) []ranked {
 	now := time.Now()
@@ -203,7 +203,7 @@
 	share := g.preferredShare(now)
 	out := make([]ranked, 0, n+1)
 	for i := range list {
-		if j.avoid[list[i].key] || !g.limits.allows(list[i].key, now) {
+		if j.avoid[list[i].key] || !g.limits.allows(list[i].key, now) || g.pauses.remaining(list[i].key, now) > 0 {
 			continue
 		}
 		x := g.loads.get(list[i].key)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,7 @@
 	serversListed        = metrics.NewCounter("jayford_gateway_servers_listed")
 	peersKnown           = metrics.NewCounter("jayford_gateway_peers")
 	limitedServers       = metrics.NewCounter("jayford_gateway_limited_servers")
+	pausingServers       = metrics.NewCounter("jayford_gateway_pausing_servers")
 	prefillsSkipped      = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
 )
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -31,7 +31,8 @@
 		}
 		for _, id := range due {
 			// A probe that isn't sent counts as failed and will be due again.
-			if s, ok := byStart[id]; ok && g.limits.take(id, time.Now()) {
+			now := time.Now()
+			if s, ok := byStart[id]; ok && g.pauses.remaining(id, now) == 0 && g.limits.take(id, now) {
 				go g.probeOne(ctx, s)
 			}
 		}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -114,6 +114,9 @@
 func (g *Gateway) reserve(ctx context.Context, j *job) (reservation, *verdict.Error) {
 	began := time.Now()
 	engines := g.view.list().usable(j.service.Name, catalog.Decode)
+	if err := g.allPausingError(engines); err != nil {
+		return reservation{}, err
+	}
 	if next := g.limits.wait(engines, began); next > max(0, time.Until(j.reserveDeadline())) {
 		return reservation{}, rateLimitedError(next)
 	}
@@ -131,6 +134,9 @@
 	if ctx.Err() != nil {
 		return reservation{}, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.Cancelled, "The caller left.")
 	}
+	if err := g.allPausingError(engines); err != nil {
+		return reservation{}, err
+	}
 	return reservation{}, verdict.New(
 		verdict.NotRun, verdict.Overloaded, "No engine has room for %d tokens, asked in %d rounds of up to %d.",
 		maxExpectedTokens(j.r.Generation), j.rounds, reserveAttempts,
@@ -165,6 +171,9 @@
 		if p, ok := g.reserveOnce(ctx, j, g.sizeReservation(j, after)); ok {
 			return p, true
 		}
+		if g.allPausingError(g.view.list().usable(j.service.Name, catalog.Decode)) != nil {
+			return reservation{}, false
+		}
 		pause := jittered(reserveInterval)
 		if time.Now().Add(pause).After(until) || !wait.Sleep(ctx, pause) {
 			return reservation{}, false
@@ -193,6 +202,9 @@
 		if p, ok := g.reserveWithHeadroom(ctx, j, g.sizeReservation(j, j.delivered())); ok {
 			return p, true
 		}
+		if g.allPausingError(g.view.list().usable(j.service.Name, catalog.Decode)) != nil {
+			return reservation{}, false
+		}
 		if !wait.Sleep(ctx, jittered(lateInterval)) {
 			return reservation{}, false
 		}
