Gateway: a server that says it is leaving in any answer gets no new requests

Answers were read for their request alone; only the store's entry took a server out of the choice, at times seconds later.

The gateway marks the incarnation as leaving in each list of servers from then on, also when its entry says ready again or returns after an outage. A reservation that such an answer grants is released and made elsewhere, before a prompt is read for it; one that was granted before is used, as the server holds room for it.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -118,6 +118,8 @@
 	Limit *RateLimit
 	// Pause is how long the server wants no request from this gateway, 0 for no wish.
 	Pause time.Duration
+	// Leaving: the server says that it is leaving.
+	Leaving bool
 }
 
 // RateLimit is the rate limit in a server's answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,9 @@
 	if x.Pause > 0 {
 		g.pauses.update(s, x.Pause, now)
 	}
+	if x.Leaving {
+		g.view.recordLeaving(s, now)
+	}
 }
 
 const (
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -44,6 +44,15 @@
 	return l
 }
 
+// servers returns all servers.
+func (l *listing) servers() []catalog.Server {
+	out := make([]catalog.Server, len(l.all))
+	for i := range l.all {
+		out[i] = l.all[i].Server
+	}
+	return out
+}
+
 // usable returns the servers of a service and stage that accept new work. The caller
 // must not modify the result.
 func (l *listing) usable(service string, stage catalog.Stage) []candidate {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -274,6 +274,10 @@
 	if err != nil && err.Code != verdict.Overloaded {
 		g.recordFailure(ctx, s.Server, err)
 	}
+	if err == nil && g.view.isLeaving(s.key) {
+		g.releaseAsync(reservation{server: s.Server, hold: hold}, prefillResult{})
+		return "", verdict.New(verdict.NotRun, verdict.Leaving, "The engine is leaving.")
+	}
 	return hold, err
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -36,6 +36,10 @@
 
 	log *logrus.Entry
 
+	listMu sync.Mutex
+	// departures is guarded by listMu, as are changes of listing.
+	departures *departures
+
 	mu sync.Mutex
 	// health is guarded by mu.
 	health *doubt.Set
@@ -43,7 +47,7 @@
 
 func newView(b *board.Board, log *logrus.Entry) *view {
 	v := &view{
-		log: log,
+		log: log, departures: newDepartures(),
 		health: doubt.NewSet(doubt.Options{
 			MinBackoff: healthMinBackoff, MaxBackoff: healthMaxBackoff,
 			ProbeTimeout: probeTimeout, Ramp: healthRamp, FailureWindow: strikeTTL,
@@ -106,7 +110,34 @@
 
 // setServers replaces the list of servers.
 func (v *view) setServers(list []catalog.Server) {
-	l := newListing(list)
+	v.listMu.Lock()
+	defer v.listMu.Unlock()
+	v.publishLocked(list)
+}
+
+// recordLeaving records that a server says it is leaving, whatever its entry says.
+func (v *view) recordLeaving(s catalog.Server, now time.Time) {
+	v.listMu.Lock()
+	defer v.listMu.Unlock()
+	if !v.departures.record(serverKey(s), now) {
+		return
+	}
+	v.log.WithField("server", serverKey(s)).Info("gateway: server says that it is leaving.")
+	if l := v.listing.Load(); l != nil {
+		v.publishLocked(l.servers())
+	}
+}
+
+// isLeaving reports whether a server has said that it is leaving.
+func (v *view) isLeaving(key string) bool {
+	v.listMu.Lock()
+	defer v.listMu.Unlock()
+	return v.departures.has(key)
+}
+
+// publishLocked publishes the list, with the servers that said they are leaving marked so.
+func (v *view) publishLocked(list []catalog.Server) {
+	l := newListing(v.departures.apply(list, time.Now()))
 	v.listing.Store(l)
 	health := make([]doubt.Instance, 0, len(list))
 	for _, c := range l.all {
