Agents: a plain service that asked for a pause gets no calls until its end

Found by comparing the readers of answers: the agent passed a service's 503 on and sent it the next call at once. The agent now refuses calls for the time of the Retry-After, also those that waited for a slot, under a reason of its own; entries try other servers, and refuse at once with the soonest end if all of them pause. Without the agent's refusal the second call reaches the service, without the entry's check the caller waits.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -106,6 +106,8 @@
 	engineLoad    engine.Load
 	roleOrderedAt time.Duration
 	orphans       map[engine.Attempt]time.Time
+	// pausedUntil is the end of the pause that a plain service asked for.
+	pausedUntil time.Time
 	// stopping: a graceful stop has begun.
 	stopping bool
 }
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -102,6 +102,9 @@
 	if a.cfg.BackendKind != settings.BackendService {
 		return &grant.Refusal{Reason: pb.Reason_REASON_INVALID, Verdict: pb.Verdict_VERDICT_NOT_RUN}, nil
 	}
+	if r := a.refuseIfPaused(); r != nil {
+		return r, nil
+	}
 	entry := q.GetAttempt().GetEntry()
 	a.mu.Lock()
 	held := a.core.Owns(k, entry)
@@ -124,6 +127,10 @@
 func (a *Agent) call(ctx context.Context, k grant.Key, q *pb.CallRequest, reply *pb.CallReply) (refusal *grant.Refusal) {
 	var r *run
 	entry := q.GetAttempt().GetEntry()
+	if refusal = a.refuseIfPaused(); refusal != nil {
+		a.release(k, entry)
+		return refusal
+	}
 	a.step(func(c *grant.Core, now time.Duration) {
 		r, refusal = a.startRun(c, now, k, entry, timeLimit(q.GetDeadlineMs()))
 	})
@@ -161,6 +168,7 @@
 	if err := exchange(r.ctx, conn, req, out); err != nil {
 		return eris.Wrap(errNoAnswer, err.Error())
 	}
+	a.recordPause(out)
 	fillReply(reply, out)
 	return nil
 }
--- a/internal/agent/service_test.go
+++ b/internal/agent/service_test.go
@@ -144,3 +144,28 @@
 	assert.Equal(t, names["X-Answer"], "1")
 	assert.Equal(t, names["X-Hop"]+names["Connection"], "")
 }
+
+// Guards against calls to a service that has asked for a pause, also those that waited for
+// a slot when it did.
+func TestPausedServiceGetsNoCalls(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	var arrivals atomic.Int32
+	l := plainService(t, func(conn net.Conn, _ *http.Request) {
+		status := "200 OK"
+		if arrivals.Add(1) == 1 {
+			status = "503 Service Unavailable\r\nRetry-After: 0.5"
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+	})
+	b := launchService(t, l)
+	began := time.Now()
+	assert.Equal(t, b.call(t, "a").GetStatus(), uint32(http.StatusServiceUnavailable))
+	refusal := b.call(t, "b").GetRefusal()
+	assert.Equal(t, refusal.GetReason(), pb.Reason_REASON_PAUSED)
+	assert.Equal(t, refusal.GetVerdict(), pb.Verdict_VERDICT_NOT_RUN)
+	assert.Assert(t, refusal.GetRetryAfterMs() > 0 && refusal.GetRetryAfterMs() <= 500)
+	assert.Equal(t, arrivals.Load(), int32(1))
+	time.Sleep(time.Until(began.Add(pause + 100*time.Millisecond)))
+	assert.Equal(t, b.call(t, "c").GetStatus(), uint32(http.StatusOK))
+	assert.Equal(t, b.agent.Load().GetUsed(), uint32(0))
+}
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -31,6 +31,8 @@
 	full atomic.Int32
 	// crashes is how many calls, from the first, the server is lost under.
 	crashes atomic.Int32
+	// paused is the rest of the pause for which calls are refused, 0 for none.
+	paused time.Duration
 	// takes is how long a call takes.
 	takes time.Duration
 	// silent is how many renewal streams, from the first, aren't answered.
@@ -55,6 +57,11 @@
 	case a.full.Add(-1) >= 0:
 		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_FULL, Verdict: pb.Verdict_VERDICT_NOT_RUN}
 		return reply, nil
+	case a.paused > 0:
+		reply.Refusal = &pb.Refusal{
+			Reason: pb.Reason_REASON_PAUSED, Verdict: pb.Verdict_VERDICT_NOT_RUN, RetryAfterMs: uint64(a.paused.Milliseconds()),
+		}
+		return reply, nil
 	case a.crashes.Add(-1) >= 0:
 		reply.Refusal = &pb.Refusal{Reason: pb.Reason_REASON_SERVER_LOST, Verdict: pb.Verdict_VERDICT_MAY_HAVE_RUN, CrashedAlone: true}
 		return reply, nil
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -11,7 +11,7 @@
 // codeOf maps an agent's reason to the error code for callers.
 func codeOf(r pb.Reason) verdict.Code {
 	switch r {
-	case pb.Reason_REASON_FULL:
+	case pb.Reason_REASON_FULL, pb.Reason_REASON_PAUSED:
 		return verdict.Overloaded
 	case pb.Reason_REASON_LEAVING:
 		return verdict.Leaving
@@ -69,5 +69,6 @@
 	e.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
 	e.Crashed = r.Reason == pb.Reason_REASON_SERVER_LOST
 	e.CrashedAlone = r.CrashedAlone
+	e.Paused = r.Reason == pb.Reason_REASON_PAUSED
 	return e
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -40,6 +40,8 @@
 	notRun   int
 	// crashes counts the tries under which a server was lost.
 	crashes int
+	// paused has the ends of the pauses of servers that refused for one.
+	paused map[string]time.Time
 	// open holds the tries that haven't ended, in the order they were started.
 	open    []openTry
 	results chan callResult
@@ -90,7 +92,7 @@
 
 func newServiceCall(e *Entry, r *request, dest destination) *serviceCall {
 	return &serviceCall{
-		e: e, r: r, dest: dest, exclude: make(map[string]bool), leaving: make(map[string]bool),
+		e: e, r: r, dest: dest, exclude: make(map[string]bool), leaving: make(map[string]bool), paused: make(map[string]time.Time),
 		results: make(chan callResult, maxTries),
 	}
 }
@@ -170,6 +172,9 @@
 	if res.err.Code == verdict.Leaving {
 		c.leaving[res.target.id] = true
 	}
+	if res.err.Paused {
+		c.paused[res.target.id] = time.Now().Add(res.err.RetryAfter)
+	}
 	if res.err.Verdict == verdict.NotRun {
 		c.notRun++
 	}
@@ -183,6 +188,10 @@
 	}
 	err := *res.err
 	err.Verdict = worst
+	if len(c.paused) == len(c.dest.targets.service) {
+		err.RetryAfter = c.soonestPause()
+		return &err
+	}
 	if retry.Refused(&err) {
 		c.refusals++
 	} else {
@@ -207,6 +216,12 @@
 	return withRetryAfter(&err)
 }
 
+// soonestPause returns the time until the first of the servers' pauses ends.
+func (c *serviceCall) soonestPause() time.Duration {
+	soonest := slices.MinFunc(slices.Collect(maps.Values(c.paused)), time.Time.Compare)
+	return max(0, time.Until(soonest))
+}
+
 // recordOvertaken records a timeout for servers that were tried before the winner
 // and haven't answered. If a backend server is frozen, its agent is still alive
 // and connected: without this evidence the server would keep its share of the
@@ -284,13 +299,19 @@
 }
 
 // start starts a try at the best server that hasn't been tried. Once all have, it is
-// one that didn't refuse as leaving: a server whose connection failed may be back.
+// one that didn't refuse as leaving or for a pause: a server whose connection failed may
+// be back.
 func (c *serviceCall) start(ctx context.Context) *verdict.Error {
 	if err := c.e.refuseConvicted(c.r); err != nil {
 		return err
 	}
 	if len(c.exclude) >= len(c.dest.targets.service) {
 		c.exclude = maps.Clone(c.leaving)
+		for id, until := range c.paused {
+			if time.Now().Before(until) {
+				c.exclude[id] = true
+			}
+		}
 		for _, o := range c.open {
 			c.exclude[o.server] = true
 		}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -73,7 +73,9 @@
 	CrashedAlone bool
 	// Crashed: the server died while it ran this request among others.
 	Crashed bool
-	cause   error
+	// Paused: the server wants no requests for RetryAfter.
+	Paused bool
+	cause  error
 }
 
 // New returns an Error.
