Gateways: which requests crash servers outlasts an end of all gateways

What callers would see: after all gateways are killed at once, each request that was known to crash servers ends three more of them, each time.

Cause: convictions were in memory and in datagrams only. A conviction lasts from the last loss, whenever it was reported, so that restarts don't prolong it. No call is added otherwise. A stop of all gateways by SIGTERM at once still removes all objects.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -61,6 +61,8 @@
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
 	g.Join(exchange)
+	members.ShareConvictions(g.Convictions, g.RecordPeerLoss)
+	g.OnConviction(members.PublishConviction)
 	quotas := quota.New(quota.Options{
 		Self: s.ID, Listen: s.Quota.Listen, Members: func() ([]quota.Member, time.Duration) { return registered(members) },
 		OnUnknownSender: members.RequestRead, Spare: quotaSpareFraction * s.Quota.Slack,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -74,6 +74,10 @@
 // Convictions returns at most limit losses for which this gateway refuses requests.
 func (g *Gateway) Convictions(limit int) []blame.Loss { return g.crashes.convictions(limit) }
 
+// OnConviction registers f, which is called with the fingerprint of each request that is
+// refused because it crashes servers. It must be called before the first request.
+func (g *Gateway) OnConviction(f func(fingerprint uint64)) { g.onConviction = f }
+
 // isLoss reports whether an attempt failed because its connection to the server broke,
 // which happens when the server crashes. A caller that left, a timeout and an answer of
 // the server, however wrong, are no losses.
@@ -109,6 +113,9 @@
 		x := g.crashes.judge(j.fingerprint)
 		switch {
 		case x.Convicted:
+			if g.onConviction != nil {
+				g.onConviction(j.fingerprint)
+			}
 			return verdict.New(verdict.NotRun, verdict.Crashes, "This request crashed the servers that ran it.")
 		case x.Held > 0:
 			return verdict.New(verdict.NotRun, verdict.Overloaded, "Servers crashed under this request and others.").WithRetryAfter(x.Held)
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -183,6 +183,22 @@
 	}
 }
 
+// Guards against a conviction that its gateway keeps to itself.
+func TestConvictionIsTold(t *testing.T) {
+	g := newGateway(t, &fakeBackend{})
+	var told []uint64
+	g.OnConviction(func(fp uint64) { told = append(told, fp) })
+	fp := call("/once/x").fingerprint("")
+	for i := range uint64(3) {
+		lost := time.Now().Add(-time.Duration(10-i) * time.Second)
+		g.RecordPeerLoss(blame.Loss{Request: fp, Server: i, Began: lost, Lost: lost})
+	}
+	_, err := g.Serve(t.Context(), call("/once/x"))
+	assert.Equal(t, err.Code, verdict.Crashes)
+	assert.DeepEqual(t, told, []uint64{fp})
+	assert.Equal(t, len(g.Convictions(8)), 3)
+}
+
 // Guards against a prompt that crashes one prefill engine after the other.
 func TestCrashingPrefillIsRefused(t *testing.T) {
 	f := &fakeBackend{prefill: func(catalog.Server) (Prefilled, *verdict.Error) { return Prefilled{}, lost() }}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -10,7 +10,10 @@
 //     request.
 //   - Each request has its final answer by its route's timeout, and is cancelled at
 //     the servers when its caller disconnects.
-//   - A server that is known to be draining gets no new work.
+//   - A server that is known to be draining, from its entry or its answers, gets no new
+//     work; one that has asked for a pause gets nothing until its end.
+//   - A request that crashes the servers that run it is refused by all gateways.
 //
-// All state is in memory and can be lost at any time.
+// All state is in memory and can be lost at any time, except which requests crash servers:
+// that is part of the gateways' objects in the platform.
 package gateway
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,8 @@
 	contention place.PlacementRate
 
 	crashes *crashes
+	// onConviction is nil if nobody is told; it is set before use.
+	onConviction func(fingerprint uint64)
 }
 
 // New returns a gateway and adds its state to the board's dump.
--- /dev/null
+++ b/internal/peers/convictions_test.go
@@ -0,0 +1,77 @@
+package peers
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/blame"
+)
+
+// Guards against a request that crashes servers again because all gateways, which knew it,
+// were killed at once.
+func TestConvictionsOutlastAllGateways(t *testing.T) {
+	s := &memoryStore{objects: map[string]platform.Object{}}
+	lost := time.Now().Add(-time.Minute)
+	known := []blame.Loss{
+		{Request: 1<<63 + 1, Server: 1<<63 + 7, Began: lost.Add(-time.Second), Lost: lost},
+		{Request: 1<<63 + 1, Server: 8, Began: lost, Lost: lost.Add(time.Second)},
+	}
+	one := members(s, "1")
+	one.ShareConvictions(func(int) []blame.Loss { return known }, func(blame.Loss) bool { return false })
+	assert.NilError(t, one.readAndRenew(t.Context()))
+	for _, id := range []string{"1", "2"} {
+		var learned []blame.Loss
+		m := members(s, id)
+		m.ShareConvictions(func(int) []blame.Loss { return learned }, func(x blame.Loss) bool {
+			learned = append(learned, x)
+			return true
+		})
+		assert.NilError(t, m.readAndRenew(t.Context()))
+		assert.NilError(t, m.readAndRenew(t.Context()))
+		assert.Assert(t, len(learned) >= len(known))
+		for i, x := range known {
+			assert.Equal(t, learned[i].Request, x.Request)
+			assert.Equal(t, learned[i].Server, x.Server)
+			assert.Equal(t, learned[i].Lost.Sub(learned[i].Began), time.Second)
+			assert.Assert(t, learned[i].Lost.Sub(x.Lost).Abs() < 5*time.Second)
+		}
+	}
+}
+
+// Guards against a conviction that waits for the next renewal, or is written again and
+// again.
+func TestConvictionIsPublishedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memoryStore{objects: map[string]platform.Object{"1": stored(t, "1")}}
+		m := members(s, "1")
+		var known atomic.Pointer[[]blame.Loss]
+		known.Store(&[]blame.Loss{})
+		m.ShareConvictions(func(int) []blame.Loss { return *known.Load() }, func(blame.Loss) bool { return true })
+		go func() { _ = m.Run(t.Context()) }()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		calls := s.calls
+		known.Store(&[]blame.Loss{{Request: 5, Server: 6, Began: time.Now(), Lost: time.Now()}})
+		for range 20 {
+			m.PublishConviction(5)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, s.calls-calls, 2, "one reading and one renewal")
+		assert.Assert(t, m.published[5])
+	})
+}
+
+// Guards against a process that fails, or learns nonsense, from a damaged object.
+func TestDamagedLossesAreIgnored(t *testing.T) {
+	for _, l := range []Loss{{}, {Request: "x", Server: "1"}, {Request: "1", Server: "-1"}, {Request: "1", Server: "1", AgeMs: -1}} {
+		_, ok := l.decode(time.Now())
+		assert.Assert(t, !ok, "%v", l)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,6 +19,7 @@
 
 	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/wait"
 )
 
@@ -55,6 +56,8 @@
 	// UptimeMs is for how long the process had run when it wrote this, in milliseconds,
 	// including suspension.
 	UptimeMs int64 `json:"uptimeMs,omitempty"`
+	// Convictions are the losses of servers for which the gateway refuses requests.
+	Convictions []Loss `json:"convictions,omitempty"`
 	// Renewals counts the renewals, so that each write changes the object.
 	Renewals uint64 `json:"renewals"`
 }
@@ -107,13 +110,24 @@
 	// lastRead is when the others were last read.
 	lastRead time.Time
 
-	// readRequests signals a request for a reading out of turn.
-	readRequests chan struct{}
+	// published has the requests whose losses this gateway's object carries.
+	published map[uint64]bool
+
+	// readRequests and renewRequests signal requests for a reading, and for a renewal, out
+	// of turn.
+	readRequests, renewRequests chan struct{}
+	// convictions and learn are those of ShareConvictions.
+	convictions func(limit int) []blame.Loss
+	learn       func(blame.Loss) bool
 }
 
 // New returns the Members of the gateway self; Run starts it.
 func New(store platform.Store, self Peer, log *logrus.Entry) *Members {
-	return &Members{store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{}, readRequests: make(chan struct{}, 1)}
+	return &Members{
+		store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{},
+		readRequests: make(chan struct{}, 1), renewRequests: make(chan struct{}, 1),
+		convictions: func(int) []blame.Loss { return nil }, learn: func(blame.Loss) bool { return false },
+	}
 }
 
 // Run reads and renews until ctx ends, then deletes this gateway's object. It always
@@ -144,10 +158,11 @@
 	}
 }
 
-// waitForTurn waits for the next turn, and meanwhile reads on request, at most once a
-// second. It returns false if ctx ends.
+// waitForTurn waits for the next turn, which a request for a renewal brings forward, and
+// meanwhile reads on request; both at most once a second. It returns false if ctx ends.
 func (m *Members) waitForTurn(ctx context.Context, pause time.Duration) bool {
-	due := time.Now().Add(pause)
+	began := time.Now()
+	due := began.Add(pause)
 	for {
 		turn := time.NewTimer(time.Until(due))
 		select {
@@ -156,6 +171,9 @@
 			return false
 		case <-turn.C:
 			return true
+		case <-m.renewRequests:
+			turn.Stop()
+			return wait.Sleep(ctx, min(time.Until(due), time.Until(began.Add(retryDelay))))
 		case <-m.readRequests:
 			turn.Stop()
 		}
@@ -213,9 +231,11 @@
 // write whose answer was lost, has left another version than the one that was read; the
 // next reading finds that version.
 func (m *Members) renew(ctx context.Context) error {
+	losses := m.convictions(maxConvictionLosses)
 	m.mu.Lock()
 	m.self.Renewals++
 	m.self.UptimeMs = (boottime.Now() - m.started).Milliseconds()
+	m.self.Convictions = encodeLosses(losses, time.Now())
 	self, version := m.self, m.version
 	m.mu.Unlock()
 	spec, err := json.Marshal(self)
@@ -231,6 +251,10 @@
 	m.renewed = err == nil
 	if m.renewed {
 		m.version, m.renewal, m.replaced = v, renewal{v, began}, true
+		m.published = map[uint64]bool{}
+		for _, x := range losses {
+			m.published[x.Request] = true
+		}
 	}
 	return err
 }
@@ -249,6 +273,15 @@
 
 // apply updates the view from the objects of all gateways as read at now.
 func (m *Members) apply(objects []platform.Object, now time.Time) {
+	for _, l := range m.update(objects, now) {
+		if x, ok := l.decode(now); ok {
+			m.learn(x)
+		}
+	}
+}
+
+// update is apply without the losses in objects that changed, which it returns.
+func (m *Members) update(objects []platform.Object, now time.Time) (losses []Loss) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	listed := make(map[string]bool, len(objects))
@@ -273,6 +306,7 @@
 		if !ok || s.version < o.Version {
 			s = observation{peer: p, version: o.Version, since: now}
 			m.observed[p.ID] = s
+			losses = append(losses, p.Convictions...)
 		}
 		m.registered[p.ID] = registration{observation: s, listed: now}
 	}
@@ -288,6 +322,7 @@
 	}
 	m.selfListed = m.selfListed || listed[m.self.ID]
 	m.lastRead = now
+	return losses
 }
 
 // List returns the live gateways including this one, sorted by ID. It returns nil until this
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -49,6 +49,12 @@
 	return o.Version, nil
 }
 
+func (s *memoryStore) Delete(_ context.Context, _, name string, _ uint64) error {
+	s.calls++
+	delete(s.objects, name)
+	return nil
+}
+
 func members(s platform.Store, id string) *Members {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -118,12 +118,10 @@
 	void := l.hasCulprit(x.Server, now)
 	a.losses = append(a.losses, accountLoss{Loss: x, void: void})
 	slices.SortFunc(a.losses, func(a, b accountLoss) int { return a.Lost.Compare(b.Lost) })
-	lasts := l.opts.Window
+	l.extend(a)
 	if a.convicted {
-		lasts = l.opts.RefuseFor
 		l.absolveOthers(a)
 	}
-	a.until = now.Add(lasts)
 	l.listOf(a).MoveToFront(l.records[x.Request])
 	if l.byServer[x.Server] == nil {
 		l.byServer[x.Server] = map[uint64]bool{}
@@ -174,7 +172,7 @@
 		return Judgement{Unsettled: wait}
 	}
 	if !l.hasRival(a, now) {
-		l.convict(a, now)
+		l.convict(a)
 		return Judgement{Convicted: true}
 	}
 	return Judgement{Held: max(0, last.Add(l.hold(fp, len(crashes))).Sub(now))}
@@ -253,9 +251,19 @@
 	return true
 }
 
-func (l *Ledger) convict(a *account, now time.Time) {
+// extend sets the end of an account from its last loss, whenever that was reported.
+func (l *Ledger) extend(a *account) {
+	last := a.losses[len(a.losses)-1].Lost
+	a.until = last.Add(l.opts.Window)
+	if a.convicted {
+		a.until = last.Add(l.opts.RefuseFor)
+	}
+}
+
+func (l *Ledger) convict(a *account) {
 	l.suspects.Remove(l.records[a.fp])
-	a.convicted, a.until = true, now.Add(l.opts.RefuseFor)
+	a.convicted = true
+	l.extend(a)
 	l.records[a.fp] = l.convicted.PushFront(a)
 	l.evict(l.convicted)
 	l.absolveOthers(a)
