Ledger: a conviction that is reported late holds at once, and ends when it would have

Its record is kept from the report now; the conviction counts from the last loss. A rapid test keeps the records, their lists and the servers in step.

--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -38,8 +38,8 @@
 	// SettleTime is how long after a loss the request isn't judged, until the losses of
 	// the other requests on the same server are known.
 	SettleTime time.Duration
-	// Window is how long a request's losses count after the last one, RefuseFor how long
-	// a conviction lasts after it.
+	// Window is how long a request's losses count after the last report, RefuseFor how
+	// long a conviction lasts after the last loss.
 	Window, RefuseFor time.Duration
 	// Limit is the maximum number of requests held, convicted or not.
 	Limit int
@@ -118,15 +118,19 @@
 	void := l.hasCulprit(x.Server, now)
 	a.losses = append(a.losses, accountLoss{Loss: x, void: void})
 	slices.SortFunc(a.losses, func(a, b accountLoss) int { return a.Lost.Compare(b.Lost) })
-	l.extend(a)
-	if a.convicted {
-		l.absolveOthers(a)
-	}
-	l.listOf(a).MoveToFront(l.records[x.Request])
 	if l.byServer[x.Server] == nil {
 		l.byServer[x.Server] = map[uint64]bool{}
 	}
 	l.byServer[x.Server][x.Request] = true
+	l.listOf(a).MoveToFront(l.records[x.Request])
+	a.until = now.Add(l.opts.Window)
+	if a.convicted {
+		a.until = l.endOfConviction(a)
+		l.absolveOthers(a)
+		return true
+	}
+	// A conviction that is reported after the fact holds at once.
+	l.Judge(x.Request, now)
 	return true
 }
 
@@ -171,6 +175,9 @@
 	if wait := last.Add(l.opts.SettleTime).Sub(now); wait > 0 {
 		return Judgement{Unsettled: wait}
 	}
+	if !now.Before(l.endOfConviction(a)) {
+		return Judgement{}
+	}
 	if !l.hasRival(a, now) {
 		l.convict(a)
 		return Judgement{Convicted: true}
@@ -251,19 +258,15 @@
 	return true
 }
 
-// extend sets the end of an account from its last loss, whenever that was reported.
-func (l *Ledger) extend(a *account) {
-	last := a.losses[len(a.losses)-1].Lost
-	a.until = last.Add(l.opts.Window)
-	if a.convicted {
-		a.until = last.Add(l.opts.RefuseFor)
-	}
+// endOfConviction returns when a conviction of a ends: it counts from the last loss,
+// whenever that was reported.
+func (l *Ledger) endOfConviction(a *account) time.Time {
+	return a.losses[len(a.losses)-1].Lost.Add(l.opts.RefuseFor)
 }
 
 func (l *Ledger) convict(a *account) {
 	l.suspects.Remove(l.records[a.fp])
-	a.convicted = true
-	l.extend(a)
+	a.convicted, a.until = true, l.endOfConviction(a)
 	l.records[a.fp] = l.convicted.PushFront(a)
 	l.evict(l.convicted)
 	l.absolveOthers(a)
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -38,6 +38,22 @@
 	assert.Equal(t, l.Len(), 0)
 }
 
+// Guards against a conviction that a starting gateway doesn't learn because it is minutes
+// old, or that is renewed whenever it is reported.
+func TestConvictionIsLearnedLate(t *testing.T) {
+	for age, want := range map[time.Duration]bool{DefaultRefuseFor / 2: true, DefaultRefuseFor + time.Second: false} {
+		l := NewLedger(LedgerOptions{})
+		now := start.Add(age)
+		for i := range uint64(3) {
+			lost := start.Add(time.Duration(i) * time.Second / 4)
+			assert.Assert(t, l.RecordLoss(Loss{Request: 1, Server: i, Began: lost, Lost: lost}, now))
+		}
+		assert.Equal(t, len(l.Convictions(8, now)) == 3, want, "%s", age)
+		assert.Equal(t, isConvicted(l, 1, now), want, "%s", age)
+		assert.Assert(t, !isConvicted(l, 1, start.Add(DefaultRefuseFor+time.Second)))
+	}
+}
+
 // Guards against counting a loss twice that several gateways report.
 func TestRepeatedReportCountsOnce(t *testing.T) {
 	l := NewLedger(LedgerOptions{})
@@ -192,3 +208,36 @@
 		t.Fatal("not convicted")
 	})
 }
+
+// Guards against records that outlive their lists, or stay behind under a server.
+func TestLedgerStaysConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(LedgerOptions{Limit: 8})
+		now := start
+		fp, server := rapid.Uint64Range(0, 20), rapid.Uint64Range(0, 8)
+		t.Repeat(map[string]func(*rapid.T){
+			"loss": func(t *rapid.T) {
+				lose(l, now.Add(-rapid.SampledFrom([]time.Duration{0, time.Second, time.Hour}).Draw(t, "age")), server.Draw(t, "server"), fp.Draw(t, "fp"))
+			},
+			"success": func(t *rapid.T) { l.RecordSuccess(fp.Draw(t, "fp"), now) },
+			"answer":  func(t *rapid.T) { l.RecordAnswer(server.Draw(t, "server"), now, now) },
+			"judge":   func(t *rapid.T) { l.Judge(fp.Draw(t, "fp"), now) },
+			"time": func(t *rapid.T) {
+				now = now.Add(rapid.SampledFrom([]time.Duration{runTime, time.Second, time.Minute}).Draw(t, "passes"))
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, l.Len(), l.suspects.Len()+l.convicted.Len())
+				assert.Assert(t, l.Len() <= 8)
+				for s, fps := range l.byServer {
+					assert.Assert(t, len(fps) > 0, "server %d", s)
+					for fp := range fps {
+						assert.Assert(t, l.records[fp] != nil, "request %d at server %d", fp, s)
+					}
+				}
+				for _, x := range l.Convictions(100, now) {
+					assert.Assert(t, isConvicted(l, x.Request, now))
+				}
+			},
+		})
+	})
+}
