Gossip: one conviction in a full update, the rest in the gateways' objects

At 24 full updates a second, eight losses in each would have been over 5 KB/s of a node's 15 KB/s for control, for what a starting gateway reads in the platform anyway.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -76,7 +76,7 @@
 	// returns whether it was new.
 	OnLoss func(blame.Loss) bool
 	// Convictions returns at most limit losses for which this gateway refuses requests.
-	// Peers that start learn of them by full updates. It may be nil.
+	// Peers that start learn of the latest by full updates. It may be nil.
 	Convictions func(limit int) []blame.Loss
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
@@ -414,8 +414,8 @@
 	return n
 }
 
-// nextLosses returns the losses for the next datagram. A full update has those of convicted
-// requests besides.
+// nextLosses returns the losses for the next datagram. A full update has those of the latest
+// convicted request besides.
 func (e *Exchange) nextLosses(full bool, now time.Time) []*pb.Loss {
 	e.mu.Lock()
 	list := e.losses.next(maxLosses, now)
@@ -425,7 +425,7 @@
 		e.NotifyLoadChange()
 	}
 	if full && e.opts.Convictions != nil {
-		list = append(list, e.opts.Convictions(maxLosses-len(list))...)
+		list = append(list, e.opts.Convictions(min(maxConvictionLosses, maxLosses-len(list)))...)
 	}
 	out := make([]*pb.Loss, 0, len(list))
 	for _, x := range list {
--- a/internal/gossip/losses.go
+++ b/internal/gossip/losses.go
@@ -16,6 +16,9 @@
 	// one. A server takes down at most some dozens of a gateway's requests.
 	maxLosses       = 8
 	maxQueuedLosses = 128
+	// maxConvictionLosses bounds the losses of convicted requests in a full update: those of
+	// the latest request. The gateways' objects in the platform have more.
+	maxConvictionLosses = 3
 )
 
 // lossQueue has the losses to report. It isn't safe for concurrent use.
