--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -40,8 +40,8 @@
 	return c.ledger.RecordLoss(x, time.Now())
 }
 
-// update changes the ledger if it has records.
-func (c *crashes) update(f func(l *blame.Ledger, now time.Time)) {
+// use calls f with the ledger if that has records.
+func (c *crashes) use(f func(l *blame.Ledger, now time.Time)) {
 	if !c.nonEmpty.Load() {
 		return
 	}
@@ -53,21 +53,21 @@
 
 // recordSuccess records that a request has succeeded.
 func (c *crashes) recordSuccess(fp uint64) {
-	c.update(func(l *blame.Ledger, now time.Time) { l.RecordSuccess(fp, now) })
+	c.use(func(l *blame.Ledger, now time.Time) { l.RecordSuccess(fp, now) })
 }
 
 func (c *crashes) judge(fp uint64) (j blame.Judgement) {
-	c.update(func(l *blame.Ledger, now time.Time) { j = l.Judge(fp, now) })
+	c.use(func(l *blame.Ledger, now time.Time) { j = l.Judge(fp, now) })
 	return j
 }
 
 func (c *crashes) convictions(limit int) (out []blame.Loss) {
-	c.update(func(l *blame.Ledger, now time.Time) { out = l.Convictions(limit, now) })
+	c.use(func(l *blame.Ledger, now time.Time) { out = l.Convictions(limit, now) })
 	return out
 }
 
 // RecordPeerLoss records the loss of a server under a request, as reported by a peer. It
-// reports whether the loss was unknown before. The server is given by its gossip.EngineKey,
+// reports whether the loss was unknown before. The server is given by its gossip.ServerKey,
 // the request by its fingerprint.
 func (g *Gateway) RecordPeerLoss(x blame.Loss) bool { return g.crashes.record(x) }
 
@@ -88,7 +88,7 @@
 // recordLoss records that the server was lost while it ran the job's request, which it
 // was sent at began, and reports it to the peers.
 func (g *Gateway) recordLoss(j *job, s catalog.Server, began time.Time) {
-	x := blame.Loss{Request: j.fingerprint, Server: gossip.EngineKey(serverKey(s)), Began: began, Lost: time.Now()}
+	x := blame.Loss{Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), Began: began, Lost: time.Now()}
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
 		"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "new": isNew, "ran": milliseconds(x.Lost.Sub(began)),
@@ -102,12 +102,13 @@
 // failed without one. It shows that the server hadn't crashed before.
 func (g *Gateway) recordAnswer(s catalog.Server, sent time.Time, err *verdict.Error) {
 	if err == nil || err.Code == verdict.Overloaded && !errors.Is(err, errPausing) {
-		g.crashes.update(func(l *blame.Ledger, now time.Time) { l.RecordAnswer(gossip.EngineKey(serverKey(s)), sent, now) })
+		g.crashes.use(func(l *blame.Ledger, now time.Time) { l.RecordAnswer(gossip.ServerKey(serverKey(s)), sent, now) })
 	}
 }
 
-// refuseCrashing refuses a request that is known to crash servers, or is held back as it
-// may. If too little is known yet of a server that was just lost, it waits.
+// refuseCrashing refuses a request that is known to crash servers. One that may, as others
+// were lost with it, is refused for a while. If a server was lost just now, it waits until
+// the losses of others there are known.
 func (g *Gateway) refuseCrashing(ctx context.Context, j *job) *verdict.Error {
 	for {
 		x := g.crashes.judge(j.fingerprint)
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -109,7 +109,7 @@
 		g.RecordPeerLoss(blame.Loss{Request: 1, Server: i, Began: lost, Lost: lost})
 	}
 	lost := time.Now().Add(-time.Second)
-	g.RecordPeerLoss(blame.Loss{Request: 1, Server: gossip.EngineKey(serverKey(s)), Began: lost, Lost: lost})
+	g.RecordPeerLoss(blame.Loss{Request: 1, Server: gossip.ServerKey(serverKey(s)), Began: lost, Lost: lost})
 	g.pauses.update(s, time.Minute, time.Now())
 	g.recordAnswer(s, time.Now(), g.pauses.refuseIfPausing(s))
 	assert.Assert(t, g.crashes.judge(1).Convicted)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -92,9 +92,9 @@
 	Revision uint64
 }
 
-// EngineKey returns the hash that identifies one incarnation of an engine in datagrams. Its
+// ServerKey returns the hash that identifies one incarnation of a server in datagrams. Its
 // argument is the gateway's key for that incarnation.
-func EngineKey(start string) uint64 { return xxhash.Sum64String(start) }
+func ServerKey(start string) uint64 { return xxhash.Sum64String(start) }
 
 // Exchange sends this gateway's load to its peers and keeps theirs.
 type Exchange struct {
@@ -176,7 +176,7 @@
 
 // Need returns the memory that the peers' requests need on an engine.
 func (e *Exchange) Need(engine string) memory.Need {
-	key := EngineKey(engine)
+	key := ServerKey(engine)
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	return e.table.sums[key]
@@ -394,7 +394,7 @@
 		n.PlatformMs = uint32(min(e.opts.PlatformReachableFor().Milliseconds(), math.MaxUint32))
 	}
 	for engine, load := range own {
-		key := EngineKey(engine)
+		key := ServerKey(engine)
 		now[key] = load.Revision
 		if full || e.lastRevisions[key] != load.Revision {
 			n.Engines = append(n.Engines, encode(key, load.Need, toAll))
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -258,7 +258,7 @@
 		run(ctx, t, exchanges[i])
 	}
 	t.Cleanup(end)
-	exchanges[0].ReportLoss(blame.Loss{Request: 42, Server: EngineKey("e1")})
+	exchanges[0].ReportLoss(blame.Loss{Request: 42, Server: ServerKey("e1")})
 	for _, o := range owners[1:] {
 		poll.WaitOn(t, o.received(42), poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 	}
