Entry: the test of a returned agent keeps the address that it closes

A whole check failed once in TestSlowConnectionToAReturnedAgentIsAwaited: a call to a closed address succeeded. The test closed a listener on an ephemeral port, and a parallel test of the package got the port; forty copies at a time of five such tests did it again once. The address is now held by a socket that doesn't listen until the agent returns: 20 of 20 alone. The checks are unchanged.

--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,6 +124,26 @@
 	return l
 }
 
+// reserveAddress returns a loopback address that refuses connections and that no other
+// listener can get, and a function that listens there.
+func reserveAddress(t *testing.T) (address string, open func() net.Listener) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	f := os.NewFile(uintptr(fd), "reserved")
+	t.Cleanup(func() { _ = f.Close() })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	in4, ok := bound.(*syscall.SockaddrInet4)
+	assert.Assert(t, ok)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(in4.Port)), func() net.Listener {
+		assert.NilError(t, syscall.Listen(fd, syscall.SOMAXCONN))
+		l, err := net.FileListener(f)
+		assert.NilError(t, err)
+		return l
+	}
+}
+
 // serviceEntry returns an entry and the targets of a plain service whose agents listen
 // at the addresses.
 func serviceEntry(addresses map[string]string) (*Entry, poolTargets) {
@@ -229,16 +252,13 @@
 func TestSlowConnectionToAReturnedAgentIsAwaited(t *testing.T) {
 	t.Parallel()
 	returned, leaving := &fakeAgent{}, &fakeAgent{leaving: true}
-	l, m := listen(t), listen(t)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
+	m := listen(t)
+	address, open := reserveAddress(t)
 	leaving.serve(t, m)
 	e, p := serviceEntry(map[string]string{"returned": address, "leaving": m.Addr().String()})
 	_, failed := post(t.Context(), e, p)
 	assert.Assert(t, failed != nil)
-	l, err := net.Listen("tcp", address)
-	assert.NilError(t, err)
-	returned.serve(t, slowListener{l, 150 * time.Millisecond})
+	returned.serve(t, slowListener{open(), 150 * time.Millisecond})
 	leaving.calls.Store(0)
 	_, failed = post(t.Context(), e, p)
 	assert.Assert(t, failed == nil, "%v", failed)
