Stand-ins: a free port is free of UDP too

Cause: the search for a free port connects by TCP only; gateways have two ports that they use by UDP alone. Ruled out: binding the port to try it, as children that are being started hold copies of such a socket. Change: a datagram to the port has to be refused as well. If the kernel keeps back its refusal, the next port is tried. A port can still be taken while its process restarts: runs beside each other need JAYFORD_TEST_HOST, as before.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -47,6 +47,8 @@
 	// probeTimeout is ample for a reply on loopback. A listener whose backlog
 	// is full doesn't reply, so a timeout means that the port is in use.
 	probeTimeout = time.Second
+	// udpProbeTimeout is ample for the kernel to refuse a datagram on loopback.
+	udpProbeTimeout = 50 * time.Millisecond
 )
 
 // Addresses allocates each address of a range once before it starts over. It is safe
@@ -67,8 +69,8 @@
 
 func (r Range) size() int { return r.Last - r.First + 1 }
 
-// FindFree returns an address, "ip:port", that nothing listens on, or an error if there
-// is none in the range.
+// FindFree returns an address, "ip:port", that nothing listens on by TCP or UDP, or an
+// error if there is none in the range.
 //
 // It probes by connecting. A listening probe could outlive its close: child processes
 // that are being started hold copies of the socket until they call exec, and the
@@ -80,7 +82,7 @@
 		a.next = (a.next + 1) % a.ports.size()
 		address := net.JoinHostPort(a.host, strconv.Itoa(a.ports.First+a.next))
 		c, err := net.DialTimeout("tcp", address, probeTimeout)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && isFreeUDP(address) {
 			return address, nil
 		}
 		if err == nil {
@@ -89,3 +91,20 @@
 	}
 	return "", eris.Errorf("loopback: no free port at %s from %d to %d", a.host, a.ports.First, a.ports.Last)
 }
+
+// isFreeUDP reports whether the kernel refuses a datagram to address.
+func isFreeUDP(address string) bool {
+	c, err := net.DialTimeout("udp", address, udpProbeTimeout)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(udpProbeTimeout)); err != nil {
+		return false
+	}
+	if _, err := c.Write([]byte{0}); err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_, err = c.Read(make([]byte, 1))
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/standin/loopback/loopback_test.go
+++ b/internal/standin/loopback/loopback_test.go
@@ -74,3 +74,20 @@
 		l.Close()
 	}
 }
+
+// Guards against a process that ends at its start because its UDP port is in use, though
+// nothing listens there by TCP.
+func TestFreeIsFreeOfUDPToo(t *testing.T) {
+	ports := Range{First: 11994, Last: 11999}
+	address, err := New(Host, ports).FindFree()
+	assert.NilError(t, err)
+	c, err := net.ListenPacket("udp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	addresses := New(Host, ports)
+	for range ports.size() - 1 {
+		got, err := addresses.FindFree()
+		assert.NilError(t, err)
+		assert.Assert(t, got != address, "in use by UDP")
+	}
+}
