Gateways: settings replaced while a gateway starts are read

What operators saw: nothing yet; found by reading the start for the advice that no SIGHUP is needed, as a changed file is read within five seconds. Cause: the file's modification time was taken after the file was read, in the goroutine that watches it. A file that was replaced in between counted as read, and stayed unread until its next change or a SIGHUP. Change: the modification time is taken before. Test: TestSettingsReplacedDuringStartAreRead replaces the file while the start reads it from a pipe; it fails without the change ("settings: reloaded." is missing after 10 s), 3 of 3 with it.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -83,6 +83,8 @@
 // Execute runs a gateway.
 func (c *gatewayCommand) Execute([]string) error {
 	hup := hangup.Catch()
+	// Before the file is read, so that a change meanwhile isn't missed.
+	read := modTime(c.Settings)
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil {
 		return reportInvalid(err)
@@ -91,7 +93,7 @@
 		return nil
 	}
 	return runRole(s.LogLevel, func(ctx context.Context, log *logrus.Logger) error {
-		go watchSettings(ctx, c.Settings, s, hup, log)
+		go watchSettings(ctx, c.Settings, s, read, hup, log)
 		return c.run(ctx, s, log)
 	})
 }
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -17,11 +17,10 @@
 
 // watchSettings reloads the settings on SIGHUP and when the file changes. A new
 // log level takes effect at once; all other changes need a restart, which is
-// logged.
-func watchSettings(ctx context.Context, path string, current settings.Gateway, hup <-chan os.Signal, log *logrus.Logger) {
+// logged. seen is the file's modification time before current was read.
+func watchSettings(ctx context.Context, path string, current settings.Gateway, seen time.Time, hup <-chan os.Signal, log *logrus.Logger) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
-	seen := modTime(path)
 	for {
 		requested := false
 		select {
