--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -27,8 +27,8 @@
 }
 
 // Catch returns a channel that gets the process's SIGHUPs from now on, or from the
-// initialisation of this package in a gateway. There is no signal.Stop: a SIGHUP during shutdown would then abort
-// requests.
+// initialisation of this package in a gateway. There is no signal.Stop: a SIGHUP during
+// shutdown would then abort requests.
 func Catch() <-chan os.Signal {
 	signal.Notify(caught, syscall.SIGHUP)
 	return caught
