--- a/internal/standin/loopback/loopback_test.go
+++ b/internal/standin/loopback/loopback_test.go
@@ -83,7 +83,7 @@
 	assert.NilError(t, err)
 	c, err := net.ListenPacket("udp", address)
 	assert.NilError(t, err)
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	addresses := New(Host, ports)
 	for range ports.size() - 1 {
 		got, err := addresses.FindFree()
