--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,7 +78,7 @@
 func (g *Gateway) logCall(j *job, s catalog.Server, reply *Reply, err *verdict.Error) {
 	if err != nil {
 		g.logRequest(j, "gateway: call failed.", logrus.Fields{
-			"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "cause": err.Error(), "verdict": err.Verdict.String(),
+			"server": serverKey(s), "fingerprint": formatHash(j.fingerprint), "cause": err.Error(), "verdict": err.Verdict.String(),
 		})
 		return
 	}
@@ -148,7 +148,7 @@
 	j.sentAt = time.Now()
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
-	g.recordAnswer(s, j.sentAt, err)
+	g.recordAnswer("call", s, j.sentAt, err)
 	g.countRun(j, err)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/policy/blame"
@@ -27,11 +30,38 @@
 	nonEmpty atomic.Bool
 
 	mu sync.Mutex
-	// ledger is guarded by mu.
-	ledger *blame.Ledger
+	// All below is guarded by mu. answered is the exchange whose answer is being recorded,
+	// "" for none.
+	ledger   *blame.Ledger
+	answered string
 }
 
-func newCrashes() *crashes { return &crashes{ledger: blame.NewLedger(blame.LedgerOptions{})} }
+func newCrashes(b *board.Board, log *logrus.Entry) *crashes {
+	c := &crashes{}
+	c.ledger = blame.NewLedger(blame.LedgerOptions{OnChange: func(x blame.Change) { reportChange(log, x, c.answered) }})
+	b.AddView("crashes", c.dump)
+	return c
+}
+
+// reportChange logs and counts a change of what is held against a request. answered is the
+// exchange with the server that caused it, "" for none.
+func reportChange(log *logrus.Entry, x blame.Change, answered string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_crash_evidence_total{change=%q}", x.Kind)).Inc()
+	fields := logrus.Fields{"fingerprint": formatHash(x.Request), "change": x.Kind.String(), "losses": x.Losses, "counting": x.Counting}
+	if x.Server != 0 {
+		fields["serverHash"] = formatHash(x.Server)
+	}
+	if answered != "" {
+		fields["answered"] = answered
+	}
+	log.WithFields(fields).Info("gateway: evidence on a request changed.")
+}
+
+func (c *crashes) dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Records()
+}
 
 func (c *crashes) record(x blame.Loss) bool {
 	c.mu.Lock()
@@ -56,6 +86,15 @@
 	c.use(func(l *blame.Ledger, now time.Time) { l.RecordSuccess(fp, now) })
 }
 
+// recordAnswer records that a server answered an exchange that began at a time.
+func (c *crashes) recordAnswer(exchange string, server uint64, began time.Time) {
+	c.use(func(l *blame.Ledger, now time.Time) {
+		c.answered = exchange
+		l.RecordAnswer(server, began, now)
+		c.answered = ""
+	})
+}
+
 func (c *crashes) judge(fp uint64) (j blame.Judgement) {
 	c.use(func(l *blame.Ledger, now time.Time) { j = l.Judge(fp, now) })
 	return j
@@ -91,18 +130,18 @@
 	x := blame.Loss{Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), Began: began, Lost: time.Now()}
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
-		"server": serverKey(s), "fingerprint": formatFingerprint(j.fingerprint), "new": isNew, "ran": milliseconds(x.Lost.Sub(began)),
+		"server": serverKey(s), "serverHash": formatHash(x.Server), "fingerprint": formatHash(j.fingerprint), "new": isNew, "ran": milliseconds(x.Lost.Sub(began)),
 	})
 	if isNew && g.loads.peers != nil {
 		g.loads.peers.ReportLoss(x)
 	}
 }
 
-// recordAnswer records the answer of a server to a call that was sent at a time, unless it
+// recordAnswer records the answer of a server to an exchange that began at a time, unless it
 // failed without one. It shows that the server hadn't crashed before.
-func (g *Gateway) recordAnswer(s catalog.Server, sent time.Time, err *verdict.Error) {
+func (g *Gateway) recordAnswer(exchange string, s catalog.Server, began time.Time, err *verdict.Error) {
 	if err == nil || err.Code == verdict.Overloaded && !errors.Is(err, errPausing) {
-		g.crashes.use(func(l *blame.Ledger, now time.Time) { l.RecordAnswer(gossip.ServerKey(serverKey(s)), sent, now) })
+		g.crashes.recordAnswer(exchange, gossip.ServerKey(serverKey(s)), began)
 	}
 }
 
@@ -134,8 +173,8 @@
 	return g.refuseCrashing(ctx, j)
 }
 
-// formatFingerprint returns a fingerprint as it is logged.
-func formatFingerprint(fp uint64) string { return strconv.FormatUint(fp, 16) }
+// formatHash returns a fingerprint or the hash of a server as it is logged.
+func formatHash(h uint64) string { return strconv.FormatUint(h, 16) }
 
 // fingerprint identifies a request by its content and its caller's organisation, as a
 // caller's retry has another id.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,7 @@
 	g := &Gateway{
 		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
 		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
-		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), crashes: newCrashes(),
+		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), crashes: newCrashes(o.Board, o.Log.WithField("part", "gateway")),
 	}
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
 	g.limits = newLimits(o.ID, o.Board, g.log)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -66,7 +66,7 @@
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
-	g.recordAnswer(p.server, j.sentAt, err)
+	g.recordAnswer("decode", p.server, j.sentAt, err)
 	if err == nil {
 		if err = verifyAnswer(a); err != nil {
 			_ = a.Body.Close()
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -111,8 +111,8 @@
 	lost := time.Now().Add(-time.Second)
 	g.RecordPeerLoss(blame.Loss{Request: 1, Server: gossip.ServerKey(serverKey(s)), Began: lost, Lost: lost})
 	g.pauses.update(s, time.Minute, time.Now())
-	g.recordAnswer(s, time.Now(), g.pauses.refuseIfPausing(s))
+	g.recordAnswer("reservation", s, time.Now(), g.pauses.refuseIfPausing(s))
 	assert.Assert(t, g.crashes.judge(1).Convicted)
-	g.recordAnswer(s, time.Now(), full())
+	g.recordAnswer("reservation", s, time.Now(), full())
 	assert.Assert(t, !g.crashes.judge(1).Convicted)
 }
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -107,7 +107,7 @@
 	defer cancel()
 	r, err := g.backend.Prefill(ctx, s, Call{Request: j.r, Organisation: j.organisationName(), Timeout: time.Until(j.until)})
 	countSending("prefill", err)
-	g.recordAnswer(s, began, err)
+	g.recordAnswer("prefill", s, began, err)
 	if err != nil {
 		if isLoss(ctx, err) {
 			g.recordLoss(j, s, began)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -53,6 +53,6 @@
 		g.view.recordOutcome(s, doubt.ConnectionLost)
 		return
 	}
-	g.recordAnswer(s, began, nil)
+	g.recordAnswer("probe", s, began, nil)
 	g.view.recordOutcome(s, doubt.Alive)
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -270,7 +270,7 @@
 	hold, err := g.backend.Reserve(reserveCtx, s.Server, Reservation{
 		Tokens: tokens, TTL: j.service.Engine.ReservationTTL, Organisation: j.organisationName(),
 	})
-	g.recordAnswer(s.Server, began, err)
+	g.recordAnswer("reservation", s.Server, began, err)
 	if err != nil && err.Code != verdict.Overloaded {
 		g.recordFailure(ctx, s.Server, err)
 	}
--- /dev/null
+++ b/internal/policy/blame/change.go
@@ -0,0 +1,85 @@
+package blame
+
+import "time"
+
+// ChangeKind says what changed about a request, and why.
+type ChangeKind int
+
+// The kinds of change.
+const (
+	// ChangeLoss: a server was lost under the request.
+	ChangeLoss ChangeKind = iota
+	// ChangeServerAnswered: a loss no longer counts, as the server turned out to be alive.
+	ChangeServerAnswered
+	// ChangeSucceeded: a loss no longer counts, as the request has succeeded.
+	ChangeSucceeded
+	// ChangeOtherConvicted: a loss no longer counts, as another request crashed the server.
+	ChangeOtherConvicted
+	// ChangeConvicted: the request is refused from now on.
+	ChangeConvicted
+	// ChangeAcquitted: the request is no longer refused, as its losses don't count any more.
+	ChangeAcquitted
+)
+
+// String returns the kind as it is logged.
+func (k ChangeKind) String() string {
+	switch k {
+	case ChangeLoss:
+		return "loss-recorded"
+	case ChangeServerAnswered:
+		return "server-answered"
+	case ChangeSucceeded:
+		return "request-succeeded"
+	case ChangeOtherConvicted:
+		return "other-convicted"
+	case ChangeConvicted:
+		return "convicted"
+	case ChangeAcquitted:
+		return "acquitted"
+	}
+	return "unknown"
+}
+
+// Change is a change of what a Ledger holds against a request.
+type Change struct {
+	Kind ChangeKind
+	// Request is the request's fingerprint, Server the hash of the server's incarnation,
+	// 0 if the change is about none.
+	Request, Server uint64
+	// Losses is the number of losses held, Counting that of those in sequence which count.
+	Losses, Counting int
+}
+
+func (l *Ledger) notify(k ChangeKind, a *account, server uint64) {
+	l.opts.OnChange(Change{Kind: k, Request: a.fp, Server: server, Losses: len(a.losses), Counting: len(a.sequence())})
+}
+
+// Record is what a Ledger holds against one request, for a state dump.
+type Record struct {
+	Request   uint64
+	Convicted bool
+	// Until is when the record is dropped.
+	Until  time.Time
+	Losses []RecordedLoss
+}
+
+// RecordedLoss is a loss of a Record.
+type RecordedLoss struct {
+	Loss
+	// Void: the loss doesn't count.
+	Void bool
+}
+
+// Records returns what is held against all requests, in no order.
+func (l *Ledger) Records() []Record {
+	out := make([]Record, 0, len(l.records))
+	for _, el := range l.records {
+		a := accountOf(el)
+		r := Record{Request: a.fp, Convicted: a.convicted, Until: a.until}
+		for _, x := range a.losses {
+			r.Losses = append(r.Losses, RecordedLoss{Loss: x.Loss, Void: x.void})
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -43,6 +43,9 @@
 	Window, RefuseFor time.Duration
 	// Limit is the maximum number of requests held, convicted or not.
 	Limit int
+	// OnChange is called with each change of what is held against a request. It may be nil
+	// and must not call the Ledger.
+	OnChange func(Change)
 }
 
 // Loss is the loss of a server under a request.
@@ -99,6 +102,9 @@
 	o.Window = cmp.Or(o.Window, DefaultLossWindow)
 	o.RefuseFor = cmp.Or(o.RefuseFor, DefaultRefuseFor)
 	o.Limit = cmp.Or(o.Limit, DefaultLimit)
+	if o.OnChange == nil {
+		o.OnChange = func(Change) {}
+	}
 	return &Ledger{
 		opts: o, records: map[uint64]*list.Element{}, suspects: list.New(), convicted: list.New(), byServer: map[uint64]map[uint64]bool{},
 	}
@@ -124,6 +130,7 @@
 	l.byServer[x.Server][x.Request] = true
 	l.listOf(a).MoveToFront(l.records[x.Request])
 	a.until = now.Add(l.opts.Window)
+	l.notify(ChangeLoss, a, x.Server)
 	if a.convicted {
 		a.until = l.endOfConviction(a)
 		l.absolveOthers(a)
@@ -137,7 +144,7 @@
 // RecordSuccess records that a request has succeeded.
 func (l *Ledger) RecordSuccess(fp uint64, now time.Time) {
 	if a := l.find(fp, now); a != nil {
-		l.void(a, func(accountLoss) bool { return true })
+		l.void(a, ChangeSucceeded, func(accountLoss) bool { return true })
 	}
 }
 
@@ -146,7 +153,7 @@
 func (l *Ledger) RecordAnswer(server uint64, sent, now time.Time) {
 	for fp := range l.byServer[server] {
 		if a := l.find(fp, now); a != nil {
-			l.void(a, func(x accountLoss) bool { return x.Server == server && x.Lost.Before(sent) })
+			l.void(a, ChangeServerAnswered, func(x accountLoss) bool { return x.Server == server && x.Lost.Before(sent) })
 		}
 	}
 }
@@ -268,6 +275,7 @@
 	l.suspects.Remove(l.records[a.fp])
 	a.convicted, a.until = true, l.endOfConviction(a)
 	l.records[a.fp] = l.convicted.PushFront(a)
+	l.notify(ChangeConvicted, a, 0)
 	l.evict(l.convicted)
 	l.absolveOthers(a)
 }
@@ -281,7 +289,7 @@
 		for fp := range l.byServer[x.Server] {
 			other := accountOf(l.records[fp])
 			if !other.convicted {
-				l.void(other, func(o accountLoss) bool { return o.Server == x.Server })
+				l.void(other, ChangeOtherConvicted, func(o accountLoss) bool { return o.Server == x.Server })
 			}
 		}
 	}
@@ -298,13 +306,17 @@
 }
 
 // void makes losses no longer count, and ends a conviction that rested on them.
-func (l *Ledger) void(a *account, which func(accountLoss) bool) {
+func (l *Ledger) void(a *account, why ChangeKind, which func(accountLoss) bool) {
 	for i := range a.losses {
-		a.losses[i].void = a.losses[i].void || which(a.losses[i])
+		if x := &a.losses[i]; !x.void && which(*x) {
+			x.void = true
+			l.notify(why, a, x.Server)
+		}
 	}
 	if a.convicted && len(a.sequence()) < l.opts.Crashes {
 		l.convicted.Remove(l.records[a.fp])
 		a.convicted = false
+		l.notify(ChangeAcquitted, a, 0)
 		l.records[a.fp] = l.suspects.PushFront(a)
 		l.evict(l.suspects)
 	}
