--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -286,3 +286,53 @@
 	_, err := g.Serve(t.Context(), numbered("/once/x", 3))
 	assert.Equal(t, err.Code, verdict.Crashes)
 }
+
+// Guards against a crashing request that is let in again because the servers that were
+// started at the crashed ones' addresses answer what is sent to those.
+func TestSuccessorsAnswersAbsolveNobody(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, c Call) (*Answer, *verdict.Error) {
+		if c.Request.Path == "/stream/crashing" {
+			return nil, lost()
+		}
+		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "Another server has the address.")
+	}
+	g := newGateway(t, f)
+	var err *verdict.Error
+	for n := 0; n < 8 && (err == nil || err.Code != verdict.Crashes); n++ {
+		r := generation("/stream/crashing")
+		r.ID = fmt.Sprint("r", n)
+		_, err = g.Serve(t.Context(), r)
+	}
+	assert.Equal(t, err.Code, verdict.Crashes)
+	_, err = g.Serve(t.Context(), generation("/stream/other"))
+	assert.Equal(t, err.Code, verdict.Leaving)
+	for _, s := range testServers() {
+		g.probeOne(t.Context(), s)
+	}
+	_, err = g.Serve(t.Context(), generation("/stream/crashing"))
+	assert.Equal(t, err.Code, verdict.Crashes)
+}
+
+// Guards against a conviction that doesn't hold at a gateway which knows of another request
+// that was lost with the same servers.
+func TestConvictionHoldsAtAllGateways(t *testing.T) {
+	served := func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("served")), nil }
+	g1, g2 := newGateway(t, &fakeBackend{send: served}), newGateway(t, &fakeBackend{send: served})
+	g1.Join(crashForwarder{g2})
+	g2.Join(crashForwarder{g1})
+	for server := range uint64(3) {
+		at := time.Now().Add(time.Duration(server)*time.Second - 4*time.Second)
+		x := blame.Loss{Request: call("/once/beside").fingerprint(""), Server: server, Began: at.Add(-time.Millisecond), Lost: at}
+		// The report of the other request doesn't reach g1.
+		g2.RecordPeerLoss(x)
+		x.Request = call("/once/crashing").fingerprint("")
+		g1.RecordPeerLoss(x)
+		g2.RecordPeerLoss(x)
+	}
+	for _, g := range []*Gateway{g1, g2} {
+		_, err := g.Serve(t.Context(), call("/once/crashing"))
+		assert.Assert(t, err != nil)
+		assert.Equal(t, err.Code, verdict.Crashes)
+	}
+}
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -241,3 +241,13 @@
 		})
 	})
 }
+
+// Guards against a request that crashes the one server of a service again and again, which
+// starts anew under the id that it had.
+func TestServerThatCrashesAgainCountsAgain(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for i := range 3 {
+		lose(l, after(5*i), 7, 1)
+	}
+	assert.Assert(t, isConvicted(l, 1, after(11)))
+}
