Only the same start of a server shows that it hadn't crashed

Now a connection tells starts apart where nothing said does: an answer counts if it was sent behind the loss over a connection that is older than the run, or if the server answers with its id before it could have started again. A gateway that lost a server promptly asks it 50 ms later, so that requests whose connections were all reset are cleared too.

TestSuccessorsAnswersAbsolveNobody failed before. TestLossesThatAreDisproved, TestUnsentRequestIsNoAnswer and TestLostAnswersConvictNobody named answers without a start; their answers come over old connections now, and TestAnswersThatDisproveNothing has the others.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -121,6 +121,19 @@
 	Pause time.Duration
 	// Leaving: the server says that it is leaving.
 	Leaving bool
+	// Exchange describes the exchange that was answered, nil if another server answered.
+	Exchange *Exchange
+}
+
+// Exchange is an answered exchange with a server.
+type Exchange struct {
+	// Name is the kind of exchange, for logs.
+	Name string
+	// SentAt is when it began, ConnectedAt when its connection was established.
+	SentAt, ConnectedAt time.Time
+	// Identified: the answer shows that its server has the id of the one that was called,
+	// but not that it is the same start of it.
+	Identified bool
 }
 
 // RateLimit is the rate limit in a server's answer.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		end()
 		if isLoss(ctx, err) {
-			g.recordLoss(j, s, j.sentAt)
+			g.recordLoss(j, s, j.sentAt, err)
 		}
 		return nil, err
 	}
@@ -148,7 +148,6 @@
 	j.sentAt = time.Now()
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
-	g.recordAnswer("call", s, j.sentAt, err)
 	g.countRun(j, err)
 	if err != nil {
 		return nil, err
@@ -168,7 +167,7 @@
 			g.crashes.recordSuccess(j.fingerprint)
 		}
 	case ctx.Err() == nil:
-		g.recordLoss(j, s, j.sentAt)
+		g.recordLoss(j, s, j.sentAt, err)
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -86,11 +88,13 @@
 	c.use(func(l *blame.Ledger, now time.Time) { l.RecordSuccess(fp, now) })
 }
 
-// recordAnswer records that a server answered an exchange that began at a time.
-func (c *crashes) recordAnswer(exchange string, server uint64, began time.Time) {
+// recordAnswer records that a server answered.
+func (c *crashes) recordAnswer(s catalog.Server, x Exchange) {
 	c.use(func(l *blame.Ledger, now time.Time) {
-		c.answered = exchange
-		l.RecordAnswer(server, began, now)
+		c.answered = x.Name
+		l.RecordAnswer(blame.Answer{
+			Server: gossip.ServerKey(serverKey(s)), Sent: x.SentAt, Connected: x.ConnectedAt, Identified: x.Identified,
+		}, now)
 		c.answered = ""
 	})
 }
@@ -124,25 +128,66 @@
 	return ctx.Err() == nil && err.Code == verdict.ServerLost && err.Verdict != verdict.NotRun && !errors.Is(err, errUnproven)
 }
 
+// isPrompt reports whether a connection broke as it was closed or reset, and not by a timeout.
+func isPrompt(cause error) bool {
+	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(cause, err) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordLoss records that the server was lost while it ran the job's request, which it
 // was sent at began, and reports it to the peers.
-func (g *Gateway) recordLoss(j *job, s catalog.Server, began time.Time) {
-	x := blame.Loss{Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), Began: began, Lost: time.Now()}
+func (g *Gateway) recordLoss(j *job, s catalog.Server, began time.Time, cause error) {
+	x := blame.Loss{
+		Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), Began: began, Lost: time.Now(), Prompt: isPrompt(cause),
+	}
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
-		"server": serverKey(s), "serverHash": formatHash(x.Server), "fingerprint": formatHash(j.fingerprint), "new": isNew, "ran": milliseconds(x.Lost.Sub(began)),
+		"server": serverKey(s), "serverHash": formatHash(x.Server), "fingerprint": formatHash(j.fingerprint), "new": isNew,
+		"ran": milliseconds(x.Lost.Sub(began)), "prompt": x.Prompt,
 	})
+	if x.Prompt {
+		g.checkCrash(s)
+	}
 	if isNew && g.loads.peers != nil {
 		g.loads.peers.ReportLoss(x)
 	}
 }
 
-// recordAnswer records the answer of a server to an exchange that began at a time, unless it
-// failed without one. It shows that the server hadn't crashed before.
-func (g *Gateway) recordAnswer(exchange string, s catalog.Server, began time.Time, err *verdict.Error) {
-	if err == nil || err.Code == verdict.Overloaded && !errors.Is(err, errPausing) {
-		g.crashes.recordAnswer(exchange, gossip.ServerKey(serverKey(s)), began)
+const (
+	// crashCheckDelay is how long after a loss the server is asked whether it still runs. It
+	// collects the losses of all requests there, and leaves time for the answer before the
+	// requests are judged (blame.DefaultSettleTime).
+	crashCheckDelay = 50 * time.Millisecond
+	// crashCheckTimeout bounds that question; a later answer shows nothing.
+	crashCheckTimeout = 400 * time.Millisecond
+)
+
+// checkCrash asks a server that was lost whether it still runs, as nobody else may call it
+// before it could have started again. The answer is evaluated like any other.
+func (g *Gateway) checkCrash(s catalog.Server) {
+	key := serverKey(s)
+	if _, pending := g.crashChecks.LoadOrStore(key, true); pending {
+		return
 	}
+	time.AfterFunc(crashCheckDelay, func() {
+		g.crashChecks.Delete(key)
+		if !g.limits.take(key, time.Now()) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+		defer cancel()
+		path := ""
+		if c := g.Config(); c != nil {
+			path = c.Services[s.Service].HealthPath
+		}
+		if err := g.backend.Probe(ctx, s, path); err != nil {
+			g.log.WithError(err).WithField("server", key).Info("gateway: lost server doesn't answer.")
+		}
+	})
 }
 
 // refuseCrashing refuses a request that is known to crash servers. One that may, as others
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -216,7 +216,7 @@
 // Guards against the refusal of a request whose answers got lost on the way, three times
 // at servers that go on serving others.
 func TestLostAnswersConvictNobody(t *testing.T) {
-	f := &fakeBackend{}
+	f := &fakeBackend{connectedAt: time.Now().Add(-time.Hour)}
 	f.send = func(_ catalog.Server, c Call) (*Answer, *verdict.Error) {
 		if c.Request.Path == "/once/unlucky" {
 			return nil, lost()
@@ -290,7 +290,7 @@
 // Guards against a crashing request that is let in again because the servers that were
 // started at the crashed ones' addresses answer what is sent to those.
 func TestSuccessorsAnswersAbsolveNobody(t *testing.T) {
-	f := &fakeBackend{}
+	f := &fakeBackend{connectedAt: time.Now()}
 	f.send = func(_ catalog.Server, c Call) (*Answer, *verdict.Error) {
 		if c.Request.Path == "/stream/crashing" {
 			return nil, lost()
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -25,6 +25,8 @@
 	report  Report
 	// signal reports signals of a server to the gateway.
 	signal func(catalog.Server, Signals)
+	// connectedAt is when the connections were established that carry the answers.
+	connectedAt time.Time
 	// unresponsive servers don't answer reservation requests.
 	unresponsive map[string]bool
 
@@ -49,7 +51,18 @@
 	f.mu.Lock()
 	f.sent = append(f.sent, sending{s.ID, c})
 	f.mu.Unlock()
-	return f.send(s, c)
+	began := time.Now()
+	a, err := f.send(s, c)
+	f.answered(s, began, err)
+	return a, err
+}
+
+// answered reports the signals in an answer; err is how the exchange failed, nil if it
+// didn't.
+func (f *fakeBackend) answered(s catalog.Server, began time.Time, err *verdict.Error) {
+	if f.signal != nil && (err == nil || err.Code == verdict.Overloaded) {
+		f.signal(s, Signals{Exchange: &Exchange{Name: "fake", SentAt: began, ConnectedAt: f.connectedAt}})
+	}
 }
 
 func (f *fakeBackend) Prefill(_ context.Context, s catalog.Server, c Call) (Prefilled, *verdict.Error) {
@@ -71,10 +84,13 @@
 		<-ctx.Done()
 		return "", verdict.New(verdict.NotRun, verdict.Unreachable, "no answer")
 	}
+	began := time.Now()
+	hold, err := "hold-"+s.ID, (*verdict.Error)(nil)
 	if f.reserve != nil {
-		return f.reserve(s, r.Tokens)
+		hold, err = f.reserve(s, r.Tokens)
 	}
-	return "hold-" + s.ID, nil
+	f.answered(s, began, err)
+	return hold, err
 }
 
 func (f *fakeBackend) Release(_ context.Context, _ catalog.Server, hold string) error {
@@ -102,8 +118,9 @@
 
 func (f *fakeBackend) Probe(_ context.Context, s catalog.Server, _ string) error {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.probes = append(f.probes, s.ID)
+	f.mu.Unlock()
+	f.answered(s, time.Now(), nil)
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	contention place.PlacementRate
 
 	crashes *crashes
+	// crashChecks has the keys of the servers that are about to be asked whether they crashed.
+	crashChecks sync.Map
 	// onConviction is nil if nobody is told; it is set before use.
 	onConviction func(fingerprint uint64)
 }
@@ -135,6 +137,9 @@
 	if x.Leaving {
 		g.view.recordLeaving(s, now)
 	}
+	if x.Exchange != nil {
+		g.crashes.recordAnswer(s, *x.Exchange)
+	}
 }
 
 // SetPeers sets the ids of all live gateways, including this one, which share the retry
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -66,7 +66,6 @@
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
-	g.recordAnswer("decode", p.server, j.sentAt, err)
 	if err == nil {
 		if err = verifyAnswer(a); err != nil {
 			_ = a.Body.Close()
@@ -79,7 +78,7 @@
 	}
 	p.end()
 	if isLoss(ctx, err) {
-		g.recordLoss(j, p.server, j.sentAt)
+		g.recordLoss(j, p.server, j.sentAt, err)
 	}
 	g.logRequest(j, "gateway: decode failed.", logrus.Fields{"server": serverKey(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": result.from.ID})
 	if err.Verdict == verdict.NotRun {
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -102,7 +102,8 @@
 // Guards against taking a request that wasn't sent for an answer: it would absolve the
 // request under which the server was lost.
 func TestUnsentRequestIsNoAnswer(t *testing.T) {
-	g := newGateway(t, &fakeBackend{})
+	f := &fakeBackend{connectedAt: time.Now().Add(-time.Hour)}
+	g := newGateway(t, f)
 	s := testServers()[0]
 	for i := range uint64(2) {
 		lost := time.Now().Add(-time.Duration(10-i) * time.Second)
@@ -111,8 +112,10 @@
 	lost := time.Now().Add(-time.Second)
 	g.RecordPeerLoss(blame.Loss{Request: 1, Server: gossip.ServerKey(serverKey(s)), Began: lost, Lost: lost})
 	g.pauses.update(s, time.Minute, time.Now())
-	g.recordAnswer("reservation", s, time.Now(), g.pauses.refuseIfPausing(s))
+	_, err := g.backend.Reserve(t.Context(), s, Reservation{})
+	assert.Assert(t, err != nil)
 	assert.Assert(t, g.crashes.judge(1).Convicted)
-	g.recordAnswer("reservation", s, time.Now(), full())
+	_, err = f.Reserve(t.Context(), s, Reservation{})
+	assert.Assert(t, err == nil, "%v", err)
 	assert.Assert(t, !g.crashes.judge(1).Convicted)
 }
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -107,10 +107,9 @@
 	defer cancel()
 	r, err := g.backend.Prefill(ctx, s, Call{Request: j.r, Organisation: j.organisationName(), Timeout: time.Until(j.until)})
 	countSending("prefill", err)
-	g.recordAnswer("prefill", s, began, err)
 	if err != nil {
 		if isLoss(ctx, err) {
-			g.recordLoss(j, s, began)
+			g.recordLoss(j, s, began, err)
 		}
 		g.prefillFailed(ctx, j, s, err)
 		g.logRequest(j, "gateway: prefill failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(time.Since(began))})
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -47,12 +47,10 @@
 		path = c.Services[s.Service].HealthPath
 	}
 	g.backend.CloseConnections(s)
-	began := time.Now()
 	if err := g.backend.Probe(ctx, s, path); err != nil {
 		g.log.WithError(err).WithField("server", s.ID).Debug("gateway: probe failed.")
 		g.view.recordOutcome(s, doubt.ConnectionLost)
 		return
 	}
-	g.recordAnswer("probe", s, began, nil)
 	g.view.recordOutcome(s, doubt.Alive)
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -266,11 +266,9 @@
 	}
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	began := time.Now()
 	hold, err := g.backend.Reserve(reserveCtx, s.Server, Reservation{
 		Tokens: tokens, TTL: j.service.Engine.ReservationTTL, Organisation: j.organisationName(),
 	})
-	g.recordAnswer("reservation", s.Server, began, err)
 	if err != nil && err.Code != verdict.Overloaded {
 		g.recordFailure(ctx, s.Server, err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -200,7 +200,7 @@
 	s.g.recordFailure(s.ctx, s.reservation.server, verdict.New(verdict.Ran, code, "The stream was interrupted."))
 	s.j.avoid[serverKey(s.reservation.server)] = true
 	if !errors.Is(cause, errLargeEvent) {
-		s.g.recordLoss(s.j, s.reservation.server, s.j.sentAt)
+		s.g.recordLoss(s.j, s.reservation.server, s.j.sentAt, cause)
 	}
 	brokenStreams.Inc()
 	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -54,6 +54,9 @@
 	Request, Server uint64
 	// Began is when the server began the request, Lost when the server was lost.
 	Began, Lost time.Time
+	// Prompt: the server was lost as its connection was closed or reset, not by a timeout.
+	// If it crashed, it did so just before Lost. It is known of this gateway's losses only.
+	Prompt bool
 }
 
 // Ledger finds the requests that crash servers from the losses alone, for a router that
@@ -66,7 +69,8 @@
 //     If they go on to be lost together, each is held back for a while of its own length:
 //     the next loss is then without the others.
 //   - What a convicted request has crashed no longer counts against others.
-//   - A loss no longer counts once the request has succeeded or the server has answered.
+//   - A loss no longer counts once the request has succeeded, or the same start of the server
+//     has answered (Answer).
 //
 // It isn't safe for concurrent use.
 type Ledger struct {
@@ -148,12 +152,11 @@
 	}
 }
 
-// RecordAnswer records that a server has answered a request that was sent at a time:
-// what was reported lost before was no crash.
-func (l *Ledger) RecordAnswer(server uint64, sent, now time.Time) {
-	for fp := range l.byServer[server] {
+// RecordAnswer records an answer of a server: the losses that it disproves no longer count.
+func (l *Ledger) RecordAnswer(x Answer, now time.Time) {
+	for fp := range l.byServer[x.Server] {
 		if a := l.find(fp, now); a != nil {
-			l.void(a, ChangeServerAnswered, func(x accountLoss) bool { return x.Server == server && x.Lost.Before(sent) })
+			l.void(a, ChangeServerAnswered, func(o accountLoss) bool { return x.disproves(o.Loss, now) })
 		}
 	}
 }
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -20,6 +20,13 @@
 
 func after(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func isConvicted(l *Ledger, fp uint64, now time.Time) bool {
 	return l.Judge(fp, now).Convicted
 }
@@ -129,12 +136,14 @@
 	assert.Assert(t, crashes <= 6, "%d crashes", crashes)
 }
 
-// Guards against losses that were none: the request has succeeded since, or the server
-// answers.
+// Guards against losses that were none: the request has succeeded since, or the same start
+// of the server answers.
 func TestLossesThatAreDisproved(t *testing.T) {
 	for name, disprove := range map[string]func(*Ledger){
 		"success": func(l *Ledger) { l.RecordSuccess(1, after(4)) },
-		"answer":  func(l *Ledger) { l.RecordAnswer(1, after(3), after(4)) },
+		"answer over a connection older than the run": func(l *Ledger) {
+			l.RecordAnswer(Answer{Server: 1, Sent: after(3), Connected: after(-1)}, after(4))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger(LedgerOptions{})
@@ -145,18 +154,46 @@
 			disprove(l)
 			assert.Assert(t, !isConvicted(l, 1, after(5)))
 			// A late report of the same loss doesn't count again.
-			lose(l, after(5), 1, 1)
+			lose(l, after(1), 1, 1)
 			assert.Assert(t, !isConvicted(l, 1, after(6)))
 		})
 	}
-	t.Run("answer to an earlier request", func(t *testing.T) {
+}
+
+// Guards against taking back the loss of a server that crashed, for the answer of another
+// start or of another server.
+func TestAnswersThatDisproveNothing(t *testing.T) {
+	soon := after(2).Add(minRestartTime / 2)
+	for name, x := range map[string]Answer{
+		"sent before the loss":              {Server: 2, Sent: after(1), Connected: after(-5), Identified: true},
+		"over a connection of unknown age":  {Server: 2, Sent: after(3), Identified: true},
+		"over a connection newer than that": {Server: 2, Sent: after(3), Connected: after(2).Add(-runTime / 2), Identified: true},
+		"from another server":               {Server: 9, Sent: after(3), Connected: after(-5), Identified: true},
+		"without its id":                    {Server: 2, Sent: after(2).Add(time.Millisecond), Connected: soon},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(LedgerOptions{})
+			for i := range 3 {
+				l.RecordLoss(Loss{Request: 1, Server: uint64(i), Began: after(i).Add(-runTime), Lost: after(i), Prompt: true}, after(i))
+			}
+			l.RecordAnswer(x, later(x.Sent, soon))
+			assert.Assert(t, isConvicted(l, 1, after(5)))
+		})
+	}
+}
+
+// Guards against the conviction of a request whose connections were reset: the server answers
+// on a new one before it could have started again. A loss by a timeout may be long past.
+func TestServerThatAnswersAtOnceHasNotCrashed(t *testing.T) {
+	for prompt, want := range map[bool]bool{true: false, false: true} {
 		l := NewLedger(LedgerOptions{})
 		for i := range 3 {
-			lose(l, after(i), uint64(i), 1)
+			l.RecordLoss(Loss{Request: 1, Server: uint64(i), Began: after(i).Add(-runTime), Lost: after(i), Prompt: prompt}, after(i))
+			answered := after(i).Add(minRestartTime / 2)
+			l.RecordAnswer(Answer{Server: uint64(i), Sent: answered, Connected: answered, Identified: true}, answered)
 		}
-		l.RecordAnswer(1, start, after(4))
-		assert.Assert(t, isConvicted(l, 1, after(5)))
-	})
+		assert.Equal(t, isConvicted(l, 1, after(5)), want, "prompt %v", prompt)
+	}
 }
 
 func TestLedgerIsBounded(t *testing.T) {
@@ -220,7 +257,10 @@
 				lose(l, now.Add(-rapid.SampledFrom([]time.Duration{0, time.Second, time.Hour}).Draw(t, "age")), server.Draw(t, "server"), fp.Draw(t, "fp"))
 			},
 			"success": func(t *rapid.T) { l.RecordSuccess(fp.Draw(t, "fp"), now) },
-			"answer":  func(t *rapid.T) { l.RecordAnswer(server.Draw(t, "server"), now, now) },
+			"answer": func(t *rapid.T) {
+				connected := now.Add(-rapid.SampledFrom([]time.Duration{0, time.Second, time.Hour}).Draw(t, "connected"))
+				l.RecordAnswer(Answer{Server: server.Draw(t, "server"), Sent: now, Connected: connected}, now)
+			},
 			"judge":   func(t *rapid.T) { l.Judge(fp.Draw(t, "fp"), now) },
 			"time": func(t *rapid.T) {
 				now = now.Add(rapid.SampledFrom([]time.Duration{runTime, time.Second, time.Minute}).Draw(t, "passes"))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,6 +77,8 @@
 	net.Conn
 	addr string
 	r    *bufio.Reader
+	// connectedAt is when the connection was established.
+	connectedAt time.Time
 	// uses counts the exchanges before the current one.
 	uses int
 	// wrote: at least one byte of the current request was written to the socket.
@@ -125,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, readBuffer), connectedAt: time.Now()}, nil
 }
 
 func (c *conn) idleLimit(fallback time.Duration) time.Duration {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,6 +27,8 @@
 	// Length is the length of the body, -1 if unknown.
 	Length int64
 	Body   io.ReadCloser
+	// ConnectedAt is when the connection that carried the response was established.
+	ConnectedAt time.Time
 }
 
 // Error is a failed exchange.
@@ -95,7 +97,9 @@
 		}
 		c.keepAlive = !resp.Close
 		c.keepAliveTimeout = parseKeepAlive(resp.Header.Get("Keep-Alive"))
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body}, nil
+		return &Response{
+			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, ConnectedAt: c.connectedAt,
+		}, nil
 	}
 	return nil, errTooManyMismatched
 }
