Gateways tell each other which losses were none and whom they convict

Cause: gateways exchanged losses only. Each took them back by itself, and judged only when the request came to it, beside rivals that others didn't know.

Now a loss is told with what its reporter knows: that it doesn't count, or that the request is refused for it. A gateway adopts both, in any order to the same result; a disproof outlasts a conviction. A request is judged as soon as its losses have settled, not when it comes again.

TestConvictionHoldsAtAllGateways failed before (its losses are a second later now: at 2 s of age g2 judged, and convicted, the request beside).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -33,14 +33,20 @@
 
 	mu sync.Mutex
 	// All below is guarded by mu. answered is the exchange whose answer is being recorded,
-	// "" for none.
+	// "" for none. untold has what peers are to be told once mu is released.
 	ledger   *blame.Ledger
 	answered string
+	untold   []blame.Loss
+	// tell tells the peers; it is set before use.
+	tell func(blame.Loss)
 }
 
 func newCrashes(b *board.Board, log *logrus.Entry) *crashes {
-	c := &crashes{}
-	c.ledger = blame.NewLedger(blame.LedgerOptions{OnChange: func(x blame.Change) { reportChange(log, x, c.answered) }})
+	c := &crashes{tell: func(blame.Loss) {}}
+	c.ledger = blame.NewLedger(blame.LedgerOptions{OnChange: func(x blame.Change) {
+		c.untold = append(c.untold, x.Tell...)
+		reportChange(log, x, c.answered)
+	}})
 	b.AddView("crashes", c.dump)
 	return c
 }
@@ -65,11 +71,10 @@
 	return c.ledger.Records()
 }
 
-func (c *crashes) record(x blame.Loss) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *crashes) record(x blame.Loss) (isNew bool) {
 	c.nonEmpty.Store(true)
-	return c.ledger.RecordLoss(x, time.Now())
+	c.use(func(l *blame.Ledger, now time.Time) { isNew = l.RecordLoss(x, now) })
+	return isNew
 }
 
 // use calls f with the ledger if that has records.
@@ -77,10 +82,20 @@
 	if !c.nonEmpty.Load() {
 		return
 	}
+	for _, x := range c.useLocked(f) {
+		c.tell(x)
+	}
+}
+
+// useLocked calls f under the lock and returns what peers are to be told.
+func (c *crashes) useLocked(f func(l *blame.Ledger, now time.Time)) []blame.Loss {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f(c.ledger, time.Now())
 	c.nonEmpty.Store(c.ledger.Len() > 0)
+	untold := c.untold
+	c.untold = nil
+	return untold
 }
 
 // recordSuccess records that a request has succeeded.
@@ -110,9 +125,28 @@
 }
 
 // RecordPeerLoss records the loss of a server under a request, as reported by a peer. It
-// reports whether the loss was unknown before. The server is given by its gossip.ServerKey,
+// reports whether that was unknown before. The server is given by its gossip.ServerKey,
 // the request by its fingerprint.
-func (g *Gateway) RecordPeerLoss(x blame.Loss) bool { return g.crashes.record(x) }
+func (g *Gateway) RecordPeerLoss(x blame.Loss) bool {
+	isNew := g.crashes.record(x)
+	if isNew {
+		g.judgeLater(x.Request)
+	}
+	return isNew
+}
+
+// judgeLater judges a request once the losses of others on the same servers are known. If it
+// is convicted, the peers and the platform learn of it before it comes again.
+func (g *Gateway) judgeLater(fp uint64) {
+	time.AfterFunc(blame.DefaultSettleTime+judgeMargin, func() {
+		if g.crashes.judge(fp).Convicted && g.onConviction != nil {
+			g.onConviction(fp)
+		}
+	})
+}
+
+// judgeMargin lets the settle time of a loss end before the judgement that waited for it.
+const judgeMargin = 10 * time.Millisecond
 
 // Convictions returns at most limit losses for which this gateway refuses requests.
 func (g *Gateway) Convictions(limit int) []blame.Loss { return g.crashes.convictions(limit) }
@@ -152,8 +186,9 @@
 	if x.Prompt {
 		g.checkCrash(s)
 	}
-	if isNew && g.loads.peers != nil {
-		g.loads.peers.ReportLoss(x)
+	if isNew {
+		g.crashes.tell(x)
+		g.judgeLater(x.Request)
 	}
 }
 
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -322,7 +322,7 @@
 	g1.Join(crashForwarder{g2})
 	g2.Join(crashForwarder{g1})
 	for server := range uint64(3) {
-		at := time.Now().Add(time.Duration(server)*time.Second - 4*time.Second)
+		at := time.Now().Add(time.Duration(server)*time.Second - 2*time.Second)
 		x := blame.Loss{Request: call("/once/beside").fingerprint(""), Server: server, Began: at.Add(-time.Millisecond), Lost: at}
 		// The report of the other request doesn't reach g1.
 		g2.RecordPeerLoss(x)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,10 @@
 
 // Join makes the gateway include its peers' load in the choice of engines, and report
 // lost servers to them. It must be called before the first request.
-func (g *Gateway) Join(p Peers) { g.loads.peers = p }
+func (g *Gateway) Join(p Peers) {
+	g.loads.peers = p
+	g.crashes.tell = p.ReportLoss
+}
 
 // Load returns this gateway's own load on engines, by server key.
 func (g *Gateway) Load() map[string]gossip.Load { return g.loads.own() }
--- a/internal/gossip/losses.go
+++ b/internal/gossip/losses.go
@@ -69,12 +69,16 @@
 	return &pb.Loss{
 		Content: x.Request, Engine: x.Server,
 		RanMs: milliseconds(x.Lost.Sub(x.Began)), AgeMs: milliseconds(now.Sub(x.Lost)),
+		Disproved: x.Disproved, Convicted: x.Convicted,
 	}
 }
 
 func decodeLoss(l *pb.Loss, now time.Time) blame.Loss {
 	lost := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
-	return blame.Loss{Request: l.Content, Server: l.Engine, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond)}
+	return blame.Loss{
+		Request: l.Content, Server: l.Engine, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond),
+		Disproved: l.Disproved, Convicted: l.Convicted,
+	}
 }
 
 func milliseconds(d time.Duration) uint32 { return uint32(max(0, min(d, maxLossTime)).Milliseconds()) }
--- a/internal/peers/convictions.go
+++ b/internal/peers/convictions.go
@@ -47,7 +47,9 @@
 			continue
 		}
 		lost := now.Add(-time.Duration(latest-l.LostMs) * time.Millisecond)
-		out = append(out, blame.Loss{Request: request, Server: server, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond)})
+		out = append(out, blame.Loss{
+			Request: request, Server: server, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond), Convicted: true,
+		})
 	}
 	return out
 }
--- a/internal/policy/blame/change.go
+++ b/internal/policy/blame/change.go
@@ -13,6 +13,8 @@
 	ChangeServerAnswered
 	// ChangeSucceeded: a loss no longer counts, as the request has succeeded.
 	ChangeSucceeded
+	// ChangePeerDisproved: a loss no longer counts, as a peer has disproved it.
+	ChangePeerDisproved
 	// ChangeOtherConvicted: a loss no longer counts, as another request crashed the server.
 	ChangeOtherConvicted
 	// ChangeConvicted: the request is refused from now on.
@@ -30,6 +32,8 @@
 		return "server-answered"
 	case ChangeSucceeded:
 		return "request-succeeded"
+	case ChangePeerDisproved:
+		return "peer-disproved"
 	case ChangeOtherConvicted:
 		return "other-convicted"
 	case ChangeConvicted:
@@ -48,10 +52,25 @@
 	Request, Server uint64
 	// Losses is the number of losses held, Counting that of those in sequence which count.
 	Losses, Counting int
+	// Tell has what peers don't know of the change yet.
+	Tell []Loss
 }
 
-func (l *Ledger) notify(k ChangeKind, a *account, server uint64) {
-	l.opts.OnChange(Change{Kind: k, Request: a.fp, Server: server, Losses: len(a.losses), Counting: len(a.sequence())})
+// notify reports a change; x is the loss that changed, zero if the change is about none.
+func (l *Ledger) notify(k ChangeKind, a *account, x Loss) {
+	crashes := a.sequence()
+	out := Change{Kind: k, Request: a.fp, Server: x.Server, Losses: len(a.losses), Counting: len(crashes)}
+	switch k {
+	case ChangeServerAnswered, ChangeSucceeded:
+		x.Disproved = true
+		out.Tell = []Loss{x}
+	case ChangeConvicted:
+		if !a.reported {
+			out.Tell = convictedLosses(crashes[:l.opts.Crashes])
+		}
+	case ChangeLoss, ChangePeerDisproved, ChangeOtherConvicted, ChangeAcquitted:
+	}
+	l.opts.OnChange(out)
 }
 
 // Record is what a Ledger holds against one request, for a state dump.
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -57,6 +57,9 @@
 	// Prompt: the server was lost as its connection was closed or reset, not by a timeout.
 	// If it crashed, it did so just before Lost. It is known of this gateway's losses only.
 	Prompt bool
+	// Disproved: whoever reports the loss knows that it doesn't count. Convicted: it refuses
+	// the request for this loss and others.
+	Disproved, Convicted bool
 }
 
 // Ledger finds the requests that crash servers from the losses alone, for a router that
@@ -90,12 +93,16 @@
 	// until is when the account, and a conviction, ends.
 	until     time.Time
 	convicted bool
+	// reported: a peer has convicted the request.
+	reported bool
 }
 
 type accountLoss struct {
 	Loss
-	// void: the loss no longer counts. It is kept to recognise repeated reports.
+	// void: the loss no longer counts, for the reason why. It is kept to recognise repeated
+	// reports.
 	void bool
+	why  ChangeKind
 }
 
 // NewLedger returns an empty Ledger.
@@ -114,7 +121,9 @@
 	}
 }
 
-// RecordLoss records a loss and reports whether it was unknown.
+// RecordLoss records a loss, or what a peer knows of one, and reports whether that was
+// unknown. What gateways know of a loss is merged in any order to the same result: a
+// disproof outlasts a conviction, and that the absolution by another request's conviction.
 func (l *Ledger) RecordLoss(x Loss, now time.Time) bool {
 	a := l.find(x.Request, now)
 	if a == nil {
@@ -122,27 +131,69 @@
 		l.records[x.Request] = l.suspects.PushFront(a)
 		l.evict(l.suspects)
 	}
-	if len(a.losses) >= maxLosses || slices.ContainsFunc(a.losses, func(o accountLoss) bool { return o.Server == x.Server }) {
+	i := slices.IndexFunc(a.losses, func(o accountLoss) bool { return o.Server == x.Server })
+	switch {
+	case i >= 0:
+		if !l.update(a, &a.losses[i], x) {
+			return false
+		}
+	case len(a.losses) >= maxLosses:
 		return false
+	default:
+		l.add(a, x, now)
+	}
+	a.reported = a.reported || x.Convicted && !x.Disproved
+	l.listOf(a).MoveToFront(l.records[x.Request])
+	switch {
+	case a.convicted:
+		a.until = l.endOfConviction(a)
+		l.absolveOthers(a)
+	case a.reported && len(a.sequence()) >= l.opts.Crashes && now.Before(l.endOfConviction(a)):
+		l.convict(a)
+	default:
+		a.until = now.Add(l.opts.Window)
+		// A conviction that is reported after the fact holds at once.
+		l.Judge(x.Request, now)
 	}
-	void := l.hasCulprit(x.Server, now)
-	a.losses = append(a.losses, accountLoss{Loss: x, void: void})
+	return true
+}
+
+// add adds an unknown loss.
+func (l *Ledger) add(a *account, x Loss, now time.Time) {
+	out := accountLoss{Loss: x}
+	switch {
+	case x.Disproved:
+		out.void, out.why = true, ChangePeerDisproved
+	case !x.Convicted && l.hasCulprit(x.Server, now):
+		out.void, out.why = true, ChangeOtherConvicted
+	}
+	a.losses = append(a.losses, out)
 	slices.SortFunc(a.losses, func(a, b accountLoss) int { return a.Lost.Compare(b.Lost) })
 	if l.byServer[x.Server] == nil {
 		l.byServer[x.Server] = map[uint64]bool{}
 	}
 	l.byServer[x.Server][x.Request] = true
-	l.listOf(a).MoveToFront(l.records[x.Request])
-	a.until = now.Add(l.opts.Window)
-	l.notify(ChangeLoss, a, x.Server)
-	if a.convicted {
-		a.until = l.endOfConviction(a)
-		l.absolveOthers(a)
+	l.notify(ChangeLoss, a, x)
+}
+
+// update applies a further report of a known loss, and reports whether it changes anything.
+func (l *Ledger) update(a *account, known *accountLoss, x Loss) bool {
+	switch {
+	case x.Disproved:
+		if known.void && known.why != ChangeOtherConvicted {
+			return false
+		}
+		known.why = ChangePeerDisproved
+		l.void(a, ChangePeerDisproved, func(o accountLoss) bool { return o.Server == x.Server })
 		return true
+	case x.Convicted:
+		if known.void && known.why == ChangeOtherConvicted {
+			known.void = false
+			return true
+		}
+		return !known.void && !a.reported
 	}
-	// A conviction that is reported after the fact holds at once.
-	l.Judge(x.Request, now)
-	return true
+	return false
 }
 
 // RecordSuccess records that a request has succeeded.
@@ -220,9 +271,17 @@
 		if len(out)+len(crashes) > limit {
 			break
 		}
-		for _, x := range crashes {
-			out = append(out, x.Loss)
-		}
+		out = append(out, convictedLosses(crashes)...)
+	}
+	return out
+}
+
+// convictedLosses returns the losses for which a request is refused, as told to peers.
+func convictedLosses(crashes []accountLoss) []Loss {
+	out := make([]Loss, 0, len(crashes))
+	for _, x := range crashes {
+		x.Convicted = true
+		out = append(out, x.Loss)
 	}
 	return out
 }
@@ -278,7 +337,7 @@
 	l.suspects.Remove(l.records[a.fp])
 	a.convicted, a.until = true, l.endOfConviction(a)
 	l.records[a.fp] = l.convicted.PushFront(a)
-	l.notify(ChangeConvicted, a, 0)
+	l.notify(ChangeConvicted, a, Loss{})
 	l.evict(l.convicted)
 	l.absolveOthers(a)
 }
@@ -312,14 +371,14 @@
 func (l *Ledger) void(a *account, why ChangeKind, which func(accountLoss) bool) {
 	for i := range a.losses {
 		if x := &a.losses[i]; !x.void && which(*x) {
-			x.void = true
-			l.notify(why, a, x.Server)
+			x.void, x.why = true, why
+			l.notify(why, a, x.Loss)
 		}
 	}
 	if a.convicted && len(a.sequence()) < l.opts.Crashes {
 		l.convicted.Remove(l.records[a.fp])
-		a.convicted = false
-		l.notify(ChangeAcquitted, a, 0)
+		a.convicted, a.reported = false, false
+		l.notify(ChangeAcquitted, a, Loss{})
 		l.records[a.fp] = l.suspects.PushFront(a)
 		l.evict(l.suspects)
 	}
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -291,3 +291,66 @@
 	}
 	assert.Assert(t, isConvicted(l, 1, after(11)))
 }
+
+// Guards against gateways that judge a request differently, as reports of its losses, of their
+// disproof and of its conviction came to them in another order.
+func TestReportsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []Loss
+		for server := range uint64(5) {
+			x := Loss{Request: 1, Server: server, Began: after(int(server)).Add(-runTime), Lost: after(int(server))}
+			disproved, convicted := x, x
+			disproved.Disproved, convicted.Convicted = true, true
+			for _, r := range []Loss{x, disproved, convicted} {
+				if rapid.Bool().Draw(t, "reported") {
+					reports = append(reports, r)
+				}
+			}
+		}
+		results := map[bool]bool{}
+		for range 2 {
+			l := NewLedger(LedgerOptions{})
+			for _, x := range rapid.Permutation(reports).Draw(t, "order") {
+				l.RecordLoss(x, after(10))
+			}
+			results[isConvicted(l, 1, after(10))] = true
+		}
+		assert.Equal(t, len(results), 1)
+	})
+}
+
+// Guards against a gateway that goes on refusing a request which its peers have cleared.
+func TestDisproofOfAPeerEndsAConviction(t *testing.T) {
+	var told []Loss
+	here := NewLedger(LedgerOptions{OnChange: func(c Change) { told = append(told, c.Tell...) }})
+	there := NewLedger(LedgerOptions{})
+	for i := range 3 {
+		lose(here, after(i), uint64(i), 1)
+		lose(there, after(i), uint64(i), 1)
+	}
+	assert.Assert(t, isConvicted(here, 1, after(3)))
+	assert.Assert(t, isConvicted(there, 1, after(3)))
+	told = nil
+	here.RecordAnswer(Answer{Server: 1, Sent: after(3), Connected: after(-1)}, after(4))
+	assert.Equal(t, len(told), 1)
+	assert.Assert(t, there.RecordLoss(told[0], after(4)))
+	assert.Assert(t, !isConvicted(there, 1, after(5)))
+	assert.Assert(t, !there.RecordLoss(told[0], after(5)))
+}
+
+// Guards against gateways that tell each other of a conviction without end.
+func TestConvictionIsToldOnce(t *testing.T) {
+	var told []Loss
+	there := NewLedger(LedgerOptions{OnChange: func(c Change) { told = append(told, c.Tell...) }})
+	here := NewLedger(LedgerOptions{})
+	for i := range 3 {
+		lose(here, after(i), uint64(i), 1)
+	}
+	assert.Assert(t, isConvicted(here, 1, after(3)))
+	for _, x := range here.Convictions(3, after(3)) {
+		assert.Assert(t, there.RecordLoss(x, after(3)))
+		assert.Assert(t, !there.RecordLoss(x, after(3)))
+	}
+	assert.Assert(t, isConvicted(there, 1, after(3)))
+	assert.Equal(t, len(told), 0)
+}
