Losses have an identity: a server that crashes again under its id counts again

What callers saw: none reported; where the one server of a service starts again under the id that it had, and nothing that it says bears its start, the request that crashes it is never refused. Cause: losses were the same if their servers' keys were, so that a later crash passed for a repeated report, and the culprit of one crash explained all later ones of that server.

A loss has a random id from its reporter now. Losses at one server are the same crash if their runs overlap, and follow one another if the next run began after a start could have happened.

TestServerThatCrashesAgainCountsAgain failed before (it names its losses by id now, and checks repeated reports besides); TestOneCrashUnderTwoRunsCountsOnce guards the other side, TestRepeatedReportCountsOnce is unchanged.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -176,7 +176,8 @@
 // was sent at began, and reports it to the peers.
 func (g *Gateway) recordLoss(j *job, s catalog.Server, began time.Time, cause error) {
 	x := blame.Loss{
-		Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), Began: began, Lost: time.Now(), Prompt: isPrompt(cause),
+		Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), ID: blame.NewLossID(),
+		Began: began, Lost: time.Now(), Prompt: isPrompt(cause),
 	}
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
--- a/internal/gossip/losses.go
+++ b/internal/gossip/losses.go
@@ -69,7 +69,7 @@
 	return &pb.Loss{
 		Content: x.Request, Engine: x.Server,
 		RanMs: milliseconds(x.Lost.Sub(x.Began)), AgeMs: milliseconds(now.Sub(x.Lost)),
-		Disproved: x.Disproved, Convicted: x.Convicted,
+		Disproved: x.Disproved, Convicted: x.Convicted, Id: x.ID,
 	}
 }
 
@@ -77,7 +77,7 @@
 	lost := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
 	return blame.Loss{
 		Request: l.Content, Server: l.Engine, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond),
-		Disproved: l.Disproved, Convicted: l.Convicted,
+		Disproved: l.Disproved, Convicted: l.Convicted, ID: l.Id,
 	}
 }
 
--- a/internal/peers/convictions.go
+++ b/internal/peers/convictions.go
@@ -19,6 +19,8 @@
 	// it was lost, in Unix milliseconds.
 	RanMs  int64 `json:"ranMs"`
 	LostMs int64 `json:"lostMs"`
+	// ID distinguishes the losses of one server under one request.
+	ID uint32 `json:"id,omitempty"`
 }
 
 func encodeLosses(list []blame.Loss) []Loss {
@@ -26,7 +28,7 @@
 	for _, x := range list {
 		out = append(out, Loss{
 			Request: strconv.FormatUint(x.Request, 16), Server: strconv.FormatUint(x.Server, 16),
-			RanMs: x.Lost.Sub(x.Began).Milliseconds(), LostMs: x.Lost.UnixMilli(),
+			RanMs: x.Lost.Sub(x.Began).Milliseconds(), LostMs: x.Lost.UnixMilli(), ID: x.ID,
 		})
 	}
 	return out
@@ -48,7 +50,7 @@
 		}
 		lost := now.Add(-time.Duration(latest-l.LostMs) * time.Millisecond)
 		out = append(out, blame.Loss{
-			Request: request, Server: server, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond), Convicted: true,
+			Request: request, Server: server, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond), Convicted: true, ID: l.ID,
 		})
 	}
 	return out
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -50,8 +50,12 @@
 
 // Loss is the loss of a server under a request.
 type Loss struct {
-	// Request is the request's fingerprint, Server a hash of the server's incarnation.
+	// Request is the request's fingerprint, Server a hash of the server's id and, where it
+	// says one, its start time.
 	Request, Server uint64
+	// ID distinguishes the losses of one server under one request, as a server may crash,
+	// start again under its id and crash again. NewLossID draws one.
+	ID uint32
 	// Began is when the server began the request, Lost when the server was lost.
 	Began, Lost time.Time
 	// Prompt: the server was lost as its connection was closed or reset, not by a timeout.
@@ -82,7 +86,8 @@
 	// suspects and convicted are separate, each with the latest loss first, so that
 	// many suspects don't evict a conviction.
 	suspects, convicted *list.List
-	// byServer has the fingerprints of the requests that were lost with each server.
+	// byServer has the fingerprints of the requests that were lost with each server, at any
+	// of its starts.
 	byServer map[uint64]map[uint64]bool
 }
 
@@ -131,7 +136,7 @@
 		l.records[x.Request] = l.suspects.PushFront(a)
 		l.evict(l.suspects)
 	}
-	i := slices.IndexFunc(a.losses, func(o accountLoss) bool { return o.Server == x.Server })
+	i := slices.IndexFunc(a.losses, func(o accountLoss) bool { return o.isSame(x) })
 	switch {
 	case i >= 0:
 		if !l.update(a, &a.losses[i], x) {
@@ -164,7 +169,7 @@
 	switch {
 	case x.Disproved:
 		out.void, out.why = true, ChangePeerDisproved
-	case !x.Convicted && l.hasCulprit(x.Server, now):
+	case !x.Convicted && l.hasCulprit(x, now):
 		out.void, out.why = true, ChangeOtherConvicted
 	}
 	a.losses = append(a.losses, out)
@@ -184,7 +189,7 @@
 			return false
 		}
 		known.why = ChangePeerDisproved
-		l.void(a, ChangePeerDisproved, func(o accountLoss) bool { return o.Server == x.Server })
+		l.void(a, ChangePeerDisproved, func(o accountLoss) bool { return o.isSame(x) })
 		return true
 	case x.Convicted:
 		if known.void && known.why == ChangeOtherConvicted {
@@ -293,7 +298,7 @@
 func (a *account) sequence() []accountLoss {
 	var out []accountLoss
 	for _, x := range a.losses {
-		if !x.void && (len(out) == 0 || x.Began.Add(overlapTolerance).After(out[len(out)-1].Lost)) {
+		if !x.void && (len(out) == 0 || x.follows(out[len(out)-1].Loss)) {
 			out = append(out, x)
 		}
 	}
@@ -319,7 +324,7 @@
 // explains reports whether all losses that count against b also count against a.
 func (a *account) explains(b *account) bool {
 	for _, x := range b.losses {
-		same := func(o accountLoss) bool { return !o.void && o.Server == x.Server }
+		same := func(o accountLoss) bool { return !o.void && o.isSameCrash(x.Loss) }
 		if !x.void && !slices.ContainsFunc(a.losses, same) {
 			return false
 		}
@@ -351,16 +356,20 @@
 		for fp := range l.byServer[x.Server] {
 			other := accountOf(l.records[fp])
 			if !other.convicted {
-				l.void(other, ChangeOtherConvicted, func(o accountLoss) bool { return o.Server == x.Server })
+				l.void(other, ChangeOtherConvicted, func(o accountLoss) bool { return o.isSameCrash(x.Loss) })
 			}
 		}
 	}
 }
 
-// hasCulprit reports whether a convicted request was lost with the server.
-func (l *Ledger) hasCulprit(server uint64, now time.Time) bool {
-	for fp := range l.byServer[server] {
-		if a := l.find(fp, now); a != nil && a.convicted {
+// hasCulprit reports whether the server was lost under a convicted request too.
+func (l *Ledger) hasCulprit(x Loss, now time.Time) bool {
+	for fp := range l.byServer[x.Server] {
+		a := l.find(fp, now)
+		if a == nil || !a.convicted {
+			continue
+		}
+		if slices.ContainsFunc(a.losses, func(o accountLoss) bool { return !o.void && o.isSameCrash(x) }) {
 			return true
 		}
 	}
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -261,7 +261,7 @@
 				connected := now.Add(-rapid.SampledFrom([]time.Duration{0, time.Second, time.Hour}).Draw(t, "connected"))
 				l.RecordAnswer(Answer{Server: server.Draw(t, "server"), Sent: now, Connected: connected}, now)
 			},
-			"judge":   func(t *rapid.T) { l.Judge(fp.Draw(t, "fp"), now) },
+			"judge": func(t *rapid.T) { l.Judge(fp.Draw(t, "fp"), now) },
 			"time": func(t *rapid.T) {
 				now = now.Add(rapid.SampledFrom([]time.Duration{runTime, time.Second, time.Minute}).Draw(t, "passes"))
 			},
@@ -287,7 +287,10 @@
 func TestServerThatCrashesAgainCountsAgain(t *testing.T) {
 	l := NewLedger(LedgerOptions{})
 	for i := range 3 {
-		lose(l, after(5*i), 7, 1)
+		x := Loss{Request: 1, Server: 7, ID: NewLossID(), Began: after(5 * i).Add(-runTime), Lost: after(5 * i)}
+		// Reports of one loss count once.
+		assert.Assert(t, l.RecordLoss(x, after(5*i)))
+		assert.Assert(t, !l.RecordLoss(x, after(5*i+1)))
 	}
 	assert.Assert(t, isConvicted(l, 1, after(11)))
 }
@@ -354,3 +357,15 @@
 	assert.Assert(t, isConvicted(there, 1, after(3)))
 	assert.Equal(t, len(told), 0)
 }
+
+// Guards against counting one crash twice under a request that ran there for two gateways.
+func TestOneCrashUnderTwoRunsCountsOnce(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for i := range 2 {
+		for run := range 3 {
+			began := after(i).Add(-time.Duration(20-8*run) * time.Millisecond)
+			l.RecordLoss(Loss{Request: 1, Server: uint64(i), ID: NewLossID(), Began: began, Lost: after(i)}, after(i))
+		}
+	}
+	assert.Assert(t, !isConvicted(l, 1, after(3)))
+}
--- /dev/null
+++ b/internal/policy/blame/loss.go
@@ -0,0 +1,29 @@
+package blame
+
+import "math/rand/v2"
+
+// maxLossID keeps a loss's id within two bytes of a datagram. A request has few losses at one
+// server.
+const maxLossID = 1<<14 - 1
+
+// NewLossID returns the ID for a new Loss.
+func NewLossID() uint32 { return 1 + rand.Uint32N(maxLossID) }
+
+// isSame reports whether both are reports of one loss.
+func (x Loss) isSame(o Loss) bool {
+	return x.Request == o.Request && x.Server == o.Server && x.ID == o.ID
+}
+
+// isSameCrash reports whether one crash of a server explains both losses, of any requests.
+func (x Loss) isSameCrash(o Loss) bool {
+	return x.Server == o.Server && !x.Began.After(o.Lost.Add(maxReportDelay)) && !o.Began.After(x.Lost.Add(maxReportDelay))
+}
+
+// follows reports whether the run began after the other one was lost. At the same server it
+// can have begun only at the next start.
+func (x Loss) follows(o Loss) bool {
+	if x.Server == o.Server {
+		return !x.Began.Before(o.Lost.Add(minRestartTime / 2))
+	}
+	return x.Began.Add(overlapTolerance).After(o.Lost)
+}
