Gateway: servers' software versions and the attempt that a caller goes on from are decoded and logged

The hypotheses on ORDER can't be told apart: no log has a version, nor the attempt that a stream was begun by. Entries' versions were dropped, Resumes wasn't read.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -164,6 +164,9 @@
 	AvailabilityZone string
 	Slots            int
 	Stage            Stage
+	// Software is the version of the server's software, not of the weights that it serves;
+	// "" if it doesn't say.
+	Software string
 	// Leaving: the server is draining. It finishes its requests and gets no new ones.
 	Leaving bool
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -73,7 +73,10 @@
 	}
 	if err == nil {
 		g.loads.recordAccepted(p.server)
-		g.logRequest(j, "gateway: decode answered.", logrus.Fields{"server": serverKey(p.server), "status": a.Status, "from": result.from.ID})
+		g.logRequest(j, "gateway: decode answered.", logrus.Fields{
+			"server": serverKey(p.server), "software": logged(p.server.Software), "status": a.Status, "from": result.from.ID,
+			"after": after, "resumes": j.r.Generation.Resumes,
+		})
 		return a, nil
 	}
 	p.end()
