Known red: streams go on at other software versions, in three ways

The failing tests of the second matter: within an answer, by a caller's own attempts behind one break and two, and where nobody knows the version.

--- /dev/null
+++ b/internal/gateway/software_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// serversOf returns the servers of testServers, with the decode engines d1, d2 and d3 at the
+// given software versions.
+func serversOf(versions ...string) []catalog.Server {
+	out := testServers()
+	for i := range out {
+		if out[i].Stage == catalog.Decode {
+			out[i].Software, versions = versions[0], versions[1:]
+		}
+	}
+	return out
+}
+
+// twoEvents answers with the first two events of a stream, or with those behind the last
+// event that the call names, and breaks off if cut is set.
+func twoEvents(c Call, cut bool) *Answer {
+	first := eventNumber(c.LastEventID) + 1
+	body := text(fmt.Sprintf("id: %d\ndata: x\n\nid: %d\ndata: x\n\n", first, first+1))
+	if cut {
+		body = io.MultiReader(body, errReader{io.ErrUnexpectedEOF})
+	}
+	return answer(body)
+}
+
+// Guards against a stream that goes on, within one answer, at a server of another software
+// version than the one that began it.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		goesOn   bool
+	}{
+		"another server of the version": {[]string{"v1", "v2", "v1"}, true},
+		"none":                          {[]string{"v1", "v2", "v2"}, false},
+		"versions that nobody says":     {[]string{"", "", ""}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeBackend{}
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, len(f.sends()) == 1), nil }
+			g := newGateway(t, f)
+			// The stream begins at d1: the others are full.
+			g.SetServers(serversOf(c.versions...))
+			f.reserve = func(s catalog.Server, _ int) (string, *verdict.Error) {
+				if len(f.sends()) == 0 && s.ID != "d1" {
+					return "", full()
+				}
+				return "hold", nil
+			}
+			reply, err := g.Serve(t.Context(), generation("/stream/x"))
+			assert.Assert(t, err == nil, "%v", err)
+			_, readErr := io.ReadAll(reply.Body)
+			reply.discard()
+			assert.Equal(t, readErr == nil, c.goesOn)
+			for _, x := range f.sends()[1:] {
+				assert.Equal(t, x.server, "d3")
+			}
+		})
+	}
+}
+
+// Guards against a caller's own attempt that goes on with its stream at another software
+// version, behind one break and behind two.
+func TestCallerTakesUpItsStreamAtItsVersion(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	g := newGateway(t, f)
+	g.SetServers(serversOf("v1", "v2", "v2"))
+	f.reserve = func(s catalog.Server, _ int) (string, *verdict.Error) {
+		if len(f.sends()) == 0 && s.ID != "d1" {
+			return "", full()
+		}
+		return "hold", nil
+	}
+	serve := func(r *Request) *verdict.Error {
+		reply, err := g.Serve(t.Context(), r)
+		if err == nil {
+			_, readErr := io.ReadAll(reply.Body)
+			assert.Assert(t, readErr == nil || errors.Is(readErr, io.EOF))
+			reply.discard()
+		}
+		return err
+	}
+	r := generation("/stream/x")
+	assert.Assert(t, serve(r) == nil)
+	for n, resumes := range []string{"r1", "r1", "a1", "r1", "a2"} {
+		r := generation("/stream/x")
+		r.ID = fmt.Sprint("a", n)
+		r.Generation.LastEventID, r.Generation.Resumes = fmt.Sprint(2*(n+1)), resumes
+		err := serve(r)
+		assert.Assert(t, err == nil, "%v", err)
+	}
+	for _, x := range f.sends() {
+		assert.Equal(t, x.server, "d1")
+	}
+}
+
+// Guards against a stream that goes on at a version that was guessed: nobody knows which one
+// began it, and two have served.
+func TestUnknownStreamIsRefusedBesideTwoVersions(t *testing.T) {
+	for name, change := range map[string]func(*Request){
+		"no attempt named":    func(r *Request) { r.Generation.Resumes = "" },
+		"unknown attempt":     func(r *Request) { r.Generation.Resumes = "other" },
+		"of another content":  func(r *Request) { r.Body = []byte("other") },
+		"of another caller's": func(r *Request) { r.Content = "other" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeBackend{}
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+			g := newGateway(t, f)
+			g.SetServers(serversOf("v1", "v2", "v2"))
+			reply, err := g.Serve(t.Context(), generation("/stream/x"))
+			assert.Assert(t, err == nil, "%v", err)
+			reply.discard()
+			r := generation("/stream/x")
+			r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r2", "2", "r1"
+			change(r)
+			_, err = g.Serve(t.Context(), r)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, err.Verdict, verdict.NotRun)
+			assert.Assert(t, err.RetryAfter > 0)
+			assert.Equal(t, len(f.sends()), 1)
+		})
+	}
+}
