A stream goes on only at the software version that began it

Cause: no one knew a server's version, nor which one began a stream; engines were chosen by load alone, for streams that go on too.

A stream's version is fixed by its first event, before that is passed on. The choice among engines has the one check, for all ways; the entry in force is compared once more when the first event arrives. What isn't known goes on only if one version alone served within a stream's life; a process that starts learns that from the gateways' objects. Otherwise it is refused at once, as not run.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,10 +8,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/gateway"
 	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/operator"
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/peers"
 	policyquota "jayford.example/jayford/internal/policy/quota"
 	"jayford.example/jayford/internal/quota"
@@ -56,12 +58,20 @@
 		}
 	}, nil, log)
 	members := peers.New(deps.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone, Quota: s.Quota.Listen}, log.WithField("part", "peers"))
-	exchange := gossip.New(gossip.Options{
+	var exchange *gossip.Exchange
+	origins := origin.NewExchange(origin.Options{
+		Self: s.Peer, Gateways: func() []string { return peerAddresses(members.Known()) },
+		Send: func(to string, m *pb.OriginMessage) { exchange.SendOrigin(to, m) },
+	})
+	exchange = gossip.New(gossip.Options{
 		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, Convictions: g.Convictions,
-		OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
+		OnOrigin: origins.Handle, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
 	g.Join(exchange)
+	g.ShareOrigins(origins)
+	members.ShareSoftware(g.ServedSoftware, g.LearnSoftware)
+	g.OnSoftwareChange(members.RequestRenewal)
 	members.ShareConvictions(g.Convictions, g.RecordPeerLoss)
 	g.OnConviction(members.PublishConviction)
 	quotas := quota.New(quota.Options{
@@ -141,6 +151,15 @@
 	return near, far
 }
 
+// peerAddresses returns the addresses of all gateways of the list.
+func peerAddresses(list []peers.Peer) []string {
+	out := make([]string, len(list))
+	for i, p := range list {
+		out[i] = p.Address
+	}
+	return out
+}
+
 // updatePeers updates the gateway's list of peers, which share the retry budget
 // and the servers' limits with it.
 func updatePeers(ctx context.Context, g *gateway.Gateway, m *peers.Members) error {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -176,12 +176,12 @@
 func testServers() []catalog.Server {
 	var out []catalog.Server
 	for _, id := range []string{"p1", "p2", "p3"} {
-		out = append(out, catalog.Server{ID: id, Service: plainService, Address: "10.0.0.1:" + id, AvailabilityZone: "a"})
+		out = append(out, catalog.Server{ID: id, Service: plainService, Address: "10.0.0.1:" + id, AvailabilityZone: "a", Software: "v1"})
 	}
 	for _, id := range []string{"d1", "d2", "d3"} {
-		out = append(out, catalog.Server{ID: id, Service: modelService, Address: "10.0.0.2:" + id, AvailabilityZone: "a", Stage: catalog.Decode})
+		out = append(out, catalog.Server{ID: id, Service: modelService, Address: "10.0.0.2:" + id, AvailabilityZone: "a", Stage: catalog.Decode, Software: "v1"})
 	}
-	return append(out, catalog.Server{ID: "f1", Service: modelService, Address: "10.0.0.3:1", AvailabilityZone: "a", Stage: catalog.Prefill})
+	return append(out, catalog.Server{ID: "f1", Service: modelService, Address: "10.0.0.3:1", AvailabilityZone: "a", Stage: catalog.Prefill, Software: "v1"})
 }
 
 func newGateway(t *testing.T, f *fakeBackend) *Gateway {
@@ -193,6 +193,7 @@
 	g.SetConfig(testConfig())
 	g.SetServers(testServers())
 	g.view.complete.Store(true)
+	g.software.history.SetComplete()
 	return g
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/gossip"
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/policy/prefill"
 	"jayford.example/jayford/internal/policy/retry"
@@ -103,6 +104,10 @@
 	// other gateways.
 	contention place.PlacementRate
 
+	software *softwareVersions
+	// origins is set before use.
+	origins Origins
+
 	crashes *crashes
 	// crashChecks has the keys of the servers that are about to be asked whether they crashed.
 	crashChecks sync.Map
@@ -118,6 +123,8 @@
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), crashes: newCrashes(o.Board, o.Log.WithField("part", "gateway")),
 	}
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
+	g.software = newSoftwareVersions(o.Board, time.Now())
+	g.origins = origin.NewExchange(origin.Options{Gateways: func() []string { return nil }})
 	g.limits = newLimits(o.ID, o.Board, g.log)
 	g.pauses = newPauses(o.Board, g.log)
 	g.backend = pausingBackend{Backend: o.Backend, pauses: g.pauses}
@@ -166,6 +173,10 @@
 	g.crashes.tell = p.ReportLoss
 }
 
+// ShareOrigins makes the gateway tell others which software versions begin its streams, and
+// ask them. It must be called before the first request.
+func (g *Gateway) ShareOrigins(o Origins) { g.origins = o }
+
 // Load returns this gateway's own load on engines, by server key.
 func (g *Gateway) Load() map[string]gossip.Load { return g.loads.own() }
 
@@ -194,6 +205,7 @@
 func (g *Gateway) SetServers(list []catalog.Server) {
 	g.view.setServers(list)
 	g.limits.prune(g.view.list())
+	g.software.update(g.view.list(), time.Now())
 }
 
 // Ready reports whether the gateway accepts new requests.
@@ -257,6 +269,10 @@
 	prefillState prefill.Attempts
 	// reserveWait is the time from the request's arrival to its reservation.
 	reserveWait time.Duration
+	// begun: the caller has events of the stream, or is about to get the first one. It goes on
+	// only at servers of the software version software, at none if that is 0.
+	begun    bool
+	software uint64
 	// rounds counts the rounds of reservation attempts.
 	rounds int
 	// avoid has the keys of the servers that failed this request.
@@ -276,6 +292,9 @@
 func (g *Gateway) route(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	g.view.waitLoaded(ctx, r.capDeadline(g.startupUntil))
 	j, err := g.plan(r)
+	if err == nil {
+		err = g.findOrigin(ctx, j)
+	}
 	if err != nil {
 		g.log.WithFields(logrus.Fields{
 			"request": r.ID, "config": g.ConfigVersion(), "code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(),
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/origin"
 )
 
 // candidate is a server with its key. The key is built once per list, as building it
@@ -11,6 +12,8 @@
 type candidate struct {
 	catalog.Server
 	key string
+	// software is the hash of the server's software version, 0 if it doesn't say one.
+	software uint64
 }
 
 // serverKey identifies one incarnation of a server.
@@ -34,7 +37,7 @@
 func newListing(list []catalog.Server) *listing {
 	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}}
 	for _, s := range list {
-		c := candidate{s, serverKey(s)}
+		c := candidate{s, serverKey(s), origin.Hash(s.Software)}
 		l.all = append(l.all, c)
 		if !s.Leaving {
 			p := poolKey{s.Service, s.Stage}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -113,7 +113,10 @@
 // needs.
 func (g *Gateway) reserve(ctx context.Context, j *job) (reservation, *verdict.Error) {
 	began := time.Now()
-	engines := g.view.list().usable(j.service.Name, catalog.Decode)
+	engines := g.decodeEngines(j)
+	if err := g.noVersionError(j, engines); err != nil {
+		return reservation{}, err
+	}
 	if err := g.allPausingError(engines); err != nil {
 		return reservation{}, err
 	}
@@ -255,7 +258,7 @@
 // leastLoaded begins a round and returns the decode engines to try in it.
 func (g *Gateway) leastLoaded(j *job) []ranked {
 	j.rounds++
-	return g.best(j, g.view.list().usable(j.service.Name, catalog.Decode), reserveAttempts, g.byTokens)
+	return g.best(j, g.decodeEngines(j), reserveAttempts, g.byTokens)
 }
 
 // reserveAt sends a reservation request to one engine. A refusal for lack of capacity
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -1,7 +1,61 @@
 package gateway
 
-// maxLoggedSoftware bounds a software version in logs, in bytes.
-const maxLoggedSoftware = 64
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/board"
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/origin"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// Origins keeps which software version began each stream. origin.Exchange implements it.
+type Origins interface {
+	// Tell stores a record for a time, here and at other gateways.
+	Tell(r origin.Record, ttl time.Duration)
+	// Local returns the record of a stream if this gateway has it, Ask asks others for it.
+	Local(stream uint64) (origin.Record, bool)
+	Ask(ctx context.Context, stream uint64) (origin.Record, bool)
+	// Len returns the number of records held.
+	Len() int
+}
+
+const (
+	// maxLoggedSoftware bounds a software version in logs, in bytes.
+	maxLoggedSoftware = 64
+	// streamLifeTimeouts is for how many timeouts of its route a stream may be taken up
+	// again: one for the stream, one for its caller's patience.
+	streamLifeTimeouts = 2
+	// unknownStreamRetryAfter is the Retry-After for a stream whose version wasn't learned:
+	// the gateways that know it may be reachable by then.
+	unknownStreamRetryAfter = time.Second
+)
+
+// Outcomes of streams that were to go on, in logs and metrics.
+const (
+	wentOn          = "went-on"
+	streamUnknown   = "version-unknown"
+	streamNoServer  = "no-server"
+	streamOtherSoft = "other-version"
+)
+
+// Ways by which a stream goes on.
+const (
+	byCaller     = "caller"
+	withinAnswer = "answer"
+)
+
+// errOtherSoftware ends a stream whose server turned out to have another software version
+// than the one that began it.
+var errOtherSoftware = errors.New("gateway: the server has another software version than the one that began the stream")
 
 // logged returns a software version as it is logged.
 func logged(software string) string {
@@ -10,3 +64,274 @@
 	}
 	return software[:maxLoggedSoftware] + "..."
 }
+
+// streamLife returns for how long a stream of the route may be taken up again.
+func streamLife(r *catalog.Route) time.Duration { return streamLifeTimeouts * r.Timeout }
+
+// softwareVersions has the versions that servers have and lately had.
+type softwareVersions struct {
+	mu sync.Mutex
+	// All below is guarded by mu. names has the names behind the hashes.
+	history *origin.History
+	listed  map[origin.Served]int
+	names   map[uint64]string
+	// streams counts the streams that were to go on, by service, way and outcome.
+	streams map[string]map[string]int
+	// onChange is called when a version came or went; it is set before use.
+	onChange func()
+}
+
+func newSoftwareVersions(b *board.Board, now time.Time) *softwareVersions {
+	v := &softwareVersions{history: origin.NewHistory(now), names: map[uint64]string{}, streams: map[string]map[string]int{}, onChange: func() {}}
+	b.AddView("versions", v.dump)
+	return v
+}
+
+// versionsDump is the part of the dump about software versions.
+type versionsDump struct {
+	Versions []versionDump
+	// Streams counts the streams that were to go on, by service, then by way and outcome.
+	Streams map[string]map[string]int
+}
+
+// versionDump is one version. Servers is 0 if it served lately, but does no more.
+type versionDump struct {
+	Service, Software string
+	Servers           int
+}
+
+func (v *softwareVersions) dump() any {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := versionsDump{Streams: map[string]map[string]int{}}
+	for _, s := range v.history.Since(sharedWithin, time.Now()) {
+		out.Versions = append(out.Versions, versionDump{v.names[s.Service], logged(v.names[s.Software]), v.listed[s]})
+	}
+	for service, counts := range v.streams {
+		out.Streams[service] = maps.Clone(counts)
+	}
+	return out
+}
+
+// count counts a stream that was to go on.
+func (v *softwareVersions) count(service, way, outcome string) {
+	streamsGoingOn(service, way, outcome).Inc()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.streams[service] == nil {
+		v.streams[service] = map[string]int{}
+	}
+	v.streams[service][way+" "+outcome]++
+}
+
+// update sets the servers that are listed.
+func (v *softwareVersions) update(list *listing, now time.Time) {
+	if v.set(list, now) {
+		v.onChange()
+	}
+}
+
+func (v *softwareVersions) set(list *listing, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	listed := map[origin.Served]int{}
+	for i := range list.all {
+		c := &list.all[i]
+		s := origin.Served{Service: origin.Hash(c.Service), Software: c.software}
+		if listed[s] == 0 {
+			v.names[s.Service], v.names[s.Software] = c.Service, c.Software
+		}
+		listed[s]++
+	}
+	for s := range v.listed {
+		softwareServers(v.names[s.Service], v.names[s.Software]).Set(float64(listed[s]))
+	}
+	for s, n := range listed {
+		softwareServers(v.names[s.Service], v.names[s.Software]).Set(float64(n))
+	}
+	first := v.listed == nil
+	v.listed = listed
+	return v.history.Update(listed, now) && !first
+}
+
+// softwareServers is the number of listed servers of a version.
+func softwareServers(service, software string) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf("jayford_gateway_software_servers{service=%q,software=%q}", service, logged(software)), nil)
+}
+
+// sharedWithin is how long ago a version that this gateway tells others of was last listed,
+// at most. It exceeds streamLife of usual routes.
+const sharedWithin = time.Minute
+
+// ServedSoftware returns the software versions that servers had lately.
+func (g *Gateway) ServedSoftware() []origin.Served {
+	g.software.mu.Lock()
+	defer g.software.mu.Unlock()
+	return g.software.history.Since(sharedWithin, time.Now())
+}
+
+// LearnSoftware adds the versions that servers had before this process started. complete is
+// whether these are all.
+func (g *Gateway) LearnSoftware(served []origin.Served, complete bool) {
+	g.software.mu.Lock()
+	defer g.software.mu.Unlock()
+	for _, s := range served {
+		g.software.history.Learn(s, time.Now())
+	}
+	if complete {
+		g.software.history.SetComplete()
+	}
+	g.log.WithFields(logrus.Fields{"versions": len(served), "complete": complete}).Info("gateway: earlier software versions learned.")
+}
+
+// OnSoftwareChange registers f, which is called when a software version comes or goes. It
+// must be called before the first list of servers.
+func (g *Gateway) OnSoftwareChange(f func()) { g.software.onChange = f }
+
+// sole returns the one version at which a stream of the service may have begun within a time
+// before now, 0 if there are several or it isn't known.
+func (v *softwareVersions) sole(service uint64, within time.Duration) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.history.Sole(service, within, time.Now())
+}
+
+// mayRun reports whether a job may run at a server: a stream that has begun goes on only at
+// the software version that began it.
+func (j *job) mayRun(s *candidate) bool {
+	return !j.begun || j.software != 0 && j.software == s.software
+}
+
+// decodeEngines returns the engines that may decode the job's generation.
+func (g *Gateway) decodeEngines(j *job) []candidate {
+	list := g.view.list().usable(j.service.Name, catalog.Decode)
+	if !j.begun {
+		return list
+	}
+	var out []candidate
+	for i := range list {
+		if j.mayRun(&list[i]) {
+			out = append(out, list[i])
+		}
+	}
+	return out
+}
+
+// findOrigin finds the version that began the stream which a caller takes up again, and the
+// service if the route has several. It returns the refusal of a stream whose version isn't known.
+func (g *Gateway) findOrigin(ctx context.Context, j *job) *verdict.Error {
+	x := j.r.Generation
+	if x == nil || x.LastEventID == "" && x.Resumes == "" {
+		return nil
+	}
+	j.begun = true
+	stream := origin.Hash(x.Resumes)
+	r, ok := g.origins.Local(stream)
+	if !g.applyOrigin(j, r, ok) {
+		j.software = g.software.sole(origin.Hash(j.service.Name), streamLife(j.route))
+	}
+	if j.software == 0 && stream != 0 {
+		r, ok = g.origins.Ask(ctx, stream)
+		g.applyOrigin(j, r, ok)
+	}
+	if j.software != 0 {
+		return nil
+	}
+	g.logStranded(j, byCaller, streamUnknown)
+	return verdict.New(
+		verdict.NotRun, verdict.NoServer, "It isn't known which software version began the stream.",
+	).WithRetryAfter(unknownStreamRetryAfter)
+}
+
+// applyOrigin applies a record that was found, and reports whether it is of the job's stream:
+// of the same content, and at a service of its route.
+func (g *Gateway) applyOrigin(j *job, r origin.Record, found bool) bool {
+	if !found || r.Content != j.fingerprint {
+		return false
+	}
+	c := g.Config()
+	for _, t := range j.route.Targets {
+		if origin.Hash(t.Service) != r.Service || t.Weight <= 0 {
+			continue
+		}
+		if s, ok := c.Services[t.Service]; ok {
+			j.service, j.software = s, r.Software
+			return true
+		}
+	}
+	return false
+}
+
+// noVersionError returns the refusal of a stream that no server can go on with now, nil if
+// one can.
+func (g *Gateway) noVersionError(j *job, engines []candidate) *verdict.Error {
+	if !j.begun || len(engines) > 0 {
+		return nil
+	}
+	g.logStranded(j, byCaller, streamNoServer)
+	return verdict.New(
+		verdict.NotRun, verdict.NoServer, "No server of the software version that began the stream takes work.",
+	).WithRetryAfter(noServerRetryAfter)
+}
+
+// admitFirstEvent is called with the first event of each server of a stream, before it is
+// passed on. It fixes the version of a stream that begins, and returns an error if one that goes
+// on does so at another: between the choice and now, the server may have started again under its
+// id.
+func (s *stream) admitFirstEvent() error {
+	j := s.j
+	software := s.g.view.softwareOf(s.reservation.server)
+	way := withinAnswer
+	if s.lastEventAt.IsZero() {
+		way = byCaller
+	}
+	switch {
+	case !j.begun:
+		j.begun, j.software = true, software
+	case j.software == 0 || j.software != software:
+		s.g.logStranded(j, way, streamOtherSoft)
+		return errOtherSoftware
+	default:
+		s.g.software.count(j.service.Name, way, wentOn)
+	}
+	if way == byCaller && j.route.Resume {
+		s.g.origins.Tell(origin.Record{
+			Stream: origin.Hash(j.r.ID), Content: j.fingerprint, Service: origin.Hash(j.service.Name), Software: j.software,
+		}, streamLife(j.route))
+	}
+	return nil
+}
+
+// logStranded logs and counts a stream that couldn't go on.
+func (g *Gateway) logStranded(j *job, way, why string) {
+	g.software.count(j.service.Name, way, why)
+	g.logRequest(j, "gateway: stream can't go on.", logrus.Fields{
+		"way": way, "why": why, "resumes": j.r.Generation.Resumes, "last": j.r.Generation.LastEventID,
+		"service": j.service.Name, "software": g.software.name(j.software),
+	})
+}
+
+// name returns the name of a version as it is logged.
+func (v *softwareVersions) name(software uint64) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return logged(v.names[software])
+}
+
+// streamsGoingOn counts the streams that were to go on.
+func streamsGoingOn(service, way, outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_streams_taken_up_total{service=%q,way=%q,outcome=%q}", service, way, outcome))
+}
+
+// softwareOf returns the software version of a server's entry, or of the server as it was
+// chosen if it is no longer listed.
+func (v *view) softwareOf(s catalog.Server) uint64 {
+	key := serverKey(s)
+	list := v.list()
+	for i := range list.all {
+		if list.all[i].key == key {
+			return list.all[i].software
+		}
+	}
+	return origin.Hash(s.Software)
+}
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -1,14 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -48,7 +51,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeBackend{}
-			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, len(f.sends()) == 1), nil }
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) {
+				return twoEvents(x, len(f.sends()) == 1), nil
+			}
 			g := newGateway(t, f)
 			// The stream begins at d1: the others are full.
 			g.SetServers(serversOf(c.versions...))
@@ -134,3 +139,99 @@
 		})
 	}
 }
+
+// sharedOrigins is what another gateway knows.
+type sharedOrigins struct {
+	Origins
+	other Origins
+}
+
+func (s sharedOrigins) Ask(_ context.Context, stream uint64) (origin.Record, bool) {
+	return s.other.Local(stream)
+}
+
+// Guards against a stream that can't go on, or goes on at another version, because its caller
+// came to another gateway than the one that began it.
+func TestCallerTakesUpItsStreamAtAnotherGateway(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	first, second := newGateway(t, f), newGateway(t, f)
+	second.ShareOrigins(sharedOrigins{second.origins, first.origins})
+	first.SetServers(serversOf("v2", "v2", "v2"))
+	reply, err := first.Serve(t.Context(), generation("/stream/x"))
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+	second.SetServers(serversOf("v1", "v1", "v2"))
+	for n := range 10 {
+		r := generation("/stream/x")
+		r.ID, r.Generation.LastEventID, r.Generation.Resumes = fmt.Sprint("a", n), "2", "r1"
+		reply, err = second.Serve(t.Context(), r)
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+	}
+	for _, x := range f.sends()[1:] {
+		assert.Equal(t, x.server, "d3")
+	}
+
+	// Without a server of the version the stream is refused, as not run.
+	second.SetServers(serversOf("v1", "v1", "v1"))
+	r := generation("/stream/x")
+	r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r3", "2", "r1"
+	_, err = second.Serve(t.Context(), r)
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+	assert.Equal(t, err.RetryAfter, noServerRetryAfter)
+}
+
+// Guards against a guess by a gateway that has just started: one version is listed, but others
+// may have served before. What other gateways have seen settles it.
+func TestStartedGatewayDoesNotGuessVersions(t *testing.T) {
+	v1 := origin.Served{Service: origin.Hash(modelService), Software: origin.Hash("v1")}
+	v2 := origin.Served{Service: origin.Hash(modelService), Software: origin.Hash("v2")}
+	for name, c := range map[string]struct {
+		learned  []origin.Served
+		complete bool
+		goesOn   bool
+	}{
+		"nothing is known":    {nil, false, false},
+		"one version served":  {[]origin.Served{v1}, true, true},
+		"two versions served": {[]origin.Served{v1, v2}, true, false},
+		"not all is known":    {[]origin.Served{v1}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeBackend{}
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+			g := newGateway(t, f)
+			g.software.history = origin.NewHistory(time.Now())
+			g.SetServers(serversOf("v1", "v1", "v1"))
+			g.LearnSoftware(c.learned, c.complete)
+			r := generation("/stream/x")
+			r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
+			reply, err := g.Serve(t.Context(), r)
+			assert.Equal(t, err == nil, c.goesOn)
+			if err == nil {
+				reply.discard()
+			}
+		})
+	}
+}
+
+// Guards against events of a server that started again under its id with other software, after
+// it was chosen to go on with a stream.
+func TestServerWithOtherSoftwareAtTheLastMoment(t *testing.T) {
+	f := &fakeBackend{}
+	g := newGateway(t, f)
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) {
+		if len(f.sends()) == 1 {
+			return twoEvents(x, true), nil
+		}
+		g.SetServers(serversOf("v2", "v2", "v2"))
+		return twoEvents(x, false), nil
+	}
+	g.SetServers(serversOf("v1", "v1", "v1"))
+	reply, err := g.Serve(t.Context(), generation("/stream/x"))
+	assert.Assert(t, err == nil, "%v", err)
+	body, readErr := io.ReadAll(reply.Body)
+	assert.ErrorIs(t, readErr, errOtherSoftware)
+	assert.Equal(t, string(body), "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+	reply.discard()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,9 @@
 	// longestPause the longest interval between events after it.
 	firstEventTime, longestPause time.Duration
 	ended                        bool
-	closeOnce                    sync.Once
+	// admitted: the server's first event has been checked.
+	admitted  bool
+	closeOnce sync.Once
 }
 
 // startStream returns the reply once the first event has arrived. Until then a failure
@@ -77,6 +79,12 @@
 		if s.isDuplicate(ev.ID) {
 			return nil
 		}
+		if !s.admitted {
+			if err := s.admitFirstEvent(); err != nil {
+				return err
+			}
+			s.admitted = true
+		}
 		if ev.ID != "" {
 			s.lastID = ev.ID
 		}
@@ -205,6 +213,10 @@
 	brokenStreams.Inc()
 	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
 	for s.g.refuseCrashing(s.ctx, s.j) == nil && s.g.mayRetry(s.ctx, s.j, verdict.Ran) && s.g.canRetry(s.j) {
+		if s.j.begun && len(s.g.decodeEngines(s.j)) == 0 {
+			s.g.logStranded(s.j, withinAnswer, streamNoServer)
+			break
+		}
 		p, ok := s.g.reserveUntil(s.ctx, s.j, eventNumber(s.lastID), time.Now().Add(resumeTimeout))
 		if !ok {
 			break
@@ -220,7 +232,7 @@
 		}
 		a, err := s.g.decode(s.ctx, s.j, p, result, s.lastID)
 		if err == nil && a.Status == http.StatusOK {
-			s.reservation, s.answer, s.events = p, a, newEvents(a.Body)
+			s.reservation, s.answer, s.events, s.admitted = p, a, newEvents(a.Body), false
 			resumesTotal.Inc()
 			s.g.logRequest(s.j, "gateway: stream resumed.", logrus.Fields{"server": serverKey(p.server), "last": s.lastID})
 			return nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -78,6 +78,8 @@
 	// Convictions returns at most limit losses for which this gateway refuses requests.
 	// Peers that start learn of the latest by full updates. It may be nil.
 	Convictions func(limit int) []blame.Loss
+	// OnOrigin handles a datagram about the streams of a listed peer. It may be nil.
+	OnOrigin func(from string, m *pb.OriginMessage)
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
 	Log             *logrus.Entry
@@ -113,6 +115,8 @@
 	recipients *recipients
 	// losses are those to report, guarded by mu.
 	losses lossQueue
+	// conn is nil before Run. It is guarded by mu.
+	conn *net.UDPConn
 
 	// sequence and lastRevisions are used only by the sending goroutine. lastRevisions has
 	// the revision of each engine that was last sent to all recipients.
@@ -200,6 +204,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "gossip: listen on %s", e.opts.Listen)
 	}
+	e.mu.Lock()
+	e.conn = conn
+	e.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receive(ctx, conn) })
 	group.Go(func() error { return e.send(ctx, conn) })
@@ -234,6 +241,10 @@
 		e.opts.Log.WithError(err).WithField("from", from).Warn("gossip: cannot decode datagram.")
 		return
 	}
+	if n.Origin != nil {
+		e.handleOrigin(from, n.Origin)
+		return
+	}
 	if !e.apply(from, &n) {
 		return
 	}
@@ -245,13 +256,44 @@
 	}
 }
 
+// handleOrigin passes on a datagram about streams.
+func (e *Exchange) handleOrigin(from string, m *pb.OriginMessage) {
+	e.mu.RLock()
+	known := e.isKnownLocked(from)
+	e.mu.RUnlock()
+	if known && e.opts.OnOrigin != nil {
+		received.Inc()
+		e.opts.OnOrigin(from, m)
+	}
+}
+
+// SendOrigin sends a datagram about streams to a gateway. It is lost before Run.
+func (e *Exchange) SendOrigin(to string, m *pb.OriginMessage) {
+	e.mu.RLock()
+	conn := e.conn
+	e.mu.RUnlock()
+	text, err := proto.Marshal(&pb.News{Origin: m})
+	if err != nil || conn == nil {
+		return
+	}
+	e.sendTo(conn, to, text)
+}
+
+// isKnownLocked reports whether the sender of a datagram is listed.
+func (e *Exchange) isKnownLocked(from string) bool {
+	if _, ok := e.known[from]; ok {
+		return true
+	}
+	unknownSenders.Inc()
+	e.opts.OnUnknownSender()
+	return false
+}
+
 // apply stores a peer's load, and reports whether the sender is listed.
 func (e *Exchange) apply(from string, n *pb.News) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.known[from]; !ok {
-		unknownSenders.Inc()
-		e.opts.OnUnknownSender()
+	if !e.isKnownLocked(from) {
 		return false
 	}
 	before := e.table.peers[from]
@@ -351,22 +393,27 @@
 		return
 	}
 	for _, peer := range to {
-		a, err := netip.ParseAddrPort(peer)
-		if err == nil {
-			_, err = conn.WriteToUDPAddrPort(text, a)
-		}
-		if err != nil {
-			e.opts.Log.WithError(err).WithField("peer", peer).Debug("gossip: send failed.")
-			continue
-		}
-		sent.Inc()
-		sentBytes.Add(len(text))
+		e.sendTo(conn, peer, text)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.recipients.recordSent(len(text), len(to))
 }
 
+// sendTo sends one datagram.
+func (e *Exchange) sendTo(conn *net.UDPConn, peer string, text []byte) {
+	a, err := netip.ParseAddrPort(peer)
+	if err == nil {
+		_, err = conn.WriteToUDPAddrPort(text, a)
+	}
+	if err != nil {
+		e.opts.Log.WithError(err).WithField("peer", peer).Debug("gossip: send failed.")
+		return
+	}
+	sent.Inc()
+	sentBytes.Add(len(text))
+}
+
 // maxEngineBytes bounds the engines in a datagram; the other fields and the losses take
 // the rest.
 const maxEngineBytes = 960
--- /dev/null
+++ b/internal/origin/history.go
@@ -0,0 +1,87 @@
+package origin
+
+import (
+	"maps"
+	"time"
+)
+
+// Served is a software version that servers of a service had, both as Hashes.
+type Served struct{ Service, Software uint64 }
+
+// History knows which software versions served lately. It isn't safe for concurrent use.
+type History struct {
+	started time.Time
+	// complete: what served before the start is known too.
+	complete bool
+	// listed are the versions of the servers listed now, with the number of these, and
+	// last when each version was last listed.
+	listed map[Served]int
+	last   map[Served]time.Time
+}
+
+// historyTTL is how long a version that is no longer listed is remembered. It exceeds the
+// life of any stream.
+const historyTTL = 10 * time.Minute
+
+// NewHistory returns the History of a process that starts at a time.
+func NewHistory(started time.Time) *History {
+	return &History{started: started, listed: map[Served]int{}, last: map[Served]time.Time{}}
+}
+
+// Update sets the number of listed servers by version, and reports whether a version came or
+// went.
+func (h *History) Update(listed map[Served]int, now time.Time) bool {
+	changed := false
+	for s := range h.listed {
+		h.last[s] = now
+		changed = changed || listed[s] == 0
+	}
+	for s := range listed {
+		h.last[s] = now
+		changed = changed || h.listed[s] == 0
+	}
+	h.listed = maps.Clone(listed)
+	maps.DeleteFunc(h.last, func(s Served, at time.Time) bool { return h.listed[s] == 0 && now.Sub(at) > historyTTL })
+	return changed
+}
+
+// Learn adds a version that served before the start, or that another gateway has seen.
+func (h *History) Learn(s Served, now time.Time) {
+	if at, ok := h.last[s]; !ok || at.Before(now) {
+		h.last[s] = now
+	}
+}
+
+// SetComplete records that all versions that served before the start have been learned.
+func (h *History) SetComplete() { h.complete = true }
+
+// Since returns the versions that servers had within a time before now.
+func (h *History) Since(within time.Duration, now time.Time) []Served {
+	var out []Served
+	for s, at := range h.last {
+		if h.listed[s] > 0 || now.Sub(at) <= within {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Sole returns the one version that a service's servers had within a time before now. It
+// returns 0 if they had several, one of them isn't known, or there may have been others
+// before this process started.
+func (h *History) Sole(service uint64, within time.Duration, now time.Time) uint64 {
+	if !h.complete && now.Sub(h.started) <= within {
+		return 0
+	}
+	sole := uint64(0)
+	for _, s := range h.Since(within, now) {
+		if s.Service != service {
+			continue
+		}
+		if s.Software == 0 || sole != 0 {
+			return 0
+		}
+		sole = s.Software
+	}
+	return sole
+}
--- a/internal/peers/convictions.go
+++ b/internal/peers/convictions.go
@@ -72,8 +72,5 @@
 	if known {
 		return
 	}
-	select {
-	case m.renewRequests <- struct{}{}:
-	default:
-	}
+	m.RequestRenewal()
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/boottime"
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/wait"
@@ -58,6 +59,8 @@
 	UptimeMs int64 `json:"uptimeMs,omitempty"`
 	// Convictions are the losses of servers for which the gateway refuses requests.
 	Convictions []Loss `json:"convictions,omitempty"`
+	// Software are the software versions that servers had lately, nil if it isn't told.
+	Software []Served `json:"software"`
 	// Renewals counts the renewals, so that each write changes the object.
 	Renewals uint64 `json:"renewals"`
 }
@@ -119,6 +122,9 @@
 	// convictions and learn are those of ShareConvictions.
 	convictions func(limit int) []blame.Loss
 	learn       func(blame.Loss) bool
+	// served and learnServed are those of ShareSoftware.
+	served      func() []origin.Served
+	learnServed func([]origin.Served, bool)
 }
 
 // New returns the Members of the gateway self; Run starts it.
@@ -127,6 +133,7 @@
 		store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{},
 		readRequests: make(chan struct{}, 1), renewRequests: make(chan struct{}, 1),
 		convictions: func(int) []blame.Loss { return nil }, learn: func(blame.Loss) bool { return false },
+		served: func() []origin.Served { return nil }, learnServed: func([]origin.Served, bool) {},
 	}
 }
 
@@ -232,10 +239,12 @@
 // next reading finds that version.
 func (m *Members) renew(ctx context.Context) error {
 	losses := m.convictions(maxConvictionLosses)
+	served := m.served()
 	m.mu.Lock()
 	m.self.Renewals++
 	m.self.UptimeMs = (boottime.Now() - m.started).Milliseconds()
 	m.self.Convictions = encodeLosses(losses)
+	m.self.Software = encodeServed(served)
 	self, version := m.self, m.version
 	m.mu.Unlock()
 	spec, err := json.Marshal(self)
@@ -273,9 +282,31 @@
 
 // apply updates the view from the objects of all gateways as read at now.
 func (m *Members) apply(objects []platform.Object, now time.Time) {
+	first := m.isFirstReading()
 	for _, x := range m.update(objects, now) {
 		m.learn(x)
 	}
+	if first {
+		m.learnServed(decodeServed(m.readPeers()))
+	}
+}
+
+// isFirstReading reports whether nothing has been read yet.
+func (m *Members) isFirstReading() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastRead.IsZero()
+}
+
+// readPeers returns all gateways as last read, this one's predecessor among them.
+func (m *Members) readPeers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Peer
+	for _, o := range m.observed {
+		out = append(out, o.peer)
+	}
+	return out
 }
 
 // update is apply without the losses in objects that changed, which it returns.
