Software versions: gateways' objects carry a digest of those that served, not the versions

For 13 models the versions would have made a listing of 370 objects half a megabyte; a digest adds 30 bytes each. A process that lists what the digests stand for knows that nothing else served before it. Names: resumptions, as the code has resumes already.

--- a/internal/ctl/versions.go
+++ b/internal/ctl/versions.go
@@ -17,14 +17,14 @@
 	Operators []string `long:"operator" required:"yes" value-name:"IP:PORT" description:"operator listener of a gateway; may be repeated"`
 }
 
-// ServiceVersions are the software versions of a service's servers, and the streams that went
-// on, or couldn't, at the gateways that were queried since they started.
+// ServiceVersions are the software versions of a service's servers, and the streams that were
+// resumed, or couldn't be, at the gateways that were queried since they started.
 type ServiceVersions struct {
 	Service string `json:"service"`
 	// Servers has the number of servers by version, as the gateway lists them that was
 	// queried last; 0 for a version that served lately.
 	Servers map[string]int `json:"servers"`
-	// Streams counts streams by way and outcome.
+	// Streams counts resumptions by way and outcome.
 	Streams map[string]int `json:"streams"`
 }
 
@@ -80,13 +80,13 @@
 
 func writeVersions(w io.Writer, list []*ServiceVersions) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVICE\tVERSION OR STREAMS\tNUMBER") //nolint:errcheck // reported by Flush
+	fmt.Fprintln(table, "SERVICE\tVERSION OR RESUMPTIONS\tNUMBER") //nolint:errcheck // reported by Flush
 	for _, s := range list {
 		for _, name := range slices.Sorted(maps.Keys(s.Servers)) {
 			fmt.Fprintf(table, "%s\tservers of %q\t%d\n", s.Service, name, s.Servers[name]) //nolint:errcheck // reported by Flush
 		}
 		for _, outcome := range slices.Sorted(maps.Keys(s.Streams)) {
-			fmt.Fprintf(table, "%s\tstreams, %s\t%d\n", s.Service, outcome, s.Streams[outcome]) //nolint:errcheck // reported by Flush
+			fmt.Fprintf(table, "%s\tresumptions, %s\t%d\n", s.Service, outcome, s.Streams[outcome]) //nolint:errcheck // reported by Flush
 		}
 	}
 	return table.Flush()
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -39,15 +39,15 @@
 	unknownStreamRetryAfter = time.Second
 )
 
-// Outcomes of streams that were to go on, in logs and metrics.
+// Outcomes of resumptions, in logs and metrics.
 const (
-	wentOn          = "went-on"
-	streamUnknown   = "version-unknown"
-	streamNoServer  = "no-server"
-	streamOtherSoft = "other-version"
+	resumed              = "resumed"
+	resumeVersionUnknown = "version-unknown"
+	resumeNoServer       = "no-server"
+	resumeOtherVersion   = "other-version"
 )
 
-// Ways by which a stream goes on.
+// Ways to resume a stream: by its caller's own attempt, or within its answer.
 const (
 	byCaller     = "caller"
 	withinAnswer = "answer"
@@ -75,8 +75,12 @@
 	history *origin.History
 	listed  map[origin.Served]int
 	names   map[uint64]string
-	// streams counts the streams that were to go on, by service, way and outcome.
+	// streams counts the resumptions, by service, way and outcome.
 	streams map[string]map[string]int
+	// earlier has the digests of LearnSoftware once learned is set, and complete is whether
+	// the listed versions have had the same.
+	earlier           []uint64
+	learned, complete bool
 	// onChange is called when a version came or went; it is set before use.
 	onChange func()
 }
@@ -90,7 +94,7 @@
 // versionsDump is the part of the dump about software versions.
 type versionsDump struct {
 	Versions []versionDump
-	// Streams counts the streams that were to go on, by service, then by way and outcome.
+	// Streams counts the resumptions, by service, then by way and outcome.
 	Streams map[string]map[string]int
 }
 
@@ -113,9 +117,9 @@
 	return out
 }
 
-// count counts a stream that was to go on.
+// count counts a resumption.
 func (v *softwareVersions) count(service, way, outcome string) {
-	streamsGoingOn(service, way, outcome).Inc()
+	resumptions(service, way, outcome).Inc()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.streams[service] == nil {
@@ -151,7 +155,9 @@
 	}
 	first := v.listed == nil
 	v.listed = listed
-	return v.history.Update(listed, now) && !first
+	changed := v.history.Update(listed, now)
+	v.compareLocked(now)
+	return changed && !first
 }
 
 // softwareServers is the number of listed servers of a version.
@@ -163,25 +169,37 @@
 // at most. It exceeds streamLife of usual routes.
 const sharedWithin = time.Minute
 
-// ServedSoftware returns the software versions that servers had lately.
-func (g *Gateway) ServedSoftware() []origin.Served {
+// SoftwareDigest returns a digest of the software versions that servers had lately.
+func (g *Gateway) SoftwareDigest() uint64 {
 	g.software.mu.Lock()
 	defer g.software.mu.Unlock()
-	return g.software.history.Since(sharedWithin, time.Now())
+	return g.software.history.Digest(sharedWithin, time.Now())
 }
 
-// LearnSoftware adds the versions that servers had before this process started. complete is
-// whether these are all.
-func (g *Gateway) LearnSoftware(served []origin.Served, complete bool) {
+// LearnSoftware sets the digests that gateways had before this process started, none if there
+// was no gateway. What served before is known once the listed versions have the same one.
+func (g *Gateway) LearnSoftware(digests []uint64) {
 	g.software.mu.Lock()
 	defer g.software.mu.Unlock()
-	for _, s := range served {
-		g.software.history.Learn(s, time.Now())
+	g.software.learned, g.software.earlier = true, digests
+	g.software.compareLocked(time.Now())
+	g.log.WithFields(logrus.Fields{"gateways": len(digests), "known": g.software.complete}).Info("gateway: earlier software versions read.")
+}
+
+// compareLocked completes the history if the versions listed now are those that served
+// before the start.
+func (v *softwareVersions) compareLocked(now time.Time) {
+	if v.complete || !v.learned {
+		return
 	}
-	if complete {
-		g.software.history.SetComplete()
+	current := v.history.Digest(0, now)
+	for _, d := range v.earlier {
+		if d == 0 || d != current {
+			return
+		}
 	}
-	g.log.WithFields(logrus.Fields{"versions": len(served), "complete": complete}).Info("gateway: earlier software versions learned.")
+	v.complete = true
+	v.history.SetComplete()
 }
 
 // OnSoftwareChange registers f, which is called when a software version comes or goes. It
@@ -237,7 +255,7 @@
 	if j.software != 0 {
 		return nil
 	}
-	g.logStranded(j, byCaller, streamUnknown)
+	g.logNotResumed(j, byCaller, resumeVersionUnknown)
 	return verdict.New(
 		verdict.NotRun, verdict.NoServer, "It isn't known which software version began the stream.",
 	).WithRetryAfter(unknownStreamRetryAfter)
@@ -268,7 +286,7 @@
 	if !j.begun || len(engines) > 0 {
 		return nil
 	}
-	g.logStranded(j, byCaller, streamNoServer)
+	g.logNotResumed(j, byCaller, resumeNoServer)
 	return verdict.New(
 		verdict.NotRun, verdict.NoServer, "No server of the software version that began the stream takes work.",
 	).WithRetryAfter(noServerRetryAfter)
@@ -289,10 +307,10 @@
 	case !j.begun:
 		j.begun, j.software = true, software
 	case j.software == 0 || j.software != software:
-		s.g.logStranded(j, way, streamOtherSoft)
+		s.g.logNotResumed(j, way, resumeOtherVersion)
 		return errOtherSoftware
 	default:
-		s.g.software.count(j.service.Name, way, wentOn)
+		s.g.software.count(j.service.Name, way, resumed)
 	}
 	if way == byCaller && j.route.Resume {
 		s.g.origins.Tell(origin.Record{
@@ -302,10 +320,10 @@
 	return nil
 }
 
-// logStranded logs and counts a stream that couldn't go on.
-func (g *Gateway) logStranded(j *job, way, why string) {
+// logNotResumed logs and counts a stream that couldn't be resumed.
+func (g *Gateway) logNotResumed(j *job, way, why string) {
 	g.software.count(j.service.Name, way, why)
-	g.logRequest(j, "gateway: stream can't go on.", logrus.Fields{
+	g.logRequest(j, "gateway: stream can't be resumed.", logrus.Fields{
 		"way": way, "why": why, "resumes": j.r.Generation.Resumes, "last": j.r.Generation.LastEventID,
 		"service": j.service.Name, "software": g.software.name(j.software),
 	})
@@ -318,9 +336,9 @@
 	return logged(v.names[software])
 }
 
-// streamsGoingOn counts the streams that were to go on.
-func streamsGoingOn(service, way, outcome string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_streams_taken_up_total{service=%q,way=%q,outcome=%q}", service, way, outcome))
+// resumptions counts the streams that were to be resumed.
+func resumptions(service, way, outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_stream_resumptions_total{service=%q,way=%q,outcome=%q}", service, way, outcome))
 }
 
 // softwareOf returns the software version of a server's entry, or of the server as it was
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -185,25 +185,34 @@
 // Guards against a guess by a gateway that has just started: one version is listed, but others
 // may have served before. What other gateways have seen settles it.
 func TestStartedGatewayDoesNotGuessVersions(t *testing.T) {
-	v1 := origin.Served{Service: origin.Hash(modelService), Software: origin.Hash("v1")}
-	v2 := origin.Served{Service: origin.Hash(modelService), Software: origin.Hash("v2")}
+	digest := func(servers []catalog.Server) uint64 {
+		g := newGateway(t, &fakeBackend{})
+		g.software.history = origin.NewHistory(time.Now())
+		g.SetServers(servers)
+		return g.SoftwareDigest()
+	}
+	same, both, other := digest(serversOf("v1", "v1", "v1")), digest(serversOf("v1", "v1", "v2")), digest(serversOf("v2", "v2", "v2"))
 	for name, c := range map[string]struct {
-		learned  []origin.Served
-		complete bool
-		goesOn   bool
+		learned bool
+		earlier []uint64
+		goesOn  bool
 	}{
-		"nothing is known":    {nil, false, false},
-		"one version served":  {[]origin.Served{v1}, true, true},
-		"two versions served": {[]origin.Served{v1, v2}, true, false},
-		"not all is known":    {[]origin.Served{v1}, false, false},
+		"nothing is known":         {false, nil, false},
+		"no gateway ran before":    {true, nil, true},
+		"one version served":       {true, []uint64{same, same}, true},
+		"two versions served":      {true, []uint64{same, both}, false},
+		"another version served":   {true, []uint64{other}, false},
+		"a gateway doesn't say it": {true, []uint64{same, 0}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeBackend{}
 			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
 			g := newGateway(t, f)
 			g.software.history = origin.NewHistory(time.Now())
+			if c.learned {
+				g.LearnSoftware(c.earlier)
+			}
 			g.SetServers(serversOf("v1", "v1", "v1"))
-			g.LearnSoftware(c.learned, c.complete)
 			r := generation("/stream/x")
 			r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
 			reply, err := g.Serve(t.Context(), r)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -214,7 +214,7 @@
 	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
 	for s.g.refuseCrashing(s.ctx, s.j) == nil && s.g.mayRetry(s.ctx, s.j, verdict.Ran) && s.g.canRetry(s.j) {
 		if s.j.begun && len(s.g.decodeEngines(s.j)) == 0 {
-			s.g.logStranded(s.j, withinAnswer, streamNoServer)
+			s.g.logNotResumed(s.j, withinAnswer, resumeNoServer)
 			break
 		}
 		p, ok := s.g.reserveUntil(s.ctx, s.j, eventNumber(s.lastID), time.Now().Add(resumeTimeout))
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -1,8 +1,11 @@
 package origin
 
 import (
+	"encoding/binary"
 	"maps"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Served is a software version that servers of a service had, both as Hashes.
@@ -45,16 +48,22 @@
 	return changed
 }
 
-// Learn adds a version that served before the start, or that another gateway has seen.
-func (h *History) Learn(s Served, now time.Time) {
-	if at, ok := h.last[s]; !ok || at.Before(now) {
-		h.last[s] = now
+// SetComplete records that all versions that served before the start have been listed since.
+func (h *History) SetComplete() { h.complete = true }
+
+// Digest returns a digest of the versions that servers had within a time before now, 0 for
+// none.
+func (h *History) Digest(within time.Duration, now time.Time) uint64 {
+	out := uint64(0)
+	for _, s := range h.Since(within, now) {
+		var b [16]byte
+		binary.LittleEndian.PutUint64(b[:8], s.Service)
+		binary.LittleEndian.PutUint64(b[8:], s.Software)
+		out ^= xxhash.Sum64(b[:])
 	}
+	return out
 }
 
-// SetComplete records that all versions that served before the start have been learned.
-func (h *History) SetComplete() { h.complete = true }
-
 // Since returns the versions that servers had within a time before now.
 func (h *History) Since(within time.Duration, now time.Time) []Served {
 	var out []Served
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,7 +18,6 @@
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/boottime"
-	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/wait"
@@ -59,8 +58,9 @@
 	UptimeMs int64 `json:"uptimeMs,omitempty"`
 	// Convictions are the losses of servers for which the gateway refuses requests.
 	Convictions []Loss `json:"convictions,omitempty"`
-	// Software are the software versions that servers had lately, nil if it isn't told.
-	Software []Served `json:"software"`
+	// Software is a digest of the software versions that servers had lately, hexadecimal, as
+	// not every JSON decoder keeps 64 bits.
+	Software string `json:"software,omitempty"`
 	// Renewals counts the renewals, so that each write changes the object.
 	Renewals uint64 `json:"renewals"`
 }
@@ -122,9 +122,9 @@
 	// convictions and learn are those of ShareConvictions.
 	convictions func(limit int) []blame.Loss
 	learn       func(blame.Loss) bool
-	// served and learnServed are those of ShareSoftware.
-	served      func() []origin.Served
-	learnServed func([]origin.Served, bool)
+	// softwareDigest and learnSoftware are those of ShareSoftware.
+	softwareDigest func() uint64
+	learnSoftware  func(digests []uint64)
 }
 
 // New returns the Members of the gateway self; Run starts it.
@@ -133,7 +133,7 @@
 		store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{},
 		readRequests: make(chan struct{}, 1), renewRequests: make(chan struct{}, 1),
 		convictions: func(int) []blame.Loss { return nil }, learn: func(blame.Loss) bool { return false },
-		served: func() []origin.Served { return nil }, learnServed: func([]origin.Served, bool) {},
+		softwareDigest: func() uint64 { return 0 }, learnSoftware: func([]uint64) {},
 	}
 }
 
@@ -239,12 +239,12 @@
 // next reading finds that version.
 func (m *Members) renew(ctx context.Context) error {
 	losses := m.convictions(maxConvictionLosses)
-	served := m.served()
+	software := m.softwareDigest()
 	m.mu.Lock()
 	m.self.Renewals++
 	m.self.UptimeMs = (boottime.Now() - m.started).Milliseconds()
 	m.self.Convictions = encodeLosses(losses)
-	m.self.Software = encodeServed(served)
+	m.self.Software = formatDigest(software)
 	self, version := m.self, m.version
 	m.mu.Unlock()
 	spec, err := json.Marshal(self)
@@ -287,7 +287,7 @@
 		m.learn(x)
 	}
 	if first {
-		m.learnServed(decodeServed(m.readPeers()))
+		m.learnSoftware(m.readDigests())
 	}
 }
 
@@ -298,13 +298,14 @@
 	return m.lastRead.IsZero()
 }
 
-// readPeers returns all gateways as last read, this one's predecessor among them.
-func (m *Members) readPeers() []Peer {
+// readDigests returns the digests of all gateways as last read, this one's predecessor among
+// them.
+func (m *Members) readDigests() []uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []Peer
+	var out []uint64
 	for _, o := range m.observed {
-		out = append(out, o.peer)
+		out = append(out, parseDigest(o.peer.Software))
 	}
 	return out
 }
--- a/internal/peers/software.go
+++ b/internal/peers/software.go
@@ -1,50 +1,12 @@
 package peers
 
-import (
-	"strconv"
+import "strconv"
 
-	"jayford.example/jayford/internal/origin"
-)
-
-// Served is a software version that servers of a service had lately, as stored. Both are
-// hexadecimal hashes.
-type Served struct {
-	Service  string `json:"service"`
-	Software string `json:"software"`
-}
-
-func encodeServed(list []origin.Served) []Served {
-	out := make([]Served, 0, len(list))
-	for _, s := range list {
-		out = append(out, Served{strconv.FormatUint(s.Service, 16), strconv.FormatUint(s.Software, 16)})
-	}
-	return out
-}
-
-// decodeServed returns the versions in all gateways' objects, and whether each object has
-// them.
-func decodeServed(list []Peer) (out []origin.Served, complete bool) {
-	complete = true
-	for _, p := range list {
-		complete = complete && p.Software != nil
-		for _, s := range p.Software {
-			service, errService := strconv.ParseUint(s.Service, 16, 64)
-			software, errSoftware := strconv.ParseUint(s.Software, 16, 64)
-			if errService != nil || errSoftware != nil {
-				complete = false
-				continue
-			}
-			out = append(out, origin.Served{Service: service, Software: software})
-		}
-	}
-	return out, complete
-}
-
-// ShareSoftware makes the gateway's object carry the software versions that servers had
-// lately, which served returns. The first reading passes those in all objects, also of earlier processes, to
-// learn, and whether all objects had them. It must be called before Run.
-func (m *Members) ShareSoftware(served func() []origin.Served, learn func(served []origin.Served, complete bool)) {
-	m.served, m.learnServed = served, learn
+// ShareSoftware makes the gateway's object carry a digest of the software versions that
+// servers had lately, which digest returns. The first reading passes those in all objects,
+// also of earlier processes, to learn; an object without one is passed as 0. It must be called before Run.
+func (m *Members) ShareSoftware(digest func() uint64, learn func(digests []uint64)) {
+	m.softwareDigest, m.learnSoftware = digest, learn
 }
 
 // RequestRenewal requests a renewal of this gateway's object out of turn. It never blocks.
@@ -54,3 +16,14 @@
 	default:
 	}
 }
+
+func formatDigest(d uint64) string { return strconv.FormatUint(d, 16) }
+
+// parseDigest returns 0 for what isn't a digest.
+func parseDigest(text string) uint64 {
+	d, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return d
+}
