--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -15,6 +15,7 @@
 //   - In any window all gateways together send a service a bounded number of arrivals beyond
 //     the first of each request. Each is taken from the budget before it is sent.
 //   - A request that crashes the servers that run it is refused by all gateways.
+//   - A stream that has begun goes on only at the software version that began it.
 //
 // All state is in memory and can be lost at any time, except which requests crash servers:
 // that is part of the gateways' objects in the platform.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,9 @@
 	g := &Gateway{
 		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
 		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
-		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), crashes: newCrashes(o.Board, o.Log.WithField("part", "gateway")),
+		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(),
 	}
+	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
 	g.software = newSoftwareVersions(o.Board, time.Now())
 	g.origins = origin.NewExchange(origin.Options{Gateways: func() []string { return nil }})
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -109,7 +109,7 @@
 	defer v.mu.Unlock()
 	out := versionsDump{Streams: map[string]map[string]int{}}
 	for _, s := range v.history.Since(sharedWithin, time.Now()) {
-		out.Versions = append(out.Versions, versionDump{v.names[s.Service], logged(v.names[s.Software]), v.listed[s]})
+		out.Versions = append(out.Versions, versionDump{v.names[s.Service], v.names[s.Software], v.listed[s]})
 	}
 	for service, counts := range v.streams {
 		out.Streams[service] = maps.Clone(counts)
@@ -143,7 +143,7 @@
 		c := &list.all[i]
 		s := origin.Served{Service: origin.Hash(c.Service), Software: c.software}
 		if listed[s] == 0 {
-			v.names[s.Service], v.names[s.Software] = c.Service, c.Software
+			v.names[s.Service], v.names[s.Software] = c.Service, logged(c.Software)
 		}
 		listed[s]++
 	}
@@ -157,12 +157,22 @@
 	v.listed = listed
 	changed := v.history.Update(listed, now)
 	v.compareLocked(now)
+	v.pruneNamesLocked(now)
 	return changed && !first
 }
 
+// pruneNamesLocked drops the names of versions that are no longer remembered.
+func (v *softwareVersions) pruneNamesLocked(now time.Time) {
+	kept := map[uint64]bool{}
+	for _, s := range v.history.Since(origin.HistoryTTL, now) {
+		kept[s.Service], kept[s.Software] = true, true
+	}
+	maps.DeleteFunc(v.names, func(h uint64, _ string) bool { return !kept[h] })
+}
+
 // softwareServers is the number of listed servers of a version.
 func softwareServers(service, software string) *metrics.Gauge {
-	return metrics.GetOrCreateGauge(fmt.Sprintf("jayford_gateway_software_servers{service=%q,software=%q}", service, logged(software)), nil)
+	return metrics.GetOrCreateGauge(fmt.Sprintf("jayford_gateway_software_servers{service=%q,software=%q}", service, software), nil)
 }
 
 // sharedWithin is how long ago a version that this gateway tells others of was last listed,
@@ -329,11 +339,11 @@
 	})
 }
 
-// name returns the name of a version as it is logged.
+// name returns the name of a version as it is logged, "" if it is forgotten.
 func (v *softwareVersions) name(software uint64) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return logged(v.names[software])
+	return v.names[software]
 }
 
 // resumptions counts the streams that were to be resumed.
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -166,7 +166,7 @@
 }
 
 // maxTTL bounds the time that a peer's record asks for.
-const maxTTL = historyTTL
+const maxTTL = HistoryTTL
 
 func (e *Exchange) put(r Record, ttl time.Duration) {
 	e.mu.Lock()
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -22,9 +22,9 @@
 	last   map[Served]time.Time
 }
 
-// historyTTL is how long a version that is no longer listed is remembered. It exceeds the
+// HistoryTTL is how long a version that is no longer listed is remembered. It exceeds the
 // life of any stream.
-const historyTTL = 10 * time.Minute
+const HistoryTTL = 10 * time.Minute
 
 // NewHistory returns the History of a process that starts at a time.
 func NewHistory(started time.Time) *History {
@@ -44,7 +44,7 @@
 		changed = changed || h.listed[s] == 0
 	}
 	h.listed = maps.Clone(listed)
-	maps.DeleteFunc(h.last, func(s Served, at time.Time) bool { return h.listed[s] == 0 && now.Sub(at) > historyTTL })
+	maps.DeleteFunc(h.last, func(s Served, at time.Time) bool { return h.listed[s] == 0 && now.Sub(at) > HistoryTTL })
 	return changed
 }
 
