--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 // Origins keeps which software version began each stream. origin.Exchange implements it.
@@ -77,8 +79,8 @@
 	names   map[uint64]string
 	// streams counts the resumptions, by service, way and outcome.
 	streams map[string]map[string]int
-	// earlier has the digests of LearnSoftware once learned is set, and complete is whether
-	// the listed versions have had the same.
+	// earlier has the digests of LearnSoftware once learned is set. complete is whether it is
+	// known what served before the start.
 	earlier           []uint64
 	learned, complete bool
 	// onChange is called when a version came or went; it is set before use.
@@ -179,39 +181,71 @@
 // at most. It exceeds streamLife of usual routes.
 const sharedWithin = time.Minute
 
-// SoftwareDigest returns a digest of the software versions that servers had lately.
+// SoftwareDigest returns a digest of the software versions that servers had lately, 0 if it
+// isn't known which these are.
 func (g *Gateway) SoftwareDigest() uint64 {
 	g.software.mu.Lock()
 	defer g.software.mu.Unlock()
-	return g.software.history.Digest(sharedWithin, time.Now())
+	now := time.Now()
+	if !g.software.history.IsComplete(sharedWithin, now) {
+		return 0
+	}
+	return g.software.history.Digest(sharedWithin, now)
 }
 
-// LearnSoftware sets the digests that gateways had before this process started, none if there
-// was no gateway. What served before is known once the listed versions have the same one.
-func (g *Gateway) LearnSoftware(digests []uint64) {
-	g.software.mu.Lock()
-	defer g.software.mu.Unlock()
-	g.software.learned, g.software.earlier = true, digests
-	g.software.compareLocked(time.Now())
-	g.log.WithFields(logrus.Fields{"gateways": len(digests), "known": g.software.complete}).Info("gateway: earlier software versions read.")
+// LearnSoftware sets the digests that other gateways, and earlier processes of this one, have
+// stored. A process that finds no gateway at its start knows that no stream began before.
+// Otherwise what served before is known once all digests are that of the listed versions.
+func (g *Gateway) LearnSoftware(digests []uint64, anyGateway bool) {
+	v := g.software
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.complete {
+		return
+	}
+	first := !v.learned
+	v.learned, v.earlier = true, digests
+	if first && !anyGateway {
+		v.setCompleteLocked()
+	}
+	v.compareLocked(time.Now())
+	g.log.WithFields(logrus.Fields{"digests": len(digests), "known": v.complete}).Info("gateway: earlier software versions read.")
 }
 
 // compareLocked completes the history if the versions listed now are those that served
 // before the start.
 func (v *softwareVersions) compareLocked(now time.Time) {
-	if v.complete || !v.learned {
+	if v.complete || len(v.earlier) == 0 {
 		return
 	}
 	current := v.history.Digest(0, now)
-	for _, d := range v.earlier {
-		if d == 0 || d != current {
-			return
-		}
+	if slices.ContainsFunc(v.earlier, func(d uint64) bool { return d != current }) {
+		return
 	}
+	v.setCompleteLocked()
+}
+
+func (v *softwareVersions) setCompleteLocked() {
 	v.complete = true
 	v.history.SetComplete()
 }
 
+// waitLearned waits until the other gateways' digests have been read, for origin.MaxWait at
+// most: callers come back within milliseconds of a start.
+func (v *softwareVersions) waitLearned(ctx context.Context) {
+	for until := time.Now().Add(origin.MaxWait); !v.hasLearned() && time.Now().Before(until); {
+		if !wait.Sleep(ctx, loadPollInterval) {
+			return
+		}
+	}
+}
+
+func (v *softwareVersions) hasLearned() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.learned
+}
+
 // OnSoftwareChange registers f, which is called when a software version comes or goes. It
 // must be called before the first list of servers.
 func (g *Gateway) OnSoftwareChange(f func()) { g.software.onChange = f }
@@ -256,6 +290,7 @@
 	stream := origin.Hash(x.Resumes)
 	r, ok := g.origins.Local(stream)
 	if !g.applyOrigin(j, r, ok) {
+		g.software.waitLearned(ctx)
 		j.software = g.software.sole(origin.Hash(j.service.Name), streamLife(j.route))
 	}
 	if j.software == 0 && stream != 0 {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -124,7 +124,7 @@
 	learn       func(blame.Loss) bool
 	// softwareDigest and learnSoftware are those of ShareSoftware.
 	softwareDigest func() uint64
-	learnSoftware  func(digests []uint64)
+	learnSoftware  func(digests []uint64, any bool)
 }
 
 // New returns the Members of the gateway self; Run starts it.
@@ -133,7 +133,7 @@
 		store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{},
 		readRequests: make(chan struct{}, 1), renewRequests: make(chan struct{}, 1),
 		convictions: func(int) []blame.Loss { return nil }, learn: func(blame.Loss) bool { return false },
-		softwareDigest: func() uint64 { return 0 }, learnSoftware: func([]uint64) {},
+		softwareDigest: func() uint64 { return 0 }, learnSoftware: func([]uint64, bool) {},
 	}
 }
 
@@ -282,30 +282,22 @@
 
 // apply updates the view from the objects of all gateways as read at now.
 func (m *Members) apply(objects []platform.Object, now time.Time) {
-	first := m.isFirstReading()
 	for _, x := range m.update(objects, now) {
 		m.learn(x)
 	}
-	if first {
-		m.learnSoftware(m.readDigests())
-	}
-}
-
-// isFirstReading reports whether nothing has been read yet.
-func (m *Members) isFirstReading() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.lastRead.IsZero()
+	m.learnSoftware(m.readDigests(), len(objects) > 0)
 }
 
-// readDigests returns the digests of all gateways as last read, this one's predecessor among
-// them.
+// readDigests returns the digests of the gateways that have one, as last read, this one's
+// predecessor among them.
 func (m *Members) readDigests() []uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []uint64
 	for _, o := range m.observed {
-		out = append(out, parseDigest(o.peer.Software))
+		if d := parseDigest(o.peer.Software); d != 0 {
+			out = append(out, d)
+		}
 	}
 	return out
 }
