--- a/internal/ctl/quotas.go
+++ b/internal/ctl/quotas.go
@@ -45,28 +45,42 @@
 		return err
 	}
 	all := map[string]*OrganisationQuota{}
-	for _, address := range cmd.Operators {
-		answer, err := cmd.client.fetch(address, pathDump, nil)
+	err := eachDump(cmd.client, cmd.Operators, func(d gatewayDump) { d.addTo(all) })
+	if err != nil {
+		return err
+	}
+	list := slices.SortedFunc(maps.Values(all), func(a, b *OrganisationQuota) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	return cmd.client.print(list, func(w io.Writer) error { return writeQuotas(w, list) })
+}
+
+// addTo adds what one gateway has to the organisations.
+func (d gatewayDump) addTo(all map[string]*OrganisationQuota) {
+	for name, q := range d.Quotas {
+		o := all[name]
+		if o == nil {
+			o = &OrganisationQuota{Organisation: name}
+			all[name] = o
+		}
+		o.PerSecond, o.Burst = q.PerSecond, q.Burst
+		o.Used, o.Held, o.Refused = o.Used+q.Used, o.Held+q.Held, o.Refused+q.Refused
+		o.ListAgeSeconds = max(o.ListAgeSeconds, q.ListAge)
+	}
+}
+
+// eachDump calls f with the state dump of each process.
+func eachDump[T any](c *client, operators []string, f func(T)) error {
+	for _, address := range operators {
+		answer, err := c.fetch(address, pathDump, nil)
 		if err != nil {
 			return err
 		}
-		var dump gatewayDump
+		var dump T
 		if err := json.Unmarshal(answer, &dump); err != nil {
 			return eris.Wrapf(errInvalid, "%s%s: %v", address, pathDump, err)
 		}
-		for name, q := range dump.Quotas {
-			o := all[name]
-			if o == nil {
-				o = &OrganisationQuota{Organisation: name}
-				all[name] = o
-			}
-			o.PerSecond, o.Burst = q.PerSecond, q.Burst
-			o.Used, o.Held, o.Refused = o.Used+q.Used, o.Held+q.Held, o.Refused+q.Refused
-			o.ListAgeSeconds = max(o.ListAgeSeconds, q.ListAge)
-		}
+		f(dump)
 	}
-	list := slices.SortedFunc(maps.Values(all), func(a, b *OrganisationQuota) int { return cmp.Compare(a.Organisation, b.Organisation) })
-	return cmd.client.print(list, func(w io.Writer) error { return writeQuotas(w, list) })
+	return nil
 }
 
 func writeQuotas(w io.Writer, list []*OrganisationQuota) error {
--- a/internal/ctl/versions.go
+++ b/internal/ctl/versions.go
@@ -2,14 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"text/tabwriter"
-
-	"github.com/rotisserie/eris"
 )
 
 type versionsCommand struct {
@@ -45,23 +42,16 @@
 		return err
 	}
 	all := map[string]*ServiceVersions{}
-	for _, address := range cmd.Operators {
-		answer, err := cmd.client.fetch(address, pathDump, nil)
-		if err != nil {
-			return err
-		}
-		var dump softwareDump
-		if err := json.Unmarshal(answer, &dump); err != nil {
-			return eris.Wrapf(errInvalid, "%s%s: %v", address, pathDump, err)
-		}
-		dump.addTo(all)
+	err := eachDump(cmd.client, cmd.Operators, func(d softwareDump) { d.addTo(all) })
+	if err != nil {
+		return err
 	}
 	list := slices.SortedFunc(maps.Values(all), func(a, b *ServiceVersions) int { return cmp.Compare(a.Service, b.Service) })
 	return cmd.client.print(list, func(w io.Writer) error { return writeVersions(w, list) })
 }
 
 // addTo adds what one gateway has to the services.
-func (d *softwareDump) addTo(all map[string]*ServiceVersions) {
+func (d softwareDump) addTo(all map[string]*ServiceVersions) {
 	of := func(name string) *ServiceVersions {
 		if all[name] == nil {
 			all[name] = &ServiceVersions{Service: name, Servers: map[string]int{}, Streams: map[string]int{}}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,49 +14,11 @@
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/origin"
-	"jayford.example/jayford/internal/verdict"
 	"jayford.example/jayford/internal/wait"
 )
 
-// Origins keeps which software version began each stream. origin.Exchange implements it.
-type Origins interface {
-	// Tell stores a record for a time, here and at other gateways.
-	Tell(r origin.Record, ttl time.Duration)
-	// Local returns the record of a stream if this gateway has it, Ask asks others for it.
-	Local(stream uint64) (origin.Record, bool)
-	Ask(ctx context.Context, stream uint64) (origin.Record, bool)
-	// Len returns the number of records held.
-	Len() int
-}
-
-const (
-	// maxLoggedSoftware bounds a software version in logs, in bytes.
-	maxLoggedSoftware = 64
-	// streamLifeTimeouts is for how many timeouts of its route a stream may be taken up
-	// again: one for the stream, one for its caller's patience.
-	streamLifeTimeouts = 2
-	// unknownStreamRetryAfter is the Retry-After for a stream whose version wasn't learned:
-	// the gateways that know it may be reachable by then.
-	unknownStreamRetryAfter = time.Second
-)
-
-// Outcomes of resumptions, in logs and metrics.
-const (
-	resumed              = "resumed"
-	resumeVersionUnknown = "version-unknown"
-	resumeNoServer       = "no-server"
-	resumeOtherVersion   = "other-version"
-)
-
-// Ways to resume a stream: by its caller's own attempt, or within its answer.
-const (
-	byCaller     = "caller"
-	withinAnswer = "answer"
-)
-
-// errOtherSoftware ends a stream whose server turned out to have another software version
-// than the one that began it.
-var errOtherSoftware = errors.New("gateway: the server has another software version than the one that began the stream")
+// maxLoggedSoftware bounds a software version in logs, in bytes.
+const maxLoggedSoftware = 64
 
 // logged returns a software version as it is logged.
 func logged(software string) string {
@@ -67,9 +28,6 @@
 	return software[:maxLoggedSoftware] + "..."
 }
 
-// streamLife returns for how long a stream of the route may be taken up again.
-func streamLife(r *catalog.Route) time.Duration { return streamLifeTimeouts * r.Timeout }
-
 // softwareVersions has the versions that servers have and lately had.
 type softwareVersions struct {
 	mu sync.Mutex
@@ -258,122 +216,6 @@
 	return v.history.Sole(service, within, time.Now())
 }
 
-// mayRun reports whether a job may run at a server: a stream that has begun goes on only at
-// the software version that began it.
-func (j *job) mayRun(s *candidate) bool {
-	return !j.begun || j.software != 0 && j.software == s.software
-}
-
-// decodeEngines returns the engines that may decode the job's generation.
-func (g *Gateway) decodeEngines(j *job) []candidate {
-	list := g.view.list().usable(j.service.Name, catalog.Decode)
-	if !j.begun {
-		return list
-	}
-	var out []candidate
-	for i := range list {
-		if j.mayRun(&list[i]) {
-			out = append(out, list[i])
-		}
-	}
-	return out
-}
-
-// findOrigin finds the version that began the stream which a caller takes up again, and the
-// service if the route has several. It returns the refusal of a stream whose version isn't known.
-func (g *Gateway) findOrigin(ctx context.Context, j *job) *verdict.Error {
-	x := j.r.Generation
-	if x == nil || x.LastEventID == "" && x.Resumes == "" {
-		return nil
-	}
-	j.begun = true
-	stream := origin.Hash(x.Resumes)
-	r, ok := g.origins.Local(stream)
-	if !g.applyOrigin(j, r, ok) {
-		g.software.waitLearned(ctx)
-		j.software = g.software.sole(origin.Hash(j.service.Name), streamLife(j.route))
-	}
-	if j.software == 0 && stream != 0 {
-		r, ok = g.origins.Ask(ctx, stream)
-		g.applyOrigin(j, r, ok)
-	}
-	if j.software != 0 {
-		return nil
-	}
-	g.logNotResumed(j, byCaller, resumeVersionUnknown)
-	return verdict.New(
-		verdict.NotRun, verdict.NoServer, "It isn't known which software version began the stream.",
-	).WithRetryAfter(unknownStreamRetryAfter)
-}
-
-// applyOrigin applies a record that was found, and reports whether it is of the job's stream:
-// of the same content, and at a service of its route.
-func (g *Gateway) applyOrigin(j *job, r origin.Record, found bool) bool {
-	if !found || r.Content != j.fingerprint {
-		return false
-	}
-	c := g.Config()
-	for _, t := range j.route.Targets {
-		if origin.Hash(t.Service) != r.Service || t.Weight <= 0 {
-			continue
-		}
-		if s, ok := c.Services[t.Service]; ok {
-			j.service, j.software = s, r.Software
-			return true
-		}
-	}
-	return false
-}
-
-// noVersionError returns the refusal of a stream that no server can go on with now, nil if
-// one can.
-func (g *Gateway) noVersionError(j *job, engines []candidate) *verdict.Error {
-	if !j.begun || len(engines) > 0 {
-		return nil
-	}
-	g.logNotResumed(j, byCaller, resumeNoServer)
-	return verdict.New(
-		verdict.NotRun, verdict.NoServer, "No server of the software version that began the stream takes work.",
-	).WithRetryAfter(noServerRetryAfter)
-}
-
-// admitFirstEvent is called with the first event of each server of a stream, before it is
-// passed on. It fixes the version of a stream that begins, and returns an error if one that goes
-// on does so at another: between the choice and now, the server may have started again under its
-// id.
-func (s *stream) admitFirstEvent() error {
-	j := s.j
-	software := s.g.view.softwareOf(s.reservation.server)
-	way := withinAnswer
-	if s.lastEventAt.IsZero() {
-		way = byCaller
-	}
-	switch {
-	case !j.begun:
-		j.begun, j.software = true, software
-	case j.software == 0 || j.software != software:
-		s.g.logNotResumed(j, way, resumeOtherVersion)
-		return errOtherSoftware
-	default:
-		s.g.software.count(j.service.Name, way, resumed)
-	}
-	if way == byCaller && j.route.Resume {
-		s.g.origins.Tell(origin.Record{
-			Stream: origin.Hash(j.r.ID), Content: j.fingerprint, Service: origin.Hash(j.service.Name), Software: j.software,
-		}, streamLife(j.route))
-	}
-	return nil
-}
-
-// logNotResumed logs and counts a stream that couldn't be resumed.
-func (g *Gateway) logNotResumed(j *job, way, why string) {
-	g.software.count(j.service.Name, way, why)
-	g.logRequest(j, "gateway: stream can't be resumed.", logrus.Fields{
-		"way": way, "why": why, "resumes": j.r.Generation.Resumes, "last": j.r.Generation.LastEventID,
-		"service": j.service.Name, "software": g.software.name(j.software),
-	})
-}
-
 // name returns the name of a version as it is logged, "" if it is forgotten.
 func (v *softwareVersions) name(software uint64) string {
 	v.mu.Lock()
@@ -381,11 +223,6 @@
 	return v.names[software]
 }
 
-// resumptions counts the streams that were to be resumed.
-func resumptions(service, way, outcome string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_stream_resumptions_total{service=%q,way=%q,outcome=%q}", service, way, outcome))
-}
-
 // softwareOf returns the software version of a server's entry, or of the server as it was
 // chosen if it is no longer listed.
 func (v *view) softwareOf(s catalog.Server) uint64 {
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -77,13 +77,6 @@
 	return e.table.Get(stream, time.Now())
 }
 
-// Len returns the number of records held.
-func (e *Exchange) Len() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.table.Len()
-}
-
 // Ask asks the stream's holders for its record and waits for the first that has it, for
 // MaxWait at most.
 func (e *Exchange) Ask(ctx context.Context, stream uint64) (Record, bool) {
