--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -124,7 +124,7 @@
 	learn       func(blame.Loss) bool
 	// softwareDigest and learnSoftware are those of ShareSoftware.
 	softwareDigest func() uint64
-	learnSoftware  func(digests []uint64, any bool)
+	learnSoftware  func(digests []uint64, found bool)
 }
 
 // New returns the Members of the gateway self; Run starts it.
