A gateway whose list is old, or short, takes no version for the only one

What callers would see: events of two versions, from a gateway that is cut off from the platform during a release: it lists the old version alone, and let every stream that it didn't know go on there, without asking the others. Cause: that one version serves was concluded before other gateways were asked, from a list whatever its age; a process counted its history from its start and not from its first list; the digests covered a minute, less than a stream of a route with a long timeout lasts. Ruled out: that the entry's check at the first event catches it, as that reads the same old list.

Others are asked first, and a question that nobody answers isn't one that says no. A gateway that hasn't heard the platform for as long as entries take to lapse (3.5 s) concludes nothing while a peer reports contact. History counts from the first list, and what served is remembered, told and compared for ten minutes; for streams that last longer nothing is concluded.

TestGatewayWithAnOldListDoesNotGuessVersions, TestPeersAreAskedBeforeAVersionIsTakenForTheOnlyOne and TestHistoryCountsFromTheFirstList failed before.

--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// maxAnswerGap is the longest pause between two answers in which no outage can have
+// MaxAnswerGap is the longest pause between two answers in which no outage can have
 // made entries lapse: they lapse after three heartbeats.
-const maxAnswerGap = 3500 * time.Millisecond
+const MaxAnswerGap = 3500 * time.Millisecond
 
 // Availability tracks for how long the platform has answered a process without a pause
-// longer than maxAnswerGap and without an outage that the process noticed. Followers may
+// longer than MaxAnswerGap and without an outage that the process noticed. Followers may
 // share one. The zero value counts as not answered.
 type Availability struct {
 	mu sync.Mutex
@@ -24,7 +24,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	inOutage := !a.failing.IsZero() && now.Sub(a.failing) >= outageThreshold
-	if inOutage || now.Sub(a.last) > maxAnswerGap {
+	if inOutage || now.Sub(a.last) > MaxAnswerGap {
 		a.since = now
 	}
 	a.last, a.failing = now, time.Time{}
@@ -39,11 +39,18 @@
 	}
 }
 
+// LastAnswer returns when the platform last answered, zero if it never did.
+func (a *Availability) LastAnswer() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last
+}
+
 // AvailableFor returns for how long the platform has been answering at now, or 0 if it isn't.
 func (a *Availability) AvailableFor(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.failing.IsZero() || now.Sub(a.last) > maxAnswerGap {
+	if !a.failing.IsZero() || now.Sub(a.last) > MaxAnswerGap {
 		return 0
 	}
 	return now.Sub(a.since)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,7 +43,7 @@
 	Store platform.Store
 	Kind  string
 	// Wait bounds one watch; a half-open connection is detected after it. If Availability
-	// is set, watches without changes must be answered within maxAnswerGap.
+	// is set, watches without changes must be answered within MaxAnswerGap.
 	Wait  time.Duration
 	Apply func(Update)
 	// Confirmed is called after the content of an answer was applied, with the boot time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 	}
 	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
-	g.software = newSoftwareVersions(o.Board, time.Now())
+	g.software = newSoftwareVersions(o.Board)
 	g.origins = origin.NewExchange(origin.Options{Gateways: func() []string { return nil }})
 	g.limits = newLimits(o.ID, o.Board, g.log)
 	g.pauses = newPauses(o.Board, g.log)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -20,7 +21,7 @@
 	Tell(r origin.Record, ttl time.Duration)
 	// Local returns the record of a stream if this gateway has it, Ask asks others for it.
 	Local(stream uint64) (origin.Record, bool)
-	Ask(ctx context.Context, stream uint64) (origin.Record, bool)
+	Ask(ctx context.Context, stream uint64) (origin.Record, error)
 }
 
 const (
@@ -82,16 +83,14 @@
 		return nil
 	}
 	j.begun = true
-	stream := origin.Hash(x.Resumes)
-	r, ok := g.origins.Local(stream)
-	if !g.applyOrigin(j, r, ok) {
+	r, err := g.findRecord(ctx, origin.Hash(x.Resumes))
+	switch {
+	case err == nil && r.Content == j.fingerprint:
+		g.applyRecord(j, r)
+	case g.listIsCurrent(err):
 		g.software.waitLearned(ctx)
 		j.software = g.software.sole(origin.Hash(j.service.Name), streamLife(j.route))
 	}
-	if j.software == 0 && stream != 0 {
-		r, ok = g.origins.Ask(ctx, stream)
-		g.applyOrigin(j, r, ok)
-	}
 	if j.software != 0 {
 		return nil
 	}
@@ -101,23 +100,38 @@
 	).WithRetryAfter(unknownStreamRetryAfter)
 }
 
-// applyOrigin applies a record that was found, and reports whether it is of the job's stream:
-// of the same content, and at a service of its route.
-func (g *Gateway) applyOrigin(j *job, r origin.Record, found bool) bool {
-	if !found || r.Content != j.fingerprint {
-		return false
+// findRecord returns the record of a stream that this gateway or another one has. stream is 0
+// if the caller doesn't say which one it is.
+func (g *Gateway) findRecord(ctx context.Context, stream uint64) (origin.Record, error) {
+	if stream == 0 {
+		return origin.Record{}, origin.ErrUnknown
+	}
+	if r, ok := g.origins.Local(stream); ok {
+		return r, nil
 	}
+	return g.origins.Ask(ctx, stream)
+}
+
+// listIsCurrent reports whether no other gateway can know of a server that isn't listed here.
+// err is the result of a question to the other gateways.
+func (g *Gateway) listIsCurrent(err error) bool {
+	last := g.platformAvailability.LastAnswer()
+	if time.Since(last) <= follow.MaxAnswerGap || g.loads.peers == nil {
+		return true
+	}
+	return !errors.Is(err, origin.ErrNoAnswer) && g.loads.peers.PlatformReachableSince(last).IsZero()
+}
+
+// applyRecord applies the record of the job's stream. A route may have several services: the
+// stream goes on at the one that began it.
+func (g *Gateway) applyRecord(j *job, r origin.Record) {
 	c := g.Config()
 	for _, t := range j.route.Targets {
-		if origin.Hash(t.Service) != r.Service || t.Weight <= 0 {
-			continue
-		}
-		if s, ok := c.Services[t.Service]; ok {
+		s, ok := c.Services[t.Service]
+		if ok && t.Weight > 0 && origin.Hash(t.Service) == r.Service {
 			j.service, j.software = s, r.Software
-			return true
 		}
 	}
-	return false
 }
 
 // noVersionError returns the refusal of a stream that no server can go on with now, nil if
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -45,8 +45,8 @@
 	onChange func()
 }
 
-func newSoftwareVersions(b *board.Board, now time.Time) *softwareVersions {
-	v := &softwareVersions{history: origin.NewHistory(now), names: map[uint64]string{}, streams: map[string]map[string]int{}, onChange: func() {}}
+func newSoftwareVersions(b *board.Board) *softwareVersions {
+	v := &softwareVersions{history: origin.NewHistory(), names: map[uint64]string{}, streams: map[string]map[string]int{}, onChange: func() {}}
 	b.AddView("versions", v.dump)
 	return v
 }
@@ -68,7 +68,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := versionsDump{Streams: map[string]map[string]int{}}
-	for _, s := range v.history.Since(sharedWithin, time.Now()) {
+	for _, s := range v.history.Since(origin.HistoryTTL, time.Now()) {
 		out.Versions = append(out.Versions, versionDump{v.names[s.Service], v.names[s.Software], v.listed[s]})
 	}
 	for service, counts := range v.streams {
@@ -135,20 +135,16 @@
 	return metrics.GetOrCreateGauge(fmt.Sprintf("jayford_gateway_software_servers{service=%q,software=%q}", service, software), nil)
 }
 
-// sharedWithin is how long ago a version that this gateway tells others of was last listed,
-// at most. It exceeds streamLife of usual routes.
-const sharedWithin = time.Minute
-
 // SoftwareDigest returns a digest of the software versions that servers had lately, 0 if it
 // isn't known which these are.
 func (g *Gateway) SoftwareDigest() uint64 {
 	g.software.mu.Lock()
 	defer g.software.mu.Unlock()
 	now := time.Now()
-	if !g.software.history.IsComplete(sharedWithin, now) {
+	if !g.software.history.IsComplete(origin.HistoryTTL, now) {
 		return 0
 	}
-	return g.software.history.Digest(sharedWithin, now)
+	return g.software.history.Digest(origin.HistoryTTL, now)
 }
 
 // LearnSoftware sets the digests that other gateways, and earlier processes of this one, have
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -147,8 +147,11 @@
 	other Origins
 }
 
-func (s sharedOrigins) Ask(_ context.Context, stream uint64) (origin.Record, bool) {
-	return s.other.Local(stream)
+func (s sharedOrigins) Ask(_ context.Context, stream uint64) (origin.Record, error) {
+	if r, ok := s.other.Local(stream); ok {
+		return r, nil
+	}
+	return origin.Record{}, origin.ErrUnknown
 }
 
 // Guards against a stream that can't go on, or goes on at another version, because its caller
@@ -188,7 +191,7 @@
 func TestStartedGatewayDoesNotGuessVersions(t *testing.T) {
 	digest := func(servers []catalog.Server) uint64 {
 		g := newGateway(t, &fakeBackend{})
-		g.software = newSoftwareVersions(board.New(), time.Now())
+		g.software = newSoftwareVersions(board.New())
 		g.LearnSoftware(nil, false)
 		g.SetServers(servers)
 		return g.SoftwareDigest()
@@ -209,7 +212,7 @@
 			f := &fakeBackend{}
 			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
 			g := newGateway(t, f)
-			g.software = newSoftwareVersions(board.New(), time.Now())
+			g.software = newSoftwareVersions(board.New())
 			assert.Equal(t, g.SoftwareDigest(), uint64(0), "it vouches for what it doesn't know")
 			g.LearnSoftware(c.earlier, c.gateways)
 			g.SetServers(serversOf("v1", "v1", "v1"))
@@ -244,3 +247,51 @@
 	assert.Equal(t, string(body), "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 	reply.discard()
 }
+
+// Guards against a guess by a gateway that is cut off from the platform: it lists one version,
+// while another one has come that its peers know of.
+func TestGatewayWithAnOldListDoesNotGuessVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		peerInContact, goesOn bool
+	}{
+		"a peer reaches the platform": {true, false},
+		"nobody reaches the platform": {false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeBackend{}
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+			g := newGateway(t, f)
+			g.SetServers(serversOf("v1", "v1", "v1"))
+			contact := peerContact{reportedAt: time.Now()}
+			if c.peerInContact {
+				contact.since = time.Now().Add(-time.Minute)
+			}
+			g.Join(contact)
+			r := generation("/stream/x")
+			r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
+			reply, err := g.Serve(t.Context(), r)
+			assert.Equal(t, err == nil, c.goesOn)
+			if err == nil {
+				reply.discard()
+			}
+		})
+	}
+}
+
+// Guards against a guess where another gateway knows which version began the stream.
+func TestPeersAreAskedBeforeAVersionIsTakenForTheOnlyOne(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	first, second := newGateway(t, f), newGateway(t, f)
+	second.ShareOrigins(sharedOrigins{second.origins, first.origins})
+	first.SetServers(serversOf("v2", "v2", "v2"))
+	reply, err := first.Serve(t.Context(), generation("/stream/x"))
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+	r := generation("/stream/x")
+	r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r2", "2", "r1"
+	_, err = second.Serve(t.Context(), r)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+	assert.Equal(t, len(f.sends()), 1)
+}
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -61,6 +62,7 @@
 
 // Tell stores a record for a time, here and at the stream's holders.
 func (e *Exchange) Tell(r Record, ttl time.Duration) {
+	ttl = min(ttl, maxTTL)
 	e.put(r, ttl)
 	m := &pb.OriginMessage{Told: encode(r, ttl)}
 	for _, to := range e.holders(r.Stream, tellCount) {
@@ -78,8 +80,8 @@
 }
 
 // Ask asks the stream's holders for its record and waits for the first that has it, for
-// MaxWait at most.
-func (e *Exchange) Ask(ctx context.Context, stream uint64) (Record, bool) {
+// MaxWait at most. Without a record, the error says whether that is known or nobody answered.
+func (e *Exchange) Ask(ctx context.Context, stream uint64) (Record, error) {
 	open := map[string]bool{}
 	for _, to := range e.holders(stream, askCount) {
 		if to != e.opts.Self {
@@ -93,24 +95,36 @@
 	timeout := time.NewTimer(MaxWait)
 	defer timeout.Stop()
 	e.ask(open, number, stream)
+	asked := len(open)
 	for len(open) > 0 {
 		select {
 		case <-ctx.Done():
-			return Record{}, false
+			return Record{}, ErrNoAnswer
 		case <-timeout.C:
-			return Record{}, false
+			if len(open) == asked {
+				return Record{}, ErrNoAnswer
+			}
+			return Record{}, ErrUnknown
 		case <-again.C:
 			e.ask(open, number, stream)
 		case a := <-answers:
 			if a.known && a.record.Stream == stream {
-				return a.record, true
+				return a.record, nil
 			}
 			delete(open, a.from)
 		}
 	}
-	return Record{}, false
+	return Record{}, ErrUnknown
 }
 
+// Errors of Ask.
+var (
+	// ErrUnknown: no gateway that answered has a record, or there is no other gateway.
+	ErrUnknown = errors.New("origin: no gateway knows the stream")
+	// ErrNoAnswer: none of the gateways answered.
+	ErrNoAnswer = errors.New("origin: no gateway answered")
+)
+
 func (e *Exchange) ask(open map[string]bool, number uint32, stream uint64) {
 	for to := range open {
 		e.opts.Send(to, &pb.OriginMessage{Question: number, Asked: stream})
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -13,8 +13,9 @@
 
 // History knows which software versions served lately. It isn't safe for concurrent use.
 type History struct {
-	started time.Time
-	// complete: what served before the start is known too.
+	// since is when the first list was received, zero before it.
+	since time.Time
+	// complete: what served before that is known too.
 	complete bool
 	// listed are the versions of the servers listed now, with the number of these, and
 	// last when each version was last listed.
@@ -22,18 +23,20 @@
 	last   map[Served]time.Time
 }
 
-// HistoryTTL is how long a version that is no longer listed is remembered. It exceeds the
-// life of any stream.
+// HistoryTTL is how long a version that is no longer listed is remembered.
 const HistoryTTL = 10 * time.Minute
 
-// NewHistory returns the History of a process that starts at a time.
-func NewHistory(started time.Time) *History {
-	return &History{started: started, listed: map[Served]int{}, last: map[Served]time.Time{}}
+// NewHistory returns the History of a process that has no list yet.
+func NewHistory() *History {
+	return &History{listed: map[Served]int{}, last: map[Served]time.Time{}}
 }
 
 // Update sets the number of listed servers by version, and reports whether a version came or
 // went.
 func (h *History) Update(listed map[Served]int, now time.Time) bool {
+	if h.since.IsZero() {
+		h.since = now
+	}
 	changed := false
 	for s := range h.listed {
 		h.last[s] = now
@@ -48,12 +51,15 @@
 	return changed
 }
 
-// SetComplete records that all versions that served before the start have been listed since.
+// SetComplete records that all versions that served before the first list are known.
 func (h *History) SetComplete() { h.complete = true }
 
 // IsComplete reports whether all versions are known that served within a time before now.
 func (h *History) IsComplete(within time.Duration, now time.Time) bool {
-	return h.complete || now.Sub(h.started) > within
+	if h.since.IsZero() || within > HistoryTTL {
+		return false
+	}
+	return h.complete || now.Sub(h.since) > within
 }
 
 // Digest returns a digest of the versions that servers had within a time before now, 0 for
@@ -82,7 +88,7 @@
 
 // Sole returns the one version that a service's servers had within a time before now. It
 // returns 0 if they had several, one of them isn't known, or there may have been others
-// before this process started.
+// before the first list.
 func (h *History) Sole(service uint64, within time.Duration, now time.Time) uint64 {
 	if !h.IsComplete(within, now) {
 		return 0
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -52,7 +52,7 @@
 func TestSoleVersionIsTheOnlyOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const within = 28 * time.Second
-		h, now := NewHistory(start), start
+		h, now := NewHistory(), start
 		if rapid.Bool().Draw(t, "complete") {
 			h.SetComplete()
 		}
@@ -142,7 +142,9 @@
 			began := time.Now()
 			r, ok := e.Local(n + 1)
 			if !ok {
-				r, ok = e.Ask(t.Context(), n+1)
+				var err error
+				r, err = e.Ask(t.Context(), n+1)
+				ok = err == nil
 			}
 			assert.Assert(t, time.Since(began) <= MaxWait)
 			if ok {
@@ -159,10 +161,35 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(5)
 		began := time.Now()
-		_, ok := f.gateways[f.addresses[0]].Ask(t.Context(), 1)
-		assert.Assert(t, !ok)
+		_, err := f.gateways[f.addresses[0]].Ask(t.Context(), 1)
+		assert.ErrorIs(t, err, ErrUnknown)
 		assert.Equal(t, time.Since(began), time.Duration(0))
-		_, ok = newFleet(1).gateways["10.0.0.0:1"].Ask(t.Context(), 1)
-		assert.Assert(t, !ok)
+		_, err = newFleet(1).gateways["10.0.0.0:1"].Ask(t.Context(), 1)
+		assert.ErrorIs(t, err, ErrUnknown)
 	})
 }
+
+// Guards against a gateway that is cut off from all others and takes their silence for an
+// answer.
+func TestSilenceIsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5)
+		for _, a := range f.addresses[1:] {
+			f.down[a] = true
+		}
+		_, err := f.gateways[f.addresses[0]].Ask(t.Context(), 1)
+		assert.ErrorIs(t, err, ErrNoAnswer)
+	})
+}
+
+// Guards against a guess by a process that got its first list long after its start, and for
+// streams that last for longer than versions are remembered.
+func TestHistoryCountsFromTheFirstList(t *testing.T) {
+	const within = 28 * time.Second
+	h := NewHistory()
+	first := start.Add(time.Hour)
+	h.Update(map[Served]int{{1, 7}: 3}, first)
+	assert.Equal(t, h.Sole(1, within, first.Add(time.Second)), uint64(0))
+	assert.Equal(t, h.Sole(1, within, first.Add(within+time.Second)), uint64(7))
+	assert.Equal(t, h.Sole(1, HistoryTTL+time.Second, first.Add(24*time.Hour)), uint64(0))
+}
