A stream keeps its version where its route has moved to another service

What callers would see: events of another version, if an operator moves a route while its streams are broken: a record of another service counted as none, and the stream went on at whatever version serves alone there. Found by reading. Ruled out: refusing all of them, as services with the same version of their software are what operators move routes between; asked of the users. The record's version binds whichever service the route has.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -123,13 +123,14 @@
 }
 
 // applyRecord applies the record of the job's stream. A route may have several services: the
-// stream goes on at the one that began it.
+// stream goes on at the one that began it, or at the same version where the route has moved.
 func (g *Gateway) applyRecord(j *job, r origin.Record) {
+	j.software = r.Software
 	c := g.Config()
 	for _, t := range j.route.Targets {
 		s, ok := c.Services[t.Service]
 		if ok && t.Weight > 0 && origin.Hash(t.Service) == r.Service {
-			j.service, j.software = s, r.Software
+			j.service = s
 		}
 	}
 }
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -295,3 +295,37 @@
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Equal(t, len(f.sends()), 1)
 }
+
+// Guards against a stream that goes on at whatever version serves, as its route leads to
+// another service by now.
+func TestStreamKeepsItsVersionWhereItsRouteMoved(t *testing.T) {
+	const otherService = "other-model"
+	for software, goesOn := range map[string]bool{"v1": true, "v2": false} {
+		t.Run(software, func(t *testing.T) {
+			f := &fakeBackend{}
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+			g := newGateway(t, f)
+			reply, err := g.Serve(t.Context(), generation("/stream/x"))
+			assert.Assert(t, err == nil, "%v", err)
+			reply.discard()
+			c := testConfig()
+			c.Version++
+			other := c.Services[modelService]
+			other.Name = otherService
+			c.Services[otherService] = other
+			for i := range c.Routes {
+				c.Routes[i].Targets = []catalog.Target{{Service: otherService, Weight: 1}}
+			}
+			g.SetConfig(c)
+			list := serversOf("v1", "v1", "v1")
+			g.SetServers(append(list, catalog.Server{ID: "o1", Service: otherService, Address: "10.0.0.4:1", Stage: catalog.Decode, Software: software}))
+			r := generation("/stream/x")
+			r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r2", "2", "r1"
+			reply, err = g.Serve(t.Context(), r)
+			assert.Equal(t, err == nil, goesOn)
+			if err == nil {
+				reply.discard()
+			}
+		})
+	}
+}
