A graceful stop waits for callers whose stream is being looked up

What callers would see: a connection cut without an answer at a gateway that ends while it asks others for the version of a stream, up to half a second. Found by reading. Cause: requests counted as in flight behind the question. TestStopWaitsForStreamsThatAreLookedUp failed before (0 in flight).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -293,17 +293,17 @@
 func (g *Gateway) route(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	g.view.waitLoaded(ctx, r.capDeadline(g.startupUntil))
 	j, err := g.plan(r)
-	if err == nil {
-		err = g.findOrigin(ctx, j)
-	}
 	if err != nil {
-		g.log.WithFields(logrus.Fields{
-			"request": r.ID, "config": g.ConfigVersion(), "code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(),
-		}).Info("gateway: refused.")
+		g.logRefused(r, err)
 		return nil, err
 	}
-	requestsTotal.Inc()
 	g.inFlight.Add(1)
+	if err := g.findOrigin(ctx, j); err != nil {
+		g.inFlight.Add(-1)
+		g.logRefused(r, err)
+		return nil, err
+	}
+	requestsTotal.Inc()
 	g.budget.countRequest(j.service.Name)
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	reply, err := g.serveWithinQuota(ctx, j)
@@ -321,6 +321,13 @@
 	return reply, nil
 }
 
+// logRefused logs a request that isn't sent to any server.
+func (g *Gateway) logRefused(r *Request, err *verdict.Error) {
+	g.log.WithFields(logrus.Fields{
+		"request": r.ID, "config": g.ConfigVersion(), "code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(),
+	}).Info("gateway: refused.")
+}
+
 // plan routes a request and sets its deadline, or returns why it is refused.
 func (g *Gateway) plan(r *Request) (*job, *verdict.Error) {
 	if g.tooLate(r) {
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -329,3 +329,41 @@
 		})
 	}
 }
+
+// waitingOrigins answers no question before its caller leaves.
+type waitingOrigins struct {
+	Origins
+	asked chan struct{}
+}
+
+func (w waitingOrigins) Ask(ctx context.Context, _ uint64) (origin.Record, error) {
+	close(w.asked)
+	<-ctx.Done()
+	return origin.Record{}, origin.ErrNoAnswer
+}
+
+// Guards against a graceful stop that ends while a caller waits for the version of its stream:
+// its connection would be cut without an answer.
+func TestStopWaitsForStreamsThatAreLookedUp(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	g := newGateway(t, f)
+	w := waitingOrigins{g.origins, make(chan struct{})}
+	g.ShareOrigins(w)
+	ctx, cancel := context.WithCancel(t.Context())
+	r := generation("/stream/x")
+	r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		reply, err := g.Serve(ctx, r)
+		if err == nil {
+			reply.discard()
+		}
+	}()
+	<-w.asked
+	assert.Equal(t, g.InFlight(), int64(1))
+	cancel()
+	<-served
+	assert.Equal(t, g.InFlight(), int64(0))
+}
