Losses: one place that logs and reports changes; names, and functions of one job

Read as a newcomer: the ledger's changes were logged under its lock, with the exchange smuggled in by a field; RecordLoss merged and judged; the dump's types stood among the changes; the health check's path was looked up twice; the adapter's exchange said that its name is for logs, and decided by it; 'tell', 'told' and 'untold' for reports. Nothing is decided otherwise.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -27,44 +27,26 @@
 // request that crashes its server retries it under another id, at any gateway, so the
 // gateways exchange these losses.
 type crashes struct {
+	log *logrus.Entry
+	// report reports a loss to the peers; it is set before use.
+	report func(blame.Loss)
 	// nonEmpty is whether the ledger has records. Mostly it has none, and each answer
 	// checks this without a lock.
 	nonEmpty atomic.Bool
 
 	mu sync.Mutex
-	// All below is guarded by mu. answered is the exchange whose answer is being recorded,
-	// "" for none. untold has what peers are to be told once mu is released.
-	ledger   *blame.Ledger
-	answered string
-	untold   []blame.Loss
-	// tell tells the peers; it is set before use.
-	tell func(blame.Loss)
+	// All below is guarded by mu. changes are those of the current call.
+	ledger  *blame.Ledger
+	changes []blame.Change
 }
 
 func newCrashes(b *board.Board, log *logrus.Entry) *crashes {
-	c := &crashes{tell: func(blame.Loss) {}}
-	c.ledger = blame.NewLedger(blame.LedgerOptions{OnChange: func(x blame.Change) {
-		c.untold = append(c.untold, x.Tell...)
-		reportChange(log, x, c.answered)
-	}})
+	c := &crashes{log: log, report: func(blame.Loss) {}}
+	c.ledger = blame.NewLedger(blame.LedgerOptions{OnChange: func(x blame.Change) { c.changes = append(c.changes, x) }})
 	b.AddView("crashes", c.dump)
 	return c
 }
 
-// reportChange logs and counts a change of what is held against a request. answered is the
-// exchange with the server that caused it, "" for none.
-func reportChange(log *logrus.Entry, x blame.Change, answered string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_crash_evidence_total{change=%q}", x.Kind)).Inc()
-	fields := logrus.Fields{"fingerprint": formatHash(x.Request), "change": x.Kind.String(), "losses": x.Losses, "counting": x.Counting}
-	if x.Server != 0 {
-		fields["serverHash"] = formatHash(x.Server)
-	}
-	if answered != "" {
-		fields["answered"] = answered
-	}
-	log.WithFields(fields).Info("gateway: evidence on a request changed.")
-}
-
 func (c *crashes) dump() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,24 +60,44 @@
 }
 
 // use calls f with the ledger if that has records.
-func (c *crashes) use(f func(l *blame.Ledger, now time.Time)) {
+func (c *crashes) use(f func(l *blame.Ledger, now time.Time)) { c.useAnswer("", f) }
+
+// useAnswer is use for the answer to an exchange, "" for none.
+func (c *crashes) useAnswer(exchange string, f func(l *blame.Ledger, now time.Time)) {
 	if !c.nonEmpty.Load() {
 		return
 	}
-	for _, x := range c.useLocked(f) {
-		c.tell(x)
+	for _, x := range c.changesBy(f) {
+		c.logChange(x, exchange)
+		for _, r := range x.Reports {
+			c.report(r)
+		}
 	}
 }
 
-// useLocked calls f under the lock and returns what peers are to be told.
-func (c *crashes) useLocked(f func(l *blame.Ledger, now time.Time)) []blame.Loss {
+// changesBy calls f with the ledger and returns what that changed. Peers are told without
+// the lock, as they may answer from the same goroutine.
+func (c *crashes) changesBy(f func(l *blame.Ledger, now time.Time)) []blame.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.changes = nil
 	f(c.ledger, time.Now())
 	c.nonEmpty.Store(c.ledger.Len() > 0)
-	untold := c.untold
-	c.untold = nil
-	return untold
+	return c.changes
+}
+
+// logChange logs and counts a change of what is held against a request. exchange is the one
+// whose answer caused it, "" for none.
+func (c *crashes) logChange(x blame.Change, exchange string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_crash_evidence_total{change=%q}", x.Kind)).Inc()
+	fields := logrus.Fields{"fingerprint": formatHash(x.Request), "change": x.Kind.String(), "losses": x.Losses, "counting": x.Counting}
+	if x.Server != 0 {
+		fields["serverHash"] = formatHash(x.Server)
+	}
+	if exchange != "" {
+		fields["answered"] = exchange
+	}
+	c.log.WithFields(fields).Info("gateway: evidence on a request changed.")
 }
 
 // recordSuccess records that a request has succeeded.
@@ -105,12 +107,10 @@
 
 // recordAnswer records that a server answered.
 func (c *crashes) recordAnswer(s catalog.Server, x Exchange) {
-	c.use(func(l *blame.Ledger, now time.Time) {
-		c.answered = x.Name
+	c.useAnswer(x.Name, func(l *blame.Ledger, now time.Time) {
 		l.RecordAnswer(blame.Answer{
 			Server: gossip.ServerKey(serverKey(s)), Sent: x.SentAt, Connected: x.ConnectedAt, Identified: x.Identified,
 		}, now)
-		c.answered = ""
 	})
 }
 
@@ -183,22 +183,21 @@
 		g.checkCrash(s)
 	}
 	if isNew {
-		g.crashes.tell(x)
+		g.crashes.report(x)
 		g.judgeLater(x.Request)
 	}
 }
 
 const (
-	// crashCheckDelay is how long after a loss the server is asked whether it still runs. It
-	// collects the losses of all requests there, and leaves time for the answer before the
-	// requests are judged (blame.DefaultSettleTime).
+	// crashCheckDelay is how long after a loss the server is asked whether it still runs: one
+	// question for all requests that were lost there, answered before they are judged.
 	crashCheckDelay = 50 * time.Millisecond
-	// crashCheckTimeout bounds that question; a later answer shows nothing.
+	// crashCheckTimeout bounds that question. A later answer may be of another start.
 	crashCheckTimeout = 400 * time.Millisecond
 )
 
-// checkCrash asks a server that was lost whether it still runs, as nobody else may call it
-// before it could have started again. The answer is evaluated like any other.
+// checkCrash asks a server that was lost whether it still runs: nobody else may call it soon
+// enough for the answer to show that. The answer is evaluated like any other.
 func (g *Gateway) checkCrash(s catalog.Server) {
 	key := serverKey(s)
 	if _, pending := g.crashChecks.LoadOrStore(key, true); pending {
@@ -211,11 +210,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
-		path := ""
-		if c := g.Config(); c != nil {
-			path = c.Services[s.Service].HealthPath
-		}
-		if err := g.backend.Probe(ctx, s, path); err != nil {
+		if err := g.backend.Probe(ctx, s, g.healthPath(s)); err != nil {
 			g.log.WithError(err).WithField("server", key).Info("gateway: lost server doesn't answer.")
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,7 @@
 // lost servers to them. It must be called before the first request.
 func (g *Gateway) Join(p Peers) {
 	g.loads.peers = p
-	g.crashes.tell = p.ReportLoss
+	g.crashes.report = p.ReportLoss
 }
 
 // ShareOrigins makes the gateway tell others which software versions begin its streams, and
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -42,15 +42,20 @@
 func (g *Gateway) probeOne(ctx context.Context, s catalog.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	path := ""
-	if c := g.Config(); c != nil {
-		path = c.Services[s.Service].HealthPath
-	}
 	g.backend.CloseConnections(s)
-	if err := g.backend.Probe(ctx, s, path); err != nil {
+	if err := g.backend.Probe(ctx, s, g.healthPath(s)); err != nil {
 		g.log.WithError(err).WithField("server", s.ID).Debug("gateway: probe failed.")
 		g.view.recordOutcome(s, doubt.ConnectionLost)
 		return
 	}
 	g.view.recordOutcome(s, doubt.Alive)
 }
+
+// healthPath returns the path of a server's health check, "" for the default.
+func (g *Gateway) healthPath(s catalog.Server) string {
+	c := g.Config()
+	if c == nil {
+		return ""
+	}
+	return c.Services[s.Service].HealthPath
+}
--- a/internal/policy/blame/change.go
+++ b/internal/policy/blame/change.go
@@ -1,7 +1,5 @@
 package blame
 
-import "time"
-
 // ChangeKind says what changed about a request, and why.
 type ChangeKind int
 
@@ -52,8 +50,8 @@
 	Request, Server uint64
 	// Losses is the number of losses held, Counting that of those in sequence which count.
 	Losses, Counting int
-	// Tell has what peers don't know of the change yet.
-	Tell []Loss
+	// Reports are for the peers, empty if they know of the change.
+	Reports []Loss
 }
 
 // notify reports a change; x is the loss that changed, zero if the change is about none.
@@ -63,42 +61,12 @@
 	switch k {
 	case ChangeServerAnswered, ChangeSucceeded:
 		x.Disproved = true
-		out.Tell = []Loss{x}
+		out.Reports = []Loss{x}
 	case ChangeConvicted:
 		if !a.reported {
-			out.Tell = convictedLosses(crashes[:l.opts.Crashes])
+			out.Reports = convictedLosses(crashes[:l.opts.Crashes])
 		}
 	case ChangeLoss, ChangePeerDisproved, ChangeOtherConvicted, ChangeAcquitted:
 	}
 	l.opts.OnChange(out)
 }
-
-// Record is what a Ledger holds against one request, for a state dump.
-type Record struct {
-	Request   uint64
-	Convicted bool
-	// Until is when the record is dropped.
-	Until  time.Time
-	Losses []RecordedLoss
-}
-
-// RecordedLoss is a loss of a Record.
-type RecordedLoss struct {
-	Loss
-	// Void: the loss doesn't count.
-	Void bool
-}
-
-// Records returns what is held against all requests, in no order.
-func (l *Ledger) Records() []Record {
-	out := make([]Record, 0, len(l.records))
-	for _, el := range l.records {
-		a := accountOf(el)
-		r := Record{Request: a.fp, Convicted: a.convicted, Until: a.until}
-		for _, x := range a.losses {
-			r.Losses = append(r.Losses, RecordedLoss{Loss: x.Loss, Void: x.void})
-		}
-		out = append(out, r)
-	}
-	return out
-}
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -127,8 +127,8 @@
 }
 
 // RecordLoss records a loss, or what a peer knows of one, and reports whether that was
-// unknown. What gateways know of a loss is merged in any order to the same result: a
-// disproof outlasts a conviction, and that the absolution by another request's conviction.
+// unknown. Reports of a loss merge to the same result in any order: a disproof takes
+// precedence over a conviction, and that over the absolution by another one's conviction.
 func (l *Ledger) RecordLoss(x Loss, now time.Time) bool {
 	a := l.find(x.Request, now)
 	if a == nil {
@@ -149,6 +149,12 @@
 	}
 	a.reported = a.reported || x.Convicted && !x.Disproved
 	l.listOf(a).MoveToFront(l.records[x.Request])
+	l.review(a, now)
+	return true
+}
+
+// review draws the conclusions from a changed account.
+func (l *Ledger) review(a *account, now time.Time) {
 	switch {
 	case a.convicted:
 		a.until = l.endOfConviction(a)
@@ -158,9 +164,8 @@
 	default:
 		a.until = now.Add(l.opts.Window)
 		// A conviction that is reported after the fact holds at once.
-		l.Judge(x.Request, now)
+		l.Judge(a.fp, now)
 	}
-	return true
 }
 
 // add adds an unknown loss.
@@ -188,7 +193,10 @@
 		if known.void && known.why != ChangeOtherConvicted {
 			return false
 		}
-		known.why = ChangePeerDisproved
+		if known.void {
+			known.why = ChangePeerDisproved
+			return true
+		}
 		l.void(a, ChangePeerDisproved, func(o accountLoss) bool { return o.isSame(x) })
 		return true
 	case x.Convicted:
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -325,7 +325,7 @@
 // Guards against a gateway that goes on refusing a request which its peers have cleared.
 func TestDisproofOfAPeerEndsAConviction(t *testing.T) {
 	var told []Loss
-	here := NewLedger(LedgerOptions{OnChange: func(c Change) { told = append(told, c.Tell...) }})
+	here := NewLedger(LedgerOptions{OnChange: func(c Change) { told = append(told, c.Reports...) }})
 	there := NewLedger(LedgerOptions{})
 	for i := range 3 {
 		lose(here, after(i), uint64(i), 1)
@@ -344,7 +344,7 @@
 // Guards against gateways that tell each other of a conviction without end.
 func TestConvictionIsToldOnce(t *testing.T) {
 	var told []Loss
-	there := NewLedger(LedgerOptions{OnChange: func(c Change) { told = append(told, c.Tell...) }})
+	there := NewLedger(LedgerOptions{OnChange: func(c Change) { told = append(told, c.Reports...) }})
 	here := NewLedger(LedgerOptions{})
 	for i := range 3 {
 		lose(here, after(i), uint64(i), 1)
