Software versions: names, functions of one job, stricter tests

Names: a field was called Resumes like the platform's header, it holds the id of the caller's first attempt; 'learn', 'learned' and 'earlier' for other gateways' digests; logged for a version cut for logs; isKnownLocked counted and asked for a reading. set did three things. An error of the encoder vanished in SendOrigin. A caller whose engine has other software was told that it broke off. Two comments told what is elsewhere.

TestCallerTakesUpItsStream... are TestCallerResumesItsStream... now.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -70,7 +70,7 @@
 	})
 	g.Join(exchange)
 	g.ShareOrigins(origins)
-	members.ShareSoftware(g.SoftwareDigest, g.LearnSoftware)
+	members.ShareSoftware(g.SoftwareDigest, g.SetSoftwareDigests)
 	g.OnSoftwareChange(members.RequestRenewal)
 	members.ShareConvictions(g.Convictions, g.RecordPeerLoss)
 	g.OnConviction(members.PublishConviction)
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -49,9 +49,9 @@
 	// LastEventID is the id of the last event that the caller received, if it
 	// resumes a broken stream itself.
 	LastEventID string
-	// Resumes is the id of the attempt that brought the first event of that stream, "" if
-	// the caller doesn't say.
-	Resumes string
+	// FirstAttemptID is the id of the caller's attempt that brought the first event of that
+	// stream, "" if it doesn't say.
+	FirstAttemptID string
 }
 
 // Call is one attempt of a request at a server.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -193,7 +193,7 @@
 	g.SetConfig(testConfig())
 	g.SetServers(testServers())
 	g.view.complete.Store(true)
-	g.LearnSoftware(nil, false)
+	g.SetSoftwareDigests(nil, false)
 	return g
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -74,8 +74,8 @@
 	if err == nil {
 		g.loads.recordAccepted(p.server)
 		g.logRequest(j, "gateway: decode answered.", logrus.Fields{
-			"server": serverKey(p.server), "software": logged(p.server.Software), "status": a.Status, "from": result.from.ID,
-			"after": after, "resumes": j.r.Generation.Resumes,
+			"server": serverKey(p.server), "software": loggedSoftware(p.server.Software), "status": a.Status, "from": result.from.ID,
+			"after": after, "firstAttempt": j.r.Generation.FirstAttemptID,
 		})
 		return a, nil
 	}
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -109,7 +109,7 @@
 // allEnginesPause reports whether no decode engine can be asked for a reservation, as all
 // pause.
 func (g *Gateway) allEnginesPause(j *job) bool {
-	return g.allPausingError(g.decodeEngines(j)) != nil
+	return g.allPausingError(g.usable(j, catalog.Decode)) != nil
 }
 
 // pausingBackend is a Backend that makes no exchange of any kind with servers that pause:
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -113,7 +113,7 @@
 // needs.
 func (g *Gateway) reserve(ctx context.Context, j *job) (reservation, *verdict.Error) {
 	began := time.Now()
-	engines := g.decodeEngines(j)
+	engines := g.usable(j, catalog.Decode)
 	if err := g.noVersionError(j, engines); err != nil {
 		return reservation{}, err
 	}
@@ -258,7 +258,7 @@
 // leastLoaded begins a round and returns the decode engines to try in it.
 func (g *Gateway) leastLoaded(j *job) []ranked {
 	j.rounds++
-	return g.best(j, g.decodeEngines(j), reserveAttempts, g.byTokens)
+	return g.best(j, g.usable(j, catalog.Decode), reserveAttempts, g.byTokens)
 }
 
 // reserveAt sends a reservation request to one engine. A refusal for lack of capacity
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -28,8 +28,8 @@
 	// streamLifeTimeouts is for how many timeouts of its route a stream may be
 	// resumed: one for the stream, one for its caller's patience.
 	streamLifeTimeouts = 2
-	// unknownStreamRetryAfter is the Retry-After for a stream whose version wasn't learned:
-	// the gateways that know it may be reachable by then.
+	// unknownStreamRetryAfter is the Retry-After for a stream whose version isn't known. The
+	// gateways that know it may be reachable by then.
 	unknownStreamRetryAfter = time.Second
 )
 
@@ -60,9 +60,10 @@
 	return !j.begun || j.software != 0 && j.software == s.software
 }
 
-// decodeEngines returns the engines that may decode the job's generation.
-func (g *Gateway) decodeEngines(j *job) []candidate {
-	list := g.view.list().usable(j.service.Name, catalog.Decode)
+// usable returns the servers of a stage at which the job may run. All servers that begin a
+// request, or go on with one, are chosen among these.
+func (g *Gateway) usable(j *job, stage catalog.Stage) []candidate {
+	list := g.view.list().usable(j.service.Name, stage)
 	if !j.begun {
 		return list
 	}
@@ -79,16 +80,16 @@
 // service if the route has several. It returns the refusal of a stream whose version isn't known.
 func (g *Gateway) findOrigin(ctx context.Context, j *job) *verdict.Error {
 	x := j.r.Generation
-	if x == nil || x.LastEventID == "" && x.Resumes == "" {
+	if x == nil || x.LastEventID == "" && x.FirstAttemptID == "" {
 		return nil
 	}
 	j.begun = true
-	r, err := g.findRecord(ctx, origin.Hash(x.Resumes))
+	r, err := g.findRecord(ctx, origin.Hash(x.FirstAttemptID))
 	switch {
 	case err == nil && r.Content == j.fingerprint:
 		g.applyRecord(j, r)
 	case g.listIsCurrent(err):
-		g.software.waitLearned(ctx)
+		g.software.waitDigests(ctx)
 		j.software = g.software.sole(origin.Hash(j.service.Name), streamLife(j.route))
 	}
 	if j.software != 0 {
@@ -179,7 +180,7 @@
 func (g *Gateway) logNotResumed(j *job, way, why string) {
 	g.software.count(j.service.Name, way, why)
 	g.logRequest(j, "gateway: stream can't be resumed.", logrus.Fields{
-		"way": way, "why": why, "resumes": j.r.Generation.Resumes, "last": j.r.Generation.LastEventID,
+		"way": way, "why": why, "firstAttempt": j.r.Generation.FirstAttemptID, "last": j.r.Generation.LastEventID,
 		"service": j.service.Name, "software": g.software.name(j.software),
 	})
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -71,7 +71,7 @@
 		}
 		if before, ok := r.entries[o.Name]; !ok || before.server != s {
 			r.g.log.WithFields(logrus.Fields{
-				"server": serverKey(s), "address": s.Address, "stage": s.Stage.String(), "software": logged(s.Software), "leaving": s.Leaving, "revision": o.Version,
+				"server": serverKey(s), "address": s.Address, "stage": s.Stage.String(), "software": loggedSoftware(s.Software), "leaving": s.Leaving, "revision": o.Version,
 			}).Info("gateway: server listed.")
 		}
 		r.entries[o.Name] = entry{server: s}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -20,8 +20,8 @@
 // maxLoggedSoftware bounds a software version in logs, in bytes.
 const maxLoggedSoftware = 64
 
-// logged returns a software version as it is logged.
-func logged(software string) string {
+// loggedSoftware returns a software version as it is logged.
+func loggedSoftware(software string) string {
 	if len(software) <= maxLoggedSoftware {
 		return software
 	}
@@ -30,6 +30,9 @@
 
 // softwareVersions has the versions that servers have and lately had.
 type softwareVersions struct {
+	// onChange is called when a version came or went; it is set before use.
+	onChange func()
+
 	mu sync.Mutex
 	// All below is guarded by mu. names has the names behind the hashes.
 	history *origin.History
@@ -37,12 +40,11 @@
 	names   map[uint64]string
 	// streams counts the resumptions, by service, way and outcome.
 	streams map[string]map[string]int
-	// earlier has the digests of LearnSoftware once learned is set. complete is whether it is
-	// known what served before the start.
-	earlier           []uint64
-	learned, complete bool
-	// onChange is called when a version came or went; it is set before use.
-	onChange func()
+	// digests are the other gateways' ones as last read, digestsRead whether they ever were.
+	digests     []uint64
+	digestsRead bool
+	// complete: it is known what served before this process started.
+	complete bool
 }
 
 func newSoftwareVersions(b *board.Board) *softwareVersions {
@@ -95,30 +97,40 @@
 	}
 }
 
+// set is update, and reports whether a version came or went since the first list.
 func (v *softwareVersions) set(list *listing, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listed := map[origin.Served]int{}
+	before := v.listed
+	v.listed = v.countLocked(list)
+	v.publishLocked(before)
+	changed := v.history.Update(v.listed, now)
+	v.compareLocked(now)
+	v.pruneNamesLocked(now)
+	return changed && before != nil
+}
+
+// countLocked returns the number of servers by version, and remembers the versions' names.
+func (v *softwareVersions) countLocked(list *listing) map[origin.Served]int {
+	out := map[origin.Served]int{}
 	for i := range list.all {
 		c := &list.all[i]
 		s := origin.Served{Service: origin.Hash(c.Service), Software: c.software}
-		if listed[s] == 0 {
-			v.names[s.Service], v.names[s.Software] = c.Service, logged(c.Software)
+		if out[s] == 0 {
+			v.names[s.Service], v.names[s.Software] = c.Service, loggedSoftware(c.Software)
 		}
-		listed[s]++
-	}
-	for s := range v.listed {
-		softwareServers(v.names[s.Service], v.names[s.Software]).Set(float64(listed[s]))
+		out[s]++
 	}
-	for s, n := range listed {
-		softwareServers(v.names[s.Service], v.names[s.Software]).Set(float64(n))
+	return out
+}
+
+// publishLocked sets the metrics of the versions that are listed, and of those that were.
+func (v *softwareVersions) publishLocked(before map[origin.Served]int) {
+	for _, versions := range []map[origin.Served]int{before, v.listed} {
+		for s := range versions {
+			softwareServers(v.names[s.Service], v.names[s.Software]).Set(float64(v.listed[s]))
+		}
 	}
-	first := v.listed == nil
-	v.listed = listed
-	changed := v.history.Update(listed, now)
-	v.compareLocked(now)
-	v.pruneNamesLocked(now)
-	return changed && !first
 }
 
 // pruneNamesLocked drops the names of versions that are no longer remembered.
@@ -147,19 +159,19 @@
 	return g.software.history.Digest(origin.HistoryTTL, now)
 }
 
-// LearnSoftware sets the digests that other gateways, and earlier processes of this one, have
-// stored. A process that finds no gateway at its start knows that no stream began before.
+// SetSoftwareDigests sets the digests that other gateways, and earlier processes of this one,
+// have stored. A process that finds no gateway at its start knows that no stream began before.
 // Otherwise what served before is known once all digests are that of the listed versions.
-func (g *Gateway) LearnSoftware(digests []uint64, anyGateway bool) {
+func (g *Gateway) SetSoftwareDigests(digests []uint64, foundGateway bool) {
 	v := g.software
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.complete {
 		return
 	}
-	first := !v.learned
-	v.learned, v.earlier = true, digests
-	if first && !anyGateway {
+	first := !v.digestsRead
+	v.digestsRead, v.digests = true, digests
+	if first && !foundGateway {
 		v.setCompleteLocked()
 	}
 	v.compareLocked(time.Now())
@@ -169,11 +181,11 @@
 // compareLocked completes the history if the versions listed now are those that served
 // before the start.
 func (v *softwareVersions) compareLocked(now time.Time) {
-	if v.complete || len(v.earlier) == 0 {
+	if v.complete || len(v.digests) == 0 {
 		return
 	}
 	current := v.history.Digest(0, now)
-	if slices.ContainsFunc(v.earlier, func(d uint64) bool { return d != current }) {
+	if slices.ContainsFunc(v.digests, func(d uint64) bool { return d != current }) {
 		return
 	}
 	v.setCompleteLocked()
@@ -184,20 +196,20 @@
 	v.history.SetComplete()
 }
 
-// waitLearned waits until the other gateways' digests have been read, for origin.MaxWait at
-// most: callers come back within milliseconds of a start.
-func (v *softwareVersions) waitLearned(ctx context.Context) {
-	for until := time.Now().Add(origin.MaxWait); !v.hasLearned() && time.Now().Before(until); {
+// waitDigests waits for the first reading of the other gateways' digests, origin.MaxWait at
+// most: the callers of a process that was killed come back before its successor has read them.
+func (v *softwareVersions) waitDigests(ctx context.Context) {
+	for until := time.Now().Add(origin.MaxWait); !v.hasDigests() && time.Now().Before(until); {
 		if !wait.Sleep(ctx, loadPollInterval) {
 			return
 		}
 	}
 }
 
-func (v *softwareVersions) hasLearned() bool {
+func (v *softwareVersions) hasDigests() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.learned
+	return v.digestsRead
 }
 
 // OnSoftwareChange registers f, which is called when a software version comes or goes. It
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +42,7 @@
 // Guards against a stream that goes on, within one answer, at a server of another software
 // version than the one that began it.
 func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	long := strings.Repeat("v", 10*maxLoggedSoftware)
 	for name, c := range map[string]struct {
 		versions []string
 		goesOn   bool
@@ -49,6 +50,7 @@
 		"another server of the version": {[]string{"v1", "v2", "v1"}, true},
 		"none":                          {[]string{"v1", "v2", "v2"}, false},
 		"versions that nobody says":     {[]string{"", "", ""}, false},
+		"long ones that differ at last": {[]string{long + "1", long + "2", long + "2"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeBackend{}
@@ -69,16 +71,22 @@
 			_, readErr := io.ReadAll(reply.Body)
 			reply.discard()
 			assert.Equal(t, readErr == nil, c.goesOn)
+			resumedAt := []string{}
 			for _, x := range f.sends()[1:] {
-				assert.Equal(t, x.server, "d3")
+				resumedAt = append(resumedAt, x.server)
 			}
+			want := []string{}
+			if c.goesOn {
+				want = append(want, "d3")
+			}
+			assert.DeepEqual(t, resumedAt, want)
 		})
 	}
 }
 
 // Guards against a caller's own attempt that goes on with its stream at another software
 // version, behind one break and behind two.
-func TestCallerTakesUpItsStreamAtItsVersion(t *testing.T) {
+func TestCallerResumesItsStreamAtItsVersion(t *testing.T) {
 	f := &fakeBackend{}
 	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
 	g := newGateway(t, f)
@@ -93,7 +101,7 @@
 		reply, err := g.Serve(t.Context(), r)
 		if err == nil {
 			_, readErr := io.ReadAll(reply.Body)
-			assert.Assert(t, readErr == nil || errors.Is(readErr, io.EOF))
+			assert.NilError(t, readErr)
 			reply.discard()
 		}
 		return err
@@ -103,7 +111,7 @@
 	for n, resumes := range []string{"r1", "r1", "a1", "r1", "a2"} {
 		r := generation("/stream/x")
 		r.ID = fmt.Sprint("a", n)
-		r.Generation.LastEventID, r.Generation.Resumes = fmt.Sprint(2*(n+1)), resumes
+		r.Generation.LastEventID, r.Generation.FirstAttemptID = fmt.Sprint(2*(n+1)), resumes
 		err := serve(r)
 		assert.Assert(t, err == nil, "%v", err)
 	}
@@ -116,10 +124,10 @@
 // began it, and two have served.
 func TestUnknownStreamIsRefusedBesideTwoVersions(t *testing.T) {
 	for name, change := range map[string]func(*Request){
-		"no attempt named":    func(r *Request) { r.Generation.Resumes = "" },
-		"unknown attempt":     func(r *Request) { r.Generation.Resumes = "other" },
-		"of another content":  func(r *Request) { r.Body = []byte("other") },
-		"of another caller's": func(r *Request) { r.Content = "other" },
+		"no attempt named":   func(r *Request) { r.Generation.FirstAttemptID = "" },
+		"unknown attempt":    func(r *Request) { r.Generation.FirstAttemptID = "other" },
+		"of another content": func(r *Request) { r.Body = []byte("other") },
+		"of another prompt":  func(r *Request) { r.Content = "other" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeBackend{}
@@ -130,7 +138,7 @@
 			assert.Assert(t, err == nil, "%v", err)
 			reply.discard()
 			r := generation("/stream/x")
-			r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r2", "2", "r1"
+			r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = "r2", "2", "r1"
 			change(r)
 			_, err = g.Serve(t.Context(), r)
 			assert.Assert(t, err != nil)
@@ -156,7 +164,7 @@
 
 // Guards against a stream that can't go on, or goes on at another version, because its caller
 // came to another gateway than the one that began it.
-func TestCallerTakesUpItsStreamAtAnotherGateway(t *testing.T) {
+func TestCallerResumesItsStreamAtAnotherGateway(t *testing.T) {
 	f := &fakeBackend{}
 	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
 	first, second := newGateway(t, f), newGateway(t, f)
@@ -168,7 +176,7 @@
 	second.SetServers(serversOf("v1", "v1", "v2"))
 	for n := range 10 {
 		r := generation("/stream/x")
-		r.ID, r.Generation.LastEventID, r.Generation.Resumes = fmt.Sprint("a", n), "2", "r1"
+		r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = fmt.Sprint("a", n), "2", "r1"
 		reply, err = second.Serve(t.Context(), r)
 		assert.Assert(t, err == nil, "%v", err)
 		reply.discard()
@@ -180,7 +188,7 @@
 	// Without a server of the version the stream is refused, as not run.
 	second.SetServers(serversOf("v1", "v1", "v1"))
 	r := generation("/stream/x")
-	r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r3", "2", "r1"
+	r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = "r3", "2", "r1"
 	_, err = second.Serve(t.Context(), r)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Equal(t, err.RetryAfter, noServerRetryAfter)
@@ -192,7 +200,7 @@
 	digest := func(servers []catalog.Server) uint64 {
 		g := newGateway(t, &fakeBackend{})
 		g.software = newSoftwareVersions(board.New())
-		g.LearnSoftware(nil, false)
+		g.SetSoftwareDigests(nil, false)
 		g.SetServers(servers)
 		return g.SoftwareDigest()
 	}
@@ -214,10 +222,10 @@
 			g := newGateway(t, f)
 			g.software = newSoftwareVersions(board.New())
 			assert.Equal(t, g.SoftwareDigest(), uint64(0), "it vouches for what it doesn't know")
-			g.LearnSoftware(c.earlier, c.gateways)
+			g.SetSoftwareDigests(c.earlier, c.gateways)
 			g.SetServers(serversOf("v1", "v1", "v1"))
 			r := generation("/stream/x")
-			r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
+			r.Generation.LastEventID, r.Generation.FirstAttemptID = "2", "r0"
 			reply, err := g.Serve(t.Context(), r)
 			assert.Equal(t, err == nil, c.goesOn)
 			if err == nil {
@@ -228,7 +236,25 @@
 }
 
 // Guards against events of a server that started again under its id with other software, after
-// it was chosen to go on with a stream.
+// it was chosen to go on with a stream by its caller's own attempt.
+func TestServerWithOtherSoftwareForACaller(t *testing.T) {
+	f := &fakeBackend{}
+	g := newGateway(t, f)
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) {
+		g.SetServers(serversOf("v2", "v2", "v2"))
+		return twoEvents(x, false), nil
+	}
+	g.SetServers(serversOf("v1", "v1", "v1"))
+	r := generation("/stream/x")
+	r.Generation.LastEventID = "2"
+	_, err := g.Serve(t.Context(), r)
+	assert.Assert(t, err != nil)
+	assert.ErrorIs(t, err, errOtherSoftware)
+	assert.Equal(t, err.Verdict, verdict.MayHaveRun)
+}
+
+// Guards against events of a server that started again under its id with other software, after
+// it was chosen to go on with a stream within its answer.
 func TestServerWithOtherSoftwareAtTheLastMoment(t *testing.T) {
 	f := &fakeBackend{}
 	g := newGateway(t, f)
@@ -268,7 +294,7 @@
 			}
 			g.Join(contact)
 			r := generation("/stream/x")
-			r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
+			r.Generation.LastEventID, r.Generation.FirstAttemptID = "2", "r0"
 			reply, err := g.Serve(t.Context(), r)
 			assert.Equal(t, err == nil, c.goesOn)
 			if err == nil {
@@ -289,7 +315,7 @@
 	assert.Assert(t, err == nil, "%v", err)
 	reply.discard()
 	r := generation("/stream/x")
-	r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r2", "2", "r1"
+	r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = "r2", "2", "r1"
 	_, err = second.Serve(t.Context(), r)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
@@ -320,7 +346,7 @@
 			list := serversOf("v1", "v1", "v1")
 			g.SetServers(append(list, catalog.Server{ID: "o1", Service: otherService, Address: "10.0.0.4:1", Stage: catalog.Decode, Software: software}))
 			r := generation("/stream/x")
-			r.ID, r.Generation.LastEventID, r.Generation.Resumes = "r2", "2", "r1"
+			r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = "r2", "2", "r1"
 			reply, err = g.Serve(t.Context(), r)
 			assert.Equal(t, err == nil, goesOn)
 			if err == nil {
@@ -352,7 +378,7 @@
 	g.ShareOrigins(w)
 	ctx, cancel := context.WithCancel(t.Context())
 	r := generation("/stream/x")
-	r.Generation.LastEventID, r.Generation.Resumes = "2", "r0"
+	r.Generation.LastEventID, r.Generation.FirstAttemptID = "2", "r0"
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -52,6 +53,9 @@
 	s := &stream{g: g, ctx: ctx, j: j, reservation: p, answer: a, events: newEvents(a.Body), lastID: j.r.Generation.LastEventID}
 	if err := s.advance(); err != nil {
 		_ = s.Close()
+		if errors.Is(err, errOtherSoftware) {
+			return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ServerLost, "The engine's software has changed.")
+		}
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ServerLost, "The engine broke off before its first event.")
 	}
 	return &Reply{Status: a.Status, Headers: a.Header, Length: -1, Body: s}, nil
@@ -213,7 +217,7 @@
 	brokenStreams.Inc()
 	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
 	for s.g.refuseCrashing(s.ctx, s.j) == nil && s.g.mayRetry(s.ctx, s.j, verdict.Ran) && s.g.canRetry(s.j) {
-		if s.j.begun && len(s.g.decodeEngines(s.j)) == 0 {
+		if s.j.begun && len(s.g.usable(s.j, catalog.Decode)) == 0 {
 			s.g.logNotResumed(s.j, withinAnswer, resumeNoServer)
 			break
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -259,9 +259,9 @@
 // handleOrigin passes on a datagram about streams.
 func (e *Exchange) handleOrigin(from string, m *pb.OriginMessage) {
 	e.mu.RLock()
-	known := e.isKnownLocked(from)
+	admitted := e.admitLocked(from)
 	e.mu.RUnlock()
-	if known && e.opts.OnOrigin != nil {
+	if admitted && e.opts.OnOrigin != nil {
 		received.Inc()
 		e.opts.OnOrigin(from, m)
 	}
@@ -272,15 +272,19 @@
 	e.mu.RLock()
 	conn := e.conn
 	e.mu.RUnlock()
+	if conn == nil {
+		return
+	}
 	text, err := proto.Marshal(&pb.News{Origin: m})
-	if err != nil || conn == nil {
+	if err != nil {
+		e.opts.Log.WithError(err).Warn("gossip: cannot encode a datagram about streams.")
 		return
 	}
 	e.sendTo(conn, to, text)
 }
 
-// isKnownLocked reports whether the sender of a datagram is listed.
-func (e *Exchange) isKnownLocked(from string) bool {
+// admitLocked reports whether the sender of a datagram is listed, and counts one that isn't.
+func (e *Exchange) admitLocked(from string) bool {
 	if _, ok := e.known[from]; ok {
 		return true
 	}
@@ -293,7 +297,7 @@
 func (e *Exchange) apply(from string, n *pb.News) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.isKnownLocked(from) {
+	if !e.admitLocked(from) {
 		return false
 	}
 	before := e.table.peers[from]
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -122,9 +122,9 @@
 	// convictions and learn are those of ShareConvictions.
 	convictions func(limit int) []blame.Loss
 	learn       func(blame.Loss) bool
-	// softwareDigest and learnSoftware are those of ShareSoftware.
+	// softwareDigest and setDigests are those of ShareSoftware.
 	softwareDigest func() uint64
-	learnSoftware  func(digests []uint64, found bool)
+	setDigests     func(digests []uint64, found bool)
 }
 
 // New returns the Members of the gateway self; Run starts it.
@@ -133,7 +133,7 @@
 		store: store, self: self, log: log, started: boottime.Now(), observed: map[string]observation{}, registered: map[string]registration{},
 		readRequests: make(chan struct{}, 1), renewRequests: make(chan struct{}, 1),
 		convictions: func(int) []blame.Loss { return nil }, learn: func(blame.Loss) bool { return false },
-		softwareDigest: func() uint64 { return 0 }, learnSoftware: func([]uint64, bool) {},
+		softwareDigest: func() uint64 { return 0 }, setDigests: func([]uint64, bool) {},
 	}
 }
 
@@ -285,7 +285,7 @@
 	for _, x := range m.update(objects, now) {
 		m.learn(x)
 	}
-	m.learnSoftware(m.readDigests(), len(objects) > 0)
+	m.setDigests(m.readDigests(), len(objects) > 0)
 }
 
 // readDigests returns the digests of the gateways that have one, as last read, this one's
--- a/internal/peers/software.go
+++ b/internal/peers/software.go
@@ -4,10 +4,10 @@
 
 // ShareSoftware makes the gateway's object carry a digest of the software versions that
 // servers had lately, which digest returns, 0 if it isn't known. Each reading passes those in
-// all objects, also of earlier processes, to learn, and whether it found any object. It must
+// all objects, also of earlier processes, to set, and whether it found any object. It must
 // be called before Run.
-func (m *Members) ShareSoftware(digest func() uint64, learn func(digests []uint64, found bool)) {
-	m.softwareDigest, m.learnSoftware = digest, learn
+func (m *Members) ShareSoftware(digest func() uint64, set func(digests []uint64, found bool)) {
+	m.softwareDigest, m.setDigests = digest, set
 }
 
 // RequestRenewal requests a renewal of this gateway's object out of turn. It never blocks.
