Resumptions at services without engines pass the one check too

What callers would see: events of two versions, where a service without engines answers with a stream: its servers are chosen like those of calls, from a list of its own. TestResumptionAtAPlainServiceKeepsItsVersion failed before (p2 for p1).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -92,7 +92,7 @@
 // pick returns the server to send the request to next and counts it against the
 // server's rate limit.
 func (g *Gateway) pick(j *job) (catalog.Server, bool) {
-	list := g.view.list().usable(j.service.Name, catalog.NoStage)
+	list := g.usable(j, catalog.NoStage)
 	for {
 		best := g.best(j, list, 1, byRequests)
 		if len(best) == 0 {
@@ -108,7 +108,7 @@
 // noServerError returns the refusal of a request for which pick found no server; last is
 // the error of its last attempt, nil if there was none.
 func (g *Gateway) noServerError(j *job, last *verdict.Error) *verdict.Error {
-	list := g.view.list().usable(j.service.Name, catalog.NoStage)
+	list := g.usable(j, catalog.NoStage)
 	if err := g.allPausingError(list); err != nil {
 		return err
 	}
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -393,3 +393,27 @@
 	<-served
 	assert.Equal(t, g.InFlight(), int64(0))
 }
+
+// Guards against a resumption that passes no check, as its service has no engines and its
+// servers are chosen like those of calls.
+func TestResumptionAtAPlainServiceKeepsItsVersion(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	g := newGateway(t, f)
+	list := testServers()
+	list[1].Software, list[2].Software = "v2", "v2"
+	g.SetServers(list)
+	for n := range 10 {
+		r := generation("/again/x")
+		g.origins.Tell(origin.Record{
+			Stream: origin.Hash("r0"), Content: r.fingerprint(""), Service: origin.Hash(plainService), Software: origin.Hash("v1"),
+		}, time.Minute)
+		r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = fmt.Sprint("a", n), "2", "r0"
+		reply, err := g.Serve(t.Context(), r)
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+	}
+	for _, x := range f.sends() {
+		assert.Equal(t, x.server, "p1")
+	}
+}
