--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -417,3 +418,19 @@
 		assert.Equal(t, x.server, "p1")
 	}
 }
+
+// The format is read by jayfordctl versions, whose test has the same text.
+func TestFormatOfTheDumpOfVersions(t *testing.T) {
+	g := newGateway(t, &fakeBackend{})
+	g.SetServers([]catalog.Server{
+		{ID: "a", Service: "lm", Address: "10.0.0.1:1", Software: "v1"}, {ID: "b", Service: "lm", Address: "10.0.0.1:2", Software: "v1"},
+	})
+	g.software.history = origin.NewHistory()
+	g.software.update(g.view.list(), time.Now())
+	for range 3 {
+		g.software.count("lm", byCaller, resumed)
+	}
+	out, err := json.Marshal(g.software.dump())
+	assert.NilError(t, err)
+	assert.Equal(t, string(out), `{"Versions":[{"Service":"lm","Software":"v1","Servers":2}],"Streams":{"lm":{"caller resumed":3}}}`)
+}
