Gateway: logs name the shared parts of prompts whose servers were lost

A lost server's line tells the prompt's shared parts and for how long the lost attempt had written events, each answered decode its parts: what tells a part that crashes servers from requests that only ran there.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -52,6 +52,10 @@
 	// FirstAttemptID is the id of the caller's attempt that brought the first event of that
 	// stream, "" if it doesn't say.
 	FirstAttemptID string
+	// Model is the name of the model, SharedParts the ids of the prompt's parts that other
+	// prompts may have too.
+	Model       string
+	SharedParts []string
 }
 
 // Call is one attempt of a request at a server.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -177,7 +177,7 @@
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
 		"server": serverKey(s), "serverHash": formatHash(x.Server), "fingerprint": formatHash(j.fingerprint), "new": isNew,
-		"ran": milliseconds(x.Lost.Sub(began)), "prompt": x.Prompt,
+		"ran": milliseconds(x.Lost.Sub(began)), "prompt": x.Prompt, "wrote": milliseconds(j.writingTime(x.Lost)), "parts": j.sharedParts(),
 	})
 	if x.Prompt {
 		g.checkCrash(s)
@@ -188,6 +188,23 @@
 	}
 }
 
+// writingTime returns for how long the last attempt had written events at a time, 0 if it had
+// written none.
+func (j *job) writingTime(at time.Time) time.Duration {
+	if j.wroteAt.IsZero() {
+		return 0
+	}
+	return max(0, at.Sub(j.wroteAt))
+}
+
+// sharedParts returns the ids of the prompt's shared parts.
+func (j *job) sharedParts() []string {
+	if j.r.Generation == nil {
+		return nil
+	}
+	return j.r.Generation.SharedParts
+}
+
 const (
 	// crashCheckDelay is how long after a loss the server is asked whether it still runs: one
 	// question for all requests that were lost there, answered before they are judged.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,8 +264,8 @@
 	sends, runs int
 	// arrivals has the attempts that reached servers, prefills included.
 	arrivals retry.Arrivals
-	// sentAt is when the last attempt began.
-	sentAt time.Time
+	// sentAt is when the last attempt began, wroteAt when its first event came, zero before.
+	sentAt, wroteAt time.Time
 	// prefillState is the progress of the prompt's prefill.
 	prefillState prefill.Attempts
 	// reserveWait is the time from the request's arrival to its reservation.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -62,7 +62,7 @@
 		Timeout: time.Until(j.until), MaxIdle: maxIdleRepeatable,
 	}
 	j.sends++
-	j.sentAt = time.Now()
+	j.sentAt, j.wroteAt = time.Now(), time.Time{}
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
@@ -75,7 +75,7 @@
 		g.loads.recordAccepted(p.server)
 		g.logRequest(j, "gateway: decode answered.", logrus.Fields{
 			"server": serverKey(p.server), "software": loggedSoftware(p.server.Software), "status": a.Status, "from": result.from.ID,
-			"after": after, "firstAttempt": j.r.Generation.FirstAttemptID,
+			"after": after, "firstAttempt": j.r.Generation.FirstAttemptID, "parts": j.r.Generation.SharedParts,
 		})
 		return a, nil
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,6 +109,9 @@
 // observe records the time to the first event, or between two events.
 func (s *stream) observe() {
 	now := time.Now()
+	if s.j.wroteAt.IsZero() {
+		s.j.wroteAt = now
+	}
 	step := eventTokens(s.j.service.Engine)
 	written := eventNumber(s.lastID) * step
 	if s.lastEventAt.IsZero() {
