Parts of prompts that crash servers are found and refused

Callers saw one kind of generation end 51 servers in 12 s, as did all streams beside it: each request with the guilty part was another one, and had too few losses to be convicted. Cause: evidence was kept by whole requests alone; convictions of sound requests that were resumed onto the next crashing server took more of it away.

A loss now names the prompt's shared parts, and the ledger keeps accounts of parts beside those of requests: losses in sequence of different requests, taken off by proofs (a later run that wrote for 0.2 s); parts that can't be told apart are refused only together. Gateways exchange losses, proofs and convictions; those that were cut off or start learn them from full updates and from the gateways' objects. Asked before the reservation, each prefill, the decode and each repeat.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -164,6 +164,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		if r.Status < http.StatusInternalServerError {
+			g.crashes.recordRun(j)
 			g.crashes.recordSuccess(j.fingerprint)
 		}
 	case ctx.Err() == nil:
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -28,8 +28,10 @@
 // gateways exchange these losses.
 type crashes struct {
 	log *logrus.Entry
-	// report reports a loss to the peers; it is set before use.
-	report func(blame.Loss)
+	// report and reportProof report a loss, and a proof of a sound part, to the peers; they are
+	// set before use.
+	report      func(blame.Loss)
+	reportProof func(blame.Proof)
 	// nonEmpty is whether the ledger has records. Mostly it has none, and each answer
 	// checks this without a lock.
 	nonEmpty atomic.Bool
@@ -38,12 +40,14 @@
 	// All below is guarded by mu. changes are those of the current call.
 	ledger  *blame.Ledger
 	changes []blame.Change
+	names   partNames
 }
 
 func newCrashes(b *board.Board, log *logrus.Entry) *crashes {
-	c := &crashes{log: log, report: func(blame.Loss) {}}
+	c := &crashes{log: log, report: func(blame.Loss) {}, reportProof: func(blame.Proof) {}, names: partNames{}}
 	c.ledger = blame.NewLedger(blame.LedgerOptions{OnChange: func(x blame.Change) { c.changes = append(c.changes, x) }})
 	b.AddView("crashes", c.dump)
+	b.AddView("parts", c.dumpParts)
 	return c
 }
 
@@ -67,11 +71,23 @@
 	if !c.nonEmpty.Load() {
 		return
 	}
-	for _, x := range c.changesBy(f) {
-		c.logChange(x, exchange)
+	c.publish(c.changesBy(f), exchange)
+}
+
+// publish logs changes and tells the peers of them.
+func (c *crashes) publish(changes []blame.Change, exchange string) {
+	for _, x := range changes {
+		if x.Part != 0 {
+			c.logPartChange(x)
+		} else {
+			c.logChange(x, exchange)
+		}
 		for _, r := range x.Reports {
 			c.report(r)
 		}
+		for _, p := range x.Proofs {
+			c.reportProof(p)
+		}
 	}
 }
 
@@ -82,7 +98,7 @@
 	defer c.mu.Unlock()
 	c.changes = nil
 	f(c.ledger, time.Now())
-	c.nonEmpty.Store(c.ledger.Len() > 0)
+	c.nonEmpty.Store(!c.ledger.Empty())
 	return c.changes
 }
 
@@ -114,8 +130,16 @@
 	})
 }
 
-func (c *crashes) judge(fp uint64) (j blame.Judgement) {
-	c.use(func(l *blame.Ledger, now time.Time) { j = l.Judge(fp, now) })
+// judge judges a request by itself, and by the parts of its prompt.
+func (c *crashes) judge(fp uint64, parts []uint64) (j blame.Judgement) {
+	c.use(func(l *blame.Ledger, now time.Time) {
+		if j = l.JudgeParts(parts, now); j.Convicted {
+			return
+		}
+		request := l.Judge(fp, now)
+		request.Unsettled = max(request.Unsettled, j.Unsettled)
+		j = request
+	})
 	return j
 }
 
@@ -132,23 +156,43 @@
 // judgeLater judges a request once the losses of others on the same servers are known. If it
 // is convicted, the peers and the platform learn of it before it comes again. Only gateways
 // that lost a server under it do so: if all did, all would write their objects at once.
-func (g *Gateway) judgeLater(fp uint64) {
+func (g *Gateway) judgeLater(fp uint64, parts []uint64) {
 	time.AfterFunc(blame.DefaultSettleTime+judgeMargin, func() {
-		if g.crashes.judge(fp).Convicted && g.onConviction != nil {
-			g.onConviction(fp)
-		}
+		g.tellConviction(fp, g.crashes.judge(fp, parts))
 	})
 }
 
+// tellConviction tells the platform of a conviction of a request or of a part of its prompt.
+func (g *Gateway) tellConviction(fp uint64, x blame.Judgement) {
+	switch {
+	case !x.Convicted || g.onConviction == nil:
+	case x.Part != 0:
+		g.onConviction(x.Part)
+	default:
+		g.onConviction(fp)
+	}
+}
+
 // judgeMargin lets the settle time of a loss end before the judgement that waited for it.
 const judgeMargin = 10 * time.Millisecond
 
 // Convictions returns at most limit losses for which this gateway refuses requests.
 func (g *Gateway) Convictions(limit int) []blame.Loss { return g.crashes.convictions(limit) }
 
-// OnConviction registers f, which is called with the fingerprint of each request that is
-// refused because it crashes servers. It must be called before the first request.
-func (g *Gateway) OnConviction(f func(fingerprint uint64)) { g.onConviction = f }
+// Evidence returns at most limit losses that peers may not know of: those for which this gateway
+// refuses requests, and those that count against suspected parts of prompts.
+func (g *Gateway) Evidence(limit int) (out []blame.Loss) {
+	g.crashes.use(func(l *blame.Ledger, now time.Time) {
+		out = l.Convictions(limit, now)
+		out = append(out, l.Suspicions(limit-len(out), now)...)
+	})
+	return out
+}
+
+// OnConviction registers f, which is called with the fingerprint of each request, and the hash
+// of each part of prompts, that is refused because it crashes servers. It must be called before
+// the first request.
+func (g *Gateway) OnConviction(f func(suspect uint64)) { g.onConviction = f }
 
 // isLoss reports whether an attempt failed because its connection to the server broke,
 // which happens when the server crashes. A caller that left, a timeout and an answer of
@@ -174,6 +218,10 @@
 		Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), ID: blame.NewLossID(),
 		Began: began, Lost: time.Now(), Prompt: isPrompt(cause),
 	}
+	if x.Prompt && j.writingTime(x.Lost) < blame.ProvenTime {
+		x.Model, x.Parts = j.model, j.parts
+		g.crashes.name(j)
+	}
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
 		"server": serverKey(s), "serverHash": formatHash(x.Server), "fingerprint": formatHash(j.fingerprint), "new": isNew,
@@ -184,25 +232,8 @@
 	}
 	if isNew {
 		g.crashes.report(x)
-		g.judgeLater(x.Request)
-	}
-}
-
-// writingTime returns for how long the last attempt had written events at a time, 0 if it had
-// written none.
-func (j *job) writingTime(at time.Time) time.Duration {
-	if j.wroteAt.IsZero() {
-		return 0
-	}
-	return max(0, at.Sub(j.wroteAt))
-}
-
-// sharedParts returns the ids of the prompt's shared parts.
-func (j *job) sharedParts() []string {
-	if j.r.Generation == nil {
-		return nil
+		g.judgeLater(x.Request, x.Parts)
 	}
-	return j.r.Generation.SharedParts
 }
 
 const (
@@ -238,12 +269,13 @@
 // the losses of others there are known.
 func (g *Gateway) refuseCrashing(ctx context.Context, j *job) *verdict.Error {
 	for {
-		x := g.crashes.judge(j.fingerprint)
+		x := g.crashes.judge(j.fingerprint, j.parts)
 		switch {
+		case x.Convicted && x.Part != 0:
+			g.tellConviction(j.fingerprint, x)
+			return g.refusePart(j, x.Part)
 		case x.Convicted:
-			if g.onConviction != nil {
-				g.onConviction(j.fingerprint)
-			}
+			g.tellConviction(j.fingerprint, x)
 			return verdict.New(verdict.NotRun, verdict.Crashes, "This request crashed the servers that ran it.")
 		case x.Held > 0:
 			return verdict.New(verdict.NotRun, verdict.Overloaded, "Servers crashed under this request and others.").WithRetryAfter(x.Held)
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -264,7 +264,7 @@
 		assert.Equal(t, n, int64(size))
 		reply.discard()
 		lose(3)
-		assert.Assert(t, !g.crashes.judge(fp).Convicted, "%d bytes", size)
+		assert.Assert(t, !g.crashes.judge(fp, nil).Convicted, "%d bytes", size)
 	}
 }
 
--- a/internal/gateway/foresight_test.go
+++ b/internal/gateway/foresight_test.go
@@ -24,6 +24,8 @@
 
 func (peerNeeds) ReportLoss(blame.Loss) {}
 
+func (peerNeeds) ReportProof(blame.Proof) {}
+
 func (p peerNeeds) Need(start string) memory.Need { return p.needs[start] }
 
 func (p peerNeeds) LoadComplete() bool                       { return !p.incomplete }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	// crashChecks has the keys of the servers that are about to be asked whether they crashed.
 	crashChecks sync.Map
 	// onConviction is nil if nobody is told; it is set before use.
-	onConviction func(fingerprint uint64)
+	onConviction func(suspect uint64)
 }
 
 // New returns a gateway and adds its state to the board's dump.
@@ -171,7 +171,7 @@
 // lost servers to them. It must be called before the first request.
 func (g *Gateway) Join(p Peers) {
 	g.loads.peers = p
-	g.crashes.report = p.ReportLoss
+	g.crashes.report, g.crashes.reportProof = p.ReportLoss, p.ReportProof
 }
 
 // ShareOrigins makes the gateway tell others which software versions begin its streams, and
@@ -252,8 +252,12 @@
 	r *Request
 	// fingerprint identifies r by its content and its caller's organisation.
 	fingerprint uint64
-	route       *catalog.Route
-	service     catalog.Service
+	// model is a hash of its model's name, parts those of the parts that its prompt shares with
+	// others.
+	model   uint32
+	parts   []uint64
+	route   *catalog.Route
+	service catalog.Service
 	// organisation is the caller's, nil if the route needs no key.
 	organisation *catalog.Organisation
 	// config is the version of the configuration that routed the request.
@@ -266,6 +270,8 @@
 	arrivals retry.Arrivals
 	// sentAt is when the last attempt began, wroteAt when its first event came, zero before.
 	sentAt, wroteAt time.Time
+	// proven is the attempt that was last recorded to run well.
+	proven int
 	// prefillState is the progress of the prompt's prefill.
 	prefillState prefill.Attempts
 	// reserveWait is the time from the request's arrival to its reservation.
@@ -365,6 +371,7 @@
 		avoid: make(map[string]bool),
 	}
 	j.fingerprint = r.fingerprint(j.organisationName())
+	j.setParts()
 	return j, nil
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -38,6 +38,9 @@
 	PlatformReachableSince(after time.Time) time.Time
 	// ReportLoss is called when a server was lost while it ran a request.
 	ReportLoss(x blame.Loss)
+	// ReportProof is called when a request shows that a part of prompts is sound which peers may
+	// suspect.
+	ReportProof(x blame.Proof)
 }
 
 // loads keeps this gateway's load by server key.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,8 @@
 	peersKnown           = metrics.NewCounter("jayford_gateway_peers")
 	limitedServers       = metrics.NewCounter("jayford_gateway_limited_servers")
 	pausingServers       = metrics.NewCounter("jayford_gateway_pausing_servers")
+	partRefusals         = metrics.NewCounter("jayford_gateway_part_refusals_total")
+	refusedParts         = metrics.NewCounter("jayford_gateway_refused_parts")
 	prefillsSkipped      = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
 )
 
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -114,8 +114,8 @@
 	g.pauses.update(s, time.Minute, time.Now())
 	_, err := g.backend.Reserve(t.Context(), s, Reservation{})
 	assert.Assert(t, err != nil)
-	assert.Assert(t, g.crashes.judge(1).Convicted)
+	assert.Assert(t, g.crashes.judge(1, nil).Convicted)
 	_, err = f.Reserve(t.Context(), s, Reservation{})
 	assert.Assert(t, err == nil, "%v", err)
-	assert.Assert(t, !g.crashes.judge(1).Convicted)
+	assert.Assert(t, !g.crashes.judge(1, nil).Convicted)
 }
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -104,6 +104,8 @@
 
 func (peerLoad) ReportLoss(blame.Loss) {}
 
+func (peerLoad) ReportProof(blame.Proof) {}
+
 func (p peerLoad) Need(start string) memory.Need { return memory.Need{float64(p[start])} }
 
 func (peerLoad) LoadComplete() bool                         { return true }
@@ -204,6 +206,8 @@
 
 func (p crashForwarder) ReportLoss(x blame.Loss) { p.to.RecordPeerLoss(x) }
 
+func (p crashForwarder) ReportProof(x blame.Proof) { p.to.RecordPeerProof(x) }
+
 // A request crashes each engine that runs it, and its caller's retries reach different
 // gateways. Each gateway sees only one or two crashes; together they have seen three,
 // and must refuse it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -99,6 +100,7 @@
 		s.ended = true
 		s.g.logRequest(s.j, "gateway: stream ended.", s.fields())
 		s.g.view.recordOutcome(s.reservation.server, doubt.Success)
+		s.g.crashes.recordRun(s.j)
 		s.g.crashes.recordSuccess(s.j.fingerprint)
 		s.reservation.completed()
 		return nil
@@ -112,6 +114,9 @@
 	if s.j.wroteAt.IsZero() {
 		s.j.wroteAt = now
 	}
+	if s.j.writingTime(now) >= blame.ProvenTime {
+		s.g.crashes.recordRun(s.j)
+	}
 	step := eventTokens(s.j.service.Engine)
 	written := eventNumber(s.lastID) * step
 	if s.lastEventAt.IsZero() {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -75,9 +75,11 @@
 	// OnLoss handles the loss of a server under a request that a peer reported, and
 	// returns whether it was new.
 	OnLoss func(blame.Loss) bool
-	// Convictions returns at most limit losses for which this gateway refuses requests.
-	// Peers that start learn of the latest by full updates. It may be nil.
-	Convictions func(limit int) []blame.Loss
+	// OnProof does the same for a proof that a part of prompts is sound. It may be nil.
+	OnProof func(blame.Proof) bool
+	// Evidence returns at most limit losses for which this gateway refuses requests, or may come
+	// to. Peers that start, or were cut off, learn of them by full updates. It may be nil.
+	Evidence func(limit int) []blame.Loss
 	// OnOrigin handles a datagram about the streams of a listed peer. It may be nil.
 	OnOrigin func(from string, m *pb.OriginMessage)
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
@@ -113,14 +115,17 @@
 	known map[string]time.Time
 	// recipients is guarded by mu.
 	recipients *recipients
-	// losses are those to report, guarded by mu.
+	// losses and proofs are those to report, guarded by mu.
 	losses lossQueue
+	proofs proofQueue
 	// conn is nil before Run. It is guarded by mu.
 	conn *net.UDPConn
 
 	// sequence and lastRevisions are used only by the sending goroutine. lastRevisions has
 	// the revision of each engine that was last sent to all recipients.
-	sequence      uint64
+	sequence uint64
+	// evidenceSent counts the full updates with losses of Options.Evidence.
+	evidenceSent  int
 	lastRevisions map[uint64]uint64
 }
 
@@ -148,6 +153,14 @@
 	e.NotifyLoadChange()
 }
 
+// ReportProof reports to the peers that a request whose prompt has a part has run well.
+func (e *Exchange) ReportProof(x blame.Proof) {
+	e.mu.Lock()
+	e.proofs.add(x, time.Now())
+	e.mu.Unlock()
+	e.NotifyLoadChange()
+}
+
 // LoadComplete reports whether this gateway knows the load of its peers, apart from a share of
 // maxMissingFraction that may be missing.
 //
@@ -250,10 +263,19 @@
 	}
 	now := time.Now()
 	for _, l := range n.Losses {
+		if len(l.Parts) > blame.MaxParts {
+			continue
+		}
 		if x := decodeLoss(l, now); e.opts.OnLoss(x) && e.sendsToSubset() {
 			e.ReportLoss(x)
 		}
 	}
+	for _, p := range n.Proofs {
+		x := blame.Proof{Part: p.Part, At: now.Add(-time.Duration(p.AgeMs) * time.Millisecond)}
+		if e.opts.OnProof != nil && e.opts.OnProof(x) && e.sendsToSubset() {
+			e.ReportProof(x)
+		}
+	}
 }
 
 // handleOrigin passes on a datagram about streams.
@@ -388,7 +410,7 @@
 // sendUpdate sends the engines whose load has changed, or all of them if full is set.
 func (e *Exchange) sendUpdate(conn *net.UDPConn, to []string, full bool) {
 	n := e.buildUpdate(e.opts.OwnLoad(), full)
-	if len(to) == 0 || len(n.Engines)+len(n.Losses) == 0 && !full {
+	if len(to) == 0 || len(n.Engines)+len(n.Losses)+len(n.Proofs) == 0 && !full {
 		return
 	}
 	text, err := proto.Marshal(n)
@@ -422,9 +444,8 @@
 // the rest.
 const maxEngineBytes = 960
 
-// fitDatagram returns the longest prefix of the list that fits into maxEngineBytes.
-func fitDatagram(list []*pb.EngineLoad) []*pb.EngineLoad {
-	left := maxEngineBytes
+// fitDatagram returns the longest prefix of the list that fits into a number of bytes.
+func fitDatagram(list []*pb.EngineLoad, left int) []*pb.EngineLoad {
 	for i, l := range list {
 		left -= protowire.SizeTag(1) + protowire.SizeBytes(proto.Size(l))
 		if left < 0 {
@@ -457,30 +478,11 @@
 		}
 	}
 	slices.SortFunc(n.Engines, func(a, b *pb.EngineLoad) int { return int(b.Tokens) - int(a.Tokens) })
-	n.Engines = fitDatagram(n.Engines)
+	n.Losses, n.Proofs = e.evidence(full, time.Now())
+	extra := proto.Size(&pb.News{Losses: n.Losses, Proofs: n.Proofs}) - maxEvidenceBytes
+	n.Engines = fitDatagram(n.Engines, maxEngineBytes-max(0, extra))
 	if !full {
 		e.lastRevisions = now
 	}
-	n.Losses = e.nextLosses(full, time.Now())
 	return n
 }
-
-// nextLosses returns the losses for the next datagram. A full update has those of the latest
-// convicted request besides.
-func (e *Exchange) nextLosses(full bool, now time.Time) []*pb.Loss {
-	e.mu.Lock()
-	list := e.losses.next(maxLosses, now)
-	unsent := e.losses.hasUnsent()
-	e.mu.Unlock()
-	if unsent {
-		e.NotifyLoadChange()
-	}
-	if full && e.opts.Convictions != nil {
-		list = append(list, e.opts.Convictions(min(maxConvictionLosses, maxLosses-len(list)))...)
-	}
-	out := make([]*pb.Loss, 0, len(list))
-	for _, x := range list {
-		out = append(out, encodeLoss(x, now))
-	}
-	return out
-}
--- a/internal/gossip/losses_test.go
+++ b/internal/gossip/losses_test.go
@@ -27,23 +27,23 @@
 		}
 	}
 	assert.Equal(t, len(sent), 20)
-	assert.Equal(t, len(q.next(maxLosses, now.Add(lossRepeatPeriod+1))), 0)
+	assert.Equal(t, len(q.next(maxLosses, now.Add(reportRepeatPeriod+1))), 0)
 	for i := range uint64(1000) {
 		q.add(blame.Loss{Request: i, Server: 2}, now)
 	}
-	assert.Equal(t, len(q.list), maxQueuedLosses)
+	assert.Equal(t, len(q.list), maxQueuedReports)
 }
 
 // Guards against datagrams that don't fit one packet with losses and load at their largest.
 func TestLossesFitBesideLoad(t *testing.T) {
 	e, _ := newExchange("10.0.0.1:1", "10.0.0.2:1")
-	e.opts.Convictions = func(limit int) []blame.Loss { return make([]blame.Loss, limit) }
+	e.opts.Evidence = func(limit int) []blame.Loss { return make([]blame.Loss, limit) }
 	many := map[string]Load{}
 	for i := range 500 {
 		many[time.Duration(i).String()] = load(1<<20, 1)
 	}
 	now := time.Now()
-	for i := range uint64(maxQueuedLosses) {
+	for i := range uint64(maxQueuedReports) {
 		e.losses.add(blame.Loss{Request: ^i, Server: ^i, Began: now.Add(-time.Hour), Lost: now.Add(-time.Hour)}, now)
 	}
 	n := e.buildUpdate(many, true)
@@ -58,7 +58,7 @@
 	a, _ := newExchange(addresses[0], addresses[1])
 	b, owner := newExchange(addresses[1], addresses[0])
 	began := time.Now().Add(-time.Minute)
-	a.opts.Convictions = func(int) []blame.Loss {
+	a.opts.Evidence = func(int) []blame.Loss {
 		return []blame.Loss{{Request: 42, Server: 7, Began: began, Lost: began.Add(time.Second)}}
 	}
 	got := make(chan blame.Loss, 1)
--- a/internal/peers/convictions.go
+++ b/internal/peers/convictions.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -21,6 +22,10 @@
 	LostMs int64 `json:"lostMs"`
 	// ID distinguishes the losses of one server under one request.
 	ID uint32 `json:"id,omitempty"`
+	// Parts are hexadecimal: those that are refused together. The loss convicts the request
+	// itself if there are none. Model is a hash of the model's name.
+	Parts []string `json:"parts,omitempty"`
+	Model uint32   `json:"model,omitempty"`
 }
 
 func encodeLosses(list []blame.Loss) []Loss {
@@ -28,7 +33,7 @@
 	for _, x := range list {
 		out = append(out, Loss{
 			Request: strconv.FormatUint(x.Request, 16), Server: strconv.FormatUint(x.Server, 16),
-			RanMs: x.Lost.Sub(x.Began).Milliseconds(), LostMs: x.Lost.UnixMilli(), ID: x.ID,
+			RanMs: x.Lost.Sub(x.Began).Milliseconds(), LostMs: x.Lost.UnixMilli(), ID: x.ID, Parts: encodeParts(x.Parts), Model: x.Model,
 		})
 	}
 	return out
@@ -45,17 +50,44 @@
 	for _, l := range list {
 		request, errRequest := strconv.ParseUint(l.Request, 16, 64)
 		server, errServer := strconv.ParseUint(l.Server, 16, 64)
-		if errRequest != nil || errServer != nil || l.RanMs < 0 {
+		parts, errParts := decodeParts(l.Parts)
+		if errRequest != nil || errServer != nil || errParts != nil || l.RanMs < 0 {
 			continue
 		}
 		lost := now.Add(-time.Duration(latest-l.LostMs) * time.Millisecond)
 		out = append(out, blame.Loss{
 			Request: request, Server: server, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond), Convicted: true, ID: l.ID,
+			Parts: parts, Model: l.Model,
 		})
 	}
 	return out
 }
 
+var errTooManyParts = errors.New("peers: a loss with too many parts")
+
+func encodeParts(parts []uint64) []string {
+	var out []string
+	for _, p := range parts {
+		out = append(out, strconv.FormatUint(p, 16))
+	}
+	return out
+}
+
+func decodeParts(list []string) ([]uint64, error) {
+	if len(list) > blame.MaxParts {
+		return nil, errTooManyParts
+	}
+	var out []uint64
+	for _, text := range list {
+		p, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
 // ShareConvictions makes the gateway's object carry the losses for which it refuses
 // requests, which convictions returns, and passes on those in the objects of others and of
 // earlier processes. They outlast an end of all gateways. It must be called before Run.
@@ -64,10 +96,10 @@
 }
 
 // PublishConviction requests a renewal of this gateway's object out of turn, unless the
-// object has the request's losses already. It never blocks.
-func (m *Members) PublishConviction(request uint64) {
+// object has the losses of the request, or of the part of prompts, already. It never blocks.
+func (m *Members) PublishConviction(suspect uint64) {
 	m.mu.Lock()
-	known := m.published[request]
+	known := m.published[suspect]
 	m.mu.Unlock()
 	if known {
 		return
--- a/internal/policy/blame/change.go
+++ b/internal/policy/blame/change.go
@@ -1,5 +1,7 @@
 package blame
 
+import "time"
+
 // ChangeKind says what changed about a request, and why.
 type ChangeKind int
 
@@ -19,6 +21,10 @@
 	ChangeConvicted
 	// ChangeAcquitted: the request is no longer refused, as its losses don't count any more.
 	ChangeAcquitted
+	// ChangeExpired: the part is no longer refused, as its conviction has ended by time.
+	ChangeExpired
+	// ChangeProven: a run has shown that the part doesn't crash servers.
+	ChangeProven
 )
 
 // String returns the kind as it is logged.
@@ -38,26 +44,36 @@
 		return "convicted"
 	case ChangeAcquitted:
 		return "acquitted"
+	case ChangeExpired:
+		return "expired"
+	case ChangeProven:
+		return "proven"
 	}
 	return "unknown"
 }
 
-// Change is a change of what a Ledger holds against a request.
+// Change is a change of what a Ledger holds against a request or a part.
 type Change struct {
 	Kind ChangeKind
+	// Part is the part, 0 if the change is about a request. With has the parts that are
+	// refused together with it, Until is the end of that, if it is convicted.
+	Part  uint64
+	With  []uint64
+	Until time.Time
 	// Request is the request's fingerprint, Server the hash of the server's incarnation,
 	// 0 if the change is about none.
 	Request, Server uint64
 	// Losses is the number of losses held, Counting that of those in sequence which count.
 	Losses, Counting int
-	// Reports are for the peers, empty if they know of the change.
+	// Reports and Proofs are for the peers, empty if they know of the change.
 	Reports []Loss
+	Proofs  []Proof
 }
 
 // notify reports a change; x is the loss that changed, zero if the change is about none.
 func (l *Ledger) notify(k ChangeKind, a *account, x Loss) {
 	crashes := a.sequence()
-	out := Change{Kind: k, Request: a.fp, Server: x.Server, Losses: len(a.losses), Counting: len(crashes)}
+	out := Change{Kind: k, Request: a.id, Server: x.Server, Losses: len(a.losses), Counting: len(crashes)}
 	switch k {
 	case ChangeServerAnswered, ChangeSucceeded:
 		x.Disproved = true
@@ -66,7 +82,7 @@
 		if !a.reported {
 			out.Reports = convictedLosses(crashes[:l.opts.Crashes])
 		}
-	case ChangeLoss, ChangePeerDisproved, ChangeOtherConvicted, ChangeAcquitted:
+	case ChangeLoss, ChangePeerDisproved, ChangeOtherConvicted, ChangeAcquitted, ChangeExpired, ChangeProven:
 	}
 	l.opts.OnChange(out)
 }
--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/list"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,7 +17,7 @@
 )
 
 const (
-	// maxLosses bounds the losses that are held of one request.
+	// maxLosses bounds the losses that are held against one suspect.
 	maxLosses = 16
 	// overlapTolerance is the overlap up to which two runs still count as one after the
 	// other: reported times are off by a network delay.
@@ -38,12 +37,13 @@
 	// SettleTime is how long after a loss the request isn't judged, until the losses of
 	// the other requests on the same server are known.
 	SettleTime time.Duration
-	// Window is how long a request's losses count after the last report, RefuseFor how
-	// long a conviction lasts after the last loss.
-	Window, RefuseFor time.Duration
-	// Limit is the maximum number of requests held, convicted or not.
+	// Window is how long a suspect's losses count after the last report, RefuseFor how
+	// long a conviction lasts after the last loss. Probation is how long after that one more
+	// loss convicts a part again.
+	Window, RefuseFor, Probation time.Duration
+	// Limit is the maximum number of requests held, convicted or not, and that of parts.
 	Limit int
-	// OnChange is called with each change of what is held against a request. It may be nil
+	// OnChange is called with each change of what is held against a suspect. It may be nil
 	// and must not call the Ledger.
 	OnChange func(Change)
 }
@@ -62,12 +62,19 @@
 	// If it crashed, it did so just before Lost. It is known of this gateway's losses only.
 	Prompt bool
 	// Disproved: whoever reports the loss knows that it doesn't count. Convicted: it refuses
-	// the request for this loss and others.
+	// the request for this loss and others or, if Parts are given, all requests whose prompts
+	// have all of these.
 	Disproved, Convicted bool
+	// Model is a hash of the model's name. Parts has hashes of the parts that the prompt shares
+	// with others, none if the connection wasn't closed or reset, or if the run had written
+	// events for ProvenTime.
+	Model uint32
+	Parts []uint64
 }
 
-// Ledger finds the requests that crash servers from the losses alone, for a router that
-// can't have a request run alone and learns only a part of what a server runs.
+// Ledger finds the requests, and the parts of prompts, that crash servers from the losses
+// alone, for a router that can't have a request run alone and learns only a part of what a
+// server runs.
 //
 // A server takes down all that it runs. These rules keep the others from being convicted:
 //   - Losses count only in sequence: of runs that overlapped, one counts. A request that
@@ -75,41 +82,24 @@
 //   - While another request has been lost with all the same servers, neither is convicted.
 //     If they go on to be lost together, each is held back for a while of its own length:
 //     the next loss is then without the others.
-//   - What a convicted request has crashed no longer counts against others.
+//   - What a convicted request or part has crashed no longer counts against others.
 //   - A loss no longer counts once the request has succeeded, or the same start of the server
 //     has answered (Answer).
 //
+// Of the requests with a part, one loss of each counts, and only those before a run of any
+// of them has written events for ProvenTime. Parts that can't be told apart are refused only
+// together.
+//
 // It isn't safe for concurrent use.
 type Ledger struct {
-	opts    LedgerOptions
-	records map[uint64]*list.Element
-	// suspects and convicted are separate, each with the latest loss first, so that
-	// many suspects don't evict a conviction.
-	suspects, convicted *list.List
+	opts            LedgerOptions
+	requests, parts *accounts
+	proofs          *proofs
 	// byServer has the fingerprints of the requests that were lost with each server, at any
 	// of its starts.
 	byServer map[uint64]map[uint64]bool
 }
 
-// account has the losses of one request.
-type account struct {
-	fp     uint64
-	losses []accountLoss
-	// until is when the account, and a conviction, ends.
-	until     time.Time
-	convicted bool
-	// reported: a peer has convicted the request.
-	reported bool
-}
-
-type accountLoss struct {
-	Loss
-	// void: the loss no longer counts, for the reason why. It is kept to recognise repeated
-	// reports.
-	void bool
-	why  ChangeKind
-}
-
 // NewLedger returns an empty Ledger.
 func NewLedger(o LedgerOptions) *Ledger {
 	o.Crashes = cmp.Or(o.Crashes, DefaultCrashes)
@@ -117,29 +107,26 @@
 	o.SettleTime = cmp.Or(o.SettleTime, DefaultSettleTime)
 	o.Window = cmp.Or(o.Window, DefaultLossWindow)
 	o.RefuseFor = cmp.Or(o.RefuseFor, DefaultRefuseFor)
+	o.Probation = cmp.Or(o.Probation, DefaultProbation)
 	o.Limit = cmp.Or(o.Limit, DefaultLimit)
 	if o.OnChange == nil {
 		o.OnChange = func(Change) {}
 	}
-	return &Ledger{
-		opts: o, records: map[uint64]*list.Element{}, suspects: list.New(), convicted: list.New(), byServer: map[uint64]map[uint64]bool{},
-	}
+	l := &Ledger{opts: o, proofs: newProofs(), byServer: map[uint64]map[uint64]bool{}}
+	l.requests = newAccounts(o.Limit, l.unlink)
+	l.parts = newAccounts(o.Limit, func(*account) {})
+	return l
 }
 
 // RecordLoss records a loss, or what a peer knows of one, and reports whether that was
 // unknown. Reports of a loss merge to the same result in any order: a disproof takes
 // precedence over a conviction, and that over the absolution by another one's conviction.
 func (l *Ledger) RecordLoss(x Loss, now time.Time) bool {
-	a := l.find(x.Request, now)
-	if a == nil {
-		a = &account{fp: x.Request}
-		l.records[x.Request] = l.suspects.PushFront(a)
-		l.evict(l.suspects)
-	}
-	i := slices.IndexFunc(a.losses, func(o accountLoss) bool { return o.isSame(x) })
+	a := l.requests.open(x.Request, now)
+	i := slices.IndexFunc(a.losses, func(o *heldLoss) bool { return o.isSame(x) })
 	switch {
 	case i >= 0:
-		if !l.update(a, &a.losses[i], x) {
+		if !l.update(a, a.losses[i], x, now) {
 			return false
 		}
 	case len(a.losses) >= maxLosses:
@@ -147,9 +134,10 @@
 	default:
 		l.add(a, x, now)
 	}
-	a.reported = a.reported || x.Convicted && !x.Disproved
-	l.listOf(a).MoveToFront(l.records[x.Request])
+	a.reported = a.reported || x.convictsRequest()
+	l.requests.touch(a)
 	l.review(a, now)
+	l.reviewParts(now)
 	return true
 }
 
@@ -164,43 +152,50 @@
 	default:
 		a.until = now.Add(l.opts.Window)
 		// A conviction that is reported after the fact holds at once.
-		l.Judge(a.fp, now)
+		l.Judge(a.id, now)
 	}
 }
 
 // add adds an unknown loss.
 func (l *Ledger) add(a *account, x Loss, now time.Time) {
-	out := accountLoss{Loss: x}
+	out := &heldLoss{Loss: x}
 	switch {
 	case x.Disproved:
 		out.void, out.why = true, ChangePeerDisproved
-	case !x.Convicted && l.hasCulprit(x, now):
+	case !x.convictsRequest() && l.hasCulprit(x, now):
 		out.void, out.why = true, ChangeOtherConvicted
 	}
-	a.losses = append(a.losses, out)
-	slices.SortFunc(a.losses, func(a, b accountLoss) int { return a.Lost.Compare(b.Lost) })
+	a.hold(out)
 	if l.byServer[x.Server] == nil {
 		l.byServer[x.Server] = map[uint64]bool{}
 	}
 	l.byServer[x.Server][x.Request] = true
 	l.notify(ChangeLoss, a, x)
+	if !x.Disproved {
+		l.blamePartsFor(out, now)
+	}
+	if x.convictsParts() {
+		l.adopt(x.Parts, now)
+	}
 }
 
 // update applies a further report of a known loss, and reports whether it changes anything.
-func (l *Ledger) update(a *account, known *accountLoss, x Loss) bool {
+func (l *Ledger) update(a *account, known *heldLoss, x Loss, now time.Time) bool {
 	switch {
 	case x.Disproved:
-		if known.void && known.why != ChangeOtherConvicted {
+		if known.isDisproved() {
 			return false
 		}
 		if known.void {
 			known.why = ChangePeerDisproved
 			return true
 		}
-		l.void(a, ChangePeerDisproved, func(o accountLoss) bool { return o.isSame(x) })
+		l.void(a, ChangePeerDisproved, func(o *heldLoss) bool { return o.isSame(x) })
 		return true
+	case x.convictsParts():
+		return l.narrow(known, x.Parts, now)
 	case x.Convicted:
-		if known.void && known.why == ChangeOtherConvicted {
+		if known.void && known.why == ChangeOtherConvicted && !l.hasCulpritPart(known.Loss) {
 			known.void = false
 			return true
 		}
@@ -211,24 +206,30 @@
 
 // RecordSuccess records that a request has succeeded.
 func (l *Ledger) RecordSuccess(fp uint64, now time.Time) {
-	if a := l.find(fp, now); a != nil {
-		l.void(a, ChangeSucceeded, func(accountLoss) bool { return true })
+	if a := l.requests.find(fp, now); a != nil {
+		l.void(a, ChangeSucceeded, func(*heldLoss) bool { return true })
+		l.reviewParts(now)
 	}
 }
 
 // RecordAnswer records an answer of a server: the losses that it disproves no longer count.
 func (l *Ledger) RecordAnswer(x Answer, now time.Time) {
 	for fp := range l.byServer[x.Server] {
-		if a := l.find(fp, now); a != nil {
-			l.void(a, ChangeServerAnswered, func(o accountLoss) bool { return x.disproves(o.Loss, now) })
+		if a := l.requests.find(fp, now); a != nil {
+			l.void(a, ChangeServerAnswered, func(o *heldLoss) bool { return x.disproves(o.Loss, now) })
 		}
 	}
+	if len(l.byServer[x.Server]) > 0 {
+		l.reviewParts(now)
+	}
 }
 
 // Judgement says whether a request may run.
 type Judgement struct {
 	// Convicted: the request crashes servers.
 	Convicted bool
+	// Part is the part of its prompt that does, 0 if it is the request alone.
+	Part uint64
 	// Unsettled is the time after which the request can be judged, 0 for now.
 	Unsettled time.Duration
 	// Held is the time for which the request is held back, 0 if it isn't.
@@ -237,7 +238,7 @@
 
 // Judge judges a request.
 func (l *Ledger) Judge(fp uint64, now time.Time) Judgement {
-	a := l.find(fp, now)
+	a := l.requests.find(fp, now)
 	if a == nil || a.convicted {
 		return Judgement{Convicted: a != nil}
 	}
@@ -271,40 +272,74 @@
 	return shortest + time.Duration(draw*(holdSpread-1)*float64(shortest))
 }
 
-// Convictions returns the losses of the convicted requests, the latest request first, at
-// most limit of them and only whole requests.
+// Convictions returns the losses of the convicted parts, and behind them those of the convicted
+// requests, the latest first, at most limit of them and each conviction's all or none.
 func (l *Ledger) Convictions(limit int, now time.Time) []Loss {
 	var out []Loss
-	for el := l.convicted.Front(); el != nil; el = el.Next() {
-		a := accountOf(el)
-		if !now.Before(a.until) {
+	for _, x := range l.convictionLosses(now) {
+		if len(out)+len(x) > limit {
+			break
+		}
+		out = append(out, x...)
+	}
+	return out
+}
+
+// Suspicions returns the latest losses that count against each part which isn't convicted but
+// has minSuspicion crashes: gateways that were cut off or have just started don't know them. It
+// returns at most limit of them.
+func (l *Ledger) Suspicions(limit int, now time.Time) []Loss {
+	var out []Loss
+	for _, a := range l.parts.all() {
+		if a.convicted || len(a.losses) < minSuspicion || l.parts.find(a.id, now) == nil {
 			continue
 		}
-		crashes := a.sequence()[:l.opts.Crashes]
-		if len(out)+len(crashes) > limit {
-			break
+		crashes := l.caseOf(a).crashes
+		if n := len(crashes); n >= minSuspicion {
+			for _, x := range crashes[max(0, n-l.opts.Crashes):] {
+				out = append(out, x.Loss)
+			}
+		}
+	}
+	return out[:min(limit, len(out))]
+}
+
+// convictionLosses returns the losses for each conviction.
+func (l *Ledger) convictionLosses(now time.Time) [][]Loss {
+	var out [][]Loss
+	for _, a := range l.parts.all() {
+		if a.convicted && now.Before(a.lastLoss().Add(l.opts.RefuseFor)) {
+			out = append(out, l.convictedPartLosses(l.caseOf(a)))
+		}
+	}
+	for _, a := range l.requests.all() {
+		if a.convicted && now.Before(a.until) {
+			out = append(out, convictedLosses(a.sequence()[:l.opts.Crashes]))
 		}
-		out = append(out, convictedLosses(crashes)...)
 	}
 	return out
 }
 
 // convictedLosses returns the losses for which a request is refused, as told to peers.
-func convictedLosses(crashes []accountLoss) []Loss {
+func convictedLosses(crashes []*heldLoss) []Loss {
 	out := make([]Loss, 0, len(crashes))
 	for _, x := range crashes {
-		x.Convicted = true
-		out = append(out, x.Loss)
+		told := x.Loss
+		told.Convicted, told.Parts = true, nil
+		out = append(out, told)
 	}
 	return out
 }
 
 // Len returns the number of requests held.
-func (l *Ledger) Len() int { return len(l.records) }
+func (l *Ledger) Len() int { return len(l.requests.records) }
+
+// Empty reports whether nothing is held against any request or part.
+func (l *Ledger) Empty() bool { return len(l.requests.records)+len(l.parts.records) == 0 }
 
 // sequence returns the most losses that count of runs which didn't overlap.
-func (a *account) sequence() []accountLoss {
-	var out []accountLoss
+func (a *account) sequence() []*heldLoss {
+	var out []*heldLoss
 	for _, x := range a.losses {
 		if !x.void && (len(out) == 0 || x.follows(out[len(out)-1].Loss)) {
 			out = append(out, x)
@@ -316,12 +351,12 @@
 // hasRival reports whether another request has been lost with all servers that count
 // against a.
 func (l *Ledger) hasRival(a *account, now time.Time) bool {
-	first := slices.IndexFunc(a.losses, func(x accountLoss) bool { return !x.void })
+	first := slices.IndexFunc(a.losses, func(x *heldLoss) bool { return !x.void })
 	for fp := range l.byServer[a.losses[first].Server] {
-		if fp == a.fp {
+		if fp == a.id {
 			continue
 		}
-		other := l.find(fp, now)
+		other := l.requests.find(fp, now)
 		if other != nil && other.explains(a) {
 			return true
 		}
@@ -332,7 +367,7 @@
 // explains reports whether all losses that count against b also count against a.
 func (a *account) explains(b *account) bool {
 	for _, x := range b.losses {
-		same := func(o accountLoss) bool { return !o.void && o.isSameCrash(x.Loss) }
+		same := func(o *heldLoss) bool { return !o.void && o.isSameCrash(x.Loss) }
 		if !x.void && !slices.ContainsFunc(a.losses, same) {
 			return false
 		}
@@ -347,11 +382,9 @@
 }
 
 func (l *Ledger) convict(a *account) {
-	l.suspects.Remove(l.records[a.fp])
-	a.convicted, a.until = true, l.endOfConviction(a)
-	l.records[a.fp] = l.convicted.PushFront(a)
+	a.until = l.endOfConviction(a)
+	l.requests.setConvicted(a, true)
 	l.notify(ChangeConvicted, a, Loss{})
-	l.evict(l.convicted)
 	l.absolveOthers(a)
 }
 
@@ -362,22 +395,25 @@
 			continue
 		}
 		for fp := range l.byServer[x.Server] {
-			other := accountOf(l.records[fp])
+			other := accountOf(l.requests.records[fp])
 			if !other.convicted {
-				l.void(other, ChangeOtherConvicted, func(o accountLoss) bool { return o.isSameCrash(x.Loss) })
+				l.void(other, ChangeOtherConvicted, func(o *heldLoss) bool { return o.isSameCrash(x.Loss) })
 			}
 		}
 	}
 }
 
-// hasCulprit reports whether the server was lost under a convicted request too.
+// hasCulprit reports whether the server was lost under a convicted request or part too.
 func (l *Ledger) hasCulprit(x Loss, now time.Time) bool {
+	if l.hasCulpritPart(x) {
+		return true
+	}
 	for fp := range l.byServer[x.Server] {
-		a := l.find(fp, now)
+		a := l.requests.find(fp, now)
 		if a == nil || !a.convicted {
 			continue
 		}
-		if slices.ContainsFunc(a.losses, func(o accountLoss) bool { return !o.void && o.isSameCrash(x) }) {
+		if slices.ContainsFunc(a.losses, func(o *heldLoss) bool { return !o.void && o.isSameCrash(x) }) {
 			return true
 		}
 	}
@@ -385,60 +421,24 @@
 }
 
 // void makes losses no longer count, and ends a conviction that rested on them.
-func (l *Ledger) void(a *account, why ChangeKind, which func(accountLoss) bool) {
-	for i := range a.losses {
-		if x := &a.losses[i]; !x.void && which(*x) {
+func (l *Ledger) void(a *account, why ChangeKind, which func(*heldLoss) bool) {
+	for _, x := range a.losses {
+		if !x.void && which(x) {
 			x.void, x.why = true, why
 			l.notify(why, a, x.Loss)
 		}
 	}
 	if a.convicted && len(a.sequence()) < l.opts.Crashes {
-		l.convicted.Remove(l.records[a.fp])
-		a.convicted, a.reported = false, false
+		a.reported = false
+		l.requests.setConvicted(a, false)
 		l.notify(ChangeAcquitted, a, Loss{})
-		l.records[a.fp] = l.suspects.PushFront(a)
-		l.evict(l.suspects)
-	}
-}
-
-// find returns the account of a request, nil if it has none or an expired one.
-func (l *Ledger) find(fp uint64, now time.Time) *account {
-	el, ok := l.records[fp]
-	if !ok {
-		return nil
-	}
-	a := accountOf(el)
-	if !a.until.IsZero() && !now.Before(a.until) {
-		l.remove(el)
-		return nil
-	}
-	return a
-}
-
-func accountOf(el *list.Element) *account {
-	a, _ := el.Value.(*account)
-	return a
-}
-
-func (l *Ledger) listOf(a *account) *list.List {
-	if a.convicted {
-		return l.convicted
-	}
-	return l.suspects
-}
-
-func (l *Ledger) evict(from *list.List) {
-	if from.Len() > max(1, l.opts.Limit/2) {
-		l.remove(from.Back())
 	}
 }
 
-func (l *Ledger) remove(el *list.Element) {
-	a := accountOf(el)
-	l.listOf(a).Remove(el)
-	delete(l.records, a.fp)
+// unlink drops a request's account from the index by server.
+func (l *Ledger) unlink(a *account) {
 	for _, x := range a.losses {
-		delete(l.byServer[x.Server], a.fp)
+		delete(l.byServer[x.Server], a.id)
 		if len(l.byServer[x.Server]) == 0 {
 			delete(l.byServer, x.Server)
 		}
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -20,13 +20,6 @@
 
 func after(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func isConvicted(l *Ledger, fp uint64, now time.Time) bool {
 	return l.Judge(fp, now).Convicted
 }
@@ -266,12 +259,12 @@
 				now = now.Add(rapid.SampledFrom([]time.Duration{runTime, time.Second, time.Minute}).Draw(t, "passes"))
 			},
 			"": func(t *rapid.T) {
-				assert.Equal(t, l.Len(), l.suspects.Len()+l.convicted.Len())
+				assert.Equal(t, l.Len(), l.requests.suspects.Len()+l.requests.convicted.Len())
 				assert.Assert(t, l.Len() <= 8)
 				for s, fps := range l.byServer {
 					assert.Assert(t, len(fps) > 0, "server %d", s)
 					for fp := range fps {
-						assert.Assert(t, l.records[fp] != nil, "request %d at server %d", fp, s)
+						assert.Assert(t, l.requests.records[fp] != nil, "request %d at server %d", fp, s)
 					}
 				}
 				for _, x := range l.Convictions(100, now) {
--- a/internal/policy/blame/loss.go
+++ b/internal/policy/blame/loss.go
@@ -6,6 +6,9 @@
 // server.
 const maxLossID = 1<<14 - 1
 
+// MaxParts bounds the parts of a Loss.
+const MaxParts = 32
+
 // NewLossID returns the ID for a new Loss.
 func NewLossID() uint32 { return 1 + rand.Uint32N(maxLossID) }
 
@@ -27,3 +30,18 @@
 	}
 	return x.Began.Add(overlapTolerance).After(o.Lost)
 }
+
+// Suspects returns whom a conviction is about: the parts that are refused together, or the
+// request.
+func (x Loss) Suspects() []uint64 {
+	if len(x.Parts) > 0 {
+		return x.Parts
+	}
+	return []uint64{x.Request}
+}
+
+// convictsParts reports whether the reporter refuses prompts with all of the parts, and
+// convictsRequest whether it refuses the request itself.
+func (x Loss) convictsParts() bool { return x.Convicted && !x.Disproved && len(x.Parts) > 0 }
+
+func (x Loss) convictsRequest() bool { return x.Convicted && !x.Disproved && len(x.Parts) == 0 }
