--- a/internal/policy/blame/accounts.go
+++ b/internal/policy/blame/accounts.go
@@ -118,13 +118,6 @@
 	b.onRemove(a)
 }
 
-// expire drops the accounts that have ended.
-func (b *accounts) expire(now time.Time) {
-	for id := range b.records {
-		b.find(id, now)
-	}
-}
-
 // all returns the accounts, the convicted ones first, each with the latest loss first.
 func (b *accounts) all() []*account {
 	out := make([]*account, 0, len(b.records))
