Answers without end are bounded; answers that end with their connection

A body of the store was bounded at 256 MB, more than a node has, and a compressed one not at all.

Each read from a server is bounded now: heads to 64 KB and 2 s from their first byte, bodies of unknown length to 64 MB, lines of events to 1 MB while they are read, what nobody wants to 1 MB and 0.1 s, the store's replies to 4 MB also when they are decompressed. The connection is closed; a refusal without end doubts its server as a lost connection does. Bytes that are no answer are no loss: the server runs.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -167,7 +167,7 @@
 			g.crashes.recordRun(j)
 			g.crashes.recordSuccess(j.fingerprint)
 		}
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !isWrongAnswer(err):
 		g.recordLoss(j, s, j.sentAt, err)
 	}
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -19,6 +19,7 @@
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/policy/blame"
+	"jayford.example/jayford/internal/upstream"
 	"jayford.example/jayford/internal/verdict"
 	"jayford.example/jayford/internal/wait"
 )
@@ -198,7 +199,12 @@
 // which happens when the server crashes. A caller that left, a timeout and an answer of
 // the server, however wrong, are no losses.
 func isLoss(ctx context.Context, err *verdict.Error) bool {
-	return ctx.Err() == nil && err.Code == verdict.ServerLost && err.Verdict != verdict.NotRun && !errors.Is(err, errUnproven)
+	return ctx.Err() == nil && err.Code == verdict.ServerLost && err.Verdict != verdict.NotRun && !isWrongAnswer(err)
+}
+
+// isWrongAnswer reports whether a server that runs sent something wrong.
+func isWrongAnswer(err error) bool {
+	return errors.Is(err, errUnproven) || errors.Is(err, errLargeEvent) || errors.Is(err, upstream.ErrMalformed)
 }
 
 // isPrompt reports whether a connection broke as it was closed or reset, and not by a timeout.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -32,18 +32,15 @@
 func (e *events) next() (event, error) {
 	var ev event
 	for {
-		line, err := e.r.ReadBytes('\n')
-		ev.Raw = append(ev.Raw, line...)
-		if err != nil {
+		start := len(ev.Raw)
+		var err error
+		if ev.Raw, err = e.appendLine(ev.Raw); err != nil {
 			if errors.Is(err, io.EOF) && len(ev.Raw) > 0 {
 				return event{}, io.ErrUnexpectedEOF
 			}
 			return event{}, err
 		}
-		if len(ev.Raw) > maxEventBytes {
-			return event{}, errLargeEvent
-		}
-		text := strings.TrimRight(string(line), "\r\n")
+		text := strings.TrimRight(string(ev.Raw[start:]), "\r\n")
 		if text == "" {
 			if len(bytes.TrimSpace(ev.Raw)) == 0 {
 				ev.Raw = ev.Raw[:0]
@@ -56,3 +53,17 @@
 		}
 	}
 }
+
+// appendLine appends the next line to an event. It fails if the event gets too large.
+func (e *events) appendLine(to []byte) ([]byte, error) {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		to = append(to, part...)
+		switch {
+		case len(to) > maxEventBytes:
+			return to, errLargeEvent
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return to, err
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,6 +79,10 @@
 
 func (s *stream) advance() error {
 	ev, err := s.nextEvent()
+	if errors.Is(err, io.EOF) && s.answer.Unframed && s.lastID == "" && s.lastEventAt.IsZero() {
+		// The end of the connection alone doesn't make a stream without events complete.
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err == nil:
 		if s.isDuplicate(ev.ID) {
@@ -219,7 +223,7 @@
 	}
 	s.g.recordFailure(s.ctx, s.reservation.server, verdict.New(verdict.Ran, code, "The stream was interrupted."))
 	s.j.avoid[serverKey(s.reservation.server)] = true
-	if !errors.Is(cause, errLargeEvent) {
+	if !isWrongAnswer(cause) {
 		s.g.recordLoss(s.j, s.reservation.server, s.j.sentAt, cause)
 	}
 	brokenStreams.Inc()
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -22,7 +22,8 @@
 	// MaxWatch is the longest wait that the platform allows a watch.
 	MaxWatch = 25 * time.Second
 
-	maxResponseBytes = 256 << 20
+	// maxResponseBytes bounds a reply, also a compressed one that grows.
+	maxResponseBytes = 4 << 20
 	maxConnections   = 64
 	dialTimeout      = time.Second
 	idleTimeout      = 10 * time.Second
@@ -167,7 +168,7 @@
 		h.client.CloseIdleConnections()
 		return Reply{err: err}
 	}
-	body, err := resp.BodyUncompressed()
+	body, err := resp.BodyUncompressedWithLimit(maxResponseBytes)
 	if err != nil {
 		return Reply{err: eris.Wrap(err, "reply can't be decompressed")}
 	}
--- a/internal/standin/faultnet/listener.go
+++ b/internal/standin/faultnet/listener.go
@@ -69,11 +69,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Conn.Close()
+		c.reset()
+	}
+}
+
+// Reset closes one connection that a Listener accepted with a TCP reset.
+func Reset(accepted net.Conn) {
+	if c, ok := accepted.(*conn); ok {
+		c.reset()
+	}
+}
+
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.Conn.Close()
 }
 
 // Delay delays each read from any connection by d.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,8 +85,11 @@
 	wrote            bool
 	keepAlive        bool
 	keepAliveTimeout time.Duration
-	idleSince        time.Time
-	once             sync.Once
+	// headLeft is how many more bytes may be read until the head of a response has ended,
+	// noHeadLimit outside of one.
+	headLeft  int
+	idleSince time.Time
+	once      sync.Once
 }
 
 // Write writes b and records whether any byte was written.
@@ -98,6 +101,23 @@
 	return n, err
 }
 
+const noHeadLimit = -1
+
+// Read reads from the socket. In the head of a response it fails at its limit.
+func (c *conn) Read(b []byte) (int, error) {
+	switch {
+	case c.headLeft == noHeadLimit:
+		return c.Conn.Read(b)
+	case c.headLeft == 0:
+		return 0, errLargeHead
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+var errLargeHead = errors.New("the head is too large")
+
 func (c *conn) close() { c.once.Do(func() { _ = c.Close() }) }
 
 var (
@@ -127,7 +147,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, readBuffer), connectedAt: time.Now()}, nil
+	c := &conn{Conn: nc, addr: addr, connectedAt: time.Now(), headLeft: noHeadLimit}
+	c.r = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 func (c *conn) idleLimit(fallback time.Duration) time.Duration {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,7 +10,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -26,7 +29,11 @@
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Unframed: the body has neither a length nor chunks and ends with the connection. One that
+	// was cut off can't be told from a complete one, unless the connection is reset.
+	Unframed bool
+	// Body fails with ErrMalformed once it is longer than any answer, if its length is unknown.
+	Body io.ReadCloser
 	// ConnectedAt is when the connection that carried the response was established.
 	ConnectedAt time.Time
 }
@@ -44,10 +51,26 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-var errTooManyMismatched = errors.New("too many responses to other requests")
+// ErrMalformed marks bytes from a server that are no response: not HTTP, or without end. The
+// server runs, but is faulty.
+var ErrMalformed = errors.New("malformed response")
 
-// maxMismatched limits the responses to other requests that one exchange drops.
-const maxMismatched = 4
+var errTooManyMismatched = fmt.Errorf("%w: too many responses to other requests", ErrMalformed)
+
+const (
+	// maxMismatched limits the responses to other requests that one exchange drops.
+	maxMismatched = 4
+	// maxHeadBytes bounds the head of a response, headTimeout the time from its first byte to
+	// its last.
+	maxHeadBytes = 64 << 10
+	headTimeout  = 2 * time.Second
+	// maxBodyBytes bounds a body of unknown length.
+	maxBodyBytes = 64 << 20
+	// maxDiscardBytes and discardTimeout bound what is read of a body that nobody wants, so that
+	// its connection can be reused.
+	maxDiscardBytes = 1 << 20
+	discardTimeout  = 100 * time.Millisecond
+)
 
 // Do sends r to addr and returns once the response header has arrived. ctx bounds
 // the whole exchange including the body: when it ends, the connection is closed,
@@ -67,7 +90,11 @@
 		}
 		return nil, &Error{Sent: c.wrote, cause: err}
 	}
-	resp.Body = &body{ReadCloser: resp.Body, conn: c, stop: stop, pool: p}
+	b := &body{ReadCloser: resp.Body, conn: c, stop: stop, pool: p, left: math.MaxInt64}
+	if resp.Length < 0 {
+		b.left = maxBodyBytes
+	}
+	resp.Body = b
 	return resp, nil
 }
 
@@ -82,16 +109,16 @@
 func (c *conn) readResponse(r *Request) (*Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxMismatched {
-		resp, err := http.ReadResponse(c.r, req) //nolint:bodyclose // the caller closes it with the connection
+		resp, err := c.readHead(req) //nolint:bodyclose // the caller closes it with the connection
 		if err != nil {
-			return nil, eris.Wrap(err, "read response")
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-				return nil, eris.Wrap(err, "read a response to another request")
+			if !c.discard(resp.Body, headTimeout) {
+				return nil, fmt.Errorf("%w: a response to another request has no end", ErrMalformed)
 			}
 			continue
 		}
@@ -99,11 +126,61 @@
 		c.keepAliveTimeout = parseKeepAlive(resp.Header.Get("Keep-Alive"))
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, ConnectedAt: c.connectedAt,
+			Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		}, nil
 	}
 	return nil, errTooManyMismatched
 }
 
+// readHead reads the head of a response, which is bounded in bytes and, from its first byte on,
+// in time.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	if _, err := c.r.Peek(1); err != nil {
+		return nil, eris.Wrap(err, "read response")
+	}
+	_ = c.SetReadDeadline(time.Now().Add(headTimeout))
+	c.headLeft = maxHeadBytes
+	resp, err := http.ReadResponse(c.r, req)
+	c.headLeft = noHeadLimit
+	_ = c.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		return resp, nil
+	case isConnectionError(err):
+		return nil, eris.Wrap(err, "read response")
+	}
+	return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
+// isConnectionError reports whether reading failed as the connection was closed or reset, and
+// not by what was read or how slowly it came.
+func isConnectionError(err error) bool {
+	var ne net.Error
+	if errors.As(err, &ne) {
+		return !ne.Timeout()
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
+}
+
+// discard reads the rest of a small body, and reports whether it has ended.
+func (c *conn) discard(body io.Reader, timeout time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	_, err := io.CopyN(io.Discard, body, maxDiscardBytes)
+	return errors.Is(err, io.EOF)
+}
+
+// Discard reads the rest of a small body that nobody wants, so that its connection can be
+// reused, and closes it. It reports whether the body has ended.
+func (r *Response) Discard() (ended bool) {
+	if b, ok := r.Body.(*body); ok && b.conn.discard(b.ReadCloser, discardTimeout) {
+		b.ended.Store(true)
+		ended = true
+	}
+	_ = r.Body.Close()
+	return ended
+}
+
 // parseKeepAlive returns the timeout of a Keep-Alive header, 0 if it has none.
 func parseKeepAlive(v string) time.Duration {
 	const key = "timeout="
@@ -128,9 +205,11 @@
 // to its end and the connection has no further bytes.
 type body struct {
 	io.ReadCloser
-	conn  *conn
-	stop  func() bool
-	pool  *Pool
+	conn *conn
+	stop func() bool
+	pool *Pool
+	// left is how many bytes the body may still have. Only Read uses it.
+	left  int64
 	ended atomic.Bool
 	once  sync.Once
 }
@@ -138,6 +217,10 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		b.conn.close()
+		return 0, fmt.Errorf("%w: the body has no end", ErrMalformed)
+	}
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
 	}
