Servers' rate limits follow the gateways' demand; open connections are bounded

Cause: each limit was divided equally. Without limits nothing was starved. Now three quarters of a limit follow the gateways' requests a second, which full updates carry, where each gateway has a token without any and all send to all; otherwise equal as before.

A gateway accepts connections up to three quarters of its descriptors and closes others unread: their callers try elsewhere.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 )
 
@@ -41,6 +42,11 @@
 	// that of the HTTP library. The value may change while connections are open.
 	// A nil IdleTimeout is the same as one that returns 0.
 	IdleTimeout func() time.Duration
+	// MaxOpen bounds the open connections, 0 for no bound. Those beyond it are closed unread, so
+	// that their callers can try elsewhere.
+	MaxOpen int64
+	// open counts the accepted connections that aren't closed.
+	open atomic.Int64
 
 	drainMu sync.Mutex
 	// The fields below are guarded by drainMu.
@@ -55,10 +61,7 @@
 
 // AcceptConn is Accept with a concrete result type.
 func (l *Listener) AcceptConn() (*Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		c, err = l.nextAccepted(err)
-	}
+	c, err := l.acceptWithin()
 	if err != nil {
 		return nil, err
 	}
@@ -67,9 +70,30 @@
 	_ = c.SetKeepAliveConfig(net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	})
-	return &Conn{TCPConn: c, writeTimeout: l.WriteTimeout, idleTimeout: l.IdleTimeout}, nil
+	return &Conn{TCPConn: c, writeTimeout: l.WriteTimeout, idleTimeout: l.IdleTimeout, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
 }
 
+// acceptWithin accepts the next connection within MaxOpen.
+func (l *Listener) acceptWithin() (*net.TCPConn, error) {
+	for {
+		c, err := l.AcceptTCP()
+		if err != nil {
+			c, err = l.nextAccepted(err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if n := l.open.Add(1); l.MaxOpen == 0 || n <= l.MaxOpen {
+			return c, nil
+		}
+		l.open.Add(-1)
+		refusedConnections.Inc()
+		_ = c.Close()
+	}
+}
+
+var refusedConnections = metrics.NewCounter("jayford_callers_refused_connections_total")
+
 // Conn is a caller's connection. Each write has its own deadline: one deadline for
 // the whole response would cut off long streams, and without any a caller that
 // doesn't read could block its request forever.
@@ -83,6 +107,8 @@
 	Linger atomic.Bool
 	// OnClose, if not nil, is called by each Close.
 	OnClose func()
+	// release gives the connection's place at its listener back.
+	release func()
 }
 
 // lingering is the number of lingering connections.
@@ -93,6 +119,9 @@
 // a reset because of the unread bytes, and the caller could lose the response that
 // it hasn't read yet.
 func (c *Conn) Close() error {
+	if c.release != nil {
+		c.release()
+	}
 	if c.OnClose != nil {
 		c.OnClose()
 	}
--- a/internal/gateway/foresight_test.go
+++ b/internal/gateway/foresight_test.go
@@ -24,6 +24,8 @@
 
 func (peerNeeds) ReportLoss(blame.Loss) {}
 
+func (peerNeeds) Demand() (float64, bool) { return 0, false }
+
 func (peerNeeds) ReportProof(blame.Proof) {}
 
 func (p peerNeeds) Need(start string) memory.Need { return p.needs[start] }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,11 @@
 	if n < 1 {
 		return
 	}
-	g.limits.setGateways(ids)
+	others, known := 0.0, false
+	if g.loads.peers != nil {
+		others, known = g.loads.peers.Demand()
+	}
+	g.limits.setGateways(ids, others, known)
 	g.budget.setGateways(ids)
 	if g.view.peers.Swap(int64(n)) == int64(n) {
 		return
@@ -178,6 +182,9 @@
 // ask them. It must be called before the first request.
 func (g *Gateway) ShareOrigins(o Origins) { g.origins = o }
 
+// Demand returns this gateway's requests a second.
+func (g *Gateway) Demand() float64 { return g.limits.rate() }
+
 // Load returns this gateway's own load on engines, by server key.
 func (g *Gateway) Load() map[string]gossip.Load { return g.loads.own() }
 
@@ -310,6 +317,7 @@
 		return nil, err
 	}
 	requestsTotal.Inc()
+	g.limits.countRequest()
 	g.budget.countRequest(j.service.Name)
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	reply, err := g.serveWithinQuota(ctx, j)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -50,6 +50,23 @@
 	// unknown.
 	byServer map[string]*serverLimit
 	gateways []string
+	// demand is this gateway's, part its part of each limit by that, 0 for an equal one.
+	demand limit.Demand
+	part   float64
+}
+
+// countRequest counts a request towards this gateway's demand.
+func (l *limits) countRequest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.demand.Count(time.Now())
+}
+
+// rate returns this gateway's demand in requests a second.
+func (l *limits) rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.demand.Rate(time.Now())
 }
 
 func newLimits(self string, b *board.Board, log *logrus.Entry) *limits {
@@ -105,17 +122,22 @@
 	x := l.byServer[at]
 	x.place = limit.Position{Gateways: assumedGateways}
 	if len(l.gateways) > 0 {
-		x.place = limit.Position{Gateways: len(l.gateways), Rank: limit.Rank(at, l.self, l.gateways)}
+		x.place = limit.Position{Gateways: len(l.gateways), Rank: limit.Rank(at, l.self, l.gateways), Part: l.part}
 	}
 	x.share.Set(now, x.PerSecond, x.place)
 }
 
-// setGateways sets the ids of the gateways that share the limits.
-func (l *limits) setGateways(ids []string) {
+// setGateways sets the ids of the gateways that share the limits, and the demand of the others,
+// in requests a second. If it isn't known, they share equally.
+func (l *limits) setGateways(ids []string, others float64, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gateways = ids
 	now := time.Now()
+	l.part = 0
+	if own := l.demand.Rate(now); known {
+		l.part = limit.DemandPart(own, own+others, len(ids))
+	}
 	for at := range l.byServer {
 		l.setShareLocked(at, now)
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -70,7 +70,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		l := newLimits(id, board.New(), logrus.NewEntry(log))
-		l.setGateways(ids)
+		l.setGateways(ids, 0, false)
 		l.update(s, zeroLimit(now), now)
 		all = append(all, l)
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -33,6 +33,8 @@
 	// whether the load of all peers is known.
 	Need(key string) memory.Need
 	LoadComplete() bool
+	// Demand returns the requests a second of all peers, and whether they are known.
+	Demand() (float64, bool)
 	// PlatformReachableSince returns the earliest time since which the platform has been
 	// reachable for a peer, by reports received later than after; zero if it is for none.
 	PlatformReachableSince(after time.Time) time.Time
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -104,6 +104,8 @@
 
 func (peerLoad) ReportLoss(blame.Loss) {}
 
+func (peerLoad) Demand() (float64, bool) { return 0, false }
+
 func (peerLoad) ReportProof(blame.Proof) {}
 
 func (p peerLoad) Need(start string) memory.Need { return memory.Need{float64(p[start])} }
@@ -206,6 +208,8 @@
 
 func (p crashForwarder) ReportLoss(x blame.Loss) { p.to.RecordPeerLoss(x) }
 
+func (crashForwarder) Demand() (float64, bool) { return 0, false }
+
 func (p crashForwarder) ReportProof(x blame.Proof) { p.to.RecordPeerProof(x) }
 
 // A request crashes each engine that runs it, and its caller's retries reach different
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"jayford.example/jayford/internal/callers"
 	"jayford.example/jayford/internal/verdict"
@@ -137,7 +139,7 @@
 		return eris.New("gateway: listener for callers isn't TCP")
 	}
 	failed := make(chan error, 2)
-	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout, IdleTimeout: s.idleTimeout}
+	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout, IdleTimeout: s.idleTimeout, MaxOpen: maxConnections(s.g.log)}
 	go func() { failed <- s.http.Serve(listener) }()
 	probe := &fasthttp.Server{Handler: s.handleReady, NoDefaultServerHeader: true, Logger: httpLog{s.g.log}}
 	go func() { failed <- probe.Serve(ready) }()
@@ -152,6 +154,20 @@
 	return nil
 }
 
+// callersPart is the part of the process's descriptors that connections of callers may have. The
+// others are for servers, the platform and peers.
+const callersPart = 0.75
+
+// maxConnections returns how many connections of callers may be open, 0 if that isn't known.
+func maxConnections(log *logrus.Entry) int64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		log.WithError(err).Warn("gateway: the number of connections isn't bounded.")
+		return 0
+	}
+	return int64(callersPart * float64(min(limit.Cur, math.MaxInt32)))
+}
+
 // drain serves until no request is running. The listener stays open meanwhile: the
 // load balancer still sends callers, and a closed listener would reject them without
 // an answer.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -72,6 +72,8 @@
 	// PlatformReachableFor returns for how long the platform has been reachable for this
 	// gateway, 0 if it isn't. It may be nil.
 	PlatformReachableFor func() time.Duration
+	// Demand returns this gateway's requests a second. It may be nil.
+	Demand func() float64
 	// OnLoss handles the loss of a server under a request that a peer reported, and
 	// returns whether it was new.
 	OnLoss func(blame.Loss) bool
@@ -186,6 +188,24 @@
 	return float64(missing) <= maxMissingFraction*float64(len(e.known))
 }
 
+// demandUnit is the number of units in which datagrams give one request a second.
+const demandUnit = 10
+
+// Demand returns the requests a second of all peers, and whether all that are listed have
+// reported them. Where gateways send to a subset of their peers they are unknown.
+func (e *Exchange) Demand() (perSecond float64, known bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for a := range e.known {
+		p := e.table.peers[a]
+		if p == nil || !p.toAll {
+			return 0, false
+		}
+		perSecond += p.demand
+	}
+	return perSecond, e.recipients.all
+}
+
 // peerTimeoutLocked returns the time without datagrams after which a peer's load is dropped.
 func (e *Exchange) peerTimeoutLocked() time.Duration {
 	return time.Duration(maxMissedFullUpdates * float64(rotationSeconds(len(e.known))) * float64(fullUpdateInterval))
@@ -462,6 +482,9 @@
 	e.sequence++
 	toAll := !e.sendsToSubset()
 	n := &pb.News{Start: e.incarnation, Sequence: e.sequence, Whole: full, ToAll: toAll}
+	if full && e.opts.Demand != nil {
+		n.Demand = uint32(math.Round(e.opts.Demand() * demandUnit))
+	}
 	if full && e.opts.PlatformReachableFor != nil {
 		n.PlatformMs = uint32(min(e.opts.PlatformReachableFor().Milliseconds(), math.MaxUint32))
 	}
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -49,6 +49,8 @@
 	// toAll: the peer sends to all gateways that it knows.
 	toAll bool
 	needs map[uint64]memory.Need
+	// demand is the peer's requests a second.
+	demand float64
 	// contactSince is the time since which the platform has been reachable for the peer, as
 	// reported at contactReported; zero if it isn't.
 	contactSince, contactReported time.Time
@@ -71,6 +73,7 @@
 	if n.Whole {
 		t.clear(p)
 		p.applyContact(n, now)
+		p.demand = float64(n.Demand) / demandUnit
 	}
 	for _, e := range n.Engines {
 		t.set(p, e.Engine, decode(e))
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -30,6 +30,8 @@
 	Gateways int
 	// Rank is from 0 to Gateways-1, and unique to each gateway.
 	Rank int
+	// Part is the gateway's part of each limit by its demand, 0 for an equal one.
+	Part float64
 }
 
 // IsTrialTurn reports whether it is the gateway's turn to send a trial request to a server
@@ -71,15 +73,20 @@
 // tokens up to the new capacity.
 //
 // If the burst size is below one token per gateway, only the gateways with the lowest
-// ranks get a share: one token for each gateway of a large fleet would be far too many.
+// ranks get a share: one token for each gateway of a large fleet would be far too many. Shares
+// follow the demand only if each gateway has a token without any.
 func (s *Share) Set(now time.Time, perSecond float64, p Position) {
 	s.refill(now)
-	owners := max(1, min(p.Gateways, int(burstSize(perSecond))))
-	s.perSecond, s.capacity = 0, 0
-	if p.Rank < owners {
-		s.perSecond = perSecond / float64(owners)
-		s.capacity = burstSize(perSecond) / float64(owners)
+	burst := burstSize(perSecond)
+	owners := max(1, min(p.Gateways, int(burst)))
+	part := 0.0
+	switch {
+	case p.Part > 0 && burst*equalPart >= float64(p.Gateways):
+		part = p.Part
+	case p.Rank < owners:
+		part = 1 / float64(owners)
 	}
+	s.perSecond, s.capacity = part*perSecond, part*burst
 	s.tokens = min(s.tokens, s.capacity)
 }
 
