--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -107,6 +107,7 @@
 		{"dump", "Print the state of one process.", &dumpCommand{client: c}},
 		{"quotas", "Show the organisations' quotas and their use at gateways.", &quotasCommand{client: c}},
 		{"versions", "Show the software versions of servers, and the streams resumed at them.", &versionsCommand{client: c}},
+		{"parts", "Show the parts of prompts that crash servers, or clear one.", &partsCommand{client: c}},
 		{"explain", "Explain where a request with the given properties would be placed.", &explainCommand{client: c}},
 		{"trace", "Show the log lines of one request from the logs of all processes.", &traceCommand{client: c}},
 		{"summary", "Count the outcomes of all requests from the logs of all processes.", &summaryCommand{client: c}},
--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -23,6 +23,23 @@
 
 // fetch gets JSON from the operator listener of a process.
 func (c *client) fetch(address, path string, query url.Values) (json.RawMessage, error) {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return c.exchange(address, path, func(*fasthttp.Request) {})
+}
+
+// post gives an order to a process's operator listener and returns the answer.
+func (c *client) post(address, path string, form url.Values) (json.RawMessage, error) {
+	return c.exchange(address, path, func(r *fasthttp.Request) {
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.Header.SetContentType("application/x-www-form-urlencoded")
+		r.SetBodyString(form.Encode())
+	})
+}
+
+// exchange makes one call to a process's operator listener.
+func (c *client) exchange(address, path string, prepare func(*fasthttp.Request)) (json.RawMessage, error) {
 	if !strictjson.IsAddress(address, false) {
 		return nil, eris.Wrapf(errUsage, "operator address %q: expected ip:port", address)
 	}
@@ -34,11 +51,8 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	uri := "http://" + address + path
-	if len(query) > 0 {
-		uri += "?" + query.Encode()
-	}
-	request.SetRequestURI(uri)
+	request.SetRequestURI("http://" + address + path)
+	prepare(request)
 	if err := host.DoTimeout(request, response, c.options.Timeout); err != nil {
 		return nil, eris.Wrapf(errUnreachable, "%s: %v", address, err)
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/board"
@@ -57,6 +58,10 @@
 			Revision: g.ConfigVersion(), Ready: g.Ready(), UptimeSeconds: int64(time.Since(started).Seconds()),
 		}
 	}, nil, log)
+	ops.HandleAction(operator.PathClearPart, func(q *fasthttp.Args) (any, error) {
+		cleared, err := g.ClearPart(string(q.Peek("part")), string(q.Peek("reason")))
+		return struct{ Cleared bool }{cleared}, err
+	})
 	members := peers.New(deps.Sources.Store, peers.Peer{ID: s.ID, Address: s.Peer, AvailabilityZone: s.AvailabilityZone, Quota: s.Quota.Listen}, log.WithField("part", "peers"))
 	var exchange *gossip.Exchange
 	origins := origin.NewExchange(origin.Options{
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/policy/blame"
@@ -132,6 +134,21 @@
 	return verdict.New(verdict.NotRun, verdict.Crashes, "Servers crashed under different prompts with the parts %s.", strings.Join(with, ", "))
 }
 
+// ClearPart takes back what is held against a part of prompts, as an operator orders it, and tells
+// the peers. hash is as in logs and dumps. It reports whether anything was held.
+func (g *Gateway) ClearPart(hash, reason string) (cleared bool, err error) {
+	part, err := strconv.ParseUint(hash, 16, 64)
+	switch {
+	case err != nil:
+		return false, eris.Errorf("gateway: %q isn't the hash of a part", hash)
+	case strings.TrimSpace(reason) == "":
+		return false, eris.New("gateway: a reason is needed")
+	}
+	g.log.WithFields(logrus.Fields{"partHash": hash, "reason": reason}).Info("gateway: operator clears a part of prompts.")
+	g.crashes.use(func(l *blame.Ledger, now time.Time) { cleared = l.ClearPart(part, now) })
+	return cleared, nil
+}
+
 // logPartChange logs and counts a change of what is held against a part of prompts.
 func (c *crashes) logPartChange(x blame.Change) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_part_evidence_total{change=%q}", x.Kind)).Inc()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,8 @@
 	PathState   = "/debug/state"
 	PathStatus  = "/status"
 	PathExplain = "/explain"
+	// PathClearPart takes back what a gateway holds against a part of prompts.
+	PathClearPart = "/parts/clear"
 )
 
 const shutdownTimeout = time.Second
@@ -49,16 +51,26 @@
 	board   *board.Board
 	status  func() Status
 	explain func(query *fasthttp.Args) (any, error)
+	// actions are the orders of operators by path, set before Run.
+	actions map[string]Action
 	log     *logrus.Entry
 }
 
+// Action carries out an order of an operator and returns the result. An error says what is
+// wrong with the order.
+type Action func(query *fasthttp.Args) (any, error)
+
 // New returns a Server, and adds the status to the board's dump so that it identifies the
 // process. explain may be nil for a role that doesn't route requests.
 func New(b *board.Board, status func() Status, explain func(*fasthttp.Args) (any, error), log *logrus.Logger) *Server {
 	b.AddView("status", func() any { return status() })
-	return &Server{board: b, status: status, explain: explain, log: log.WithField("part", "operator")}
+	return &Server{board: b, status: status, explain: explain, actions: map[string]Action{}, log: log.WithField("part", "operator")}
 }
 
+// HandleAction makes f carry out the orders that are posted to a path. It must be called before
+// Run.
+func (s *Server) HandleAction(path string, f Action) { s.actions[path] = f }
+
 // Run serves on address until ctx ends.
 func (s *Server) Run(ctx context.Context, address string) error {
 	l, err := net.Listen("tcp", address)
@@ -99,8 +111,26 @@
 	case PathExplain:
 		s.serveExplain(ctx)
 	default:
+		s.serveAction(ctx)
+	}
+}
+
+func (s *Server) serveAction(ctx *fasthttp.RequestCtx) {
+	f, ok := s.actions[string(ctx.Path())]
+	switch {
+	case !ok:
 		ctx.Error("no such page", fasthttp.StatusNotFound)
+		return
+	case !ctx.IsPost():
+		ctx.Error("only POST", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	v, err := f(ctx.PostArgs())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
 	}
+	writeJSON(ctx, v)
 }
 
 func (s *Server) serveState(ctx *fasthttp.RequestCtx) {
