--- a/internal/policy/blame/accounts.go
+++ b/internal/policy/blame/accounts.go
@@ -30,9 +30,9 @@
 	// All below is of parts only. refusedWith has the parts that are refused together with it
 	// while it is convicted, itself included, and told those that peers know of.
 	refusedWith, told []uint64
-	// provenAtPeers is the latest proof of the part that peers know of, toldAt when this
-	// gateway last told them of one.
-	provenAtPeers, toldAt time.Time
+	// proven is the latest proof of the part, provenAtPeers the latest that peers know of,
+	// toldAt when this gateway last told them of one.
+	proven, provenAtPeers, toldAt time.Time
 }
 
 // heldLoss is a loss as the accounts of all its suspects share it.
@@ -119,10 +119,13 @@
 }
 
 // all returns the accounts, the convicted ones first, each with the latest loss first.
-func (b *accounts) all() []*account {
-	out := make([]*account, 0, len(b.records))
+func (b *accounts) all() []*account { return b.latest(len(b.records)) }
+
+// latest is all with at most limit accounts of each list.
+func (b *accounts) latest(limit int) []*account {
+	out := make([]*account, 0, min(2*limit, len(b.records)))
 	for _, l := range []*list.List{b.convicted, b.suspects} {
-		for el := l.Front(); el != nil; el = el.Next() {
+		for el, n := l.Front(), 0; el != nil && n < limit; el, n = el.Next(), n+1 {
 			out = append(out, accountOf(el))
 		}
 	}
--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -18,6 +18,9 @@
 	// maxOfOneRequest is how many crashes under one request count against a part: it may be the
 	// request that crashes servers.
 	maxOfOneRequest = 2
+	// maxReviewed bounds the parts of each list that are compared with each other: those with
+	// the latest losses. What crashes servers is always among them.
+	maxReviewed = 64
 	// minOthers is how many requests without a part show that it isn't in all of them.
 	minOthers = 2
 	// DefaultProbation is how long after the end of a part's conviction one loss convicts it
@@ -46,10 +49,12 @@
 // more crash is needed if not all are of different requests. Peers that convict the part have
 // met the others.
 func (c *partCase) decisive() *heldLoss {
-	requests := map[uint64]bool{}
+	requests := 0
 	for i, x := range c.crashes {
-		requests[x.Request] = true
-		enough := len(requests) >= c.required || i >= c.required || c.reported && i+1 >= c.required
+		if countOf(c.crashes[:i], x.Request) == 0 {
+			requests++
+		}
+		enough := requests >= c.required || i >= c.required || c.reported && i+1 >= c.required
 		if enough && !x.Lost.Before(c.notBefore) {
 			return x
 		}
@@ -69,7 +74,9 @@
 		l.proofs.record(p, r.Began, now)
 		if a := l.parts.find(p, now); a != nil {
 			suspected = true
+			a.proven = later(a.proven, r.Began)
 			l.tellProof(a, now)
+			l.acquitProven(a)
 		}
 	}
 	if suspected {
@@ -86,8 +93,9 @@
 		return false
 	}
 	before := len(blamedAfter(a, a.provenAtPeers))
-	a.provenAtPeers = later(a.provenAtPeers, p.At)
+	a.proven, a.provenAtPeers = later(a.proven, p.At), later(a.provenAtPeers, p.At)
 	isNew := len(blamedAfter(a, a.provenAtPeers)) < before
+	l.acquitProven(a)
 	l.reviewParts(now)
 	return isNew
 }
@@ -99,14 +107,16 @@
 		return false
 	}
 	l.proofs.record(part, now, now)
+	a.proven = now
 	l.notifyProof(a, now, now)
+	l.acquitProven(a)
 	l.reviewParts(now)
 	return true
 }
 
 // tellProof tells the peers of the part's latest proof if they may come to convict it.
 func (l *Ledger) tellProof(a *account, now time.Time) {
-	at := l.proofs.at(a.id)
+	at := a.proven
 	held := len(inSequence(blamedAfter(a, a.provenAtPeers)))
 	if at.After(a.provenAtPeers) && held >= minSuspicion && now.Sub(a.toldAt) >= proofInterval {
 		l.notifyProof(a, at, now)
@@ -122,6 +132,7 @@
 func (l *Ledger) blamePartsFor(x *heldLoss, now time.Time) {
 	for _, p := range x.Parts {
 		a := l.parts.open(p, now)
+		a.proven = later(a.proven, l.proofs.at(p))
 		if len(a.losses) >= maxLosses {
 			a.losses = slices.Delete(a.losses, 0, 1)
 		}
@@ -180,25 +191,33 @@
 // each request.
 func inSequence(losses []*heldLoss) []*heldLoss {
 	var out []*heldLoss
-	of := map[uint64]int{}
 	for _, x := range losses {
 		if len(out) > 0 && !x.follows(out[len(out)-1].Loss) {
 			continue
 		}
-		if of[x.Request] < maxOfOneRequest {
-			of[x.Request]++
+		if countOf(out, x.Request) < maxOfOneRequest {
 			out = append(out, x)
 		}
 	}
 	return out
 }
 
+// countOf returns the number of losses of a request.
+func countOf(losses []*heldLoss, request uint64) int {
+	n := 0
+	for _, x := range losses {
+		if x.Request == request {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *Ledger) caseOf(a *account) *partCase {
-	proof := l.proofs.at(a.id)
-	c := &partCase{account: a, blamed: blamedAfter(a, proof), required: l.opts.Crashes}
+	c := &partCase{account: a, blamed: blamedAfter(a, a.proven), required: l.opts.Crashes}
 	c.crashes = inSequence(c.blamed)
-	if len(c.blamed) > 0 && !proof.IsZero() && c.blamed[0].Lost.Sub(proof) < shieldTime {
-		c.shielded, c.required, c.notBefore = true, max(c.required, shieldedCrashes), proof.Add(shieldQuiet)
+	if len(c.blamed) > 0 && !a.proven.IsZero() && c.blamed[0].Lost.Sub(a.proven) < shieldTime {
+		c.shielded, c.required, c.notBefore = true, max(c.required, shieldedCrashes), a.proven.Add(shieldQuiet)
 	}
 	return c
 }
@@ -207,7 +226,7 @@
 // against parts without a known proof. Crashes that these explain aren't held against a shielded
 // part.
 func (l *Ledger) candidates(now time.Time) (cases []*partCase, unproven []*heldLoss) {
-	for _, a := range l.parts.all() {
+	for _, a := range l.parts.latest(maxReviewed) {
 		if len(a.losses) < minSuspicion || l.parts.find(a.id, now) == nil {
 			continue
 		}
@@ -228,7 +247,7 @@
 // reviewParts convicts and acquits parts by what is known now.
 func (l *Ledger) reviewParts(now time.Time) {
 	list, unproven := l.candidates(now)
-	for _, a := range l.parts.all() {
+	for _, a := range l.parts.latest(maxReviewed) {
 		if a.convicted && !slices.ContainsFunc(list, func(c *partCase) bool { return c.account == a }) {
 			l.acquitPart(a, ChangeAcquitted)
 		}
@@ -273,7 +292,7 @@
 func (l *Ledger) isExplained(c *partCase, with []uint64, unproven []*heldLoss) bool {
 	others := map[uint64]bool{}
 	var unexplained []*heldLoss
-	for _, a := range l.parts.all() {
+	for _, a := range l.parts.latest(maxReviewed) {
 		for _, x := range a.losses {
 			if x.isDisproved() || x.Model != c.blamed[0].Model || x.Lost.Before(c.blamed[0].Lost) {
 				continue
@@ -340,6 +359,13 @@
 	l.absolveWithout(c)
 }
 
+// acquitProven acquits a part that has just been proven.
+func (l *Ledger) acquitProven(a *account) {
+	if a.convicted && l.caseOf(a).decisive() == nil {
+		l.acquitPart(a, ChangeAcquitted)
+	}
+}
+
 func (l *Ledger) acquitPart(a *account, why ChangeKind) {
 	l.parts.setConvicted(a, false)
 	a.refusedWith, a.told, a.reported = nil, nil, false
@@ -391,20 +417,39 @@
 	var out Judgement
 	for _, p := range parts {
 		a := l.parts.find(p, now)
-		if a == nil || len(a.losses) < l.opts.Crashes {
+		if a == nil {
 			continue
 		}
-		l.reviewParts(now)
+		if unsettled := l.settlePart(a, now); unsettled > 0 {
+			out.Unsettled = max(out.Unsettled, unsettled)
+		}
 		if a.convicted && contains(parts, a.refusedWith) {
 			return Judgement{Convicted: true, Part: p}
 		}
-		if x := l.caseOf(a).decisive(); x != nil && !a.convicted {
-			out.Unsettled = max(out.Unsettled, x.Lost.Add(l.opts.SettleTime).Sub(now))
-		}
 	}
 	return out
 }
 
+// settlePart reviews a part if only time was missing to convict it, or if its conviction has
+// ended. It returns the time that is still missing.
+func (l *Ledger) settlePart(a *account, now time.Time) time.Duration {
+	if a.convicted {
+		if !now.Before(a.lastLoss().Add(l.opts.RefuseFor)) {
+			l.reviewParts(now)
+		}
+		return 0
+	}
+	x := l.caseOf(a).decisive()
+	if x == nil {
+		return 0
+	}
+	unsettled := x.Lost.Add(l.opts.SettleTime).Sub(now)
+	if unsettled <= 0 {
+		l.reviewParts(now)
+	}
+	return unsettled
+}
+
 // Refused returns the parts that are refused together with a convicted part, itself included.
 func (l *Ledger) Refused(part uint64) []uint64 {
 	el, ok := l.parts.records[part]
--- a/internal/policy/blame/parts_test.go
+++ b/internal/policy/blame/parts_test.go
@@ -241,3 +241,41 @@
 	}
 	assert.Assert(t, isRefused(l, after(5), guilty))
 }
+
+// Guards against a conviction among many that outlasts its proof, as only those with the latest
+// losses are compared.
+func TestProofAcquitsAnOldConviction(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	for part := range uint64(2 * maxReviewed) {
+		for i := range uint64(3) {
+			losePart(l, after(int(10*part+i)), i, 10*part+i, 1000+part)
+			prove(l, after(int(10*part+i)), first)
+		}
+		assert.Assert(t, isRefused(l, after(int(10*part+4)), 1000+part), "part %d", part)
+	}
+	now := 20 * maxReviewed
+	prove(l, after(now), 1100)
+	assert.Assert(t, !isRefused(l, after(now+1), 1100))
+	assert.Assert(t, isRefused(l, after(now+1), 1101))
+}
+
+// Guards against a cleared part that is refused again once a gateway which was cut off tells what
+// it held before.
+func TestClearedPartStaysCleared(t *testing.T) {
+	here, cut := NewLedger(LedgerOptions{}), NewLedger(LedgerOptions{})
+	for _, l := range []*Ledger{here, cut} {
+		prove(l, after(1), otherFirst)
+		prove(l, after(2), first)
+		loseGuilty(l)
+		assert.Assert(t, isRefused(l, after(3), guilty))
+	}
+	assert.Assert(t, here.ClearPart(guilty, after(4)))
+	for i := range uint64(maxProofs) {
+		prove(here, after(40), 1000+i)
+		prove(here, after(80), 10000+i)
+	}
+	for _, x := range cut.Convictions(24, after(120)) {
+		here.RecordLoss(x, after(120))
+	}
+	assert.Assert(t, !isRefused(here, after(121), guilty))
+}
--- a/internal/policy/blame/records.go
+++ b/internal/policy/blame/records.go
@@ -59,7 +59,7 @@
 		c := l.caseOf(a)
 		r := PartRecord{
 			Part: a.id, Refused: a.refusedWith, Last: a.lastLoss(), Until: a.until,
-			Crashes: len(c.crashes), Required: c.required, Proven: l.proofs.at(a.id),
+			Crashes: len(c.crashes), Required: c.required, Proven: a.proven,
 		}
 		if a.convicted {
 			r.Until = a.lastLoss().Add(l.opts.RefuseFor)
--- a/internal/policy/limit/demand.go
+++ b/internal/policy/limit/demand.go
@@ -1,8 +1,9 @@
 package limit
 
 import (
-	"math"
 	"time"
+
+	"jayford.example/jayford/internal/policy/rate"
 )
 
 const (
@@ -14,21 +15,13 @@
 )
 
 // Demand measures a gateway's requests a second. It isn't safe for concurrent use.
-type Demand struct {
-	rate float64
-	at   time.Time
-}
+type Demand struct{ requests rate.Average }
 
 // Count counts a request.
-func (d *Demand) Count(now time.Time) {
-	d.rate = d.Rate(now) + 1/demandTime.Seconds()
-	d.at = now
-}
+func (d *Demand) Count(now time.Time) { d.requests.Count(now, demandTime) }
 
 // Rate returns the requests a second.
-func (d *Demand) Rate(now time.Time) float64 {
-	return d.rate * math.Exp(-max(0, now.Sub(d.at).Seconds())/demandTime.Seconds())
-}
+func (d *Demand) Rate(now time.Time) float64 { return d.requests.PerSecond(now, demandTime) }
 
 // DemandPart returns the part of each limit that a gateway gets whose demand is own, while that
 // of all gateways is all, 0 if the limits are divided equally.
--- a/internal/policy/place/crowd.go
+++ b/internal/policy/place/crowd.go
@@ -1,8 +1,9 @@
 package place
 
 import (
-	"math"
 	"time"
+
+	"jayford.example/jayford/internal/policy/rate"
 )
 
 const (
@@ -20,24 +21,13 @@
 //
 // The other gateways are assumed to place at the rate of this one. It isn't safe for
 // concurrent use.
-type PlacementRate struct {
-	// rate is the number of placements per second, as of at.
-	rate float64
-	at   time.Time
-}
+type PlacementRate struct{ placements rate.Average }
 
 // Record records a placement by this gateway.
-func (c *PlacementRate) Record(now time.Time) {
-	c.rate = c.rateAt(now) + 1/rateTimeConstant.Seconds()
-	c.at = now
-}
-
-func (c *PlacementRate) rateAt(now time.Time) float64 {
-	return c.rate * math.Exp(-now.Sub(c.at).Seconds()/rateTimeConstant.Seconds())
-}
+func (c *PlacementRate) Record(now time.Time) { c.placements.Count(now, rateTimeConstant) }
 
 // SampleFraction returns the fraction of the servers to consider, given the number of other
 // gateways: 1/(n+1) for n estimated unseen placements.
 func (c *PlacementRate) SampleFraction(others int, now time.Time) float64 {
-	return 1 / (1 + float64(max(0, others))*c.rateAt(now)*propagationDelay.Seconds())
+	return 1 / (1 + float64(max(0, others))*c.placements.PerSecond(now, rateTimeConstant)*propagationDelay.Seconds())
 }
