--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -14,9 +14,11 @@
 //     work; one that has asked for a pause gets nothing until its end.
 //   - In any window all gateways together send a service a bounded number of arrivals beyond
 //     the first of each request. Each is taken from the budget before it is sent.
-//   - A request that crashes the servers that run it is refused by all gateways.
+//   - A request that crashes the servers that run it is refused by all gateways, and so are those
+//     whose prompts have a part that does.
+//   - What is read from a server is bounded in bytes and time.
 //   - A stream that has begun goes on only at the software version that began it.
 //
-// All state is in memory and can be lost at any time, except which requests crash servers:
-// that is part of the gateways' objects in the platform.
+// All state is in memory and can be lost at any time, except which requests and parts of prompts
+// crash servers: that is part of the gateways' objects in the platform.
 package gateway
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -18,8 +18,8 @@
 )
 
 // prompt returns a generation whose prompt has shared parts, with content of its own.
-func prompt(path string, n int, parts ...string) *Request {
-	r := generation(path)
+func prompt(n int, parts ...string) *Request {
+	r := generation("/stream/x")
 	r.ID, r.Content = fmt.Sprint("r", n), fmt.Sprint("content ", n)
 	r.Generation.Model, r.Generation.SharedParts = "m", parts
 	return r
@@ -28,9 +28,9 @@
 // losePrompts reports to g that servers were lost under three different prompts with the parts,
 // while others ran.
 func losePrompts(g *Gateway, ids ...string) {
-	j := &job{r: prompt("/stream/x", 0, ids...)}
+	j := &job{r: prompt(0, ids...)}
 	j.setParts()
-	sound := &job{r: prompt("/stream/x", 0, "ff"), sends: 1}
+	sound := &job{r: prompt(0, "ff"), sends: 1}
 	sound.setParts()
 	g.crashes.recordRun(sound)
 	for i := range uint64(3) {
@@ -53,22 +53,22 @@
 	g = newGateway(t, f)
 	var told []uint64
 	g.OnConviction(func(suspect uint64) { told = append(told, suspect) })
-	_, err := g.Serve(t.Context(), prompt("/stream/x", 1, "a1", "bad"))
+	_, err := g.Serve(t.Context(), prompt(1, "a1", "bad"))
 	assert.Equal(t, err.Code, verdict.Crashes)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Equal(t, len(f.sends()), 0)
 	assert.Equal(t, len(f.prefills), 1)
 	// The next one isn't read either.
-	_, err = g.Serve(t.Context(), prompt("/stream/x", 2, "a2", "bad"))
+	_, err = g.Serve(t.Context(), prompt(2, "a2", "bad"))
 	assert.Equal(t, err.Code, verdict.Crashes)
 	assert.Equal(t, len(f.prefills), 1)
 	assert.DeepEqual(t, told, []uint64{partName{"m", "bad"}.hash(), partName{"m", "bad"}.hash()})
 	// Neither is the part refused under another model, nor are prompts without it.
 	f.prefill = nil
 	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text(eventsOf("1"))), nil }
-	other := prompt("/stream/x", 3, "a1", "bad")
+	other := prompt(3, "a1", "bad")
 	other.Generation.Model = "m2"
-	for _, r := range []*Request{other, prompt("/stream/x", 4, "a1")} {
+	for _, r := range []*Request{other, prompt(4, "a1")} {
 		reply, err := g.Serve(t.Context(), r)
 		assert.Assert(t, err == nil, "%v", err)
 		reply.discard()
@@ -84,7 +84,7 @@
 		return answer(io.MultiReader(text(eventsOf("1")), errReader{io.ErrUnexpectedEOF})), nil
 	}
 	g = newGateway(t, f)
-	reply, err := g.Serve(t.Context(), prompt("/stream/x", 1, "bad"))
+	reply, err := g.Serve(t.Context(), prompt(1, "bad"))
 	assert.Assert(t, err == nil, "%v", err)
 	_, readErr := io.ReadAll(reply.Body)
 	assert.Assert(t, readErr != nil)
@@ -107,7 +107,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newGateway(t, &fakeBackend{})
-			j, err := g.plan(prompt("/stream/x", 1, "a1"))
+			j, err := g.plan(prompt(1, "a1"))
 			assert.Assert(t, err == nil)
 			if c.wrote > 0 {
 				j.wroteAt = time.Now().Add(-c.wrote)
@@ -122,7 +122,7 @@
 func TestPartsAreDumpedAndCleared(t *testing.T) {
 	g := newGateway(t, &fakeBackend{})
 	losePrompts(g, "bad")
-	_, err := g.Serve(t.Context(), prompt("/stream/x", 1, "bad"))
+	_, err := g.Serve(t.Context(), prompt(1, "bad"))
 	assert.Equal(t, err.Code, verdict.Crashes)
 	assert.Assert(t, err.Message == "Servers crashed under different prompts with the parts bad.", err.Message)
 	raw, dumpErr := g.opts.Board.Dump()
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -1,5 +1,6 @@
 // Package blame distinguishes requests that crash backend servers (poison pills)
-// from those that only ran on the same server, by the fingerprint of their content.
+// from those that only ran on the same server, by the fingerprint of their content, and
+// the parts of prompts that do so from those that only were in the same prompts.
 package blame
 
 import (
