Parts of prompts: an old conviction ends by time and disproof too

A conviction outside the 64 that are compared stayed in force for an hour after its end, and after the disproof of its losses; Convictions would have failed on it. TestAnOldConvictionEnds failed on the code before (disproof; refused after its end).

--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -188,6 +188,7 @@
 		}
 		if known.void {
 			known.why = ChangePeerDisproved
+			l.acquitDisproved(known)
 			return true
 		}
 		l.void(a, ChangePeerDisproved, func(o *heldLoss) bool { return o.isSame(x) })
@@ -308,8 +309,8 @@
 func (l *Ledger) convictionLosses(now time.Time) [][]Loss {
 	var out [][]Loss
 	for _, a := range l.parts.all() {
-		if a.convicted && now.Before(a.lastLoss().Add(l.opts.RefuseFor)) {
-			out = append(out, l.convictedPartLosses(l.caseOf(a)))
+		if c := l.caseOf(a); a.convicted && now.Before(a.lastLoss().Add(l.opts.RefuseFor)) && c.decisive() != nil {
+			out = append(out, l.convictedPartLosses(c))
 		}
 	}
 	for _, a := range l.requests.all() {
@@ -426,6 +427,7 @@
 		if !x.void && which(x) {
 			x.void, x.why = true, why
 			l.notify(why, a, x.Loss)
+			l.acquitDisproved(x)
 		}
 	}
 	if a.convicted && len(a.sequence()) < l.opts.Crashes {
--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -6,18 +6,6 @@
 )
 
 const (
-	// shieldTime is how long after a proof a part is shielded: it ran well shortly before, but
-	// may crash servers since. It takes shieldedCrashes to convict it, one of them later than
-	// shieldQuiet after the proof.
-	shieldTime      = 30 * time.Second
-	shieldQuiet     = 2 * time.Second
-	shieldedCrashes = 5
-	// minUnexplained is how many crashes without another part tell a part from that one: a
-	// server may crash by itself meanwhile, but hardly twice.
-	minUnexplained = 2
-	// maxOfOneRequest is how many crashes under one request count against a part: it may be the
-	// request that crashes servers.
-	maxOfOneRequest = 2
 	// maxReviewed bounds the parts of each list that are compared with each other: those with
 	// the latest losses. What crashes servers is always among them.
 	maxReviewed = 64
@@ -33,35 +21,6 @@
 	minSuspicion = 2
 )
 
-// partCase is what speaks against a part at a moment.
-type partCase struct {
-	*account
-	// blamed has the losses that count, crashes the most of them that were in sequence.
-	blamed, crashes []*heldLoss
-	// required is how many crashes of different requests convict the part, notBefore when the
-	// latest of them must have happened.
-	required  int
-	notBefore time.Time
-	shielded  bool
-}
-
-// decisive returns the crash with which the others convict the part, nil if there is none. One
-// more crash is needed if not all are of different requests. Peers that convict the part have
-// met the others.
-func (c *partCase) decisive() *heldLoss {
-	requests := 0
-	for i, x := range c.crashes {
-		if countOf(c.crashes[:i], x.Request) == 0 {
-			requests++
-		}
-		enough := requests >= c.required || i >= c.required || c.reported && i+1 >= c.required
-		if enough && !x.Lost.Before(c.notBefore) {
-			return x
-		}
-	}
-	return nil
-}
-
 // lastLoss returns when the part's latest loss happened.
 func (a *account) lastLoss() time.Time { return a.losses[len(a.losses)-1].Lost }
 
@@ -76,7 +35,7 @@
 			suspected = true
 			a.proven = later(a.proven, r.Began)
 			l.tellProof(a, now)
-			l.acquitProven(a)
+			l.acquitCleared(a)
 		}
 	}
 	if suspected {
@@ -95,7 +54,7 @@
 	before := len(blamedAfter(a, a.provenAtPeers))
 	a.proven, a.provenAtPeers = later(a.proven, p.At), later(a.provenAtPeers, p.At)
 	isNew := len(blamedAfter(a, a.provenAtPeers)) < before
-	l.acquitProven(a)
+	l.acquitCleared(a)
 	l.reviewParts(now)
 	return isNew
 }
@@ -109,7 +68,7 @@
 	l.proofs.record(part, now, now)
 	a.proven = now
 	l.notifyProof(a, now, now)
-	l.acquitProven(a)
+	l.acquitCleared(a)
 	l.reviewParts(now)
 	return true
 }
@@ -176,52 +135,6 @@
 	return changed
 }
 
-// blamedAfter returns the losses that count against a part whose latest proof is given.
-func blamedAfter(a *account, proof time.Time) []*heldLoss {
-	var out []*heldLoss
-	for _, x := range a.losses {
-		if !x.isDisproved() && x.Lost.After(proof) && slices.Contains(x.Parts, a.id) {
-			out = append(out, x)
-		}
-	}
-	return out
-}
-
-// inSequence returns the most losses of runs which didn't overlap, at most maxOfOneRequest of
-// each request.
-func inSequence(losses []*heldLoss) []*heldLoss {
-	var out []*heldLoss
-	for _, x := range losses {
-		if len(out) > 0 && !x.follows(out[len(out)-1].Loss) {
-			continue
-		}
-		if countOf(out, x.Request) < maxOfOneRequest {
-			out = append(out, x)
-		}
-	}
-	return out
-}
-
-// countOf returns the number of losses of a request.
-func countOf(losses []*heldLoss, request uint64) int {
-	n := 0
-	for _, x := range losses {
-		if x.Request == request {
-			n++
-		}
-	}
-	return n
-}
-
-func (l *Ledger) caseOf(a *account) *partCase {
-	c := &partCase{account: a, blamed: blamedAfter(a, a.proven), required: l.opts.Crashes}
-	c.crashes = inSequence(c.blamed)
-	if len(c.blamed) > 0 && !a.proven.IsZero() && c.blamed[0].Lost.Sub(a.proven) < shieldTime {
-		c.shielded, c.required, c.notBefore = true, max(c.required, shieldedCrashes), a.proven.Add(shieldQuiet)
-	}
-	return c
-}
-
 // candidates returns the cases of all parts that could be convicted, and the losses that count
 // against parts without a known proof. Crashes that these explain aren't held against a shielded
 // part.
@@ -279,6 +192,15 @@
 	l.convictPart(c, with, now)
 }
 
+// provenAt returns the latest proof of a part, zero if none is known.
+func (l *Ledger) provenAt(part uint64) time.Time {
+	at := l.proofs.at(part)
+	if el, ok := l.parts.records[part]; ok {
+		at = later(at, accountOf(el).proven)
+	}
+	return at
+}
+
 // othersRan reports whether a run of the model was proven since the first crash. Otherwise the
 // servers or the model may be at fault.
 func (l *Ledger) othersRan(c *partCase) bool {
@@ -316,7 +238,7 @@
 	for _, x := range c.blamed[1:] {
 		out = intersect(out, x.Parts)
 	}
-	out = slices.DeleteFunc(out, func(p uint64) bool { return p != c.id && l.proofs.at(p).After(c.crashes[0].Lost) })
+	out = slices.DeleteFunc(out, func(p uint64) bool { return p != c.id && l.provenAt(p).After(c.crashes[0].Lost) })
 	for _, o := range list {
 		if o.account != c.account && !slices.Contains(out, o.id) && len(c.unexplainedBy(o.blamed)) < minUnexplained && !bothCrash(c, o) {
 			out = append(out, o.id)
@@ -326,23 +248,6 @@
 	return out
 }
 
-// unexplainedBy returns the crashes, in sequence, that other losses don't explain.
-func (c *partCase) unexplainedBy(others []*heldLoss) []*heldLoss {
-	return inSequence(slices.DeleteFunc(slices.Clone(c.blamed), func(x *heldLoss) bool { return explains(others, x) }))
-}
-
-// bothCrash reports whether two parts are both taken for guilty though the same crashes are held
-// against them: no prompt has both, and neither has been proven in many crashes.
-func bothCrash(c, o *partCase) bool {
-	together := slices.ContainsFunc(c.blamed, func(x *heldLoss) bool { return slices.Contains(x.Parts, o.id) })
-	return !together && len(c.crashes) >= c.required+minUnexplained && len(o.crashes) >= o.required+minUnexplained
-}
-
-// explains reports whether one of the losses is of the same crash.
-func explains(losses []*heldLoss, x *heldLoss) bool {
-	return slices.ContainsFunc(losses, func(o *heldLoss) bool { return o.isSameCrash(x.Loss) })
-}
-
 func (l *Ledger) convictPart(c *partCase, with []uint64, now time.Time) {
 	a := c.account
 	a.refusedWith = with
@@ -359,13 +264,22 @@
 	l.absolveWithout(c)
 }
 
-// acquitProven acquits a part that has just been proven.
-func (l *Ledger) acquitProven(a *account) {
+// acquitCleared acquits a part if what is left against it doesn't convict it.
+func (l *Ledger) acquitCleared(a *account) {
 	if a.convicted && l.caseOf(a).decisive() == nil {
 		l.acquitPart(a, ChangeAcquitted)
 	}
 }
 
+// acquitDisproved acquits the parts that were convicted for a loss which no longer counts.
+func (l *Ledger) acquitDisproved(x *heldLoss) {
+	for _, p := range x.Parts {
+		if el, ok := l.parts.records[p]; ok && x.isDisproved() {
+			l.acquitCleared(accountOf(el))
+		}
+	}
+}
+
 func (l *Ledger) acquitPart(a *account, why ChangeKind) {
 	l.parts.setConvicted(a, false)
 	a.refusedWith, a.told, a.reported = nil, nil, false
@@ -435,7 +349,7 @@
 func (l *Ledger) settlePart(a *account, now time.Time) time.Duration {
 	if a.convicted {
 		if !now.Before(a.lastLoss().Add(l.opts.RefuseFor)) {
-			l.reviewParts(now)
+			l.acquitPart(a, ChangeExpired)
 		}
 		return 0
 	}
--- a/internal/policy/blame/parts_test.go
+++ b/internal/policy/blame/parts_test.go
@@ -242,21 +242,26 @@
 	assert.Assert(t, isRefused(l, after(5), guilty))
 }
 
-// Guards against a conviction among many that outlasts its proof, as only those with the latest
-// losses are compared.
-func TestProofAcquitsAnOldConviction(t *testing.T) {
+// Guards against a conviction among many that outlasts its proof, the disproof of its losses, or
+// its time, as only those with the latest losses are compared.
+func TestAnOldConvictionEnds(t *testing.T) {
 	l := NewLedger(LedgerOptions{})
 	for part := range uint64(2 * maxReviewed) {
+		at := int(part)
 		for i := range uint64(3) {
-			losePart(l, after(int(10*part+i)), i, 10*part+i, 1000+part)
-			prove(l, after(int(10*part+i)), first)
+			losePart(l, after(at+int(i)), 10*part+i, 10*part+i, 1000+part)
+			prove(l, after(at+int(i)), first)
 		}
-		assert.Assert(t, isRefused(l, after(int(10*part+4)), 1000+part), "part %d", part)
+		assert.Assert(t, isRefused(l, after(at+3), 1000+part), "part %d", part)
 	}
-	now := 20 * maxReviewed
-	prove(l, after(now), 1100)
-	assert.Assert(t, !isRefused(l, after(now+1), 1100))
-	assert.Assert(t, isRefused(l, after(now+1), 1101))
+	const now = 2*maxReviewed + 3
+	prove(l, after(now), 1020)
+	assert.Assert(t, !isRefused(l, after(now), 1020))
+	l.RecordSuccess(10*21, after(now))
+	assert.Assert(t, !isRefused(l, after(now), 1021))
+	assert.Assert(t, isRefused(l, after(now), 1022))
+	assert.Equal(t, len(l.Convictions(1000, after(now))), 3*(2*maxReviewed-2))
+	assert.Assert(t, !isRefused(l, after(22+2).Add(DefaultRefuseFor), 1022))
 }
 
 // Guards against a cleared part that is refused again once a gateway which was cut off tells what
