Parts of prompts: found where gateways are cut off and nothing runs

The one that wasn't in touch with the other's losses counted crashes as unexplained that the part explains. Half as many as the part explains are allowed now, instead of one.

--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -208,7 +208,8 @@
 }
 
 // isExplained reports whether the servers of the model crashed under requests with the parts, and
-// hardly one under others, though some of these ran too. Where servers crash as soon as they
+// at most half as often under others, though some of these ran too. A gateway that is cut off
+// doesn't know of all requests that were lost with a server. Where servers crash as soon as they
 // are back, no run lasts long enough to be proven. Crashes that another part without a known
 // proof explains may be that one's.
 func (l *Ledger) isExplained(c *partCase, with []uint64, unproven []*heldLoss) bool {
@@ -227,7 +228,7 @@
 			}
 		}
 	}
-	return len(others) >= minOthers && len(unexplained) < minUnexplained
+	return len(others) >= minOthers && len(unexplained) <= len(c.crashes)/2
 }
 
 // refusedWith returns the parts that can't be told from a part, itself included: those that are
