--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -277,8 +277,8 @@
 	arrivals retry.Arrivals
 	// sentAt is when the last attempt began, wroteAt when its first event came, zero before.
 	sentAt, wroteAt time.Time
-	// proven is the attempt that was last recorded to run well.
-	proven int
+	// provenSend is the number of the attempt that was last recorded to run well.
+	provenSend int
 	// prefillState is the progress of the prompt's prefill.
 	prefillState prefill.Attempts
 	// reserveWait is the time from the request's arrival to its reservation.
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -92,10 +92,10 @@
 // recordRun records that the last attempt has written events for a while, or is complete. Others
 // with the same parts will hardly crash their servers.
 func (c *crashes) recordRun(j *job) {
-	if len(j.parts) == 0 || j.proven == j.sends {
+	if len(j.parts) == 0 || j.provenSend == j.sends {
 		return
 	}
-	j.proven = j.sends
+	j.provenSend = j.sends
 	began := j.wroteAt
 	if began.IsZero() {
 		began = time.Now()
--- a/internal/gossip/losses_test.go
+++ b/internal/gossip/losses_test.go
@@ -51,6 +51,36 @@
 	assert.Assert(t, proto.Size(n) <= maxDatagramBytes, "%d bytes", proto.Size(n))
 }
 
+// Guards against datagrams that don't fit one packet with a loss of many parts, proofs and load at
+// their largest, and against losses that are left out for good as they don't fit together.
+func TestLossesWithManyPartsFitBesideLoad(t *testing.T) {
+	e, _ := newExchange("10.0.0.1:1", "10.0.0.2:1")
+	many := map[string]Load{}
+	for i := range 500 {
+		many[time.Duration(i).String()] = load(1<<20, 1)
+	}
+	now := time.Now()
+	parts := make([]uint64, blame.MaxParts)
+	for i := range parts {
+		parts[i] = ^uint64(i)
+	}
+	const losses = 20
+	for i := range uint64(losses) {
+		e.losses.add(blame.Loss{Request: ^i, Server: ^i, ID: 1, Began: now.Add(-time.Hour), Lost: now.Add(-time.Hour), Model: 1 << 31, Parts: parts}, now)
+		e.proofs.add(blame.Proof{Part: ^i, At: now.Add(-time.Hour)}, now)
+	}
+	sent := map[uint64]bool{}
+	for range losses {
+		n := e.buildUpdate(many, true)
+		assert.Assert(t, proto.Size(n) <= maxDatagramBytes, "%d bytes", proto.Size(n))
+		assert.Assert(t, len(n.Engines) > 0)
+		for _, l := range n.Losses {
+			sent[l.Content] = len(l.Parts) == blame.MaxParts
+		}
+	}
+	assert.Equal(t, len(sent), losses)
+}
+
 // Guards against a gateway that starts after a request was convicted, and would have it
 // crash servers again.
 func TestStartingGatewayLearnsConvictions(t *testing.T) {
--- a/internal/peers/convictions_test.go
+++ b/internal/peers/convictions_test.go
@@ -86,3 +86,20 @@
 	assert.Assert(t, !got[1].Lost.After(now))
 	assert.Equal(t, got[1].Lost.Sub(got[0].Lost), time.Second)
 }
+
+// Guards against a refusal of parts that comes back from the platform as one of a whole request,
+// or of fewer parts than it was reached for.
+func TestPartsOutlastTheirGateway(t *testing.T) {
+	now := time.Now()
+	x := blame.Loss{Request: 5, Server: 6, ID: 7, Began: now.Add(-2 * time.Second), Lost: now.Add(-time.Second), Model: 8, Parts: []uint64{1, 1 << 63}, Convicted: true}
+	stored := encodeLosses([]blame.Loss{x})
+	got := decodeLosses(stored, now)
+	assert.Equal(t, len(got), 1)
+	assert.DeepEqual(t, got[0].Parts, x.Parts)
+	assert.Equal(t, got[0].Model, x.Model)
+	assert.DeepEqual(t, got[0].Suspects(), x.Parts)
+	for _, parts := range [][]string{{"1", "no hash"}, make([]string, blame.MaxParts+1)} {
+		stored[0].Parts = parts
+		assert.Equal(t, len(decodeLosses(stored, now)), 0)
+	}
+}
