--- a/internal/policy/blame/parts_test.go
+++ b/internal/policy/blame/parts_test.go
@@ -113,6 +113,18 @@
 	assert.Assert(t, !isRefused(l, after(9), first))
 }
 
+// Guards against a part whose few requests crash servers again and again.
+func TestTwoRequestsConvictAPartWithFourCrashes(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	prove(l, after(1), otherFirst)
+	for i := range 4 {
+		assert.Assert(t, !isRefused(l, after(i), guilty))
+		losePart(l, after(i), uint64(i), uint64(10+i/2), first, guilty)
+		prove(l, after(i).Add(time.Millisecond), first)
+	}
+	assert.Assert(t, isRefused(l, after(4), guilty))
+}
+
 // Guards against the refusal of a route's first part where nothing runs: the servers, the model
 // or this gateway's network are at fault.
 func TestNoPartIsConvictedWhileNothingRuns(t *testing.T) {
