--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -168,7 +168,7 @@
 	switch {
 	case !x.Convicted || g.onConviction == nil:
 	case x.Part != 0:
-		g.onConviction(x.Part)
+		g.onConviction(blame.PartsKey(g.crashes.refused(x.Part)))
 	default:
 		g.onConviction(fp)
 	}
@@ -190,10 +190,10 @@
 	return out
 }
 
-// OnConviction registers f, which is called with the fingerprint of each request, and the hash
-// of each part of prompts, that is refused because it crashes servers. It must be called before
-// the first request.
-func (g *Gateway) OnConviction(f func(suspect uint64)) { g.onConviction = f }
+// OnConviction registers f, which is called with the key of the conviction of each request that is
+// refused because it, or a part of its prompt, crashes servers. It must be called before the
+// first request.
+func (g *Gateway) OnConviction(f func(key uint64)) { g.onConviction = f }
 
 // isLoss reports whether an attempt failed because its connection to the server broke,
 // which happens when the server crashes. A caller that left, a timeout and an answer of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	// crashChecks has the keys of the servers that are about to be asked whether they crashed.
 	crashChecks sync.Map
 	// onConviction is nil if nobody is told; it is set before use.
-	onConviction func(suspect uint64)
+	onConviction func(key uint64)
 }
 
 // New returns a gateway and adds its state to the board's dump.
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -122,6 +122,13 @@
 	return isNew
 }
 
+// refused returns the parts that are refused together with a convicted one.
+func (c *crashes) refused(part uint64) []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Refused(part)
+}
+
 // refusePart refuses a request for a part of its prompt that crashes servers.
 func (g *Gateway) refusePart(j *job, part uint64) *verdict.Error {
 	g.crashes.name(j)
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -52,7 +52,7 @@
 	}
 	g = newGateway(t, f)
 	var told []uint64
-	g.OnConviction(func(suspect uint64) { told = append(told, suspect) })
+	g.OnConviction(func(key uint64) { told = append(told, key) })
 	_, err := g.Serve(t.Context(), prompt(1, "a1", "bad"))
 	assert.Equal(t, err.Code, verdict.Crashes)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
@@ -154,6 +154,27 @@
 	assert.Assert(t, !g.crashes.judge(1, []uint64{partName{"m", "bad"}.hash()}).Convicted)
 }
 
+// Guards against a refusal that is published with more parts than it needs, and not again once
+// they are told apart: gateways that start would let the guilty one in.
+func TestNarrowedRefusalIsPublishedAgain(t *testing.T) {
+	g := newGateway(t, &fakeBackend{})
+	var told []uint64
+	g.OnConviction(func(key uint64) { told = append(told, key) })
+	losePrompts(g, "a1", "bad")
+	refuse := func() {
+		_, err := g.Serve(t.Context(), prompt(1, "a1", "bad"))
+		assert.Equal(t, err.Code, verdict.Crashes)
+	}
+	refuse()
+	sound := &job{r: prompt(0, "a1"), sends: 1}
+	sound.setParts()
+	g.crashes.recordRun(sound)
+	refuse()
+	assert.Equal(t, len(told), 2)
+	assert.Assert(t, told[0] != told[1])
+	assert.Equal(t, told[1], g.Convictions(3)[0].ConvictionKey())
+}
+
 // Guards against a gateway that starts anew and learns a refusal only by crashes of its own: its
 // peers' objects and full updates bring the same evidence.
 func TestStartingGatewayRefusesTheSameParts(t *testing.T) {
--- a/internal/gossip/losses.go
+++ b/internal/gossip/losses.go
@@ -19,11 +19,9 @@
 	// kind that wait for one. A server takes down at most some dozens of a gateway's requests.
 	maxLosses, maxProofs = 8, 4
 	maxQueuedReports     = 128
-	// maxEvidenceBytes is the room in a datagram for losses and proofs beside maxEngineBytes of
-	// load. A loss with many parts takes more, and the load less.
+	// maxEvidenceBytes is the room in a datagram for losses beside maxEngineBytes of load. A loss
+	// with many parts and proofs take more, and the load less.
 	maxEvidenceBytes = 200
-	// maxProofBytes is the size of a proof in a datagram.
-	maxProofBytes = 16
 	// maxFullLosses bounds the losses of Options.Evidence in a full update, maxEvidence those
 	// that take turns.
 	maxFullLosses = 3
@@ -102,8 +100,10 @@
 		return true
 	}
 	e.mu.Lock()
+	// Proofs don't yield to losses: without them sound parts are convicted where servers crash
+	// one after the other.
+	proofs := e.proofs.next(maxProofs, now)
 	e.losses.nextWithin(maxLosses, now, addLoss)
-	proofs := e.proofs.next(max(0, min(maxProofs, left/maxProofBytes)), now)
 	unsent := e.losses.hasUnsent() || e.proofs.hasUnsent()
 	e.mu.Unlock()
 	if unsent {
--- a/internal/gossip/losses_test.go
+++ b/internal/gossip/losses_test.go
@@ -81,6 +81,20 @@
 	assert.Equal(t, len(sent), losses)
 }
 
+// Guards against proofs that wait behind the losses of a storm of crashes: sound parts would be
+// convicted at the gateways that don't hear of them.
+func TestProofsDontWaitBehindLosses(t *testing.T) {
+	e, _ := newExchange("10.0.0.1:1", "10.0.0.2:1")
+	now := time.Now()
+	for i := range uint64(maxQueuedReports) {
+		e.losses.add(blame.Loss{Request: i, Server: i, ID: 1, Began: now, Lost: now, Model: 1, Parts: []uint64{1, 2}}, now)
+	}
+	e.proofs.add(blame.Proof{Part: 2, At: now}, now)
+	n := e.buildUpdate(nil, false)
+	assert.Assert(t, len(n.Losses) > 0)
+	assert.Equal(t, len(n.Proofs), 1)
+}
+
 // Guards against a gateway that starts after a request was convicted, and would have it
 // crash servers again.
 func TestStartingGatewayLearnsConvictions(t *testing.T) {
--- a/internal/peers/convictions.go
+++ b/internal/peers/convictions.go
@@ -96,10 +96,10 @@
 }
 
 // PublishConviction requests a renewal of this gateway's object out of turn, unless the
-// object has the losses of the request, or of the part of prompts, already. It never blocks.
-func (m *Members) PublishConviction(suspect uint64) {
+// object has the losses of the conviction with this key already. It never blocks.
+func (m *Members) PublishConviction(key uint64) {
 	m.mu.Lock()
-	known := m.published[suspect]
+	known := m.published[key]
 	m.mu.Unlock()
 	if known {
 		return
--- a/internal/peers/convictions_test.go
+++ b/internal/peers/convictions_test.go
@@ -97,7 +97,7 @@
 	assert.Equal(t, len(got), 1)
 	assert.DeepEqual(t, got[0].Parts, x.Parts)
 	assert.Equal(t, got[0].Model, x.Model)
-	assert.DeepEqual(t, got[0].Suspects(), x.Parts)
+	assert.Equal(t, got[0].ConvictionKey(), x.ConvictionKey())
 	for _, parts := range [][]string{{"1", "no hash"}, make([]string, blame.MaxParts+1)} {
 		stored[0].Parts = parts
 		assert.Equal(t, len(decodeLosses(stored, now)), 0)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -113,7 +113,7 @@
 	// lastRead is when the others were last read.
 	lastRead time.Time
 
-	// published has the requests and parts of prompts whose losses this gateway's object carries.
+	// published has the keys of the convictions whose losses this gateway's object carries.
 	published map[uint64]bool
 
 	// readRequests and renewRequests signal requests for a reading, and for a renewal, out
@@ -262,9 +262,7 @@
 		m.version, m.renewal, m.replaced = v, renewal{v, began}, true
 		m.published = map[uint64]bool{}
 		for _, x := range losses {
-			for _, suspect := range x.Suspects() {
-				m.published[suspect] = true
-			}
+			m.published[x.ConvictionKey()] = true
 		}
 	}
 	return err
--- a/internal/policy/blame/loss.go
+++ b/internal/policy/blame/loss.go
@@ -31,13 +31,24 @@
 	return x.Began.Add(overlapTolerance).After(o.Lost)
 }
 
-// Suspects returns whom a conviction is about: the parts that are refused together, or the
-// request.
-func (x Loss) Suspects() []uint64 {
+// ConvictionKey returns the key of the conviction that the loss is told for: of the request, or of
+// the parts that are refused together.
+func (x Loss) ConvictionKey() uint64 {
 	if len(x.Parts) > 0 {
-		return x.Parts
+		return PartsKey(x.Parts)
 	}
-	return []uint64{x.Request}
+	return x.Request
+}
+
+// PartsKey returns the key of a conviction of parts, which are in ascending order. It changes when
+// they are told apart.
+func PartsKey(parts []uint64) uint64 {
+	const prime = 1099511628211 // of FNV-1a
+	var key uint64
+	for _, p := range parts {
+		key = key*prime ^ p
+	}
+	return key
 }
 
 // convictsParts reports whether the reporter refuses prompts with all of the parts, and
--- a/internal/policy/blame/partcase.go
+++ b/internal/policy/blame/partcase.go
@@ -101,6 +101,13 @@
 	return inSequence(slices.DeleteFunc(slices.Clone(c.blamed), func(x *heldLoss) bool { return explains(others, x) }))
 }
 
+// bothCrash reports whether two parts are both taken for guilty though the same crashes are held
+// against them: no prompt has both, and neither has been proven in many crashes.
+func bothCrash(c, o *partCase) bool {
+	together := slices.ContainsFunc(c.blamed, func(x *heldLoss) bool { return slices.Contains(x.Parts, o.id) })
+	return !together && len(c.crashes) >= c.required+minUnexplained && len(o.crashes) >= o.required+minUnexplained
+}
+
 // explains reports whether one of the losses is of the same crash.
 func explains(losses []*heldLoss, x *heldLoss) bool {
 	return slices.ContainsFunc(losses, func(o *heldLoss) bool { return o.isSameCrash(x.Loss) })
--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -241,7 +241,7 @@
 	}
 	out = slices.DeleteFunc(out, func(p uint64) bool { return p != c.id && l.provenAt(p).After(c.crashes[0].Lost) })
 	for _, o := range list {
-		if o.account != c.account && !slices.Contains(out, o.id) && len(c.unexplainedBy(o.blamed)) < minUnexplained {
+		if o.account != c.account && !slices.Contains(out, o.id) && len(c.unexplainedBy(o.blamed)) < minUnexplained && !bothCrash(c, o) {
 			out = append(out, o.id)
 		}
 	}
--- a/internal/policy/blame/parts_test.go
+++ b/internal/policy/blame/parts_test.go
@@ -125,6 +125,24 @@
 	assert.Assert(t, isRefused(l, after(4), guilty))
 }
 
+// Guards against guilty parts that go on as their requests are always lost with the same servers,
+// so that each explains all crashes of the others.
+func TestGuiltyPartsThatAreLostTogetherAreAllConvicted(t *testing.T) {
+	l := NewLedger(LedgerOptions{})
+	prove(l, after(1), otherFirst)
+	for i := range uint64(5) {
+		for part := range uint64(3) {
+			losePart(l, after(int(i)), i, 10*i+part, first, guilty+100+part)
+		}
+		losePart(l, after(int(i)), i, 10*i+5, first)
+		prove(l, after(int(i)).Add(time.Millisecond), first)
+	}
+	for part := range uint64(3) {
+		assert.Assert(t, isRefused(l, after(5), third, guilty+100+part), "part %d", part)
+	}
+	assert.Assert(t, !isRefused(l, after(5), first))
+}
+
 // Guards against the refusal of a route's first part where nothing runs: the servers, the model
 // or this gateway's network are at fault.
 func TestNoPartIsConvictedWhileNothingRuns(t *testing.T) {
