Gateway's tests: TestNarrowedRefusalIsPublishedAgain guards what it names

Cause: the test passed on the code before its fix too, as it hadn't been run there: a first part came first in its prompts, was convicted with the guilty one and was told first, so the two keys differed anyway. Change: the guilty part comes first. With the key of the part alone, as before, the test fails now (the two keys are equal); with that of the set it passes.

--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -160,9 +160,9 @@
 	g := newGateway(t, &fakeBackend{})
 	var told []uint64
 	g.OnConviction(func(key uint64) { told = append(told, key) })
-	losePrompts(g, "a1", "bad")
+	losePrompts(g, "bad", "a1")
 	refuse := func() {
-		_, err := g.Serve(t.Context(), prompt(1, "a1", "bad"))
+		_, err := g.Serve(t.Context(), prompt(1, "bad", "a1"))
 		assert.Equal(t, err.Code, verdict.Crashes)
 	}
 	refuse()
