Parts of prompts: one way to prove a part; comments

Cause: reading. Three places set a part's latest proof and ended its conviction, each in its own order; a comment promised that a guilty part is always among those compared. Change: Ledger.prove; comments say what holds and no longer whom a bound comes from. No decision changes: the tests of blame and gateway pass as before.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -89,8 +89,8 @@
 	return max(0, at.Sub(j.wroteAt))
 }
 
-// recordRun records that the last attempt has written events for a while, or is complete. Others
-// with the same parts will hardly crash their servers.
+// recordRun records that the last attempt has written events for a while, or is complete, which
+// clears the parts of its prompt. It does so once an attempt.
 func (c *crashes) recordRun(j *job) {
 	if len(j.parts) == 0 || j.provenSend == j.sends {
 		return
--- a/internal/policy/blame/fleet_test.go
+++ b/internal/policy/blame/fleet_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// Times of the fleet. The bounds on guilty parts are the users'.
+// Times of the fleet, and the bounds that it is checked for.
 const (
 	fleetTime = 40 * time.Second
 	// guiltyFrom is when requests with guilty parts begin.
@@ -447,14 +447,14 @@
 	f.in(f.between(time.Second, 6*time.Second), func() { g.cut, g.upSince = false, f.now })
 }
 
-// checkFleet plays a fleet and checks the users' bounds.
+// checkFleet plays a fleet and checks that few guilty requests come late, and that at least half
+// of the sound ones are served.
 func checkFleet(t assert.TestingT, p fleetParams) {
 	f := newFleet(p)
 	f.play()
 	for _, part := range f.guilty {
 		assert.Assert(t, f.late[part] <= maxLate, "part %d: %d late requests, %d crashes", part, f.late[part], len(f.crashes[part]))
 	}
-	// The users ask for half.
 	assert.Assert(t, f.refused <= f.served, "%d sound requests refused, %d served", f.refused, f.served)
 }
 
--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -7,7 +7,7 @@
 
 const (
 	// maxReviewed bounds the parts of each list that are compared with each other: those with
-	// the latest losses. What crashes servers is always among them.
+	// the latest losses, which a part that goes on crashing servers is among.
 	maxReviewed = 64
 	// minOthers is how many requests without a part show that it isn't in all of them.
 	minOthers = 2
@@ -33,9 +33,8 @@
 		l.proofs.record(p, r.Began, now)
 		if a := l.parts.find(p, now); a != nil {
 			suspected = true
-			a.proven = later(a.proven, r.Began)
+			l.prove(a, r.Began)
 			l.tellProof(a, now)
-			l.acquitCleared(a)
 		}
 	}
 	if suspected {
@@ -52,9 +51,9 @@
 		return false
 	}
 	before := len(blamedAfter(a, a.provenAtPeers))
-	a.proven, a.provenAtPeers = later(a.proven, p.At), later(a.provenAtPeers, p.At)
+	a.provenAtPeers = later(a.provenAtPeers, p.At)
 	isNew := len(blamedAfter(a, a.provenAtPeers)) < before
-	l.acquitCleared(a)
+	l.prove(a, p.At)
 	l.reviewParts(now)
 	return isNew
 }
@@ -66,13 +65,18 @@
 		return false
 	}
 	l.proofs.record(part, now, now)
-	a.proven = now
+	l.prove(a, now)
 	l.notifyProof(a, now, now)
-	l.acquitCleared(a)
 	l.reviewParts(now)
 	return true
 }
 
+// prove takes the losses before a proof off a part, and ends a conviction that rested on them.
+func (l *Ledger) prove(a *account, at time.Time) {
+	a.proven = later(a.proven, at)
+	l.acquitCleared(a)
+}
+
 // tellProof tells the peers of the part's latest proof if they may come to convict it.
 func (l *Ledger) tellProof(a *account, now time.Time) {
 	at := a.proven
