Parts of prompts: what peers have told apart isn't put together again

Cause: such a gateway learns three losses a part, of the same crashes. By these alone each part explains the others, and the refusal that it was told, of one part, was widened to all three, which no prompt has. By the same rule refusals went back and forth at the others. Ruled out: objects without the parts (they were there), a late reading (it refused by sets). Change: a refusal that a peer told is taken as it is, and one that holds only gets narrower.

--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -183,17 +183,20 @@
 	}
 	with := l.refusedWith(c, list)
 	switch {
-	case c.convicted && contains(with, c.refusedWith):
 	case !now.Before(c.decisive().Lost.Add(l.opts.SettleTime)) && (l.othersRan(c) || l.isExplained(c, with, unproven)):
 	case c.reported:
-		with = union(with, c.told)
+		with = c.told
 	default:
 		return
 	}
-	if c.convicted && slices.Equal(with, c.refusedWith) {
+	// What has been told apart stays so, also at gateways that know only a part of the losses.
+	if c.reported && len(c.told) < len(with) {
+		with = c.told
+	}
+	if c.convicted && (len(with) >= len(c.refusedWith) || !contains(c.refusedWith, with)) {
 		return
 	}
-	l.convictPart(c, with, now)
+	l.convictPart(c, slices.Clone(with), now)
 }
 
 // provenAt returns the latest proof of a part, zero if none is known.
@@ -392,13 +395,6 @@
 	return !slices.ContainsFunc(b, func(x uint64) bool { return !slices.Contains(a, x) })
 }
 
-// union returns the elements of a and b, in order.
-func union(a, b []uint64) []uint64 {
-	out := slices.Concat(a, b)
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
 // intersect returns the elements of a that are in b.
 func intersect(a, b []uint64) []uint64 {
 	return slices.DeleteFunc(slices.Clone(a), func(x uint64) bool { return !slices.Contains(b, x) })
--- a/internal/policy/blame/parts_test.go
+++ b/internal/policy/blame/parts_test.go
@@ -143,6 +143,27 @@
 	assert.Assert(t, !isRefused(l, after(5), first))
 }
 
+// Guards against a gateway that starts anew and lets guilty parts in which its peers have told
+// apart: the losses that it learns are of the same crashes.
+func TestStartingGatewayRefusesPartsThatWereLostTogether(t *testing.T) {
+	here, fresh := NewLedger(LedgerOptions{}), NewLedger(LedgerOptions{})
+	prove(here, after(1), otherFirst)
+	for i := range uint64(5) {
+		for part := range uint64(3) {
+			losePart(here, after(int(i)), i, 10*i+part, first, guilty+100+part)
+		}
+		prove(here, after(int(i)).Add(time.Millisecond), first)
+	}
+	assert.Assert(t, isRefused(here, after(5), guilty+100))
+	for _, x := range here.Convictions(24, after(5)) {
+		fresh.RecordLoss(x, after(6))
+	}
+	for part := range uint64(3) {
+		assert.Assert(t, isRefused(fresh, after(6), third, guilty+100+part), "part %d", part)
+	}
+	assert.Assert(t, !isRefused(fresh, after(6), first))
+}
+
 // Guards against the refusal of a route's first part where nothing runs: the servers, the model
 // or this gateway's network are at fault.
 func TestNoPartIsConvictedWhileNothingRuns(t *testing.T) {
