--- a/internal/policy/blame/ledger.go
+++ b/internal/policy/blame/ledger.go
@@ -86,9 +86,9 @@
 //   - A loss no longer counts once the request has succeeded, or the same start of the server
 //     has answered (Answer).
 //
-// Of the requests with a part, one loss of each counts, and only those before a run of any
-// of them has written events for ProvenTime. Parts that can't be told apart are refused only
-// together.
+// Against a part count at most two losses of each request that has it, and only those since a
+// run of any of them has last written events for ProvenTime. Parts that can't be told apart are
+// refused only together.
 //
 // It isn't safe for concurrent use.
 type Ledger struct {
--- a/internal/policy/blame/parts.go
+++ b/internal/policy/blame/parts.go
@@ -174,6 +174,7 @@
 	}
 }
 
+// reviewPart convicts a part, makes its refusal narrower, or ends it, by what is known now.
 func (l *Ledger) reviewPart(c *partCase, list []*partCase, unproven []*heldLoss, now time.Time) {
 	if !now.Before(c.lastLoss().Add(l.opts.RefuseFor)) {
 		if c.convicted {
