Logs of losses: a line only where a request becomes a suspect, is refused or is cleared

Ruled out: a rate limit, which would drop convictions as well. Change: Change.Decisive tells changes of belief (two losses in sequence, convictions, what clears either) from single losses, which only the counter jayford_gateway_crash_evidence_total counts now. The dump is unchanged.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -103,10 +103,14 @@
 	return c.changes
 }
 
-// logChange logs and counts a change of what is held against a request. exchange is the one
-// whose answer caused it, "" for none.
+// logChange counts a change of what is held against a request, and logs it if it is decisive:
+// each crash is a loss of all requests there, at each gateway. exchange is the one whose answer
+// caused the change, "" for none.
 func (c *crashes) logChange(x blame.Change, exchange string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_crash_evidence_total{change=%q}", x.Kind)).Inc()
+	if !x.Decisive() {
+		return
+	}
 	fields := logrus.Fields{"fingerprint": formatHash(x.Request), "change": x.Kind.String(), "losses": x.Losses, "counting": x.Counting}
 	if x.Server != 0 {
 		fields["serverHash"] = formatHash(x.Server)
--- a/internal/policy/blame/change.go
+++ b/internal/policy/blame/change.go
@@ -70,6 +70,20 @@
 	Proofs  []Proof
 }
 
+// Decisive reports whether the change alters what is believed of a request, rather than only
+// what is held against it: one loss is ordinary beside a crash, two in sequence make the request
+// a suspect.
+func (x Change) Decisive() bool {
+	switch x.Kind {
+	case ChangeLoss:
+		return x.Counting > 1
+	case ChangeServerAnswered, ChangeSucceeded, ChangePeerDisproved, ChangeOtherConvicted:
+		return x.Counting > 0
+	case ChangeConvicted, ChangeAcquitted, ChangeExpired, ChangeProven:
+	}
+	return true
+}
+
 // notify reports a change; x is the loss that changed, zero if the change is about none.
 func (l *Ledger) notify(k ChangeKind, a *account, x Loss) {
 	crashes := a.sequence()
--- a/internal/policy/blame/ledger_test.go
+++ b/internal/policy/blame/ledger_test.go
@@ -362,3 +362,24 @@
 	}
 	assert.Assert(t, !isConvicted(l, 1, after(3)))
 }
+
+// Guards against logs in which single losses, one for each request on each crashed server at
+// each gateway, crowd out the changes of what is believed.
+func TestOnlySuspicionsAreDecisive(t *testing.T) {
+	var decisive []ChangeKind
+	l := NewLedger(LedgerOptions{OnChange: func(c Change) {
+		if c.Decisive() {
+			decisive = append(decisive, c.Kind)
+		}
+	}})
+	neighbours := []uint64{2, 3, 4, 5}
+	lose(l, after(0), 1, append(neighbours, 1)...)
+	for _, fp := range neighbours {
+		l.RecordSuccess(fp, after(1))
+	}
+	assert.Equal(t, len(decisive), 0)
+	lose(l, after(1), 2, 1)
+	lose(l, after(2), 3, 1)
+	assert.Assert(t, isConvicted(l, 1, after(3)))
+	assert.DeepEqual(t, decisive, []ChangeKind{ChangeLoss, ChangeLoss, ChangeConvicted})
+}
