Servers that leave a request unanswered are doubted by all gateways

Cause: 32 gateways share some 12 prefill engines. Change: gateways report a miss to each other (News.doubts); policy/doubt counts each peer as one missed response until the server answers. Wrong or single reports cost a probe at most.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -69,12 +69,13 @@
 		Send: func(to string, m *pb.OriginMessage) { exchange.SendOrigin(to, m) },
 	})
 	exchange = gossip.New(gossip.Options{
-		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, Demand: g.Demand,
+		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, OnDoubt: g.RecordPeerDoubt, Evidence: g.Evidence, Demand: g.Demand,
 		OnOrigin: origins.Handle, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
 	g.Join(exchange)
 	g.ShareOrigins(origins)
+	g.ShareDoubts(exchange.ReportDoubt)
 	members.ShareSoftware(g.SoftwareDigest, g.SetSoftwareDigests)
 	g.OnSoftwareChange(members.RequestRenewal)
 	members.ShareConvictions(g.Convictions, g.RecordPeerLoss)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/origin"
 )
 
@@ -32,13 +33,16 @@
 	all []candidate
 	// pools has the servers that accept new work.
 	pools map[poolKey][]candidate
+	// byHash has the keys of all servers by their gossip.ServerKey.
+	byHash map[uint64]string
 }
 
 func newListing(list []catalog.Server) *listing {
-	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}}
+	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}, byHash: make(map[uint64]string, len(list))}
 	for _, s := range list {
 		c := candidate{s, serverKey(s), origin.Hash(s.Software)}
 		l.all = append(l.all, c)
+		l.byHash[gossip.ServerKey(c.key)] = c.key
 		if !s.Leaving {
 			p := poolKey{s.Service, s.Stage}
 			l.pools[p] = append(l.pools[p], c)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	pausingServers       = metrics.NewCounter("jayford_gateway_pausing_servers")
 	partRefusals         = metrics.NewCounter("jayford_gateway_part_refusals_total")
 	refusedParts         = metrics.NewCounter("jayford_gateway_refused_parts")
+	peerDoubts           = metrics.NewCounter("jayford_gateway_doubts_by_peers_total")
 	prefillsSkipped      = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
 )
 
--- a/internal/gateway/prefill_test.go
+++ b/internal/gateway/prefill_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -177,3 +179,40 @@
 	assert.Assert(t, g.budget.takeRetry(modelService), "of two retries one is left")
 	assert.Assert(t, !g.budget.takeRetry(modelService), "the budget allows more retries than it should")
 }
+
+// Guards against gateways that each lose a request to an engine that others have found dead.
+func TestPeersDoubtsSpareAnEngine(t *testing.T) {
+	engine := func(id string) catalog.Server {
+		return catalog.Server{ID: id, Service: modelService, Address: "10.0.0.3:2", AvailabilityZone: "a", Stage: catalog.Prefill}
+	}
+	f := &fakeBackend{prefill: func(s catalog.Server) (Prefilled, *verdict.Error) {
+		if s.ID == "f1" {
+			return Prefilled{}, lost()
+		}
+		return Prefilled{Result: "kv"}, nil
+	}}
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text(eventsOf("1"))), nil }
+	var here, there *Gateway
+	newFleetGateway := func() *Gateway {
+		g := newGateway(t, f)
+		g.SetServers(append(testServers(), engine("f2")))
+		return g
+	}
+	here, there = newFleetGateway(), newFleetGateway()
+	dead := gossip.ServerKey("f1#0")
+	var told []uint64
+	here.ShareDoubts(func(server uint64) {
+		told = append(told, server)
+		there.RecordPeerDoubt(server, "here", time.Now())
+	})
+	here.recordFailure(t.Context(), engine("f1"), lost())
+	assert.DeepEqual(t, told, []uint64{dead})
+	there.RecordPeerDoubt(dead, "third", time.Now())
+	f.prefills = nil
+	for range 20 {
+		reply, err := there.Serve(t.Context(), generation("/stream/"))
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+	}
+	assert.Assert(t, !slices.Contains(f.prefills, "f1"))
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -171,16 +171,39 @@
 	return newListing(nil)
 }
 
-// recordOutcome updates the health of s with the outcome of a request or probe.
-func (v *view) recordOutcome(s catalog.Server, o doubt.Outcome) {
+// recordOutcome updates the health of s with the outcome of a request or probe, and reports
+// whether the server was trusted before.
+func (v *view) recordOutcome(s catalog.Server, o doubt.Outcome) bool {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if before, after, turned := v.health.RecordTransition(serverKey(s), now, now, o); turned {
-		v.log.WithFields(logrus.Fields{
-			"server": serverKey(s), "state": after.String(), "before": before.String(), "evidence": o.String(),
-		}).Info("gateway: server's health changed.")
+	before, after, turned := v.health.RecordTransition(serverKey(s), now, now, o)
+	if turned {
+		v.logHealth(serverKey(s), before, after, o.String())
 	}
+	return before == doubt.Trusted
+}
+
+// recordPeerDoubt records that a peer doubts a server, given by its gossip.ServerKey.
+func (v *view) recordPeerDoubt(server uint64, peer string, since, now time.Time) {
+	key, ok := v.list().byHash[server]
+	if !ok {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before, _ := v.health.View(key, now)
+	v.health.RecordPeer(key, peer, since, now)
+	if after, _ := v.health.View(key, now); after.State != before.State {
+		peerDoubts.Inc()
+		v.logHealth(key, before.State, after.State, "peers")
+	}
+}
+
+func (v *view) logHealth(server string, before, after doubt.State, evidence string) {
+	v.log.WithFields(logrus.Fields{
+		"server": server, "state": after.String(), "before": before.String(), "evidence": evidence,
+	}).Info("gateway: server's health changed.")
 }
 
 // suspects reports for each server of the list whether it is suspect: doubted, being
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -83,6 +83,8 @@
 	Evidence func(limit int) []blame.Loss
 	// OnOrigin handles a datagram about the streams of a listed peer. It may be nil.
 	OnOrigin func(from string, m *pb.OriginMessage)
+	// OnDoubt handles a peer's doubt of a server, given by its ServerKey. It may be nil.
+	OnDoubt func(server uint64, from string, since time.Time)
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
 	Log             *logrus.Entry
@@ -119,6 +121,8 @@
 	// losses and proofs are those to report, guarded by mu.
 	losses lossQueue
 	proofs proofQueue
+	// doubts are the servers that didn't answer this gateway, guarded by mu.
+	doubts doubtQueue
 	// conn is nil before Run. It is guarded by mu.
 	conn *net.UDPConn
 
@@ -281,6 +285,7 @@
 		return
 	}
 	now := time.Now()
+	e.handleDoubts(from, n.Doubts, now)
 	for _, l := range n.Losses {
 		if len(l.Parts) > blame.MaxParts {
 			continue
--- a/internal/policy/doubt/doubt.go
+++ b/internal/policy/doubt/doubt.go
@@ -211,6 +211,10 @@
 	recoveredAt time.Time
 	// checkAt is when a trusted server is probed once, or zero.
 	checkAt time.Time
+	// lastAlive is when the server last answered this process, peerDoubts when it didn't answer
+	// peers since then, by peer.
+	lastAlive  time.Time
+	peerDoubts map[string]time.Time
 }
 
 // NewSet returns an empty set. rnd is the source of jitter.
@@ -300,19 +304,24 @@
 			x.failures += w
 		}
 		x.lastFailure = now
-		if x.failures+x.missedBeats >= doubtThreshold {
-			s.markDoubted(x, now)
-			return
-		}
-		if s.opts.ProbeUnanswered {
-			s.check(x, now)
-		}
+		s.weigh(x, now)
 	case Doubted:
 		// The other requests that fail with the same connection are no new
 		// evidence and must not increase the backoff.
 	}
 }
 
+// weigh doubts a trusted server if the evidence suffices, and may schedule a probe if not.
+func (s *Set) weigh(x *server, now time.Time) {
+	if x.failures+x.missedBeats+weightMissed*len(x.peerDoubts) >= doubtThreshold {
+		s.markDoubted(x, now)
+		return
+	}
+	if s.opts.ProbeUnanswered {
+		s.check(x, now)
+	}
+}
+
 // RecordCall records the outcome of a call that began at the given time. A failure is
 // ignored if the server was found alive again since: what was sent while it was down
 // fails late, and says nothing about the present.
@@ -338,6 +347,7 @@
 // Otherwise the server would always be tried again after the shortest backoff.
 func (s *Set) recordAlive(x *server, now time.Time, o Outcome) {
 	x.lastSeen, x.missedBeats, x.checkAt = now, 0, time.Time{}
+	x.lastAlive, x.peerDoubts = now, nil
 	if o == Success {
 		x.failures, x.backoff, x.unproven = 0, 0, false
 	}
@@ -368,7 +378,7 @@
 
 func (s *Set) markDoubted(x *server, now time.Time) {
 	x.state, x.failures, x.missedBeats, x.unproven = Doubted, 0, 0, true
-	x.checkAt = time.Time{}
+	x.checkAt, x.peerDoubts = time.Time{}, nil
 	x.backoff = min(max(2*x.backoff, s.opts.MinBackoff), s.opts.MaxBackoff)
 	x.next = now.Add(s.jittered(x.backoff))
 }
