Gateways that lose their keys leave the rotation and send callers elsewhere

Ruled out: accepting keys for longer, which the bound on removed keys forbids. Change: readiness fails and connections are closed with their answer from 2 s before the keys expire (two readiness checks); a refusal may come back after 50 ms. Where all peers are heard and none reaches the platform, nothing changes. Checked: TestGatewayThatLosesItsKeysSendsCallersElsewhere and the packages gateway and admission with the race detector.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -105,4 +105,10 @@
 	return nil
 }
 
+// ExpiresWithin reports whether keys can't be checked any more in a time from now unless the
+// configuration is confirmed until then.
+func (k Checker) ExpiresWithin(c Confirmed, d time.Duration) bool {
+	return c.Config != nil && c.Config.Organisations != nil && k.expired(c.Age+d)
+}
+
 func (k Checker) expired(age time.Duration) bool { return k.isBound && age >= k.maxAge }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,9 +217,10 @@
 	g.software.update(g.view.list(), time.Now())
 }
 
-// Ready reports whether the gateway accepts new requests.
+// Ready reports whether the gateway accepts new requests, and will for as long as the load
+// balancer takes to notice that it doesn't.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.view.loaded()
+	return !g.stopping.Load() && g.view.loaded() && !g.isLosingKeys()
 }
 
 // Stopping reports whether a graceful stop has begun.
@@ -359,7 +360,7 @@
 	}
 	organisation, err := g.keys.Identify(confirmed, route, r.Credentials)
 	if err != nil {
-		return nil, err
+		return nil, g.sendElsewhere(err)
 	}
 	if c.Organisations == nil {
 		r.Headers, r.Authorization = append(r.Headers, r.Authorization...), nil
--- a/internal/gateway/organisations.go
+++ b/internal/gateway/organisations.go
@@ -34,7 +34,49 @@
 // Between its arrival and its sending a request may have waited for its turn, and the
 // process may have been suspended.
 func (g *Gateway) recheckKey(j *job) *verdict.Error {
-	return g.keys.Recheck(g.view.confirmed(), j.organisation, j.r.Credentials)
+	if err := g.keys.Recheck(g.view.confirmed(), j.organisation, j.r.Credentials); err != nil {
+		return g.sendElsewhere(err)
+	}
+	return nil
+}
+
+const (
+	// maxReadinessLead is how long before the keys expire a gateway turns unready: two missed
+	// readiness checks, a second apart, take it out of the load balancer's rotation. It is at
+	// most readinessLeadPart of the keys' expiry.
+	maxReadinessLead  = 2 * time.Second
+	readinessLeadPart = 0.4
+	// elsewhereRetryAfter sends a caller to another gateway in time for its objective.
+	elsewhereRetryAfter = 50 * time.Millisecond
+)
+
+// isLosingKeys reports whether this gateway won't be able to check keys by the time at which
+// the load balancer can have taken it out of rotation, while others may.
+func (g *Gateway) isLosingKeys() bool {
+	lead := min(maxReadinessLead, time.Duration(readinessLeadPart*float64(g.opts.KeyExpiry)))
+	return g.keys.ExpiresWithin(g.view.confirmed(), lead) && !g.isFleetCutOff()
+}
+
+// isFleetCutOff reports whether, as far as this gateway knows, the platform can't be reached by
+// any gateway. One that doesn't hear most of its peers can't tell.
+func (g *Gateway) isFleetCutOff() bool {
+	if g.loads.peers == nil || !g.loads.complete() {
+		return false
+	}
+	return g.loads.peers.PlatformReachableSince(time.Now().Add(-contactReportAge)).IsZero()
+}
+
+// contactReportAge is the age up to which a peer's report of its contact with the platform
+// counts. Each peer reports at least once in two seconds in fleets of up to 48.
+const contactReportAge = 2500 * time.Millisecond
+
+// sendElsewhere shortens the Retry-After of a refusal for want of a confirmed configuration,
+// unless all gateways lack it: the caller's next attempt reaches another one.
+func (g *Gateway) sendElsewhere(err *verdict.Error) *verdict.Error {
+	if err.Code != verdict.PlatformDown || g.isFleetCutOff() {
+		return err
+	}
+	return err.WithRetryAfter(elsewhereRetryAfter)
 }
 
 const (
--- a/internal/gateway/organisations_test.go
+++ b/internal/gateway/organisations_test.go
@@ -231,3 +231,43 @@
 	assert.DeepEqual(t, q.costs, []float64{float64(r.Generation.Prompt + r.Generation.MaxOutput)})
 	assert.Equal(t, len(f.prefills)+len(f.sends()), 0)
 }
+
+// peersInContact are peers of which one has been in contact with the platform.
+type peersInContact struct{ peerLoad }
+
+func (peersInContact) PlatformReachableSince(time.Time) time.Time {
+	return time.Now().Add(-time.Minute)
+}
+
+// Guards against a gateway cut off from the platform that stays in the load balancer's rotation
+// and refuses its callers, who are told to come back too late for their objective; and against a
+// fleet that turns unready as a whole when the platform is down.
+func TestGatewayThatLosesItsKeysSendsCallersElsewhere(t *testing.T) {
+	for name, x := range map[string]struct {
+		peers      Peers
+		age        time.Duration
+		ready      bool
+		retryAfter time.Duration
+	}{
+		"confirmed lately":         {peers: peersInContact{}, age: time.Second, ready: true},
+		"two checks from expiry":   {peers: peersInContact{}, age: 3 * time.Second, ready: false},
+		"expired, others have it":  {peers: peersInContact{}, age: 6 * time.Second, ready: false, retryAfter: elsewhereRetryAfter},
+		"expired, peers not heard": {age: 6 * time.Second, ready: false, retryAfter: elsewhereRetryAfter},
+		"expired everywhere":       {peers: peerLoad{}, age: 6 * time.Second, ready: true, retryAfter: 500 * time.Millisecond},
+	} {
+		f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("ok")), nil }}
+		g, _ := keyedGateway(t, f, io.Discard)
+		if x.peers != nil {
+			g.Join(x.peers)
+		}
+		g.view.confirmedAt.Store(int64(boottime.Now() - x.age))
+		assert.Equal(t, g.Ready(), x.ready, name)
+		_, err := g.Serve(t.Context(), withKey(call("/again/x"), secretKey))
+		if x.retryAfter == 0 {
+			assert.Assert(t, err == nil, "%s: %v", name, err)
+			continue
+		}
+		assert.Equal(t, err.Code, verdict.PlatformDown, name)
+		assert.Equal(t, err.RetryAfter, x.retryAfter, name)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -73,6 +74,8 @@
 	http *fasthttp.Server
 	// held counts the bytes of the bodies of requests in progress.
 	held byteBudget
+	// ready is the answer to the last readiness check.
+	ready atomic.Bool
 }
 
 // NewServer returns a server; Run starts it.
@@ -204,17 +207,22 @@
 }
 
 func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
-	switch {
-	case string(ctx.Path()) != s.opts.ReadyPath:
+	if string(ctx.Path()) != s.opts.ReadyPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
-	case !s.g.Ready():
+		return
+	}
+	ready := s.g.Ready()
+	if s.ready.Swap(ready) != ready {
+		s.g.log.WithFields(logrus.Fields{"ready": ready, "losingKeys": s.g.isLosingKeys(), "stopping": s.g.Stopping()}).Info("gateway: readiness changed.")
+	}
+	if !ready {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.g.Stopping() {
-		// Makes the caller reconnect to another gateway before this one exits.
+	if s.g.Stopping() || s.g.isLosingKeys() {
+		// Makes the caller reconnect to another gateway before this one refuses its requests.
 		ctx.Response.SetConnectionClose()
 	}
 	size := int64(len(ctx.Request.Body()))
