--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,8 +111,9 @@
 	crashes *crashes
 	// crashChecks has the keys of the servers that are about to be asked whether they crashed.
 	crashChecks sync.Map
-	// onConviction is nil if nobody is told; it is set before use.
+	// onConviction and reportDoubt are nil if nobody is told; they are set before use.
 	onConviction func(key uint64)
+	reportDoubt  func(server uint64)
 }
 
 // New returns a gateway and adds its state to the board's dump.
@@ -216,9 +217,10 @@
 	g.software.update(g.view.list(), time.Now())
 }
 
-// Ready reports whether the gateway accepts new requests.
+// Ready reports whether the gateway accepts new requests, and will for as long as the load
+// balancer takes to notice that it doesn't.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.view.loaded()
+	return !g.stopping.Load() && g.view.loaded() && !g.isLosingKeys()
 }
 
 // Stopping reports whether a graceful stop has begun.
@@ -358,7 +360,7 @@
 	}
 	organisation, err := g.keys.Identify(confirmed, route, r.Credentials)
 	if err != nil {
-		return nil, err
+		return nil, g.sendElsewhere(err)
 	}
 	if c.Organisations == nil {
 		r.Headers, r.Authorization = append(r.Headers, r.Authorization...), nil
