Gateways confirm the configuration to each other

A confirmation came from the gateway's own watch alone, and was up to 3.6 s old.

Change: where keys.expiry is set, gateways ask each other for the age of their confirmations (policy/confirm), and a few of the fleet poll the store for a fresh one. The follower tells the position of its copy and the newest change of its kind, polls beside its watch, and lists again when the store was set back. gossip carries the messages; with the sender's start, so that earlier versions drop them. The dump, metrics and a log line show what a gateway relies on. A watch's answer without a revision confirms nothing now.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -70,11 +70,14 @@
 	})
 	exchange = gossip.New(gossip.Options{
 		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, Demand: g.Demand,
-		OnOrigin: origins.Handle, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
+		OnOrigin: origins.Handle, OnStore: g.HandleStore, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
 	g.Join(exchange)
 	g.ShareOrigins(origins)
+	g.ShareStore(gateway.StoreSharing{
+		Peers: func() []string { return otherAddresses(members.Known(), s.ID) }, Send: exchange.SendStore,
+	})
 	members.ShareSoftware(g.SoftwareDigest, g.SetSoftwareDigests)
 	g.OnSoftwareChange(members.RequestRenewal)
 	members.ShareConvictions(g.Convictions, g.RecordPeerLoss)
@@ -156,6 +159,12 @@
 	return near, far
 }
 
+// otherAddresses returns the addresses of all gateways but this one.
+func otherAddresses(list []peers.Peer, self string) []string {
+	near, far := addresses(list, self, "")
+	return append(near, far...)
+}
+
 // peerAddresses returns the addresses of all gateways of the list.
 func peerAddresses(list []peers.Peer) []string {
 	out := make([]string, len(list))
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,6 +47,9 @@
 	// is set, watches without changes must be answered within MaxAnswerGap.
 	Wait  time.Duration
 	Apply func(Update)
+	// Applied is called after the content of an answer was applied, with what the copy has
+	// then, and before Confirmed. It may be nil.
+	Applied func(Copy)
 	// Confirmed is called after the content of an answer was applied, with the boot time
 	// (package boottime) at which the answered call began: nothing that was written
 	// before that is missing. It may be nil.
@@ -70,19 +74,26 @@
 
 // Follower follows one kind of object.
 type Follower struct {
-	opts     Options
-	revision uint64
-	listed   bool
+	opts Options
+
+	mu sync.Mutex
+	// copy describes what was applied, and listed is set while it comes from a complete
+	// listing. polling is set during a Poll. failingSince is when calls began to fail, zero if
+	// the last one was answered, and pendingOutage is an outage that has ended but wasn't
+	// passed to Apply yet. All are guarded by mu, as are calls of Apply, Applied and Confirmed.
+	copy            Copy
+	listed, polling bool
+	failingSince    time.Time
+	pendingOutage   endedOutage
+
+	// The fields below are used only by Run.
+
 	// pages collects the pages listed so far, and next is where the next page begins.
 	// The revision is the first page's: later changes come with the watch.
 	pages platform.Listing
 	next  string
 	// pagesAt is the boot time at which the call for the first page began.
 	pagesAt time.Duration
-	// failing is when calls began to fail, zero if the last one was answered.
-	failing time.Time
-	// pendingOutage is an outage that has ended but wasn't passed to Apply yet.
-	pendingOutage endedOutage
 }
 
 // endedOutage is an outage that lasted for duration; recoveredAt is when the first
@@ -97,6 +108,10 @@
 	startedAt time.Time
 	// bootAt is startedAt on the clock of package boottime.
 	bootAt time.Duration
+	// isList: the call lists. Otherwise it is a watch or a poll, and after is the revision of
+	// the copy when it began.
+	isList bool
+	after  uint64
 	page   platform.Page
 	err    error
 }
@@ -112,6 +127,9 @@
 	if o.Availability == nil {
 		o.Availability = &Availability{}
 	}
+	if o.Applied == nil {
+		o.Applied = func(Copy) {}
+	}
 	if o.Confirmed == nil {
 		o.Confirmed = func(time.Duration) {}
 	}
@@ -142,19 +160,21 @@
 // callPlatform makes the next call: a list, a watch, or a watch with probes during an
 // outage.
 func (f *Follower) callPlatform(ctx context.Context) call {
-	switch {
-	case !f.listed:
+	switch position, listed := f.position(); {
+	case !listed:
 		return f.list(ctx)
-	case !f.failing.IsZero():
-		return f.awaitRecovery(ctx)
+	case f.IsFailing():
+		return f.awaitRecovery(ctx, position)
+	default:
+		return f.watch(ctx, position, f.opts.Wait)
 	}
-	return f.watch(ctx, f.revision, f.opts.Wait)
 }
 
 func (f *Follower) watch(ctx context.Context, revision uint64, timeout time.Duration) call {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c := newCall()
+	c.after = revision
 	c.page.Listing, c.err = f.opts.Store.Watch(ctx, f.opts.Kind, revision)
 	return c
 }
@@ -163,11 +183,11 @@
 // watch hangs until its timeout, and waiting for it would delay the detection of the
 // recovery. Probes are small: several watches at once would each transfer all changes,
 // and none of them would finish in time on a slow link.
-func (f *Follower) awaitRecovery(ctx context.Context) call {
+func (f *Follower) awaitRecovery(ctx context.Context, position uint64) call {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watched, recovered := make(chan call, 1), make(chan time.Time, 1)
-	go func() { watched <- f.watch(limited, f.revision, min(f.opts.Wait, outageWatchTimeout)) }()
+	go func() { watched <- f.watch(limited, position, min(f.opts.Wait, outageWatchTimeout)) }()
 	go f.probe(limited, recovered)
 	select {
 	case c := <-watched:
@@ -175,7 +195,7 @@
 	case startedAt := <-recovered:
 		cancel()
 		f.answered(startedAt)
-		return f.watch(ctx, f.revision, f.opts.Wait)
+		return f.watch(ctx, position, f.opts.Wait)
 	}
 }
 
@@ -209,6 +229,7 @@
 // pages before it.
 func (f *Follower) list(ctx context.Context) call {
 	c := newCall()
+	c.isList = true
 	if pager, ok := f.opts.Store.(platform.Pager); ok {
 		c.page, c.err = pager.ListPage(ctx, f.opts.Kind, f.next)
 		return c
@@ -219,22 +240,24 @@
 
 // apply applies an answer and reports whether it was a watch's with changes.
 func (f *Follower) apply(c call) (changed bool) {
-	if c.err != nil {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case c.err != nil:
 		f.opts.Log.WithField("kind", f.opts.Kind).Info("follow: the platform compacted the history; listing again.")
 		f.listed = false
 		return false
-	}
-	if !f.listed {
-		f.applyPage(c)
+	case c.isList:
+		f.applyPageLocked(c)
+		return false
+	case !f.listed:
+		// A poll found that the store was set back.
 		return false
 	}
-	f.revision = max(f.revision, c.page.Revision)
-	f.notify(Update{Objects: c.page.Objects, StartedAt: c.startedAt})
-	f.opts.Confirmed(c.bootAt)
-	return len(c.page.Objects) > 0
+	return f.applyChangesLocked(c)
 }
 
-func (f *Follower) applyPage(c call) {
+func (f *Follower) applyPageLocked(c call) {
 	if f.next == "" {
 		f.pages, f.pagesAt = platform.Listing{Revision: c.page.Revision}, c.bootAt
 	}
@@ -246,13 +269,14 @@
 	}
 	all := f.pages
 	f.pages, f.listed = platform.Listing{}, true
-	f.revision = max(f.revision, all.Revision)
-	f.notify(Update{Objects: all.Objects, Full: true, StartedAt: c.startedAt})
+	f.copy = f.copy.list(all)
+	f.notifyLocked(Update{Objects: all.Objects, Full: true, StartedAt: c.startedAt})
+	f.opts.Applied(f.copy)
 	f.opts.Confirmed(f.pagesAt)
 }
 
-// notify calls Apply with n and with an outage that ended before it, if any.
-func (f *Follower) notify(n Update) {
+// notifyLocked calls Apply with n and with an outage that ended before it, if any.
+func (f *Follower) notifyLocked(n Update) {
 	if f.pendingOutage.duration > 0 {
 		n.Outage, n.StartedAt = f.pendingOutage.duration, f.pendingOutage.recoveredAt
 		f.pendingOutage = endedOutage{}
@@ -263,8 +287,10 @@
 }
 
 func (f *Follower) failed(err error) {
-	if f.failing.IsZero() {
-		f.failing = time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failingSince.IsZero() {
+		f.failingSince = time.Now()
 		f.opts.Log.WithError(err).WithField("kind", f.opts.Kind).Warn("follow: the platform doesn't answer.")
 	}
 }
@@ -272,11 +298,13 @@
 // endOutage ends a period of failed calls; startedAt is when the first answered call
 // began.
 func (f *Follower) endOutage(startedAt time.Time) {
-	if f.failing.IsZero() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failingSince.IsZero() {
 		return
 	}
-	duration := time.Since(f.failing)
-	f.failing = time.Time{}
+	duration := time.Since(f.failingSince)
+	f.failingSince = time.Time{}
 	f.opts.Log.WithField("kind", f.opts.Kind).WithField("away", duration.String()).Info("follow: the platform answers again.")
 	if duration >= outageThreshold {
 		f.pendingOutage = endedOutage{duration: duration, recoveredAt: startedAt}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -380,5 +380,5 @@
 	assert.Equal(t, len(got), 3)
 	assert.Assert(t, !got[0].full && !got[1].full && got[2].full)
 	assert.DeepEqual(t, got[2].names, []string{"3"})
-	assert.Equal(t, f.revision, uint64(11))
+	assert.Equal(t, f.copy.Position, uint64(11))
 }
--- /dev/null
+++ b/internal/gateway/confirm_test.go
@@ -0,0 +1,379 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/board"
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/confirm"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// sharedStore is a store of some gateways, each of which can be refused.
+type sharedStore struct {
+	platform.Store
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	revision uint64
+	events   []platform.Object
+	refused  map[string]bool
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+func newSharedStore() *sharedStore {
+	return &sharedStore{refused: map[string]bool{}, calls: map[string]int{}, changed: make(chan struct{})}
+}
+
+func (s *sharedStore) put(kind, name string, spec any, deleted bool) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.events = append(s.events, platform.Object{Kind: kind, Name: name, Version: s.revision, Deleted: deleted, Spec: text})
+	s.notifyLocked()
+}
+
+func (s *sharedStore) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *sharedStore) refuse(refused bool, ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.refused[id] = refused
+	}
+	s.notifyLocked()
+}
+
+// sharedStoreClient is the store as one gateway sees it.
+type sharedStoreClient struct {
+	*sharedStore
+	id string
+}
+
+func (c sharedStoreClient) begin(kind string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[kind]++
+	if c.refused[c.id] {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (c sharedStoreClient) sinceLocked(kind string, after uint64) platform.Listing {
+	out := platform.Listing{Revision: c.revision}
+	for _, o := range c.events {
+		if o.Kind == kind && o.Version > after {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	return out
+}
+
+func (c sharedStoreClient) List(_ context.Context, kind string) (platform.Listing, error) {
+	if err := c.begin(kind); err != nil {
+		return platform.Listing{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	latest := map[string]platform.Object{}
+	for _, o := range c.sinceLocked(kind, 0).Objects {
+		latest[o.Name] = o
+	}
+	out := platform.Listing{Revision: c.revision}
+	for _, o := range latest {
+		if !o.Deleted {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	return out, nil
+}
+
+func (c sharedStoreClient) Get(context.Context, string, string) (platform.Object, error) {
+	if err := c.begin("probe"); err != nil {
+		return platform.Object{}, err
+	}
+	return platform.Object{}, platform.ErrNotFound
+}
+
+func (c sharedStoreClient) Poll(_ context.Context, kind string, after uint64) (platform.Listing, error) {
+	if err := c.begin(kind); err != nil {
+		return platform.Listing{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sinceLocked(kind, after), nil
+}
+
+func (c sharedStoreClient) Watch(ctx context.Context, kind string, after uint64) (platform.Listing, error) {
+	if err := c.begin(kind); err != nil {
+		return platform.Listing{}, err
+	}
+	end, _ := ctx.Deadline()
+	held := time.After(time.Until(end) - 100*time.Millisecond)
+	for timedOut := false; ; {
+		c.mu.Lock()
+		refused, l, changed := c.refused[c.id], c.sinceLocked(kind, after), c.changed
+		c.mu.Unlock()
+		switch {
+		case refused:
+			return platform.Listing{}, platform.ErrUnavailable
+		case len(l.Objects) > 0 || timedOut:
+			return l, nil
+		}
+		select {
+		case <-changed:
+		case <-held:
+			timedOut = true
+		case <-ctx.Done():
+			return platform.Listing{}, ctx.Err()
+		}
+	}
+}
+
+// keyDecoder decodes a configuration with a version and keys, and servers by their id.
+type keyDecoder struct{}
+
+type storedKeys struct {
+	Version uint64
+	Keys    []string
+}
+
+func (keyDecoder) Config(o platform.Object) (*catalog.Config, error) {
+	var s storedKeys
+	err := json.Unmarshal(o.Spec, &s)
+	return configWithKeys(s.Version, s.Keys...), err
+}
+
+func (keyDecoder) Server(o platform.Object) (catalog.Server, error) {
+	var s catalog.Server
+	err := json.Unmarshal(o.Spec, &s)
+	return s, err
+}
+
+// sharingFleet is a few gateways with one store, joined by datagrams.
+type sharingFleet struct {
+	store *sharedStore
+	ids   []string
+	g     map[string]*Gateway
+	logs  map[string]*lockedBuffer
+
+	mu sync.Mutex
+	// cut is guarded by mu: no datagrams pass.
+	cut bool
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+const sharedExpiry = 2 * time.Second
+
+func newSharingFleet(t *testing.T, n int) *sharingFleet {
+	t.Helper()
+	f := &sharingFleet{store: newSharedStore(), g: map[string]*Gateway{}, logs: map[string]*lockedBuffer{}}
+	f.store.put("config", "main", storedKeys{Version: 1, Keys: []string{"stays", "goes"}}, false)
+	for _, s := range testServers() {
+		f.store.put("servers", s.ID, s, false)
+	}
+	for i := range n {
+		f.ids = append(f.ids, fmt.Sprint("g", i))
+	}
+	for _, id := range f.ids {
+		f.add(id)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for _, id := range f.ids {
+		sources := Sources{Store: sharedStoreClient{f.store, id}, Decoder: keyDecoder{}, ConfigKind: "config", ConfigName: "main", ServerKind: "servers"}
+		running.Go(func() { _ = f.g[id].Follow(ctx, sources) })
+	}
+	return f
+}
+
+func (f *sharingFleet) add(id string) {
+	log := &lockedBuffer{}
+	l := logrus.New()
+	l.SetOutput(log)
+	l.SetFormatter(&logrus.JSONFormatter{})
+	backend := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("x")), nil }}
+	g := New(Options{ID: id, Backend: backend, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, KeyExpiry: sharedExpiry, Log: l})
+	settleBudget(g)
+	f.g[id], f.logs[id] = g, log
+	g.ShareStore(StoreSharing{Peers: func() []string { return f.others(id) }, Send: func(to string, m *pb.StoreMessage) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !f.cut {
+			go f.g[to].HandleStore(id, proto.CloneOf(m))
+		}
+		return true
+	}})
+}
+
+func (f *sharingFleet) others(self string) []string {
+	var out []string
+	for _, id := range f.ids {
+		if id != self {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (f *sharingFleet) setCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// ask sends a request with a key through a gateway and returns why it was refused, "" if it
+// wasn't.
+func (f *sharingFleet) ask(t *testing.T, id, key string) verdict.Code {
+	t.Helper()
+	reply, err := f.g[id].Serve(t.Context(), withKey(call("/again/x"), key))
+	if err != nil {
+		return err.Code
+	}
+	assert.NilError(t, reply.Body.Close())
+	return ""
+}
+
+func (f *sharingFleet) awaitReady(t *testing.T) {
+	t.Helper()
+	assertSoon(t, 5*time.Second, "a gateway doesn't accept its key", func() bool {
+		for _, id := range f.ids {
+			if f.ask(t, id, "stays") != "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func assertSoon(t *testing.T, within time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !ok(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), what)
+	}
+}
+
+// Guards against refusals by gateways that the store refuses while others are in contact,
+// and against a removed key that they accept past its expiry because others confirm the copy
+// they have. Half of the time datagrams pass, then none do.
+func TestGatewaysCutOffFromTheStoreAreConfirmedByOthers(t *testing.T) {
+	f := newSharingFleet(t, 6)
+	f.awaitReady(t)
+	f.store.refuse(true, "g0", "g1")
+	for end := time.Now().Add(3 * sharedExpiry); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, id := range f.ids {
+			assert.Equal(t, f.ask(t, id, "stays"), verdict.Code(""), id)
+		}
+	}
+	assert.Assert(t, strings.Contains(f.logs["g0"].String(), `"by":"peers"`), f.logs["g0"].String())
+	dump, err := f.g["g0"].opts.Board.Dump()
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(dump), `"By": "peers"`))
+
+	removed := time.Now()
+	f.store.put("config", "main", storedKeys{Version: 2, Keys: []string{"stays"}}, false)
+	for time.Since(removed) < 2*sharedExpiry {
+		for _, id := range f.ids {
+			asked := time.Now()
+			if code := f.ask(t, id, "goes"); code == "" {
+				assert.Assert(t, asked.Sub(removed) < sharedExpiry, "%s accepts a key %v after its removal", id, asked.Sub(removed))
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, f.ask(t, "g0", "stays"), verdict.PlatformDown, "its copy lacks a change")
+	assert.Equal(t, f.ask(t, "g5", "stays"), verdict.Code(""))
+
+	f.store.refuse(false, "g0", "g1")
+	f.awaitReady(t)
+	assert.Equal(t, f.ask(t, "g0", "goes"), verdict.Unauthorized)
+	f.setCut(true)
+	f.store.refuse(true, "g0")
+	assertSoon(t, 2*sharedExpiry, "a gateway that is cut off from the store and others accepts keys", func() bool {
+		return f.ask(t, "g0", "stays") == verdict.PlatformDown
+	})
+	assert.Equal(t, f.ask(t, "g3", "stays"), verdict.Code(""), "without datagrams the store still confirms")
+}
+
+// Guards against refusals early in an outage of the whole store: all gateways rely on the
+// freshest confirmation, for nearly the whole of the keys' expiry.
+func TestWholeOutageIsOutlastedForTheExpiry(t *testing.T) {
+	f := newSharingFleet(t, 6)
+	f.awaitReady(t)
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	f.store.refuse(true, f.ids...)
+	served := make(map[string]time.Duration)
+	for len(served) < len(f.ids) {
+		for _, id := range f.ids {
+			if served[id] == 0 && f.ask(t, id, "stays") != "" {
+				served[id] = time.Since(began)
+			}
+		}
+		assert.Assert(t, time.Since(began) < sharedExpiry+time.Second)
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("first refusals after %v", served)
+	for id, d := range served {
+		assert.Assert(t, d > sharedExpiry-900*time.Millisecond, "%s refuses after %v", id, d)
+		assert.Assert(t, d < sharedExpiry+50*time.Millisecond, "%s accepts keys %v into an outage", id, d)
+	}
+}
+
+// Guards against ages that are rounded down, and impossible ones that become valid.
+func TestStoreMessagesKeepTheirMeaning(t *testing.T) {
+	f := newSharingFleet(t, 1)
+	f.awaitReady(t)
+	c := f.g["g0"].confirmations
+	c.mu.Lock()
+	before := c.machine.Counts().Malformed
+	c.mu.Unlock()
+	f.g["g0"].HandleStore("g1", &pb.StoreMessage{Answers: 1, Copies: []*pb.StoreCopy{{Kind: "config", Changed: 1, AgeUs: 1 << 63}}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Equal(t, c.machine.Counts().Malformed, before+1)
+	m := encodeStore(confirm.Message{Answers: 1, Copies: []confirm.Answer{{Kind: "config", Changed: 1, Age: 1500}}})
+	assert.Equal(t, m.Copies[0].AgeUs, uint64(2))
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,7 +42,7 @@
 	source := &configSource{g: g, sources: s}
 	config := follow.New(follow.Options{
 		Store: s.Store, Kind: s.ConfigKind, Wait: g.configWatchTimeout(), Availability: &g.platformAvailability, Log: g.log,
-		Apply: source.apply, Confirmed: source.confirm,
+		Apply: source.apply, Applied: g.confirmations.applied(s.ConfigKind), Confirmed: source.confirm,
 	})
 	roster := &roster{g: g, decoder: s.Decoder, entries: map[string]entry{}}
 	servers := follow.New(follow.Options{
@@ -50,6 +51,7 @@
 	group.Go(func() error { return config.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
 	group.Go(func() error { return g.probe(ctx) })
+	group.Go(func() error { return g.confirmations.run(ctx, config, source) })
 	return group.Wait()
 }
 
@@ -65,30 +67,31 @@
 // watchAnswerTime is the part of a watch's timeout that is left for its answer.
 const watchAnswerTime = time.Second
 
-// configSource puts the stored configuration in force. It is used by one goroutine.
+// configSource puts the stored configuration in force. Its apply is called by one goroutine at
+// a time.
 type configSource struct {
 	g       *Gateway
 	sources Sources
 	// current: the stored configuration is the one in force. Otherwise it couldn't be
 	// decoded, was deleted, or has a lower version than an earlier one.
-	current bool
+	current atomic.Bool
 }
 
 func (c *configSource) apply(n follow.Update) {
 	if n.Full {
 		// The configuration may be missing from the listing.
-		c.current = false
+		c.current.Store(false)
 	}
 	for _, o := range n.Objects {
 		if o.Name != c.sources.ConfigName {
 			continue
 		}
 		if o.Deleted {
-			c.current = false
+			c.current.Store(false)
 			c.g.log.Error("gateway: the configuration was deleted, the previous one stays in force.")
 			continue
 		}
-		c.current = c.applyObject(o)
+		c.current.Store(c.applyObject(o))
 	}
 }
 
@@ -112,9 +115,16 @@
 	return g.ConfigVersion() == config.Version
 }
 
-// confirm records that the configuration in force was the newest at a boot time.
+// confirm records that the configuration was the newest at a boot time, as the store showed.
 func (c *configSource) confirm(at time.Duration) {
-	if c.current {
+	c.g.confirmations.confirmed(c.sources.ConfigKind, at)
+	c.rely(at)
+}
+
+// rely makes the configuration in force count as the newest one at a boot time, if it is the
+// stored one.
+func (c *configSource) rely(at time.Duration) {
+	if c.current.Load() {
 		c.g.view.confirm(at)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	// other gateways.
 	contention place.PlacementRate
 
+	confirmations *confirmations
+
 	software *softwareVersions
 	// origins is set before use.
 	origins Origins
@@ -125,6 +127,7 @@
 	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
 	g.software = newSoftwareVersions(o.Board)
+	g.confirmations = newConfirmations(o.KeyExpiry, o.Board, g.log)
 	g.origins = origin.NewExchange(origin.Options{Gateways: func() []string { return nil }})
 	g.limits = newLimits(o.ID, o.Board, g.log)
 	g.pauses = newPauses(o.Board, g.log)
--- a/internal/gateway/organisations_test.go
+++ b/internal/gateway/organisations_test.go
@@ -182,13 +182,13 @@
 	g, _ := keyedGateway(t, f, io.Discard)
 	g.view.confirmedAt.Store(int64(boottime.Now() - 10*time.Second))
 	source := &configSource{g: g, sources: Sources{ConfigName: "main", Decoder: brokenDecoder{}}}
-	source.current = true
+	source.current.Store(true)
 	source.apply(follow.Update{Objects: []platform.Object{{Name: "main"}}})
 	source.confirm(boottime.Now())
-	source.current = true
+	source.current.Store(true)
 	source.apply(follow.Update{Objects: []platform.Object{{Name: "main", Deleted: true}}})
 	source.confirm(boottime.Now())
-	source.current = true
+	source.current.Store(true)
 	source.apply(follow.Update{Full: true})
 	source.confirm(boottime.Now())
 	_, err := g.Serve(t.Context(), withKey(call("/again/x"), secretKey))
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -83,6 +83,9 @@
 	Evidence func(limit int) []blame.Loss
 	// OnOrigin handles a datagram about the streams of a listed peer. It may be nil.
 	OnOrigin func(from string, m *pb.OriginMessage)
+	// OnStore handles a datagram of a listed peer about what the platform's store holds. It
+	// may be nil.
+	OnStore func(from string, m *pb.StoreMessage)
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
 	Log             *logrus.Entry
@@ -277,6 +280,10 @@
 		e.handleOrigin(from, n.Origin)
 		return
 	}
+	if n.Store != nil {
+		e.handleStore(from, n.Store)
+		return
+	}
 	if !e.apply(from, &n) {
 		return
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -61,6 +61,12 @@
 	ListPage(ctx context.Context, kind, after string) (Page, error)
 }
 
+// Poller is a Store that can tell at once whether there are changes.
+type Poller interface {
+	// Poll is Watch that doesn't wait for a change.
+	Poll(ctx context.Context, kind string, revision uint64) (Listing, error)
+}
+
 // StaleLister is a Store that can list objects as they were seconds ago, at a
 // fraction of the cost of List.
 type StaleLister interface {
--- a/internal/policy/confirm/fleet_test.go
+++ b/internal/policy/confirm/fleet_test.go
@@ -10,7 +10,7 @@
 const simStep = 5 * time.Millisecond
 
 // simKind is the kind that the simulated gateways follow.
-const simKind = "configurations"
+const simKind = "config"
 
 // change is one write to the simulated store. Only those of the kind are of interest; the
 // others raise its revision. A listing doesn't show deletions.
@@ -253,11 +253,11 @@
 	}
 }
 
-// size is the number of bytes of a message in its datagram.
+// size is the number of bytes of a message in its datagram, as gossip's test prints them.
 func size(x Message) int {
-	n := 2 + 9
+	n := 16
 	for _, c := range x.Copies {
-		n += 2 + 2 + len(c.Kind) + 1 + 5 + 1 + 3
+		n += 14 + len(c.Kind)
 	}
 	return n
 }
