Priority: engines get the rank of each request

Cause: the priority of routes and organisations was decoded and not read, so engines and gateways served urgent and less urgent requests alike.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -63,6 +63,10 @@
 	Request *Request
 	// Organisation is the name of the caller's organisation, "" if it has none.
 	Organisation string
+	// IsRanked: requests of the service differ in Rank, which is how urgent this one is,
+	// from 0 to 9.
+	IsRanked bool
+	Rank     int
 	// Timeout is the time until the caller's deadline; 0 for none.
 	Timeout time.Duration
 	// ReservationID is the id of a reservation at the server.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -32,12 +32,14 @@
 
 	mu sync.Mutex
 	// All below is guarded by mu.
-	sent      []sending
-	prefills  []string
-	released  []string
-	discarded []string
-	orders    []StageOrder
-	probes    []string
+	sent     []sending
+	prefills []string
+	// prefillCalls has the call of each prefill.
+	prefillCalls []Call
+	released     []string
+	discarded    []string
+	orders       []StageOrder
+	probes       []string
 	// organisations has the organisation of each reservation and prefill.
 	organisations []string
 }
@@ -69,6 +71,7 @@
 	f.mu.Lock()
 	f.organisations = append(f.organisations, c.Organisation)
 	f.prefills = append(f.prefills, s.ID)
+	f.prefillCalls = append(f.prefillCalls, c)
 	f.mu.Unlock()
 	if f.prefill != nil {
 		return f.prefill(s)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	quotas Quotas
 	// platformAvailability tracks for how long the platform has been reachable for this gateway.
 	platformAvailability follow.Availability
+	ranks                ranks
 	limits               *limits
 	pauses               *pauses
 	loads                *loads
@@ -200,6 +201,7 @@
 	if !g.view.setConfig(c) {
 		return false
 	}
+	g.ranks.of(c)
 	if g.quotas != nil {
 		g.quotas.SetOrganisations(c.Organisations)
 	}
@@ -267,6 +269,10 @@
 	service catalog.Service
 	// organisation is the caller's, nil if the route needs no key.
 	organisation *catalog.Organisation
+	// rank is how urgent the request is, 0 the most; isRanked: requests of its service
+	// differ in it.
+	rank     int
+	isRanked bool
 	// config is the version of the configuration that routed the request.
 	config uint64
 	// until is the deadline for the final answer.
@@ -380,6 +386,7 @@
 	}
 	j.fingerprint = r.fingerprint(j.organisationName())
 	j.setParts()
+	g.setRank(j, c)
 	return j, nil
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -59,7 +59,7 @@
 func (g *Gateway) decode(ctx context.Context, j *job, p reservation, result prefillResult, after string) (*Answer, *verdict.Error) {
 	c := Call{
 		Request: j.r, Organisation: j.organisationName(), ReservationID: p.hold, LastEventID: after, PrefillServer: result.from, PrefillResult: result.id,
-		Timeout: time.Until(j.until), MaxIdle: maxIdleRepeatable,
+		Timeout: time.Until(j.until), MaxIdle: maxIdleRepeatable, IsRanked: j.isRanked, Rank: j.rank,
 	}
 	j.sends++
 	j.sentAt, j.wroteAt = time.Now(), time.Time{}
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -105,7 +105,9 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
-	r, err := g.backend.Prefill(ctx, s, Call{Request: j.r, Organisation: j.organisationName(), Timeout: time.Until(j.until)})
+	r, err := g.backend.Prefill(ctx, s, Call{
+		Request: j.r, Organisation: j.organisationName(), IsRanked: j.isRanked, Rank: j.rank, Timeout: time.Until(j.until),
+	})
 	countSending("prefill", err)
 	if err != nil {
 		if isLoss(ctx, err) {
