Quotas: urgent requests of an organisation spend first

Cause: an organisation that asked for six times its quota had urgent and less urgent requests refused alike.

Change: each claim and ask carries its rank (QuotaPart.rank; absent means 0). While a more urgent rank is in use, a less urgent request spends only what the pool has granted for it. Gateways serve their waiting claims in the same order. A refusal's Retry-After goes by what more urgent requests leave of the rate. With equal ranks all is as before. A datagram with an unknown rank is dropped and counted.

The existing tests pass ranks now; the property tests draw them.

--- a/internal/gateway/organisations.go
+++ b/internal/gateway/organisations.go
@@ -12,8 +12,8 @@
 // Quotas takes the cost of requests from organisations' quotas.
 type Quotas interface {
 	SetOrganisations(o *catalog.Organisations)
-	// Take waits at most for patience. An error refuses the request.
-	Take(ctx context.Context, organisation string, cost float64, patience time.Duration) (quota.Receipt, *verdict.Error)
+	// Take waits at most for patience; requests of a lower rank go first. An error refuses the request.
+	Take(ctx context.Context, organisation string, cost float64, rank int, patience time.Duration) (quota.Receipt, *verdict.Error)
 	// Return gives back what a request took that hasn't run.
 	Return(r quota.Receipt)
 }
@@ -55,7 +55,7 @@
 	if objective := j.route.LatencyObjective; objective > 0 {
 		patience = min(patience, time.Duration(quotaPatience*float64(objective)))
 	}
-	receipt, err := g.quotas.Take(ctx, o.Name, o.Quota.Cost(j.tokens()), patience)
+	receipt, err := g.quotas.Take(ctx, o.Name, o.Quota.Cost(j.tokens()), j.rank, patience)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/organisations_test.go
+++ b/internal/gateway/organisations_test.go
@@ -28,13 +28,14 @@
 type fakeQuotas struct {
 	refuse *verdict.Error
 	costs  []float64
+	ranks  []int
 	back   int
 }
 
 func (q *fakeQuotas) SetOrganisations(*catalog.Organisations) {}
 
-func (q *fakeQuotas) Take(_ context.Context, _ string, cost float64, _ time.Duration) (quota.Receipt, *verdict.Error) {
-	q.costs = append(q.costs, cost)
+func (q *fakeQuotas) Take(_ context.Context, _ string, cost float64, rank int, _ time.Duration) (quota.Receipt, *verdict.Error) {
+	q.costs, q.ranks = append(q.costs, cost), append(q.ranks, rank)
 	return quota.Receipt{}, q.refuse
 }
 
--- a/internal/gateway/ranks_test.go
+++ b/internal/gateway/ranks_test.go
@@ -49,3 +49,19 @@
 		}
 	}
 }
+
+// Guards against requests that compete for their organisation's quota without their rank.
+func TestQuotaIsTakenByRank(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, _ Call) (*Answer, *verdict.Error) { return answer(text(eventsOf("1"))), nil }
+	g, _ := keyedGateway(t, f, io.Discard)
+	q := &fakeQuotas{}
+	g.LimitOrganisations(q)
+	assert.Assert(t, g.SetConfig(rankedConfig(3)))
+	for _, path := range []string{"/urgent/x", "/stream/x"} {
+		reply, err := g.Serve(t.Context(), withKey(generation(path), secretKey))
+		assert.Assert(t, err == nil)
+		assert.NilError(t, reply.Body.Close())
+	}
+	assert.DeepEqual(t, q.ranks, []int{3, 0})
+}
--- a/internal/gateway/serve_bench_test.go
+++ b/internal/gateway/serve_bench_test.go
@@ -61,7 +61,7 @@
 
 func (benchQuotas) SetOrganisations(*catalog.Organisations) {}
 
-func (benchQuotas) Take(context.Context, string, float64, time.Duration) (quota.Receipt, *verdict.Error) {
+func (benchQuotas) Take(context.Context, string, float64, int, time.Duration) (quota.Receipt, *verdict.Error) {
 	return quota.Receipt{}, nil
 }
 
--- a/internal/policy/quota/account.go
+++ b/internal/policy/quota/account.go
@@ -108,6 +108,8 @@
 	expires time.Duration
 	// account is the key of the account (KeyOf) if the Machine took them.
 	account uint64
+	// rank is that of the request.
+	rank int
 }
 
 // Take takes the tokens that expire first, and reports false if there are too few.
--- a/internal/policy/quota/bound_test.go
+++ b/internal/policy/quota/bound_test.go
@@ -58,6 +58,7 @@
 		active := rapid.IntRange(1, len(f.machines)).Draw(t, "active")
 		f.returned = rapid.Float64Range(0, 0.6).Draw(t, "returned")
 		f.credit = rapid.Float64Range(0, 20_000).Draw(t, "credit")
+		f.ranks = rapid.IntRange(1, ranks).Draw(t, "ranks")
 		c := chaos{t, f}
 		f.repeats = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "alwaysRepeated")
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
@@ -80,6 +81,7 @@
 		low := Limit{PerSecond: rapid.Float64Range(500, 50_000).Draw(t, "low"), Burst: rapid.Float64Range(0, high.Burst).Draw(t, "lowBurst"), Spare: 10_000}
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 6, high)
 		f.returned = rapid.Float64Range(0, 0.9).Draw(t, "returned")
+		f.ranks = rapid.IntRange(1, ranks).Draw(t, "ranks")
 		f.load(40, 5*time.Second, func() float64 { return 1500 }, func() int { return f.rnd.IntN(6) })
 		f.run(time.Duration(rapid.IntRange(0, 5000).Draw(t, "idleMs")) * time.Millisecond)
 		for i := range f.machines {
@@ -103,7 +105,7 @@
 	m.SetLimits(now, map[string]Limit{"org": l})
 	m.SetListed([]string{"g0", "g1", "g2"}, now, now)
 	var asked Envelope
-	for _, e := range append(m.Ask(now, "org", 500), m.Tick(now)...) {
+	for _, e := range append(m.Ask(now, "org", 500, 0), m.Tick(now)...) {
 		if len(e.Parts) > 0 {
 			asked = e
 		}
@@ -128,11 +130,11 @@
 func TestRequestsBeyondTheCapacityAreImpossible(t *testing.T) {
 	m := NewMachine("g0")
 	m.SetLimits(0, map[string]Limit{"org": {PerSecond: 1000, Burst: 2000}})
-	_, o, _ := m.Take(0, "org", 2001)
+	_, o, _ := m.Take(0, "org", 2001, 0)
 	assert.Equal(t, o, Impossible)
-	_, o, _ = m.Take(0, "org", 2000)
+	_, o, _ = m.Take(0, "org", 2000, 0)
 	assert.Equal(t, o, Short)
-	_, o, _ = m.Take(0, "another", 1e9)
+	_, o, _ = m.Take(0, "another", 1e9, 0)
 	assert.Equal(t, o, Granted)
 }
 
@@ -188,9 +190,9 @@
 	m := NewMachine("g0")
 	m.SetListed([]string{"g0"}, now, now)
 	m.SetLimits(now, map[string]Limit{"org": {PerSecond: 10_000, Burst: 80_000}})
-	_, _, _ = m.Take(now, "org", 1)
+	_, _, _ = m.Take(now, "org", 1, 0)
 	now += 5 * time.Second
-	taken, o, _ := m.Take(now, "org", 40_000)
+	taken, o, _ := m.Take(now, "org", 40_000, 0)
 	assert.Equal(t, o, Granted)
 	m.SetLimits(now, map[string]Limit{"org": {PerSecond: 100, Burst: 1000}})
 	m.Return(now, "org", taken)
@@ -207,9 +209,9 @@
 	m.SetListed([]string{"g0", "g1", "g2", "g3"}, now, now)
 	a := m.byName["org"]
 	a.insert(lot{tokens: 900, expires: now + time.Second})
-	a.denied = denial{need: 500, before: now + time.Second, expires: now + maxDenied}
-	_, o, _ := m.Take(now, "org", 1000)
+	a.denied[0] = denial{need: 500, before: now + time.Second, expires: now + maxDenied}
+	_, o, _ := m.Take(now, "org", 1000, 0)
 	assert.Equal(t, o, Short)
-	_, o, _ = m.Take(now, "org", 1500)
+	_, o, _ = m.Take(now, "org", 1500, 0)
 	assert.Equal(t, o, Denied)
 }
--- a/internal/policy/quota/doc.go
+++ b/internal/policy/quota/doc.go
@@ -18,4 +18,9 @@
 //     where f is the sum of the fractions at which gateways create and spare is part of
 //     the tolerance. Shares keeps f at 1, or at 1.1 in the cases that it names. Start
 //     credits come on top, one of each gateway at most.
+//
+// Requests of one organisation may differ in rank. More urgent ones then spend first, across
+// all gateways: only the pool grants tokens to less urgent ones, and it keeps a reserve of
+// what more urgent ones are expected to use. Ranks decide who gets tokens, never how many
+// there are, so the guarantees above don't depend on them.
 package quota
--- a/internal/policy/quota/fleet_test.go
+++ b/internal/policy/quota/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	// returned is the part of the granted requests that don't run and give back what they
 	// took.
 	returned float64
+	// ranks is the number of ranks that requests have.
+	ranks    int
 	spent    []spending
 	waiting  []*simRequest
 	granted  int
@@ -42,12 +45,14 @@
 type spending struct {
 	at     time.Duration
 	tokens float64
+	rank   int
 }
 
 type simRequest struct {
 	gateway int
 	name    string
 	tokens  float64
+	rank    int
 	until   time.Duration
 	nextAsk time.Duration
 }
@@ -150,7 +155,21 @@
 
 // request begins a request that waits for its tokens at most for patience.
 func (f *fleet) request(gateway int, tokens float64, patience time.Duration) {
-	f.waiting = append(f.waiting, &simRequest{gateway: gateway, name: simOrganisation, tokens: tokens, until: f.now + patience})
+	rank := 0
+	if f.ranks > 1 {
+		rank = f.rnd.IntN(f.ranks)
+	}
+	f.requestOfRank(gateway, tokens, rank, patience)
+}
+
+// requestOfRank makes a request that waits behind those of its gateway that are as urgent.
+func (f *fleet) requestOfRank(gateway int, tokens float64, rank int, patience time.Duration) {
+	r := &simRequest{gateway: gateway, name: simOrganisation, tokens: tokens, rank: rank, until: f.now + patience}
+	at := len(f.waiting)
+	for at > 0 && f.waiting[at-1].rank > rank {
+		at--
+	}
+	f.waiting = slices.Insert(f.waiting, at, r)
 	f.retryWaiting()
 }
 
@@ -160,19 +179,19 @@
 	f.waiting = nil
 	for _, r := range list {
 		m := f.machines[r.gateway]
-		taken, o, later := m.Take(f.now, r.name, r.tokens)
+		taken, o, later := m.Take(f.now, r.name, r.tokens, r.rank)
 		switch {
 		case o == Granted && f.rnd.Float64() < f.returned:
 			f.after(time.Duration(f.rnd.Float64()*float64(2*time.Second)), func() { m.Return(f.now, r.name, taken) })
 		case o == Granted:
 			f.granted++
-			f.spent = append(f.spent, spending{f.now, r.tokens})
+			f.spent = append(f.spent, spending{f.now, r.tokens, r.rank})
 		case o == Impossible, f.now >= r.until, o == Denied && later >= r.until-f.now:
 			f.refused++
 		default:
 			if f.now >= r.nextAsk {
 				r.nextAsk = f.now + 40*time.Millisecond
-				f.send(r.gateway, m.Ask(f.now, r.name, r.tokens))
+				f.send(r.gateway, m.Ask(f.now, r.name, r.tokens, r.rank))
 			}
 			f.waiting = append(f.waiting, r)
 		}
--- a/internal/policy/quota/idle_test.go
+++ b/internal/policy/quota/idle_test.go
@@ -30,6 +30,6 @@
 	m := NewMachine("g0")
 	m.SetListed([]string{"g0"}, now, now)
 	m.SetLimits(now, map[string]Limit{"org": {PerSecond: 1000, Burst: 1000}})
-	_, o, _ := m.Take(now+500*time.Millisecond, "org", 450)
+	_, o, _ := m.Take(now+500*time.Millisecond, "org", 450, 0)
 	assert.Equal(t, o, Granted)
 }
--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -29,12 +29,6 @@
 	suspectFor = time.Second
 	// rememberAsks is how long an ask is remembered, and its answer accepted.
 	rememberAsks = 3 * time.Second
-	// useMemory is the time over which the use of a gateway is averaged, keepUse for how
-	// long a gateway keeps what it uses itself from a collection.
-	useMemory = time.Second
-	keepUse   = 500 * time.Millisecond
-	// aheadUse is for how long a gateway asks ahead, by its use.
-	aheadUse = 300 * time.Millisecond
 	// richFactor is how many times Part.Want a pool must hold to grant that and not only
 	// Part.Need.
 	richFactor = 4
@@ -50,16 +44,22 @@
 type account struct {
 	*Account
 	key uint64
-	// used is the average use of this gateway in tokens per second as of usedAt.
-	used   float64
-	usedAt time.Duration
+	// used is the use of this gateway, asks what others asked of it as the pool.
+	used, asks use
+	// told is the most urgent rank in use as the pool said, until toldUntil.
+	told      int
+	toldUntil time.Duration
+	// allowed is what the pool has granted for requests that yield to more urgent ones.
+	// They may use it until allowedUntil.
+	allowed      float64
+	allowedUntil time.Duration
 	// asked is when this gateway was last asked for tokens, or asked itself as the pool,
 	// collected when it last collected.
 	asked, collected time.Duration
-	// held are the asks that wait for a collection.
+	// held are the asks that wait for a collection, by rank and then by arrival.
 	held []heldAsk
-	// denied is the last denial.
-	denied denial
+	// denied are the last denials, by rank.
+	denied [ranks]denial
 	// kept is what this gateway keeps from collections until keptUntil, as it has asked for
 	// what its request lacks beyond it.
 	kept      float64
@@ -68,13 +68,6 @@
 	order []string
 }
 
-type heldAsk struct {
-	from  string
-	id    uint64
-	part  Part
-	until time.Duration
-}
-
 // denial is the answer that a need can't be met before a time. It holds until expires.
 type denial struct {
 	need            float64
@@ -87,6 +80,9 @@
 	at time.Duration
 	// overdue: the receiver was found not to answer in time.
 	overdue bool
+	// rank is that of the request; yields: it leaves tokens to more urgent ones.
+	rank   int
+	yields bool
 }
 
 // Machine is one gateway's part of the exchange of tokens. It isn't safe for concurrent
@@ -142,11 +138,11 @@
 		if before != nil && before.key == key {
 			continue
 		}
-		a := &account{Account: NewAccount(l, now), key: key, usedAt: now}
+		a := &account{Account: NewAccount(l, now), key: key}
 		m.create(a, now)
 		if before != nil {
 			a.Adopt(now, before.Account)
-			a.used, a.usedAt = before.used, before.usedAt
+			a.used = before.used
 			delete(m.accounts, before.key)
 		}
 		m.accounts[key], m.byName[name] = a, a
@@ -194,9 +190,9 @@
 	Impossible
 )
 
-// Take takes a request's tokens from the organisation's account. wait is when a denied
-// request may succeed.
-func (m *Machine) Take(now time.Duration, name string, tokens float64) (t Taken, o Outcome, wait time.Duration) {
+// Take takes the tokens of a request of a rank from the organisation's account. wait is when
+// a denied request may succeed.
+func (m *Machine) Take(now time.Duration, name string, tokens float64, rank int) (t Taken, o Outcome, wait time.Duration) {
 	a := m.byName[name]
 	if a == nil {
 		return Taken{}, Granted, 0
@@ -205,15 +201,30 @@
 		return Taken{}, Impossible, 0
 	}
 	m.create(a, now)
-	if t, ok := a.Take(now, tokens); ok {
-		t.account = a.key
-		a.recordUse(now, tokens)
+	if m.available(now, a, rank) >= tokens {
+		if a.yields(now, rank) {
+			a.allowed = max(0, a.allowed-tokens)
+		}
+		t, _ := a.Take(now, tokens)
+		t.account, t.rank = a.key, rank
+		a.used.record(now, rank, tokens)
 		return t, Granted, 0
 	}
-	if a.denied.expires > now && a.lack(now, tokens) >= a.denied.need {
-		return Taken{}, Denied, a.denied.before - now
+	lack := m.lack(now, a, tokens, rank)
+	if d, ok := a.denial(now, rank, lack); ok {
+		return Taken{}, Denied, d.before - now
+	}
+	return Taken{}, Short, a.timeToGet(now, lack, rank)
+}
+
+// Wait returns when a request of a rank may succeed that can't take its tokens now.
+func (m *Machine) Wait(now time.Duration, name string, tokens float64, rank int) time.Duration {
+	a := m.byName[name]
+	if a == nil {
+		return 0
 	}
-	return Taken{}, Short, a.timeToCreate(tokens - a.Balance(now))
+	m.create(a, now)
+	return a.timeToGet(now, m.lack(now, a, tokens, rank), rank)
 }
 
 // Return gives back what a request took that hasn't run. What was taken under another
@@ -221,7 +232,7 @@
 func (m *Machine) Return(now time.Duration, name string, t Taken) {
 	if a := m.byName[name]; a != nil && t.account == a.key {
 		a.Return(now, t)
-		a.recordUse(now, -t.Tokens)
+		a.used.record(now, t.rank, -t.Tokens)
 	}
 }
 
@@ -236,24 +247,34 @@
 	return 0
 }
 
-// Ask returns the messages that get the tokens which the account lacks for a request.
-func (m *Machine) Ask(now time.Duration, name string, tokens float64) []Envelope {
+// Ask returns the messages that get the tokens which the account lacks for a request of a
+// rank.
+func (m *Machine) Ask(now time.Duration, name string, tokens float64, rank int) []Envelope {
 	a := m.byName[name]
 	if a == nil {
 		return nil
 	}
+	need := m.lack(now, a, tokens, rank)
 	pool := m.pool(a, now)
 	if pool == m.self {
 		a.asked = now
+		a.asks.record(now, rank, need)
 		return m.collect(now, []*account{a}, minCollectPause)
 	}
-	need := a.lack(now, tokens)
 	if need <= 0 {
 		return nil
 	}
-	a.kept, a.keptUntil = tokens-need, now+holdAsk
-	part := Part{Account: a.key, Need: need, Want: need + a.use(now)*aheadUse.Seconds()}
-	return []Envelope{m.newAsk(now, pool, Message{Parts: []Part{part}})}
+	part := Part{Account: a.key, Rank: rank, Need: need, Want: need}
+	yields := a.yields(now, rank)
+	if !yields {
+		part.Want += a.used.upTo(now, rank) * aheadUse.Seconds()
+		a.kept, a.keptUntil = tokens-need, now+holdAsk
+	}
+	e := m.newAsk(now, pool, Message{Parts: []Part{part}})
+	x := m.asks[e.ID]
+	x.rank, x.yields = rank, yields
+	m.asks[e.ID] = x
+	return []Envelope{e}
 }
 
 // Receive handles a message of a listed gateway and returns the answers to it.
@@ -291,10 +312,14 @@
 		if a == nil {
 			continue
 		}
-		a.keptUntil = now
 		a.Receive(now, x.at, p.Lots)
+		if x.yields {
+			a.allow(now, p.Lots)
+		} else {
+			a.keptUntil = now
+		}
 		if len(p.Lots) == 0 && p.Wait > 0 {
-			a.denied = denial{need: p.Need, before: now + p.Wait, expires: now + min(p.Wait, maxDenied)}
+			a.denied[x.rank] = denial{need: p.Need, before: now + p.Wait, expires: now + min(p.Wait, maxDenied)}
 		}
 		out = append(out, m.serveHeld(now, a)...)
 	}
@@ -310,6 +335,7 @@
 			continue
 		}
 		m.create(a, now)
+		a.told, a.toldUntil = p.Rank, now+activeFor
 		if lots := a.Give(now, a.transferable(now)-a.keep(now)); len(lots) > 0 {
 			out.Parts = append(out.Parts, Part{Account: p.Account, Lots: lots})
 		}
@@ -317,45 +343,6 @@
 	return out
 }
 
-// receiveAsk grants an ask, or holds it while this gateway collects.
-func (m *Machine) receiveAsk(now time.Duration, x heldAsk) []Envelope {
-	a := m.accounts[x.part.Account]
-	m.create(a, now)
-	a.asked = now
-	if out, ok := m.grant(now, a, x); ok {
-		return []Envelope{out}
-	}
-	a.held = append(a.held, x)
-	return m.collect(now, []*account{a}, minCollectPause)
-}
-
-// grant returns the answer to an ask if the account holds what it needs.
-func (m *Machine) grant(now time.Duration, a *account, x heldAsk) (Envelope, bool) {
-	tokens, most := x.part.Need, a.transferable(now)
-	if most < tokens {
-		return Envelope{}, false
-	}
-	if most >= richFactor*x.part.Want {
-		tokens = x.part.Want
-	}
-	part := Part{Account: a.key, Lots: a.Give(now, tokens)}
-	return Envelope{To: x.from, Message: Message{ID: x.id, Answer: true, Parts: []Part{part}}}, true
-}
-
-// serveHeld grants the held asks that can be granted, in the order of their arrival.
-func (m *Machine) serveHeld(now time.Duration, a *account) []Envelope {
-	var out []Envelope
-	for len(a.held) > 0 {
-		e, ok := m.grant(now, a, a.held[0])
-		if !ok {
-			break
-		}
-		out = append(out, e)
-		a.held = a.held[1:]
-	}
-	return out
-}
-
 // Tick does what is due: it denies the asks that were held for long enough, collects for
 // organisations in use and gives up on unanswered asks.
 func (m *Machine) Tick(now time.Duration) []Envelope {
@@ -367,6 +354,9 @@
 		if now-a.asked < activeFor && a.asked > 0 && m.pool(a, now) == m.self {
 			due = append(due, a)
 		}
+		if len(a.held) > 0 && a.asks.precedes(now, a.held[0].part.Rank) {
+			out = append(out, m.collect(now, []*account{a}, minCollectPause)...)
+		}
 	}
 	m.checkAsks(now)
 	out = append(out, m.collect(now, due, collectInterval)...)
@@ -379,18 +369,6 @@
 	return out
 }
 
-func (m *Machine) denyHeld(now time.Duration, a *account) []Envelope {
-	var out []Envelope
-	for len(a.held) > 0 && a.held[0].until <= now {
-		x := a.held[0]
-		a.held = a.held[1:]
-		m.create(a, now)
-		part := Part{Account: a.key, Need: x.part.Need, Wait: max(time.Millisecond, a.timeToCreate(x.part.Need-a.Balance(now)))}
-		out = append(out, Envelope{To: x.from, Message: Message{ID: x.id, Answer: true, Parts: []Part{part}}})
-	}
-	return out
-}
-
 // checkAsks suspects the gateways that didn't answer in time and forgets old asks.
 func (m *Machine) checkAsks(now time.Duration) {
 	for id, x := range m.asks {
@@ -414,7 +392,7 @@
 	for _, a := range list {
 		if now-a.collected >= pause || a.collected == 0 {
 			a.collected = now
-			parts = append(parts, Part{Account: a.key})
+			parts = append(parts, Part{Account: a.key, Rank: a.mostUrgent(now)})
 		}
 	}
 	var out []Envelope
@@ -472,38 +450,3 @@
 }
 
 func (m *Machine) create(a *account, now time.Duration) { a.Create(now, m.shares.Fraction(now)) }
-
-// lack returns how many tokens an ask for a request's tokens needs. Tokens that expire
-// before the answer arrives don't count.
-func (a *account) lack(now time.Duration, tokens float64) float64 {
-	held := a.transferable(now)
-	if held >= tokens {
-		return 0
-	}
-	return min(tokens-held+roundingLoss, a.limit.Capacity())
-}
-
-// timeToCreate returns how long all gateways take to create so many tokens.
-func (a *account) timeToCreate(tokens float64) time.Duration {
-	return time.Duration(max(0, tokens) / a.limit.PerSecond * float64(time.Second))
-}
-
-// recordUse adds to the average use of this gateway.
-func (a *account) recordUse(now time.Duration, tokens float64) {
-	a.used = max(0, a.use(now)+tokens/useMemory.Seconds())
-	a.usedAt = now
-}
-
-// keep returns how many tokens this gateway doesn't give to a collection.
-func (a *account) keep(now time.Duration) float64 {
-	n := a.use(now) * keepUse.Seconds()
-	if now < a.keptUntil {
-		n = max(n, a.kept)
-	}
-	return n
-}
-
-// use returns the average use of this gateway in tokens per second.
-func (a *account) use(now time.Duration) float64 {
-	return a.used * decay(now-a.usedAt, useMemory)
-}
--- a/internal/policy/quota/message.go
+++ b/internal/policy/quota/message.go
@@ -26,6 +26,9 @@
 	Account uint64
 	// Need is what an ask can't do without, Want what it would like to have.
 	Need, Want float64
+	// Rank is that of the request which an ask is for. In a collection it is the most urgent
+	// rank in use.
+	Rank int
 	// Lots are the tokens of an answer. Wait is when an ask that got none may succeed.
 	Lots []Lot
 	Wait time.Duration
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -28,11 +28,11 @@
 	}
 	x.SetOrganisations(o)
 	x.updateMembers(boottime.Now())
-	_, _ = x.Take(b.Context(), "organisation-7", 1, 0)
+	_, _ = x.Take(b.Context(), "organisation-7", 1, 0, 0)
 	time.Sleep(10 * time.Millisecond)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := x.Take(b.Context(), "organisation-7", 4200, 0); err != nil {
+		if _, err := x.Take(b.Context(), "organisation-7", 4200, 0, 0); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -37,6 +37,7 @@
 	sent      = metrics.NewCounter("jayford_quota_sent_total")
 	sentBytes = metrics.NewCounter("jayford_quota_sent_bytes_total")
 	received  = metrics.NewCounter("jayford_quota_received_total")
+	malformed = metrics.NewCounter("jayford_quota_malformed_total")
 	unknown   = metrics.NewCounter("jayford_quota_unknown_senders_total")
 	waitTime  = metrics.NewHistogram("jayford_quota_wait_seconds")
 )
@@ -79,8 +80,9 @@
 	// addresses are the other gateways' by their ID, ids the reverse.
 	addresses map[string]netip.AddrPort
 	ids       map[netip.AddrPort]string
-	// arrived is closed and replaced when an answer arrives.
-	arrived chan struct{}
+	// waiting are the claims that wait for tokens, by organisation, sorted by rank and then
+	// by arrival.
+	waiting map[string][]*claim
 	// usage is by organisation.
 	usage map[string]*usage
 	// creditDecided is set once it is known whether this gateway begins with a credit.
@@ -91,7 +93,7 @@
 func New(o Options) *Exchange {
 	x := &Exchange{
 		opts: o, machine: policy.NewMachine(o.Self), addresses: map[string]netip.AddrPort{}, ids: map[netip.AddrPort]string{},
-		arrived: make(chan struct{}), usage: map[string]*usage{},
+		waiting: map[string][]*claim{}, usage: map[string]*usage{},
 	}
 	o.Board.AddView("quotas", x.dump)
 	return x
@@ -214,6 +216,7 @@
 		}
 		m, err := decode(buf[:n])
 		if err != nil {
+			malformed.Inc()
 			x.opts.Log.WithError(err).WithField("from", from.String()).Warn("quota: cannot decode datagram.")
 			continue
 		}
@@ -234,8 +237,10 @@
 	received.Inc()
 	out := x.machine.Receive(boottime.Now(), id, m)
 	if m.Answer && len(m.Parts) > 0 {
-		close(x.arrived)
-		x.arrived = make(chan struct{})
+		now := boottime.Now()
+		for organisation := range x.waiting {
+			x.serveWaitingLocked(now, organisation)
+		}
 	}
 	x.mu.Unlock()
 	x.send(out)
--- a/internal/quota/exchange_test.go
+++ b/internal/quota/exchange_test.go
@@ -73,24 +73,24 @@
 	time.Sleep(1500 * time.Millisecond)
 	spent := 0.0
 	for range 16 {
-		if _, err := f.list[0].Take(t.Context(), "one", 500, 300*time.Millisecond); err == nil {
+		if _, err := f.list[0].Take(t.Context(), "one", 500, 0, 300*time.Millisecond); err == nil {
 			spent += 500
 		}
 	}
 	// A quarter of them is this gateway's own.
 	assert.Assert(t, spent > 6000, spent)
-	_, err := f.list[0].Take(t.Context(), "unlimited", 1e9, 0)
+	_, err := f.list[0].Take(t.Context(), "unlimited", 1e9, 0, 0)
 	assert.Assert(t, err == nil)
 }
 
 func TestRefusalsSayWhenToComeBack(t *testing.T) {
 	f := newTestFleet(t, 2, catalog.Quota{PerSecond: 100, Burst: 1000, InTokens: true})
-	_, err := f.list[0].Take(t.Context(), "one", 500, 50*time.Millisecond)
+	_, err := f.list[0].Take(t.Context(), "one", 500, 0, 50*time.Millisecond)
 	assert.Equal(t, err.Code, verdict.OverQuota)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Assert(t, err.RetryAfter > 2*time.Second && err.RetryAfter < 12*time.Second, err.RetryAfter)
 	// No time helps a request that costs more than can ever be held.
-	_, err = f.list[0].Take(t.Context(), "one", 1001, time.Hour)
+	_, err = f.list[0].Take(t.Context(), "one", 1001, 0, time.Hour)
 	assert.Equal(t, err.Code, verdict.OverQuota)
 	assert.Equal(t, err.RetryAfter, time.Duration(0))
 }
@@ -104,7 +104,7 @@
 	}{{0, false}, {3 * time.Second, false}, {time.Minute, true}} {
 		f := newTestFleet(t, 1, catalog.Quota{PerSecond: 1, Burst: 1000, InTokens: true})
 		n := f.start(Member{ID: "g0", Address: "127.0.0.1:0"}, catalog.Quota{PerSecond: 1, Burst: 3000, InTokens: true}, x.predecessor)
-		_, err := n.Take(t.Context(), "one", 3000, 300*time.Millisecond)
+		_, err := n.Take(t.Context(), "one", 3000, 0, 300*time.Millisecond)
 		assert.Equal(t, err == nil, x.credited, "%v", x.predecessor)
 	}
 }
@@ -129,12 +129,12 @@
 	for range 40 {
 		now += 300 * time.Millisecond
 		for name := range limits {
-			_, _, _ = other.Take(now, name, 1)
+			_, _, _ = other.Take(now, name, 1, 0)
 		}
 	}
 	collected := 0
 	for name := range limits {
-		for _, e := range pool.Ask(now, name, 1e7) {
+		for _, e := range pool.Ask(now, name, 1e7, 0) {
 			pool.Receive(now, "g1", policy.Message{ID: e.ID, Answer: true})
 		}
 	}
@@ -203,7 +203,7 @@
 	before := sent.Get()
 	var requests sync.WaitGroup
 	for range waiting {
-		requests.Go(func() { _, _ = f.list[0].Take(t.Context(), "one", 5000, patience) })
+		requests.Go(func() { _, _ = f.list[0].Take(t.Context(), "one", 5000, 0, patience) })
 	}
 	requests.Wait()
 	asks := uint64(waiting * (patience/askAgainAfter + 1))
@@ -215,7 +215,7 @@
 	f := newTestFleet(t, 1, catalog.Quota{PerSecond: 100, Burst: 1000, InTokens: true})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := f.list[0].Take(ctx, "one", 900, time.Minute)
+	_, err := f.list[0].Take(ctx, "one", 900, 0, time.Minute)
 	assert.Equal(t, err.Code, verdict.Cancelled)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 }
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -29,70 +29,94 @@
 type claim struct {
 	organisation string
 	cost         float64
+	rank         int
 	// until is when the request is refused, askAt when it asks other gateways next.
 	until, askAt time.Duration
+	// end is nil until the claim is granted or refused. done is closed then if the claim
+	// waits; it is nil before.
+	end  *end
+	done chan struct{}
+}
+
+// end is how a claim ended.
+type end struct {
+	outcome policy.Outcome
+	taken   policy.Taken
+	// later is when a refused request may succeed.
+	later time.Duration
 }
 
 // Take takes a request's cost from the organisation's quota. It waits at most for
-// patience if other gateways have to be asked. An error means that the request is refused.
-func (x *Exchange) Take(ctx context.Context, organisation string, cost float64, patience time.Duration) (Receipt, *verdict.Error) {
+// patience if other gateways have to be asked, and more urgent requests go first. An error
+// means that the request is refused.
+func (x *Exchange) Take(ctx context.Context, organisation string, cost float64, rank int, patience time.Duration) (Receipt, *verdict.Error) {
 	began := boottime.Now()
-	c := &claim{organisation: organisation, cost: cost, until: began + patience}
+	c := &claim{organisation: organisation, cost: cost, rank: rank, until: began + patience}
 	for {
-		r := x.try(c)
+		e, pause := x.try(c)
 		switch {
-		case r.outcome == policy.Granted:
+		case e != nil && e.outcome == policy.Granted:
 			waitTime.Update((boottime.Now() - began).Seconds())
-			return Receipt{organisation, r.taken}, nil
-		case r.refused:
-			return Receipt{}, r.refusal(cost)
-		case !waitFor(ctx, r.arrived, r.pause):
+			return Receipt{organisation, e.taken}, nil
+		case e != nil:
+			return Receipt{}, e.refusal(cost)
+		case !waitFor(ctx, c.done, pause):
+			x.abandon(c)
 			return Receipt{}, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.Cancelled, "The caller left.")
 		}
 	}
 }
 
-// result is the result of one try to take a claim's cost.
-type result struct {
-	outcome policy.Outcome
-	taken   policy.Taken
-	// refused: the claim fails. later is when another may succeed.
-	refused bool
-	later   time.Duration
-	// Otherwise the next try is after pause, or when arrived is closed.
-	pause   time.Duration
-	arrived <-chan struct{}
-}
-
-// try tries to take the cost, and asks other gateways for what lacks if that is due.
-func (x *Exchange) try(c *claim) result {
+// try tries to take the cost, and asks other gateways for what lacks if that is due. It
+// returns how the claim ended, or nil and the time until the next try.
+func (x *Exchange) try(c *claim) (*end, time.Duration) {
 	x.mu.Lock()
-	now := boottime.Now()
-	r := result{arrived: x.arrived}
-	r.taken, r.outcome, r.later = x.machine.Take(now, c.organisation, c.cost)
-	isDenied := r.outcome == policy.Denied
-	r.refused = r.outcome == policy.Impossible || now >= c.until || isDenied && now+r.later >= c.until
-	if r.outcome == policy.Granted || r.refused {
-		x.countLocked(c.organisation, c.cost, r.outcome == policy.Granted)
+	if c.end != nil {
 		x.mu.Unlock()
-		return r
+		return c.end, 0
 	}
-	if isDenied {
-		c.askAt = max(c.askAt, now+r.later)
+	now := boottime.Now()
+	x.takeLocked(now, c)
+	if c.end != nil {
+		if c.done != nil {
+			x.stopWaitingLocked(c)
+			x.serveWaitingLocked(now, c.organisation)
+		}
+		x.mu.Unlock()
+		return c.end, 0
 	}
+	x.waitLocked(c)
 	var asks []policy.Envelope
 	if now >= c.askAt {
-		asks = x.machine.Ask(now, c.organisation, c.cost)
+		asks = x.machine.Ask(now, c.organisation, c.cost, c.rank)
 		c.askAt = now + askAgainAfter
 	}
 	x.mu.Unlock()
 	x.send(asks)
-	r.pause = min(c.until, c.askAt) - now
-	return r
+	return nil, min(c.until, c.askAt) - now
+}
+
+// takeLocked ends the claim if it is granted or refused.
+func (x *Exchange) takeLocked(now time.Duration, c *claim) {
+	var e end
+	if first := x.waiting[c.organisation]; len(first) > 0 && first[0].rank < c.rank {
+		e.outcome, e.later = policy.Short, x.machine.Wait(now, c.organisation, c.cost, c.rank)
+	} else {
+		e.taken, e.outcome, e.later = x.machine.Take(now, c.organisation, c.cost, c.rank)
+	}
+	isDenied := e.outcome == policy.Denied
+	isRefused := e.outcome == policy.Impossible || now >= c.until || isDenied && now+e.later >= c.until
+	switch {
+	case e.outcome == policy.Granted || isRefused:
+		c.end = &e
+		x.countLocked(c, e.outcome == policy.Granted)
+	case isDenied:
+		c.askAt = max(c.askAt, now+e.later)
+	}
 }
 
-// refusal returns the error of a claim that failed.
-func (r result) refusal(cost float64) *verdict.Error {
+// refusal returns the error of a claim that was refused.
+func (r *end) refusal(cost float64) *verdict.Error {
 	if r.outcome == policy.Impossible {
 		return verdict.New(verdict.NotRun, verdict.OverQuota, "The request costs %.0f, more than the organisation's quota ever allows at once.", cost)
 	}
--- a/internal/quota/traffic_test.go
+++ b/internal/quota/traffic_test.go
@@ -102,10 +102,10 @@
 func (f *trafficFleet) request(b *testing.B, i int) {
 	name := fmt.Sprint("organisation-", (i+f.rnd.IntN(4))%f.organisations)
 	m := f.machines[f.ids[i]]
-	if _, o, _ := m.Take(f.now, name, trafficCost); o == policy.Granted {
+	if _, o, _ := m.Take(f.now, name, trafficCost, 0); o == policy.Granted {
 		return
 	}
-	f.send(b, f.ids[i], m.Ask(f.now, name, trafficCost))
+	f.send(b, f.ids[i], m.Ask(f.now, name, trafficCost, 0))
 }
 
 // BenchmarkTraffic reports what one gateway of a fleet sends, and its processor time, for
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -9,6 +9,7 @@
 
 	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/policy/priority"
 	policy "jayford.example/jayford/internal/policy/quota"
 )
 
@@ -21,6 +22,8 @@
 	// Used is in tokens, Refused counts requests.
 	Used    float64
 	Refused int
+	// RefusedByRank are the same by rank, the most urgent first.
+	RefusedByRank [priority.Last + 1]int
 	// usedTotal and refusedTotal are nil if too many organisations have metrics.
 	usedTotal    *metrics.FloatCounter
 	refusedTotal *metrics.Counter
@@ -76,20 +79,21 @@
 }
 
 // countLocked counts a request that was granted or refused.
-func (x *Exchange) countLocked(organisation string, cost float64, granted bool) {
-	u := x.usage[organisation]
+func (x *Exchange) countLocked(c *claim, granted bool) {
+	u := x.usage[c.organisation]
 	if u == nil {
 		return
 	}
 	if granted {
-		u.Used += cost
+		u.Used += c.cost
 	} else {
 		u.Refused++
+		u.RefusedByRank[c.rank]++
 	}
 	switch {
 	case u.usedTotal == nil:
 	case granted:
-		u.usedTotal.Add(cost)
+		u.usedTotal.Add(c.cost)
 	default:
 		u.refusedTotal.Inc()
 	}
--- a/internal/quota/wire.go
+++ b/internal/quota/wire.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/policy/priority"
 	policy "jayford.example/jayford/internal/policy/quota"
 )
 
@@ -20,7 +21,7 @@
 	for _, p := range m.Parts {
 		x := &pb.QuotaPart{
 			Account: p.Account, Need: uint64(math.Ceil(p.Need * unitsPerToken)), Want: uint64(p.Want * unitsPerToken),
-			WaitMs: uint32(min(p.Wait.Milliseconds(), math.MaxUint32)),
+			WaitMs: uint32(min(p.Wait.Milliseconds(), math.MaxUint32)), Rank: uint32(p.Rank),
 		}
 		for _, l := range p.Lots {
 			x.Lots = append(x.Lots, &pb.QuotaLot{Tokens: uint64(l.Tokens * unitsPerToken), LifeUs: uint64(max(0, l.Life.Microseconds()))})
@@ -37,9 +38,12 @@
 	}
 	out := policy.Message{ID: w.Id, Answer: w.Answer, Collect: w.Collect}
 	for _, p := range w.Parts {
+		if p.Rank > priority.Last {
+			return policy.Message{}, eris.Errorf("quota: rank %d is out of range", p.Rank)
+		}
 		x := policy.Part{
 			Account: p.Account, Need: float64(p.Need) / unitsPerToken, Want: float64(p.Want) / unitsPerToken,
-			Wait: time.Duration(p.WaitMs) * time.Millisecond,
+			Wait: time.Duration(p.WaitMs) * time.Millisecond, Rank: int(p.Rank),
 		}
 		for _, l := range p.Lots {
 			life := time.Duration(min(l.LifeUs, math.MaxInt64/uint64(time.Microsecond))) * time.Microsecond
