--- a/internal/policy/backlog/backlog.go
+++ b/internal/policy/backlog/backlog.go
@@ -10,14 +10,17 @@
 // and the first has been read since the one before it ended, which the booked sum shows.
 //
 // It guarantees:
-//   - The estimate is between the booked sum, and the sum less the largest prompt of the queue.
+//   - The estimate is between the booked sum, and the sum less the first prompt of the queue.
 //   - A new booking raises it by its tokens.
 //   - While nothing is observed, it falls at the engine's pace.
 //
 // It isn't safe for concurrent use.
 package backlog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // earlyEnd is the part of the time that an ended booking should have taken, before which it
 // can't have been the prompt that was read: it was cancelled, or refused, or a peer is gone. The
@@ -31,11 +34,10 @@
 }
 
 type queue struct {
-	// booked is the last observed sum; largest is the largest rise of it since it was last 0.
-	booked, largest int
-	// first is the greatest size that the first prompt of the queue can have.
-	first int
-	// readSince is when the engine began with that prompt.
+	// booked is the last observed sum, prompts the rises of it that haven't fallen again.
+	booked  int
+	prompts []int
+	// readSince is when the engine began with the first prompt.
 	readSince time.Time
 }
 
@@ -53,16 +55,34 @@
 			delete(m.queues, engine)
 		}
 	case q == nil:
-		m.queues[engine] = &queue{booked: booked, largest: booked, first: booked, readSince: now}
+		m.queues[engine] = &queue{booked: booked, prompts: []int{booked}, readSince: now}
 	case booked > q.booked:
-		q.largest = max(q.largest, booked-q.booked)
+		q.prompts = append(q.prompts, booked-q.booked)
 		q.booked = booked
 	case booked < q.booked:
 		due := float64(q.booked-booked) * float64(m.pace(now, engine))
 		if float64(now.Sub(q.readSince)) >= earlyEnd*due {
-			q.first, q.readSince = q.largest, now
+			q.readSince = now
+		}
+		q.remove(q.booked - booked)
+		q.booked = booked
+	}
+}
+
+// remove removes the prompt of so many tokens, or, if there is none as several were booked or
+// ended at once, so many tokens from the front.
+func (q *queue) remove(tokens int) {
+	if i := slices.Index(q.prompts, tokens); i >= 0 {
+		q.prompts = slices.Delete(q.prompts, i, i+1)
+		return
+	}
+	for tokens > 0 {
+		part := min(tokens, q.prompts[0])
+		tokens -= part
+		q.prompts[0] -= part
+		if q.prompts[0] == 0 {
+			q.prompts = slices.Delete(q.prompts, 0, 1)
 		}
-		q.booked, q.first = booked, min(q.first, booked)
 	}
 }
 
@@ -83,7 +103,7 @@
 		return 0
 	}
 	read := int(max(0, now.Sub(q.readSince)) / max(1, pace))
-	return q.booked - min(read, q.first, q.booked)
+	return q.booked - min(read, q.prompts[0])
 }
 
 // Keep forgets the engines for which keep returns false.
--- a/internal/policy/backlog/mode.go
+++ b/internal/policy/backlog/mode.go
@@ -1,14 +1,15 @@
 package backlog
 
-import "time"
+import (
+	"time"
+
+	"jayford.example/jayford/internal/policy/speed"
+)
 
 const (
 	// busyShare of the objective is the shortest expected prefill above which prefill is taken
 	// to be what requests wait for.
 	busyShare = 1.0 / 8
-	// unevenSpread is the ratio of the slowest to the fastest engine from which on a queue's
-	// tokens don't tell how long it is.
-	unevenSpread = 1.4
 	// modeHold is for how long a mode lasts after its reason has gone: a wave's trough doesn't
 	// end it.
 	modeHold = 15 * time.Second
@@ -32,7 +33,7 @@
 
 // Update returns whether engines are compared by time now, and whether this has changed.
 func (m *Mode) Update(now time.Time, c Conditions) (byTime, changed bool) {
-	if c.Spread >= unevenSpread || c.Objective > 0 && float64(c.Shortest) > busyShare*float64(c.Objective) {
+	if c.Spread >= speed.UnevenSpread || c.Objective > 0 && float64(c.Shortest) > busyShare*float64(c.Objective) {
 		m.reasonAt = now
 	}
 	before := m.byTime
--- a/internal/policy/speed/speed.go
+++ b/internal/policy/speed/speed.go
@@ -237,6 +237,10 @@
 	return Value{Pace: (paces[(n-1)/2] + paces[n/2]) / 2, Weight: weight}
 }
 
+// UnevenSpread is the ratio of the slowest to the fastest engine from which on it matters that
+// engines differ.
+const UnevenSpread = 1.4
+
 // Fleet sums up the known speeds of engines that are compared with each other. The zero value
 // has none.
 type Fleet struct {
