Gateway: prefill engines compared by expected time at their own speed

Prefill engines were compared by booked tokens, and a gateway kept one average speed for all. Where engines differ in speed, the slow ones had the longest queues.

A gateway measures each engine's prefills (over unread tokens) and streams, reports them in full updates (News.speeds; 220 bytes at most, 60 where a gateway has more peers than full updates in a second) and merges its peers' reports. Each change of load, own or a peer's, is passed to the estimate of the queue. While the shortest expected prefill is over an eighth of the objective, or speeds differ by 1.4, the choice, expectedPrefill and stallsStreams use expected time; otherwise all is as before. Memory forecasts use an engine's own output speed where known ones differ by 1.4. Dump part speeds, two metrics, a log line when the comparison changes.

Not measured: the deployment under load.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -70,6 +70,7 @@
 	})
 	exchange = gossip.New(gossip.Options{
 		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, Demand: g.Demand,
+		Speeds: g.SpeedReports, OnSpeeds: g.RecordPeerSpeeds, OnLoad: g.RecordPeerLoad,
 		OnOrigin: origins.Handle, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 	pauses               *pauses
 	loads                *loads
 	prefillSpeed         *prefillSpeed
+	queues               *queues
 
 	// lateSlot is held by the one late request that may reserve at present.
 	lateSlot chan struct{}
@@ -122,6 +123,7 @@
 		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(),
 	}
+	g.queues = newQueues(g.view, g.loads, g.prefillSpeed, o.Board, g.log)
 	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
 	g.software = newSoftwareVersions(o.Board)
@@ -213,6 +215,7 @@
 func (g *Gateway) SetServers(list []catalog.Server) {
 	g.view.setServers(list)
 	g.limits.prune(g.view.list())
+	g.queues.prune()
 	g.software.update(g.view.list(), time.Now())
 }
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/gossip"
 	"jayford.example/jayford/internal/origin"
 )
 
@@ -32,13 +33,18 @@
 	all []candidate
 	// pools has the servers that accept new work.
 	pools map[poolKey][]candidate
+	// prefill has the keys of the prefill engines by their hash (gossip.ServerKey).
+	prefill map[uint64]string
 }
 
 func newListing(list []catalog.Server) *listing {
-	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}}
+	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}, prefill: map[uint64]string{}}
 	for _, s := range list {
 		c := candidate{s, serverKey(s), origin.Hash(s.Software)}
 		l.all = append(l.all, c)
+		if s.Stage == catalog.Prefill {
+			l.prefill[gossip.ServerKey(c.key)] = c.key
+		}
 		if !s.Leaving {
 			p := poolKey{s.Service, s.Stage}
 			l.pools[p] = append(l.pools[p], c)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -51,10 +51,12 @@
 	runs  *runs
 	// peers is nil if there are none; it is set before use.
 	peers Peers
+	// onTokens is called when the tokens booked on a server have changed; it is set before use.
+	onTokens func(key string)
 }
 
 func newLoads(b *board.Board) *loads {
-	return &loads{table: board.NewTable[load](b, "loads"), runs: newRuns()}
+	return &loads{table: board.NewTable[load](b, "loads"), runs: newRuns(), onTokens: func(string) {}}
 }
 
 func (l *loads) get(key string) load {
@@ -108,9 +110,10 @@
 	}
 }
 
-// run books a generation on an engine.
-func (l *loads) run(key string, x memory.Generation) *run {
+// run books a generation on an engine with an output speed of its own, 0 if it is unknown.
+func (l *loads) run(key string, x memory.Generation, tokensPerSecond float64) *run {
 	out := l.runs.begin(key, x, l.changed)
+	l.runs.setSpeed(key, tokensPerSecond)
 	l.changed()
 	return out
 }
@@ -132,6 +135,7 @@
 		return x, x.Requests > 0 || !x.Full.IsZero()
 	})
 	if tokens != 0 {
+		l.onTokens(serverKey(s))
 		l.changed()
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	pausingServers       = metrics.NewCounter("jayford_gateway_pausing_servers")
 	partRefusals         = metrics.NewCounter("jayford_gateway_part_refusals_total")
 	refusedParts         = metrics.NewCounter("jayford_gateway_refused_parts")
+	speedsDropped        = metrics.NewCounter("jayford_gateway_speed_reports_dropped_total")
 	prefillsSkipped      = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
 )
 
@@ -38,6 +39,15 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_refusals_total{code=%q,verdict=%q}", e.Code, e.Verdict)).Inc()
 }
 
+// setPrefillByTime records how the prefill engines of a service are compared.
+func setPrefillByTime(service string, byTime bool) {
+	x := uint64(0)
+	if byTime {
+		x = 1
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_prefill_by_time{service=%q}", service)).Set(x)
+}
+
 // countSending counts an attempt at a server by its outcome.
 func countSending(kind string, err *verdict.Error) {
 	outcome := "answered"
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -53,7 +53,7 @@
 		}
 		expected := g.expectedPrefill(j, s)
 		prompt := prefill.Prompt{
-			StallsStreams: g.stallsStreams(j), DecodeIdle: g.engineIdle(p), MayHaveRun: j.runs > 0 || eventNumber(after) > 0,
+			StallsStreams: g.stallsStreams(j, p), DecodeIdle: g.engineIdle(p), MayHaveRun: j.runs > 0 || eventNumber(after) > 0,
 			InTime: expected < j.route.MaxEventGap,
 		}
 		step := j.prefillState.Next(prompt)
@@ -90,6 +90,9 @@
 // expectedPrefill returns the expected time for the prompt's prefill at s, including
 // the queue there.
 func (g *Gateway) expectedPrefill(j *job, s catalog.Server) time.Duration {
+	if g.queues.byTime(j.service.Name) {
+		return g.queues.expected(time.Now(), serverKey(s), j.r.Generation.Prompt)
+	}
 	return g.prefillSpeed.estimate(g.loads.queuedTokens(serverKey(s)) + j.r.Generation.Prompt)
 }
 
@@ -100,6 +103,7 @@
 	}
 	tokens := j.r.Generation.Prompt
 	queued := g.loads.queuedTokens(serverKey(s)) + tokens
+	unread := g.queues.unread(serverKey(s)) + tokens
 	end := g.loads.begin(s, tokens)
 	defer end()
 	began := time.Now()
@@ -120,7 +124,8 @@
 	g.loads.recordAccepted(s)
 	observe(prefillSeconds, began)
 	g.prefillSpeed.record(queued, time.Since(began))
-	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "took": milliseconds(time.Since(began))})
+	g.queues.recordPrefill(serverKey(s), unread, time.Since(began))
+	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "unread": unread, "took": milliseconds(time.Since(began))})
 	g.view.recordOutcome(s, doubt.Success)
 	return prefillResult{from: s, id: r.Result}, true
 }
@@ -149,22 +154,29 @@
 // meanwhile.
 const decodePrefillSlowdown = 2
 
-// stallsStreams reports whether a decode engine that ran this prefill would stall its
+// stallsStreams reports whether the engine of the reservation, if it ran this prefill, would stall its
 // other streams beyond the allowed gap between events. That would save one request and
 // make several others late.
-func (g *Gateway) stallsStreams(j *job) bool {
+func (g *Gateway) stallsStreams(j *job, p reservation) bool {
 	if j.route.MaxEventGap <= 0 {
 		return false
 	}
-	prefillTime := decodePrefillSlowdown * g.prefillSpeed.estimate(j.r.Generation.Prompt)
-	return prefillTime+g.loads.runs.eventInterval(eventTokens(j.service.Engine)) > j.route.MaxEventGap
+	prefillTime := g.prefillSpeed.estimate(j.r.Generation.Prompt)
+	if g.queues.byTime(j.service.Name) {
+		prefillTime = g.queues.decodePrefill(j.service.Name, serverKey(p.server), j.r.Generation.Prompt)
+	}
+	return decodePrefillSlowdown*prefillTime+g.loads.runs.eventInterval(eventTokens(j.service.Engine)) > j.route.MaxEventGap
 }
 
-// pickPrefill returns the prefill server with the shortest queue, if one is neither
-// full nor suspect.
+// pickPrefill returns the prefill server with the shortest queue, by expected time or by tokens,
+// if one is neither full nor suspect.
 func (g *Gateway) pickPrefill(j *job) (catalog.Server, bool) {
 	list := g.view.list().usable(j.service.Name, catalog.Prefill)
-	for _, s := range g.best(j, list, 1, g.byTokens) {
+	now, prompt, rank := time.Now(), j.r.Generation.Prompt, g.byTokens
+	if g.queues.decide(now, j.service.Name, j.route.LatencyObjective, prompt, list) {
+		rank = func(key string, _ load) int { return int(g.queues.expected(now, key, prompt)) }
+	}
+	for _, s := range g.best(j, list, 1, rank) {
 		return s.Server, s.penalty == noPenalty
 	}
 	return catalog.Server{}, false
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -99,7 +99,7 @@
 	if !g.canForecast(j) {
 		return true
 	}
-	return g.loads.runs.fits(j.service.Engine.KVTokens-headroom, g.loads.need(key, g.loads.get(key)), x)
+	return g.loads.runs.fits(j.service.Engine.KVTokens-headroom, g.loads.need(key, g.loads.get(key)), x, g.queues.tokensPerSecond(j.service.Name, key))
 }
 
 // canForecast reports whether this gateway can forecast the engines' memory use: it
@@ -290,5 +290,5 @@
 	g.logRequest(j, "gateway: room reserved.", logrus.Fields{
 		"server": s.key, "tokens": x.Reserved, "load": s.load, "asked": asked, "rounds": j.rounds, "late": j.objectiveMissed(),
 	})
-	return reservation{server: s.Server, hold: hold, run: g.loads.run(s.key, x)}
+	return reservation{server: s.Server, hold: hold, run: g.loads.run(s.key, x, g.queues.tokensPerSecond(j.service.Name, s.key))}
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	// revision is the value of lastRevision at the last change.
 	revision uint64
 	list     map[*run]bool
+	// tokensPerSecond is the engine's own output speed, 0 if unknown.
+	tokensPerSecond float64
 }
 
 // run is one generation on an engine. Its fields are guarded by runs.mu.
@@ -41,6 +44,9 @@
 	of  *runs
 	key string
 	memory.Generation
+	// paced are the tokens that were written in the time pauses.
+	paced  int
+	pauses time.Duration
 	// onEnd is called when the run has ended.
 	onEnd func()
 }
@@ -65,6 +71,15 @@
 	return out
 }
 
+// setSpeed sets the output speed of an engine with generations, 0 if it has none of its own.
+func (r *runs) setSpeed(key string, tokensPerSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.engines[key]; e != nil {
+		e.tokensPerSecond = tokensPerSecond
+	}
+}
+
 // end removes the run. It may be called twice: a stream is ended by its failure and by
 // its close.
 func (x *run) end() {
@@ -96,10 +111,25 @@
 	defer x.of.mu.Unlock()
 	x.Written = max(x.Written, tokens)
 	if pause > 0 {
+		x.paced += step
+		x.pauses += pause
 		x.of.tokensPerSecond += outputSpeedWeight * (float64(step)/pause.Seconds() - x.of.tokensPerSecond)
 	}
 }
 
+// minPacedTokens is the number of tokens from which on a stream shows its engine's speed.
+const minPacedTokens = 16
+
+// outputPace returns the mean time between two tokens of the generation, 0 if it is too short.
+func (x *run) outputPace() time.Duration {
+	x.of.mu.Lock()
+	defer x.of.mu.Unlock()
+	if x.paced < minPacedTokens {
+		return 0
+	}
+	return x.pauses / time.Duration(x.paced)
+}
+
 // eventInterval is the average time between two events of so many tokens.
 func (r *runs) eventInterval(tokens int) time.Duration {
 	r.mu.Lock()
@@ -127,17 +157,17 @@
 		return n
 	}
 	for x := range e.list {
-		n = n.Plus(r.lengths.Need(x.Generation, r.tokensPerSecond))
+		n = n.Plus(r.lengths.Need(x.Generation, cmp.Or(e.tokensPerSecond, r.tokensPerSecond)))
 	}
 	return n
 }
 
 // fits reports whether x is expected to fit beside others on an engine with a capacity
-// in tokens.
-func (r *runs) fits(capacity int, others memory.Need, x memory.Generation) bool {
+// in tokens and an output speed of its own, 0 if it is unknown.
+func (r *runs) fits(capacity int, others memory.Need, x memory.Generation, tokensPerSecond float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lengths.Fits(capacity, others, r.lengths.Need(x, r.tokensPerSecond), capacityRisk)
+	return r.lengths.Fits(capacity, others, r.lengths.Need(x, cmp.Or(tokensPerSecond, r.tokensPerSecond)), capacityRisk)
 }
 
 // expected returns the output that a generation is expected to write, in tokens.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -107,6 +107,7 @@
 		s.g.crashes.recordRun(s.j)
 		s.g.crashes.recordSuccess(s.j.fingerprint)
 		s.reservation.completed()
+		s.g.queues.recordOutput(s.reservation.key, s.reservation.outputPace())
 		return nil
 	}
 	return s.resume(err)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -32,6 +32,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/memory"
+	"jayford.example/jayford/internal/policy/speed"
 	"jayford.example/jayford/internal/wait"
 )
 
@@ -83,6 +84,13 @@
 	Evidence func(limit int) []blame.Loss
 	// OnOrigin handles a datagram about the streams of a listed peer. It may be nil.
 	OnOrigin func(from string, m *pb.OriginMessage)
+	// Speeds returns at most limit of this gateway's measurements of engines' speed, and
+	// OnSpeeds handles those of a listed peer. Both may be nil.
+	Speeds   func(limit int) []speed.Report
+	OnSpeeds func(from string, list []speed.Report)
+	// OnLoad is told of engines on which the load of peers may have changed, by the keys that
+	// ServerKey returns. It may be nil.
+	OnLoad func(engines []uint64)
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
 	Log             *logrus.Entry
@@ -334,22 +342,34 @@
 	return false
 }
 
-// apply stores a peer's load, and reports whether the sender is listed.
+// apply stores a peer's load and passes on what else it says, and reports whether the sender is
+// listed.
 func (e *Exchange) apply(from string, n *pb.News) bool {
+	listed, accepted, engines := e.store(from, n)
+	if accepted {
+		e.passOn(from, n, engines)
+	}
+	return listed
+}
+
+// store stores a peer's load. It reports whether the sender is listed and the datagram isn't
+// outdated, and returns the engines whose load it may have changed.
+func (e *Exchange) store(from string, n *pb.News) (listed, accepted bool, engines []uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.admitLocked(from) {
-		return false
+		return false, false, nil
 	}
 	before := e.table.peers[from]
-	if e.table.update(from, n, time.Now()) {
+	engines = touchedEngines(n, before)
+	if accepted = e.table.update(from, n, time.Now()); accepted {
 		received.Inc()
 	}
 	if before != nil && before.incarnation != n.Start {
 		// The peer restarted and lost what it had received.
 		e.recipients.requestFull(from)
 	}
-	return true
+	return true, accepted, engines
 }
 
 // sendsToSubset reports whether updates go only to a subset of the peers. Losses received
--- a/internal/gossip/update.go
+++ b/internal/gossip/update.go
@@ -90,7 +90,9 @@
 	n.Losses, n.Proofs = e.evidence(full, time.Now())
 	extra := proto.Size(&pb.News{Losses: n.Losses, Proofs: n.Proofs}) - maxEvidenceBytes
 	n.Engines = fitDatagram(n.Engines, maxEngineBytes-max(0, extra))
-	if !full {
+	if full {
+		e.addSpeeds(n)
+	} else {
 		e.lastRevisions = now
 	}
 	return n
