--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -72,6 +72,7 @@
 		Listen: s.Peer, OwnLoad: g.Load, Demand: g.Demand, PlatformReachableFor: g.PlatformReachableFor,
 		OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, OnDoubt: g.RecordPeerDoubt,
 		OnOrigin: origins.Handle, OnStore: g.HandleStore, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
+		Speeds: g.SpeedReports, OnSpeeds: g.RecordPeerSpeeds, OnLoad: g.RecordPeerLoad,
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
 	g.Join(exchange)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -33,16 +33,16 @@
 	all []candidate
 	// pools has the servers that accept new work.
 	pools map[poolKey][]candidate
-	// byHash has the keys of all servers by their gossip.ServerKey.
-	byHash map[uint64]string
+	// byHash has the servers' places in all by their gossip.ServerKey.
+	byHash map[uint64]int
 }
 
 func newListing(list []catalog.Server) *listing {
-	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}, byHash: make(map[uint64]string, len(list))}
-	for _, s := range list {
+	l := &listing{all: make([]candidate, 0, len(list)), pools: map[poolKey][]candidate{}, byHash: make(map[uint64]int, len(list))}
+	for i, s := range list {
 		c := candidate{s, serverKey(s), origin.Hash(s.Software)}
 		l.all = append(l.all, c)
-		l.byHash[gossip.ServerKey(c.key)] = c.key
+		l.byHash[gossip.ServerKey(c.key)] = i
 		if !s.Leaving {
 			p := poolKey{s.Service, s.Stage}
 			l.pools[p] = append(l.pools[p], c)
@@ -51,6 +51,21 @@
 	return l
 }
 
+// find returns the server with a gossip.ServerKey.
+func (l *listing) find(hash uint64) (candidate, bool) {
+	i, ok := l.byHash[hash]
+	if !ok {
+		return candidate{}, false
+	}
+	return l.all[i], true
+}
+
+// isPrefill reports whether the server with a gossip.ServerKey is a prefill engine.
+func (l *listing) isPrefill(hash uint64) bool {
+	c, ok := l.find(hash)
+	return ok && c.Stage == catalog.Prefill
+}
+
 // servers returns all servers.
 func (l *listing) servers() []catalog.Server {
 	out := make([]catalog.Server, len(l.all))
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -186,10 +186,11 @@
 
 // recordPeerDoubt records that a peer doubts a server, given by its gossip.ServerKey.
 func (v *view) recordPeerDoubt(server uint64, peer string, since, now time.Time) {
-	key, ok := v.list().byHash[server]
+	found, ok := v.list().find(server)
 	if !ok {
 		return
 	}
+	key := found.key
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before, _ := v.health.View(key, now)
--- a/internal/gossip/update.go
+++ b/internal/gossip/update.go
@@ -91,7 +91,9 @@
 	n.Doubts = e.nextDoubts(time.Now())
 	extra := proto.Size(&pb.News{Losses: n.Losses, Proofs: n.Proofs, Doubts: n.Doubts}) - maxEvidenceBytes
 	n.Engines = fitDatagram(n.Engines, maxEngineBytes-max(0, extra))
-	if !full {
+	if full {
+		e.addSpeeds(n)
+	} else {
 		e.lastRevisions = now
 	}
 	return n
