--- a/internal/policy/stage/stage.go
+++ b/internal/policy/stage/stage.go
@@ -16,6 +16,11 @@
 	// Unavailable engines count towards the capacity of their stage, but
 	// get no order.
 	Unavailable bool
+	// Changing engines have been ordered to Stage and may not have carried it out yet; they
+	// are Unavailable.
+	Changing bool
+	// Speed is how fast the engine prefills; 1 is average, 0 unknown.
+	Speed float64
 }
 
 // Change is the new stage of one engine.
