Gateways: the split between prefill and decode follows the work

Cause: the controller of policy/split isn't used yet; gateways keep a fixed share of prefill engines. Change: gateways that may hold the lease for orders step the controller every 500 ms, and its holder orders a correction at once instead of after 20 s; everything else is mended as before. Takes effect where stages.maxPrefillShare is over stages.prefillShare and one service alone has engines; otherwise engines are chosen by Decide as before. The lease is then held all the time, as the first correction follows 1.5 s of demand. Full updates carry prompt_rate (OwnPromptRate); a datagram with an impossible one is dropped and counted. Prompts that a quota refused don't count. Speeds of engines come through the interface Speeds, nil for now. Additions of one line each in prefill.go (time of a prefill that was alone) and generate.go (prompt counted). Checked: tests with the package's fakes of the demand, a successor, a holder cut off between decision and order, late orders, too few peers, several services, a loss, speeds, the start; of the sum of the rates and of impossible ones; of the settings' bounds. Ten of these rules changed one by one on a scratch copy make a test fail. 8,000 draws of TestSplitOnRandomFleets once. go test -race of policy/split, policy/stage, gossip, settings, operator and platform (without TestSoak) passed. internal/gateway: TestUnresponsiveEnginesAreSkipped failed in 1 of 2 runs of the package ("took 471.281617ms", load average about 30; it uses none of this), passed in the second and in 20 of 20 runs alone.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,7 +49,7 @@
 	started := time.Now()
 	log.WithFields(logrus.Fields{
 		"part": "gateway", "id": s.ID, "availabilityZone": s.AvailabilityZone, "platform": s.Platform, "build": build(),
-		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare,
+		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare, "maxPrefillShare": s.Stages.MaxPrefillShare,
 	}).Info("gateway: starting.")
 	defer func() { log.WithField("part", "gateway").Info("gateway: ended.") }()
 	ops := operator.New(b, func() operator.Status {
@@ -69,7 +69,7 @@
 		Send: func(to string, m *pb.OriginMessage) { exchange.SendOrigin(to, m) },
 	})
 	exchange = gossip.New(gossip.Options{
-		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, Demand: g.Demand,
+		Listen: s.Peer, OwnLoad: g.Load, PlatformReachableFor: g.PlatformReachableFor, OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, Demand: g.Demand, OwnPromptRate: g.PromptRate,
 		OnOrigin: origins.Handle, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Peers: func() (near, far []string) { return addresses(members.Known(), s.ID, s.AvailabilityZone) },
 	})
@@ -88,9 +88,9 @@
 		g.LimitOrganisations(quotas)
 	}
 	orders := gateway.StageOptions{
-		Store: deps.Sources.Store, Share: s.Stages.PrefillShare, Term: s.Stages.LeaseTerm.D(),
+		Store: deps.Sources.Store, Share: s.Stages.PrefillShare, MinShare: s.Stages.MinPrefillShare, MaxShare: s.Stages.MaxPrefillShare, Term: s.Stages.LeaseTerm.D(),
 		Self: fmt.Sprintf("%s#%d", s.ID, started.UnixNano()), Instance: s.ID,
-		Peers: func() []string { return ids(members.List()) },
+		Peers: func() []string { return ids(members.List()) }, PeerPromptRate: exchange.PromptRate,
 	}
 	return run(
 		ctx, server.Run, members.Run, exchange.Run, quotas.Run,
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -66,7 +67,7 @@
 	s := &stages{g: g, opts: StageOptions{Share: 0.2}, lastOrders: map[string]sentOrder{}}
 	b.ReportAllocs()
 	for b.Loop() {
-		if n := len(s.dueChanges(1, false)); n != 0 {
+		if n := len(s.dueChanges(time.Now(), 1, false)); n != 0 {
 			b.Fatal(n)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 	pauses               *pauses
 	loads                *loads
 	prefillSpeed         *prefillSpeed
+	prompts              *prompts
 
 	// lateSlot is held by the one late request that may reserve at present.
 	lateSlot chan struct{}
@@ -120,7 +121,7 @@
 	g := &Gateway{
 		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
 		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
-		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(),
+		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), prompts: &prompts{},
 	}
 	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -17,6 +17,7 @@
 // prefill, then the decode. A prefill's result expires if no decode engine is found
 // within a fraction of a second, so the reservation comes first.
 func (g *Gateway) generate(ctx context.Context, j *job) (*Reply, *verdict.Error) {
+	g.prompts.count(time.Now(), j.r.Generation.Prompt)
 	var last *verdict.Error
 	for {
 		if err := g.recheck(ctx, j); err != nil {
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -120,6 +120,7 @@
 	g.loads.recordAccepted(s)
 	observe(prefillSeconds, began)
 	g.prefillSpeed.record(queued, time.Since(began))
+	g.recordPromptTime(queued, tokens, time.Since(began))
 	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "took": milliseconds(time.Since(began))})
 	g.view.recordOutcome(s, doubt.Success)
 	return prefillResult{from: s, id: r.Result}, true
--- /dev/null
+++ b/internal/gateway/prompts.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"jayford.example/jayford/internal/policy/split"
+)
+
+// prompts measures the prompts of this gateway's requests.
+type prompts struct {
+	mu sync.Mutex
+	// demand is guarded by mu.
+	demand split.Demand
+}
+
+// count counts a prompt that is about to be placed. Requests that were refused for their
+// organisation's quota aren't counted, as they need no engine.
+func (p *prompts) count(now time.Time, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand.Count(now, tokens)
+}
+
+func (p *prompts) rate(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.Rate(now)
+}
+
+// sizes returns the mean size of a prompt, and the prefill time of one token at an engine that
+// has no other prompt.
+func (p *prompts) sizes() (tokens float64, tokenTime time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.Prompt(), p.demand.TokenTime()
+}
+
+// PromptRate returns the prompt tokens a second in this gateway's requests.
+func (g *Gateway) PromptRate() float64 { return g.prompts.rate(time.Now()) }
+
+// recordPromptTime records how long a prefill took if it was alone at its engine.
+func (g *Gateway) recordPromptTime(queued, tokens int, took time.Duration) {
+	if queued != tokens || !g.loads.complete() {
+		return
+	}
+	g.prompts.mu.Lock()
+	defer g.prompts.mu.Unlock()
+	g.prompts.demand.RecordAlone(tokens, took)
+}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -50,6 +50,21 @@
 	Self, Instance string
 	// Peers returns the ids of the live gateways.
 	Peers func() []string
+	// MinShare and MaxShare bound the part that runs prefill if it follows the work, which it
+	// does if MaxShare is over Share. A MinShare of 0 stands for Share.
+	MinShare, MaxShare float64
+	// PeerPromptRate returns the prompt tokens a second of the peers that have reported
+	// theirs, how many these are, and how many peers are listed. It may be nil.
+	PeerPromptRate func() (perSecond float64, reported, listed int)
+	// Speeds is nil if the speeds of engines are unknown.
+	Speeds Speeds
+}
+
+// stageLease is the part of a lease.Runner that is used to send orders.
+type stageLease interface {
+	FencingToken() (uint64, bool)
+	Created() bool
+	Holder() string
 }
 
 // stages controls the split of the engines between prefill and decode. One gateway at
@@ -63,7 +78,9 @@
 type stages struct {
 	g     *Gateway
 	opts  StageOptions
-	lease *lease.Runner
+	lease stageLease
+	// split is nil if the split is fixed.
+	split *splitter
 	// unbalancedSince is the time since which the split has been off, zero if it isn't.
 	unbalancedSince time.Time
 
@@ -91,12 +108,13 @@
 		<-ctx.Done()
 		return nil
 	}
-	s := &stages{g: g, opts: o, lastOrders: map[string]sentOrder{}}
-	s.lease = lease.NewRunner(lease.Options{
+	s := &stages{g: g, opts: o, lastOrders: map[string]sentOrder{}, split: newSplitter(o, g.opts.Board)}
+	runner := lease.NewRunner(lease.Options{
 		Store: o.Store, Scope: stageScope, Self: o.Self, Term: o.Term, Candidate: s.isCandidate, LapseOnStop: true,
 	})
+	s.lease = runner
 	done := make(chan error, 1)
-	go func() { done <- s.lease.Run(ctx) }()
+	go func() { done <- runner.Run(ctx) }()
 	t := time.NewTicker(stageInterval)
 	defer t.Stop()
 	for {
@@ -109,11 +127,17 @@
 	}
 }
 
-// isCandidate reports whether this gateway should try to acquire the lease.
+// isCandidate reports whether this gateway should try to acquire the lease. A split that follows
+// the work is ordered within two seconds, so its lease is held all the time.
 func (s *stages) isCandidate() bool {
-	if !s.g.Ready() || len(s.dueChanges(1, s.exact())) == 0 {
+	if !s.g.Ready() || s.split == nil && len(s.dueChanges(time.Now(), 1, s.exact())) == 0 {
 		return false
 	}
+	return s.mayOrder()
+}
+
+// mayOrder reports whether this gateway is one of those that may hold the lease.
+func (s *stages) mayOrder() bool {
 	ids := s.opts.Peers()
 	for _, id := range place.Subset(stageScope, ids, leaseCandidates) {
 		if id == s.opts.Instance {
@@ -140,7 +164,7 @@
 
 // dueChanges returns at most limit changes for each service, and none before all
 // engines are known.
-func (s *stages) dueChanges(limit int, exact bool) []change {
+func (s *stages) dueChanges(now time.Time, limit int, exact bool) []change {
 	c := s.g.Config()
 	if c == nil || !s.g.view.complete.Load() {
 		return nil
@@ -151,21 +175,12 @@
 			continue
 		}
 		list := s.g.view.list().engines(name)
-		now := time.Now()
-		suspect := s.g.view.suspects(list, now)
-		engines := make([]stage.Engine, 0, len(list))
-		for i, x := range list {
-			e := stage.Engine{ID: x.ID, AvailabilityZone: x.AvailabilityZone, Stage: x.Stage, Unavailable: suspect[i]}
-			if o, ok := s.lastOrder(x.key); ok && now.Sub(o.at) < service.Engine.SwitchTime+orderVisibleWithin {
-				e.Stage, e.Unavailable = o.to, true
-			}
-			engines = append(engines, e)
-		}
-		want := stage.TargetPrefill(len(engines), s.opts.Share)
-		if !exact && !stage.NeedsChange(stage.CountPrefill(engines), want) {
+		engines := s.engines(list, service.Engine.SwitchTime, now)
+		p := s.plan(name, len(engines), limit, exact)
+		if !p.exact && !stage.NeedsChange(stage.CountPrefill(engines), p.want) {
 			continue
 		}
-		for _, d := range stage.Decide(engines, want, limit) {
+		for _, d := range p.choose(engines, p.want, p.limit) {
 			i := slices.IndexFunc(list, func(c candidate) bool { return c.ID == d.ID })
 			out = append(out, change{list[i].Server, d.To})
 		}
@@ -173,6 +188,23 @@
 	return out
 }
 
+// engines returns the state of the listed engines for the choice of stages.
+func (s *stages) engines(list []candidate, switchTime time.Duration, now time.Time) []stage.Engine {
+	suspect := s.g.view.suspects(list, now)
+	engines := make([]stage.Engine, 0, len(list))
+	for i, x := range list {
+		e := stage.Engine{ID: x.ID, AvailabilityZone: x.AvailabilityZone, Stage: x.Stage, Unavailable: suspect[i]}
+		if o, ok := s.lastOrder(x.key); ok && now.Sub(o.at) < switchTime+orderVisibleWithin {
+			e.Stage, e.Unavailable, e.Changing = o.to, true, true
+		}
+		if s.opts.Speeds != nil {
+			e.Speed = s.opts.Speeds.Speed(x.key)
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
+
 func (s *stages) lastOrder(key string) (sentOrder, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,7 +233,9 @@
 func (s *stages) tick(ctx context.Context, now time.Time) {
 	_, held := s.lease.FencingToken()
 	since, founding := s.updateHeld(now, held)
-	if !held || !founding && since < s.opts.Term {
+	ordering := held && (founding || since >= s.opts.Term)
+	correcting := s.stepSplit(now, ordering && !founding)
+	if !ordering {
 		s.unbalancedSince = time.Time{}
 		return
 	}
@@ -209,7 +243,7 @@
 	if founding {
 		limit = len(s.g.view.list().all)
 	}
-	due := s.dueChanges(limit, founding)
+	due := s.dueChanges(now, limit, founding)
 	if len(due) == 0 {
 		s.unbalancedSince = time.Time{}
 		return
@@ -217,16 +251,16 @@
 	if s.unbalancedSince.IsZero() {
 		s.unbalancedSince = now
 	}
-	if !founding && now.Sub(s.unbalancedSince) < stageOrderDelay {
+	if !founding && !correcting && now.Sub(s.unbalancedSince) < stageOrderDelay {
 		return
 	}
 	for _, c := range due {
-		s.order(ctx, c)
+		s.order(ctx, now, c)
 	}
 }
 
 // order sends one order if the lease is still held.
-func (s *stages) order(ctx context.Context, c change) {
+func (s *stages) order(ctx context.Context, now time.Time, c change) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	log := s.g.log.WithFields(logrus.Fields{"server": serverKey(c.server), "stage": c.to.String()})
@@ -240,7 +274,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.lastOrders[serverKey(c.server)] = sentOrder{c.to, time.Now()}
+	s.lastOrders[serverKey(c.server)] = sentOrder{c.to, now}
 	s.mu.Unlock()
 	err = s.g.backend.Order(ctx, c.server, StageOrder{Stage: c.to, Holder: s.opts.Instance, Fence: fence, Orders: report.Orders})
 	if err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -73,6 +73,8 @@
 	PlatformReachableFor func() time.Duration
 	// Demand returns this gateway's requests a second. It may be nil.
 	Demand func() float64
+	// OwnPromptRate returns the prompt tokens a second in this gateway's requests. It may be nil.
+	OwnPromptRate func() float64
 	// OnLoss handles the loss of a server under a request that a peer reported, and
 	// returns whether it was new.
 	OnLoss func(blame.Loss) bool
@@ -273,6 +275,10 @@
 		e.opts.Log.WithError(err).WithField("from", from).Warn("gossip: cannot decode datagram.")
 		return
 	}
+	if !possible(&n) {
+		malformed.Inc()
+		return
+	}
 	if n.Origin != nil {
 		e.handleOrigin(from, n.Origin)
 		return
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -51,6 +51,10 @@
 	needs map[uint64]memory.Need
 	// demand is the peer's requests a second.
 	demand float64
+	// promptRate is the peer's rate of prompt tokens, in tokens a second. reported is set once
+	// a full update has given it.
+	promptRate float64
+	reported   bool
 	// contactSince is the time since which the platform has been reachable for the peer, as
 	// reported at contactReported; zero if it isn't.
 	contactSince, contactReported time.Time
@@ -74,6 +78,7 @@
 		t.clear(p)
 		p.applyContact(n, now)
 		p.demand = float64(n.Demand) / demandUnit
+		p.promptRate, p.reported = float64(n.PromptRate), true
 	}
 	for _, e := range n.Engines {
 		t.set(p, e.Engine, decode(e))
--- a/internal/gossip/update.go
+++ b/internal/gossip/update.go
@@ -71,6 +71,9 @@
 	if full && e.opts.Demand != nil {
 		n.Demand = uint32(math.Round(e.opts.Demand() * demandUnit))
 	}
+	if full && e.opts.OwnPromptRate != nil {
+		n.PromptRate = encodePromptRate(e.opts.OwnPromptRate())
+	}
 	if full && e.opts.PlatformReachableFor != nil {
 		n.PlatformMs = uint32(min(e.opts.PlatformReachableFor().Milliseconds(), math.MaxUint32))
 	}
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -71,9 +71,10 @@
 	Wanted, Present int
 	// Changed is set if Wanted differs from the last step because of demand.
 	Changed bool
-	// Correcting is set while engines are to be changed at once, at most Limit now.
+	// Correcting is set while engines are to be changed at once.
 	Correcting bool
-	Limit      int
+	// Limit is how many engines may be ordered to change now.
+	Limit int
 	// Crest is the demand that counts as the highest, in prompt tokens a second, and Expected
 	// the prefill time expected at it with the engines present, 0 if unknown.
 	Crest    float64
@@ -123,9 +124,9 @@
 	if o.Ordering && o.RateKnown && !now.Before(c.pausedUntil) {
 		d.Changed = c.correct(now, o, engines)
 	}
-	d.Wanted = c.wanted(engines)
+	d.Wanted, d.Limit = c.wanted(engines), max(0, tenth(engines.total())-engines.changing)
 	if o.Ordering && now.Before(c.orderUntil) {
-		d.Correcting, d.Limit = true, max(0, tenth(engines.total())-engines.changing)
+		d.Correcting = true
 	}
 	return d
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -64,6 +64,11 @@
 	// PrefillShare is the fraction of the engines that run prefill; 0 leaves
 	// the stages unchanged.
 	PrefillShare float64 `json:"prefillShare"`
+	// MinPrefillShare and MaxPrefillShare bound the fraction if it follows the work, which it
+	// does if MaxPrefillShare is over PrefillShare. A MinPrefillShare of 0 stands for
+	// PrefillShare.
+	MinPrefillShare float64 `json:"minPrefillShare"`
+	MaxPrefillShare float64 `json:"maxPrefillShare"`
 	// LeaseTerm is how long a lease lasts without a renewal before another
 	// gateway takes it over.
 	LeaseTerm Duration `json:"leaseTerm"`
@@ -129,6 +134,12 @@
 	strictjson.Range(d, "budget.slack", g.Budget.Slack, 0, maxQueue)
 	duration(d, "budget.window", g.Budget.Window, minTerm, maxWait)
 	strictjson.Range(d, "stages.prefillShare", g.Stages.PrefillShare, 0, 1)
+	if g.Stages.MinPrefillShare != 0 {
+		strictjson.Range(d, "stages.minPrefillShare", g.Stages.MinPrefillShare, 0, g.Stages.PrefillShare)
+	}
+	if g.Stages.MaxPrefillShare != 0 {
+		strictjson.Range(d, "stages.maxPrefillShare", g.Stages.MaxPrefillShare, g.Stages.PrefillShare, 1)
+	}
 	duration(d, "stages.leaseTerm", g.Stages.LeaseTerm, minTerm, maxWait)
 	if g.Quota.Listen != "" {
 		d.Listener("quota.listen", g.Quota.Listen)
