Merge: the split of engines follows the work

Merged with the speeds of engines: the split takes the faster ones for prefill (StageOptions.Speed instead of an interface of one method).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,7 +49,7 @@
 	started := time.Now()
 	log.WithFields(logrus.Fields{
 		"part": "gateway", "id": s.ID, "availabilityZone": s.AvailabilityZone, "platform": s.Platform, "build": build(),
-		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare,
+		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare, "maxPrefillShare": s.Stages.MaxPrefillShare,
 	}).Info("gateway: starting.")
 	defer func() { log.WithField("part", "gateway").Info("gateway: ended.") }()
 	ops := operator.New(b, func() operator.Status {
@@ -69,7 +69,7 @@
 		Send: func(to string, m *pb.OriginMessage) { exchange.SendOrigin(to, m) },
 	})
 	exchange = gossip.New(gossip.Options{
-		Listen: s.Peer, OwnLoad: g.Load, Demand: g.Demand, PlatformReachableFor: g.PlatformReachableFor,
+		Listen: s.Peer, OwnLoad: g.Load, Demand: g.Demand, OwnPromptRate: g.PromptRate, PlatformReachableFor: g.PlatformReachableFor,
 		OnLoss: g.RecordPeerLoss, OnProof: g.RecordPeerProof, Evidence: g.Evidence, OnDoubt: g.RecordPeerDoubt,
 		OnOrigin: origins.Handle, OnStore: g.HandleStore, OnUnknownSender: members.RequestRead, Log: log.WithField("part", "gossip"),
 		Speeds: g.SpeedReports, OnSpeeds: g.RecordPeerSpeeds, OnLoad: g.RecordPeerLoad,
@@ -94,9 +94,9 @@
 		g.LimitOrganisations(quotas)
 	}
 	orders := gateway.StageOptions{
-		Store: deps.Sources.Store, Share: s.Stages.PrefillShare, Term: s.Stages.LeaseTerm.D(),
+		Store: deps.Sources.Store, Share: s.Stages.PrefillShare, MinShare: s.Stages.MinPrefillShare, MaxShare: s.Stages.MaxPrefillShare, Term: s.Stages.LeaseTerm.D(),
 		Self: fmt.Sprintf("%s#%d", s.ID, started.UnixNano()), Instance: s.ID,
-		Peers: func() []string { return ids(members.List()) },
+		Peers: func() []string { return ids(members.List()) }, PeerPromptRate: exchange.PromptRate, Speed: g.EngineSpeed,
 	}
 	return run(
 		ctx, server.Run, members.Run, exchange.Run, quotas.Run,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 	loads                *loads
 	prefillSpeed         *prefillSpeed
 	queues               *queues
+	prompts              *prompts
 
 	// lateSlot is held by the one late request that may reserve at present.
 	lateSlot chan struct{}
@@ -125,7 +126,7 @@
 	g := &Gateway{
 		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
 		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
-		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(),
+		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(), prompts: &prompts{},
 	}
 	g.queues = newQueues(g.view, g.loads, g.prefillSpeed, o.Board, g.log)
 	g.crashes = newCrashes(o.Board, g.log)
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -127,6 +127,7 @@
 	observe(prefillSeconds, began)
 	g.prefillSpeed.record(queued, time.Since(began))
 	g.queues.recordPrefill(serverKey(s), unread, time.Since(began))
+	g.recordPromptTime(queued, tokens, time.Since(began))
 	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "unread": unread, "took": milliseconds(time.Since(began))})
 	g.view.recordOutcome(s, doubt.Success)
 	return prefillResult{from: s, id: r.Result}, true
