--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -102,15 +102,22 @@
 	return 1
 }
 
+// Has reports whether key is present and was decoded, or rejected for its value.
+func (d *Document) Has(key string) bool {
+	_, ok := d.lines[key]
+	return ok
+}
+
 // Reject adds a problem for key, unless key already has one.
 func (d *Document) Reject(key, expected string, args ...any) {
-	if d.rejected(key) {
+	if d.Rejected(key) {
 		return
 	}
 	d.add(d.Line(key), key, expected, args...)
 }
 
-func (d *Document) rejected(key string) bool {
+// Rejected reports whether key itself has a problem.
+func (d *Document) Rejected(key string) bool {
 	for _, p := range d.problems {
 		if p.Key == key {
 			return true
