jayfordctl config check: checks a configuration and compares it with another

Cause: faults of a configuration show only once it is in force.

Change: jayfordctl config check FILE [--against FILE] [--json] prints a line for each finding. Exit 0 without errors and warnings, 1 with, 2 if a file can't be read or decoded. The client's environment gets the platform's decoder from cmd, so internal/ctl doesn't depend on the platform.

Checked: go test -race -p 2 -skip TestSoak ./internal/configcheck ./internal/strictjson ./internal/ctl ./platform ./cmd/jayfordctl passed.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -2,7 +2,7 @@
 // checks, compares and writes configuration, shows the state of the system's
 // processes, evaluates their logs, and generates load.
 //
-// Exit codes: 0 success; 1 wrong usage; 2 a file, object or response is invalid,
+// Exit codes: 0 success; 1 wrong usage, or a check with findings; 2 a file, object or response is invalid,
 // or the object doesn't exist; 3 conflict: another writer changed an object
 // first, and its change was not overwritten; 4 the platform, an entry or an
 // agent is unreachable; 5 it is unknown whether a write took effect. After 3, 4
@@ -21,6 +21,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
+	"jayford.example/jayford/internal/configcheck"
 	"jayford.example/jayford/internal/load"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/strictjson"
@@ -30,6 +31,7 @@
 const (
 	ExitOK          = 0
 	ExitUsage       = 1
+	ExitFindings    = 1
 	ExitInvalid     = 2
 	ExitConflict    = 3
 	ExitUnreachable = 4
@@ -44,6 +46,7 @@
 
 var (
 	errUsage       = errors.New("wrong usage")
+	errFindings    = errors.New("the configuration has errors or warnings")
 	errInvalid     = errors.New("invalid")
 	errConflict    = errors.New("conflict")
 	errUnreachable = errors.New("unreachable")
@@ -56,6 +59,9 @@
 	// Open returns a client of the object API at addr ("ip:port"). The timeout
 	// applies to each call except watches.
 	Open func(addr string, timeout time.Duration) platform.Store
+	// ReadConfig decodes the text of a gateway's configuration. Its error says that there
+	// is none.
+	ReadConfig func(file string, text []byte) (configcheck.Draft, error)
 }
 
 // client is the state of one run of jayfordctl.
@@ -76,7 +82,7 @@
 func Run(ctx context.Context, env Environment, args []string) int {
 	c := &client{ctx: ctx, env: env}
 	parser := flags.NewNamedParser("jayfordctl", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Exit codes: 0 done, 1 usage, 2 invalid, 3 conflict, 4 unreachable, 5 unclear."
+	parser.LongDescription = "Exit codes: 0 done, 1 usage or findings, 2 invalid, 3 conflict, 4 unreachable, 5 unclear."
 	if _, err := parser.AddGroup("Global options", "", &c.options); err != nil {
 		panic(err) // invalid option tags; any test finds them
 	}
@@ -91,12 +97,13 @@
 
 type command struct {
 	name, short string
-	data        flags.Commander
+	data        any
 }
 
 func (c *client) commands() []command {
 	return []command{
 		{"check", "Check configuration files.", &checkCommand{client: c}},
+		{"config", "Work on a gateway's configuration before it is sent.", &configCommand{Check: configCheckCommand{client: c}}},
 		{"diff", "Show what apply would change.", &diffCommand{client: c}},
 		{"apply", "Write configuration files to the platform.", &applyCommand{client: c}},
 		{"get", "Print objects in the format of a configuration file.", &getCommand{client: c}},
@@ -140,6 +147,8 @@
 		return ExitConflict
 	case errors.Is(err, errUnreachable), errors.Is(err, platform.ErrUnavailable), errors.Is(err, load.ErrPrefillCounters):
 		return ExitUnreachable
+	case errors.Is(err, errFindings):
+		return ExitFindings
 	case errors.As(err, &problems), errors.Is(err, errInvalid),
 		errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrTooLarge):
 		return ExitInvalid
