Late requests take turns by rank; less urgent ones leave decode memory

Cause: late requests waited for one slot in the order of their arrival, also those whose turn couldn't come before they gave up. Less urgent requests took memory that more urgent ones of their service failed to find.

Change: package policy/late orders the late requests of a gateway by rank and then by arrival. Where ranks differ, a request whose turn can't be expected in time is refused at once, counted in jayford_gateway_late_refusals_total; a turn counts with half of the average duration of turns, as a request that waits in vain costs less than one that could have been served. A less urgent request leaves headroom at an engine, by the memory forecast, while a more urgent one of its service has found no room in its first round, for as long as that one's objective. It makes no further calls. Log lines of ranked requests have their rank.

Checked: go test -race of gateway (without the soak), policy/late and policy/priority passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/policy/prefill"
+	"jayford.example/jayford/internal/policy/priority"
 	"jayford.example/jayford/internal/policy/retry"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -84,8 +85,8 @@
 	loads                *loads
 	prefillSpeed         *prefillSpeed
 
-	// lateSlot is held by the one late request that may reserve at present.
-	lateSlot chan struct{}
+	turns     turns
+	shortages shortages
 
 	// startupUntil is the time until which requests wait for configuration and servers.
 	startupUntil time.Time
@@ -119,7 +120,7 @@
 // New returns a gateway and adds its state to the board's dump.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		startupUntil: time.Now().Add(startupWait), lateSlot: make(chan struct{}, 1),
+		startupUntil: time.Now().Add(startupWait), shortages: shortages{services: map[string]*priority.Shortage{}},
 		opts: o, log: o.Log.WithField("part", "gateway"), keys: admission.NewChecker(admission.Options{KeyExpiry: o.KeyExpiry}),
 		view: newView(o.Board, o.Log.WithField("part", "gateway")), loads: newLoads(o.Board), prefillSpeed: newPrefillSpeed(),
 	}
@@ -441,6 +442,9 @@
 	if j.organisation != nil {
 		all["organisation"] = j.organisation.Name
 	}
+	if j.isRanked || j.rank > 0 {
+		all["rank"] = j.rank
+	}
 	maps.Copy(all, fields)
 	g.log.WithFields(all).Info(msg)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	pausingServers       = metrics.NewCounter("jayford_gateway_pausing_servers")
 	partRefusals         = metrics.NewCounter("jayford_gateway_part_refusals_total")
 	refusedParts         = metrics.NewCounter("jayford_gateway_refused_parts")
+	lateRefusals         = metrics.NewCounter("jayford_gateway_late_refusals_total")
 	prefillsSkipped      = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
 )
 
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -41,7 +41,8 @@
 	// lateInterval is the mean pause between two rounds of a late request.
 	lateInterval = 100 * time.Millisecond
 	// lateHeadroom is the capacity that must stay free at the engine of a late
-	// request, as a part of its own size, so that requests in time take precedence.
+	// request, as a part of its own size, so that requests in time take precedence. Less
+	// urgent requests leave as much while more urgent ones lack room.
 	lateHeadroom = 0.3
 )
 
@@ -189,16 +190,16 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(d))
 }
 
-// reserveLate waits for spare capacity. The late requests of a gateway queue, and only
-// the first one sends reservation requests: while memory is short, each slot that a
+// reserveLate waits for spare capacity. The late requests of a gateway take turns, and only
+// the one whose turn it is sends reservation requests: while memory is short, each slot that a
 // late request takes makes another one late that could have been in time.
 func (g *Gateway) reserveLate(ctx context.Context, j *job) (reservation, bool) {
-	ctx, cancel := context.WithDeadline(ctx, j.r.Arrived.Add(lateWait))
+	until := j.r.Arrived.Add(lateWait)
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	select {
-	case g.lateSlot <- struct{}{}:
-		defer func() { <-g.lateSlot }()
-	case <-ctx.Done():
+	ok, end := g.turns.wait(ctx, j, until)
+	defer end()
+	if !ok || ctx.Err() != nil {
 		return reservation{}, false
 	}
 	for {
@@ -216,8 +217,9 @@
 
 // reserveOnce tries the best engines one after the other.
 func (g *Gateway) reserveOnce(ctx context.Context, j *job, x memory.Generation) (reservation, bool) {
+	headroom := g.shortages.headroom(j)
 	for i, s := range g.leastLoaded(j) {
-		if !g.fits(j, s.key, x, 0) {
+		if !g.fits(j, s.key, x, headroom) {
 			continue
 		}
 		hold, err := g.reserveAt(ctx, j, s, x.Reserved)
@@ -228,13 +230,17 @@
 			g.loads.markFull(s.key, time.Now().Add(fullBackoff))
 		}
 	}
+	g.shortages.record(j)
 	return reservation{}, false
 }
 
+// headroomOf returns the tokens that a request leaves free which others precede.
+func headroomOf(j *job) int { return int(lateHeadroom * float64(maxExpectedTokens(j.r.Generation))) }
+
 // reserveWithHeadroom reserves capacity at an engine that has headroom besides: it
 // reserves both, releases that and reserves its own size.
 func (g *Gateway) reserveWithHeadroom(ctx context.Context, j *job, x memory.Generation) (reservation, bool) {
-	headroom := int(lateHeadroom * float64(maxExpectedTokens(j.r.Generation)))
+	headroom := headroomOf(j)
 	for i, s := range g.leastLoaded(j) {
 		if !g.fits(j, s.key, x, headroom) {
 			continue
