--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,7 @@
 	refusedParts         = metrics.NewCounter("jayford_gateway_refused_parts")
 	peerDoubts           = metrics.NewCounter("jayford_gateway_doubts_by_peers_total")
 	speedsDropped        = metrics.NewCounter("jayford_gateway_speed_reports_dropped_total")
+	lateRefusals         = metrics.NewCounter("jayford_gateway_late_refusals_total")
 	prefillsSkipped      = metrics.NewCounter("jayford_gateway_prefills_left_to_decode_total")
 )
 
