Changes of stage are announced to all gateways a second before the order

Ruled out: that prefill engines changed back (none did). Change: the holder announces a change to all gateways (News.stage_changes), which rank the engine last until it is listed with its new stage; the order follows after a second, in which what was reserved before begins to run. A lost lease drops announced changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,9 +117,11 @@
 	crashes *crashes
 	// crashChecks has the keys of the servers that are about to be asked whether they crashed.
 	crashChecks sync.Map
-	// onConviction and reportDoubt are nil if nobody is told; they are set before use.
-	onConviction func(key uint64)
-	reportDoubt  func(server uint64)
+	changing    changingEngines
+	// Those below are nil if nobody is told; they are set before use.
+	onConviction        func(key uint64)
+	reportDoubt         func(server uint64)
+	announceStageChange func(gossip.StageChange)
 }
 
 // New returns a gateway and adds its state to the board's dump.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -221,7 +221,7 @@
 			k.deferred = 1
 		}
 		switch {
-		case suspect[i]:
+		case suspect[i], g.changing.includes(&list[i], now):
 			k.penalty = penaltySuspect
 		case now.Before(x.Full):
 			k.penalty = penaltyFull
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -32,6 +32,9 @@
 	// two are replaced at once.
 	leaseCandidates = 3
 	orderTimeout    = time.Second
+	// announceLead is how long before its order a change is announced: what was reserved at the
+	// engine before has its prompt read in that time, and begins to run there.
+	announceLead = time.Second
 	// foundingPeriod is how long after creating the lease a gateway splits the engines
 	// exactly: the whole system is starting, and there are no callers yet.
 	foundingPeriod = 5 * time.Second
@@ -92,6 +95,15 @@
 	leaseLost bool
 	// lastOrders has the last order to each engine, by server key.
 	lastOrders map[string]sentOrder
+	// announced has the changes that are announced and not yet ordered, by server key. It is
+	// used by tick alone.
+	announced map[string]announcedOrder
+}
+
+// announcedOrder is a change that is to be ordered at a time.
+type announcedOrder struct {
+	change
+	orderAt time.Time
 }
 
 // sentOrder is an order that was sent. Until the engine can be listed with its new
@@ -108,7 +120,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	s := &stages{g: g, opts: o, lastOrders: map[string]sentOrder{}, split: newSplitter(o, g.opts.Board)}
+	s := &stages{g: g, opts: o, lastOrders: map[string]sentOrder{}, announced: map[string]announcedOrder{}, split: newSplitter(o, g.opts.Board)}
 	runner := lease.NewRunner(lease.Options{
 		Store: o.Store, Scope: stageScope, Self: o.Self, Term: o.Term, Candidate: s.isCandidate, LapseOnStop: true,
 	})
@@ -237,8 +249,10 @@
 	correcting := s.stepSplit(now, ordering && !founding)
 	if !ordering {
 		s.unbalancedSince = time.Time{}
+		clear(s.announced)
 		return
 	}
+	s.orderAnnounced(ctx, now)
 	limit := 1
 	if founding {
 		limit = len(s.g.view.list().all)
@@ -255,10 +269,51 @@
 		return
 	}
 	for _, c := range due {
-		s.order(ctx, now, c)
+		if founding {
+			s.order(ctx, now, c)
+		} else {
+			s.announce(now, c)
+		}
+	}
+}
+
+// announce tells all gateways of a change that is ordered after announceLead. Until then it
+// counts as ordered, so that no other engine is chosen for it.
+func (s *stages) announce(now time.Time, c change) {
+	key := serverKey(c.server)
+	s.setLastOrder(key, sentOrder{c.to, now})
+	s.announced[key] = announcedOrder{c, now.Add(announceLead)}
+	s.g.announceChange(c, now.Add(announceLead+2*stageInterval), now)
+}
+
+// orderAnnounced sends the orders that are due.
+func (s *stages) orderAnnounced(ctx context.Context, now time.Time) {
+	for key, x := range s.announced {
+		if now.Before(x.orderAt) {
+			continue
+		}
+		delete(s.announced, key)
+		s.order(ctx, now, x.change)
 	}
 }
 
+func (s *stages) setLastOrder(key string, o sentOrder) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastOrders[key] = o
+}
+
+// listingDelay is how long after its change an engine is usually listed with its new stage.
+const listingDelay = time.Second
+
+// switchTime returns how long a server is out of service for a change.
+func (s *stages) switchTime(server catalog.Server) time.Duration {
+	if c := s.g.Config(); c != nil && c.Services[server.Service].Engine != nil {
+		return c.Services[server.Service].Engine.SwitchTime
+	}
+	return 0
+}
+
 // order sends one order if the lease is still held.
 func (s *stages) order(ctx context.Context, now time.Time, c change) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -273,9 +328,8 @@
 	if !held {
 		return
 	}
-	s.mu.Lock()
-	s.lastOrders[serverKey(c.server)] = sentOrder{c.to, now}
-	s.mu.Unlock()
+	s.setLastOrder(serverKey(c.server), sentOrder{c.to, now})
+	s.g.announceChange(c, now.Add(s.switchTime(c.server)+listingDelay), now)
 	err = s.g.backend.Order(ctx, c.server, StageOrder{Stage: c.to, Holder: s.opts.Instance, Fence: fence, Orders: report.Orders})
 	if err != nil {
 		log.WithError(err).Warn("gateway: stage order failed, outcome unknown.")
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -98,6 +98,8 @@
 	// OnLoad is told of engines on which the load of peers may have changed, by the keys that
 	// ServerKey returns. It may be nil.
 	OnLoad func(engines []uint64)
+	// OnStageChange handles a peer's announcement. It may be nil.
+	OnStageChange func(StageChange)
 	// OnUnknownSender is called when a datagram comes from an address that isn't in Peers.
 	OnUnknownSender func()
 	Log             *logrus.Entry
@@ -136,6 +138,8 @@
 	proofs proofQueue
 	// doubts are the servers that didn't answer this gateway, guarded by mu.
 	doubts doubtQueue
+	// stageChanges are the announcements to make, guarded by mu.
+	stageChanges reportQueue[StageChange]
 	// conn is nil before Run. It is guarded by mu.
 	conn *net.UDPConn
 
@@ -307,6 +311,7 @@
 	}
 	now := time.Now()
 	e.handleDoubts(from, n.Doubts, now)
+	e.handleStageChanges(n.StageChanges, now)
 	for _, l := range n.Losses {
 		if len(l.Parts) > blame.MaxParts {
 			continue
