--- a/internal/policy/quota/machine.go
+++ b/internal/policy/quota/machine.go
@@ -46,9 +46,12 @@
 	key uint64
 	// used is the use of this gateway, asks what others asked of it as the pool.
 	used, asks use
-	// told is the most urgent rank in use as the pool said, until toldUntil.
-	told      int
-	toldUntil time.Duration
+	// shortUntil is until when this gateway as the pool counts the organisation as short of
+	// tokens. told is the most urgent rank in use as the pool said, the last one if there is no
+	// shortage, until toldUntil.
+	shortUntil time.Duration
+	told       int
+	toldUntil  time.Duration
 	// allowed is what the pool has granted for requests that yield to more urgent ones.
 	// They may use it until allowedUntil.
 	allowed      float64
@@ -210,6 +213,9 @@
 		a.used.record(now, rank, tokens)
 		return t, Granted, 0
 	}
+	if a.collected > 0 && now-a.collected >= holdAsk && m.pool(a, now) == m.self {
+		a.recordShortage(now)
+	}
 	lack := m.lack(now, a, tokens, rank)
 	if d, ok := a.denial(now, rank, lack); ok {
 		return Taken{}, Denied, d.before - now
--- a/internal/policy/quota/use.go
+++ b/internal/policy/quota/use.go
@@ -17,7 +17,7 @@
 	// reserveLife bounds it as a part of the tokens' life: with a reserve for the whole
 	// life, the tokens that urgent requests leave would expire in it.
 	reserveHorizon = time.Second
-	reserveLife    = 0.25
+	reserveLife    = 0.5
 	// maxReserve bounds the reserve as a part of the capacity, so that a less urgent
 	// request finds what it costs beside it.
 	maxReserve = 0.5
@@ -99,29 +99,37 @@
 	return false
 }
 
-// mostUrgent returns the most urgent rank that is known to be in use at any gateway.
+// mostUrgent returns the most urgent rank that is known to be in use at any gateway, the last
+// one while nobody is short of tokens: ranks then make no difference.
 func (a *account) mostUrgent(now time.Duration) int {
-	r := min(a.used.mostUrgent(now), a.asks.mostUrgent(now))
-	if now < a.toldUntil {
-		r = min(r, a.told)
+	switch {
+	case now < a.shortUntil:
+		return min(a.used.mostUrgent(now), a.asks.mostUrgent(now))
+	case now < a.toldUntil && a.told < priority.Last:
+		return min(a.used.mostUrgent(now), a.told)
 	}
-	return r
+	return priority.Last
 }
 
+// recordShortage records at the pool that a request got no tokens although all gateways were
+// asked for theirs.
+func (a *account) recordShortage(now time.Duration) { a.shortUntil = now + activeFor }
+
 // yields reports whether requests of a rank leave tokens to more urgent ones.
 func (a *account) yields(now time.Duration, rank int) bool {
 	return rank > priority.First && a.mostUrgent(now) < rank
 }
 
 // reserve returns the tokens that the pool keeps for requests before a rank: what they are
-// expected to use, or one of them if they are rare.
+// expected to use, and one of them, as rare ones come in clumps.
 func (a *account) reserve(now time.Duration, rank int) float64 {
-	horizon := min(reserveHorizon.Seconds(), reserveLife*a.limit.lifetime().Seconds())
+	life := a.limit.lifetime().Seconds()
 	sum, largest := 0.0, a.limit.Capacity()*maxReserve/2
 	for r := range rank {
 		own, ownLargest := a.used.of(now, r)
 		asked, askedLargest := a.asks.of(now, r)
-		sum += max(horizon*(own+asked), min(largest, max(ownLargest, askedLargest)))
+		horizon := min(reserveHorizon.Seconds(), reserveLife*life)
+		sum += horizon*(own+asked) + min(largest, max(ownLargest, askedLargest))
 	}
 	return min(sum, maxReserve*a.limit.Capacity())
 }
