An engine counts as changing its stage for 10 s beyond the switch

Change: announcements and the controller's memory of its orders last 10 s beyond the switch; a listing with the new stage ends them sooner, as before.

--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -25,9 +25,9 @@
 	// would take another engine out of service for as long, while other gateways still
 	// send to it.
 	stageOrderDelay = 20 * time.Second
-	// orderVisibleWithin is how long after the change of its stage an engine may take
-	// to be listed with it.
-	orderVisibleWithin = 6 * time.Second
+	// orderVisibleWithin is how much longer than the switch itself an engine may take to be
+	// listed with its new stage: it ends its generations before, and the list lags.
+	orderVisibleWithin = 10 * time.Second
 	// leaseCandidates is how many gateways try to acquire the lease; one is left when
 	// two are replaced at once.
 	leaseCandidates = 3
@@ -303,9 +303,6 @@
 	s.lastOrders[key] = o
 }
 
-// listingDelay is how long after its change an engine is usually listed with its new stage.
-const listingDelay = time.Second
-
 // switchTime returns how long a server is out of service for a change.
 func (s *stages) switchTime(server catalog.Server) time.Duration {
 	if c := s.g.Config(); c != nil && c.Services[server.Service].Engine != nil {
@@ -329,7 +326,7 @@
 		return
 	}
 	s.setLastOrder(serverKey(c.server), sentOrder{c.to, now})
-	s.g.announceChange(c, now.Add(s.switchTime(c.server)+listingDelay), now)
+	s.g.announceChange(c, now.Add(s.switchTime(c.server)+orderVisibleWithin), now)
 	err = s.g.backend.Order(ctx, c.server, StageOrder{Stage: c.to, Holder: s.opts.Instance, Fence: fence, Orders: report.Orders})
 	if err != nil {
 		log.WithError(err).Warn("gateway: stage order failed, outcome unknown.")
