A few gateways of each zone follow the store for the others

Cause: 2,800 to 4,700 calls to the store in 48 s, which grow with the fleet, as each gateway follows the configuration and the servers by itself.

Change: with the setting following.perZone (0, off, by default) so many gateways of a zone, chosen by rendezvous hashing (policy/relay), hold watches and pass changes on to the zone's others at once. These apply changes without a gap, ask their followers every 500 ms, poll the store if they lack a change, and follow it by themselves after a second without an answer. While relayed they don't claim contact with the store, and take no changes while their own calls fail, so that entries that lapse in an outage are kept as before. A poll of a compacted history lists again.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -37,7 +37,7 @@
 	b := board.New()
 	g := gateway.New(gateway.Options{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Backend: deps.Backend, Board: b,
-		Budget: gateway.Budget{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window.D()}, KeyExpiry: s.Keys.Expiry.D(), Log: log,
+		Budget: gateway.Budget{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window.D()}, KeyExpiry: s.Keys.Expiry.D(), FollowersPerZone: s.Following.PerZone, Log: log,
 	})
 	server := gateway.NewServer(g, gateway.ServerOptions{
 		Listen: s.Listen, Ready: s.Ready, ReadyPath: deps.ReadyPath,
@@ -77,6 +77,7 @@
 	g.ShareOrigins(origins)
 	g.ShareStore(gateway.StoreSharing{
 		Peers: func() []string { return otherAddresses(members.Known(), s.ID) }, Send: exchange.SendStore,
+		Self: s.Peer, Zone: func() []string { return zoneAddresses(members.Known(), s.AvailabilityZone) },
 	})
 	members.ShareSoftware(g.SoftwareDigest, g.SetSoftwareDigests)
 	g.OnSoftwareChange(members.RequestRenewal)
@@ -165,6 +166,12 @@
 	return append(near, far...)
 }
 
+// zoneAddresses returns the addresses of all gateways of an availability zone.
+func zoneAddresses(list []peers.Peer, zone string) []string {
+	near, _ := addresses(list, "", zone)
+	return near
+}
+
 // peerAddresses returns the addresses of all gateways of the list.
 func peerAddresses(list []peers.Peer) []string {
 	out := make([]string, len(list))
--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"jayford.example/jayford/internal/platform"
@@ -74,8 +75,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.polling = false
-	if c.err == nil && f.listed {
+	switch {
+	case c.err == nil && f.listed:
 		f.applyChangesLocked(c)
+	case errors.Is(c.err, platform.ErrCompacted):
+		// Run, which may hold no watch, lists again.
+		f.listed = false
+		f.signal()
 	}
 }
 
@@ -119,9 +125,13 @@
 		f.opts.Confirmed(c.bootAt)
 		return false
 	}
+	before := f.copy.Changed
 	f.copy = f.copy.advance(c.page.Listing)
 	f.notifyLocked(Update{Objects: c.page.Objects, StartedAt: c.startedAt})
 	f.opts.Applied(f.copy)
+	if at > before && len(c.page.Objects) > 0 {
+		f.opts.Changed(Changes{After: before, Revision: at, Objects: c.page.Objects})
+	}
 	if at > 0 {
 		// A listing without a revision is that of a call that ended before it was answered.
 		f.opts.Confirmed(c.bootAt)
@@ -135,4 +145,5 @@
 	f.opts.Log.WithField("kind", f.opts.Kind).WithField("revision", at).WithField("before", f.copy.Position).
 		Warn("follow: the platform is at an earlier revision; listing again.")
 	f.copy, f.listed = Copy{}, false
+	f.signal()
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -54,6 +54,9 @@
 	// (package boottime) at which the answered call began: nothing that was written
 	// before that is missing. It may be nil.
 	Confirmed func(at time.Duration)
+	// Changed is called after changes of the store's own answers were applied, with all behind
+	// the newest change before. It may be nil.
+	Changed func(Changes)
 	// Availability records answers and failures; it may be nil.
 	Availability *Availability
 	Log          *logrus.Entry
@@ -83,8 +86,13 @@
 	// passed to Apply yet. All are guarded by mu, as are calls of Apply, Applied and Confirmed.
 	copy            Copy
 	listed, polling bool
-	failingSince    time.Time
-	pendingOutage   endedOutage
+	// relayed is set while others pass changes on, guarded by mu.
+	relayed       bool
+	failingSince  time.Time
+	pendingOutage endedOutage
+
+	// wake signals that what Run waits for may have changed.
+	wake chan struct{}
 
 	// The fields below are used only by Run.
 
@@ -133,12 +141,19 @@
 	if o.Confirmed == nil {
 		o.Confirmed = func(time.Duration) {}
 	}
-	return &Follower{opts: o}
+	if o.Changed == nil {
+		o.Changed = func(Changes) {}
+	}
+	return &Follower{opts: o, wake: make(chan struct{}, 1)}
 }
 
 // Run follows until ctx ends and then returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		f.awaitTurn(ctx)
+		if ctx.Err() != nil {
+			break
+		}
 		c := f.callPlatform(ctx)
 		if ctx.Err() != nil {
 			break
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -11,10 +11,10 @@
 	"github.com/sirupsen/logrus"
 
 	pb "jayford.example/jayford/api/jayfordv1"
-	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/policy/confirm"
+	"jayford.example/jayford/internal/policy/relay"
 )
 
 var (
@@ -30,6 +30,10 @@
 type StoreSharing struct {
 	// Peers returns the addresses of the other gateways.
 	Peers func() []string
+	// Self is this gateway's address, and Zone returns the addresses of all gateways of its
+	// availability zone, itself among them. They are used with Options.FollowersPerZone.
+	Self string
+	Zone func() []string
 	// Send sends a datagram to a gateway, and may lose it. It reports whether the message fits
 	// into one.
 	Send func(to string, m *pb.StoreMessage) bool
@@ -46,40 +50,49 @@
 
 func (r reliance) String() string { return [...]string{"none", "store", "peers"}[r] }
 
-// confirmations exchanges confirmations of the configuration with other gateways. It does
-// nothing where keys don't expire.
+// confirmations exchanges what gateways know of the store: confirmations of the configuration
+// where keys expire, and changes where some gateways of a zone follow the store for the others.
 type confirmations struct {
 	log *logrus.Entry
-	// expiry is Options.KeyExpiry, now reads the boot time.
-	expiry time.Duration
-	now    func() time.Duration
+	// expiry is Options.KeyExpiry, perZone is Options.FollowersPerZone, now reads the boot time.
+	expiry  time.Duration
+	perZone int
+	zone    string
+	now     func() time.Duration
+	// availability is that of the gateway's followers.
+	availability *follow.Availability
 
 	mu sync.Mutex
-	// All below is guarded by mu. rely is set by run.
-	machine *confirm.Machine
-	sharing StoreSharing
-	rely    func(at time.Duration)
-	kind    string
-	copy    confirm.Copy
-	mode    reliance
+	// All below is guarded by mu. rely and followers are set by run.
+	machine   *confirm.Machine
+	sharing   StoreSharing
+	rely      func(at time.Duration)
+	followers map[string]*follow.Follower
+	sources   Sources
+	copy      confirm.Copy
+	mode      reliance
+	// relay is nil before run, and without FollowersPerZone. relayed: this gateway doesn't follow
+	// the store itself, failing: its calls fail.
+	relay            *relay.Machine
+	relayed, failing bool
 
-	// polls signals that the store should be polled.
-	polls chan struct{}
+	// polls has the kinds for which the store should be polled.
+	polls chan string
 }
 
-func newConfirmations(expiry time.Duration, b *board.Board, log *logrus.Entry) *confirmations {
+func newConfirmations(o Options, availability *follow.Availability, log *logrus.Entry) *confirmations {
 	c := &confirmations{
-		log: log, expiry: expiry, now: boottime.Now, polls: make(chan struct{}, 1),
-		machine: confirm.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		sharing: StoreSharing{Peers: func() []string { return nil }, Send: func(string, *pb.StoreMessage) bool { return true }},
+		log: log, expiry: o.KeyExpiry, perZone: o.FollowersPerZone, zone: o.AvailabilityZone, now: boottime.Now, polls: make(chan string, 4),
+		availability: availability, machine: confirm.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		sharing: StoreSharing{Peers: func() []string { return nil }, Zone: func() []string { return nil }, Send: func(string, *pb.StoreMessage) bool { return true }},
 	}
 	if c.isOn() {
-		b.AddView("storeConfirmation", c.view)
+		o.Board.AddView("storeConfirmation", c.view)
 	}
 	return c
 }
 
-func (c *confirmations) isOn() bool { return c.expiry > 0 }
+func (c *confirmations) isOn() bool { return c.expiry > 0 || c.perZone > 0 }
 
 // ShareStore makes the gateway ask others what they know of the store. It must be called
 // before Follow.
@@ -101,8 +114,13 @@
 	return func(x follow.Copy) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.kind, c.copy = kind, confirm.Copy(x)
-		c.machine.Applied(kind, c.copy)
+		if !c.speaksOf(kind) {
+			return
+		}
+		if kind == c.sources.ConfigKind {
+			c.copy = confirm.Copy(x)
+		}
+		c.machine.Applied(kind, confirm.Copy(x))
 	}
 }
 
@@ -110,27 +128,46 @@
 func (c *confirmations) confirmed(kind string, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.machine.Confirmed(kind, at)
+	if c.speaksOf(kind) {
+		c.machine.Confirmed(kind, at)
+	}
+}
+
+// speaksOf reports whether gateways tell each other of a kind: of servers only where some
+// follow the store for others.
+func (c *confirmations) speaksOf(kind string) bool {
+	return kind == c.sources.ConfigKind || c.perZone > 0
 }
 
 // receive handles a datagram. The clock is read after it has arrived.
 func (c *confirmations) receive(from string, m *pb.StoreMessage) {
+	if m.Changes != nil {
+		c.receiveChanges(from, m)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sendLocked(c.machine.Receive(c.now(), from, decodeStore(m)))
+	c.sendLocked(c.direct(c.machine.Receive(c.now(), from, decodeStore(m))))
+	if a := c.machine.Accepted(); a != nil {
+		c.acceptLocked(a)
+	}
 	c.useLocked()
 }
 
 // useLocked relies on what the machine knows, and has the store polled if that is due.
 func (c *confirmations) useLocked() {
-	if at, ok := c.machine.ConfirmedAt(c.kind); ok && c.rely != nil {
+	if at, ok := c.machine.ConfirmedAt(c.sources.ConfigKind); ok && c.rely != nil {
 		c.rely(at)
 	}
-	if len(c.machine.Due()) == 0 {
-		return
+	for _, kind := range c.machine.Due() {
+		c.requestPoll(kind)
 	}
+}
+
+// requestPoll has the store polled for a kind.
+func (c *confirmations) requestPoll(kind string) {
 	select {
-	case c.polls <- struct{}{}:
+	case c.polls <- kind:
 	default:
 	}
 }
@@ -141,13 +178,17 @@
 	}
 }
 
-// run asks peers and polls the store when that is due, until ctx ends.
-func (c *confirmations) run(ctx context.Context, f *follow.Follower, s *configSource) error {
+// run asks peers and polls the store when that is due, until ctx ends. followers has those of
+// both kinds.
+func (c *confirmations) run(ctx context.Context, followers map[string]*follow.Follower, s *configSource) error {
 	if !c.isOn() {
 		return nil
 	}
 	c.mu.Lock()
-	c.rely = s.rely
+	c.rely, c.followers = s.rely, followers
+	if c.perZone > 0 {
+		c.relay = relay.New(c.sharing.Self, c.perZone)
+	}
 	c.mu.Unlock()
 	ticker := time.NewTicker(confirm.TickInterval)
 	defer ticker.Stop()
@@ -156,23 +197,38 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			c.tick(f.IsFailing())
-		case <-c.polls:
+			c.tick()
+		case kind := <-c.polls:
 			storePolls.Inc()
-			go f.Poll(ctx)
+			go followers[kind].Poll(ctx)
 		}
 	}
 }
 
-// tick asks peers if the confirmation is old. isFailing tells that the store doesn't answer
-// this gateway.
-func (c *confirmations) tick(isFailing bool) {
+// begin sets the kinds that are followed, before the followers start.
+func (c *confirmations) begin(s Sources) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sources = s
+	if c.expiry > 0 {
+		c.machine.Keep(s.ConfigKind)
+	}
+}
+
+// tick asks peers if the confirmation is old, and the zone's followers.
+func (c *confirmations) tick() {
 	peers := c.sharing.Peers()
+	configFailing := c.followers[c.sources.ConfigKind].IsFailing()
+	failing := configFailing || c.followers[c.sources.ServerKind].IsFailing()
+	c.tickRelay(failing)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sendLocked(c.machine.Tick(c.now(), peers))
+	c.failing = failing
+	if c.expiry > 0 {
+		c.sendLocked(c.machine.Tick(c.now(), peers))
+		c.report(configFailing)
+	}
 	c.useLocked()
-	c.report(isFailing)
 	n := c.machine.Counts()
 	storeQuestions.Set(n.Questions)
 	storeConfirmations.Set(n.Confirmations)
@@ -201,7 +257,7 @@
 
 // ageLocked returns the age of the confirmation.
 func (c *confirmations) ageLocked() time.Duration {
-	at, ok := c.machine.ConfirmedAt(c.kind)
+	at, ok := c.machine.ConfirmedAt(c.sources.ConfigKind)
 	if !ok {
 		return math.MaxInt64
 	}
@@ -212,6 +268,7 @@
 type confirmationView struct {
 	Kind              string
 	By                string
+	Relayed           bool
 	AgeMs             int64
 	Position, Changed uint64
 	Counts            confirm.Counts
@@ -221,31 +278,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return confirmationView{
-		Kind: c.kind, By: c.mode.String(), AgeMs: c.ageLocked().Milliseconds(),
+		Kind: c.sources.ConfigKind, By: c.mode.String(), Relayed: c.relayed, AgeMs: c.ageLocked().Milliseconds(),
 		Position: c.copy.Position, Changed: c.copy.Changed, Counts: c.machine.Counts(),
 	}
 }
-
-func encodeStore(x confirm.Message) *pb.StoreMessage {
-	out := &pb.StoreMessage{Question: x.Question, Answers: x.Answers}
-	for _, a := range x.Copies {
-		// The age is rounded up: it must not be too small.
-		age := (a.Age + time.Microsecond - 1) / time.Microsecond
-		out.Copies = append(out.Copies, &pb.StoreCopy{Kind: a.Kind, Changed: a.Changed, AgeUs: uint64(age)})
-	}
-	return out
-}
-
-// decodeStore converts a message. An age that is out of range becomes a negative one, with
-// which the message isn't valid.
-func decodeStore(m *pb.StoreMessage) confirm.Message {
-	out := confirm.Message{Question: m.Question, Answers: m.Answers}
-	for _, x := range m.Copies {
-		age := time.Duration(-1)
-		if x.AgeUs <= math.MaxInt64/uint64(time.Microsecond) {
-			age = time.Duration(x.AgeUs) * time.Microsecond
-		}
-		out.Copies = append(out.Copies, confirm.Answer{Kind: x.Kind, Changed: x.Changed, Age: age})
-	}
-	return out
-}
--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -179,9 +180,16 @@
 	g     map[string]*Gateway
 	logs  map[string]*lockedBuffer
 
+	perZone int
+	ctx     context.Context
+	running sync.WaitGroup
+
 	mu sync.Mutex
-	// cut is guarded by mu: no datagrams pass.
-	cut bool
+	// members, cut and drops are guarded by mu. members are the gateways that others know. cut:
+	// no datagrams pass. drops reports whether one is lost; it may be nil.
+	members []string
+	cut     bool
+	drops   func(from, to string, m *pb.StoreMessage) bool
 }
 
 type lockedBuffer struct {
@@ -205,52 +213,90 @@
 
 func newSharingFleet(t *testing.T, n int) *sharingFleet {
 	t.Helper()
-	f := &sharingFleet{store: newSharedStore(), g: map[string]*Gateway{}, logs: map[string]*lockedBuffer{}}
+	return newRelayingFleet(t, n, 0)
+}
+
+// newRelayingFleet returns gateways of one zone, perZone of which follow the store for all.
+func newRelayingFleet(t *testing.T, n, perZone int) *sharingFleet {
+	t.Helper()
+	f := &sharingFleet{store: newSharedStore(), g: map[string]*Gateway{}, logs: map[string]*lockedBuffer{}, perZone: perZone}
 	f.store.put("config", "main", storedKeys{Version: 1, Keys: []string{"stays", "goes"}}, false)
 	for _, s := range testServers() {
 		f.store.put("servers", s.ID, s, false)
 	}
+	ctx, cancel := context.WithCancel(t.Context())
+	f.ctx = ctx
+	t.Cleanup(func() {
+		cancel()
+		f.running.Wait()
+	})
 	for i := range n {
 		f.ids = append(f.ids, fmt.Sprint("g", i))
 	}
+	f.setMembers(f.ids)
 	for _, id := range f.ids {
 		f.add(id)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-	})
 	for _, id := range f.ids {
-		sources := Sources{Store: sharedStoreClient{f.store, id}, Decoder: keyDecoder{}, ConfigKind: "config", ConfigName: "main", ServerKind: "servers"}
-		running.Go(func() { _ = f.g[id].Follow(ctx, sources) })
+		f.start(id)
 	}
 	return f
 }
 
+func (f *sharingFleet) setMembers(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = slices.Clone(ids)
+}
+
+func (f *sharingFleet) zone() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members
+}
+
+func (f *sharingFleet) start(id string) {
+	sources := Sources{Store: sharedStoreClient{f.store, id}, Decoder: keyDecoder{}, ConfigKind: "config", ConfigName: "main", ServerKind: "servers"}
+	f.running.Go(func() { _ = f.g[id].Follow(f.ctx, sources) })
+}
+
+// add makes a gateway.
 func (f *sharingFleet) add(id string) {
 	log := &lockedBuffer{}
 	l := logrus.New()
 	l.SetOutput(log)
 	l.SetFormatter(&logrus.JSONFormatter{})
 	backend := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("x")), nil }}
-	g := New(Options{ID: id, Backend: backend, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, KeyExpiry: sharedExpiry, Log: l})
+	g := New(Options{
+		ID: id, AvailabilityZone: "z", Backend: backend, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		KeyExpiry: sharedExpiry, FollowersPerZone: f.perZone, Log: l,
+	})
 	settleBudget(g)
+	f.mu.Lock()
 	f.g[id], f.logs[id] = g, log
-	g.ShareStore(StoreSharing{Peers: func() []string { return f.others(id) }, Send: func(to string, m *pb.StoreMessage) bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if !f.cut {
-			go f.g[to].HandleStore(id, proto.CloneOf(m))
-		}
-		return true
-	}})
+	f.mu.Unlock()
+	g.ShareStore(StoreSharing{
+		Self: id, Zone: f.zone, Peers: func() []string { return f.others(id) },
+		Send: func(to string, m *pb.StoreMessage) bool { return f.send(id, to, m) },
+	})
+}
+
+// send delivers a datagram, unless it is lost or too large.
+func (f *sharingFleet) send(from, to string, m *pb.StoreMessage) bool {
+	if proto.Size(m) > 1150 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if g := f.g[to]; g != nil && !f.cut && (f.drops == nil || !f.drops(from, to, m)) {
+		go g.HandleStore(from, proto.CloneOf(m))
+	}
+	return true
 }
 
 func (f *sharingFleet) others(self string) []string {
 	var out []string
-	for _, id := range f.ids {
+	for _, id := range f.zone() {
 		if id != self {
 			out = append(out, id)
 		}
@@ -299,6 +345,7 @@
 // and against a removed key that they accept past its expiry because others confirm the copy
 // they have. Half of the time datagrams pass, then none do.
 func TestGatewaysCutOffFromTheStoreAreConfirmedByOthers(t *testing.T) {
+	t.Parallel()
 	f := newSharingFleet(t, 6)
 	f.awaitReady(t)
 	f.store.refuse(true, "g0", "g1")
@@ -340,6 +387,7 @@
 // Guards against refusals early in an outage of the whole store: all gateways rely on the
 // freshest confirmation, for nearly the whole of the keys' expiry.
 func TestWholeOutageIsOutlastedForTheExpiry(t *testing.T) {
+	t.Parallel()
 	f := newSharingFleet(t, 6)
 	f.awaitReady(t)
 	time.Sleep(2 * time.Second)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -40,18 +40,23 @@
 func (g *Gateway) Follow(ctx context.Context, s Sources) error {
 	group, ctx := errgroup.WithContext(ctx)
 	source := &configSource{g: g, sources: s}
+	shared := g.confirmations
+	shared.begin(s)
 	config := follow.New(follow.Options{
 		Store: s.Store, Kind: s.ConfigKind, Wait: g.configWatchTimeout(), Availability: &g.platformAvailability, Log: g.log,
-		Apply: source.apply, Applied: g.confirmations.applied(s.ConfigKind), Confirmed: source.confirm,
+		Apply: source.apply, Applied: shared.applied(s.ConfigKind), Changed: shared.passOn(s.ConfigKind), Confirmed: source.confirm,
 	})
 	roster := &roster{g: g, decoder: s.Decoder, entries: map[string]entry{}}
 	servers := follow.New(follow.Options{
 		Store: s.Store, Kind: s.ServerKind, Wait: watchTimeout, Availability: &g.platformAvailability, Log: g.log, Apply: roster.apply,
+		Applied: shared.applied(s.ServerKind), Changed: shared.passOn(s.ServerKind), Confirmed: func(at time.Duration) { shared.confirmed(s.ServerKind, at) },
 	})
 	group.Go(func() error { return config.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
 	group.Go(func() error { return g.probe(ctx) })
-	group.Go(func() error { return g.confirmations.run(ctx, config, source) })
+	group.Go(func() error {
+		return shared.run(ctx, map[string]*follow.Follower{s.ConfigKind: config, s.ServerKind: servers}, source)
+	})
 	return group.Wait()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,10 @@
 	// KeyExpiry bounds how long after its removal a key may still be accepted, also while
 	// the platform can't be reached; 0 for no bound.
 	KeyExpiry time.Duration
-	Log       *logrus.Logger
+	// FollowersPerZone is how many gateways of an availability zone follow the store and pass
+	// changes on to the others; with 0 each follows it by itself.
+	FollowersPerZone int
+	Log              *logrus.Logger
 }
 
 // Gateway routes requests to backend servers.
@@ -127,7 +130,7 @@
 	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
 	g.software = newSoftwareVersions(o.Board)
-	g.confirmations = newConfirmations(o.KeyExpiry, o.Board, g.log)
+	g.confirmations = newConfirmations(o, &g.platformAvailability, g.log)
 	g.origins = origin.NewExchange(origin.Options{Gateways: func() []string { return nil }})
 	g.limits = newLimits(o.ID, o.Board, g.log)
 	g.pauses = newPauses(o.Board, g.log)
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/follow"
+	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/confirm"
+)
+
+var (
+	storeRelayed = metrics.NewCounter("jayford_gateway_store_relayed")
+	relaySent    = metrics.NewCounter("jayford_gateway_store_changes_sent_total")
+	relayApplied = metrics.NewCounter("jayford_gateway_store_changes_received_total")
+	relayOmitted = metrics.NewCounter("jayford_gateway_store_changes_omitted_total")
+	relayMissing = metrics.NewCounter("jayford_gateway_store_changes_missing_total")
+	relayInvalid = metrics.NewCounter("jayford_gateway_store_changes_malformed_total")
+)
+
+// maxRelayedObjects bounds the objects of one message: more don't fit into a datagram.
+const maxRelayedObjects = 200
+
+// tickRelay asks the zone's followers, and decides whether this gateway relies on them.
+func (c *confirmations) tickRelay(failing bool) {
+	if c.relay == nil {
+		return
+	}
+	zone, all := c.sharing.Zone(), len(c.sharing.Peers())+1
+	c.mu.Lock()
+	now := c.now()
+	c.relay.SetMembers(c.zone, zone)
+	for _, to := range c.relay.Tick(now) {
+		c.sendLocked([]confirm.Envelope{c.machine.Ask(now, to)})
+	}
+	relayed := c.relay.Relayed(now, failing)
+	if relayed != c.relayed {
+		c.log.WithField("relayed", relayed).WithField("follower", c.relay.IsChosen()).Info("gateway: who follows the store changed.")
+	}
+	c.relayed = relayed
+	// Each zone has about as many followers for its gateways as this one.
+	c.machine.SetPollers(max(1, all*min(c.perZone, len(zone))/max(1, len(zone))), !relayed)
+	c.mu.Unlock()
+	storeRelayed.Set(0)
+	if relayed {
+		storeRelayed.Set(1)
+	}
+	for _, f := range c.followers {
+		f.SetRelayed(relayed)
+	}
+}
+
+// direct leaves out of answers what this gateway says of servers unless it follows the store
+// itself and is answered: others rely on that.
+func (c *confirmations) direct(list []confirm.Envelope) []confirm.Envelope {
+	if !c.relayed && !c.failing {
+		return list
+	}
+	for i := range list {
+		var kept []confirm.Answer
+		for _, a := range list[i].Message.Copies {
+			if a.Kind != c.sources.ServerKind {
+				kept = append(kept, a)
+			}
+		}
+		list[i].Message.Copies = kept
+		if len(kept) == 0 {
+			return list[:i]
+		}
+	}
+	return list
+}
+
+// acceptLocked uses an accepted answer as one of a follower of the zone, if it speaks of both
+// kinds.
+func (c *confirmations) acceptLocked(a *confirm.Accepted) {
+	if c.relay == nil {
+		return
+	}
+	complete, age, current := 0, time.Duration(0), true
+	for _, x := range a.Copies {
+		if x.Kind == c.sources.ServerKind || x.Kind == c.sources.ConfigKind {
+			complete++
+			age = max(age, x.Age)
+			current = current && x.Changed <= c.machine.Position(x.Kind)
+		}
+	}
+	c.relay.Answered(a.AskedAt, a.From, complete == 2, age)
+	if complete == 2 && current && c.relayed {
+		c.availability.Relayed(time.Now().Add(a.AskedAt - c.now()))
+	}
+}
+
+// passOn returns the function that passes changes of a kind on to the gateways of the zone
+// that rely on this one.
+func (c *confirmations) passOn(kind string) func(follow.Changes) {
+	return func(x follow.Changes) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.relay == nil || c.relayed {
+			return
+		}
+		m := &pb.StoreMessage{Changes: encodeChanges(kind, x)}
+		for _, to := range c.relay.Recipients() {
+			if !c.sharing.Send(to, m) {
+				m.Changes.Objects, m.Changes.Omitted = nil, true
+				relayOmitted.Inc()
+				c.sharing.Send(to, m)
+			}
+			relaySent.Inc()
+		}
+	}
+}
+
+// receiveChanges applies changes that a follower of the zone passed on, or has the store
+// polled if some are missing.
+func (c *confirmations) receiveChanges(from string, m *pb.StoreMessage) {
+	x := m.Changes
+	c.mu.Lock()
+	f, relayed, isOn := c.followers[x.Kind], c.relayed, c.relay != nil
+	c.mu.Unlock()
+	switch {
+	case !isOn:
+		return
+	case f == nil || !validChanges(m):
+		relayInvalid.Inc()
+		c.log.WithField("from", from).Debug("gateway: malformed changes dropped.")
+		return
+	case !relayed:
+		return
+	}
+	relayApplied.Inc()
+	if x.Omitted || f.ApplyRelayed(decodeChanges(x)) {
+		relayMissing.Inc()
+		c.requestPoll(x.Kind)
+	}
+}
+
+// validChanges reports whether a message can be one of a sound peer.
+func validChanges(m *pb.StoreMessage) bool {
+	x := m.Changes
+	if m.Question != 0 || m.Answers != 0 || len(m.Copies) > 0 || x.After >= x.Revision {
+		return false
+	}
+	if x.Omitted == (len(x.Objects) > 0) || len(x.Objects) > maxRelayedObjects {
+		return false
+	}
+	for _, o := range x.Objects {
+		if o.Name == "" || o.Version > x.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+func encodeChanges(kind string, x follow.Changes) *pb.StoreChanges {
+	out := &pb.StoreChanges{Kind: kind, After: x.After, Revision: x.Revision}
+	if len(x.Objects) > maxRelayedObjects {
+		out.Omitted = true
+		return out
+	}
+	for _, o := range x.Objects {
+		out.Objects = append(out.Objects, &pb.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Spec: o.Spec})
+	}
+	return out
+}
+
+func decodeChanges(x *pb.StoreChanges) follow.Changes {
+	out := follow.Changes{After: x.After, Revision: x.Revision}
+	for _, o := range x.Objects {
+		out.Objects = append(out.Objects, platform.Object{Kind: x.Kind, Name: o.Name, Version: o.Version, Deleted: o.Deleted, Spec: o.Spec})
+	}
+	return out
+}
+
+func encodeStore(x confirm.Message) *pb.StoreMessage {
+	out := &pb.StoreMessage{Question: x.Question, Answers: x.Answers}
+	for _, a := range x.Copies {
+		// The age is rounded up: it must not be too small.
+		age := (a.Age + time.Microsecond - 1) / time.Microsecond
+		out.Copies = append(out.Copies, &pb.StoreCopy{Kind: a.Kind, Changed: a.Changed, AgeUs: uint64(age)})
+	}
+	return out
+}
+
+// decodeStore converts a message. An age that is out of range becomes a negative one, with
+// which the message isn't valid.
+func decodeStore(m *pb.StoreMessage) confirm.Message {
+	out := confirm.Message{Question: m.Question, Answers: m.Answers}
+	for _, x := range m.Copies {
+		age := time.Duration(-1)
+		if x.AgeUs <= math.MaxInt64/uint64(time.Microsecond) {
+			age = time.Duration(x.AgeUs) * time.Microsecond
+		}
+		out.Copies = append(out.Copies, confirm.Answer{Kind: x.Kind, Changed: x.Changed, Age: age})
+	}
+	return out
+}
--- a/internal/policy/confirm/machine.go
+++ b/internal/policy/confirm/machine.go
@@ -28,7 +28,7 @@
 	pollAge    = 250 * time.Millisecond
 	ownPollAge = 2500 * time.Millisecond
 	// behindInterval is how often the store is asked because of the same missing change.
-	behindInterval = time.Second
+	behindInterval = 500 * time.Millisecond
 	// maxAge and maxCopies bound what a message may say.
 	maxAge    = 24 * time.Hour
 	maxCopies = 8
@@ -75,6 +75,8 @@
 // state is what is known of one kind.
 type state struct {
 	copy Copy
+	// kept: Tick keeps the confirmation fresh.
+	kept bool
 	// at is the moment as of which the copy lacks no change, if confirmed is set.
 	at        time.Duration
 	confirmed bool
@@ -97,13 +99,26 @@
 	kinds     map[string]*state
 	questions map[uint64]question
 	// polls has the kinds that are due for a poll in their turn.
-	polls  map[string]bool
-	counts Counts
+	polls map[string]bool
+	// pollers is how many gateways poll in their turn, 0 for all, and polling is set if this is
+	// one.
+	pollers int
+	polling bool
+	counts  Counts
+	// accepted is the answer that the last Receive accepted, nil for none.
+	accepted *Accepted
+}
+
+// Accepted is an answer to an open question, which was asked at a time.
+type Accepted struct {
+	From    string
+	AskedAt time.Duration
+	Copies  []Answer
 }
 
 // New returns a Machine that draws from random.
 func New(random *rand.Rand) *Machine {
-	return &Machine{random: random, kinds: map[string]*state{}, questions: map[uint64]question{}, polls: map[string]bool{}}
+	return &Machine{random: random, kinds: map[string]*state{}, questions: map[uint64]question{}, polls: map[string]bool{}, polling: true}
 }
 
 func (m *Machine) state(kind string) *state {
@@ -115,12 +130,30 @@
 	return s
 }
 
+// Keep makes Tick keep the confirmation of a kind fresh.
+func (m *Machine) Keep(kind string) { m.state(kind).kept = true }
+
+// SetPollers sets how many gateways poll the store in their turn, 0 for all, and whether this
+// is one of them.
+func (m *Machine) SetPollers(n int, self bool) { m.pollers, m.polling = n, self }
+
+// Accepted returns the answer that the last Receive accepted, nil if it accepted none.
+func (m *Machine) Accepted() *Accepted { return m.accepted }
+
+// Position returns the position of the copy.
+func (m *Machine) Position(kind string) uint64 {
+	if s := m.kinds[kind]; s != nil {
+		return s.copy.Position
+	}
+	return 0
+}
+
 // Applied records that the gateway's copy has all changes up to c.Position. It is called after
 // they were put in force. A copy that goes back, as the store was, keeps no confirmation.
 func (m *Machine) Applied(kind string, c Copy) {
 	s := m.state(kind)
 	if c.Position < s.copy.Position {
-		*s = state{}
+		*s = state{kept: s.kept}
 	}
 	s.copy = c
 	if s.newer <= c.Position {
@@ -149,8 +182,8 @@
 // Counts returns the counts of events.
 func (m *Machine) Counts() Counts { return m.counts }
 
-// age returns the age of the oldest confirmation of the kinds that were applied, 0 if there
-// is none. A kind that was never confirmed counts as stale.
+// age returns the age of the oldest confirmation of the kinds that are kept, 0 if none was
+// applied. A kind that was never confirmed counts as stale.
 func (m *Machine) age(now time.Duration) time.Duration {
 	var out time.Duration
 	for _, s := range m.kinds {
@@ -161,7 +194,7 @@
 
 func (s *state) age(now time.Duration) time.Duration {
 	switch {
-	case s.copy.Position == 0:
+	case s.copy.Position == 0 || !s.kept:
 		return 0
 	case !s.confirmed:
 		return maxAge
@@ -184,7 +217,7 @@
 	}
 	var out []Envelope
 	for _, to := range m.draw(peers, n) {
-		out = append(out, m.ask(now, to))
+		out = append(out, m.Ask(now, to))
 	}
 	return out
 }
@@ -192,9 +225,13 @@
 // drawPolls draws whether it is this gateway's turn to poll the store.
 func (m *Machine) drawPolls(now time.Duration, peers int) {
 	clear(m.polls)
+	pollers := peers + 1
+	if m.pollers > 0 {
+		pollers = m.pollers
+	}
 	for kind, s := range m.kinds {
 		age := s.age(now)
-		if age > ownPollAge || age > pollAge && m.random.IntN(peers+1) < pollsPerTick {
+		if age > ownPollAge || m.polling && age > pollAge && m.random.IntN(pollers) < pollsPerTick {
 			m.polls[kind] = true
 		}
 	}
@@ -214,7 +251,8 @@
 	return out
 }
 
-func (m *Machine) ask(now time.Duration, to string) Envelope {
+// Ask returns a question to a peer, whatever the age of the confirmations.
+func (m *Machine) Ask(now time.Duration, to string) Envelope {
 	number := max(1, m.random.Uint64())
 	m.questions[number] = question{to: to, at: now}
 	m.counts.Questions++
@@ -239,6 +277,7 @@
 // Receive handles a message of a peer and returns the answer, if it is a question. now is
 // read after the message was received.
 func (m *Machine) Receive(now time.Duration, from string, x Message) []Envelope {
+	m.accepted = nil
 	switch {
 	case !x.valid():
 		m.counts.Malformed++
@@ -289,6 +328,7 @@
 		return
 	}
 	delete(m.questions, x.Answers)
+	m.accepted = &Accepted{From: from, AskedAt: q.at, Copies: x.Copies}
 	for _, c := range x.Copies {
 		if s := m.kinds[c.Kind]; s != nil && s.copy.Position > 0 {
 			m.compare(now, s, c, q.at-c.Age)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,6 +18,15 @@
 	Stages Stages        `json:"stages"`
 	Keys   Keys          `json:"keys"`
 	Quota  Quota         `json:"quota"`
+	// Following says which gateways follow the platform's store.
+	Following Following `json:"following"`
+}
+
+// Following says which gateways follow the platform's store.
+type Following struct {
+	// PerZone is how many gateways of an availability zone do, and pass changes on to its
+	// others; 0 for all.
+	PerZone int `json:"perZone"`
 }
 
 // Quota holds the settings of organisations' quotas.
@@ -113,6 +122,9 @@
 	return g, nil
 }
 
+// maxFollowersPerZone is far above what is of use.
+const maxFollowersPerZone = 100
+
 func checkGateway(d *strictjson.Document, g Gateway) {
 	checkProcess(d, g.Process)
 	d.Listener("listen", g.Listen)
@@ -135,6 +147,7 @@
 	}
 	strictjson.Range(d, "quota.slack", g.Quota.Slack, 0, maxQuotaSlack)
 	duration(d, "quota.window", g.Quota.Window, minTerm, maxWait)
+	strictjson.Range(d, "following.perZone", g.Following.PerZone, 0, maxFollowersPerZone)
 	if g.Keys.Expiry != 0 {
 		duration(d, "keys.expiry", g.Keys.Expiry, minTerm, maxWait)
 	}
