Ranks: the organisation's priority goes first, the route's decides among equals

Ruled out: the pool's order and reserve, which the simulated fleet shows to work. Change: the two priorities are compared in turn, ranks number what differs in a service, open routes make nothing differ.

--- a/internal/catalog/organisation.go
+++ b/internal/catalog/organisation.go
@@ -61,7 +61,8 @@
 // Organisation is a customer whose callers identify themselves by keys.
 type Organisation struct {
 	Name string
-	// Priority goes before the route's; 0 is the highest. It is meaningless unless
+	// Priority takes precedence over the route's, which decides among organisations that are as
+	// urgent; 0 is the highest. It is meaningless unless
 	// HasPriority is set.
 	Priority    int
 	HasPriority bool
--- a/internal/gateway/ranks.go
+++ b/internal/gateway/ranks.go
@@ -29,7 +29,5 @@
 // a request competes for nothing but its organisation's quota, of which a plain call takes a
 // twentieth of what a generation takes.
 func (g *Gateway) setRank(j *job, c *catalog.Config) {
-	if g.ranks.of(c).Applies(j.service.Name) {
-		j.rank, j.isRanked = priority.Rank(j.route, j.organisation), true
-	}
+	j.rank, j.isRanked = g.ranks.of(c).Rank(j.service.Name, j.route, j.organisation)
 }
--- a/internal/policy/priority/priority.go
+++ b/internal/policy/priority/priority.go
@@ -6,11 +6,16 @@
 //
 // The package guarantees:
 //   - A rank depends on the configuration alone, so all gateways agree on it.
-//   - Where no two requests can differ in rank, a Scheme says so, and they are served as if
-//     there were no ranks.
+//   - Where no two requests of a service's organisations can differ in rank, a Scheme says so,
+//     and they are served as if there were no ranks.
 package priority
 
-import "jayford.example/jayford/internal/catalog"
+import (
+	"cmp"
+	"slices"
+
+	"jayford.example/jayford/internal/catalog"
+)
 
 // The most and the least urgent rank. Engines know no others.
 const (
@@ -18,63 +23,71 @@
 	Last  = 9
 )
 
-// Rank returns the rank of a request; 0 is the most urgent. The organisation's priority
-// takes precedence over the route's. organisation is nil if the route needs no key.
-func Rank(route *catalog.Route, organisation *catalog.Organisation) int {
-	p := route.Priority
+// urgency is what a request's rank follows from. The organisation's priority takes precedence,
+// and the route's decides among organisations that are as urgent.
+type urgency struct{ organisation, route int }
+
+// urgencyOf returns the urgency of a request. Where no organisation declares a priority, the
+// route's stands for it; organisation is nil if the route needs no key.
+func urgencyOf(route *catalog.Route, organisation *catalog.Organisation) urgency {
+	u := urgency{route.Priority, route.Priority}
 	if organisation != nil && organisation.HasPriority {
-		p = organisation.Priority
+		u.organisation = organisation.Priority
 	}
-	return max(First, min(p, Last))
+	return u
 }
 
-// Scheme says where the requests of one configuration differ in rank. The zero value is for
-// a configuration in which none do.
-type Scheme struct {
-	services map[string]bool
-	differ   bool
+func (u urgency) compare(o urgency) int {
+	return cmp.Or(cmp.Compare(u.organisation, o.organisation), cmp.Compare(u.route, o.route))
 }
 
-// rankSet is a set of ranks, one bit for each.
-type rankSet uint16
-
-func (s rankSet) differ() bool { return s&(s-1) != 0 }
+// Scheme has the ranks of one configuration. The zero value is for a configuration in which
+// none differ.
+type Scheme struct {
+	// services has the urgencies of each service's requests, sorted.
+	services map[string][]urgency
+}
 
-// NewScheme returns the Scheme of a configuration.
+// NewScheme returns the Scheme of a configuration. Requests of open routes have no quota and no
+// organisation, so that they don't make those of organisations differ; where these differ, they
+// are ranked among them.
 func NewScheme(c *catalog.Config) Scheme {
-	ofService := map[string]rankSet{}
-	all := rankSet(0)
+	out := Scheme{services: map[string][]urgency{}}
 	for i := range c.Routes {
-		ranks := ranksOf(&c.Routes[i], c.Organisations)
-		all |= ranks
-		for _, t := range c.Routes[i].Targets {
-			ofService[t.Service] |= ranks
+		r := &c.Routes[i]
+		if r.Open && c.Organisations != nil {
+			continue
 		}
-	}
-	out := Scheme{services: map[string]bool{}, differ: all.differ()}
-	for name, ranks := range ofService {
-		if ranks.differ() {
-			out.services[name] = true
+		for _, t := range r.Targets {
+			out.services[t.Service] = append(out.services[t.Service], urgenciesOf(r, c.Organisations)...)
 		}
 	}
+	for name, list := range out.services {
+		slices.SortFunc(list, urgency.compare)
+		out.services[name] = slices.Compact(list)
+	}
 	return out
 }
 
-// ranksOf returns the ranks that requests of a route can have.
-func ranksOf(r *catalog.Route, organisations *catalog.Organisations) rankSet {
-	if r.Open || organisations == nil {
-		return 1 << Rank(r, nil)
+// urgenciesOf returns the urgencies that requests of a route can have.
+func urgenciesOf(r *catalog.Route, organisations *catalog.Organisations) []urgency {
+	if organisations == nil {
+		return []urgency{urgencyOf(r, nil)}
 	}
-	out := rankSet(0)
+	var out []urgency
 	for _, o := range organisations.All() {
-		out |= 1 << Rank(r, o)
+		out = append(out, urgencyOf(r, o))
 	}
 	return out
 }
 
-// Applies reports whether requests of a service differ in rank.
-func (s Scheme) Applies(service string) bool { return s.services[service] }
-
-// Differ reports whether any requests differ in rank. Requests of several services share
-// their organisation's quota.
-func (s Scheme) Differ() bool { return s.differ }
+// Rank returns the rank of a request to a service, 0 for the most urgent, and whether requests
+// of the service differ in it. organisation is nil if the route needs no key.
+func (s Scheme) Rank(service string, route *catalog.Route, organisation *catalog.Organisation) (rank int, differ bool) {
+	list := s.services[service]
+	if len(list) < 2 {
+		return First, false
+	}
+	at, _ := slices.BinarySearchFunc(list, urgencyOf(route, organisation), urgency.compare)
+	return min(at, Last), true
+}
