--- /dev/null
+++ b/internal/gateway/job.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/policy/prefill"
+	"jayford.example/jayford/internal/policy/retry"
+)
+
+// job is one request in progress.
+type job struct {
+	r *Request
+	// fingerprint identifies r by its content and its caller's organisation.
+	fingerprint uint64
+	// model is a hash of its model's name, parts those of the parts that its prompt shares with
+	// others.
+	model   uint32
+	parts   []uint64
+	route   *catalog.Route
+	service catalog.Service
+	// organisation is the caller's, nil if the route needs no key.
+	organisation *catalog.Organisation
+	// rank is how urgent the request is, 0 the most; isRanked: requests of its service
+	// differ in it.
+	rank     int
+	isRanked bool
+	// config is the version of the configuration that routed the request.
+	config uint64
+	// until is the deadline for the final answer.
+	until time.Time
+	// sends counts the attempts, runs those that may have run.
+	sends, runs int
+	// arrivals has the attempts that reached servers, prefills included.
+	arrivals retry.Arrivals
+	// sentAt is when the last attempt began, wroteAt when its first event came, zero before.
+	sentAt, wroteAt time.Time
+	// provenSend is the number of the attempt that was last recorded to run well.
+	provenSend int
+	// prefillState is the progress of the prompt's prefill.
+	prefillState prefill.Attempts
+	// reserveWait is the time from the request's arrival to its reservation.
+	reserveWait time.Duration
+	// begun: the caller has events of the stream, or is about to get the first one. It goes on
+	// only at servers of the software version software, at none if that is 0.
+	begun    bool
+	software uint64
+	// rounds counts the rounds of reservation attempts.
+	rounds int
+	// avoid has the keys of the servers that failed this request.
+	avoid map[string]bool
+}
+
+// logRequest logs a decision about a request, with its inputs as fields.
+func (g *Gateway) logRequest(j *job, msg string, fields logrus.Fields) {
+	all := logrus.Fields{
+		"request": j.r.ID, "route": j.route.Name, "config": j.config, "sends": j.sends, "runs": j.runs,
+		"age": milliseconds(time.Since(j.r.Arrived)), "left": milliseconds(time.Until(j.until)),
+	}
+	if j.organisation != nil {
+		all["organisation"] = j.organisation.Name
+	}
+	if j.isRanked || j.rank > 0 {
+		all["rank"] = j.rank
+	}
+	maps.Copy(all, fields)
+	g.log.WithFields(all).Info(msg)
+}
+
+func milliseconds(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
+
+// round returns x with one decimal place.
+func round(x float64) float64 { return math.Round(x*10) / 10 }
+
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -91,7 +91,7 @@
 // the queue there.
 func (g *Gateway) expectedPrefill(j *job, s catalog.Server) time.Duration {
 	if g.queues.byTime(j.service.Name) {
-		return g.queues.expected(time.Now(), serverKey(s), j.r.Generation.Prompt)
+		return g.queues.expected(g.queues.now(), serverKey(s), j.r.Generation.Prompt)
 	}
 	return g.prefillSpeed.estimate(g.loads.queuedTokens(serverKey(s)) + j.r.Generation.Prompt)
 }
@@ -112,23 +112,24 @@
 	r, err := g.backend.Prefill(ctx, s, Call{
 		Request: j.r, Organisation: j.organisationName(), IsRanked: j.isRanked, Rank: j.rank, Timeout: time.Until(j.until),
 	})
+	took := time.Since(began)
 	countSending("prefill", err)
 	if err != nil {
 		if isLoss(ctx, err) {
 			g.recordLoss(j, s, began, err)
 		}
 		g.prefillFailed(ctx, j, s, err)
-		g.logRequest(j, "gateway: prefill failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(time.Since(began))})
+		g.logRequest(j, "gateway: prefill failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(took)})
 		return prefillResult{}, false
 	}
 	j.prefillState.Done()
 	j.arrivals.PromptRead()
 	g.loads.recordAccepted(s)
 	observe(prefillSeconds, began)
-	g.prefillSpeed.record(queued, time.Since(began))
-	g.queues.recordPrefill(serverKey(s), unread, time.Since(began))
-	g.recordPromptTime(queued, tokens, time.Since(began))
-	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "unread": unread, "took": milliseconds(time.Since(began))})
+	g.prefillSpeed.record(queued, took)
+	g.queues.recordPrefill(serverKey(s), unread, took)
+	g.recordPromptTime(queued, tokens, took)
+	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "unread": unread, "took": milliseconds(took)})
 	g.view.recordOutcome(s, doubt.Success)
 	return prefillResult{from: s, id: r.Result}, true
 }
@@ -175,7 +176,7 @@
 // if one is neither full nor suspect.
 func (g *Gateway) pickPrefill(j *job) (catalog.Server, bool) {
 	list := g.view.list().usable(j.service.Name, catalog.Prefill)
-	now, prompt, rank := time.Now(), j.r.Generation.Prompt, g.byTokens
+	now, prompt, rank := g.queues.now(), j.r.Generation.Prompt, g.byTokens
 	if g.queues.decide(now, j.service.Name, j.route.LatencyObjective, prompt, list) {
 		rank = func(key string, _ load) int { return int(g.queues.expected(now, key, prompt)) }
 	}
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -27,6 +27,7 @@
 	loads   *loads
 	average *prefillSpeed
 	log     *logrus.Entry
+	now     func() time.Time
 
 	mu sync.Mutex
 	// All below is guarded by mu. Its holder may read loads.
@@ -47,7 +48,7 @@
 }
 
 func newQueues(v *view, l *loads, average *prefillSpeed, b *board.Board, log *logrus.Entry) *queues {
-	q := &queues{view: v, loads: l, average: average, log: log, speeds: speed.NewTable(), services: map[string]*serviceQueues{}}
+	q := &queues{view: v, loads: l, average: average, log: log, now: time.Now, speeds: speed.NewTable(), services: map[string]*serviceQueues{}}
 	q.backlog = backlog.New(q.paceLocked)
 	l.onTokens = q.observe
 	b.AddView("speeds", q.dump)
@@ -66,7 +67,7 @@
 func (q *queues) observe(key string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.backlog.Observe(time.Now(), gossip.ServerKey(key), q.loads.queuedTokens(key))
+	q.backlog.Observe(q.now(), gossip.ServerKey(key), q.loads.queuedTokens(key))
 }
 
 // observePeers records the tokens booked at the prefill engines among those listed.
@@ -83,7 +84,7 @@
 func (q *queues) unread(key string) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.backlog.Left(time.Now(), gossip.ServerKey(key))
+	return q.backlog.Left(q.now(), gossip.ServerKey(key))
 }
 
 // expected returns the expected time for a prompt at an engine, including the queue there.
@@ -107,14 +108,14 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.speeds.Record(time.Now(), gossip.ServerKey(key), speed.Prefill, d/time.Duration(unread))
+	q.speeds.Record(q.now(), gossip.ServerKey(key), speed.Prefill, d/time.Duration(unread))
 }
 
 // recordOutput records the mean time between two output tokens of a stream, 0 if unknown.
 func (q *queues) recordOutput(key string, pace time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.speeds.Record(time.Now(), gossip.ServerKey(key), speed.Output, pace)
+	q.speeds.Record(q.now(), gossip.ServerKey(key), speed.Output, pace)
 }
 
 // service returns what is known of a service.
@@ -194,14 +195,14 @@
 func (q *queues) relative(service, key string) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.relativeLocked(time.Now(), service, key)
+	return q.relativeLocked(q.now(), service, key)
 }
 
 // decodePrefill returns the time that a decode engine would take to read a prompt alone.
 func (q *queues) decodePrefill(service, key string, prompt int) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
+	now := q.now()
 	if pace, known := q.speeds.Pace(now, gossip.ServerKey(key), speed.Prefill); known {
 		return time.Duration(prompt) * pace
 	}
@@ -217,7 +218,7 @@
 func (q *queues) tokensPerSecond(service, key string) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
+	now := q.now()
 	pace, known := q.speeds.Pace(now, gossip.ServerKey(key), speed.Output)
 	if !known || q.fleetsLocked(now, service)[speed.Output].Spread() < speed.UnevenSpread {
 		return 0
@@ -229,7 +230,7 @@
 func (q *queues) reports(limit int) []speed.Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
+	now := q.now()
 	q.speeds.Expire(now)
 	return q.speeds.Reports(now, limit)
 }
@@ -238,7 +239,7 @@
 func (q *queues) receive(from string, list []speed.Report) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	speedsDropped.Add(q.speeds.Receive(time.Now(), from, list))
+	speedsDropped.Add(q.speeds.Receive(q.now(), from, list))
 }
 
 // prune forgets what is too old, and the queues of engines that prefill no more.
@@ -246,7 +247,7 @@
 	list := q.view.list()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.speeds.Expire(time.Now())
+	q.speeds.Expire(q.now())
 	q.backlog.Keep(list.isPrefill)
 }
 
@@ -260,7 +261,7 @@
 	list := q.view.list()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now, out := time.Now(), map[string]engineSpeed{}
+	now, out := q.now(), map[string]engineSpeed{}
 	for _, e := range list.all {
 		if e.Stage == catalog.NoStage {
 			continue
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -59,7 +59,7 @@
 		x = &priority.Shortage{}
 		s.services[j.service.Name] = x
 	}
-	x.Record(j.rank, time.Now().Add(j.route.LatencyObjective))
+	x.Record(j.rank, j.r.Arrived.Add(j.route.LatencyObjective))
 }
 
 // headroom returns the tokens that the request leaves free at an engine for more urgent ones.
