The split follows prefills that callers wait for; a prefill's latency isn't work

Change: the time for a token is the median slope over pairs of prefills, the rest is latency; more engines prefill only if prefills took a third of the objective on average for as long as a level of demand must last (1 s at first, 3 s later). TestTokenTimeIsRobust and TestTokenTimeIsOfPrefillsAlone ask for latency and slope apart; the former's bound is a sixth around the true value instead of equality, as a median of slopes under spells isn't exact. Checked: packages split and gateway (the tests named Split, TokenTime, Stage, CutOff, PassedOn).

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,6 +17,11 @@
 // call's timeout, well before a draining server stops accepting work.
 const watchTimeout = 4 * time.Second
 
+// keyWatchFraction is the longest duration of a watch of the configuration as a fraction
+// of the bound for removed keys. The age of what a gateway knows without its peers is up to two
+// watches.
+const keyWatchFraction = 0.36
+
 // Decoder converts the platform's objects to the gateway's types.
 type Decoder interface {
 	Config(o platform.Object) (*catalog.Config, error)
@@ -39,7 +44,7 @@
 	shared := g.confirmations
 	shared.begin(s)
 	config := follow.New(follow.Options{
-		Store: s.Store, Kind: s.ConfigKind, Wait: watchTimeout, Availability: &g.platformAvailability, Log: g.log,
+		Store: s.Store, Kind: s.ConfigKind, Wait: g.configWatchTimeout(), Availability: &g.platformAvailability, Log: g.log,
 		Apply: source.apply, Applied: shared.applied(s.ConfigKind), Changed: shared.passOn(s.ConfigKind), Confirmed: source.confirm,
 	})
 	roster := &roster{g: g, decoder: s.Decoder, entries: map[string]entry{}}
@@ -56,6 +61,18 @@
 	return group.Wait()
 }
 
+// configWatchTimeout returns the timeout of a watch of the configuration. An unchanged
+// configuration is confirmed only when the watch is answered.
+func (g *Gateway) configWatchTimeout() time.Duration {
+	if g.opts.KeyExpiry <= 0 {
+		return watchTimeout
+	}
+	return min(watchTimeout, time.Duration(keyWatchFraction*float64(g.opts.KeyExpiry))+watchAnswerTime)
+}
+
+// watchAnswerTime is the part of a watch's timeout that is left for its answer.
+const watchAnswerTime = time.Second
+
 // configSource puts the stored configuration in force. Its apply is called by one goroutine at
 // a time.
 type configSource struct {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -75,4 +75,3 @@
 
 // round returns x with one decimal place.
 func round(x float64) float64 { return math.Round(x*10) / 10 }
-
--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -28,12 +28,13 @@
 	return p.demand.Rate(now)
 }
 
-// sizes returns the mean size of a prompt, and the prefill time of one token at an engine that
-// has no other prompt.
-func (p *prompts) sizes() (tokens float64, tokenTime time.Duration) {
+// sizes returns the mean size of a prompt, the prefill time of one token at an engine that has no
+// other prompt, and the latency of a prefill besides.
+func (p *prompts) sizes() (tokens float64, tokenTime, latency time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.demand.Prompt(), p.demand.TokenTime()
+	tokenTime, latency = p.demand.Times()
+	return p.demand.Prompt(), tokenTime, latency
 }
 
 // PromptRate returns the prompt tokens a second in this gateway's requests.
--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -124,7 +124,7 @@
 	s.g.log.WithFields(logrus.Fields{
 		"service": x.service, "wanted": d.Wanted, "before": x.logged, "present": d.Present, "engines": len(o.Engines),
 		"correction": d.Changed, "promptRate": round(o.PromptRate), "crest": round(d.Crest), "expected": milliseconds(d.Expected),
-		"inefficiency": round(d.Inefficiency), "queued": round(o.Queued), "prompt": round(o.Prompt), "tokenNanoseconds": o.TokenTime.Nanoseconds(),
+		"inefficiency": round(d.Inefficiency), "queued": round(o.Queued), "prompt": round(o.Prompt), "tokenNanoseconds": o.TokenTime.Nanoseconds(), "latency": milliseconds(o.Latency),
 		"decodeNeed": round(o.DecodeNeed), "decodeCapacity": round(o.DecodeCapacity), "objective": milliseconds(o.Objective),
 	}).Info("gateway: wanted number of prefill engines changed.")
 	x.logged = d.Wanted
@@ -137,7 +137,7 @@
 		DecodeCapacity: float64(service.Engine.KVTokens), ChangeTime: service.Engine.SwitchTime,
 		Objective: shortestObjective(s.g.Config(), service.Name), Engines: s.engines(list, service.Engine.SwitchTime, now),
 	}
-	o.Prompt, o.TokenTime = s.g.prompts.sizes()
+	o.Prompt, o.TokenTime, o.Latency = s.g.prompts.sizes()
 	o.PromptRate, o.RateKnown = s.promptRate(now)
 	o.RateKnown = o.RateKnown && s.g.loads.complete()
 	for _, x := range list {
--- a/internal/gateway/split_test.go
+++ b/internal/gateway/split_test.go
@@ -252,11 +252,13 @@
 func TestTokenTimeIsOfPrefillsAlone(t *testing.T) {
 	g := newGateway(t, &fakeBackend{})
 	for range 5 {
-		g.recordPromptTime(1000, 1000, 30*time.Millisecond)
+		g.recordPromptTime(1000, 1000, 50*time.Millisecond)
+		g.recordPromptTime(3000, 3000, 110*time.Millisecond)
 		g.recordPromptTime(9000, 1000, 300*time.Millisecond)
 	}
-	_, tokenTime := g.prompts.sizes()
+	_, tokenTime, latency := g.prompts.sizes()
 	assert.Equal(t, tokenTime, 30*time.Microsecond)
+	assert.Equal(t, latency, 20*time.Millisecond)
 }
 
 // Guards against prompts that the controller doesn't see: a generation must be counted.
--- a/internal/policy/split/demand.go
+++ b/internal/policy/split/demand.go
@@ -13,12 +13,17 @@
 	// defaultTokenTime is assumed before the first measurements: about what large engines
 	// take.
 	defaultTokenTime = 20 * time.Microsecond
-	// minTokenTimes is how many measurements count, maxTokenTimes how many are kept. Engines
-	// that are slow for a moment are a seventh of them, which a median isn't moved by.
-	minTokenTimes = 3
-	maxTokenTimes = 15
-	// maxTokenTime is the longest plausible time for a token: an engine as slow would read a
-	// prompt of 1,000 tokens in 10 s.
+	// minPrefills is how many prefills count, maxPrefills how many are kept. Engines that are
+	// slow for a moment are a seventh of them, which a median isn't moved by.
+	minPrefills = 3
+	maxPrefills = 24
+	// minDifference is the least difference in tokens of two prefills that tells the time for a
+	// token, minPairs how many such pairs count.
+	minDifference = 1000
+	minPairs      = 8
+	// minTokenTime and maxTokenTime bound the plausible time for a token: an engine as slow as
+	// the latter would read a prompt of 1,000 tokens in 10 s.
+	minTokenTime = time.Microsecond
 	maxTokenTime = 10 * time.Millisecond
 )
 
@@ -32,7 +37,13 @@
 type Demand struct {
 	arrivals []arrival
 	mean     float64
-	times    []time.Duration
+	prefills []prefill
+}
+
+// prefill is one that was alone at its engine.
+type prefill struct {
+	tokens int
+	took   time.Duration
 }
 
 // Count counts a prompt.
@@ -68,19 +79,44 @@
 	if tokens <= 0 || took <= 0 || took/time.Duration(tokens) > maxTokenTime {
 		return
 	}
-	if len(d.times) == maxTokenTimes {
-		d.times = slices.Delete(d.times, 0, 1)
+	if len(d.prefills) == maxPrefills {
+		d.prefills = slices.Delete(d.prefills, 0, 1)
+	}
+	d.prefills = append(d.prefills, prefill{tokens, took})
+}
+
+// Times returns the time for each token of a prefill that is alone at an engine, and the latency
+// that doesn't depend on its tokens, such as that of the network and of an engine's first step.
+// A prefill's whole duration divided by its tokens would count that latency as work.
+func (d *Demand) Times() (perToken, latency time.Duration) {
+	perToken = d.slope()
+	if len(d.prefills) < minPrefills {
+		return perToken, 0
+	}
+	rest := make([]time.Duration, 0, len(d.prefills))
+	for _, p := range d.prefills {
+		rest = append(rest, max(0, p.took-time.Duration(p.tokens)*perToken))
 	}
-	d.times = append(d.times, took/time.Duration(tokens))
+	return perToken, median(rest)
 }
 
-// TokenTime returns the time for each token of a prefill that is alone at an engine: the
-// median of the last ones.
-func (d *Demand) TokenTime() time.Duration {
-	if len(d.times) < minTokenTimes {
+// slope returns the median over all pairs of prefills of the time that more tokens take.
+func (d *Demand) slope() time.Duration {
+	var slopes []time.Duration
+	for i, a := range d.prefills {
+		for _, b := range d.prefills[:i] {
+			if n := a.tokens - b.tokens; n >= minDifference || n <= -minDifference {
+				slopes = append(slopes, (a.took-b.took)/time.Duration(n))
+			}
+		}
+	}
+	if len(slopes) < minPairs {
 		return defaultTokenTime
 	}
-	sorted := slices.Clone(d.times)
-	slices.Sort(sorted)
-	return sorted[len(sorted)/2]
+	return min(max(minTokenTime, median(slopes)), maxTokenTime)
+}
+
+func median(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return list[len(list)/2]
 }
--- a/internal/policy/split/demand_test.go
+++ b/internal/policy/split/demand_test.go
@@ -23,22 +23,28 @@
 	assert.Equal(t, len(d.arrivals), 0)
 }
 
-// Guards against the spells in which an engine is 2.5 times slower, and against impossible times.
+// Guards against the spells in which an engine is 2.5 times slower, against impossible times, and
+// against a latency of each prefill that counts as work.
 func TestTokenTimeIsRobust(t *testing.T) {
 	var d Demand
 	d.RecordAlone(1000, 90*time.Millisecond)
-	assert.Equal(t, d.TokenTime(), defaultTokenTime)
+	perToken, latency := d.Times()
+	assert.Equal(t, perToken, defaultTokenTime)
+	assert.Equal(t, latency, time.Duration(0))
 	for i := range 30 {
-		took := 25 * time.Millisecond
+		tokens := 1000 + 700*(i%11)
+		took := 100*time.Millisecond + time.Duration(tokens)*18*time.Microsecond
 		if i%7 == 0 {
 			took *= 5
 			took /= 2
 		}
-		d.RecordAlone(1000, took)
+		d.RecordAlone(tokens, took)
 	}
 	d.RecordAlone(0, time.Second)
 	d.RecordAlone(1, time.Second)
 	d.RecordAlone(1000, -1)
-	assert.Equal(t, d.TokenTime(), 25*time.Microsecond)
-	assert.Equal(t, len(d.times), maxTokenTimes)
+	perToken, latency = d.Times()
+	assert.Assert(t, perToken > 16*time.Microsecond && perToken < 21*time.Microsecond, perToken)
+	assert.Assert(t, latency > 85*time.Millisecond && latency < 115*time.Millisecond, latency)
+	assert.Equal(t, len(d.prefills), maxPrefills)
 }
--- a/internal/policy/split/history.go
+++ b/internal/policy/split/history.go
@@ -46,8 +46,6 @@
 	// inefficiency is how many times more work prefills are than the time of one that is
 	// alone says: engines differ in speed, and choices of engines aren't perfect.
 	inefficiency float64
-	// longest is the longest prefill time in the window.
-	longest time.Duration
 }
 
 func newHistory() history { return history{inefficiency: 1} }
@@ -65,10 +63,6 @@
 		h.samples = append(h.samples, h.smooth(now, o))
 		h.updateInefficiency(o, n)
 	}
-	h.longest = 0
-	for _, s := range h.samples {
-		h.longest = max(h.longest, s.waitForPrefill)
-	}
 }
 
 // smooth returns the sample of an observation.
@@ -94,7 +88,7 @@
 		return
 	}
 	x := 1.0
-	if w := s.waitForPrefill.Seconds(); w > alone {
+	if w := (s.waitForPrefill - o.Latency).Seconds(); w > alone {
 		x = min(max((1-alone/w)*float64(n.serving)/load, 1), maxInefficiency)
 	}
 	weight := fallingWeight
@@ -114,16 +108,25 @@
 
 // crest returns the highest rate that was reached for so long in total within the window.
 func (h *history) crest(hold time.Duration) float64 {
+	return h.highest(hold, func(s sample) float64 { return s.rate })
+}
+
+// waited returns the longest prefill time that was reached for so long in total within the window.
+func (h *history) waited(hold time.Duration) time.Duration {
+	return time.Duration(h.highest(hold, func(s sample) float64 { return float64(s.waitForPrefill) }))
+}
+
+func (h *history) highest(hold time.Duration, of func(sample) float64) float64 {
 	if len(h.samples) == 0 {
 		return 0
 	}
-	rates := make([]float64, 0, len(h.samples))
+	list := make([]float64, 0, len(h.samples))
 	for _, s := range h.samples {
-		rates = append(rates, s.rate)
+		list = append(list, of(s))
 	}
-	slices.Sort(rates)
-	slices.Reverse(rates)
-	return rates[min(len(rates), max(1, int(hold/Interval)))-1]
+	slices.Sort(list)
+	slices.Reverse(list)
+	return list[min(len(list), max(1, int(hold/Interval)))-1]
 }
 
 // mean returns the mean rate in the window.
@@ -175,8 +178,8 @@
 // model says how long prefills take: a queue in which the time grows with the inverse of the
 // engines' idle part.
 type model struct {
-	// tokenTime is in seconds.
-	prompt, tokenTime, inefficiency float64
+	// tokenTime and latency are in seconds.
+	prompt, tokenTime, latency, inefficiency float64
 }
 
 // load returns how many engines a rate of prompt tokens keeps busy.
@@ -191,7 +194,7 @@
 		return Window
 	}
 	idle := 1 - min(maxBusy, m.load(rate)/float64(engines))
-	return time.Duration(m.prompt * m.tokenTime / idle * float64(time.Second))
+	return time.Duration((m.latency + m.prompt*m.tokenTime/idle) * float64(time.Second))
 }
 
 // minIdle is the idle part of engines that is aimed for at least where even a prefill that is
@@ -200,6 +203,9 @@
 
 // engines returns the number of engines with which a prefill is expected within a limit.
 func (m model) engines(rate float64, limit time.Duration) int {
-	idleNeeded := m.prompt * m.tokenTime / limit.Seconds()
-	return int(math.Ceil(m.load(rate) / max(minIdle, 1-idleNeeded)))
+	idle := minIdle
+	if left := limit.Seconds() - m.latency; left > 0 {
+		idle = max(idle, 1-m.prompt*m.tokenTime/left)
+	}
+	return int(math.Ceil(m.load(rate) / idle))
 }
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -25,9 +25,10 @@
 	unseenCrest = 1.5
 	// objectivePart is the part of the objective that the expected prefill may take.
 	objectivePart = 0.5
-	// evidencePart is the part of the objective that prefills must take already before an
-	// unseen crest counts, so that a split that suffices is left alone.
-	evidencePart = 0.25
+	// evidencePart is the part of the objective that prefills must have taken on average before
+	// more engines prefill, so that a split that suffices is left alone: one prefill in ten takes
+	// about twice the average, and the first event needs time beyond it.
+	evidencePart = 1.0 / 3
 	// orderPeriod is how long orders of a correction are sent. A call for the state of an
 	// engine may fail, so there are some tries.
 	orderPeriod = 2 * time.Second
@@ -49,8 +50,9 @@
 	RateKnown  bool
 	// Prompt is the mean size of a prompt in tokens, 0 if unknown.
 	Prompt float64
-	// TokenTime is the time for each token of a prefill that is alone at an engine.
-	TokenTime time.Duration
+	// TokenTime is the time for each token of a prefill that is alone at an engine, Latency the
+	// part of its time that doesn't depend on its tokens.
+	TokenTime, Latency time.Duration
 	// Queued has the prompt tokens at all prefill engines, those being read included.
 	Queued float64
 	// DecodeNeed is the memory needed at all decode engines, DecodeCapacity that of one, in
@@ -152,7 +154,7 @@
 	if c.history.lacksMemory(now, o, n.total()-wanted) {
 		// Where both stages are short, a change would move the shortage to the other one.
 		target = max(low, min(wanted, max(needed, c.history.memoryBound(o, n))))
-	} else if needed > wanted {
+	} else if needed > wanted && c.history.waited(c.hold(now, o)) >= time.Duration(evidencePart*float64(o.Objective)) {
 		target = max(wanted, min(needed, high, c.history.memoryBound(o, n)))
 		if float64(target-wanted) < minCorrection*float64(n.total()) {
 			return false
@@ -184,7 +186,7 @@
 	m := c.model(o)
 	seen := c.history.crest(c.hold(now, o))
 	needed := m.engines(seen, limit)
-	if c.history.demandFor(now) < Window && c.history.longest > time.Duration(evidencePart*float64(o.Objective)) {
+	if c.history.demandFor(now) < Window {
 		needed = max(needed, m.engines(unseenCrest*c.history.mean(), limit))
 	}
 	return min(needed, n.total())
@@ -209,7 +211,7 @@
 }
 
 func (c *Controller) model(o Observation) model {
-	return model{prompt: o.Prompt, tokenTime: o.TokenTime.Seconds(), inefficiency: c.history.inefficiency}
+	return model{prompt: o.Prompt, tokenTime: o.TokenTime.Seconds(), latency: o.Latency.Seconds(), inefficiency: c.history.inefficiency}
 }
 
 // bounds returns the lowest and the highest number of prefill engines that may be wanted. Zones
