--- a/internal/policy/quota/doc.go
+++ b/internal/policy/quota/doc.go
@@ -20,7 +20,7 @@
 //     credits come on top, one of each gateway at most.
 //
 // Requests of one organisation may differ in rank. While the organisation is short of tokens,
-// more urgent ones spend first, across all gateways: only the pool grants tokens to less urgent ones, and it keeps a reserve of
-// what more urgent ones are expected to use. Ranks decide who gets tokens, never how many
-// there are, so the guarantees above don't depend on them.
+// more urgent ones spend first, across all gateways: only the pool grants tokens to less urgent
+// ones, and it keeps a reserve of what more urgent ones are expected to use. Ranks decide who
+// gets tokens, never how many there are, so the guarantees above don't depend on them.
 package quota
--- a/internal/policy/split/doc.go
+++ b/internal/policy/split/doc.go
@@ -10,8 +10,9 @@
 //
 //   - The wanted number is between the shares of the options, and leaves each zone that has
 //     two engines one of each stage where the shares allow it.
-//   - More prefill engines are wanted only while the expected prefill at the crest is longer
-//     than half of the objective, or may become so where no whole wave has been seen yet.
+//   - More prefill engines are wanted only if prefills have taken a third of the objective on
+//     average, and only while the expected prefill at the crest is longer than half of it. Until a
+//     whole wave was seen, a multiple of the mean demand stands for the crest.
 //   - Engines are taken from decode only if it keeps the memory that it needs, with a fifth to
 //     spare, and from prefill only if decode lacks memory and prefill can spare them. The gap
 //     between the two limits prevents oscillation.
