The split goes by the mean objective of a service's routes

Change: the mean of the streaming routes' objectives stands for the service; the urgent prompts go first in engines' queues there.

--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -135,7 +135,7 @@
 	list := s.g.view.list().engines(service.Name)
 	o := split.Observation{
 		DecodeCapacity: float64(service.Engine.KVTokens), ChangeTime: service.Engine.SwitchTime,
-		Objective: shortestObjective(s.g.Config(), service.Name), Engines: s.engines(list, service.Engine.SwitchTime, now),
+		Objective: meanObjective(s.g.Config(), service.Name), Engines: s.engines(list, service.Engine.SwitchTime, now),
 	}
 	o.Prompt, o.TokenTime, o.Latency = s.g.prompts.sizes()
 	o.PromptRate, o.RateKnown = s.promptRate(now)
@@ -183,16 +183,20 @@
 	return out, ok
 }
 
-// shortestObjective returns the shortest objective of the streaming routes to a service, 0 if
-// there is none.
-func shortestObjective(c *catalog.Config, service string) time.Duration {
-	shortest := time.Duration(0)
+// meanObjective returns the mean objective of the streaming routes to a service, 0 if there is none.
+// Where routes differ in it, the more urgent prompts go first in the engines' queues, so that the
+// shortest objective doesn't need short queues.
+func meanObjective(c *catalog.Config, service string) time.Duration {
+	sum, n := time.Duration(0), 0
 	for _, r := range c.Routes {
+		if r.Kind != catalog.Streaming || r.LatencyObjective <= 0 {
+			continue
+		}
 		for _, t := range r.Targets {
-			if t.Service == service && r.Kind == catalog.Streaming && r.LatencyObjective > 0 && (shortest == 0 || r.LatencyObjective < shortest) {
-				shortest = r.LatencyObjective
+			if t.Service == service {
+				sum, n = sum+r.LatencyObjective, n+1
 			}
 		}
 	}
-	return shortest
+	return sum / time.Duration(max(1, n))
 }
--- a/internal/gateway/split_test.go
+++ b/internal/gateway/split_test.go
@@ -292,3 +292,17 @@
 	w.stages.opts.Peers = func() []string { return []string{"g2"} }
 	assert.Assert(t, !w.stages.isCandidate())
 }
+
+// Guards against a split that is sized for the shortest of several objectives, while the engines
+// read the prompts of that route first.
+func TestSplitGoesByTheMeanObjective(t *testing.T) {
+	route := func(kind catalog.Kind, objective time.Duration) catalog.Route {
+		return catalog.Route{Kind: kind, LatencyObjective: objective, Targets: []catalog.Target{{Service: modelService, Weight: 1}}}
+	}
+	c := &catalog.Config{Routes: []catalog.Route{
+		route(catalog.Streaming, 800*time.Millisecond), route(catalog.Streaming, 2*time.Second),
+		route(catalog.Streaming, 0), route(catalog.Idempotent, time.Millisecond),
+	}}
+	assert.Equal(t, meanObjective(c, modelService), 1400*time.Millisecond)
+	assert.Equal(t, meanObjective(c, "another"), time.Duration(0))
+}
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -59,7 +59,7 @@
 	// tokens.
 	DecodeNeed, DecodeCapacity float64
 	Engines                    []stage.Engine
-	// Objective is the shortest objective for a first event among the service's routes.
+	// Objective is the mean objective for a first event among the service's routes.
 	Objective time.Duration
 	// ChangeTime is how long an engine is out of service for a change.
 	ChangeTime time.Duration
