A gateway polls for its own confirmation halfway to the keys' expiry at the latest

Cause: TestGatewaysCutOffFromTheStoreAreConfirmedByOthers failed in 2 of 12 runs, six at a time: a gateway without datagrams had a confirmation of 1.99 and 2.03 s with an expiry of 2 s. It polls in its turn, one tick in three, and by itself only from 2.5 s on. Ruled out: the watch, which that test's store holds for its whole time. Change: it polls by itself from half of the expiry on, 2.5 s at most: as before with an expiry of 5 s.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -211,7 +211,7 @@
 	defer c.mu.Unlock()
 	c.sources = s
 	if c.expiry > 0 {
-		c.machine.Keep(s.ConfigKind)
+		c.machine.Keep(s.ConfigKind, c.expiry)
 	}
 }
 
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -92,7 +92,8 @@
 // come later for it: lost, too large for a datagram, or behind a lost one.
 func TestChangesArePassedOnWithinAZone(t *testing.T) {
 	t.Parallel()
-	f := newRelayingFleet(t, 10, 2)
+	const gateways = 16
+	f := newRelayingFleet(t, gateways, 2)
 	f.awaitReady(t)
 	f.awaitRelayed(t)
 	f.awaitWatches()
@@ -111,7 +112,7 @@
 		assert.Equal(t, f.relayed(id), !slices.Contains(f.followers(), id))
 	}
 
-	alone := newSharingFleet(t, 10)
+	alone := newSharingFleet(t, gateways)
 	alone.awaitReady(t)
 	f.awaitWatches()
 	each := alone.countCalls(4 * time.Second)
--- a/internal/policy/confirm/confirm_test.go
+++ b/internal/policy/confirm/confirm_test.go
@@ -12,7 +12,7 @@
 
 func newMachine(position, changed, newest uint64) *Machine {
 	m := New(rand.New(rand.NewPCG(1, 2)))
-	m.Keep(simKind)
+	m.Keep(simKind, 5*time.Second)
 	m.Applied(simKind, Copy{Position: position, Changed: changed, Newest: newest})
 	return m
 }
@@ -274,7 +274,7 @@
 // Guards against answers from a gateway that has no confirmed copy yet.
 func TestStartingGatewayAnswersNothing(t *testing.T) {
 	m := New(rand.New(rand.NewPCG(1, 2)))
-	m.Keep(simKind)
+	m.Keep(simKind, 5*time.Second)
 	assert.Equal(t, len(m.Receive(time.Second, "a", Message{Question: 1})), 0)
 	assert.Equal(t, len(m.Tick(time.Second, []string{"a"})), 0, "a gateway without a copy asks nobody")
 	m.Applied(simKind, Copy{Position: 10, Changed: 7, Newest: 7})
--- a/internal/policy/confirm/fleet_test.go
+++ b/internal/policy/confirm/fleet_test.go
@@ -98,7 +98,7 @@
 	f.store.changes = []change{{at: 0, ofKind: true}}
 	for i := range n {
 		g := &simGateway{m: New(rand.New(rand.NewPCG(f.rnd.Uint64(), 2))), offset: time.Duration(f.rnd.Int64N(int64(time.Hour)))}
-		g.m.Keep(simKind)
+		g.m.Keep(simKind, 5*time.Second)
 		g.nextTick = f.now + f.draw(TickInterval)
 		g.nextWatch = f.now + f.draw(time.Second)
 		for j := range n {
@@ -154,7 +154,7 @@
 
 func (f *fleet) run(i int, g *simGateway) {
 	if g.nextTick <= f.now {
-		g.m.Keep(simKind)
+		g.m.Keep(simKind, 5*time.Second)
 		g.nextTick = f.now + TickInterval
 		f.post(i, g.m.Tick(f.now+g.offset, g.peers))
 		f.poll(i)
--- a/internal/policy/confirm/machine.go
+++ b/internal/policy/confirm/machine.go
@@ -23,10 +23,11 @@
 	// pollsPerTick is how many gateways of a fleet poll the store in a tick. With eight polls
 	// a second, an outage begins with a confirmation of at most 0.3 s in nine of ten cases.
 	pollsPerTick = 2
-	// pollAge is the age from which a gateway polls the store in its turn, and ownPollAge
-	// that from which it does so in any case, as its peers don't help.
-	pollAge    = 250 * time.Millisecond
-	ownPollAge = 2500 * time.Millisecond
+	// pollAge is the age from which a gateway polls the store in its turn, and maxOwnPollAge
+	// that from which it does so in any case, as its peers don't help: at the latest halfway to
+	// the expiry of what is confirmed.
+	pollAge       = 250 * time.Millisecond
+	maxOwnPollAge = 2500 * time.Millisecond
 	// behindInterval is how often the store is asked because of the same missing change.
 	behindInterval = 500 * time.Millisecond
 	// maxAge and maxCopies bound what a message may say.
@@ -99,7 +100,8 @@
 	kinds     map[string]*state
 	questions map[uint64]question
 	// polls has the kinds that are due for a poll in their turn.
-	polls map[string]bool
+	polls      map[string]bool
+	ownPollAge time.Duration
 	// pollers is how many gateways poll in their turn, 0 for all, and polling is set if this is
 	// one.
 	pollers int
@@ -118,7 +120,7 @@
 
 // New returns a Machine that draws from random.
 func New(random *rand.Rand) *Machine {
-	return &Machine{random: random, kinds: map[string]*state{}, questions: map[uint64]question{}, polls: map[string]bool{}, polling: true}
+	return &Machine{random: random, kinds: map[string]*state{}, questions: map[uint64]question{}, polls: map[string]bool{}, polling: true, ownPollAge: maxOwnPollAge}
 }
 
 func (m *Machine) state(kind string) *state {
@@ -130,8 +132,12 @@
 	return s
 }
 
-// Keep makes Tick keep the confirmation of a kind fresh.
-func (m *Machine) Keep(kind string) { m.state(kind).kept = true }
+// Keep makes Tick keep the confirmation of a kind fresh, which is of no use once it is as old as
+// the expiry.
+func (m *Machine) Keep(kind string, expiry time.Duration) {
+	m.state(kind).kept = true
+	m.ownPollAge = min(maxOwnPollAge, expiry/2)
+}
 
 // SetPollers sets how many gateways poll the store in their turn, 0 for all, and whether this
 // is one of them.
@@ -231,7 +237,7 @@
 	}
 	for kind, s := range m.kinds {
 		age := s.age(now)
-		if age > ownPollAge || m.polling && age > pollAge && m.random.IntN(pollers) < pollsPerTick {
+		if age > m.ownPollAge || m.polling && age > pollAge && m.random.IntN(pollers) < pollsPerTick {
 			m.polls[kind] = true
 		}
 	}
