The split changes only if the gateway's own prefills are slow too

Demand that has just risen is in the queues at once, and in the rates that gateways report a second later. Change: the holder's own recent prefills (five seconds, three at least) must have taken a third of the objective as well. Checked: TestQueuesAloneAreNoReasonForAChange, TestRecentPrefills, the packages split and gateway's tests of the split.

--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -40,12 +40,20 @@
 // PromptRate returns the prompt tokens a second in this gateway's requests.
 func (g *Gateway) PromptRate() float64 { return g.prompts.rate(time.Now()) }
 
-// recordPromptTime records how long a prefill took if it was alone at its engine.
+// recordPromptTime records how long a prefill took, and whether it was alone at its engine.
 func (g *Gateway) recordPromptTime(queued, tokens int, took time.Duration) {
-	if queued != tokens || !g.loads.complete() {
-		return
-	}
+	isAlone := queued == tokens && g.loads.complete()
 	g.prompts.mu.Lock()
 	defer g.prompts.mu.Unlock()
-	g.prompts.demand.RecordAlone(tokens, took)
+	g.prompts.demand.RecordPrefill(g.queues.now(), took)
+	if isAlone {
+		g.prompts.demand.RecordAlone(tokens, took)
+	}
+}
+
+// recent returns how long recent prefills took on average, 0 if there were too few.
+func (p *prompts) recent(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.Recent(now)
 }
--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -124,7 +124,7 @@
 	s.g.log.WithFields(logrus.Fields{
 		"service": x.service, "wanted": d.Wanted, "before": x.logged, "present": d.Present, "engines": len(o.Engines),
 		"correction": d.Changed, "promptRate": round(o.PromptRate), "crest": round(d.Crest), "expected": milliseconds(d.Expected),
-		"inefficiency": round(d.Inefficiency), "queued": round(o.Queued), "prompt": round(o.Prompt), "tokenNanoseconds": o.TokenTime.Nanoseconds(), "latency": milliseconds(o.Latency),
+		"inefficiency": round(d.Inefficiency), "queued": round(o.Queued), "prompt": round(o.Prompt), "tokenNanoseconds": o.TokenTime.Nanoseconds(), "latency": milliseconds(o.Latency), "recent": milliseconds(o.Recent),
 		"decodeNeed": round(o.DecodeNeed), "decodeCapacity": round(o.DecodeCapacity), "objective": milliseconds(o.Objective),
 	}).Info("gateway: wanted number of prefill engines changed.")
 	x.logged = d.Wanted
@@ -138,6 +138,7 @@
 		Objective: meanObjective(s.g.Config(), service.Name), Engines: s.engines(list, service.Engine.SwitchTime, now),
 	}
 	o.Prompt, o.TokenTime, o.Latency = s.g.prompts.sizes()
+	o.Recent = s.g.prompts.recent(now)
 	o.PromptRate, o.RateKnown = s.promptRate(now)
 	o.RateKnown = o.RateKnown && s.g.loads.complete()
 	for _, x := range list {
--- a/internal/gateway/split_test.go
+++ b/internal/gateway/split_test.go
@@ -33,6 +33,8 @@
 	reported int
 	listed   int
 	end      []func()
+	// took is how long prefills take.
+	took time.Duration
 }
 
 const testTerm = 4 * time.Second
@@ -81,10 +83,17 @@
 		}
 	}
 	w.g.prompts.count(w.now, 5200)
+	w.took = 0
+	if rate > 0 {
+		w.took = time.Duration(float64(queued*len(w.end)) / rate * float64(time.Second))
+	}
 }
 
 func (w *splitWorld) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(stageInterval) {
+		for i := 0; i < 3 && w.took > 0; i++ {
+			w.g.prompts.demand.RecordPrefill(w.now, w.took)
+		}
 		w.stages.tick(context.Background(), w.now)
 	}
 }
--- a/internal/policy/split/demand.go
+++ b/internal/policy/split/demand.go
@@ -38,6 +38,13 @@
 	arrivals []arrival
 	mean     float64
 	prefills []prefill
+	recent   []finished
+}
+
+// finished is a prefill that ended at a time.
+type finished struct {
+	at   time.Time
+	took time.Duration
 }
 
 // prefill is one that was alone at its engine.
@@ -73,6 +80,32 @@
 // Prompt returns the mean size of a prompt, 0 if there was none.
 func (d *Demand) Prompt() float64 { return d.mean }
 
+const (
+	// recentWindow is how long a prefill counts as recent, minRecent how many tell something.
+	recentWindow = 5 * time.Second
+	minRecent    = 3
+)
+
+// RecordPrefill records how long a prefill took, its queue included.
+func (d *Demand) RecordPrefill(now time.Time, took time.Duration) {
+	d.recent = slices.DeleteFunc(d.recent, func(f finished) bool { return now.Sub(f.at) >= recentWindow })
+	d.recent = append(d.recent, finished{now, took})
+}
+
+// Recent returns how long recent prefills took on average, 0 if there were too few.
+func (d *Demand) Recent(now time.Time) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, f := range d.recent {
+		if now.Sub(f.at) < recentWindow {
+			sum, n = sum+f.took, n+1
+		}
+	}
+	if n < minRecent {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
 // RecordAlone records how long the prefill of so many tokens took at an engine that had no
 // other known prompt.
 func (d *Demand) RecordAlone(tokens int, took time.Duration) {
--- a/internal/policy/split/demand_test.go
+++ b/internal/policy/split/demand_test.go
@@ -48,3 +48,17 @@
 	assert.Assert(t, latency > 85*time.Millisecond && latency < 115*time.Millisecond, latency)
 	assert.Equal(t, len(d.prefills), maxPrefills)
 }
+
+// Guards against a mean of few prefills, or of old ones.
+func TestRecentPrefills(t *testing.T) {
+	var d Demand
+	now := time.Unix(1000, 0)
+	d.RecordPrefill(now, time.Second)
+	d.RecordPrefill(now, 2*time.Second)
+	assert.Equal(t, d.Recent(now), time.Duration(0))
+	d.RecordPrefill(now.Add(time.Second), 3*time.Second)
+	assert.Equal(t, d.Recent(now.Add(time.Second)), 2*time.Second)
+	assert.Equal(t, d.Recent(now.Add(recentWindow)), time.Duration(0))
+	d.RecordPrefill(now.Add(recentWindow), time.Second)
+	assert.Equal(t, len(d.recent), 2)
+}
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -53,6 +53,8 @@
 	// TokenTime is the time for each token of a prefill that is alone at an engine, Latency the
 	// part of its time that doesn't depend on its tokens.
 	TokenTime, Latency time.Duration
+	// Recent is how long this gateway's recent prefills took on average, 0 if there were too few.
+	Recent time.Duration
 	// Queued has the prompt tokens at all prefill engines, those being read included.
 	Queued float64
 	// DecodeNeed is the memory needed at all decode engines, DecodeCapacity that of one, in
@@ -154,7 +156,7 @@
 	if c.history.lacksMemory(now, o, n.total()-wanted) {
 		// Where both stages are short, a change would move the shortage to the other one.
 		target = max(low, min(wanted, max(needed, c.history.memoryBound(o, n))))
-	} else if needed > wanted && c.history.waited(c.hold(now, o)) >= time.Duration(evidencePart*float64(o.Objective)) {
+	} else if needed > wanted && c.callersWait(now, o) {
 		target = max(wanted, min(needed, high, c.history.memoryBound(o, n)))
 		if float64(target-wanted) < minCorrection*float64(n.total()) {
 			return false
@@ -174,6 +176,14 @@
 	return true
 }
 
+// callersWait reports whether prefills take so long that more engines should prefill. The queues of
+// all gateways must show it, and this gateway's own prefills: demand that has just risen is in the
+// queues at once, but in the gateways' rates a second later, which makes queues look long.
+func (c *Controller) callersWait(now time.Time, o Observation) bool {
+	threshold := time.Duration(evidencePart * float64(o.Objective))
+	return min(c.history.waited(c.hold(now, o)), o.Recent) >= threshold
+}
+
 // wanted returns the wanted number of prefill engines.
 func (c *Controller) wanted(n counts) int {
 	low, high := c.bounds(n)
--- a/internal/policy/split/split_test.go
+++ b/internal/policy/split/split_test.go
@@ -94,8 +94,12 @@
 	// Generations run for a second and 20 ms for each token.
 	full := prompts * (prompt + answer) * (1 + 0.02*answer)
 	f.need += (min(full, f.serving(catalog.Decode)*f.capacity*0.9) - f.need) * 0.25
+	recent := time.Duration(0)
+	if rate > 0 {
+		recent = time.Duration(queued / rate * float64(time.Second))
+	}
 	f.last = f.controller.Step(f.now, Observation{
-		PromptRate: rate, RateKnown: !f.mute, Prompt: prompt, TokenTime: f.tokenTime, Queued: queued, DecodeNeed: f.need,
+		PromptRate: rate, RateKnown: !f.mute, Prompt: prompt, Recent: recent, TokenTime: f.tokenTime, Queued: queued, DecodeNeed: f.need,
 		DecodeCapacity: f.capacity, Engines: f.engines, Objective: f.objective, ChangeTime: f.changeTime, Ordering: !f.standby,
 	})
 	f.order()
@@ -424,3 +428,22 @@
 	assert.Equal(f.t, len(prefill), total.zones, "%v", prefill)
 	assert.Equal(f.t, len(decode), total.zones, "%v", decode)
 }
+
+// Guards against a correction for queues that only look long: the demand has risen, and the rates
+// that gateways report lag behind it, while prefills take as long as before.
+func TestQueuesAloneAreNoReasonForAChange(t *testing.T) {
+	f := newFleet(t, 40, 3, 0.2, 0.4)
+	c := New(Options{Share: 0.2, Max: 0.4})
+	o := Observation{
+		PromptRate: 300000, RateKnown: true, Prompt: 5200, TokenTime: 20 * time.Microsecond, Latency: 140 * time.Millisecond,
+		DecodeCapacity: 40210, Queued: 240000,
+		Engines: f.engines, Objective: 900 * time.Millisecond, ChangeTime: f.changeTime, Ordering: true, Recent: 140 * time.Millisecond,
+	}
+	now := f.now
+	for range 40 {
+		assert.Equal(t, c.Step(now, o).Wanted, 8)
+		now = now.Add(Interval)
+	}
+	o.Recent = 350 * time.Millisecond
+	assert.Assert(t, c.Step(now, o).Wanted > 8)
+}
