Small fleets keep their split; an engine that changes isn't a last resort

Change: announced engines are left out unless all of a stage change; fleets under 20 engines get no correction.

--- a/internal/gateway/changing.go
+++ b/internal/gateway/changing.go
@@ -39,15 +39,23 @@
 	c.nonEmpty.Store(len(c.engines) > 0)
 }
 
-// includes reports whether an engine is about to leave its listed stage.
-func (c *changingEngines) includes(x *candidate, now time.Time) bool {
+// without returns the candidates that aren't about to leave their listed stage, or all if all are.
+func (c *changingEngines) without(list []candidate, now time.Time) []candidate {
 	if !c.nonEmpty.Load() {
-		return false
+		return list
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a, ok := c.engines[x.key]
-	return ok && a.to != x.Stage && now.Before(a.until)
+	out := make([]candidate, 0, len(list))
+	for _, x := range list {
+		if a, ok := c.engines[x.key]; !ok || a.to == x.Stage || !now.Before(a.until) {
+			out = append(out, x)
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
 }
 
 // AnnounceStageChanges makes the gateway announce the changes that it orders. It must be
--- a/internal/gateway/changing_test.go
+++ b/internal/gateway/changing_test.go
@@ -45,6 +45,20 @@
 	assert.Equal(t, reservedAt(), "d1")
 	assert.Assert(t, !there.changing.nonEmpty.Load())
 
+	// It isn't a last resort either while others are full.
+	there.changing.record("d1#0", catalog.Prefill, now.Add(time.Minute), now)
+	f.reserve = func(s catalog.Server, _ int) (string, *verdict.Error) {
+		if s.ID == "d1" {
+			return s.ID, nil
+		}
+		return "", full()
+	}
+	j, err := there.plan(generation("/stream/"))
+	assert.Assert(t, err == nil)
+	_, ok := there.reserveOnce(t.Context(), j, there.sizeReservation(j, 0))
+	assert.Assert(t, !ok)
+	f.reserve = func(s catalog.Server, _ int) (string, *verdict.Error) { return s.ID, nil }
+
 	// Where all change, one of them is better than none.
 	for _, id := range []string{"d1", "d2", "d3"} {
 		there.changing.record(id+"#0", catalog.Prefill, now.Add(time.Minute), now)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -208,6 +208,7 @@
 // once, a random share of the engines is preferred, drawn anew for each choice.
 func (g *Gateway) best(j *job, list []candidate, n int, of func(key string, own load) int) []ranked {
 	now := time.Now()
+	list = g.changing.without(list, now)
 	suspect := g.view.suspects(list, now)
 	share := g.preferredShare(now)
 	out := make([]ranked, 0, n+1)
@@ -221,7 +222,7 @@
 			k.deferred = 1
 		}
 		switch {
-		case suspect[i], g.changing.includes(&list[i], now):
+		case suspect[i]:
 			k.penalty = penaltySuspect
 		case now.Before(x.Full):
 			k.penalty = penaltyFull
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -34,8 +34,11 @@
 	orderPeriod = 2 * time.Second
 	// maxChanging is the part of the engines that may be out of service for changes.
 	maxChanging = 0.1
-	// minCorrection is the part of the engines below which a correction isn't worth it.
+	// minCorrection is the part of the engines below which a correction isn't worth it, minEngines
+	// the number below which one engine is too large a part of its stage to be out of service for
+	// seconds while callers wait.
 	minCorrection = 0.05
+	minEngines    = 20
 )
 
 // Options of a Controller: the lowest share of the engines that run prefill, the share at
@@ -146,7 +149,7 @@
 
 // correct begins a correction if one is due.
 func (c *Controller) correct(now time.Time, o Observation, n counts) bool {
-	if c.history.demandFor(now) < firstCorrectionAfter || !usable(o) {
+	if c.history.demandFor(now) < firstCorrectionAfter || !usable(o) || n.total() < minEngines {
 		return false
 	}
 	wanted := c.wanted(n)
--- a/internal/policy/split/split_test.go
+++ b/internal/policy/split/split_test.go
@@ -447,3 +447,16 @@
 	o.Recent = 350 * time.Millisecond
 	assert.Assert(t, c.Step(now, o).Wanted > 8)
 }
+
+// Guards against an engine that is out of service for seconds in a fleet that misses it.
+func TestSmallFleetsAreLeftAlone(t *testing.T) {
+	f := newFleet(t, 18, 3, 0.2, 0.4)
+	c := New(Options{Share: 0.2, Max: 0.4})
+	o := Observation{
+		PromptRate: 300000, RateKnown: true, Prompt: 5200, TokenTime: 20 * time.Microsecond, DecodeCapacity: 40210, Queued: 240000,
+		Engines: f.engines, Objective: 900 * time.Millisecond, ChangeTime: f.changeTime, Ordering: true, Recent: 800 * time.Millisecond,
+	}
+	for i := range 60 {
+		assert.Equal(t, c.Step(f.now.Add(time.Duration(i)*Interval), o).Wanted, 4)
+	}
+}
