--- a/internal/gateway/organisations.go
+++ b/internal/gateway/organisations.go
@@ -12,7 +12,7 @@
 // Quotas takes the cost of requests from organisations' quotas.
 type Quotas interface {
 	SetOrganisations(o *catalog.Organisations)
-	// Take waits at most for patience; requests of a lower rank go first. An error refuses the request.
+	// Take waits for at most patience, and serves lower ranks first. An error refuses the request.
 	Take(ctx context.Context, organisation string, cost float64, rank int, patience time.Duration) (quota.Receipt, *verdict.Error)
 	// Return gives back what a request took that hasn't run.
 	Return(r quota.Receipt)
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -128,7 +128,7 @@
 	assert.Equal(t, g.turns.queue.Waiting(), 0)
 }
 
-// slowTurns returns a queue whose turns have taken so long.
+// slowTurns returns a queue in which a turn takes d on average.
 func slowTurns(d time.Duration) late.Queue {
 	var q late.Queue
 	now := time.Now()
--- a/internal/policy/relay/relay_test.go
+++ b/internal/policy/relay/relay_test.go
@@ -81,7 +81,7 @@
 	assert.Assert(t, !m.Relayed(now+AnswerTTL+1, false))
 }
 
-// Guards against a gateway that is relayed again before it has learned that an outage is over:
+// Guards against a gateway that is relayed again before its own calls end an outage:
 // it would take entries that lapsed in the outage for servers that left.
 func TestGatewayLearnsOfAnOutagesEndItself(t *testing.T) {
 	m, follower := relayedMachine(t)
--- a/internal/policy/stage/choose.go
+++ b/internal/policy/stage/choose.go
@@ -8,8 +8,8 @@
 	"jayford.example/jayford/internal/catalog"
 )
 
-// speedStep is the difference in speed below which engines count as equally fast: learned
-// speeds vary by some tenths, and the balance of zones is worth more than that.
+// speedStep is the difference in speed below which engines count as equally fast. Estimates vary by
+// some tenths, and the balance of zones comes before such differences.
 const speedStep = 0.25
 
 // Choose is like Decide, but chooses engines by speed: the fastest are taken for prefill and the
