--- a/review/_rig/descriptors.go
+++ b/review/_rig/descriptors.go
@@ -14,9 +14,11 @@
 	descriptorLimit = 4100
 	// bookingServers is the number of servers of the plain service, burstSize the number of
 	// calls that clients send at the same moment, burstInterval the time between two such
-	// moments: 85 calls a second.
+	// moments, steadyClients the number of clients that send one call after the other: in all,
+	// 94 calls a second.
 	bookingServers = 4
-	burstSize      = 64
+	burstSize      = 48
+	steadyClients  = 6
 	burstInterval  = 750 * time.Millisecond
 	maxBursts      = 110
 	// maxLostKept is how many closed channels the rule allows.
@@ -48,8 +50,15 @@
 			return false, err
 		}
 	}
-	var ending sync.WaitGroup
-	broken := false
+	var ending, steady sync.WaitGroup
+	end := make(chan struct{})
+	for i := range steadyClients {
+		c, err := openChannel(g.listen)
+		if err != nil {
+			return false, err
+		}
+		steady.Go(func() { sendSteadily(c, log, i, end, x, t) })
+	}
 	for n := range maxBursts {
 		began := time.Now()
 		if trouble {
@@ -65,42 +74,70 @@
 			}
 		}
 		time.Sleep(time.Until(began.Add(burstInterval * 6 / 10)))
-		lost, lostKept := sendBurst(g, log, n, kept, x, t)
-		if lost > 0 {
-			// The process may end a little later than its channels.
-			select {
-			case <-g.exited:
-				log.add("the gateway's process has ended by itself: %v", g.cmd.ProcessState)
-			case <-time.After(time.Second):
-			}
-			log.add("burst %d: %d calls that servers had begun to run got no answer, %d of them on kept channels", n, lost, lostKept)
-			broken = broken || lostKept > maxLostKept
-		}
+		sendBurst(g, log, n, kept, x, t)
 		if n%10 == 0 {
 			log.add("burst %d: %d calls sent, %d answered with success, the gateway has %d descriptors", n, t.sent.Load(), t.served.Load(), g.descriptors())
 		}
-		if broken || g.hasEnded() {
+		if g.hasEnded() {
+			log.add("burst %d: the gateway's process has ended by itself: %v", n, g.cmd.ProcessState)
 			break
 		}
 		time.Sleep(time.Until(began.Add(burstInterval)))
 	}
-	log.add("%d calls sent, %d answered with success, %d lost; %d servers were started", t.sent.Load(), t.served.Load(), t.lost.Load(), len(x.all))
+	close(end)
+	steady.Wait()
+	log.add(
+		"%d calls sent, %d answered with success; %d calls that servers had begun to run got no answer, %d of them on kept channels; %d servers were started",
+		t.sent.Load(), t.served.Load(), t.lost.Load(), t.lostKept.Load(), len(x.all),
+	)
 	if t.served.Load() == 0 {
 		return false, fmt.Errorf("no call was answered")
 	}
-	return broken, nil
+	return t.lostKept.Load() > maxLostKept, nil
+}
+
+// sendSteadily sends one call after the other on a channel until it ends or end is closed.
+func sendSteadily(c *channel, log *record, client int, end <-chan struct{}, x *servers, t *tally) {
+	defer c.close()
+	for n := 0; ; n++ {
+		select {
+		case <-end:
+			return
+		default:
+		}
+		if o := sendCall(c, log, fmt.Sprintf("steady-%d-%d", client, n), 200, true, x, t); o.err != nil || o.closing {
+			return
+		}
+	}
 }
 
-// sendBurst sends calls at the same moment, and returns how many of them were begun by a server
-// and got no complete answer, in all and on kept channels.
-func sendBurst(g *gateway, log *record, n int, kept []*channel, x *servers, t *tally) (all, onKept int) {
+// sendCall sends a call and counts its outcome.
+func sendCall(c *channel, log *record, id string, workMs int, onKept bool, x *servers, t *tally) outcome {
+	t.sent.Add(1)
+	o := c.do(http.MethodPost, host, fmt.Sprintf("/rebook/%d", workMs), id, "seat 14A", rebookDeadline)
+	switch {
+	case o.status == http.StatusOK:
+		t.served.Add(1)
+	case o.err != nil && !o.timedOut && x.ran(id) > 0:
+		t.lost.Add(1)
+		if onKept {
+			t.lostKept.Add(1)
+		}
+		log.add("LOST: a server had begun to run %s (on a kept channel: %v); its client gets %s", id, onKept, o)
+	default:
+		log.add("client gets for %s: %s", id, o)
+	}
+	return o
+}
+
+// sendBurst sends calls at the same moment, half of them on kept channels.
+func sendBurst(g *gateway, log *record, n int, kept []*channel, x *servers, t *tally) {
 	var wg sync.WaitGroup
-	lost := make([]bool, burstSize)
 	for i := range burstSize {
 		wg.Go(func() {
-			id := fmt.Sprintf("burst-%d-%d", n, i)
+			onKept := i < len(kept)
 			var c *channel
-			if i < len(kept) {
+			if onKept {
 				c = kept[i]
 			} else {
 				var err error
@@ -109,30 +146,10 @@
 				}
 				defer c.close()
 			}
-			t.sent.Add(1)
-			o := c.do(http.MethodPost, host, "/rebook/60", id, "seat 14A", rebookDeadline)
-			switch {
-			case o.status == http.StatusOK:
-				t.served.Add(1)
-			case o.err != nil && !o.timedOut && x.ran(id) > 0:
-				lost[i] = true
-				t.lost.Add(1)
-				log.add("LOST: a server had begun to run %s; its client gets %s", id, o)
-			default:
-				log.add("client gets for %s: %s", id, o)
-			}
+			sendCall(c, log, fmt.Sprintf("burst-%d-%d", n, i), 60, onKept, x, t)
 		})
 	}
 	wg.Wait()
-	for i, l := range lost {
-		if l {
-			all++
-		}
-		if l && i < len(kept) {
-			onKept++
-		}
-	}
-	return all, onKept
 }
 
 // pollReadiness asks once a second, as the load balancer does.
--- a/review/_rig/followers.go
+++ b/review/_rig/followers.go
@@ -28,7 +28,9 @@
 	// successorLead is how long before a server leaves its successor is registered.
 	successorLead = 400 * time.Millisecond
 	gateways      = 5
-	perSecond     = 40
+	// callsPerSecond is the rate at each of the three gateways that are left alone: 75 calls a
+	// second in all, as in the sheet of kcl-wdh-grown.
+	callsPerSecond = 25
 )
 
 // fleet is a zone with several gateways, each with its own link to the store.
@@ -150,7 +152,7 @@
 	var wg sync.WaitGroup
 	for i, g := range f.gateways {
 		if !slices.Contains(followers, i) {
-			wg.Go(func() { sendCalls(g, log, end, x, t) })
+			wg.Go(func() { sendCalls(g, log, callsPerSecond, end, x, t) })
 		}
 	}
 	late := 0
@@ -182,7 +184,7 @@
 }
 
 // tally counts calls.
-type tally struct{ sent, served, lost atomic.Int32 }
+type tally struct{ sent, served, lost, lostKept atomic.Int32 }
 
 // bounds are times after the store has accepted that a server is draining: late is from when on
 // requests are too late, end when the server ends.
@@ -207,11 +209,11 @@
 
 // sendCalls sends calls through a gateway until end is closed, each on a kept channel that is
 // idle, or on a new one.
-func sendCalls(g *gateway, log *record, end <-chan struct{}, x *servers, t *tally) {
+func sendCalls(g *gateway, log *record, perSecond int, end <-chan struct{}, x *servers, t *tally) {
 	idle := make(chan *channel, 100)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	tick := time.NewTicker(time.Second / perSecond)
+	tick := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer tick.Stop()
 	for n := 0; ; n++ {
 		select {
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -21,6 +21,7 @@
 )
 
 var cases = map[string]func(dir string, log *record, trouble bool) (broken bool, err error){
+	"config-backlog":      backlogNeverFits,
 	"descriptors":         releasesUseUpDescriptors,
 	"followers-cut":       followersCut,
 	"store-silent":        storeChannelsSilent,
--- a/review/_rig/silent.go
+++ b/review/_rig/silent.go
@@ -13,8 +13,11 @@
 	// inTouchMargin is how much longer than the stable window machines are left before their
 	// requests count.
 	inTouchMargin = 100 * time.Millisecond
-	silentRounds  = 6
-	silentRound   = 10 * time.Second
+	// smallCallsPerSecond is the rate at each of the two gateways: 20 calls a second in all, as in
+	// the sheet of kcl-wdh.
+	smallCallsPerSecond = 10
+	silentRounds        = 6
+	silentRound         = 10 * time.Second
 )
 
 // storeChannelsSilent makes the channels of two gateways to the store go silent once, while new ones
@@ -39,7 +42,7 @@
 	t := &tally{}
 	var wg sync.WaitGroup
 	for _, g := range f.gateways {
-		wg.Go(func() { sendCalls(g, log, end, x, t) })
+		wg.Go(func() { sendCalls(g, log, smallCallsPerSecond, end, x, t) })
 	}
 	late := 0
 	for round := range silentRounds {
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -26,9 +26,13 @@
 	DeletionPending bool     `json:"deletion-pending"`
 }
 
+// historyTime is history-s: the store forgets older changes.
+const historyTime = 20 * time.Second
+
 type storeEvent struct {
 	kind     string
 	revision uint64
+	at       time.Time
 	Object   storedObject `json:"object"`
 	Deleted  bool         `json:"deleted"`
 }
@@ -41,7 +45,9 @@
 	revision uint64
 	objects  map[string]map[string]storedObject
 	events   []storeEvent
-	changed  chan struct{}
+	// forgotten is the revision up to which the history is gone.
+	forgotten uint64
+	changed   chan struct{}
 }
 
 func startStore() (*store, error) {
@@ -99,6 +105,7 @@
 }
 
 func (s *store) addEventLocked(e storeEvent) {
+	e.at = time.Now()
 	s.events = append(s.events, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -149,6 +156,12 @@
 	end := time.After(time.Duration(min(ms, 30000)) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.forgetLocked()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			answer(w, http.StatusGone, nil)
+			return
+		}
 		events, at, changed := []storeEvent{}, s.revision, s.changed
 		for _, e := range s.events {
 			if e.kind == kind && e.revision > after {
@@ -171,6 +184,13 @@
 	}
 }
 
+func (s *store) forgetLocked() {
+	for len(s.events) > 0 && time.Since(s.events[0].at) > historyTime {
+		s.forgotten = s.events[0].revision
+		s.events = s.events[1:]
+	}
+}
+
 func (s *store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind][name]
