--- a/review/_rig/followers.go
+++ b/review/_rig/followers.go
@@ -4,10 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +47,11 @@
 	f := &fleet{dir: dir, log: log, store: s}
 	s.put("config", "main", config)
 	for i := range n {
-		p, err := startProxy(s.address())
+		address, err := s.listen(i)
+		if err != nil {
+			return f, err
+		}
+		p, err := startProxy(address)
 		if err != nil {
 			return f, err
 		}
@@ -74,19 +75,12 @@
 	}
 }
 
-// followers returns the gateways that follow the store themselves: the others log that they
-// are relayed.
+// followers returns the gateways that follow the store themselves: their watches of servers wait
+// there.
 func (f *fleet) followers() []int {
 	var out []int
-	for i, g := range f.gateways {
-		text, _ := os.ReadFile(filepath.Join(f.dir, g.id+".log"))
-		relayed := false
-		for line := range strings.Lines(string(text)) {
-			if strings.Contains(line, "who follows the store changed") {
-				relayed = strings.Contains(line, `"relayed":true`)
-			}
-		}
-		if !relayed {
+	for i := range f.gateways {
+		if f.store.watching(i) {
 			out = append(out, i)
 		}
 	}
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -48,6 +48,8 @@
 	// forgotten is the revision up to which the history is gone.
 	forgotten uint64
 	changed   chan struct{}
+	// watches counts the watches of servers that are waiting, by the link that they came on.
+	watches map[int]int
 }
 
 func startStore() (*store, error) {
@@ -55,11 +57,44 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{listener: l, revision: 1, objects: map[string]map[string]storedObject{}, changed: make(chan struct{})}
+	s := &store{listener: l, revision: 1, objects: map[string]map[string]storedObject{}, changed: make(chan struct{}), watches: map[int]int{}}
 	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
 	return s, nil
 }
 
+// listen returns the address of a link of its own to the store.
+func (s *store) listen(link int) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ms, _ := strconv.Atoi(r.URL.Query().Get("wait-ms")); ms >= leastWait && strings.HasSuffix(r.URL.Path, "/servers") {
+			s.countWatch(link, 1)
+			defer s.countWatch(link, -1)
+		}
+		s.ServeHTTP(w, r)
+	})
+	go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// leastWait is the least wait-ms of a call that waits for changes.
+const leastWait = 500
+
+func (s *store) countWatch(link, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches[link] += n
+}
+
+// watching reports whether a watch of servers is waiting that came on a link.
+func (s *store) watching(link int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches[link] > 0
+}
+
 func (s *store) address() string { return s.listener.Addr().String() }
 
 // put writes an object as the operator and the servers do.
