--- a/review/_rig/followers.go
+++ b/review/_rig/followers.go
@@ -55,17 +55,12 @@
 		if err != nil {
 			return f, err
 		}
-		g, err := startGateway(dir, fmt.Sprintf("front-wdh-a-%d", i+1), "wdh-a", p.address())
+		g, err := startReady(dir, fmt.Sprintf("front-wdh-a-%d", i+1), "wdh-a", p.address())
 		if err != nil {
 			return f, err
 		}
 		f.gateways, f.links = append(f.gateways, g), append(f.links, p)
 	}
-	for _, g := range f.gateways {
-		if err := g.awaitReady(10 * time.Second); err != nil {
-			return f, err
-		}
-	}
 	return f, nil
 }
 
--- a/review/_rig/gateway.go
+++ b/review/_rig/gateway.go
@@ -79,9 +79,30 @@
 	return g, nil
 }
 
+// startReady starts a gateway and waits until it is ready. Another program may take one of its
+// ports first: then it is started again with others.
+func startReady(dir, id, zone, platform string) (*gateway, error) {
+	for tries := 1; ; tries++ {
+		g, err := startGateway(dir, id, zone, platform)
+		if err != nil {
+			return nil, err
+		}
+		if err = g.awaitReady(5 * time.Second); err == nil {
+			return g, nil
+		}
+		g.kill()
+		if tries == 3 {
+			return nil, err
+		}
+	}
+}
+
 // awaitReady waits until the gateway says that it is ready.
 func (g *gateway) awaitReady(within time.Duration) error {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if g.hasEnded() {
+			break
+		}
 		r, err := http.Get("http://" + g.ready + "/v1/readiness")
 		if err != nil {
 			continue
--- a/review/_rig/stop.go
+++ b/review/_rig/stop.go
@@ -51,14 +51,11 @@
 		servers = append(servers, p)
 		s.put("servers", p.id, p.entry("booking", "wdh-a"))
 	}
-	g, err := startGateway(dir, "front-wdh-a-1", "wdh-a", s.address())
+	g, err := startReady(dir, "front-wdh-a-1", "wdh-a", s.address())
 	if err != nil {
 		return false, err
 	}
 	defer g.kill()
-	if err := g.awaitReady(5 * time.Second); err != nil {
-		return false, err
-	}
 	// The load balancer's readiness checks, and its decision, don't matter here: clients use the
 	// channels that they have.
 	time.Sleep(3500 * time.Millisecond)
