--- a/review/_rig/backlog.go
+++ b/review/_rig/backlog.go
@@ -27,15 +27,15 @@
 	routes, _ := c["routes"].([]any)
 	for i := range bigConfigs * addedRoutes {
 		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r-added-%d", i), "hostname": fmt.Sprintf("added%d.example", i%40), "path-prefix": fmt.Sprintf("/added%d/", i), "kind": "streaming",
-			"timeout-ms": 14000, "target-latency-ms": 900, "priority": 1, "service": "booking", "max-attempts": 1, "session-affinity": true,
-			"resume-enabled": false, "target-gap-ms": 300,
+			"name": fmt.Sprintf("r-added-%d", i), "hostname": fmt.Sprintf("added%d.example", i%40), wire.PathPrefix: fmt.Sprintf("/added%d/", i), "kind": "streaming",
+			"timeout-ms": 14000, wire.LatencyObjective: 900, "priority": 1, "service": "booking", "max-attempts": 1, "session-affinity": true,
+			wire.Resume: false, "target-gap-ms": 300,
 		})
 	}
 	if withNewRoute {
 		routes = append(routes, map[string]any{
-			"name": "new", "hostname": host, "path-prefix": "/new/", "kind": "non_idempotent", "timeout-ms": rebookTimeout.Milliseconds(),
-			"target-latency-ms": 300, "priority": 2, "service": "booking", "max-attempts": 2,
+			"name": "new", "hostname": host, wire.PathPrefix: "/new/", "kind": "non_idempotent", "timeout-ms": rebookTimeout.Milliseconds(),
+			wire.LatencyObjective: 300, "priority": 2, "service": "booking", "max-attempts": 2,
 		})
 	}
 	c["routes"], c["version"] = routes, version
--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -49,7 +49,10 @@
 // do sends a request and reads its answer within the deadline.
 func (c *channel) do(method, host, path, id, body string, deadline time.Duration) outcome {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Jayford-Request-Id: %s\r\nX-Jayford-Deadline-Ms: %d\r\n", method, path, host, id, deadline.Milliseconds())
+	fmt.Fprintf(
+		&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		method, path, host, wire.RequestID, id, wire.Deadline, deadline.Milliseconds(),
+	)
 	if method != http.MethodGet {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
@@ -67,7 +70,7 @@
 		var ne net.Error
 		return outcome{err: err, timedOut: errors.As(err, &ne) && ne.Timeout()}
 	}
-	return outcome{status: resp.StatusCode, sealed: resp.Header.Get("X-Jayford-Response-Seal") != "", body: string(text), closing: resp.Close}
+	return outcome{status: resp.StatusCode, sealed: resp.Header.Get(wire.Seal) != "", body: string(text), closing: resp.Close}
 }
 
 func (c *channel) close() { _ = c.conn.Close() }
--- a/review/_rig/descriptors.go
+++ b/review/_rig/descriptors.go
@@ -12,15 +12,17 @@
 	// descriptorLimit is the number of descriptors of a front machine of kcl-wdh-grown. The
 	// script sets it.
 	descriptorLimit = 4100
-	// bookingServers is the number of servers of the plain service, burstSize the number of
-	// calls that clients send at the same moment, burstInterval the time between two such
-	// moments, steadyClients the number of clients that send one call after the other: in all,
-	// 94 calls a second.
-	bookingServers = 4
-	burstSize      = 48
-	steadyClients  = 6
-	burstInterval  = 750 * time.Millisecond
-	maxBursts      = 110
+	// bookingServers is the number of servers of the plain service, releasedServers that of
+	// those that a release replaces.
+	bookingServers  = 4
+	releasedServers = 2
+	// burstSize is the number of calls that clients send at the same moment, burstInterval the
+	// time between two such moments, steadyClients the number of clients that send one call
+	// after the other: in all, 115 calls a second.
+	burstSize     = 64
+	steadyClients = 6
+	burstInterval = 750 * time.Millisecond
+	maxBursts     = 140
 	// maxLostKept is how many closed channels the rule allows.
 	maxLostKept = 3
 )
@@ -62,11 +64,11 @@
 	for n := range maxBursts {
 		began := time.Now()
 		if trouble {
-			for i := range bookingServers {
+			for i := range releasedServers {
 				if err := x.add(f); err != nil {
 					return false, err
 				}
-				old := x.all[n*bookingServers+i]
+				old := x.all[n*releasedServers+i]
 				ending.Go(func() {
 					time.Sleep(200 * time.Millisecond)
 					old.leave(f.store, log, bounds{late: time.Hour, end: drainBound + 300*time.Millisecond})
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -13,7 +13,7 @@
 )
 
 // shortWork is the longest work in milliseconds that isn't recorded.
-const shortWork = 100
+const shortWork = 200
 
 // plainServer is a stand-in of a server of a plain service. The first part of a path
 // behind the route's prefix is how long the work takes, in milliseconds.
@@ -51,7 +51,7 @@
 func (s *plainServer) entry(service, zone string) map[string]any {
 	return map[string]any{
 		"service": service, "address": s.listener.Addr().String(), "zone": zone, "version": "v1", "slots": 16,
-		"state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		"state": "ready", wire.ColdRemaining: 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	}
 }
 
@@ -62,18 +62,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Jayford-Instance-Id", s.id)
+		w.Header().Set(wire.Instance, s.id)
 		if s.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	id := r.Header.Get("X-Jayford-Request-Id")
+	id := r.Header.Get(wire.RequestID)
 	if id != "" {
-		w.Header().Set("X-Jayford-Request-Id", id)
+		w.Header().Set(wire.RequestID, id)
 	}
-	if want := r.Header.Get("X-Jayford-Expect-Instance"); want != "" && want != s.id {
-		w.Header().Set("X-Jayford-Instance-Id", s.id)
+	if want := r.Header.Get(wire.ExpectInstance); want != "" && want != s.id {
+		w.Header().Set(wire.Instance, s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -99,7 +99,7 @@
 		return
 	}
 	body := fmt.Sprintf("done %s\n", id)
-	w.Header().Set("X-Jayford-Response-Seal", fmt.Sprintf("%s.%08x", s.id, crc32.ChecksumIEEE([]byte(body))))
+	w.Header().Set(wire.Seal, fmt.Sprintf("%s.%08x", s.id, crc32.ChecksumIEEE([]byte(body))))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write([]byte(body))
 	if ms > shortWork {
--- a/review/_rig/stop.go
+++ b/review/_rig/stop.go
@@ -21,8 +21,8 @@
 func smallConfig() map[string]any {
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
-			"name": name, "hostname": host, "path-prefix": prefix, "kind": kind, "timeout-ms": rebookTimeout.Milliseconds(),
-			"target-latency-ms": 300, "priority": 2, "service": "booking", "max-attempts": 2,
+			"name": name, "hostname": host, wire.PathPrefix: prefix, "kind": kind, "timeout-ms": rebookTimeout.Milliseconds(),
+			wire.LatencyObjective: 300, "priority": 2, "service": "booking", "max-attempts": 2,
 		}
 	}
 	return map[string]any{
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -19,11 +19,10 @@
 }
 
 type objectMeta struct {
-	Name            string   `json:"name"`
-	Revision        uint64   `json:"revision"`
-	Created         uint64   `json:"created"`
-	Finalizers      []string `json:"finalizers"`
-	DeletionPending bool     `json:"deletion-pending"`
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizers"`
 }
 
 // historyTime is history-s: the store forgets older changes.
