A stopping gateway accepts only calls that end before it does

Callers saw calls that aren't idempotent end without an answer: sent 5.9 to 6.2 s after a gateway's SIGTERM, they were accepted, run by servers for 1.9 s of the 2 s of their route's timeout, and cut off as the process exited 7.75 s after the signal.

Cause: tooLate accepted plain calls while 1.2 s of the stop were left, whatever their own deadline.

A call's deadline covers its route's timeout, its caller's, all waiting and all retries, so the calls accepted now end before the stop does. Until the load balancer can have noticed the stop, all requests are accepted as before; the others are refused at once as not run and are served elsewhere.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,13 +40,12 @@
 )
 
 const (
-	// acceptGenerationsFor is how long after the start of a graceful stop generations
-	// are accepted: by then the load balancer has noticed it, and most of the stop's
-	// time is left to finish them.
-	acceptGenerationsFor = 2800 * time.Millisecond
-	// minCallTime is the least remaining time of a graceful stop in which plain calls
-	// are accepted.
-	minCallTime = 1200 * time.Millisecond
+	// acceptAllFor is how long after the start of a graceful stop all requests are
+	// accepted: by then the load balancer has noticed it, and most of the stop's time is
+	// left to finish them. After it, only plain calls that end before the stop are.
+	acceptAllFor = 2800 * time.Millisecond
+	// maxAcceptAllShare bounds acceptAllFor as a part of a short stop.
+	maxAcceptAllShare = 0.4
 	// stoppingRetryAfter sends callers to another gateway at once.
 	stoppingRetryAfter = 100 * time.Millisecond
 )
@@ -248,21 +247,24 @@
 // Close makes the gateway refuse all requests, as its process is about to exit.
 func (g *Gateway) Close() { g.closing.Store(true) }
 
-// tooLate reports whether a request can't complete before the gateway exits. The load
-// balancer still sends requests to a stopping gateway that is the only one in its
-// availability zone. Refused at once, they are retried elsewhere instead of being cut
-// off.
-func (g *Gateway) tooLate(r *Request) bool {
-	switch {
-	case !g.stopping.Load():
+// tooLate reports whether a request that may take until a time is refused because of a
+// graceful stop. The load balancer still sends requests to a stopping gateway that is the
+// only one in its availability zone. Refused at once, they are retried elsewhere instead of
+// being cut off.
+func (g *Gateway) tooLate(r *Request, until time.Time) bool {
+	if !g.stopping.Load() {
 		return false
-	case g.closing.Load():
-		return true
 	}
-	if r.Generation != nil {
-		return time.Since(g.stopAt) > acceptGenerationsFor
+	whole := g.stopBy.Sub(g.stopAt)
+	if time.Since(g.stopAt) <= min(acceptAllFor, time.Duration(maxAcceptAllShare*float64(whole))) {
+		return false
 	}
-	return time.Until(g.stopBy) < minCallTime
+	return r.Generation != nil || until.After(g.stopBy)
+}
+
+// stoppingError refuses a request that this gateway may not be able to complete.
+func stoppingError() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Leaving, "This gateway is about to end.").WithRetryAfter(stoppingRetryAfter)
 }
 
 // InFlight returns the number of requests in progress.
@@ -321,8 +323,8 @@
 
 // plan routes a request and sets its deadline, or returns why it is refused.
 func (g *Gateway) plan(r *Request) (*job, *verdict.Error) {
-	if g.tooLate(r) {
-		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "This gateway is about to end.").WithRetryAfter(stoppingRetryAfter)
+	if g.closing.Load() {
+		return nil, stoppingError()
 	}
 	confirmed := g.view.confirmed()
 	c := confirmed.Config
@@ -347,12 +349,12 @@
 	if err := checkSize(r, c.Limits); err != nil {
 		return nil, err
 	}
-	wait := route.Timeout
-	if r.CallerTimeout > 0 {
-		wait = min(wait, r.CallerTimeout)
+	until := r.capDeadline(r.Arrived.Add(route.Timeout - answerMargin))
+	if g.tooLate(r, until) {
+		return nil, stoppingError()
 	}
 	j := &job{
-		r: r, route: route, service: service, organisation: organisation, config: c.Version, until: r.Arrived.Add(wait - answerMargin),
+		r: r, route: route, service: service, organisation: organisation, config: c.Version, until: until,
 		avoid: make(map[string]bool),
 	}
 	j.fingerprint = r.fingerprint(j.organisationName())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -275,7 +275,7 @@
 	g.Stop(time.Now().Add(7 * time.Second))
 	_, err := g.Serve(t.Context(), generation("/stream/x"))
 	assert.Assert(t, err == nil, "refused at the begin of a stop")
-	g.stopAt = time.Now().Add(-acceptGenerationsFor - time.Second)
+	g.stopAt = time.Now().Add(-acceptAllFor - time.Second)
 	_, err = g.Serve(t.Context(), generation("/stream/x"))
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Assert(t, err.RetryAfter > 0 && err.RetryAfter < time.Second)
@@ -283,6 +283,29 @@
 	assert.Assert(t, err == nil, "a short call has time enough")
 }
 
+// Guards against a stopping gateway that accepts calls whose time ends after its own, and exits
+// while servers run them.
+func TestCallsThatMayOutlastAStopAreRefused(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("fine")), nil }}
+	g := newGateway(t, f)
+	bounded := func(d time.Duration) *verdict.Error {
+		r := call("/once/x")
+		r.CallerTimeout = d
+		_, err := g.Serve(t.Context(), r)
+		return err
+	}
+	g.Stop(time.Now().Add(2 * time.Second))
+	assert.Assert(t, bounded(3*time.Second) == nil, "refused before the load balancer can know")
+	g.stopAt = time.Now().Add(-acceptAllFor - time.Second)
+	assert.Assert(t, bounded(1500*time.Millisecond) == nil, "a call that ends before the stop")
+	for _, d := range []time.Duration{2500 * time.Millisecond, 0} {
+		err := bounded(d)
+		assert.Equal(t, err.Verdict, verdict.NotRun)
+		assert.Assert(t, err.RetryAfter > 0 && err.RetryAfter < time.Second)
+	}
+	assert.Equal(t, len(f.sends()), 2)
+}
+
 // A store that answers from an old state delivers an older configuration. It must not
 // replace the one in force.
 func TestConfigurationIsNeverDowngraded(t *testing.T) {
