Short stops refuse calls that may outlast them: a test

The bound of the first part of a short stop, maxAcceptAllShare, came without a test. TestShortStopsRefuseCallsThatMayOutlastThem fails without it: 1 s into a stop of 2 s a call with 3 s of time is accepted.

TestCallsThatMayOutlastAStopAreRefused ended in a nil pointer on the code before the fix, and now names the refusal that it misses. The bound has a name where it is compared.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,8 +255,8 @@
 	if !g.stopping.Load() {
 		return false
 	}
-	whole := g.stopBy.Sub(g.stopAt)
-	if time.Since(g.stopAt) <= min(acceptAllFor, time.Duration(maxAcceptAllShare*float64(whole))) {
+	window := min(acceptAllFor, time.Duration(maxAcceptAllShare*float64(g.stopBy.Sub(g.stopAt))))
+	if time.Since(g.stopAt) <= window {
 		return false
 	}
 	return r.Generation != nil || until.After(g.stopBy)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -300,12 +300,24 @@
 	assert.Assert(t, bounded(1500*time.Millisecond) == nil, "a call that ends before the stop")
 	for _, d := range []time.Duration{2500 * time.Millisecond, 0} {
 		err := bounded(d)
+		assert.Assert(t, err != nil, "accepted, though it may take longer than the stop")
 		assert.Equal(t, err.Verdict, verdict.NotRun)
 		assert.Assert(t, err.RetryAfter > 0 && err.RetryAfter < time.Second)
 	}
 	assert.Equal(t, len(f.sends()), 2)
 }
 
+// Guards against a gateway with a short stop that accepts calls of any length until its end.
+func TestShortStopsRefuseCallsThatMayOutlastThem(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("fine")), nil }}
+	g := newGateway(t, f)
+	g.Stop(time.Now().Add(time.Second))
+	g.stopAt = time.Now().Add(-time.Second)
+	_, err := g.Serve(t.Context(), call("/once/x"))
+	assert.Assert(t, err != nil, "accepted, though it may take longer than the stop")
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+}
+
 // A store that answers from an old state delivers an older configuration. It must not
 // replace the one in force.
 func TestConfigurationIsNeverDowngraded(t *testing.T) {
