The log of a stop names what it aborts, and how late its signal may have been

A stop that aborted requests logged their number only, so a stream that a caller lost couldn't be found in it, nor whether a server worked on it. Nothing told whether a drain ended by itself, or how late the signal was acted on.

"gateway: request aborted by the stop." names each request in progress as the drain times out: its id, age, when it arrived from the drain's start on (sinceStop), what goes on for it (waiting, prefilling, running), the server that works on it, and how many events were passed on. "gateway: drained." says why it ended (quiet, timed out). "gateway: draining" says by how much the signal may have been sent earlier (lateByUpTo): internal/pulse notes every 0.1 s that the process runs. In a process that ran all the time this is 0.1 s or less; after a stall it counts from the stall's start.

No decision is changed.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -17,6 +17,7 @@
 	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/peers"
 	policyquota "jayford.example/jayford/internal/policy/quota"
+	"jayford.example/jayford/internal/pulse"
 	"jayford.example/jayford/internal/quota"
 	"jayford.example/jayford/internal/settings"
 )
@@ -34,6 +35,7 @@
 
 // RunGateway runs a gateway until ctx ends and it has stopped gracefully.
 func RunGateway(ctx context.Context, s settings.Gateway, deps Dependencies, log *logrus.Logger) error {
+	monitor := pulse.NewMonitor()
 	b := board.New()
 	g := gateway.New(gateway.Options{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Backend: deps.Backend, Board: b,
@@ -44,7 +46,7 @@
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes, MaxHeldBytes: s.Limits.MaxHeldBytes,
 		HeaderTimeout: s.Limits.HeaderTimeout.D(), BodyTimeout: s.Limits.BodyTimeout.D(),
 		IdleTimeout: s.Limits.IdleTimeout.D(), WriteTimeout: s.Limits.WriteTimeout.D(),
-		StopWithin: s.StopWithin.D(), Protocol: deps.Protocol,
+		StopWithin: s.StopWithin.D(), EarliestSent: monitor.EarliestSent, Protocol: deps.Protocol,
 	})
 	started := time.Now()
 	log.WithFields(logrus.Fields{
@@ -101,7 +103,7 @@
 		Peers: func() []string { return ids(members.List()) }, PeerPromptRate: exchange.PromptRate, Speed: g.EngineSpeed,
 	}
 	return run(
-		ctx, server.Run, members.Run, exchange.Run, quotas.Run,
+		ctx, server.Run, monitor.Run, members.Run, exchange.Run, quotas.Run,
 		func(ctx context.Context) error { return g.RunStages(ctx, orders) },
 		func(ctx context.Context) error { return updatePeers(ctx, g, members) },
 		func(ctx context.Context) error { return g.Follow(ctx, deps.Sources) },
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,7 @@
 	var kept *Reply
 	var last *verdict.Error
 	for {
+		j.progress.set(waiting, "")
 		if err := g.recheck(ctx, j); err != nil {
 			last = err
 			break
@@ -147,6 +148,7 @@
 func (g *Gateway) sendCall(ctx context.Context, j *job, s catalog.Server, c Call) (*Reply, *verdict.Error) {
 	j.sends++
 	j.sentAt = time.Now()
+	j.progress.set(running, serverKey(s))
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
 	g.countRun(j, err)
--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// streamProtocol decodes each HTTP request whose path is that of a stream as a generation.
+type streamProtocol struct{ bareProtocol }
+
+func (streamProtocol) Decode(ctx *fasthttp.RequestCtx) (*Request, *verdict.Error) {
+	path := string(ctx.Path())
+	r := call(path)
+	if strings.HasPrefix(path, "/stream") {
+		r = generation(path)
+	}
+	r.ID = string(ctx.Request.Header.Peek("Id"))
+	return r, nil
+}
+
+func (streamProtocol) Refuse(resp *fasthttp.Response, r *Request, e *verdict.Error) {
+	bareProtocol{}.Refuse(resp, r, e)
+	resp.Header.Set("Retry-After", e.RetryAfter.String())
+	resp.Header.Set("Verdict", e.Verdict.String())
+}
+
+// stoppable is a gateway's server that a test stops.
+type stoppable struct {
+	t     *testing.T
+	g     *Gateway
+	addr  string
+	logs  *logtest.Hook
+	stop  context.CancelFunc
+	ended chan error
+}
+
+// newStoppable runs the server of a gateway whose graceful stop takes within.
+func newStoppable(t *testing.T, f *fakeBackend, within time.Duration, change func(*ServerOptions)) *stoppable {
+	t.Helper()
+	x := &stoppable{t: t, g: newGateway(t, f), addr: free(t), ended: make(chan error, 1)}
+	x.logs = logtest.NewLocal(x.g.log.Logger)
+	o := ServerOptions{
+		Listen: x.addr, Ready: free(t), ReadyPath: "/ready", MaxHeaderBytes: 4096, MaxBodyBytes: 4096, MaxHeldBytes: 1 << 20,
+		HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: time.Second, WriteTimeout: time.Second,
+		StopWithin: within, Protocol: streamProtocol{},
+	}
+	if change != nil {
+		change(&o)
+	}
+	s := NewServer(x.g, o)
+	ctx, stop := context.WithCancel(t.Context())
+	x.stop = stop
+	go func() { x.ended <- s.Run(ctx) }()
+	x.eventually("the server doesn't listen", func() bool { return x.logged("gateway: listening.") != nil })
+	return x
+}
+
+// eventually waits until a condition holds.
+func (x *stoppable) eventually(problem string, holds func() bool) {
+	x.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(x.t, time.Now().Before(end), problem)
+	}
+}
+
+// logged returns the fields of the first log line with a message, nil if there is none.
+func (x *stoppable) logged(message string) logrus.Fields {
+	for _, e := range x.logs.AllEntries() {
+		if e.Message == message {
+			return e.Data
+		}
+	}
+	return nil
+}
+
+// answered is how a request ended for its caller.
+type answered struct {
+	status     int
+	retryAfter string
+	verdict    string
+	body       string
+	err        error
+	after      time.Duration
+}
+
+// send sends a request on a connection of its own and returns a channel with its end.
+func (x *stoppable) send(id, path string) <-chan answered {
+	out := make(chan answered, 1)
+	began := time.Now()
+	go func() {
+		req, err := http.NewRequestWithContext(x.t.Context(), http.MethodPost, "http://"+x.addr+path, strings.NewReader("x"))
+		if err != nil {
+			out <- answered{err: err}
+			return
+		}
+		req.Header.Set("Id", id)
+		client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		resp, err := client.Do(req)
+		if err != nil {
+			out <- answered{err: err, after: time.Since(began)}
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		out <- answered{
+			status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After"), verdict: resp.Header.Get("Verdict"),
+			body: string(body), err: err, after: time.Since(began),
+		}
+	}()
+	return out
+}
+
+// endless is a stream whose first events come at once, and which then goes on without any until
+// the test ends.
+func endless(t *testing.T, ids ...string) io.Reader {
+	r, w := io.Pipe()
+	t.Cleanup(func() { _ = w.Close() })
+	return io.MultiReader(text(eventsOf(ids...)), r)
+}
+
+// Guards against a stop that aborts requests of which nothing but their number is known.
+func TestAbortedRequestsAreLogged(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(endless(t, "1", "2")), nil }}
+	x := newStoppable(t, f, 100*time.Millisecond, func(o *ServerOptions) {
+		o.EarliestSent = func(handled time.Time) time.Time { return handled.Add(-70 * time.Millisecond) }
+	})
+	x.send("long", "/stream-once/x")
+	x.eventually("the stream doesn't run", func() bool { return len(f.sends()) == 1 && x.logged("gateway: decode answered.") != nil })
+	time.Sleep(20 * time.Millisecond)
+	x.stop()
+	assert.NilError(t, <-x.ended)
+	assert.Equal(t, x.logged("gateway: draining, no longer ready.")["lateByUpTo"], 70.0)
+	assert.Equal(t, x.logged("gateway: drained.")["end"], "timed out")
+	line := x.logged("gateway: request aborted by the stop.")
+	assert.Assert(t, line != nil, "the aborted request isn't logged")
+	assert.Equal(t, line["request"], "long")
+	assert.Equal(t, line["activity"], "running")
+	assert.Equal(t, line["server"], x.g.keyOf(t, f.sends()[0].server))
+	assert.Equal(t, line["events"], 2)
+	assert.Assert(t, line["age"].(float64) > 100, "%v", line)
+	assert.Assert(t, line["sinceStop"].(float64) < 0, "%v", line)
+}
+
+// Guards against a drain whose log doesn't tell that it ended by itself.
+func TestQuietDrainIsLogged(t *testing.T) {
+	x := newStoppable(t, &fakeBackend{}, 5*time.Second, nil)
+	x.stop()
+	assert.NilError(t, <-x.ended)
+	assert.Equal(t, x.logged("gateway: drained.")["end"], "quiet")
+	assert.Assert(t, x.logged("gateway: request aborted by the stop.") == nil)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 	stopAt, stopBy time.Time
 	// closing is set when no request is accepted any more.
 	closing  atomic.Bool
-	inFlight atomic.Int64
+	inFlight inFlight
 
 	budget *budget
 
@@ -268,7 +268,7 @@
 }
 
 // InFlight returns the number of requests in progress.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+func (g *Gateway) InFlight() int64 { return int64(g.inFlight.count()) }
 
 // Serve handles one request. ctx ends when the caller disconnects. The reply's body
 // must be closed.
@@ -287,9 +287,9 @@
 		g.logRefused(r, err)
 		return nil, err
 	}
-	g.inFlight.Add(1)
+	j.progress = g.inFlight.begin(r)
 	if err := g.findOrigin(ctx, j); err != nil {
-		g.inFlight.Add(-1)
+		g.inFlight.end(j.progress)
 		g.logRefused(r, err)
 		return nil, err
 	}
@@ -302,14 +302,14 @@
 		err = g.finalError(ctx, j, err)
 		cancel()
 		g.crashes.endTrial(j, false)
-		g.inFlight.Add(-1)
+		g.inFlight.end(j.progress)
 		g.logRequest(j, "gateway: given up.", logrus.Fields{"code": err.Code, "verdict": err.Verdict.String(), "cause": err.Error(), "retryAfter": err.RetryAfter.Seconds()})
 		return nil, err
 	}
 	reply.Body = &closeHookBody{ReadCloser: reply.Body, onClose: func() {
 		cancel()
 		g.crashes.endTrial(j, false)
-		g.inFlight.Add(-1)
+		g.inFlight.end(j.progress)
 	}}
 	return reply, nil
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -20,6 +20,7 @@
 	g.prompts.count(time.Now(), j.r.Generation.Prompt)
 	var last *verdict.Error
 	for {
+		j.progress.set(waiting, "")
 		if err := g.recheck(ctx, j); err != nil {
 			return nil, err
 		}
@@ -64,6 +65,7 @@
 	}
 	j.sends++
 	j.sentAt, j.wroteAt = time.Now(), time.Time{}
+	j.progress.set(running, serverKey(p.server))
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
@@ -80,6 +82,7 @@
 		})
 		return a, nil
 	}
+	j.progress.set(waiting, "")
 	p.end()
 	if isLoss(ctx, err) {
 		g.recordLoss(j, p.server, j.sentAt, err)
--- /dev/null
+++ b/internal/gateway/inflight.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// activity is what goes on for a request in progress.
+type activity string
+
+// The activities. A request that waits is at no server: it waits for a quota, a reservation or
+// another attempt.
+const (
+	waiting    activity = "waiting"
+	prefilling activity = "prefilling"
+	running    activity = "running"
+)
+
+// progress is what others than its own goroutine may know of a request in progress.
+type progress struct {
+	id      string
+	arrived time.Time
+
+	mu sync.Mutex
+	// All below is guarded by mu. server is the key of the server that works on the request, ""
+	// if it waits; events counts the events that were passed on to the caller.
+	activity activity
+	server   string
+	events   int
+}
+
+// set records what goes on for the request.
+func (p *progress) set(a activity, server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.activity, p.server = a, server
+}
+
+// countEvent records that an event is passed on to the caller.
+func (p *progress) countEvent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events++
+}
+
+// fields returns the log fields of a request that is aborted at a time, in a stop that began at
+// another. sinceStop is negative for a request that arrived before the stop.
+func (p *progress) fields(now, stopped time.Time) logrus.Fields {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return logrus.Fields{
+		"request": p.id, "age": milliseconds(now.Sub(p.arrived)), "sinceStop": milliseconds(p.arrived.Sub(stopped)),
+		"activity": string(p.activity), "server": p.server, "events": p.events,
+	}
+}
+
+// inFlight has the requests in progress.
+type inFlight struct {
+	mu sync.Mutex
+	// list is guarded by mu.
+	list map[*progress]struct{}
+}
+
+func (f *inFlight) begin(r *Request) *progress {
+	p := &progress{id: r.ID, arrived: r.Arrived, activity: waiting}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.list == nil {
+		f.list = map[*progress]struct{}{}
+	}
+	f.list[p] = struct{}{}
+	return p
+}
+
+func (f *inFlight) end(p *progress) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.list, p)
+}
+
+func (f *inFlight) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.list)
+}
+
+func (f *inFlight) all() []*progress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]*progress, 0, len(f.list))
+	for p := range f.list {
+		out = append(out, p)
+	}
+	return out
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -15,7 +15,8 @@
 
 // job is one request in progress.
 type job struct {
-	r *Request
+	r        *Request
+	progress *progress
 	// fingerprint identifies r by its content and its caller's organisation.
 	fingerprint uint64
 	// model is a hash of its model's name, parts those of the parts of its prompt.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,7 +48,10 @@
 	MaxHeldBytes int64
 	// StopWithin bounds a graceful stop.
 	StopWithin time.Duration
-	Protocol   Protocol
+	// EarliestSent returns the earliest time at which a signal can have been sent that was
+	// handled at a time. A nil EarliestSent returns that time itself.
+	EarliestSent func(handled time.Time) time.Time
+	Protocol     Protocol
 }
 
 const (
@@ -177,9 +180,12 @@
 func (s *Server) drain() {
 	began := time.Now()
 	s.g.Stop(began.Add(s.opts.StopWithin))
-	s.g.log.WithFields(logrus.Fields{"requests": s.g.InFlight(), "within": s.opts.StopWithin.String()}).Info("gateway: draining, no longer ready.")
+	s.g.log.WithFields(logrus.Fields{
+		"requests": s.g.InFlight(), "within": s.opts.StopWithin.String(), "lateByUpTo": milliseconds(began.Sub(s.earliestSent(began))),
+	}).Info("gateway: draining, no longer ready.")
+	end := drainTimedOut
 	defer func() {
-		s.g.log.WithField("took", milliseconds(time.Since(began))).Info("gateway: drained.")
+		s.g.log.WithFields(logrus.Fields{"took": milliseconds(time.Since(began)), "end": end}).Info("gateway: drained.")
 	}()
 	quiet := began
 	for time.Since(began) < s.opts.StopWithin {
@@ -188,10 +194,30 @@
 			quiet = time.Now()
 		}
 		if time.Since(began) > minDrain && time.Since(quiet) > quietPeriod {
+			end = drainQuiet
 			return
 		}
 	}
 	s.g.log.WithField("requests", s.g.InFlight()).Warn("gateway: drain timed out, aborting requests.")
+	now := time.Now()
+	for _, p := range s.g.inFlight.all() {
+		s.g.log.WithFields(p.fields(now, began)).Warn("gateway: request aborted by the stop.")
+	}
+}
+
+// Ends of a drain, in logs.
+const (
+	drainQuiet    = "quiet"
+	drainTimedOut = "timed out"
+)
+
+// earliestSent returns the earliest time at which a signal can have been sent that was handled
+// at a time.
+func (s *Server) earliestSent(handled time.Time) time.Time {
+	if s.opts.EarliestSent == nil {
+		return handled
+	}
+	return s.opts.EarliestSent(handled)
 }
 
 // close refuses the remaining requests, then closes the listener. Without the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -115,6 +115,7 @@
 
 // observe records the time to the first event, or between two events.
 func (s *stream) observe() {
+	s.j.progress.countEvent()
 	now := time.Now()
 	if s.j.wroteAt.IsZero() {
 		s.j.wroteAt = now
@@ -215,6 +216,7 @@
 func (s *stream) resume(cause error) error {
 	_ = s.answer.Body.Close()
 	s.reservation.end()
+	s.j.progress.set(waiting, "")
 	if s.ctx.Err() != nil {
 		return context.Cause(s.ctx)
 	}
