Streams that are taken up again don't queue behind those of other versions

What callers saw: while a release was under way and engines of one version had crashed, callers who took their broken streams up again got nothing for 1.5 s and more, though engines of their version had room; many gave up or were refused.

Cause: a caller's attempt to take a stream up is later than its objective, so it counted as a late request, and late requests of a gateway take turns in one queue. The one with the turn keeps it for up to 1.5 s while it asks the engines of its own version in vain; all others wait, also those whose engines are idle. The queue was made for requests that compete for the same engines. Class: head-of-line blocking by a queue that is shared among what it serves.

The exchange of versions had no part in it. TestResumedStreamsDontWaitForOtherVersions failed before: "took 1.400673499s".

Change: a stream that goes on asks the engines of its version at once, as it does when it is resumed within an answer, for as long as a late request may wait. It can't take a place that helps another version, and it has less left to do than a new request.

Measured: the test passes 5 of 5 with -race, with the package's tests of turns and late requests.

--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -124,13 +124,7 @@
 	if next := g.limits.wait(engines, began); next > max(0, time.Until(j.reserveDeadline())) {
 		return reservation{}, rateLimitedError(next)
 	}
-	p, ok := reservation{}, false
-	if !j.isCallerRetry() {
-		p, ok = g.reserveUntil(ctx, j, j.delivered(), j.reserveDeadline())
-	}
-	if !ok {
-		p, ok = g.reserveLate(ctx, j)
-	}
+	p, ok := g.reserveInTurn(ctx, j)
 	if ok {
 		observe(reserveSeconds, began)
 		return p, nil
@@ -147,6 +141,21 @@
 	).WithRetryAfter(capacityRetryAfter)
 }
 
+// reserveInTurn waits for a reservation as long as the request may. A stream that goes on takes
+// no turn among the late requests: only engines of its own software version are of use to it, and
+// the others' turns would hold it up.
+func (g *Gateway) reserveInTurn(ctx context.Context, j *job) (reservation, bool) {
+	if j.begun {
+		return g.reserveUntil(ctx, j, j.delivered(), j.r.Arrived.Add(lateWait))
+	}
+	if !j.isCallerRetry() {
+		if p, ok := g.reserveUntil(ctx, j, j.delivered(), j.reserveDeadline()); ok {
+			return p, true
+		}
+	}
+	return g.reserveLate(ctx, j)
+}
+
 // firstTryTimeoutShare is the least part of a route's timeout that callers set as
 // their own timeout on a first attempt; they use 0.85 to 1.
 const firstTryTimeoutShare = 0.83
--- /dev/null
+++ b/internal/gateway/resume_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// takenUp is a request of a caller who takes up the stream that an attempt began.
+func takenUp(first string) *Request {
+	r := generation("/stream/x")
+	r.CallerTimeout = callerRetry().CallerTimeout
+	r.ID, r.Generation.LastEventID, r.Generation.FirstAttemptID = first+"-again", "2", first
+	return r
+}
+
+// Guards against streams whose engines have room and that wait behind one whose engines have none
+// until their callers give up.
+func TestResumedStreamsDontWaitForOtherVersions(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	g := newGateway(t, f)
+	g.SetServers(serversOf("v1", "v2", "v3"))
+	open := map[string]bool{}
+	f.reserve = func(s catalog.Server, _ int) (string, *verdict.Error) {
+		if !open[s.ID] {
+			return "", full()
+		}
+		return "hold", nil
+	}
+	for n, engine := range []string{"d1", "d2"} {
+		clear(open)
+		open[engine] = true
+		r := generation("/stream/x")
+		r.ID = fmt.Sprint("s", n+1)
+		reply, err := g.Serve(t.Context(), r)
+		assert.Assert(t, err == nil, "%v", err)
+		reply.discard()
+	}
+	waits := make(chan *verdict.Error, 1)
+	go func() {
+		_, err := g.Serve(t.Context(), takenUp("s1"))
+		waits <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	reply, err := g.Serve(t.Context(), takenUp("s2"))
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+	assert.Assert(t, time.Since(began) < lateWait/3, "took %s", time.Since(began))
+	err = <-waits
+	assert.Assert(t, err != nil && err.Verdict == verdict.NotRun && err.RetryAfter > 0, "%v", err)
+}
