Processes outlive the readers of their output

Callers saw all streams and requests of a gateway, an entry or an agent cut at once. When standard output or standard error is a pipe whose reader has ended, Go's runtime ends the process with SIGPIPE at its next write to descriptor 1 or 2, unless the program handles the signal. internal/logs took write errors for ignored; the error never came back. An idle process lives on until the first line of its drain.

jayfordd ignores SIGPIPE from the first statement of its command line on, in all roles: a write then fails with EPIPE. Nothing writes before that; sockets never raised it. jayfordctl doesn't share this code and keeps the default, as a client in pipelines should. Lines whose write fails are counted as reason "write_error" and, should a FIFO get a reader again, reported by the line of dropped lines; their number was lost before when that line failed itself. A line cut off by an error, such as a full disk, no longer joins the next.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -137,7 +137,11 @@
 }
 
 // Main runs jayfordd with the given arguments and returns its exit code.
+//
+// It ignores SIGPIPE: the runtime would otherwise end the process, with all its requests, at
+// the first write to a standard output or error whose reader has ended.
 func Main(args []string, gateway GatewayRunner) int {
+	signal.Ignore(syscall.SIGPIPE)
 	p := flags.NewNamedParser("jayfordd", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Routes requests to prefill and decode engines and to plain services."
 	commands := []struct {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -2,9 +2,13 @@
 // through a bounded buffer to a writer goroutine, and the rate of each kind of
 // line (level and message) is limited.
 //
-// Dropped lines are counted, and one line reports their number as soon as there
-// is room. The first lines of each kind in a second are kept, as they show how a
+// Dropped lines are counted, and one line reports their number as soon as one can be
+// written. The first lines of each kind in a second are kept, as they show how a
 // problem begins.
+//
+// A line whose write fails is dropped. A pipe whose reader has ended fails each write for
+// good, a FIFO until it has a reader again. The process must ignore SIGPIPE, which would end
+// it at the first such write.
 package logs
 
 import (
@@ -31,6 +35,7 @@
 
 var (
 	droppedSlowReader = metrics.NewCounter(`jayford_log_lines_dropped_total{reason="slow_reader"}`)
+	droppedByError    = metrics.NewCounter(`jayford_log_lines_dropped_total{reason="write_error"}`)
 	droppedByRate     = metrics.NewCounter(`jayford_log_lines_dropped_total{reason="rate"}`)
 	written           = metrics.NewCounter("jayford_log_lines_written_total")
 )
@@ -107,6 +112,8 @@
 	lines         chan []byte
 	dropped       atomic.Int64
 	flushRequests chan chan struct{}
+	// cut: an error has cut off the last line. It belongs to run.
+	cut bool
 }
 
 func newWriter(out io.Writer, buffer int) *writer {
@@ -146,14 +153,30 @@
 }
 
 // writeLine writes a line, preceded by the number of lines dropped before it, if
-// any. Write errors are ignored: without a reader they can't be reported.
+// any.
 func (w *writer) writeLine(line []byte) {
-	if n := w.dropped.Swap(0); n > 0 {
-		_, _ = w.out.Write(droppedLine(n))
+	dropped := w.dropped.Swap(0)
+	if dropped > 0 && w.write(droppedLine(dropped)) {
+		dropped = 0
+	}
+	if dropped > 0 || !w.write(line) {
+		droppedByError.Inc()
+		w.dropped.Add(dropped + 1)
+		return
+	}
+	written.Inc()
+}
+
+// write writes one line and reports whether it was written whole.
+func (w *writer) write(line []byte) bool {
+	if w.cut {
+		line = append([]byte{'\n'}, line...)
 	}
-	if _, err := w.out.Write(line); err == nil {
-		written.Inc()
+	n, err := w.out.Write(line)
+	if n > 0 {
+		w.cut = line[n-1] != '\n'
 	}
+	return err == nil
 }
 
 func droppedLine(n int64) []byte {
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"io"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,3 +97,71 @@
 		log.WithFields(logrus.Fields{"request": "9c41d07be2a35f68", "server": "i-7f3a91c2", "tokens": 5200}).Info("gateway: reserved.")
 	}
 }
+
+// Guards against lines that vanish uncounted while the output has no reader.
+func TestLinesWithoutAReaderAreCounted(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	assert.NilError(t, syscall.Mkfifo(path, 0o600))
+	openReader := func() *os.File {
+		r, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NONBLOCK, 0)
+		assert.NilError(t, err)
+		return r
+	}
+	r := openReader()
+	w, err := os.OpenFile(path, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	defer func() { _ = w.Close() }()
+	assert.NilError(t, r.Close())
+	log := logrus.New()
+	flush := Install(log, w, Options{Level: logrus.InfoLevel})
+	before := droppedByError.Get()
+	const lost = 20
+	for range lost {
+		log.Info("gateway: unread.")
+	}
+	flush(time.Second)
+	assert.Equal(t, droppedByError.Get()-before, uint64(lost))
+
+	r = openReader()
+	defer func() { _ = r.Close() }()
+	log.Info("gateway: read.")
+	flush(time.Second)
+	out := make([]byte, 1<<16)
+	n, err := r.Read(out)
+	assert.NilError(t, err)
+	lines := strings.Split(strings.TrimSpace(string(out[:n])), "\n")
+	assert.Equal(t, len(lines), 2, "%q", lines)
+	assert.Assert(t, strings.Contains(lines[0], `"lines":20`), lines[0])
+	assert.Assert(t, strings.Contains(lines[1], "gateway: read."), lines[1])
+}
+
+// limitedWriter accepts a number of bytes and then fails.
+type limitedWriter struct {
+	bytes.Buffer
+	room int
+}
+
+func (w *limitedWriter) Write(b []byte) (int, error) {
+	n := min(len(b), w.room)
+	w.room -= n
+	_, _ = w.Buffer.Write(b[:n])
+	if n < len(b) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+// Guards against a line that is joined to the rest of one that an error has cut off.
+func TestLineAfterACutOneBeginsAnew(t *testing.T) {
+	out := &limitedWriter{room: 10}
+	w := &writer{out: out}
+	w.writeLine([]byte("first line\n"))
+	w.writeLine([]byte("second\n"))
+	out.room = 1 << 10
+	w.writeLine([]byte("third\n"))
+	lines := strings.Split(out.String(), "\n")
+	assert.Equal(t, len(lines), 4, "%q", lines)
+	assert.Equal(t, lines[0], "first line")
+	assert.Assert(t, strings.Contains(lines[1], `"lines":2`), lines[1])
+	assert.Equal(t, lines[2], "third")
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -22,6 +22,8 @@
 	path string
 	args []string
 	env  []string
+	// output is what the process writes to instead of log, if it isn't nil.
+	output *os.File
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -41,6 +43,9 @@
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout = &lockedWriter{p: p}
+	if p.output != nil {
+		cmd.Stdout = p.output
+	}
 	cmd.Stderr = cmd.Stdout
 	// The kernel kills the child process if the test binary dies.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
