A request accepted as a stopping gateway closes is counted and finished

What callers saw: nothing yet in a record; read in the code and shown by a test. plan() checked whether the gateway refuses all requests, then worked out the request's fingerprint, and only after that the request was counted as in progress. A drain could find nothing in progress in between, refuse all from then on and end the process 0.25 s later, while a server ran the request that had just been accepted.

Class: a check and the count that it guards aren't one step.

Evidence, before the fix:

--- FAIL: TestRequestAcceptedAsAGatewayClosesIsCounted 29 accepted assertion failed: 13 (uncounted int) != 0 (int): accepted after the gateway found nothing in progress --- FAIL: TestStopWaitsForARequestAcceptedAsItCloses assertion failed: took is less than rest: closed after 250.465698ms

The fix: a request is accepted and counted under one lock, which the refusal of all requests takes too. So after Close() whatever is in progress is counted. close() then waits for it, until the end of the stop at most.

Ruled out: a second look at the flag after counting would do as well, but leaves a count that may fall again; the lock is taken twice a request. The last bytes of an answer, which the HTTP library sends after its body was closed, have closeDelay and refuseBeforeClose as before.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/callers"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -161,3 +163,65 @@
 	assert.Equal(t, x.logged("gateway: drained.")["end"], "quiet")
 	assert.Assert(t, x.logged("gateway: request aborted by the stop.") == nil)
 }
+
+// largeBody takes a request's planning some milliseconds.
+const largeBody = 32 << 20
+
+// Guards against a stopping gateway that finds nothing in progress and exits, while it is about to
+// accept a request.
+func TestRequestAcceptedAsAGatewayClosesIsCounted(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("fine")), nil }}
+	accepted, uncounted := 0, 0
+	for n := range 30 {
+		g := newGateway(t, f)
+		r := call("/once/x")
+		r.Body = make([]byte, largeBody)
+		before := len(f.sends())
+		done := make(chan *Reply)
+		go func() {
+			reply, _ := g.Serve(t.Context(), r)
+			done <- reply
+		}()
+		time.Sleep(time.Duration(n) * time.Millisecond)
+		g.Close()
+		isQuiet := g.InFlight() == 0 && len(f.sends()) == before
+		reply := <-done
+		if reply == nil {
+			continue
+		}
+		accepted++
+		if isQuiet {
+			uncounted++
+		}
+		assert.NilError(t, reply.Body.Close())
+	}
+	t.Logf("%d accepted", accepted)
+	assert.Equal(t, uncounted, 0, "accepted after the gateway found nothing in progress")
+}
+
+// Guards against a stop that ends while a request runs that was accepted just before all were
+// refused.
+func TestStopWaitsForARequestAcceptedAsItCloses(t *testing.T) {
+	const rest = 700 * time.Millisecond
+	r, w := io.Pipe()
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		return answer(io.MultiReader(text(eventsOf("1")), r)), nil
+	}}
+	g := newGateway(t, f)
+	s := NewServer(g, ServerOptions{StopWithin: 5 * time.Second, Protocol: bareProtocol{}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	g.Stop(time.Now().Add(5 * time.Second))
+	reply, refused := g.Serve(t.Context(), generation("/stream-once/x"))
+	assert.Assert(t, refused == nil)
+	began := time.Now()
+	time.AfterFunc(rest, func() {
+		_ = w.Close()
+		_, _ = io.Copy(io.Discard, reply.Body)
+		_ = reply.Body.Close()
+	})
+	s.close(&callers.Listener{TCPListener: l.(*net.TCPListener)})
+	took := time.Since(began)
+	assert.Assert(t, took >= rest, "closed after %s", took)
+	assert.Assert(t, took < 3*time.Second, "closed after %s", took)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,9 +96,7 @@
 	// stopAt and stopBy are the start and end of a graceful stop; they are set before
 	// stopping.
 	stopAt, stopBy time.Time
-	// closing is set when no request is accepted any more.
-	closing  atomic.Bool
-	inFlight inFlight
+	inFlight       inFlight
 
 	budget *budget
 
@@ -245,7 +243,7 @@
 }
 
 // Close makes the gateway refuse all requests, as its process is about to exit.
-func (g *Gateway) Close() { g.closing.Store(true) }
+func (g *Gateway) Close() { g.inFlight.close() }
 
 // tooLate reports whether a request that may take until a time is refused because of a
 // graceful stop. The load balancer still sends requests to a stopping gateway that is the
@@ -282,12 +280,11 @@
 
 func (g *Gateway) route(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	g.view.waitLoaded(ctx, r.capDeadline(g.startupUntil))
-	j, err := g.plan(r)
+	j, err := g.accept(r)
 	if err != nil {
 		g.logRefused(r, err)
 		return nil, err
 	}
-	j.progress = g.inFlight.begin(r)
 	if err := g.findOrigin(ctx, j); err != nil {
 		g.inFlight.end(j.progress)
 		g.logRefused(r, err)
@@ -321,11 +318,20 @@
 	}).Info("gateway: refused.")
 }
 
-// plan routes a request and sets its deadline, or returns why it is refused.
-func (g *Gateway) plan(r *Request) (*job, *verdict.Error) {
-	if g.closing.Load() {
+// accept plans a request and counts it as in progress, or returns why it is refused.
+func (g *Gateway) accept(r *Request) (*job, *verdict.Error) {
+	j, err := g.plan(r)
+	if err != nil {
+		return nil, err
+	}
+	if j.progress = g.inFlight.begin(r); j.progress == nil {
 		return nil, stoppingError()
 	}
+	return j, nil
+}
+
+// plan routes a request and sets its deadline, or returns why it is refused.
+func (g *Gateway) plan(r *Request) (*job, *verdict.Error) {
 	confirmed := g.view.confirmed()
 	c := confirmed.Config
 	if c == nil || g.view.listing.Load() == nil {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -59,14 +59,20 @@
 // inFlight has the requests in progress.
 type inFlight struct {
 	mu sync.Mutex
-	// list is guarded by mu.
-	list map[*progress]struct{}
+	// All below is guarded by mu. closed is set when no request is accepted any more.
+	list   map[*progress]struct{}
+	closed bool
 }
 
+// begin accepts a request, or returns nil once close has been called: after it, only requests
+// that are counted can be in progress.
 func (f *inFlight) begin(r *Request) *progress {
 	p := &progress{id: r.ID, arrived: r.Arrived, activity: waiting}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.closed {
+		return nil
+	}
 	if f.list == nil {
 		f.list = map[*progress]struct{}{}
 	}
@@ -74,6 +80,13 @@
 	return p
 }
 
+// close makes begin accept nothing any more.
+func (f *inFlight) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+}
+
 func (f *inFlight) end(p *progress) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -220,11 +220,15 @@
 	return s.opts.EarliestSent(handled)
 }
 
-// close refuses the remaining requests, then closes the listener. Without the
-// refusals, a request that came just after the drain would be cut off by the exit of
-// the process, and its caller couldn't tell whether it ran.
+// close refuses new requests, then closes the listener. Without the refusals, a request that
+// came just after the drain would be cut off by the exit of the process, and its caller
+// couldn't tell whether it ran. Those accepted between the drain's end and the first refusal are
+// served within the rest of the stop.
 func (s *Server) close(l *callers.Listener) {
 	s.g.Close()
+	for s.g.InFlight() > 0 && time.Now().Before(s.g.stopBy) {
+		time.Sleep(drainInterval)
+	}
 	time.Sleep(refuseBeforeClose)
 	if err := l.Drain(); err != nil {
 		s.g.log.WithError(err).Warn("gateway: draining the listener failed, connections may have been reset.")
