Odd weights of a route keep their proportion

What callers saw: nothing yet. With weights whose sum isn't finite, or with a negative one, all requests of a route went to its last service, or to the one of the wrong weight.

Cause: the weights were summed as they are. An infinite sum less finite weights never falls below 0, so that the last service was drawn, also one of weight 0; a negative weight made the sum smaller than what the others take.

Before, `go test -run OddWeights ./internal/gateway`, drawn of 20,000:

Fix: weights are scaled by the largest, and those of 0 or less take no part. A route without any positive weight leads to its last service as before.

Measured: 10 of 10 passes with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -411,19 +411,36 @@
 	return &out
 }
 
-// chooseTarget draws a service by weight.
+// chooseTarget draws a service by weight, the last one if none has any. Weights are scaled by the
+// largest, so that their sum is finite.
 func chooseTarget(targets []catalog.Target) string {
+	largest := 0.0
+	for _, t := range targets {
+		largest = max(largest, t.Weight)
+	}
+	if largest == 0 {
+		return lastService(targets)
+	}
 	total := 0.0
 	for _, t := range targets {
-		total += t.Weight
+		total += max(0, t.Weight/largest)
 	}
 	x := rand.Float64() * total
+	chosen := ""
 	for _, t := range targets {
-		x -= t.Weight
+		if t.Weight <= 0 {
+			continue
+		}
+		chosen = t.Service
+		x -= t.Weight / largest
 		if x < 0 {
-			return t.Service
+			break
 		}
 	}
+	return chosen
+}
+
+func lastService(targets []catalog.Target) string {
 	if len(targets) == 0 {
 		return ""
 	}
