--- a/internal/quota/exchange_test.go
+++ b/internal/quota/exchange_test.go
@@ -219,3 +219,16 @@
 	assert.Equal(t, err.Code, verdict.Cancelled)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 }
+
+// Guards against amounts beyond the range of the wire, which would be sent as others on another
+// architecture.
+func TestExcessiveAmountsFitTheWire(t *testing.T) {
+	text, err := encode(policy.Message{ID: 1, Parts: []policy.Part{{Account: 1, Need: 1e300, Want: 1e300, Lots: []policy.Lot{{Tokens: 1e300}, {Tokens: -1}}}}})
+	assert.NilError(t, err)
+	m, err := decode(text)
+	assert.NilError(t, err)
+	const most = float64(maxUnits) / unitsPerToken
+	p := m.Parts[0]
+	assert.Check(t, p.Need == most && p.Want == most && p.Lots[0].Tokens == most, "%+v", p)
+	assert.Equal(t, p.Lots[1].Tokens, 0.0)
+}
--- a/internal/quota/wire.go
+++ b/internal/quota/wire.go
@@ -16,15 +16,21 @@
 // that no tokens appear on their way.
 const unitsPerToken = 1000
 
+// maxUnits bounds an amount on the wire.
+const maxUnits = 1 << 62
+
+// units returns a number of units for the wire, within 0 to maxUnits.
+func units(x float64) uint64 { return uint64(min(max(0, x), maxUnits)) }
+
 func encode(m policy.Message) ([]byte, error) {
 	out := &pb.QuotaMessage{Id: m.ID, Answer: m.Answer, Collect: m.Collect}
 	for _, p := range m.Parts {
 		x := &pb.QuotaPart{
-			Account: p.Account, Need: uint64(math.Ceil(p.Need * unitsPerToken)), Want: uint64(p.Want * unitsPerToken),
+			Account: p.Account, Need: units(math.Ceil(p.Need * unitsPerToken)), Want: units(p.Want * unitsPerToken),
 			WaitMs: uint32(min(p.Wait.Milliseconds(), math.MaxUint32)), Rank: uint32(p.Rank),
 		}
 		for _, l := range p.Lots {
-			x.Lots = append(x.Lots, &pb.QuotaLot{Tokens: uint64(l.Tokens * unitsPerToken), LifeUs: uint64(max(0, l.Life.Microseconds()))})
+			x.Lots = append(x.Lots, &pb.QuotaLot{Tokens: units(l.Tokens * unitsPerToken), LifeUs: uint64(max(0, l.Life.Microseconds()))})
 		}
 		out.Parts = append(out.Parts, x)
 	}
