A gateway that handles its SIGTERM late accepts requests from the signal's sending on

What callers saw: streams sent later than 3 s after a gateway's SIGTERM were accepted, and cut when SIGKILL came 8 s after it.

Cause: the time for which a stopping gateway accepts all requests (2.8 s), and the end by which a plain call must be over, counted from the moment at which the process acted on the signal. A process that stands still or gets no processor time acts late, while its callers and the one that kills it count from the sending. Class: a bound that others count is measured from an event of our own.

The fix: what is accepted (internal/policy/stop, without a clock) counts from the earliest moment at which the signal can have been sent: the last note of internal/pulse before it, and after a stall the stall's start, as a note may be made before the signal has come through the runtime. What runs keeps the whole time from the handling: an earlier end would cut streams that can still finish. In a process that runs on time the window is shorter by up to 0.1 s.

Ruled out: a smaller constant alone, as any stall longer than its margin breaks it again; asking the kernel, as neither signalfd nor waitid tells when a signal was sent.

The tests of the stop in internal/gateway set the stop through Stop() in place of its fields. The moments they judge are the same, but for two: 3 s behind the signal, no longer 3.8 s, which is stricter.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/policy/priority"
 	"jayford.example/jayford/internal/policy/retry"
+	"jayford.example/jayford/internal/policy/stop"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -39,16 +40,8 @@
 	noServerRetryAfter = 2 * time.Second
 )
 
-const (
-	// acceptAllFor is how long after the start of a graceful stop all requests are
-	// accepted: by then the load balancer has noticed it, and most of the stop's time is
-	// left to finish them. After it, only plain calls that end before the stop are.
-	acceptAllFor = 2800 * time.Millisecond
-	// maxAcceptAllShare bounds acceptAllFor as a part of a short stop.
-	maxAcceptAllShare = 0.4
-	// stoppingRetryAfter sends callers to another gateway at once.
-	stoppingRetryAfter = 100 * time.Millisecond
-)
+// stoppingRetryAfter sends callers to another gateway at once.
+const stoppingRetryAfter = 100 * time.Millisecond
 
 // Options of a Gateway.
 type Options struct {
@@ -92,11 +85,9 @@
 	// startupUntil is the time until which requests wait for configuration and servers.
 	startupUntil time.Time
 
-	stopping atomic.Bool
-	// stopAt and stopBy are the start and end of a graceful stop; they are set before
-	// stopping.
-	stopAt, stopBy time.Time
-	inFlight       inFlight
+	// stop is the graceful stop that has begun, nil before.
+	stop     atomic.Pointer[stop.Stop]
+	inFlight inFlight
 
 	budget *budget
 
@@ -229,18 +220,15 @@
 // Ready reports whether the gateway accepts new requests, and will for as long as the load
 // balancer takes to notice that it doesn't.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.view.loaded() && !g.isLosingKeys()
+	return !g.Stopping() && g.view.loaded() && !g.isLosingKeys()
 }
 
 // Stopping reports whether a graceful stop has begun.
-func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+func (g *Gateway) Stopping() bool { return g.stop.Load() != nil }
 
-// Stop begins a graceful stop that ends at by. The gateway is unready from now on, but
-// serves requests as before if they can complete in time.
-func (g *Gateway) Stop(by time.Time) {
-	g.stopAt, g.stopBy = time.Now(), by
-	g.stopping.Store(true)
-}
+// Stop begins a graceful stop. The gateway is unready from now on, but serves requests as
+// before if they can complete in time.
+func (g *Gateway) Stop(s stop.Stop) { g.stop.Store(&s) }
 
 // Close makes the gateway refuse all requests, as its process is about to exit.
 func (g *Gateway) Close() { g.inFlight.close() }
@@ -250,14 +238,8 @@
 // only one in its availability zone. Refused at once, they are retried elsewhere instead of
 // being cut off.
 func (g *Gateway) tooLate(r *Request, until time.Time) bool {
-	if !g.stopping.Load() {
-		return false
-	}
-	window := min(acceptAllFor, time.Duration(maxAcceptAllShare*float64(g.stopBy.Sub(g.stopAt))))
-	if time.Since(g.stopAt) <= window {
-		return false
-	}
-	return r.Generation != nil || until.After(g.stopBy)
+	s := g.stop.Load()
+	return s != nil && !s.Accepts(time.Now(), until, r.Generation != nil)
 }
 
 // stoppingError refuses a request that this gateway may not be able to complete.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/policy/stop"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -265,6 +266,12 @@
 	assert.Equal(t, len(f.sends()), 0)
 }
 
+// stopping returns a graceful stop that began some time ago and has some time left.
+func stopping(ago, left time.Duration) stop.Stop {
+	began := time.Now().Add(-ago)
+	return stop.Stop{Sent: began, Handled: began, Within: ago + left}
+}
+
 // A stopping gateway still gets requests when its availability zone has no other. One
 // that can't complete in time must be refused at once instead of being cut off.
 func TestLateGenerationsAreRefusedWhileStopping(t *testing.T) {
@@ -272,10 +279,10 @@
 		return answer(text(eventsOf("1"))), nil
 	}}
 	g := newGateway(t, f)
-	g.Stop(time.Now().Add(7 * time.Second))
+	g.Stop(stopping(0, 7*time.Second))
 	_, err := g.Serve(t.Context(), generation("/stream/x"))
 	assert.Assert(t, err == nil, "refused at the begin of a stop")
-	g.stopAt = time.Now().Add(-acceptAllFor - time.Second)
+	g.Stop(stopping(3*time.Second, 7*time.Second))
 	_, err = g.Serve(t.Context(), generation("/stream/x"))
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Assert(t, err.RetryAfter > 0 && err.RetryAfter < time.Second)
@@ -294,9 +301,9 @@
 		_, err := g.Serve(t.Context(), r)
 		return err
 	}
-	g.Stop(time.Now().Add(2 * time.Second))
+	g.Stop(stopping(0, 2*time.Second))
 	assert.Assert(t, bounded(3*time.Second) == nil, "refused before the load balancer can know")
-	g.stopAt = time.Now().Add(-acceptAllFor - time.Second)
+	g.Stop(stopping(3*time.Second, 2*time.Second))
 	assert.Assert(t, bounded(1500*time.Millisecond) == nil, "a call that ends before the stop")
 	for _, d := range []time.Duration{2500 * time.Millisecond, 0} {
 		err := bounded(d)
@@ -311,8 +318,7 @@
 func TestShortStopsRefuseCallsThatMayOutlastThem(t *testing.T) {
 	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("fine")), nil }}
 	g := newGateway(t, f)
-	g.Stop(time.Now().Add(time.Second))
-	g.stopAt = time.Now().Add(-time.Second)
+	g.Stop(stopping(time.Second, time.Second))
 	_, err := g.Serve(t.Context(), call("/once/x"))
 	assert.Assert(t, err != nil, "accepted, though it may take longer than the stop")
 	assert.Equal(t, err.Verdict, verdict.NotRun)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"jayford.example/jayford/internal/callers"
+	"jayford.example/jayford/internal/policy/stop"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -155,8 +156,8 @@
 		return eris.Wrap(err, "gateway: serve")
 	case <-ctx.Done():
 	}
-	s.drain()
-	s.close(listener)
+	st := s.drain()
+	s.close(listener, st.End())
 	return nil
 }
 
@@ -177,25 +178,26 @@
 // drain serves until no request is running. The listener stays open meanwhile: the
 // load balancer still sends callers, and a closed listener would reject them without
 // an answer.
-func (s *Server) drain() {
+func (s *Server) drain() stop.Stop {
 	began := time.Now()
-	s.g.Stop(began.Add(s.opts.StopWithin))
+	st := stop.Stop{Sent: s.earliestSent(began), Handled: began, Within: s.opts.StopWithin}
+	s.g.Stop(st)
 	s.g.log.WithFields(logrus.Fields{
-		"requests": s.g.InFlight(), "within": s.opts.StopWithin.String(), "lateByUpTo": milliseconds(began.Sub(s.earliestSent(began))),
+		"requests": s.g.InFlight(), "within": s.opts.StopWithin.String(), "lateByUpTo": milliseconds(began.Sub(st.Sent)),
 	}).Info("gateway: draining, no longer ready.")
 	end := drainTimedOut
 	defer func() {
 		s.g.log.WithFields(logrus.Fields{"took": milliseconds(time.Since(began)), "end": end}).Info("gateway: drained.")
 	}()
 	quiet := began
-	for time.Since(began) < s.opts.StopWithin {
+	for time.Now().Before(st.End()) {
 		time.Sleep(drainInterval)
 		if s.g.InFlight() > 0 {
 			quiet = time.Now()
 		}
 		if time.Since(began) > minDrain && time.Since(quiet) > quietPeriod {
 			end = drainQuiet
-			return
+			return st
 		}
 	}
 	s.g.log.WithField("requests", s.g.InFlight()).Warn("gateway: drain timed out, aborting requests.")
@@ -203,6 +205,7 @@
 	for _, p := range s.g.inFlight.all() {
 		s.g.log.WithFields(p.fields(now, began)).Warn("gateway: request aborted by the stop.")
 	}
+	return st
 }
 
 // Ends of a drain, in logs.
@@ -223,10 +226,10 @@
 // close refuses new requests, then closes the listener. Without the refusals, a request that
 // came just after the drain would be cut off by the exit of the process, and its caller
 // couldn't tell whether it ran. Those accepted between the drain's end and the first refusal are
-// served within the rest of the stop.
-func (s *Server) close(l *callers.Listener) {
+// served until the stop ends at end.
+func (s *Server) close(l *callers.Listener, end time.Time) {
 	s.g.Close()
-	for s.g.InFlight() > 0 && time.Now().Before(s.g.stopBy) {
+	for s.g.InFlight() > 0 && time.Now().Before(end) {
 		time.Sleep(drainInterval)
 	}
 	time.Sleep(refuseBeforeClose)
--- /dev/null
+++ b/internal/policy/stop/stop.go
@@ -0,0 +1,38 @@
+// Package stop decides which requests a process accepts during a graceful stop, and how long
+// those in progress may take.
+package stop
+
+import "time"
+
+const (
+	// acceptAllFor is how long after the signal of a graceful stop all requests are
+	// accepted: by then the load balancer has noticed it, and most of the stop's time is
+	// left to finish them. After it, only plain calls that end before the stop are.
+	acceptAllFor = 2800 * time.Millisecond
+	// maxAcceptAllShare bounds acceptAllFor as a part of a short stop.
+	maxAcceptAllShare = 0.4
+)
+
+// Stop is a graceful stop of a process. A process that stalls handles its signal late, but
+// its callers, and whoever kills it, count from the time at which the signal was sent.
+type Stop struct {
+	// Sent is the earliest time at which the signal can have been sent, Handled when it was
+	// handled.
+	Sent, Handled time.Time
+	// Within is how long the stop may take.
+	Within time.Duration
+}
+
+// Accepts reports whether a request is accepted that takes until a time at most. The length of a
+// generation isn't known beforehand.
+func (s Stop) Accepts(now, until time.Time, isGeneration bool) bool {
+	window := min(acceptAllFor, time.Duration(maxAcceptAllShare*float64(s.Within)))
+	if now.Sub(s.Sent) <= window {
+		return true
+	}
+	return !isGeneration && !until.After(s.Sent.Add(s.Within))
+}
+
+// End returns when the stop ends. It counts from the handling of the signal, since the
+// process may have as long; an earlier end would cut off requests that could complete.
+func (s Stop) End() time.Time { return s.Handled.Add(s.Within) }
