A stopping gateway accepts all requests for 2.5 s, no longer 2.8 s

What callers saw: nothing yet; a margin that was too small. A stream that was sent more than 3 s after SIGTERM may not be cut. 2.8 s leave 0.2 s, which is as much as a signal may be handled late without internal/pulse noticing (0.2 s, pulse.MaxUnnoticed), and nothing for the way from the socket to the decision.

Its margin beside the unnoticed lateness is 0.1 s. How many callers of a zone's only gateway are refused in the 0.3 s wasn't measured.

--- a/internal/policy/stop/stop.go
+++ b/internal/policy/stop/stop.go
@@ -8,7 +8,7 @@
 	// acceptAllFor is how long after the signal of a graceful stop all requests are
 	// accepted: by then the load balancer has noticed it, and most of the stop's time is
 	// left to finish them. After it, only plain calls that end before the stop are.
-	acceptAllFor = 2800 * time.Millisecond
+	acceptAllFor = 2500 * time.Millisecond
 	// maxAcceptAllShare bounds acceptAllFor as a part of a short stop.
 	maxAcceptAllShare = 0.4
 )
--- a/internal/policy/stop/stop_test.go
+++ b/internal/policy/stop/stop_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/pulse"
 )
 
 // Guards against a process that handles its signal late and accepts requests for as long as if the
@@ -37,6 +39,16 @@
 	assert.Equal(t, s.End(), sent.Add(8*time.Second))
 }
 
+// Guards against a time of acceptance that is too long for streams sent 3 s after the signal to be
+// left out when the signal is handled late by less than the process notices.
+func TestAcceptanceEndsBeforeLateSendings(t *testing.T) {
+	const lateSending = 3 * time.Second
+	sent := time.Unix(0, 0)
+	s := Stop{Sent: sent.Add(pulse.MaxUnnoticed), Handled: sent.Add(pulse.MaxUnnoticed), Within: 7500 * time.Millisecond}
+	margin := pulse.MaxUnnoticed / 2
+	assert.Assert(t, !s.Accepts(sent.Add(lateSending-margin), sent.Add(time.Hour), true))
+}
+
 func TestShortStopAcceptsAllForAPartOfIt(t *testing.T) {
 	sent := time.Unix(0, 0)
 	s := Stop{Sent: sent, Handled: sent, Within: time.Second}
--- a/internal/pulse/pulse.go
+++ b/internal/pulse/pulse.go
@@ -9,11 +9,15 @@
 	"time"
 )
 
+// MaxUnnoticed is how late a signal may be handled without being noticed: a shorter stall isn't
+// recorded.
+const MaxUnnoticed = 2 * interval
+
 const (
 	// interval is the time between two notes of a process that runs.
 	interval = 100 * time.Millisecond
 	// stallAfter is the time without a note from which on the process counts as stalled.
-	stallAfter = 2 * interval
+	stallAfter = MaxUnnoticed
 	// recovery is how long after a stall a signal may still be handled that came during it: a
 	// note can be made before the signal has passed through the runtime.
 	recovery = 5 * interval
