A reader that stands still doesn't keep a process from ending

A process whose standard error is a pipe that nobody reads, and which is full, never ended when it had something to say there: the error with which a role fails, settings that are refused, a usage message. Whoever restarts a failed process waits for good, and callers have a gateway less. Three other ways write there past the buffer of the log and block what runs: gRPC's logger and the standard library's (gRPC's server logs under its lock), and logrus itself for a field that has no JSON, such as an infinite number.

On the code before, with both outputs a full pipe:

go test -race -count=1 -run 'StandsStill|WithoutJSON' ./internal/cli ./internal/logs --- FAIL: TestExitWithAReaderThatStandsStill (20.05s) fails, libraries, format and refused settings: the process hasn't ended within 5s --- FAIL: TestFieldWithoutJSONIsLogged: unexpected end of JSON input

Words on standard error at the exit are bounded to 0.2 s, as the flush of the log is. Errors of gRPC and lines of the standard logger go through the log (warning "logs: a library reports."). A line with a field that has no JSON is logged with its fields as text.

Ruled out: the flush. Open: the runtime writes a panic's stack itself and waits for the reader.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,8 +28,12 @@
 	ExitInvalid = 3
 )
 
-// flushTimeout bounds the flush of buffered log lines on exit.
-const flushTimeout = 200 * time.Millisecond
+const (
+	// flushTimeout bounds the flush of buffered log lines on exit.
+	flushTimeout = 200 * time.Millisecond
+	// stderrTimeout bounds a write to standard error.
+	stderrTimeout = 200 * time.Millisecond
+)
 
 // errInvalid marks invalid settings; the problems have been printed.
 var errInvalid = errors.New("invalid settings")
@@ -118,7 +122,7 @@
 }
 
 func reportInvalid(err error) error {
-	fmt.Fprintln(os.Stderr, err)
+	printError(err)
 	return errInvalid
 }
 
@@ -131,6 +135,7 @@
 	}
 	flush := logs.Install(log, os.Stdout, logs.Options{Level: lv})
 	defer flush(flushTimeout)
+	logs.TakeLibraries(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	return role(ctx, log)
@@ -155,7 +160,7 @@
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
-			fmt.Fprintln(os.Stderr, err)
+			printError(err)
 			return ExitFailed
 		}
 	}
@@ -172,11 +177,15 @@
 		fmt.Println(usage.Message)
 		return ExitOK
 	case errors.As(err, &usage):
-		fmt.Fprintln(os.Stderr, usage.Message)
+		printError(usage)
 		return ExitUsage
 	case errors.Is(err, errInvalid):
 		return ExitInvalid
 	}
-	fmt.Fprintln(os.Stderr, err)
+	printError(err)
 	return ExitFailed
 }
+
+func printError(err error) {
+	logs.WriteWithin(os.Stderr, err.Error()+"\n", stderrTimeout)
+}
--- a/internal/cli/output_test.go
+++ b/internal/cli/output_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc/grpclog"
 	"gotest.tools/v3/assert"
 
@@ -109,3 +110,19 @@
 		})
 	}
 }
+
+// Guards against a process that doesn't end as the reader of its output stands still.
+func TestExitWithAReaderThatStandsStill(t *testing.T) {
+	for runner, code := range outcomes {
+		t.Run(runner, func(t *testing.T) {
+			r, w, err := os.Pipe()
+			assert.NilError(t, err)
+			defer func() { _ = r.Close() }()
+			size, err := unix.FcntlInt(w.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize())
+			assert.NilError(t, err)
+			_, err = w.Write(make([]byte, size))
+			assert.NilError(t, err)
+			assert.Equal(t, waitExitCode(t, startDaemon(t, runner, w, w)), code)
+		})
+	}
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -12,6 +12,7 @@
 package logs
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -88,7 +89,19 @@
 		f.onDrop()
 		return nil, nil
 	}
-	return f.inner.Format(e)
+	line, err := f.inner.Format(e)
+	if err != nil {
+		line, err = f.inner.Format(withTextFields(e, err))
+	}
+	return line, err
+}
+
+// withTextFields returns e with its fields as one text, for fields that have no JSON. An error
+// of the formatter would be written to standard error, past the buffer.
+func withTextFields(e *logrus.Entry, err error) *logrus.Entry {
+	out := logrus.NewEntry(e.Logger).WithFields(logrus.Fields{"fields": fmt.Sprint(e.Data), "formatError": err.Error()})
+	out.Time, out.Level, out.Message = e.Time, e.Level, e.Message
+	return out
 }
 
 func (f *formatter) allow(e *logrus.Entry) bool {
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -165,3 +166,16 @@
 	assert.Assert(t, strings.Contains(lines[1], `"lines":2`), lines[1])
 	assert.Equal(t, lines[2], "third")
 }
+
+// Guards against a line that is lost, and written about on standard error, as a field has no JSON.
+func TestFieldWithoutJSONIsLogged(t *testing.T) {
+	var out syncBuffer
+	log := logrus.New()
+	flush := Install(log, &out, Options{Level: logrus.InfoLevel})
+	log.WithField("rate", math.Inf(1)).Info("gateway: odd.")
+	flush(time.Second)
+	var v map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(out.String()), &v), out.String())
+	assert.Equal(t, v["msg"], "gateway: odd.")
+	assert.Equal(t, v["fields"], "map[rate:+Inf]")
+}
