A store that forgets its history is listed with pauses

What callers saw: nothing yet. A store that answers each watch with "this history is gone" was listed and watched in turn without a pause. The rates of calls are shared by all processes, so that one gateway could use them up.

Cause: the pause after a failed call left out this answer, which counts as one. It was written for a history that is gone once.

Fix: the mean pause of a failed call before the kind is listed again. It is random, as all gateways get that answer at the same moment. A gateway notices a change after such an answer 0.25 s later in the mean, 0.375 s at most.

Same cause elsewhere (read only): the followers of nodes (internal/feed) wait already.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	// retryDelay is the mean delay after a failed call. Each call has a cost, and the
-	// platform's rate limits are shared by all processes.
+	// retryDelay is the mean delay after a failed call, and before the kind is listed
+	// again. Each call has a cost, and the platform's rate limits are shared by all
+	// processes.
 	retryDelay = 250 * time.Millisecond
 	// batchDelay is the pause after a change. Changes come in bursts, as when a fleet
 	// starts or a zone is drained, and each would cost a call: with the pause, a
@@ -161,17 +162,26 @@
 		if !c.answered() {
 			f.opts.Availability.failed(time.Now())
 			f.failed(c.err)
-			wait.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(retryDelay)))
+			wait.Sleep(ctx, jittered(retryDelay))
 			continue
 		}
 		f.answered(c.startedAt)
-		if changed := f.apply(c); changed {
+		switch changed := f.apply(c); {
+		case c.err != nil:
+			// The next watch may find its history gone again.
+			wait.Sleep(ctx, jittered(retryDelay))
+		case changed:
 			wait.Sleep(ctx, batchDelay)
 		}
 	}
 	return nil
 }
 
+// jittered returns a random duration whose mean is d.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(d))
+}
+
 // callPlatform makes the next call: a list, a watch, or a watch with probes during an
 // outage.
 func (f *Follower) callPlatform(ctx context.Context) call {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -382,3 +382,23 @@
 	assert.DeepEqual(t, got[2].names, []string{"3"})
 	assert.Equal(t, f.copy.Position, uint64(11))
 }
+
+// forgetfulStore drops its history at each listing.
+type forgetfulStore struct{ scriptedStore }
+
+func (s *forgetfulStore) Watch(context.Context, string, uint64) (platform.Listing, error) {
+	return platform.Listing{}, platform.ErrCompacted
+}
+
+// Guards against listing without a pause while each watch finds that its history is gone: the
+// platform's rate of calls is shared by all processes.
+func TestForgetfulStoreIsListedWithPauses(t *testing.T) {
+	s := &forgetfulStore{}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	f := New(Options{Store: s, Kind: "servers", Wait: time.Second, Log: logrus.NewEntry(log), Apply: func(Update) {}})
+	assert.NilError(t, f.Run(ctx))
+	assert.Assert(t, s.lists >= 2 && s.lists <= 9, "%d", s.lists)
+}
