Changes that are too long for one answer are listed

What callers saw: nothing yet. Five changes of an entry near a megabyte, made between two watches (an outage is enough), made each watch behind them fail. The gateway kept its copy of the servers as it was until the store dropped that part of its history.

Cause: an answer is read up to 4 MiB. A page of a listing is bounded by the platform, at about 1 MB, but the events of a watch aren't, and a watch repeated from the same revision gets the same answer.

Fix: a watch or poll whose answer is too long counts as one whose history is gone. The kind is listed again, in pages, with a pause before it.

Ruled out: a higher limit alone, which only moves the number of changes.

Open: a page of a listing over 4 MiB still fails, as the store could send it only against its own bound.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -91,6 +91,9 @@
 	// Write is set if the call may change the store, so that its outcome is unknown
 	// without a reply.
 	Write bool
+	// Watch is set for a watch. A response with changes that is too long to be read is
+	// ErrCompacted: the objects themselves can still be listed.
+	Watch bool
 	// IfNoneMatch is the entity tag of the caller's cached copy, "" for none.
 	IfNoneMatch string
 }
@@ -182,6 +185,8 @@
 	switch {
 	case errors.Is(r.err, errNotSent), errors.Is(r.err, fasthttp.ErrNoFreeConns):
 		return fmt.Errorf("%w: %w", ErrUnavailable, r.err)
+	case c.Watch && errors.Is(r.err, fasthttp.ErrBodyTooLarge):
+		return fmt.Errorf("%w: %w", ErrCompacted, r.err)
 	case r.err != nil:
 		return c.noReply(r.err)
 	}
@@ -261,7 +266,7 @@
 		wait = min(wait, max(remaining-h.timeout, remaining/2))
 	}
 	c := Call{
-		Kind: "watch", Method: fasthttp.MethodGet, Path: "/watch", Timeout: wait + h.timeout,
+		Kind: "watch", Method: fasthttp.MethodGet, Path: "/watch", Timeout: wait + h.timeout, Watch: true,
 		Query: url.Values{
 			"kind":     {kind},
 			"revision": {strconv.FormatUint(revision, 10)},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,7 +23,8 @@
 	ErrOutcomeUnknown = errors.New("platform: no reply, a write may have taken effect")
 	// ErrTooLarge: the spec is over MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value over 1 MB")
-	// ErrCompacted: the watch's revision is too old; list again.
+	// ErrCompacted: the watch's revision is too old, or the changes since then are too long
+	// for one response; list again.
 	ErrCompacted = errors.New("platform: revision compacted")
 )
 
