Metrics of forgotten software versions are dropped

What callers saw: nothing yet. Each software version that any entry of a server ever had kept a metric in each gateway. An entry that another writer changes again and again added series, and memory, without end.

Cause: a version's metric was set to 0 once no server had the version, and never unregistered. The history and the names of versions were bounded already, by ten minutes.

Fix: the metric goes when the version is forgotten by the history.

Same cause elsewhere (read only): other metrics with a label are made for services of the configuration, for organisations, and for fixed words; none takes a text of an entry.

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -38,6 +38,8 @@
 	history *origin.History
 	listed  map[origin.Served]int
 	names   map[uint64]string
+	// series are the names of the versions' metrics.
+	series map[origin.Served]string
 	// streams counts the resumptions, by service, way and outcome.
 	streams map[string]map[string]int
 	// digests are the other gateways' ones as last read, digestsRead whether they ever were.
@@ -48,7 +50,7 @@
 }
 
 func newSoftwareVersions(b *board.Board) *softwareVersions {
-	v := &softwareVersions{history: origin.NewHistory(), names: map[uint64]string{}, streams: map[string]map[string]int{}, onChange: func() {}}
+	v := &softwareVersions{history: origin.NewHistory(), names: map[uint64]string{}, series: map[origin.Served]string{}, streams: map[string]map[string]int{}, onChange: func() {}}
 	b.AddView("versions", v.dump)
 	return v
 }
@@ -106,7 +108,7 @@
 	v.publishLocked(before)
 	changed := v.history.Update(v.listed, now)
 	v.compareLocked(now)
-	v.pruneNamesLocked(now)
+	v.forgetLocked(now)
 	return changed && before != nil
 }
 
@@ -128,23 +130,31 @@
 func (v *softwareVersions) publishLocked(before map[origin.Served]int) {
 	for _, versions := range []map[origin.Served]int{before, v.listed} {
 		for s := range versions {
-			softwareServers(v.names[s.Service], v.names[s.Software]).Set(float64(v.listed[s]))
+			v.series[s] = softwareSeries(v.names[s.Service], v.names[s.Software])
+			metrics.GetOrCreateGauge(v.series[s], nil).Set(float64(v.listed[s]))
 		}
 	}
 }
 
-// pruneNamesLocked drops the names of versions that are no longer remembered.
-func (v *softwareVersions) pruneNamesLocked(now time.Time) {
-	kept := map[uint64]bool{}
+// forgetLocked drops the names and metrics of versions that are no longer remembered.
+func (v *softwareVersions) forgetLocked(now time.Time) {
+	kept, remembered := map[uint64]bool{}, map[origin.Served]bool{}
 	for _, s := range v.history.Since(origin.HistoryTTL, now) {
-		kept[s.Service], kept[s.Software] = true, true
+		kept[s.Service], kept[s.Software], remembered[s] = true, true, true
 	}
 	maps.DeleteFunc(v.names, func(h uint64, _ string) bool { return !kept[h] })
+	maps.DeleteFunc(v.series, func(s origin.Served, series string) bool {
+		if remembered[s] {
+			return false
+		}
+		metrics.UnregisterMetric(series)
+		return true
+	})
 }
 
-// softwareServers is the number of listed servers of a version.
-func softwareServers(service, software string) *metrics.Gauge {
-	return metrics.GetOrCreateGauge(fmt.Sprintf("jayford_gateway_software_servers{service=%q,software=%q}", service, software), nil)
+// softwareSeries names the metric of the listed servers of a version.
+func softwareSeries(service, software string) string {
+	return fmt.Sprintf("jayford_gateway_software_servers{service=%q,software=%q}", service, software)
 }
 
 // SoftwareDigest returns a digest of the software versions that servers had lately, 0 if it
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/board"
@@ -434,3 +435,29 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(out), `{"Versions":[{"Service":"lm","Software":"v1","Servers":2}],"Streams":{"lm":{"caller resumed":3}}}`)
 }
+
+// Guards against metrics of versions that no server has had for long: an entry that another
+// writer changes again and again would add series without end.
+func TestForgottenVersionsHaveNoMetrics(t *testing.T) {
+	v := newSoftwareVersions(board.New())
+	series := func() int {
+		n := 0
+		for _, name := range metrics.ListMetricNames() {
+			if strings.Contains(name, `software_servers{service="changing"`) {
+				n++
+			}
+		}
+		return n
+	}
+	now, step := time.Now(), 10*time.Second
+	const remembered = int(origin.HistoryTTL / (10 * time.Second))
+	for i := range 3 * remembered {
+		v.set(newListing([]catalog.Server{{ID: "a", Service: "changing", Software: fmt.Sprint("v", i)}}), now.Add(time.Duration(i)*step))
+		assert.Assert(t, series() <= remembered+2, "%d after %d changes", series(), i)
+	}
+	v.set(newListing(nil), now.Add(time.Hour))
+	assert.Assert(t, series() == 1, "%d", series())
+	v.set(newListing(nil), now.Add(2*time.Hour))
+	assert.Equal(t, series(), 0)
+	assert.Equal(t, len(v.names), 0)
+}
