Unknown streams keep their version at gateways that are out of step

What callers saw (report of other operators): servers of a new software version joined while one gateway stood still or was cut off for some seconds.

Cause: a stream whose record nobody has goes on at the one version that the gateway lists, if its list is current. An answer of the store at most 3.5 s old counted as that, by a clock that leaves out suspension; so did any older one while no peer reported contact with the store. A list confirmed a moment ago lacks what was written since, which another gateway may have used. Class: the age of knowledge taken for its completeness.

Fix: the entry of the server that began a stream was written before the caller's attempt arrived. One version counts as the only one once an answer to a call that began after that arrival has been applied. The servers are polled for it, one call for all attempts that wait, 400 ms at most, and not at all if two versions are known anyway. Without it the attempt is refused as not run, with "why": "list-unconfirmed" in log and metric and a Retry-After. Streams whose record is found aren't concerned.

TestGatewayWithAnOldListDoesNotGuessVersions had a case that was wrong: "nobody reaches the platform" was to go on, as no server can have come that another gateway knows of. One that came just before the outage can, see TestOutageDoesNotMakeAnOldListComplete. Both cases are refused now, and a stream with a record has to go on in both. The cost: unknown streams are refused for as long as the store is down.

Ruled out: the exchange of records. An answer "unknown" of a gateway that is behind itself no longer counts for anything. Availability.LastAnswer and Relayed have no reader any more and are gone.

--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -17,8 +17,6 @@
 	// The fields below are guarded by mu. failing is when calls began to fail, zero if
 	// the last one was answered.
 	since, last, failing time.Time
-	// relayed is when another process that follows the platform last confirmed the copy.
-	relayed time.Time
 }
 
 // answered records an answer received at now.
@@ -41,27 +39,6 @@
 	}
 }
 
-// Relayed records that at a time a process that follows the platform confirmed the copy. It
-// doesn't count as contact with the platform: the other process may have had a short outage.
-func (a *Availability) Relayed(at time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if at.After(a.relayed) {
-		a.relayed = at
-	}
-}
-
-// LastAnswer returns when the platform last answered, or the copy was last confirmed by a
-// process that it answers; zero if that never happened.
-func (a *Availability) LastAnswer() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.relayed.After(a.last) {
-		return a.relayed
-	}
-	return a.last
-}
-
 // AvailableFor returns for how long the platform has been answering at now, or 0 if it isn't.
 func (a *Availability) AvailableFor(now time.Time) time.Duration {
 	a.mu.Lock()
--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -65,11 +65,11 @@
 
 // Poll asks the store once whether there are changes behind the copy, beside the watch that
 // Run holds. It does nothing before the first listing, while calls fail, and during another
-// poll. Its failure says nothing, as that of a watch does.
-func (f *Follower) Poll(ctx context.Context) {
+// poll, and reports whether it asked. Its failure says nothing, as that of a watch does.
+func (f *Follower) Poll(ctx context.Context) bool {
 	after, ok := f.beginPoll()
 	if !ok {
-		return
+		return false
 	}
 	c := f.poll(ctx, after)
 	f.mu.Lock()
@@ -83,6 +83,7 @@
 		f.listed = false
 		f.signal()
 	}
+	return true
 }
 
 func (f *Follower) beginPoll() (after uint64, ok bool) {
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -59,8 +59,6 @@
 	perZone int
 	zone    string
 	now     func() time.Duration
-	// availability is that of the gateway's followers.
-	availability *follow.Availability
 
 	mu sync.Mutex
 	// All below is guarded by mu. rely and followers are set by run.
@@ -80,10 +78,10 @@
 	polls chan string
 }
 
-func newConfirmations(o Options, availability *follow.Availability, log *logrus.Entry) *confirmations {
+func newConfirmations(o Options, log *logrus.Entry) *confirmations {
 	c := &confirmations{
 		log: log, expiry: o.KeyExpiry, perZone: o.FollowersPerZone, zone: o.AvailabilityZone, now: boottime.Now, polls: make(chan string, 4),
-		availability: availability, machine: confirm.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		machine: confirm.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		sharing: StoreSharing{Peers: func() []string { return nil }, Zone: func() []string { return nil }, Send: func(string, *pb.StoreMessage) bool { return true }},
 	}
 	if c.isOn() {
--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -31,13 +31,14 @@
 	// All below is guarded by mu.
 	revision uint64
 	events   []platform.Object
-	refused  map[string]bool
-	changed  chan struct{}
-	calls    map[string]int
+	// refused gateways get an error at once, silenced ones no answer.
+	refused, silenced map[string]bool
+	changed           chan struct{}
+	calls             map[string]int
 }
 
 func newSharedStore() *sharedStore {
-	return &sharedStore{refused: map[string]bool{}, calls: map[string]int{}, changed: make(chan struct{})}
+	return &sharedStore{refused: map[string]bool{}, silenced: map[string]bool{}, calls: map[string]int{}, changed: make(chan struct{})}
 }
 
 func (s *sharedStore) put(kind, name string, spec any, deleted bool) {
@@ -66,18 +67,30 @@
 	s.notifyLocked()
 }
 
+// silence makes the store's answers to a gateway go missing, those to calls under way too.
+func (s *sharedStore) silence(silenced bool, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenced[id] = silenced
+}
+
 // sharedStoreClient is the store as one gateway sees it.
 type sharedStoreClient struct {
 	*sharedStore
 	id string
 }
 
-func (c sharedStoreClient) begin(kind string) error {
+func (c sharedStoreClient) begin(ctx context.Context, kind string) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.calls[kind]++
-	if c.refused[c.id] {
+	refused, silenced := c.refused[c.id], c.silenced[c.id]
+	c.mu.Unlock()
+	switch {
+	case refused:
 		return platform.ErrUnavailable
+	case silenced:
+		<-ctx.Done()
+		return ctx.Err()
 	}
 	return nil
 }
@@ -92,8 +105,8 @@
 	return out
 }
 
-func (c sharedStoreClient) List(_ context.Context, kind string) (platform.Listing, error) {
-	if err := c.begin(kind); err != nil {
+func (c sharedStoreClient) List(ctx context.Context, kind string) (platform.Listing, error) {
+	if err := c.begin(ctx, kind); err != nil {
 		return platform.Listing{}, err
 	}
 	c.mu.Lock()
@@ -111,15 +124,15 @@
 	return out, nil
 }
 
-func (c sharedStoreClient) Get(context.Context, string, string) (platform.Object, error) {
-	if err := c.begin("probe"); err != nil {
+func (c sharedStoreClient) Get(ctx context.Context, _, _ string) (platform.Object, error) {
+	if err := c.begin(ctx, "probe"); err != nil {
 		return platform.Object{}, err
 	}
 	return platform.Object{}, platform.ErrNotFound
 }
 
-func (c sharedStoreClient) Poll(_ context.Context, kind string, after uint64) (platform.Listing, error) {
-	if err := c.begin(kind); err != nil {
+func (c sharedStoreClient) Poll(ctx context.Context, kind string, after uint64) (platform.Listing, error) {
+	if err := c.begin(ctx, kind); err != nil {
 		return platform.Listing{}, err
 	}
 	c.mu.Lock()
@@ -128,16 +141,19 @@
 }
 
 func (c sharedStoreClient) Watch(ctx context.Context, kind string, after uint64) (platform.Listing, error) {
-	if err := c.begin(kind); err != nil {
+	if err := c.begin(ctx, kind); err != nil {
 		return platform.Listing{}, err
 	}
 	end, _ := ctx.Deadline()
 	held := time.After(time.Until(end) - 100*time.Millisecond)
 	for timedOut := false; ; {
 		c.mu.Lock()
-		refused, l, changed := c.refused[c.id], c.sinceLocked(kind, after), c.changed
+		refused, silenced, l, changed := c.refused[c.id], c.silenced[c.id], c.sinceLocked(kind, after), c.changed
 		c.mu.Unlock()
 		switch {
+		case silenced:
+			<-ctx.Done()
+			return platform.Listing{}, ctx.Err()
 		case refused:
 			return platform.Listing{}, platform.ErrUnavailable
 		case len(l.Objects) > 0 || timedOut:
@@ -181,6 +197,7 @@
 	logs  map[string]*lockedBuffer
 
 	perZone int
+	expiry  time.Duration
 	ctx     context.Context
 	running sync.WaitGroup
 
@@ -219,7 +236,15 @@
 // newRelayingFleet returns gateways of one zone, perZone of which follow the store for all.
 func newRelayingFleet(t *testing.T, n, perZone int) *sharingFleet {
 	t.Helper()
-	f := &sharingFleet{store: newSharedStore(), g: map[string]*Gateway{}, logs: map[string]*lockedBuffer{}, perZone: perZone}
+	f := prepareFleet(t, n, perZone, sharedExpiry)
+	f.startAll()
+	return f
+}
+
+// prepareFleet is newRelayingFleet without the start, and with another expiry of keys.
+func prepareFleet(t *testing.T, n, perZone int, expiry time.Duration) *sharingFleet {
+	t.Helper()
+	f := &sharingFleet{store: newSharedStore(), g: map[string]*Gateway{}, logs: map[string]*lockedBuffer{}, perZone: perZone, expiry: expiry}
 	f.store.put("config", "main", storedKeys{Version: 1, Keys: []string{"stays", "goes"}}, false)
 	for _, s := range testServers() {
 		f.store.put("servers", s.ID, s, false)
@@ -237,10 +262,13 @@
 	for _, id := range f.ids {
 		f.add(id)
 	}
+	return f
+}
+
+func (f *sharingFleet) startAll() {
 	for _, id := range f.ids {
 		f.start(id)
 	}
-	return f
 }
 
 func (f *sharingFleet) setMembers(ids []string) {
@@ -269,7 +297,7 @@
 	backend := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("x")), nil }}
 	g := New(Options{
 		ID: id, AvailabilityZone: "z", Backend: backend, Board: board.New(), Budget: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-		KeyExpiry: sharedExpiry, FollowersPerZone: f.perZone, Log: l,
+		KeyExpiry: f.expiry, FollowersPerZone: f.perZone, Log: l,
 	})
 	settleBudget(g)
 	f.mu.Lock()
--- /dev/null
+++ b/internal/gateway/current_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/follow"
+	"jayford.example/jayford/internal/verdict"
+)
+
+// newVersionsFleet returns gateways that know of each other, with servers of version v1. With
+// perZone, so many of them follow the store for all.
+func newVersionsFleet(t *testing.T, n, perZone int) *sharingFleet {
+	t.Helper()
+	f := prepareFleet(t, n, perZone, 0)
+	for _, id := range f.ids {
+		g := f.g[id]
+		g.Join(peerContact{since: time.Now(), reportedAt: time.Now().Add(time.Hour)})
+		g.SetSoftwareDigests(nil, false)
+		f.backend(id).send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	}
+	f.startAll()
+	f.awaitReady(t)
+	return f
+}
+
+func (f *sharingFleet) backend(id string) *fakeBackend {
+	b, _ := f.g[id].opts.Backend.(*fakeBackend)
+	return b
+}
+
+// release writes the entry of a decode engine of another version.
+func (f *sharingFleet) release(software string) string {
+	s := catalog.Server{ID: "new-" + software, Service: modelService, Address: "10.0.0.4:1", AvailabilityZone: "a", Stage: catalog.Decode, Software: software}
+	f.store.put("servers", s.ID, s, false)
+	return s.ID
+}
+
+// takeUp has a caller take up a stream that nobody knows, and returns why it was refused, nil if
+// it wasn't.
+func (f *sharingFleet) takeUp(ctx context.Context, id string) *verdict.Error {
+	r := withKey(generation("/stream/x"), "stays")
+	r.Generation.LastEventID = "2"
+	reply, err := f.g[id].Serve(ctx, r)
+	if err == nil {
+		reply.discard()
+	}
+	return err
+}
+
+// awaitListed waits until a gateway lists a server.
+func (f *sharingFleet) awaitListed(t *testing.T, id, server string) {
+	t.Helper()
+	assertSoon(t, 5*time.Second, "a gateway doesn't list a server", func() bool { return f.lists(id, server, false) })
+}
+
+func (f *sharingFleet) serverCalls() int {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.store.calls["servers"]
+}
+
+// Guards against a guess by a gateway that the store answered a moment ago, and that lacks
+// servers of a new version at which another gateway has begun the stream.
+func TestGatewayThatIsBehindDoesNotGuessVersions(t *testing.T) {
+	t.Parallel()
+	for name, cut := range map[string]func(*sharingFleet, bool){
+		"answers are lost": func(f *sharingFleet, on bool) { f.store.silence(on, "g1") },
+		"calls fail":       func(f *sharingFleet, on bool) { f.store.refuse(on, "g1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionsFleet(t, 2, 0)
+			before := len(f.backend("g1").sends())
+			cut(f, true)
+			f.awaitListed(t, "g0", f.release("v2"))
+			assert.Assert(t, !f.lists("g1", "new-v2", false))
+			err := f.takeUp(t.Context(), "g1")
+			assert.Assert(t, err != nil, "the stream goes on")
+			assert.Equal(t, err.Verdict, verdict.NotRun)
+			assert.Assert(t, err.RetryAfter > 0)
+			cut(f, false)
+			f.awaitListed(t, "g1", "new-v2")
+			assert.Assert(t, f.takeUp(t.Context(), "g1") != nil)
+			assert.Equal(t, len(f.backend("g1").sends()), before)
+		})
+	}
+}
+
+// Guards against streams that are refused, or calls to the store that grow with their number,
+// where one version serves and gateways have just been confirmed.
+func TestUnknownStreamsShareAPoll(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t, 2, 0)
+	const callers = 40
+	before := f.serverCalls()
+	var running sync.WaitGroup
+	refused := make(chan *verdict.Error, callers)
+	for range callers {
+		running.Go(func() { refused <- f.takeUp(t.Context(), "g1") })
+	}
+	running.Wait()
+	close(refused)
+	for err := range refused {
+		assert.Assert(t, err == nil, "%v", err)
+	}
+	calls := f.serverCalls() - before
+	t.Logf("%d callers, %d calls", callers, calls)
+	assert.Assert(t, calls > 0 && calls < callers, "%d calls", calls)
+}
+
+// Guards against streams that are refused for as long as a gateway relies on followers of its
+// zone, whose watches are seconds old.
+func TestRelayedGatewayConfirmsItsListItself(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t, 6, 2)
+	f.awaitRelayed(t)
+	for _, id := range f.ids {
+		err := f.takeUp(t.Context(), id)
+		assert.Assert(t, err == nil, "%s: %v", id, err)
+	}
+}
+
+// Guards against a resumption that waits for a store that doesn't answer, and isn't told apart
+// from one whose version is unknown.
+func TestUnconfirmedListIsReported(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t, 2, 0)
+	f.store.silence(true, "g1")
+	began := time.Now()
+	err := f.takeUp(t.Context(), "g1")
+	took := time.Since(began)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+	assert.Equal(t, err.Code, verdict.PlatformDown)
+	assert.Assert(t, took < 2*listConfirmTimeout, took)
+	assert.Assert(t, strings.Contains(f.logs["g1"].String(), `"why":"`+resumeListUnconfirmed+`"`))
+}
+
+// Guards against a guess in an outage of the store: another gateway has learned of servers of a
+// new version just before it, and has begun the stream there.
+func TestOutageDoesNotMakeAnOldListComplete(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t, 2, 0)
+	f.g["g1"].Join(peerContact{reportedAt: time.Now().Add(time.Hour)})
+	f.store.silence(true, "g1")
+	f.awaitListed(t, "g0", f.release("v2"))
+	f.store.refuse(true, f.ids...)
+	time.Sleep(follow.MaxAnswerGap + 500*time.Millisecond)
+	assert.Assert(t, !f.lists("g1", "new-v2", false))
+	err := f.takeUp(t.Context(), "g1")
+	assert.Assert(t, err != nil, "the stream goes on")
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+	assert.Assert(t, err.RetryAfter > 0)
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -50,8 +50,12 @@
 	roster := &roster{g: g, decoder: s.Decoder, entries: map[string]entry{}}
 	servers := follow.New(follow.Options{
 		Store: s.Store, Kind: s.ServerKind, Wait: watchTimeout, Availability: &g.platformAvailability, Log: g.log, Apply: roster.apply,
-		Applied: shared.applied(s.ServerKind), Changed: shared.passOn(s.ServerKind), Confirmed: func(at time.Duration) { shared.confirmed(s.ServerKind, at) },
+		Applied: shared.applied(s.ServerKind), Changed: shared.passOn(s.ServerKind), Confirmed: func(at time.Duration) {
+			shared.confirmed(s.ServerKind, at)
+			g.software.confirm(at)
+		},
 	})
+	g.software.setPoll(func() bool { return servers.Poll(ctx) })
 	group.Go(func() error { return config.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
 	group.Go(func() error { return g.probe(ctx) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	g.crashes = newCrashes(o.Board, g.log)
 	g.budget = newBudget(o.Budget, time.Now(), o.Board, g.log)
 	g.software = newSoftwareVersions(o.Board)
-	g.confirmations = newConfirmations(o, &g.platformAvailability, g.log)
+	g.confirmations = newConfirmations(o, g.log)
 	g.origins = origin.NewExchange(origin.Options{Gateways: func() []string { return nil }})
 	g.limits = newLimits(o.ID, o.Board, g.log)
 	g.pauses = newPauses(o.Board, g.log)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -80,18 +80,14 @@
 	if c.relay == nil {
 		return
 	}
-	complete, age, current := 0, time.Duration(0), true
+	complete, age := 0, time.Duration(0)
 	for _, x := range a.Copies {
 		if x.Kind == c.sources.ServerKind || x.Kind == c.sources.ConfigKind {
 			complete++
 			age = max(age, x.Age)
-			current = current && x.Changed <= c.machine.Position(x.Kind)
 		}
 	}
 	c.relay.Answered(a.AskedAt, a.From, complete == 2, age)
-	if complete == 2 && current && c.relayed {
-		c.availability.Relayed(time.Now().Add(a.AskedAt - c.now()))
-	}
 }
 
 // passOn returns the function that passes changes of a kind on to the gateways of the zone
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -9,8 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/catalog"
-	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -37,8 +37,11 @@
 const (
 	resumed              = "resumed"
 	resumeVersionUnknown = "version-unknown"
-	resumeNoServer       = "no-server"
-	resumeOtherVersion   = "other-version"
+	// resumeListUnconfirmed: one version is known, but the store didn't confirm that there is no
+	// other.
+	resumeListUnconfirmed = "list-unconfirmed"
+	resumeNoServer        = "no-server"
+	resumeOtherVersion    = "other-version"
 )
 
 // Ways to resume a stream: by its caller's own attempt, or within its answer.
@@ -84,23 +87,43 @@
 		return nil
 	}
 	j.begun = true
+	why := resumeVersionUnknown
 	r, err := g.findRecord(ctx, origin.Hash(x.FirstAttemptID))
-	switch {
-	case err == nil && r.Content == j.fingerprint:
+	if err == nil && r.Content == j.fingerprint {
 		g.applyRecord(j, r)
-	case g.listIsCurrent(err):
-		g.software.waitDigests(ctx)
-		j.software = g.software.sole(origin.Hash(j.service.Name), streamLife(j.route))
+	} else {
+		j.software, why = g.findSole(ctx, j)
 	}
 	if j.software != 0 {
 		return nil
 	}
-	g.logNotResumed(j, byCaller, resumeVersionUnknown)
+	g.logNotResumed(j, byCaller, why)
+	if why == resumeListUnconfirmed {
+		return g.sendElsewhere(verdict.New(
+			verdict.NotRun, verdict.PlatformDown, "This gateway may not know the software version that began the stream.",
+		).WithRetryAfter(unknownStreamRetryAfter))
+	}
 	return verdict.New(
 		verdict.NotRun, verdict.NoServer, "It isn't known which software version began the stream.",
 	).WithRetryAfter(unknownStreamRetryAfter)
 }
 
+// findSole returns the one version at which a stream may have begun that nobody knows, or 0 and
+// why there is none. Another gateway may have begun the stream at a server whose entry was
+// written until the caller's attempt arrived.
+func (g *Gateway) findSole(ctx context.Context, j *job) (software uint64, why string) {
+	arrived := boottime.Now()
+	g.software.waitDigests(ctx)
+	sole := func() uint64 { return g.software.sole(origin.Hash(j.service.Name), streamLife(j.route)) }
+	if sole() == 0 {
+		return 0, resumeVersionUnknown
+	}
+	if g.loads.peers != nil && !g.software.awaitConfirmed(ctx, arrived) {
+		return 0, resumeListUnconfirmed
+	}
+	return sole(), resumeVersionUnknown
+}
+
 // findRecord returns the record of a stream that this gateway or another one has. stream is 0
 // if the caller doesn't say which one it is.
 func (g *Gateway) findRecord(ctx context.Context, stream uint64) (origin.Record, error) {
@@ -113,16 +136,6 @@
 	return g.origins.Ask(ctx, stream)
 }
 
-// listIsCurrent reports whether no other gateway can know of a server that isn't listed here.
-// err is the result of a question to the other gateways.
-func (g *Gateway) listIsCurrent(err error) bool {
-	last := g.platformAvailability.LastAnswer()
-	if time.Since(last) <= follow.MaxAnswerGap || g.loads.peers == nil {
-		return true
-	}
-	return !errors.Is(err, origin.ErrNoAnswer) && g.loads.peers.PlatformReachableSince(last).IsZero()
-}
-
 // applyRecord applies the record of the job's stream. A route may have several services: the
 // stream goes on at the one that began it, or at the same version where the route has moved.
 func (g *Gateway) applyRecord(j *job, r origin.Record) {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -32,8 +32,7 @@
 type softwareVersions struct {
 	// onChange is called when a version came or went; it is set before use.
 	onChange func()
-
-	mu sync.Mutex
+	mu       sync.Mutex
 	// All below is guarded by mu. names has the names behind the hashes.
 	history *origin.History
 	listed  map[origin.Served]int
@@ -47,10 +46,21 @@
 	digestsRead bool
 	// complete: it is known what served before this process started.
 	complete bool
+	// poll asks the store once for changes of the servers, and reports whether it did. It is nil
+	// before the servers are followed.
+	poll func() bool
+	// polling is set during a poll, and polledAt is when the last one began (package boottime).
+	polling  bool
+	polledAt time.Duration
+	// confirmed is closed, and replaced, when a poll has ended or the store confirmed the list.
+	confirmed chan struct{}
 }
 
 func newSoftwareVersions(b *board.Board) *softwareVersions {
-	v := &softwareVersions{history: origin.NewHistory(), names: map[uint64]string{}, series: map[origin.Served]string{}, streams: map[string]map[string]int{}, onChange: func() {}}
+	v := &softwareVersions{
+		history: origin.NewHistory(), names: map[uint64]string{}, series: map[origin.Served]string{}, streams: map[string]map[string]int{},
+		onChange: func() {}, confirmed: make(chan struct{}),
+	}
 	b.AddView("versions", v.dump)
 	return v
 }
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -276,32 +276,33 @@
 	reply.discard()
 }
 
-// Guards against a guess by a gateway that is cut off from the platform: it lists one version,
-// while another one has come that its peers know of.
+// Guards against a guess by a gateway whose list the platform doesn't confirm: it lists one
+// version, while another one has come that its peers know of, also where these have lost the
+// platform since. A stream whose version is known goes on.
 func TestGatewayWithAnOldListDoesNotGuessVersions(t *testing.T) {
-	for name, c := range map[string]struct {
-		peerInContact, goesOn bool
-	}{
-		"a peer reaches the platform": {true, false},
-		"nobody reaches the platform": {false, true},
+	for name, since := range map[string]time.Time{
+		"a peer reaches the platform": time.Now().Add(-time.Minute),
+		"nobody reaches the platform": {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeBackend{}
 			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
 			g := newGateway(t, f)
 			g.SetServers(serversOf("v1", "v1", "v1"))
-			contact := peerContact{reportedAt: time.Now()}
-			if c.peerInContact {
-				contact.since = time.Now().Add(-time.Minute)
-			}
-			g.Join(contact)
+			g.Join(peerContact{reportedAt: time.Now(), since: since})
 			r := generation("/stream/x")
 			r.Generation.LastEventID, r.Generation.FirstAttemptID = "2", "r0"
+			_, err := g.Serve(t.Context(), r)
+			assert.Assert(t, err != nil, "the stream goes on")
+			assert.Equal(t, err.Verdict, verdict.NotRun)
+			assert.Equal(t, len(f.sends()), 0)
+
+			g.origins.Tell(origin.Record{
+				Stream: origin.Hash("r0"), Content: r.fingerprint(""), Service: origin.Hash(modelService), Software: origin.Hash("v1"),
+			}, time.Minute)
 			reply, err := g.Serve(t.Context(), r)
-			assert.Equal(t, err == nil, c.goesOn)
-			if err == nil {
-				reply.discard()
-			}
+			assert.Assert(t, err == nil, "%v", err)
+			reply.discard()
 		})
 	}
 }
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -17,6 +17,9 @@
 	since time.Time
 	// complete: what served before that is known too.
 	complete bool
+	// confirmed is the latest moment as of which no version is missing, on the clock of package
+	// boottime, 0 for none.
+	confirmed time.Duration
 	// listed are the versions of the servers listed now, with the number of these, and
 	// last when each version was last listed.
 	listed map[Served]int
@@ -51,6 +54,13 @@
 	return changed
 }
 
+// Confirm records that all servers that were stored before a moment (package boottime) have been
+// part of an Update.
+func (h *History) Confirm(at time.Duration) { h.confirmed = max(h.confirmed, at) }
+
+// IsConfirmed reports whether no version is missing that was stored before a moment.
+func (h *History) IsConfirmed(at time.Duration) bool { return h.confirmed > 0 && h.confirmed >= at }
+
 // SetComplete records that all versions that served before the first list are known.
 func (h *History) SetComplete() { h.complete = true }
 
@@ -86,9 +96,9 @@
 	return out
 }
 
-// Sole returns the one version that a service's servers had within a time before now. It
+// Sole returns the one version that a service's listed servers had within a time before now. It
 // returns 0 if they had several, one of them isn't known, or there may have been others
-// before the first list.
+// before the first list. Other processes may know of more, unless IsConfirmed.
 func (h *History) Sole(service uint64, within time.Duration, now time.Time) uint64 {
 	if !h.IsComplete(within, now) {
 		return 0
--- a/internal/policy/confirm/machine.go
+++ b/internal/policy/confirm/machine.go
@@ -146,14 +146,6 @@
 // Accepted returns the answer that the last Receive accepted, nil if it accepted none.
 func (m *Machine) Accepted() *Accepted { return m.accepted }
 
-// Position returns the position of the copy.
-func (m *Machine) Position(kind string) uint64 {
-	if s := m.kinds[kind]; s != nil {
-		return s.copy.Position
-	}
-	return 0
-}
-
 // Applied records that the gateway's copy has all changes up to c.Position. It is called after
 // they were put in force. A copy that goes back, as the store was, keeps no confirmation.
 func (m *Machine) Applied(kind string, c Copy) {
