Requests that wait as a stop ends get their final answer

A request that waits for a reservation, its quota, its turn or another attempt as a gateway's stop times out isn't run by any server, and was cut by the exit 0.25 s later. Its caller couldn't tell whether it had run.

Class: a wait that ends with the request's deadline or its caller, but not with its process.

Evidence, before the fix; the server's Run has returned, so the process would exit:

--- FAIL: TestWaitingRequestIsAnsweredAtTheEndOfAStop the process would exit without an answer to the request --- FAIL: TestWaitingRequestThatMayHaveRunIsAnsweredSo the process would exit without an answer to the request --- FAIL: TestRunningRequestHasTheWholeStop (the drain's end is "timed out", not "complete")

The fix: 0.1 s before the end of the stop, counted from the sending of the signal, the contexts of requests that no server runs end with a cause of their own. They are answered as not run with a Retry-After of 0.1 s, or, if an earlier attempt may have run, truthfully. A prefill doesn't run the request, and its decode couldn't end in time, so it is given up on too. Whether a request is sent and whether it is given up on is decided under one lock: what was given up on is never sent (TestRequestGivenUpOnIsNotSent), and what a server runs keeps the whole time (TestRunningRequestHasTheWholeStop). If that server fails after this moment, no other is tried.

A stream whose caller has events and which waits to go on elsewhere can't be answered; it is cut 0.1 s sooner and begins at no further server. "gateway: stream left." tells the cause.

Of the waits only that for a reservation and the way behind a prefill are tested; quota, turn, suspects and the question for a stream's origin end by the same context and are read only. A request that a gateway holds in the first 1.5 s of its start, until it has a configuration, isn't counted yet: read only, it would take a stop shorter than that.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,7 +35,7 @@
 	var kept *Reply
 	var last *verdict.Error
 	for {
-		j.progress.set(waiting, "")
+		j.progress.wait()
 		if err := g.recheck(ctx, j); err != nil {
 			last = err
 			break
@@ -146,9 +146,11 @@
 
 // sendCall makes one exchange and reads the reply, or the beginning of a large one.
 func (g *Gateway) sendCall(ctx context.Context, j *job, s catalog.Server, c Call) (*Reply, *verdict.Error) {
+	if !j.progress.run(serverKey(s)) {
+		return nil, stoppingError()
+	}
 	j.sends++
 	j.sentAt = time.Now()
-	j.progress.set(running, serverKey(s))
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
 	g.countRun(j, err)
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,8 +13,8 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
-	"jayford.example/jayford/internal/callers"
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/policy/stop"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -209,8 +208,6 @@
 	}}
 	g := newGateway(t, f)
 	s := NewServer(g, ServerOptions{StopWithin: 5 * time.Second, Protocol: bareProtocol{}})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	reply, refused := g.Serve(t.Context(), generation("/stream-once/x"))
 	assert.Assert(t, refused == nil)
 	began := time.Now()
@@ -219,8 +216,104 @@
 		_, _ = io.Copy(io.Discard, reply.Body)
 		_ = reply.Body.Close()
 	})
-	s.close(&callers.Listener{TCPListener: l.(*net.TCPListener)}, began.Add(5*time.Second))
+	assert.Equal(t, s.finish(stop.Stop{Sent: began, Handled: began, Within: 5 * time.Second}), "complete")
 	took := time.Since(began)
 	assert.Assert(t, took >= rest, "closed after %s", took)
 	assert.Assert(t, took < 3*time.Second, "closed after %s", took)
 }
+
+// reserveFull refuses all reservations.
+func reserveFull(catalog.Server, int) (string, *verdict.Error) { return "", full() }
+
+// endOf returns how a request had ended for its caller when the server's stop was over.
+func (x *stoppable) endOf(request <-chan answered) answered {
+	x.t.Helper()
+	assert.NilError(x.t, <-x.ended)
+	select {
+	case a := <-request:
+		return a
+	default:
+		x.t.Fatal("the process would exit without an answer to the request")
+		return answered{}
+	}
+}
+
+// Guards against a stop that ends without an answer to a request that waits for a reservation.
+func TestWaitingRequestIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	f := &fakeBackend{reserve: reserveFull}
+	x := newStoppable(t, f, time.Second, nil)
+	x.stop()
+	time.Sleep(200 * time.Millisecond)
+	a := x.endOf(x.send("waits", "/stream/x"))
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.verdict, "not-run")
+	assert.Equal(t, a.retryAfter, stoppingRetryAfter.String())
+	assert.Equal(t, len(f.sends()), 0)
+	assert.Equal(t, x.g.InFlight(), int64(0))
+}
+
+// Guards against a stop that tells the caller of a request that waits for another attempt that it
+// hasn't run, though a server may have run it.
+func TestWaitingRequestThatMayHaveRunIsAnsweredSo(t *testing.T) {
+	f := &fakeBackend{}
+	broke := make(chan struct{})
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		close(broke)
+		return nil, lost()
+	}
+	f.reserve = func(s catalog.Server, tokens int) (string, *verdict.Error) {
+		select {
+		case <-broke:
+			return reserveFull(s, tokens)
+		default:
+			return "hold", nil
+		}
+	}
+	x := newStoppable(t, f, time.Second, nil)
+	x.stop()
+	time.Sleep(200 * time.Millisecond)
+	a := x.endOf(x.send("waits", "/stream/x"))
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.verdict, "may-have-run")
+	assert.Equal(t, a.retryAfter, "0s")
+	assert.Equal(t, len(f.sends()), 1)
+}
+
+// Guards against a stop that ends requests which servers run when those are answered that wait.
+func TestRunningRequestHasTheWholeStop(t *testing.T) {
+	const within, late, rest = time.Second, 600 * time.Millisecond, 750 * time.Millisecond
+	r, w := io.Pipe()
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		return answer(io.MultiReader(text(eventsOf("1")), r)), nil
+	}}
+	x := newStoppable(t, f, within, func(o *ServerOptions) {
+		o.EarliestSent = func(handled time.Time) time.Time { return handled.Add(-late) }
+	})
+	request := x.send("runs", "/stream-once/x")
+	x.eventually("the stream doesn't run", func() bool { return len(f.sends()) == 1 })
+	x.stop()
+	time.AfterFunc(rest, func() {
+		_, _ = io.WriteString(w, eventsOf("2"))
+		_ = w.Close()
+	})
+	a := x.endOf(request)
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.body, eventsOf("1", "2"))
+	assert.Equal(t, x.logged("gateway: drained.")["end"], "complete")
+}
+
+// Guards against a request that is sent to a server after the stop has ended its wait.
+func TestRequestGivenUpOnIsNotSent(t *testing.T) {
+	f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return answer(text("fine")), nil }}
+	g := newGateway(t, f)
+	f.prefill = func(catalog.Server) (Prefilled, *verdict.Error) {
+		g.inFlight.giveUpWaiting()
+		return Prefilled{Result: "kv", Tokens: 10}, nil
+	}
+	_, err := g.Serve(t.Context(), generation("/stream/x"))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+	assert.Equal(t, err.RetryAfter, stoppingRetryAfter)
+	assert.Equal(t, len(f.sends()), 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,6 +247,14 @@
 	return verdict.New(verdict.NotRun, verdict.Leaving, "This gateway is about to end.").WithRetryAfter(stoppingRetryAfter)
 }
 
+// stoppedError ends a request that no server runs as the process is about to exit.
+func (g *Gateway) stoppedError(v verdict.Verdict) *verdict.Error {
+	if v == verdict.NotRun {
+		return stoppingError()
+	}
+	return verdict.New(v, verdict.Leaving, "This gateway is about to end.")
+}
+
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return int64(g.inFlight.count()) }
 
@@ -262,12 +270,15 @@
 
 func (g *Gateway) route(ctx context.Context, r *Request) (*Reply, *verdict.Error) {
 	g.view.waitLoaded(ctx, r.capDeadline(g.startupUntil))
-	j, err := g.accept(r)
+	ctx, cancelRequest := context.WithCancelCause(ctx)
+	j, err := g.accept(r, cancelRequest)
 	if err != nil {
+		cancelRequest(nil)
 		g.logRefused(r, err)
 		return nil, err
 	}
 	if err := g.findOrigin(ctx, j); err != nil {
+		cancelRequest(nil)
 		g.inFlight.end(j.progress)
 		g.logRefused(r, err)
 		return nil, err
@@ -275,7 +286,11 @@
 	requestsTotal.Inc()
 	g.limits.countRequest()
 	g.budget.countRequest(j.service.Name)
-	ctx, cancel := context.WithDeadline(ctx, j.until)
+	ctx, cancelDeadline := context.WithDeadline(ctx, j.until)
+	cancel := func() {
+		cancelDeadline()
+		cancelRequest(nil)
+	}
 	reply, err := g.serveWithinQuota(ctx, j)
 	if err != nil {
 		err = g.finalError(ctx, j, err)
@@ -301,12 +316,12 @@
 }
 
 // accept plans a request and counts it as in progress, or returns why it is refused.
-func (g *Gateway) accept(r *Request) (*job, *verdict.Error) {
+func (g *Gateway) accept(r *Request, cancel context.CancelCauseFunc) (*job, *verdict.Error) {
 	j, err := g.plan(r)
 	if err != nil {
 		return nil, err
 	}
-	if j.progress = g.inFlight.begin(r); j.progress == nil {
+	if j.progress = g.inFlight.begin(r, cancel); j.progress == nil {
 		return nil, stoppingError()
 	}
 	return j, nil
@@ -384,6 +399,9 @@
 	if j.runs > 0 && out.Verdict == verdict.NotRun {
 		out.Verdict = verdict.MayHaveRun
 	}
+	if errors.Is(context.Cause(ctx), errStopped) && (out.Verdict == verdict.NotRun || out.Code == verdict.Cancelled) {
+		return g.stoppedError(out.Verdict)
+	}
 	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		out.Code = verdict.Deadline
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -20,7 +20,7 @@
 	g.prompts.count(time.Now(), j.r.Generation.Prompt)
 	var last *verdict.Error
 	for {
-		j.progress.set(waiting, "")
+		j.progress.wait()
 		if err := g.recheck(ctx, j); err != nil {
 			return nil, err
 		}
@@ -59,13 +59,16 @@
 
 // decode sends the request to the server that holds its reservation.
 func (g *Gateway) decode(ctx context.Context, j *job, p reservation, result prefillResult, after string) (*Answer, *verdict.Error) {
+	if !j.progress.run(serverKey(p.server)) {
+		g.abandon(p, result)
+		return nil, stoppingError()
+	}
 	c := Call{
 		Request: j.r, Organisation: j.organisationName(), ReservationID: p.hold, LastEventID: after, PrefillServer: result.from, PrefillResult: result.id,
 		Timeout: time.Until(j.until), MaxIdle: maxIdleRepeatable, IsRanked: j.isRanked, Rank: j.rank,
 	}
 	j.sends++
 	j.sentAt, j.wroteAt = time.Now(), time.Time{}
-	j.progress.set(running, serverKey(p.server))
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
@@ -82,7 +85,6 @@
 		})
 		return a, nil
 	}
-	j.progress.set(waiting, "")
 	p.end()
 	if isLoss(ctx, err) {
 		g.recordLoss(j, p.server, j.sentAt, err)
@@ -93,6 +95,7 @@
 		g.releaseAsync(p, result)
 	}
 	g.recordFailure(ctx, p.server, err)
+	j.progress.wait()
 	return nil, err
 }
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -22,20 +24,58 @@
 type progress struct {
 	id      string
 	arrived time.Time
+	// cancel ends the request's context.
+	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
 	// All below is guarded by mu. server is the key of the server that works on the request, ""
-	// if it waits; events counts the events that were passed on to the caller.
+	// if it waits; events counts the events that were passed on to the caller. ending: the
+	// request is given up on unless a server runs it.
 	activity activity
 	server   string
 	events   int
+	ending   bool
 }
 
-// set records what goes on for the request.
-func (p *progress) set(a activity, server string) {
+// errStopped is the cause of the context of a request that a graceful stop has given up on.
+var errStopped = errors.New("gateway: the process is about to exit")
+
+// run records that a server runs the request from now on, or returns false if the request was
+// given up on and mustn't be sent.
+func (p *progress) run(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ending {
+		return false
+	}
+	p.activity, p.server = running, server
+	return true
+}
+
+// wait records that no server runs the request.
+func (p *progress) wait() { p.setIdle(waiting, "") }
+
+// prefill records that a server prefills the request's prompt, which doesn't run it yet.
+func (p *progress) prefill(server string) { p.setIdle(prefilling, server) }
+
+func (p *progress) setIdle(a activity, server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.activity, p.server = a, server
+	if p.ending {
+		p.cancel(errStopped)
+	}
+}
+
+// giveUpWaiting ends the request's context unless a server runs it; in that case it ends as soon
+// as none does.
+func (p *progress) giveUpWaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ending = true
+	if p.activity != running {
+		p.cancel(errStopped)
+	}
 }
 
 // countEvent records that an event is passed on to the caller.
@@ -65,9 +105,9 @@
 }
 
 // begin accepts a request, or returns nil once close has been called: after it, only requests
-// that are counted can be in progress.
-func (f *inFlight) begin(r *Request) *progress {
-	p := &progress{id: r.ID, arrived: r.Arrived, activity: waiting}
+// that are counted can be in progress. cancel ends the request's context.
+func (f *inFlight) begin(r *Request, cancel context.CancelCauseFunc) *progress {
+	p := &progress{id: r.ID, arrived: r.Arrived, cancel: cancel, activity: waiting}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
@@ -108,3 +148,10 @@
 	}
 	return out
 }
+
+// giveUpWaiting gives up on the requests that no server runs.
+func (f *inFlight) giveUpWaiting() {
+	for _, p := range f.all() {
+		p.giveUpWaiting()
+	}
+}
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -106,8 +106,8 @@
 	unread := g.queues.unread(serverKey(s)) + tokens
 	end := g.loads.begin(s, tokens)
 	defer end()
-	j.progress.set(prefilling, serverKey(s))
-	defer j.progress.set(waiting, "")
+	j.progress.prefill(serverKey(s))
+	defer j.progress.wait()
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sys/unix"
 
 	"jayford.example/jayford/internal/callers"
-	"jayford.example/jayford/internal/policy/stop"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -55,21 +54,8 @@
 	Protocol     Protocol
 }
 
-const (
-	// minDrain is how long a stopping gateway goes on accepting connections: the load
-	// balancer polls once a second and takes a gateway out after two failures.
-	minDrain = 2500 * time.Millisecond
-	// quietPeriod is how long no request must have been running before the drain ends,
-	// so that a request on its way is still served.
-	quietPeriod   = 500 * time.Millisecond
-	drainInterval = 20 * time.Millisecond
-	// refuseBeforeClose is how long all requests are refused before the listener
-	// closes, closeDelay the time for the last answers to be sent after that.
-	refuseBeforeClose = 150 * time.Millisecond
-	closeDelay        = 100 * time.Millisecond
-	// heldRetryAfter is the Retry-After when the memory for request bodies is used up.
-	heldRetryAfter = time.Second
-)
+// heldRetryAfter is the Retry-After when the memory for request bodies is used up.
+const heldRetryAfter = time.Second
 
 // Server is the HTTP server for callers.
 type Server struct {
@@ -156,8 +142,7 @@
 		return eris.Wrap(err, "gateway: serve")
 	case <-ctx.Done():
 	}
-	st := s.drain()
-	s.close(listener, st.End())
+	s.stop(listener)
 	return nil
 }
 
@@ -175,70 +160,6 @@
 	return int64(callersPart * float64(min(limit.Cur, math.MaxInt32)))
 }
 
-// drain serves until no request is running. The listener stays open meanwhile: the
-// load balancer still sends callers, and a closed listener would reject them without
-// an answer.
-func (s *Server) drain() stop.Stop {
-	began := time.Now()
-	st := stop.Stop{Sent: s.earliestSent(began), Handled: began, Within: s.opts.StopWithin}
-	s.g.Stop(st)
-	s.g.log.WithFields(logrus.Fields{
-		"requests": s.g.InFlight(), "within": s.opts.StopWithin.String(), "lateByUpTo": milliseconds(began.Sub(st.Sent)),
-	}).Info("gateway: draining, no longer ready.")
-	end := drainTimedOut
-	defer func() {
-		s.g.log.WithFields(logrus.Fields{"took": milliseconds(time.Since(began)), "end": end}).Info("gateway: drained.")
-	}()
-	quiet := began
-	for time.Now().Before(st.End()) {
-		time.Sleep(drainInterval)
-		if s.g.InFlight() > 0 {
-			quiet = time.Now()
-		}
-		if time.Since(began) > minDrain && time.Since(quiet) > quietPeriod {
-			end = drainQuiet
-			return st
-		}
-	}
-	s.g.log.WithField("requests", s.g.InFlight()).Warn("gateway: drain timed out, aborting requests.")
-	now := time.Now()
-	for _, p := range s.g.inFlight.all() {
-		s.g.log.WithFields(p.fields(now, began)).Warn("gateway: request aborted by the stop.")
-	}
-	return st
-}
-
-// Ends of a drain, in logs.
-const (
-	drainQuiet    = "quiet"
-	drainTimedOut = "timed out"
-)
-
-// earliestSent returns the earliest time at which a signal can have been sent that was handled
-// at a time.
-func (s *Server) earliestSent(handled time.Time) time.Time {
-	if s.opts.EarliestSent == nil {
-		return handled
-	}
-	return s.opts.EarliestSent(handled)
-}
-
-// close refuses new requests, then closes the listener. Without the refusals, a request that
-// came just after the drain would be cut off by the exit of the process, and its caller
-// couldn't tell whether it ran. Those accepted between the drain's end and the first refusal are
-// served until the stop ends at end.
-func (s *Server) close(l *callers.Listener, end time.Time) {
-	s.g.Close()
-	for s.g.InFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(drainInterval)
-	}
-	time.Sleep(refuseBeforeClose)
-	if err := l.Drain(); err != nil {
-		s.g.log.WithError(err).Warn("gateway: draining the listener failed, connections may have been reset.")
-	}
-	time.Sleep(closeDelay)
-}
-
 func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != s.opts.ReadyPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -216,7 +216,7 @@
 func (s *stream) resume(cause error) error {
 	_ = s.answer.Body.Close()
 	s.reservation.end()
-	s.j.progress.set(waiting, "")
+	s.j.progress.wait()
 	if s.ctx.Err() != nil {
 		return context.Cause(s.ctx)
 	}
@@ -273,7 +273,9 @@
 func (s *stream) Close() error {
 	s.closeOnce.Do(func() {
 		if !s.ended && s.ctx.Err() != nil {
-			s.g.logRequest(s.j, "gateway: stream left.", s.fields())
+			fields := s.fields()
+			fields["cause"] = context.Cause(s.ctx).Error()
+			s.g.logRequest(s.j, "gateway: stream left.", fields)
 		}
 		_ = s.answer.Body.Close()
 		s.reservation.end()
--- a/internal/policy/stop/stop.go
+++ b/internal/policy/stop/stop.go
@@ -11,6 +11,9 @@
 	acceptAllFor = 2500 * time.Millisecond
 	// maxAcceptAllShare bounds acceptAllFor as a part of a short stop.
 	maxAcceptAllShare = 0.4
+	// answerLead is how long before the end of the stop requests are answered that no server
+	// runs.
+	answerLead = 100 * time.Millisecond
 )
 
 // Stop is a graceful stop of a process. A process that stalls handles its signal late, but
@@ -33,6 +36,10 @@
 	return !isGeneration && !until.After(s.Sent.Add(s.Within))
 }
 
+// AnswerBy returns when requests that no server runs must get their final answer. It counts from
+// the sending of the signal, so that they get it before the process is killed.
+func (s Stop) AnswerBy() time.Time { return s.Sent.Add(s.Within - answerLead) }
+
 // End returns when the stop ends. It counts from the handling of the signal, since the
 // process may have as long; an earlier end would cut off requests that could complete.
 func (s Stop) End() time.Time { return s.Handled.Add(s.Within) }
--- a/internal/policy/stop/stop_test.go
+++ b/internal/policy/stop/stop_test.go
@@ -37,6 +37,7 @@
 	sent := time.Unix(0, 0)
 	s := Stop{Sent: sent, Handled: sent.Add(time.Second), Within: 7 * time.Second}
 	assert.Equal(t, s.End(), sent.Add(8*time.Second))
+	assert.Equal(t, s.AnswerBy(), sent.Add(6900*time.Millisecond))
 }
 
 // Guards against a time of acceptance that is too long for streams sent 3 s after the signal to be
