Streams that are taken up again ask full engines rarely

What callers saw: nothing yet; found in the review of the change by which such streams take no turn among the late requests. While the engines of their version were full, each asked all of them every 30 ms. Streams break together, as when a server or a gateway ends, so that many ask at once and take the gateway's time and the engines'. And a stream whose objective could still be met was refused after 1.5 s; it had waited for the objective before.

Cause: the change used the wait of requests in time, which are few while engines are full, as the rest of them are late and take turns. It bounded all of them by a late request's wait.

The fix: such a stream waits for its objective first, as any request, and then goes on as a late one with that one's pause, 100 ms; it leaves out engines that have refused in the last 60 ms. The first of the streams to ask finds out for all.

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -150,6 +150,9 @@
 	})
 }
 
+// isFull reports whether the server has just refused a request because it is full.
+func (l *loads) isFull(key string) bool { return time.Now().Before(l.get(key).Full) }
+
 const (
 	minRefusalBackoff = 150 * time.Millisecond
 	maxRefusalBackoff = 2400 * time.Millisecond
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -141,18 +141,16 @@
 	).WithRetryAfter(capacityRetryAfter)
 }
 
-// reserveInTurn waits for a reservation as long as the request may. A stream that goes on takes
-// no turn among the late requests: only engines of its own software version are of use to it, and
-// the others' turns would hold it up.
+// reserveInTurn waits for a reservation as long as the request may.
 func (g *Gateway) reserveInTurn(ctx context.Context, j *job) (reservation, bool) {
-	if j.begun {
-		return g.reserveUntil(ctx, j, j.delivered(), j.r.Arrived.Add(lateWait))
-	}
 	if !j.isCallerRetry() {
 		if p, ok := g.reserveUntil(ctx, j, j.delivered(), j.reserveDeadline()); ok {
 			return p, true
 		}
 	}
+	if j.begun {
+		return g.reserveResumed(ctx, j)
+	}
 	return g.reserveLate(ctx, j)
 }
 
@@ -224,11 +222,35 @@
 	}
 }
 
+// reserveResumed waits for a reservation for a stream that goes on. It takes no turn among the
+// late requests: only engines of its own software version are of use to it, and the others' turns
+// would hold it up. Engines that have just refused aren't asked: many streams break at a time.
+func (g *Gateway) reserveResumed(ctx context.Context, j *job) (reservation, bool) {
+	until := j.r.Arrived.Add(lateWait)
+	for {
+		if p, ok := g.reserveAtAny(ctx, j, g.sizeReservation(j, j.delivered()), g.loads.isFull); ok {
+			return p, true
+		}
+		if g.allEnginesPause(j) {
+			return reservation{}, false
+		}
+		pause := jittered(lateInterval)
+		if time.Now().Add(pause).After(until) || !wait.Sleep(ctx, pause) {
+			return reservation{}, false
+		}
+	}
+}
+
 // reserveOnce tries the best engines one after the other.
 func (g *Gateway) reserveOnce(ctx context.Context, j *job, x memory.Generation) (reservation, bool) {
+	return g.reserveAtAny(ctx, j, x, func(string) bool { return false })
+}
+
+// reserveAtAny tries the best engines one after the other, without those to skip.
+func (g *Gateway) reserveAtAny(ctx context.Context, j *job, x memory.Generation, skip func(key string) bool) (reservation, bool) {
 	headroom := g.shortages.headroom(j)
 	for i, s := range g.leastLoaded(j) {
-		if !g.fits(j, s.key, x, headroom) {
+		if skip(s.key) || !g.fits(j, s.key, x, headroom) {
 			continue
 		}
 		hold, err := g.reserveAt(ctx, j, s, x.Reserved)
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +58,58 @@
 	err = <-waits
 	assert.Assert(t, err != nil && err.Verdict == verdict.NotRun && err.RetryAfter > 0, "%v", err)
 }
+
+// Guards against streams that ask full engines without end, all at once, after a crash has broken
+// many.
+func TestResumedStreamsAskFullEnginesRarely(t *testing.T) {
+	const streams = 100
+	f := &fakeBackend{}
+	var asked atomic.Int64
+	f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
+		asked.Add(1)
+		time.Sleep(2 * time.Millisecond)
+		return "", full()
+	}
+	g := newGateway(t, f)
+	g.SetServers(serversOf("v1", "v1", "v1"))
+	var all sync.WaitGroup
+	for n := range streams {
+		all.Go(func() {
+			r := takenUp("")
+			r.ID = fmt.Sprint("s", n)
+			_, err := g.Serve(t.Context(), r)
+			assert.Check(t, err != nil && err.Verdict == verdict.NotRun, "%v", err)
+		})
+	}
+	all.Wait()
+	// The streams find out together that an engine is full, and one asks it again after each backoff.
+	rounds := int64(lateWait/fullBackoff) + 1
+	t.Logf("%d calls", asked.Load())
+	assert.Assert(t, asked.Load() < 3*(streams+4*rounds), "%d calls", asked.Load())
+}
+
+// Guards against a stream that is refused though its objective can still be met.
+func TestResumedStreamWaitsAsLongAsItsObjectiveAllows(t *testing.T) {
+	const objective, freeAfter = 4 * time.Second, 1800 * time.Millisecond
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	began := time.Now()
+	f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
+		if time.Since(began) < freeAfter {
+			return "", full()
+		}
+		return "hold", nil
+	}
+	g := newGateway(t, f)
+	c := testConfig()
+	c.Version++
+	for i := range c.Routes {
+		c.Routes[i].LatencyObjective = objective
+	}
+	assert.Assert(t, g.SetConfig(c))
+	r := generation("/stream/x")
+	r.Generation.LastEventID, r.CallerTimeout = "2", 0
+	reply, err := g.Serve(t.Context(), r)
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+}
