What ended a process is told by its log or its successor's

After an incident nobody could tell whether a gateway was told to stop, had failed or was killed: its log ended with "gateway: ended." or with nothing. And a part that failed (a listener of operators, say) made the role stop, but ended at once the feed, the gossip, the quotas and the other parts that requests still running need, as all of them shared one errgroup.

On the code before:

go test -race -count=1 -run 'CauseOf|FailedPart' ./platform --- FAIL: TestFailedPartIsLogged: "gateway: draining, no longer ready." and "gateway: ended." without a cause; the operator's address was taken --- FAIL: TestCauseOfAnEndIsLogged: after SIGKILL and a new start no line says so go test -race -count=1 ./internal/daemon --- FAIL: TestPartsRunUntilTheRoleHasDrainedAfterAFailure: endedFirst is true

The parts of a process have names. A signal or a failed part cancels the role's context with its cause; "daemon: stopping." and, at the end, "gateway: ended." (entry, agent) have it, the latter as an error if a part failed. The other parts run until the role has drained, as on SIGTERM. At its first reading of the gateways, which comes before its first write, a gateway warns if its own object is there: each process deletes it as it stops, so the last one was killed, broke down, or couldn't reach the store then. The line has the uptime that the object carries already. No call to the store and no byte in it is added.

Ruled out: that a failed part cuts streams by itself. The role drained before too. Not told: a panic, whose stack is on standard error only.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,32 +140,3 @@
 	}
 	return err
 }
-
-// background is a function that runs until ctx ends.
-type background func(ctx context.Context) error
-
-// run runs the role until ctx ends and the role has stopped gracefully. The
-// functions that the role depends on (such as the feed and the operator
-// listener) run alongside it and are stopped after it.
-func run(ctx context.Context, role background, others ...background) error {
-	inner, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	g, inner := errgroup.WithContext(inner)
-	for _, f := range others {
-		g.Go(func() error { return f(inner) })
-	}
-	g.Go(func() error {
-		defer cancel()
-		// A failure of any of the other functions stops the role too.
-		roleCtx, stop := context.WithCancel(ctx)
-		defer stop()
-		unhook := context.AfterFunc(inner, stop)
-		defer unhook()
-		return role(roleCtx)
-	})
-	err := g.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -53,7 +53,6 @@
 		"part": "gateway", "id": s.ID, "availabilityZone": s.AvailabilityZone, "platform": s.Platform, "build": build(),
 		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare, "maxPrefillShare": s.Stages.MaxPrefillShare,
 	}).Info("gateway: starting.")
-	defer func() { log.WithField("part", "gateway").Info("gateway: ended.") }()
 	ops := operator.New(b, func() operator.Status {
 		return operator.Status{
 			ID: s.ID, Role: RoleGateway, AvailabilityZone: s.AvailabilityZone,
@@ -103,11 +102,12 @@
 		Peers: func() []string { return ids(members.List()) }, PeerPromptRate: exchange.PromptRate, Speed: g.EngineSpeed,
 	}
 	return run(
-		ctx, server.Run, monitor.Run, members.Run, exchange.Run, quotas.Run,
-		func(ctx context.Context) error { return g.RunStages(ctx, orders) },
-		func(ctx context.Context) error { return updatePeers(ctx, g, members) },
-		func(ctx context.Context) error { return g.Follow(ctx, deps.Sources) },
-		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
+		ctx, log, part{RoleGateway, server.Run},
+		part{"pulse", monitor.Run}, part{"peers", members.Run}, part{"gossip", exchange.Run}, part{"quota", quotas.Run},
+		part{"stages", func(ctx context.Context) error { return g.RunStages(ctx, orders) }},
+		part{"members", func(ctx context.Context) error { return updatePeers(ctx, g, members) }},
+		part{"follow", func(ctx context.Context) error { return g.Follow(ctx, deps.Sources) }},
+		part{"operator", func(ctx context.Context) error { return ops.Run(ctx, s.Operator) }},
 	)
 }
 
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -41,8 +41,8 @@
 	explain := func(q *fasthttp.Args) (any, error) { return e.Explain(queryValues(q)) }
 	ops := operator.New(c.board, c.status, explain, log)
 	return run(
-		ctx, e.Run, c.follower.Run, c.servePeers, leader.Run,
-		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
+		ctx, log, part{RoleEntry, e.Run}, part{"feed", c.follower.Run}, part{"peers", c.servePeers}, part{"control", leader.Run},
+		part{"operator", func(ctx context.Context) error { return ops.Run(ctx, s.Operator) }},
 	)
 }
 
@@ -71,9 +71,9 @@
 	c.load = a.ProcessLoad
 	ops := operator.New(c.board, c.status, nil, log)
 	return run(
-		ctx, a.Run, c.follower.Run,
-		func(ctx context.Context) error { return ops.Run(ctx, s.Operator) },
-		func(ctx context.Context) error { return followConfig(ctx, a, c.config, s.ID) },
+		ctx, log, part{RoleAgent, a.Run}, part{"feed", c.follower.Run},
+		part{"operator", func(ctx context.Context) error { return ops.Run(ctx, s.Operator) }},
+		part{"configuration", func(ctx context.Context) error { return followConfig(ctx, a, c.config, s.ID) }},
 	)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -316,6 +316,11 @@
 		listed[p.ID] = true
 		if p.ID == m.self.ID {
 			m.version = max(m.version, o.Version)
+			if m.lastRead.IsZero() {
+				// Each process deletes its object as it stops.
+				m.log.WithFields(logrus.Fields{"uptime": (time.Duration(p.UptimeMs) * time.Millisecond).String(), "renewals": p.Renewals, "version": o.Version}).
+					Warn("peers: the previous process of this instance left its object.")
+			}
 			if !m.replaced {
 				m.predecessor = time.Duration(p.UptimeMs) * time.Millisecond
 			}
