A failed accept doesn't end a process

When a gateway, or an entry, had no descriptors left, its next accept failed ("accept4: too many open files"). fasthttp's server ends with that error, the role with its server, and the process with its role: all streams were cut at once, though they needed no new descriptor. A failing accept at the operators' listener or at that of readiness did the same, and in the drain it left the callers in the backlog without an answer.

All listeners of our processes now try again after an error of accept that passes, as net/http's and gRPC's servers do; what they try again is anything but a closed or unusable listener, since Linux also returns errors of the new connection's network.

gRPC's listeners already tried again for a lack of descriptors; they now count and log it too. Read only: the gossip's and the quotas' sockets go on after errors of reads. Not changed: Drain itself accepts nothing more once it finds no descriptor, and resets what is left in the backlog.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/engine"
@@ -181,7 +182,7 @@
 	group.Go(func() error {
 		defer close(served)
 		defer a.cancelWork()
-		return eris.Wrap(a.server.Serve(l), "serve peers")
+		return eris.Wrap(a.server.Serve(&accept.Listener{Listener: l, Retrier: accept.Retrier{Log: a.log}}), "serve peers")
 	})
 	group.Go(func() error { a.tick(); return nil })
 	group.Go(func() error { a.watchServer(); return nil })
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,6 +15,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"jayford.example/jayford/internal/accept"
 )
 
 const (
@@ -45,6 +47,8 @@
 	// MaxOpen bounds the open connections, 0 for no bound. Those beyond it are closed unread, so
 	// that their callers can try elsewhere.
 	MaxOpen int64
+	// Retrier makes Accept go on after errors that pass.
+	accept.Retrier
 	// open counts the accepted connections that aren't closed.
 	open atomic.Int64
 
@@ -77,6 +81,9 @@
 func (l *Listener) acceptWithin() (*net.TCPConn, error) {
 	for {
 		c, err := l.AcceptTCP()
+		if l.Retry(err) {
+			continue
+		}
 		if err != nil {
 			c, err = l.nextAccepted(err)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/feed"
@@ -126,7 +127,9 @@
 	srv := grpc.NewServer(options...)
 	pb.RegisterPeerServer(srv, peers)
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return srv.Serve(l) })
+	g.Go(func() error {
+		return srv.Serve(&accept.Listener{Listener: l, Retrier: accept.Retrier{Log: c.log.WithField("part", "peers")}})
+	})
 	g.Go(func() error { return peers.Run(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/callers"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -81,7 +82,7 @@
 	}
 	failed := make(chan error, 1)
 	lim := s.e.settings.Limits
-	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: lim.WriteTimeout.D()}
+	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: lim.WriteTimeout.D(), Retrier: accept.Retrier{Log: s.e.log}}
 	go func() { failed <- s.http.Serve(newLimitListener(listener, lim.MaxConnections)) }()
 	select {
 	case err := <-failed:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/callers"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -132,10 +133,12 @@
 		return eris.New("gateway: listener for callers isn't TCP")
 	}
 	failed := make(chan error, 2)
-	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout, IdleTimeout: s.idleTimeout, MaxOpen: maxConnections(s.g.log)}
+	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout, IdleTimeout: s.idleTimeout, MaxOpen: maxConnections(s.g.log), Retrier: accept.Retrier{Log: s.g.log}}
 	go func() { failed <- s.http.Serve(listener) }()
 	probe := &fasthttp.Server{Handler: s.handleReady, NoDefaultServerHeader: true, Logger: httpLog{s.g.log}}
-	go func() { failed <- probe.Serve(ready) }()
+	go func() {
+		failed <- probe.Serve(&accept.Listener{Listener: ready, Retrier: accept.Retrier{Log: s.g.log}})
+	}()
 	s.g.log.WithFields(logrus.Fields{"address": s.opts.Listen, "ready": s.opts.Ready}).Info("gateway: listening.")
 	select {
 	case err := <-failed:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/board"
 )
 
@@ -84,7 +85,9 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	srv := &fasthttp.Server{Handler: s.handle, Name: "jayford", CloseOnShutdown: true, ReadTimeout: time.Minute, Logger: s.log}
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l) }()
+	go func() {
+		failed <- srv.Serve(&accept.Listener{Listener: l, Retrier: accept.Retrier{Log: s.log}})
+	}()
 	select {
 	case err := <-failed:
 		return eris.Wrap(err, "operator: serve")
