Long fields of log lines are cut

What callers saw: nothing yet. A number of a megabyte in an entry, or a long name, came into a log line as a whole, as errors of package json quote it. The buffer holds 2048 lines, which are taken to have a few hundred bytes: with long ones it would take up to gigabytes, of the 256 MB that a node has.

Cause: the number and rate of lines were bounded, their length wasn't.

Fix: in a line over 8 KiB the message and each field are cut to 1 KiB, with "..." behind it. Shorter lines are written as before.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,6 +1,6 @@
 // Package logs writes structured log lines without blocking the caller: lines go
-// through a bounded buffer to a writer goroutine, and the rate of each kind of
-// line (level and message) is limited.
+// through a bounded buffer to a writer goroutine, the rate of each kind of line
+// (level and message) is limited, and the fields of long lines are cut.
 //
 // Dropped lines are counted, and one line reports their number as soon as one can be
 // written. The first lines of each kind in a second are kept, as they show how a
@@ -91,7 +91,11 @@
 	}
 	line, err := f.inner.Format(e)
 	if err != nil {
-		line, err = f.inner.Format(withTextFields(e, err))
+		e = withTextFields(e, err)
+		line, err = f.inner.Format(e)
+	}
+	if len(line) > maxLineBytes {
+		return f.inner.Format(cutLine(e))
 	}
 	return line, err
 }
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"os"
@@ -179,3 +180,27 @@
 	assert.Equal(t, v["msg"], "gateway: odd.")
 	assert.Equal(t, v["fields"], "map[rate:+Inf]")
 }
+
+// Guards against log lines as long as what another writer left in the store, or a server sent: the
+// buffer of lines would take gigabytes.
+func TestLongFieldsAreCut(t *testing.T) {
+	long := strings.Repeat("ä", 500_000)
+	log := logrus.New()
+	var out bytes.Buffer
+	flush := Install(log, &out, Options{Level: logrus.InfoLevel})
+	log.WithError(errors.New(long)).WithFields(logrus.Fields{"name": long, "list": []string{long, long}, "count": 7, "short": "s"}).Warn("gateway: " + long)
+	log.WithField("whole", strings.Repeat("w", 2000)).Info("gateway: second.")
+	flush(time.Second)
+	assert.Assert(t, out.Len() < 16<<10, "%d", out.Len())
+	first, second, _ := strings.Cut(out.String(), "\n")
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(first), &line))
+	assert.Equal(t, line["count"], 7.0)
+	assert.Equal(t, line["short"], "s")
+	assert.Equal(t, line["level"], "warning")
+	for _, key := range []string{"msg", "name", "error", "list"} {
+		text, _ := line[key].(string)
+		assert.Assert(t, strings.Contains(text, "ää") && strings.HasSuffix(text, "..."), "%s: %.100q", key, text)
+	}
+	assert.Assert(t, strings.Contains(second, strings.Repeat("w", 2000)))
+}
