A lease with an impossible term is replaced

What callers saw: nothing yet. A lease object that another writer left with a term of centuries was never acquired again: no gateway would order changes of stage, no entry would run the capacity controller of its region.

Cause: a candidate waits for the longer one of its own term and the object's, which had no bound. Objects that can't be decoded were safe already: they count as an unknown holder's and are replaced after a term.

Fix: a term beyond 0 to 1 h, the longest that settings allow, makes the object invalid, and it is replaced after a term like others.

Measured: all of internal/lease and internal/object pass 10 of 10 times with -race.

--- a/internal/object/parse.go
+++ b/internal/object/parse.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -74,7 +75,7 @@
 	case KindClaims:
 		return decode(spec, func(c Claims) error { return checkFormat(c.Format) })
 	case KindLease:
-		return decode(spec, func(l Lease) error { return checkFormat(l.Format) })
+		return decode(spec, Lease.check)
 	case KindStatus:
 		return decode(spec, func(s Status) error { return checkFormat(s.Format) })
 	default:
@@ -112,6 +113,17 @@
 	return nil
 }
 
+// maxLeaseTerm is the longest term that settings allow.
+const maxLeaseTerm = time.Hour
+
+// check rejects a term that no process has set. A lease with an odd one would be kept for as long.
+func (l Lease) check() error {
+	if l.Term < 0 || l.Term > maxLeaseTerm {
+		return eris.Errorf("termNanoseconds: %d must be 0 to %d", l.Term, maxLeaseTerm)
+	}
+	return checkFormat(l.Format)
+}
+
 func checkLabels(field string, labels map[string]string) error {
 	keys := make([]string, 0, len(labels))
 	for k := range labels {
--- a/internal/object/parse_test.go
+++ b/internal/object/parse_test.go
@@ -32,6 +32,9 @@
 		{KindOrganisation, `{"format":1,"share":0}`, "share"},
 		{KindConviction, `{"format":1,"fingerprint":"xyz","until":"2026-01-01T00:00:00Z"}`, "fingerprint"},
 		{KindConviction, `{"format":1,"fingerprint":"ff","until":"2026-01-01T00:00:00Z","x":1}`, "x"},
+		{KindLease, `{"format":1,"holder":"x","termNanoseconds":3600000000001}`, "termNanoseconds"},
+		{KindLease, `{"format":1,"holder":"x","termNanoseconds":-1}`, "termNanoseconds"},
+		{KindLease, `{"format":1,"holder":"x","termNanoseconds":1e300}`, "spec"},
 		{"nothing", `{}`, "kind"},
 	}
 	for _, c := range cases {
@@ -57,6 +60,7 @@
 		{KindSelector, `{"format":1,"order":1,"match":{"pathPrefixes":["/v1/"]},"targets":[{"pool":"p","weight":1}]}`},
 		{KindIntent, `{"format":1,"server":"s","drain":true}`},
 		{KindOrganisation, `{"format":1,"share":0.5}`},
+		{KindLease, `{"format":1,"holder":"x","termNanoseconds":3600000000000}`},
 	}
 	for _, c := range cases {
 		_, err := Parse(c.kind, []byte(c.spec))
