A copy isn't newer than the store's answer that it comes from

What callers saw: nothing yet. An object with a revision that can't be true, such as 2^64-1, made a gateway's copy count as newer than every later one. Gateways that confirm the configuration for each other would have found the others' copies too old for ever.

Cause: the newest revision of a copy was taken from its objects without regard to the revision of the answer.

Before, `go test -run OddRevision ./internal/follow`:

{9 9 } (listed follow.Copy) != {9 9 8} (follow.Copy)

Fix: a revision beyond the answer's isn't used. This also holds for objects that changed after the first page of a listing, for which Newest promised less than it said.

--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -22,7 +22,8 @@
 	Position uint64
 	// Changed is at least the revision of the newest change of the kind up to Position, and
 	// Newest at most that. A listing doesn't show when the last object was deleted, and a
-	// watch doesn't tell the revision of a deletion.
+	// watch doesn't tell the revision of a deletion. An object's revision beyond Position
+	// tells neither: it was changed after the first page, or the revision can't be true.
 	Changed, Newest uint64
 }
 
@@ -31,7 +32,9 @@
 	position := max(x.Position, l.Revision)
 	out := Copy{Position: position, Changed: position}
 	for _, o := range l.Objects {
-		out.Newest = max(out.Newest, o.Version)
+		if o.Version <= position {
+			out.Newest = max(out.Newest, o.Version)
+		}
 	}
 	return out
 }
@@ -40,7 +43,7 @@
 func (x Copy) advance(l platform.Listing) Copy {
 	x.Position = max(x.Position, l.Revision)
 	for _, o := range l.Objects {
-		if o.Deleted || o.Version == 0 {
+		if o.Deleted || o.Version == 0 || o.Version > x.Position {
 			x.Changed = x.Position
 			continue
 		}
