Relayed changes with an odd revision stay valid

What callers saw: nothing yet. Where some gateways of a zone follow the store for the others, one object whose revision can't be true made the message with it malformed. The others dropped it, with the changes of all other servers in it, and had to poll the store.

Cause: a message is valid only if no object is newer than its revision, and the sender didn't check that.

Before: TestRelayedChangesWithAnOddRevisionAreValid failed at validChanges(m).

Fix: the sender bounds an object's revision by the message's.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -159,7 +159,9 @@
 		return out
 	}
 	for _, o := range x.Objects {
-		out.Objects = append(out.Objects, &pb.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Spec: o.Spec})
+		// A revision that can't be true would make all of the message malformed.
+		version := min(o.Version, x.Revision)
+		out.Objects = append(out.Objects, &pb.Object{Name: o.Name, Version: version, Deleted: o.Deleted, Spec: o.Spec})
 	}
 	return out
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	pb "jayford.example/jayford/api/jayfordv1"
+	"jayford.example/jayford/internal/follow"
+	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/place"
 	"jayford.example/jayford/internal/verdict"
 )
@@ -235,3 +238,15 @@
 	f.g[relayed].HandleStore("x", &pb.StoreMessage{Changes: good})
 	assert.Assert(t, known(relayed))
 }
+
+// Guards against changes that the other gateways of the zone drop as malformed, since one object
+// has a revision that can't be true.
+func TestRelayedChangesWithAnOddRevisionAreValid(t *testing.T) {
+	m := &pb.StoreMessage{Changes: encodeChanges("servers", follow.Changes{
+		After: 3, Revision: 9, Objects: []platform.Object{{Name: "odd", Version: math.MaxUint64}, {Name: "good", Version: 8}},
+	})}
+	assert.Assert(t, validChanges(m))
+	x := decodeChanges(m.Changes)
+	assert.Equal(t, len(x.Objects), 2)
+	assert.Equal(t, x.Objects[1].Version, uint64(8))
+}
