Versions that came and went while a gateway was out of step count

What callers would see: streams that go on at another version (ORDER), as in the report of a gateway out of step, if the new version was taken back meanwhile. Not seen in the field.

Cause: the history of versions took the list that an answer of the store results in. Entries that came and were removed in one answer (a gateway that stood still gets them so) never were in a list; and a listing anew, after the store lost its history or was set back, doesn't show them at all, but the history counted as complete across it.

Fix: each entry of an answer is observed before what follows it. A listing that doesn't continue the copy begins the history anew: other gateways' digests are read again at once, and until they agree, or the time of a stream has passed, no unknown stream goes on.

Failed before: TestVersionThatCameAndWentMeanwhileIsKnown, "in one answer" and "before a new listing": "the stream goes on"; TestNewListingIsCompletedByOthers: "the digests aren't read again".

Read only: digests are read from a listing that may be seconds old, and written up to a second after a version came. A version that came and went within that time, and within the gap, would be missed, at the start of a process too.

--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -33,8 +33,10 @@
 	events   []platform.Object
 	// refused gateways get an error at once, silenced ones no answer.
 	refused, silenced map[string]bool
-	changed           chan struct{}
-	calls             map[string]int
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
+	changed   chan struct{}
+	calls     map[string]int
 }
 
 func newSharedStore() *sharedStore {
@@ -74,6 +76,13 @@
 	s.silenced[id] = silenced
 }
 
+// compact makes the store forget its history.
+func (s *sharedStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+}
+
 // sharedStoreClient is the store as one gateway sees it.
 type sharedStoreClient struct {
 	*sharedStore
@@ -95,6 +104,19 @@
 	return nil
 }
 
+// beginAfter begins a call for the changes behind a revision.
+func (c sharedStoreClient) beginAfter(ctx context.Context, kind string, after uint64) error {
+	if err := c.begin(ctx, kind); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if after < c.compacted {
+		return platform.ErrCompacted
+	}
+	return nil
+}
+
 func (c sharedStoreClient) sinceLocked(kind string, after uint64) platform.Listing {
 	out := platform.Listing{Revision: c.revision}
 	for _, o := range c.events {
@@ -132,7 +154,7 @@
 }
 
 func (c sharedStoreClient) Poll(ctx context.Context, kind string, after uint64) (platform.Listing, error) {
-	if err := c.begin(ctx, kind); err != nil {
+	if err := c.beginAfter(ctx, kind, after); err != nil {
 		return platform.Listing{}, err
 	}
 	c.mu.Lock()
@@ -141,7 +163,7 @@
 }
 
 func (c sharedStoreClient) Watch(ctx context.Context, kind string, after uint64) (platform.Listing, error) {
-	if err := c.begin(ctx, kind); err != nil {
+	if err := c.beginAfter(ctx, kind, after); err != nil {
 		return platform.Listing{}, err
 	}
 	end, _ := ctx.Deadline()
@@ -198,6 +220,9 @@
 
 	perZone int
 	expiry  time.Duration
+	// softwareChanged gets the ids of gateways whose software versions changed; it may be nil.
+	softwareChanged chan string
+
 	ctx     context.Context
 	running sync.WaitGroup
 
--- a/internal/gateway/current_test.go
+++ b/internal/gateway/current_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/follow"
 	"jayford.example/jayford/internal/verdict"
@@ -19,10 +20,12 @@
 func newVersionsFleet(t *testing.T, n, perZone int) *sharingFleet {
 	t.Helper()
 	f := prepareFleet(t, n, perZone, 0)
+	f.softwareChanged = make(chan string, 100)
 	for _, id := range f.ids {
 		g := f.g[id]
 		g.Join(peerContact{since: time.Now(), reportedAt: time.Now().Add(time.Hour)})
 		g.SetSoftwareDigests(nil, false)
+		g.OnSoftwareChange(func() { f.softwareChanged <- id })
 		f.backend(id).send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
 	}
 	f.startAll()
@@ -132,15 +135,15 @@
 func TestUnconfirmedListIsReported(t *testing.T) {
 	t.Parallel()
 	f := newVersionsFleet(t, 2, 0)
-	f.store.silence(true, "g1")
+	f.store.silence(true, "g0")
 	began := time.Now()
-	err := f.takeUp(t.Context(), "g1")
+	err := f.takeUp(t.Context(), "g0")
 	took := time.Since(began)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Equal(t, err.Code, verdict.PlatformDown)
 	assert.Assert(t, took < 2*listConfirmTimeout, took)
-	assert.Assert(t, strings.Contains(f.logs["g1"].String(), `"why":"`+resumeListUnconfirmed+`"`))
+	assert.Assert(t, strings.Contains(f.logs["g0"].String(), `"why":"`+resumeListUnconfirmed+`"`))
 }
 
 // Guards against a guess in an outage of the store: another gateway has learned of servers of a
@@ -159,3 +162,69 @@
 	assert.Equal(t, err.Verdict, verdict.NotRun)
 	assert.Assert(t, err.RetryAfter > 0)
 }
+
+// Guards against a guess by a gateway that gets the entries of servers and their removal in one
+// answer, or a new listing without either, though others have begun the stream there.
+func TestVersionThatCameAndWentMeanwhileIsKnown(t *testing.T) {
+	t.Parallel()
+	for name, compact := range map[string]bool{"in one answer": false, "before a new listing": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionsFleet(t, 2, 0)
+			f.store.silence(true, "g1")
+			server := f.release("v2")
+			f.awaitListed(t, "g0", server)
+			f.store.put("servers", server, catalog.Server{}, true)
+			f.awaitRemoved(t, "g0", server)
+			if compact {
+				f.store.compact()
+			}
+			f.store.silence(false, "g1")
+			f.awaitPosition(t, "g1")
+			before := len(f.backend("g1").sends())
+			for range 3 {
+				err := f.takeUp(t.Context(), "g1")
+				assert.Assert(t, err != nil, "the stream goes on")
+				assert.Equal(t, err.Verdict, verdict.NotRun)
+			}
+			assert.Equal(t, len(f.backend("g1").sends()), before)
+		})
+	}
+}
+
+// Guards against streams that are refused for as long as one lasts, behind a new listing, though
+// other gateways have seen that one version alone served.
+func TestNewListingIsCompletedByOthers(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t, 2, 0)
+	f.store.silence(true, "g1")
+	f.awaitListed(t, "g0", f.release("v1"))
+	f.store.compact()
+	f.store.silence(false, "g1")
+	select {
+	case <-f.softwareChanged:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the digests aren't read again")
+	}
+	f.awaitPosition(t, "g1")
+	assert.Assert(t, f.takeUp(t.Context(), "g1") != nil, "the stream goes on")
+	f.g["g1"].SetSoftwareDigests([]uint64{f.g["g0"].SoftwareDigest()}, true)
+	err := f.takeUp(t.Context(), "g1")
+	assert.Assert(t, err == nil, "%v", err)
+}
+
+func (f *sharingFleet) awaitRemoved(t *testing.T, id, server string) {
+	t.Helper()
+	assertSoon(t, 5*time.Second, "a gateway lists a server that was removed", func() bool {
+		return !f.lists(id, server, false)
+	})
+}
+
+// awaitPosition waits until a gateway's list of servers has all that the store has now.
+func (f *sharingFleet) awaitPosition(t *testing.T, id string) {
+	t.Helper()
+	at := boottime.Now()
+	assertSoon(t, 10*time.Second, "a gateway doesn't catch up", func() bool {
+		return f.g[id].software.awaitConfirmed(t.Context(), at)
+	})
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -44,6 +44,8 @@
 	// graceUntil is the end of the grace. Entries that disappear before it count as
 	// expired in the outage, not as deleted.
 	graceUntil time.Time
+	// listed is set from the first complete listing.
+	listed bool
 }
 
 func (r *roster) apply(n follow.Update) {
@@ -56,6 +58,11 @@
 		time.AfterFunc(graceTick, r.endGrace)
 	}
 	r.shortenGrace()
+	if n.Full && r.listed {
+		r.g.log.Info("gateway: servers listed anew, versions in between aren't known.")
+		r.g.software.restart(now)
+	}
+	r.listed = r.listed || n.Full
 	seen := make(map[string]bool, len(n.Objects))
 	for _, o := range n.Objects {
 		seen[o.Name] = true
@@ -75,6 +82,7 @@
 			}).Info("gateway: server listed.")
 		}
 		r.entries[o.Name] = entry{server: s}
+		r.g.software.observe(s, now)
 	}
 	if n.Full {
 		r.g.view.complete.Store(true)
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -44,8 +44,10 @@
 	// digests are the other gateways' ones as last read, digestsRead whether they ever were.
 	digests     []uint64
 	digestsRead bool
-	// complete: it is known what served before this process started.
+	// complete: it is known what served before this process started, or before a gap.
 	complete bool
+	// observed: a version was observed that the last list lacked.
+	observed bool
 	// poll asks the store once for changes of the servers, and reports whether it did. It is nil
 	// before the servers are followed.
 	poll func() bool
@@ -116,12 +118,34 @@
 	before := v.listed
 	v.listed = v.countLocked(list)
 	v.publishLocked(before)
-	changed := v.history.Update(v.listed, now)
+	changed := v.history.Update(v.listed, now) || v.observed
+	v.observed = false
 	v.compareLocked(now)
 	v.forgetLocked(now)
 	return changed && before != nil
 }
 
+// observe records the version in a server's entry. Another change in the same answer of the
+// platform may replace or delete that before the next list.
+func (v *softwareVersions) observe(x catalog.Server, now time.Time) {
+	s := origin.Served{Service: origin.Hash(x.Service), Software: origin.Hash(x.Software)}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.history.Observe(s, now) {
+		v.observed = true
+		v.names[s.Service], v.names[s.Software] = x.Service, loggedSoftware(x.Software)
+	}
+}
+
+// restart records that the next list doesn't continue the one before. The other gateways'
+// digests are read again then.
+func (v *softwareVersions) restart(now time.Time) {
+	v.mu.Lock()
+	v.history.Restart(now)
+	v.complete, v.digests, v.observed = false, nil, true
+	v.mu.Unlock()
+}
+
 // countLocked returns the number of servers by version, and remembers the versions' names.
 func (v *softwareVersions) countLocked(list *listing) map[origin.Served]int {
 	out := map[origin.Served]int{}
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -62,16 +62,32 @@
 	return c
 }
 
-// applyUntil applies the changes up to a position.
+// applyUntil applies the changes up to a position, as one answer.
 func (c *versionCopy) applyUntil(position int) {
 	for ; c.position < position; c.position++ {
 		x := c.store.changes[c.position]
 		c.listed[Served{1, x.software}] = x.servers
 		if x.servers == 0 {
 			delete(c.listed, Served{1, x.software})
+			continue
 		}
-		c.history.Update(c.listed, c.store.now)
+		c.history.Observe(Served{1, x.software}, c.store.now)
 	}
+	c.history.Update(c.listed, c.store.now)
+}
+
+// listAnew replaces the copy by a listing, without the changes before it.
+func (c *versionCopy) listAnew() {
+	clear(c.listed)
+	for software, servers := range c.store.servers {
+		if servers > 0 {
+			c.listed[Served{1, software}] = servers
+		}
+	}
+	c.position = len(c.store.changes)
+	c.history.Restart(c.store.now)
+	c.history.Update(c.listed, c.store.now)
+	c.history.Confirm(c.store.clock())
 }
 
 // poll applies all changes and has the copy confirmed as of a moment.
@@ -121,6 +137,7 @@
 				c := gateway(t)
 				c.applyUntil(rapid.IntRange(c.position, len(store.changes)).Draw(t, "position"))
 			},
+			"list anew": func(t *rapid.T) { gateway(t).listAnew() },
 			"begin": func(t *rapid.T) {
 				for s := range gateway(t).listed {
 					if store.serves(s.Software) {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -13,7 +13,7 @@
 
 // History knows which software versions served lately. It isn't safe for concurrent use.
 type History struct {
-	// since is when the first list was received, zero before it.
+	// since is when the versions began to be followed without a gap, zero before the first list.
 	since time.Time
 	// complete: what served before that is known too.
 	complete bool
@@ -54,14 +54,26 @@
 	return changed
 }
 
+// Observe records that a version was listed for a moment between two Updates, and reports whether
+// the last one lacked it.
+func (h *History) Observe(s Served, now time.Time) (isNew bool) {
+	h.last[s] = now
+	return h.listed[s] == 0
+}
+
+// Restart records that the next Update has a list that doesn't continue the one before, as the
+// changes in between were lost: versions may have come and gone.
+func (h *History) Restart(now time.Time) { h.since, h.complete = now, false }
+
 // Confirm records that all servers that were stored before a moment (package boottime) have been
-// part of an Update.
+// part of an Update, or passed to Observe.
 func (h *History) Confirm(at time.Duration) { h.confirmed = max(h.confirmed, at) }
 
 // IsConfirmed reports whether no version is missing that was stored before a moment.
 func (h *History) IsConfirmed(at time.Duration) bool { return h.confirmed > 0 && h.confirmed >= at }
 
-// SetComplete records that all versions that served before the first list are known.
+// SetComplete records that all versions are known that served before the first list, or the last
+// Restart.
 func (h *History) SetComplete() { h.complete = true }
 
 // IsComplete reports whether all versions are known that served within a time before now.
@@ -98,7 +110,7 @@
 
 // Sole returns the one version that a service's listed servers had within a time before now. It
 // returns 0 if they had several, one of them isn't known, or there may have been others
-// before the first list. Other processes may know of more, unless IsConfirmed.
+// before the first list or a Restart. Other processes may know of more, unless IsConfirmed.
 func (h *History) Sole(service uint64, within time.Duration, now time.Time) uint64 {
 	if !h.IsComplete(within, now) {
 		return 0
