A gateway that is behind looks for servers of a stream's version

Another gateway told it of the version before the store did.

Fix: before a stream with a record is refused for want of a server, the store is polled as for an unknown stream: one call for all that wait, 400 ms at most. A version whose servers have all left costs a shared poll for each burst of attempts, and during an outage the wait.

Failed before: TestGatewayThatIsBehindLooksForServersOfAVersion, 3 of 3: "no-server: No server of the software version that began the stream takes work." Now 10 of 10 with -race, and 3 of 3 in its final form.

--- a/internal/gateway/current_test.go
+++ b/internal/gateway/current_test.go
@@ -12,6 +12,7 @@
 	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/follow"
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -228,3 +229,25 @@
 		return f.g[id].software.awaitConfirmed(t.Context(), at)
 	})
 }
+
+// Guards against streams that are refused for want of a server of their version by a gateway that
+// was out of step, though such servers have come and its connection to the store is back.
+func TestGatewayThatIsBehindLooksForServersOfAVersion(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t, 2, 0)
+	f.store.silence(true, "g1")
+	server := f.release("v2")
+	f.awaitListed(t, "g0", server)
+	f.store.silence(false, "g1")
+	assert.Assert(t, !f.lists("g1", server, false))
+	r := withKey(generation("/stream/x"), "stays")
+	r.Generation.LastEventID, r.Generation.FirstAttemptID = "2", "r0"
+	f.g["g1"].origins.Tell(origin.Record{
+		Stream: origin.Hash("r0"), Content: r.fingerprint("one"), Service: origin.Hash(modelService), Software: origin.Hash("v2"),
+	}, time.Minute)
+	reply, err := f.g["g1"].Serve(t.Context(), r)
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+	sends := f.backend("g1").sends()
+	assert.Equal(t, sends[len(sends)-1].server, server)
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -87,12 +87,17 @@
 		return nil
 	}
 	j.begun = true
+	arrived := boottime.Now()
 	why := resumeVersionUnknown
 	r, err := g.findRecord(ctx, origin.Hash(x.FirstAttemptID))
 	if err == nil && r.Content == j.fingerprint {
 		g.applyRecord(j, r)
+		if !g.hasServer(j) {
+			// Its servers may have come since the list was confirmed.
+			g.software.awaitConfirmed(ctx, arrived)
+		}
 	} else {
-		j.software, why = g.findSole(ctx, j)
+		j.software, why = g.findSole(ctx, j, arrived)
 	}
 	if j.software != 0 {
 		return nil
@@ -108,11 +113,19 @@
 	).WithRetryAfter(unknownStreamRetryAfter)
 }
 
+// hasServer reports whether a listed server of the job's service takes work at which it may run.
+func (g *Gateway) hasServer(j *job) bool {
+	stage := catalog.NoStage
+	if j.service.Engine != nil {
+		stage = catalog.Decode
+	}
+	return len(g.usable(j, stage)) > 0
+}
+
 // findSole returns the one version at which a stream may have begun that nobody knows, or 0 and
 // why there is none. Another gateway may have begun the stream at a server whose entry was
-// written until the caller's attempt arrived.
-func (g *Gateway) findSole(ctx context.Context, j *job) (software uint64, why string) {
-	arrived := boottime.Now()
+// written until the caller's attempt arrived (package boottime).
+func (g *Gateway) findSole(ctx context.Context, j *job, arrived time.Duration) (software uint64, why string) {
 	g.software.waitDigests(ctx)
 	sole := func() uint64 { return g.software.sole(origin.Hash(j.service.Name), streamLife(j.route)) }
 	if sole() == 0 {
