An unknown stream of a split route isn't taken for one of the drawn service

What callers would see: a stream whose record is lost goes on at another version (ORDER), where its route is split among services.

Cause: the service was drawn anew for the attempt, and its only version taken for that of the stream. Another service of the route may have begun it.

Fix: one version counts only if all services of the route had no other. A service without servers doesn't count.

History.Sole takes several services; its tests ask the same as before.

Open, by reading: a route that was moved to other services within the life of a stream. An unknown stream goes on at the new service's only version, also if the old service's has another name, and a gateway whose configuration is behind does so the other way round.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -127,14 +127,24 @@
 // written until the caller's attempt arrived (package boottime).
 func (g *Gateway) findSole(ctx context.Context, j *job, arrived time.Duration) (software uint64, why string) {
 	g.software.waitDigests(ctx)
-	sole := func() uint64 { return g.software.sole(origin.Hash(j.service.Name), streamLife(j.route)) }
-	if sole() == 0 {
+	if g.soleVersion(j) == 0 {
 		return 0, resumeVersionUnknown
 	}
 	if g.loads.peers != nil && !g.software.awaitConfirmed(ctx, arrived) {
 		return 0, resumeListUnconfirmed
 	}
-	return sole(), resumeVersionUnknown
+	return g.soleVersion(j), resumeVersionUnknown
+}
+
+// soleVersion returns the one version at which a stream of the job's route may have begun,
+// according to this gateway's list, 0 if there are several or it isn't known. Each of the route's
+// services may have begun it.
+func (g *Gateway) soleVersion(j *job) uint64 {
+	services := []uint64{origin.Hash(j.service.Name)}
+	for _, t := range j.route.Targets {
+		services = append(services, origin.Hash(t.Service))
+	}
+	return g.software.sole(services, streamLife(j.route))
 }
 
 // findRecord returns the record of a stream that this gateway or another one has. stream is 0
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -113,3 +113,43 @@
 	assert.Assert(t, err == nil, "%v", err)
 	reply.discard()
 }
+
+// Guards against a guess where a route leads to several services: each has one version, but not
+// the same, and it isn't known which service began the stream.
+func TestUnknownStreamOfASplitRouteKeepsItsVersion(t *testing.T) {
+	const otherService = "other-model"
+	for software, goesOn := range map[string]bool{"v1": true, "v2": false, "no server": true} {
+		t.Run(software, func(t *testing.T) {
+			f := &fakeBackend{}
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+			g := newGateway(t, f)
+			c := testConfig()
+			c.Version++
+			other := c.Services[modelService]
+			other.Name = otherService
+			c.Services[otherService] = other
+			second := catalog.Target{Service: otherService, Weight: 1}
+			if software == "no server" {
+				second.Weight = 0
+			}
+			for i := range c.Routes {
+				c.Routes[i].Targets = append(c.Routes[i].Targets, second)
+			}
+			g.SetConfig(c)
+			list := serversOf("v1", "v1", "v1")
+			if software != "no server" {
+				list = append(list, catalog.Server{ID: "o1", Service: otherService, Address: "10.0.0.4:1", Stage: catalog.Decode, Software: software})
+			}
+			g.SetServers(list)
+			for n := range 10 {
+				r := generation("/stream/x")
+				r.ID, r.Generation.LastEventID = fmt.Sprint("a", n), "2"
+				reply, err := g.Serve(t.Context(), r)
+				assert.Equal(t, err == nil, goesOn, "%v", err)
+				if err == nil {
+					reply.discard()
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -260,12 +260,12 @@
 // must be called before the first list of servers.
 func (g *Gateway) OnSoftwareChange(f func()) { g.software.onChange = f }
 
-// sole returns the one version at which a stream of the service may have begun within a time
-// before now, 0 if there are several or it isn't known.
-func (v *softwareVersions) sole(service uint64, within time.Duration) uint64 {
+// sole returns the one version at which a stream of one of the services may have begun within a
+// time before now, 0 if there are several or it isn't known.
+func (v *softwareVersions) sole(services []uint64, within time.Duration) uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.history.Sole(service, within, time.Now())
+	return v.history.Sole(services, within, time.Now())
 }
 
 // name returns the name of a version as it is logged, "" if it is forgotten.
--- a/internal/origin/fleet_test.go
+++ b/internal/origin/fleet_test.go
@@ -102,7 +102,7 @@
 	if !c.history.IsConfirmed(arrived) {
 		return 0
 	}
-	return c.history.Sole(1, soleWithin, c.store.now)
+	return c.history.Sole([]uint64{1}, soleWithin, c.store.now)
 }
 
 type modelStream struct {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,19 +109,19 @@
 	return out
 }
 
-// Sole returns the one version that a service's listed servers had within a time before now. It
-// returns 0 if they had several, one of them isn't known, or there may have been others
+// Sole returns the one version that the listed servers of some services had within a time before
+// now. It returns 0 if they had several, one of them isn't known, or there may have been others
 // before the first list or a Restart. Other processes may know of more, unless IsConfirmed.
-func (h *History) Sole(service uint64, within time.Duration, now time.Time) uint64 {
+func (h *History) Sole(services []uint64, within time.Duration, now time.Time) uint64 {
 	if !h.IsComplete(within, now) {
 		return 0
 	}
 	sole := uint64(0)
 	for _, s := range h.Since(within, now) {
-		if s.Service != service {
+		if !slices.Contains(services, s.Service) {
 			continue
 		}
-		if s.Software == 0 || sole != 0 {
+		if s.Software == 0 || sole != 0 && sole != s.Software {
 			return 0
 		}
 		sole = s.Software
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -73,7 +73,7 @@
 			for v := range current {
 				served[v] = now
 			}
-			sole := h.Sole(1, within, now)
+			sole := h.Sole([]uint64{1}, within, now)
 			if sole == 0 {
 				continue
 			}
@@ -189,7 +189,7 @@
 	h := NewHistory()
 	first := start.Add(time.Hour)
 	h.Update(map[Served]int{{1, 7}: 3}, first)
-	assert.Equal(t, h.Sole(1, within, first.Add(time.Second)), uint64(0))
-	assert.Equal(t, h.Sole(1, within, first.Add(within+time.Second)), uint64(7))
-	assert.Equal(t, h.Sole(1, HistoryTTL+time.Second, first.Add(24*time.Hour)), uint64(0))
+	assert.Equal(t, h.Sole([]uint64{1}, within, first.Add(time.Second)), uint64(0))
+	assert.Equal(t, h.Sole([]uint64{1}, within, first.Add(within+time.Second)), uint64(7))
+	assert.Equal(t, h.Sole([]uint64{1}, HistoryTTL+time.Second, first.Add(24*time.Hour)), uint64(0))
 }
