One odd object leaves the others of nodes' own platform API

What callers saw: nothing yet. The client that nodes and jayfordctl use for the object API decoded listings and watches as one document, as the gateways' one did: one object nested over 10,000 deep, or of another type, failed all of them. An odd lease couldn't be read, and so was never replaced.

Before, `go test -run 'OddObject|MalformedL' ./internal/platform`:

TestOddObjectLeavesTheOthers: platform: unavailable: reply isn't JSON: invalid character '[' exceeded max depth TestMalformedListingsAreErrors: error is nil, not "platform: unavailable": null

The second one is a listing of `null`, which counted as an empty one.

Fix: the response is split and its objects are decoded one by one, without their specs, which internal/config parses one by one already. An object that can't be decoded is left out and logged.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -115,6 +115,18 @@
 	return c.decode(r, out)
 }
 
+// doListing makes a call and decodes its reply, which is a listing.
+func (h *HTTP) doListing(ctx context.Context, c Call, l *Listing) error {
+	r, err := h.Run(ctx, c)
+	if err != nil {
+		return err
+	}
+	if err := decodeListing(r.Body, l); err != nil {
+		return c.noReply(err)
+	}
+	return nil
+}
+
 func (c Call) decode(r Reply, out any) error {
 	if err := json.Unmarshal(r.Body, out); err != nil {
 		return c.noReply(eris.Wrap(err, "reply isn't JSON"))
@@ -237,10 +249,16 @@
 
 // Get returns an object, or ErrNotFound.
 func (h *HTTP) Get(ctx context.Context, kind, name string) (Object, error) {
-	var o Object
 	c := Call{Kind: "get", Method: fasthttp.MethodGet, Path: objectPath(kind, name), Timeout: h.timeout}
-	err := h.do(ctx, c, &o)
-	return o, err
+	r, err := h.Run(ctx, c)
+	if err != nil {
+		return Object{}, err
+	}
+	o, err := decodeObject(r.Body)
+	if err != nil {
+		return Object{}, c.noReply(err)
+	}
+	return o, nil
 }
 
 // List returns the objects of a kind, without deleted ones.
@@ -250,7 +268,7 @@
 		Kind: "list", Method: fasthttp.MethodGet, Path: "/objects",
 		Query: url.Values{"kind": {kind}}, Timeout: h.timeout,
 	}
-	err := h.do(ctx, c, &l)
+	err := h.doListing(ctx, c, &l)
 	return l, err
 }
 
@@ -274,7 +292,7 @@
 		},
 	}
 	l := Listing{Revision: revision}
-	err := h.do(ctx, c, &l)
+	err := h.doListing(ctx, c, &l)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return Listing{Revision: revision}, nil
 	}
