A stop right after a long stall keeps the time that the load balancer needs

What callers saw: nothing yet; found in the review of the stop's acceptance. A gateway that had stood still for some seconds and got SIGTERM within half a second of its return dated the signal back to the stall's start. After 8 s of stall the moment by which the waiting must be answered lay in the past: the listener closed and the process ended 0.25 s after SIGTERM, while the load balancer went on sending for two seconds more.

Cause: a bound from the earliest moment of the signal, without a least time from its handling.

The fix: requests are answered as the stop ends at the earliest 2.5 s after the handling, if the stop has as long. What is accepted still counts from the earliest moment: such requests are refused as not run, which loses nothing.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// minDrain is how long a stopping gateway goes on accepting connections: the load
-	// balancer polls once a second and takes a gateway out after two failures.
-	minDrain = 2500 * time.Millisecond
 	// quietPeriod is how long no request must have been running before the drain ends,
 	// so that a request on its way is still served.
 	quietPeriod   = 500 * time.Millisecond
@@ -66,7 +63,7 @@
 		if s.g.InFlight() > 0 {
 			quiet = time.Now()
 		}
-		if time.Since(st.Handled) > minDrain && time.Since(quiet) > quietPeriod {
+		if time.Since(st.Handled) > stop.MinDrain && time.Since(quiet) > quietPeriod {
 			return true
 		}
 	}
--- a/internal/policy/stop/stop.go
+++ b/internal/policy/stop/stop.go
@@ -16,6 +16,10 @@
 	answerLead = 100 * time.Millisecond
 )
 
+// MinDrain is how long a stopping process goes on accepting connections: the load balancer polls
+// once a second and takes it out after two failures.
+const MinDrain = 2500 * time.Millisecond
+
 // Stop is a graceful stop of a process. A process that stalls handles its signal late, but
 // its callers, and whoever kills it, count from the time at which the signal was sent.
 type Stop struct {
@@ -37,8 +41,15 @@
 }
 
 // AnswerBy returns when requests that no server runs must get their final answer. It counts from
-// the sending of the signal, so that they get it before the process is killed.
-func (s Stop) AnswerBy() time.Time { return s.Sent.Add(s.Within - answerLead) }
+// the sending of the signal, so that they get it before the process is killed, but leaves MinDrain
+// if the stop has it: the signal may have been sent long after the earliest time.
+func (s Stop) AnswerBy() time.Time {
+	by := s.Sent.Add(s.Within - answerLead)
+	if least := s.Handled.Add(min(MinDrain, s.Within-answerLead)); by.Before(least) {
+		return least
+	}
+	return by
+}
 
 // End returns when the stop ends. It counts from the handling of the signal, since the
 // process may have as long; an earlier end would cut off requests that could complete.
--- a/internal/policy/stop/stop_test.go
+++ b/internal/policy/stop/stop_test.go
@@ -56,3 +56,13 @@
 	assert.Assert(t, s.Accepts(sent.Add(400*time.Millisecond), sent.Add(time.Hour), true))
 	assert.Assert(t, !s.Accepts(sent.Add(401*time.Millisecond), sent.Add(time.Hour), true))
 }
+
+// Guards against a process that ends at once as it handles a signal soon after a long stall: the
+// load balancer still sends callers to it.
+func TestStopAfterALongStallLastsMinDrain(t *testing.T) {
+	handled := time.Unix(100, 0)
+	s := Stop{Sent: handled.Add(-8 * time.Second), Handled: handled, Within: 7500 * time.Millisecond}
+	assert.Equal(t, s.AnswerBy(), handled.Add(MinDrain))
+	s.Within = time.Second
+	assert.Equal(t, s.AnswerBy(), handled.Add(time.Second-answerLead))
+}
