Unknown streams poll the store ten times a second at most

An attempt that arrived after a poll began needed another one: 415 attempts in a second made 415 calls at one gateway (fake store). A fleet that does this uses up the rate of calls that all processes share, and refused watches count as an outage.

The fix: polls begin 100 ms apart at least; attempts wait up to 400 ms anyway. TestUnknownStreamsShareAPoll stays; it only asks for fewer calls than attempts.

--- a/internal/gateway/current.go
+++ b/internal/gateway/current.go
@@ -11,6 +11,9 @@
 const (
 	// listConfirmTimeout bounds the wait for the store to confirm the list of servers.
 	listConfirmTimeout = 400 * time.Millisecond
+	// pollInterval is the least time between the begins of two polls: the platform's rates of
+	// calls are shared by all processes, and many streams break at a time.
+	pollInterval = 100 * time.Millisecond
 	// pollRetryDelay is the pause before the next try of a poll while the followed list is
 	// being recovered.
 	pollRetryDelay = 20 * time.Millisecond
@@ -50,12 +53,14 @@
 		return false, nil
 	}
 	v.polling = true
-	go v.runPoll(v.poll, boottime.Now())
+	go v.runPoll(v.poll, v.polledAt+pollInterval-boottime.Now())
 	return false, v.confirmed
 }
 
-// runPoll polls the store. An answer with nothing new confirms the list too.
-func (v *softwareVersions) runPoll(poll func() bool, began time.Duration) {
+// runPoll polls the store after a pause. An answer with nothing new confirms the list too.
+func (v *softwareVersions) runPoll(poll func() bool, pause time.Duration) {
+	wait.Sleep(context.Background(), pause)
+	began := boottime.Now()
 	polled := poll()
 	if polled {
 		storePolls.Inc()
--- a/internal/gateway/current_test.go
+++ b/internal/gateway/current_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/boottime"
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/follow"
@@ -119,6 +121,31 @@
 	assert.Assert(t, calls > 0 && calls < callers, "%d calls", calls)
 }
 
+// Guards against attempts that use up the platform's rate of calls, as many streams break within
+// seconds.
+func TestUnknownStreamsPollTheStoreRarely(t *testing.T) {
+	t.Parallel()
+	const attempts, every = 200, 3 * time.Millisecond
+	v := newSoftwareVersions(board.New())
+	var polls atomic.Int64
+	v.setPoll(func() bool {
+		polls.Add(1)
+		at := boottime.Now()
+		time.Sleep(2 * time.Millisecond)
+		v.confirm(at)
+		return true
+	})
+	began := time.Now()
+	var running sync.WaitGroup
+	for range attempts {
+		running.Go(func() { assert.Check(t, v.awaitConfirmed(t.Context(), boottime.Now())) })
+		time.Sleep(every)
+	}
+	running.Wait()
+	most := int64(time.Since(began)/pollInterval) + 2
+	assert.Assert(t, polls.Load() <= most, "%d polls, at most %d expected", polls.Load(), most)
+}
+
 // Guards against streams that are refused for as long as a gateway relies on followers of its
 // zone, whose watches are seconds old.
 func TestRelayedGatewayConfirmsItsListItself(t *testing.T) {
