New requests leave engines to streams that can go on nowhere else

What callers saw: during a release, streams that broke and were taken up again found no room at the few engines of their version, as new requests took what became free there. New requests can run at any version.

Cause: room went to whoever asked first. Class: a resource that only one party can use another for isn't kept for the other one.

Change: while a stream waits for room, new requests at that gateway choose among the engines of other versions of the service, if there are any. Nothing is passed between gateways. TestNewRequestsLeaveEnginesToWaitingStreams fails without it ("d1" is tried) and passes 3 of 3 with -race, with the tests of turns and late requests.

Ruled out: headroom for such streams alone, which they got by taking no turn already.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	prompts              *prompts
 
 	turns     turns
+	awaited   awaited
 	shortages shortages
 
 	// startupUntil is the time until which requests wait for configuration and servers.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jayford.example/jayford/internal/catalog"
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/policy/memory"
 	"jayford.example/jayford/internal/verdict"
 	"jayford.example/jayford/internal/wait"
@@ -143,6 +144,11 @@
 
 // reserveInTurn waits for a reservation as long as the request may.
 func (g *Gateway) reserveInTurn(ctx context.Context, j *job) (reservation, bool) {
+	if j.begun {
+		version := origin.Served{Service: origin.Hash(j.service.Name), Software: j.software}
+		g.awaited.add(version, 1)
+		defer g.awaited.add(version, -1)
+	}
 	if !j.isCallerRetry() {
 		if p, ok := g.reserveUntil(ctx, j, j.delivered(), j.reserveDeadline()); ok {
 			return p, true
@@ -292,10 +298,15 @@
 	return reservation{}, false
 }
 
-// leastLoaded begins a round and returns the decode engines to try in it.
+// leastLoaded begins a round and returns the decode engines to try in it. A new request leaves
+// those to a waiting stream that can go on nowhere else.
 func (g *Gateway) leastLoaded(j *job) []ranked {
 	j.rounds++
-	return g.best(j, g.usable(j, catalog.Decode), reserveAttempts, g.byTokens)
+	list := g.usable(j, catalog.Decode)
+	if !j.begun {
+		list = g.awaited.leave(j.service.Name, list)
+	}
+	return g.best(j, list, reserveAttempts, g.byTokens)
 }
 
 // reserveAt sends a reservation request to one engine. A refusal for lack of capacity
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -59,6 +60,49 @@
 	assert.Assert(t, err != nil && err.Verdict == verdict.NotRun && err.RetryAfter > 0, "%v", err)
 }
 
+// Guards against new requests that take the room for which a broken stream waits, though they could
+// have it at another version.
+func TestNewRequestsLeaveEnginesToWaitingStreams(t *testing.T) {
+	f := &fakeBackend{}
+	f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) { return twoEvents(x, false), nil }
+	g := newGateway(t, f)
+	g.SetServers(serversOf("v1", "v2", "v2"))
+	var only atomic.Value
+	only.Store("d1")
+	f.reserve = func(s catalog.Server, _ int) (string, *verdict.Error) {
+		if s.ID != only.Load() {
+			return "", full()
+		}
+		return "hold", nil
+	}
+	r := generation("/stream/x")
+	r.ID = "s1"
+	reply, err := g.Serve(t.Context(), r)
+	assert.Assert(t, err == nil, "%v", err)
+	reply.discard()
+	only.Store("")
+	waits := make(chan *verdict.Error, 1)
+	go func() {
+		_, err := g.Serve(t.Context(), takenUp("s1"))
+		waits <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	tried := func() []string {
+		j, err := g.plan(generation("/stream/y"))
+		assert.Assert(t, err == nil, "%v", err)
+		var ids []string
+		for _, x := range g.leastLoaded(j) {
+			ids = append(ids, x.ID)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	assert.DeepEqual(t, tried(), []string{"d2", "d3"})
+	err = <-waits
+	assert.Assert(t, err != nil && err.Verdict == verdict.NotRun, "%v", err)
+	assert.DeepEqual(t, tried(), []string{"d1", "d2", "d3"})
+}
+
 // Guards against streams that ask full engines without end, all at once, after a crash has broken
 // many.
 func TestResumedStreamsAskFullEnginesRarely(t *testing.T) {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"jayford.example/jayford/internal/origin"
 	"jayford.example/jayford/internal/policy/late"
 	"jayford.example/jayford/internal/policy/priority"
 )
@@ -40,6 +41,46 @@
 	}
 }
 
+// awaited counts the streams that wait to go on, by the service and software version of the
+// engines that can take them.
+type awaited struct {
+	mu sync.Mutex
+	// streams is guarded by mu.
+	streams map[origin.Served]int
+}
+
+// add changes the number of streams that wait for engines of a version.
+func (a *awaited) add(s origin.Served, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.streams == nil {
+		a.streams = map[origin.Served]int{}
+	}
+	if a.streams[s] += n; a.streams[s] == 0 {
+		delete(a.streams, s)
+	}
+}
+
+// leave returns the engines of a service for which no stream waits, or all if streams wait for
+// each of them.
+func (a *awaited) leave(service string, list []candidate) []candidate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.streams) == 0 {
+		return list
+	}
+	var out []candidate
+	for i := range list {
+		if a.streams[origin.Served{Service: origin.Hash(service), Software: list[i].software}] == 0 {
+			out = append(out, list[i])
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
+
 // shortages knows for each service whether urgent requests find no room for decoding.
 type shortages struct {
 	mu sync.Mutex
