A stop doesn't wait for connections that send nothing

An entry or an agent with one connection at its listener for peers over which nothing was sent, such as a probe of the port, didn't end for two minutes after SIGTERM, long past its grace: gRPC's Stop and GracefulStop wait for accepted connections in their handshake, which gRPC bounds to 120 s. Found by the test of failed accepts.

On the code before:

go test -race -count=1 -run WaitsForNoIdle ./test --- FAIL: TestStopWaitsForNoIdleConnection (41.13s) service-0 didn't stop, entry-0 didn't stop (each within 20 s)

All our gRPC servers bound the handshake to 3 s; one between our processes takes two or three round trips. Gateways have no gRPC server. Ruled out: fasthttp's listeners, whose shutdown has its own bound.

Passed 10 of 10 times with -race since.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -2,7 +2,15 @@
 // jayford's processes.
 package transport
 
-import "google.golang.org/grpc"
+import (
+	"time"
+
+	"google.golang.org/grpc"
+)
+
+// handshakeTimeout bounds the setup of an accepted connection. A stopping server waits for
+// those in their setup, including ones over which a client sends nothing.
+const handshakeTimeout = 3 * time.Second
 
 // windowBytes is the flow control window of streams and connections. One megabyte
 // in flight allows 300 MB/s at a round-trip time of 3 ms, more than the longest
@@ -30,5 +38,6 @@
 	return []grpc.ServerOption{
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 	}
 }
