An agent's own lack of descriptors is no loss of its server

Streams of an agent that had no descriptors left for new connections stood still until their deadlines: the agent's heartbeat couldn't open a socket ("dial: engine: unreachable: ... socket: too many open files"), three of those in a row made it report "Backend server lost.", and it gave up all attempts that ran there in good health, refused others as server_down and had itself doubted. Found by the test of failed accepts with an agent in the entry's place.

On the code before:

go test -race -count=1 -run AgentsLack ./test --- FAIL: TestStreamsSurviveAnAgentsLackOfDescriptors 0 whole, 0 refused, 0 cut with an error, 4 without an answer; context deadline exceeded

A heartbeat that fails for lack of descriptors or memory at the agent no longer counts: it says nothing of the server. A server that ends meanwhile is found when its connections break, and by the first heartbeat that can be sent.

--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -9,6 +9,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/verdict"
 )
 
 const (
@@ -78,8 +79,11 @@
 
 // heartbeatFailed takes a refused connection as proof that the server's process
 // has ended. Any other failure proves nothing: several in a row mark the server
-// down, but not as crashed.
+// down, but not as crashed. A lack of descriptors or memory here says nothing of the server.
 func (h *health) heartbeatFailed(err error) {
+	if verdict.IsLocalShortage(err) {
+		return
+	}
 	h.missed++
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	if h.up && (refused || h.missed >= maxMissedHeartbeats) {
--- a/test/descriptors_test.go
+++ b/test/descriptors_test.go
@@ -81,3 +81,11 @@
 		}
 	}
 }
+
+// Guards against an agent that takes its own lack of descriptors for the loss of its backend
+// server, and gives up what runs there.
+func TestStreamsSurviveAnAgentsLackOfDescriptors(t *testing.T) {
+	c := newCluster(t, topology{entries: 1, prefill: 1, decode: 1, engine: enginestandin.Options{TokenTime: 15 * time.Millisecond}})
+	n := c.decode[0]
+	c.checkLackOfDescriptors(n, func() []string { return []string{n.peer, n.operator} })
+}
