A gateway's own lack of descriptors doubts no server

A gateway without descriptors can't open a socket towards a server; it took that for a lost connection, doubted the server, and had its peers doubt it by gossip, one sound server after the other.

Neither a failed try nor a failed probe counts as evidence when this machine lacked descriptors or memory for it. The request itself fares as before: not run, and tried again within its budget.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -239,11 +239,12 @@
 	return r, nil
 }
 
-// recordFailure records a failed attempt in the server's health. A caller that left is
-// no evidence against the server; a deadline that passed without an answer is.
+// recordFailure records a failed attempt in the server's health. A caller that left, or a
+// lack of descriptors here, is no evidence against the server; a deadline that passed without
+// an answer is.
 func (g *Gateway) recordFailure(ctx context.Context, s catalog.Server, err *verdict.Error) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), verdict.IsLocalShortage(err):
 		return
 	case ctx.Err() != nil:
 		g.view.recordOutcome(s, doubt.Timeout)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -6,6 +6,7 @@
 
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/doubt"
+	"jayford.example/jayford/internal/verdict"
 )
 
 // probeInterval is how often the due probes are looked up.
@@ -45,6 +46,9 @@
 	g.backend.CloseConnections(s)
 	if err := g.backend.Probe(ctx, s, g.healthPath(s)); err != nil {
 		g.log.WithError(err).WithField("server", s.ID).Debug("gateway: probe failed.")
+		if verdict.IsLocalShortage(err) {
+			return
+		}
 		g.view.recordOutcome(s, doubt.ConnectionLost)
 		return
 	}
