A gateway replaces its own object after another writer left an odd one

What callers saw: nothing yet. With an object that can't be decoded in the place of its own, a gateway never renewed it again: 35 s later the others counted it as gone, with its part of shared budgets and limits, for as long as that object stood. Each odd object also cost each gateway a log line, or two, every ten seconds.

Cause: an object's version was read only after its spec had been decoded. The gateway went on with version 0, which means that no object exists yet, and the store refused that.

Fix: the version of the gateway's own object is taken whatever its spec is.

Open: an object with an address that can't be called counts as a gateway for 35 s after each of its changes, as one that has ended does. Sending to it fails, for it alone.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -115,6 +115,8 @@
 
 	// published has the keys of the convictions whose losses this gateway's object carries.
 	published map[uint64]bool
+	// invalid has the versions of the objects that were invalid when last read, by name.
+	invalid map[string]uint64
 
 	// readRequests and renewRequests signal requests for a reading, and for a renewal, out
 	// of turn.
@@ -307,15 +309,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	listed := make(map[string]bool, len(objects))
+	invalid := map[string]uint64{}
 	for _, o := range objects {
-		var p Peer
-		if err := json.Unmarshal(o.Spec, &p); err != nil || p.ID != o.Name {
-			m.log.WithError(err).WithField("object", o.Name).Warn("peers: invalid object.")
+		if o.Name == m.self.ID {
+			// Also that of an invalid object, which the next renewal replaces.
+			m.version = max(m.version, o.Version)
+		}
+		p, err := decodePeer(o)
+		if err != nil {
+			invalid[o.Name] = o.Version
+			m.warnInvalidLocked(o, err)
 			continue
 		}
 		listed[p.ID] = true
 		if p.ID == m.self.ID {
-			m.version = max(m.version, o.Version)
 			if m.lastRead.IsZero() {
 				// Each process deletes its object as it stops.
 				m.log.WithFields(logrus.Fields{"uptime": (time.Duration(p.UptimeMs) * time.Millisecond).String(), "renewals": p.Renewals, "version": o.Version}).
@@ -348,7 +355,7 @@
 		}
 	}
 	m.selfListed = m.selfListed || listed[m.self.ID]
-	m.lastRead = now
+	m.lastRead, m.invalid = now, invalid
 	return losses
 }
 
