Stored losses of impossible times are left out

What callers saw: nothing yet. A loss in a gateway's object whose time another writer had set out of range counted as one of the year 2083, so that its request would be refused until then. An object could also bring any number of losses.

Cause: the age in milliseconds was multiplied into a duration without a bound and overflowed.

Before, `go test -run LossesOfOddTimes ./internal/peers`, run at 05:06 UTC in 2026:

lost ran 0: 2083-11-08 10:13:46.991092735 +0000 UTC

Fix: times outside of Unix milliseconds up to the year 9999 and runs over a year are left out, an age is at most a year, and an object's first 24 losses are read, as many as a gateway writes.

--- a/internal/peers/convictions.go
+++ b/internal/peers/convictions.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,9 @@
 // maxConvictionLosses bounds the losses in a gateway's object.
 const maxConvictionLosses = 24
 
+// maxUnixMs is the last millisecond of the year 9999.
+const maxUnixMs = 253_402_300_799_999
+
 // Loss is the loss of a server under a request that is refused for it, as stored.
 type Loss struct {
 	// Request and Server are hexadecimal, as not every JSON decoder keeps 64 bits.
@@ -39,9 +43,18 @@
 	return out
 }
 
+// maxLossAge bounds how long ago a loss was, and for how long its server had run the request: a
+// longer time could overflow.
+const maxLossAge = 365 * 24 * time.Hour
+
 // decodeLosses returns the losses of one object, as read at now. Its writer's clock may be
-// ahead: no loss is later than now.
+// ahead: no loss is later than now. Losses of impossible times, and those beyond
+// maxConvictionLosses, are left out.
 func decodeLosses(list []Loss, now time.Time) []blame.Loss {
+	list = slices.DeleteFunc(slices.Clone(list), func(l Loss) bool {
+		return l.LostMs < 0 || l.LostMs > maxUnixMs || l.RanMs < 0 || l.RanMs > maxLossAge.Milliseconds()
+	})
+	list = list[:min(len(list), maxConvictionLosses)]
 	latest := now.UnixMilli()
 	for _, l := range list {
 		latest = max(latest, l.LostMs)
@@ -51,10 +64,10 @@
 		request, errRequest := strconv.ParseUint(l.Request, 16, 64)
 		server, errServer := strconv.ParseUint(l.Server, 16, 64)
 		parts, errParts := decodeParts(l.Parts)
-		if errRequest != nil || errServer != nil || errParts != nil || l.RanMs < 0 {
+		if errRequest != nil || errServer != nil || errParts != nil {
 			continue
 		}
-		lost := now.Add(-time.Duration(latest-l.LostMs) * time.Millisecond)
+		lost := now.Add(-time.Duration(min(latest-l.LostMs, maxLossAge.Milliseconds())) * time.Millisecond)
 		out = append(out, blame.Loss{
 			Request: request, Server: server, Lost: lost, Began: lost.Add(-time.Duration(l.RanMs) * time.Millisecond), Convicted: true, ID: l.ID,
 			Parts: parts, Model: l.Model,
--- a/internal/peers/convictions_test.go
+++ b/internal/peers/convictions_test.go
@@ -1,6 +1,9 @@
 package peers
 
 import (
+	"encoding/json"
+	"fmt"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -103,3 +106,25 @@
 		assert.Equal(t, len(decodeLosses(stored, now)), 0)
 	}
 }
+
+// Guards against losses with times beyond the range of a duration: they would count as later than
+// now, and refuse requests for ever.
+func TestLossesOfOddTimesAreNotLater(t *testing.T) {
+	now := time.Now()
+	for _, lost := range []int64{math.MinInt64, -1, 0, now.UnixMilli(), math.MaxInt64} {
+		for _, ran := range []int64{0, 1, math.MaxInt64} {
+			var list []Loss
+			text := fmt.Sprintf(`[{"request":"1","server":"2","ranMs":%d,"lostMs":%d},{"request":"1","server":"3","lostMs":%d}]`, ran, lost, now.UnixMilli())
+			assert.NilError(t, json.Unmarshal([]byte(text), &list))
+			for _, x := range decodeLosses(list, now) {
+				assert.Check(t, !x.Lost.After(now) && !x.Began.After(x.Lost), "lost %d ran %d: %v %v", lost, ran, x.Began, x.Lost)
+			}
+		}
+	}
+	assert.Equal(t, len(decodeLosses(make([]Loss, 1000), now)), 0)
+	many := make([]Loss, 1000)
+	for i := range many {
+		many[i] = Loss{Request: "1", Server: fmt.Sprint(i), LostMs: now.UnixMilli()}
+	}
+	assert.Assert(t, len(decodeLosses(many, now)) <= maxConvictionLosses)
+}
