--- a/internal/logs/within.go
+++ b/internal/logs/within.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// WriteWithin writes text to out and waits for the write at most for within. It is for the last
-// words of a process, whose exit must not depend on a reader.
+// WriteWithin writes text to out and waits for the write at most for within. It is for what
+// a process reports as it exits, which must not depend on a reader.
 func WriteWithin(out io.Writer, text string, within time.Duration) {
 	done := make(chan struct{})
 	go func() {
--- a/internal/object/parse.go
+++ b/internal/object/parse.go
@@ -116,7 +116,7 @@
 // maxLeaseTerm is the longest term that settings allow.
 const maxLeaseTerm = time.Hour
 
-// check rejects a term that no process has set. A lease with an odd one would be kept for as long.
+// check rejects a term that no process has set. A lease of centuries would never be taken over.
 func (l Lease) check() error {
 	if l.Term < 0 || l.Term > maxLeaseTerm {
 		return eris.Errorf("termNanoseconds: %d must be 0 to %d", l.Term, maxLeaseTerm)
--- a/internal/pulse/pulse.go
+++ b/internal/pulse/pulse.go
@@ -14,18 +14,18 @@
 const MaxUnnoticed = 2 * interval
 
 const (
-	// interval is the time between two notes of a process that runs.
+	// interval is the time between two ticks of a process that runs.
 	interval = 100 * time.Millisecond
-	// stallAfter is the time without a note from which on the process counts as stalled.
+	// stallAfter is the time without a tick from which on the process counts as stalled.
 	stallAfter = MaxUnnoticed
 	// recovery is how long after a stall a signal may still be handled that came during it: a
-	// note can be made before the signal has passed through the runtime.
+	// tick can come before the signal has passed through the runtime.
 	recovery = 5 * interval
 )
 
 // Record has the times at which a process is known to have run. It reads no clock.
 type Record struct {
-	// previous and last are the last two notes.
+	// previous and last are the last two ticks.
 	previous, last time.Time
 	// The last stall began after stalledFrom and ended by stalledUntil.
 	stalledFrom, stalledUntil time.Time
@@ -34,8 +34,8 @@
 // NewRecord returns the record of a process that began at a time.
 func NewRecord(began time.Time) Record { return Record{previous: began, last: began} }
 
-// Note records that the process runs now.
-func (r *Record) Note(now time.Time) {
+// Tick records that the process runs now.
+func (r *Record) Tick(now time.Time) {
 	if now.Sub(r.last) >= stallAfter {
 		r.stalledFrom, r.stalledUntil = r.last, now
 	}
@@ -64,7 +64,7 @@
 // NewMonitor returns a monitor whose record begins now.
 func NewMonitor() *Monitor { return &Monitor{record: NewRecord(time.Now())} }
 
-// Run notes regularly that the process runs, until ctx ends. It returns nil.
+// Run ticks while the process runs, until ctx ends. It returns nil.
 func (m *Monitor) Run(ctx context.Context) error {
 	t := time.NewTicker(interval)
 	defer t.Stop()
@@ -73,15 +73,15 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			m.note(time.Now())
+			m.tick(time.Now())
 		}
 	}
 }
 
-func (m *Monitor) note(now time.Time) {
+func (m *Monitor) tick(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.record.Note(now)
+	m.record.Tick(now)
 }
 
 // EarliestSent returns the earliest time at which a signal can have been sent that was handled
