The stop decides in its own package when it may end early

The gateway's package read the clock at three places for it; the decision has a test now, TestStopEndsEarlyOnlyAfterAQuietTime. Rounds of reservations at an interval stand once. No behaviour is changed: the tests of the stop, of reservations and of turns pass.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -10,9 +10,7 @@
 )
 
 const (
-	// quietPeriod is how long no request must have been running before the drain ends,
-	// so that a request on its way is still served.
-	quietPeriod   = 500 * time.Millisecond
+	// drainInterval is the time between two looks at the requests in progress.
 	drainInterval = 20 * time.Millisecond
 	// refuseBeforeClose is how long all requests are refused before the listener
 	// closes, closeDelay the time for the last answers to be sent after that.
@@ -57,15 +55,15 @@
 // was so before the remaining requests must be answered. The listener stays open meanwhile: the
 // load balancer still sends callers, and a closed listener would reject them without an answer.
 func (s *Server) serveUntilQuiet(st stop.Stop) bool {
-	quiet := st.Handled
-	for time.Now().Before(st.AnswerBy()) {
-		time.Sleep(drainInterval)
+	idleSince := st.Handled
+	for now := st.Handled; now.Before(st.AnswerBy()); now = time.Now() {
 		if s.g.InFlight() > 0 {
-			quiet = time.Now()
+			idleSince = now
 		}
-		if time.Since(st.Handled) > stop.MinDrain && time.Since(quiet) > quietPeriod {
+		if st.MayEnd(now, idleSince) {
 			return true
 		}
+		time.Sleep(drainInterval)
 	}
 	return false
 }
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,9 +48,21 @@
 	ended chan error
 }
 
-// newStoppable runs the server of a gateway whose graceful stop takes within.
+// newStoppable runs the server of a gateway whose graceful stop takes within. A free port may be
+// taken by another process before the server listens at it.
 func newStoppable(t *testing.T, f *fakeBackend, within time.Duration, change func(*ServerOptions)) *stoppable {
 	t.Helper()
+	for range 3 {
+		x := startStoppable(t, f, within, change)
+		if x.listens() {
+			return x
+		}
+	}
+	t.Fatal("the server's addresses were in use three times")
+	return nil
+}
+
+func startStoppable(t *testing.T, f *fakeBackend, within time.Duration, change func(*ServerOptions)) *stoppable {
 	x := &stoppable{t: t, g: newGateway(t, f), addr: free(t), ended: make(chan error, 1)}
 	x.logs = logtest.NewLocal(x.g.log.Logger)
 	o := ServerOptions{
@@ -64,10 +77,25 @@
 	ctx, stop := context.WithCancel(t.Context())
 	x.stop = stop
 	go func() { x.ended <- s.Run(ctx) }()
-	x.eventually("the server doesn't listen", func() bool { return x.logged("gateway: listening.") != nil })
 	return x
 }
 
+// listens waits until the server listens, or returns false if an address of it is in use.
+func (x *stoppable) listens() bool {
+	x.t.Helper()
+	inUse := false
+	x.eventually("the server doesn't listen", func() bool {
+		select {
+		case err := <-x.ended:
+			assert.ErrorIs(x.t, err, syscall.EADDRINUSE)
+			inUse = true
+		default:
+		}
+		return inUse || x.logged("gateway: listening.") != nil
+	})
+	return !inUse
+}
+
 // eventually waits until a condition holds.
 func (x *stoppable) eventually(problem string, holds func() bool) {
 	x.t.Helper()
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -184,14 +184,21 @@
 // reserveUntil retries until a reservation is found or the time is up. The events up
 // to after have already been delivered.
 func (g *Gateway) reserveUntil(ctx context.Context, j *job, after int, until time.Time) (reservation, bool) {
+	return g.retryReserve(ctx, j, until, reserveInterval, func() (reservation, bool) {
+		return g.reserveOnce(ctx, j, g.sizeReservation(j, after))
+	})
+}
+
+// retryReserve makes rounds at a mean interval until one finds a reservation or the time is up.
+func (g *Gateway) retryReserve(ctx context.Context, j *job, until time.Time, interval time.Duration, round func() (reservation, bool)) (reservation, bool) {
 	for {
-		if p, ok := g.reserveOnce(ctx, j, g.sizeReservation(j, after)); ok {
+		if p, ok := round(); ok {
 			return p, true
 		}
 		if g.allEnginesPause(j) {
 			return reservation{}, false
 		}
-		pause := jittered(reserveInterval)
+		pause := jittered(interval)
 		if time.Now().Add(pause).After(until) || !wait.Sleep(ctx, pause) {
 			return reservation{}, false
 		}
@@ -232,19 +239,9 @@
 // late requests: only engines of its own software version are of use to it, and the others' turns
 // would hold it up. Engines that have just refused aren't asked: many streams break at a time.
 func (g *Gateway) reserveResumed(ctx context.Context, j *job) (reservation, bool) {
-	until := j.r.Arrived.Add(lateWait)
-	for {
-		if p, ok := g.reserveAtAny(ctx, j, g.sizeReservation(j, j.delivered()), g.loads.isFull); ok {
-			return p, true
-		}
-		if g.allEnginesPause(j) {
-			return reservation{}, false
-		}
-		pause := jittered(lateInterval)
-		if time.Now().Add(pause).After(until) || !wait.Sleep(ctx, pause) {
-			return reservation{}, false
-		}
-	}
+	return g.retryReserve(ctx, j, j.r.Arrived.Add(lateWait), lateInterval, func() (reservation, bool) {
+		return g.reserveAtAny(ctx, j, g.sizeReservation(j, j.delivered()), g.loads.isFull)
+	})
 }
 
 // reserveOnce tries the best engines one after the other.
--- a/internal/policy/stop/stop.go
+++ b/internal/policy/stop/stop.go
@@ -14,6 +14,9 @@
 	// answerLead is how long before the end of the stop requests are answered that no server
 	// runs.
 	answerLead = 100 * time.Millisecond
+	// quietPeriod is how long no request must have been running before the stop ends, so
+	// that a request on its way is still served.
+	quietPeriod = 500 * time.Millisecond
 )
 
 // MinDrain is how long a stopping process goes on accepting connections: the load balancer polls
@@ -54,3 +57,8 @@
 // End returns when the stop ends. It counts from the handling of the signal, since the
 // process may have as long; an earlier end would cut off requests that could complete.
 func (s Stop) End() time.Time { return s.Handled.Add(s.Within) }
+
+// MayEnd reports whether the stop may end early, as no request has been running since a time.
+func (s Stop) MayEnd(now, idleSince time.Time) bool {
+	return now.Sub(s.Handled) > MinDrain && now.Sub(idleSince) > quietPeriod
+}
--- a/internal/policy/stop/stop_test.go
+++ b/internal/policy/stop/stop_test.go
@@ -66,3 +66,15 @@
 	s.Within = time.Second
 	assert.Equal(t, s.AnswerBy(), handled.Add(time.Second-answerLead))
 }
+
+// Guards against a stop that ends while the load balancer still sends callers, or between two of
+// their requests.
+func TestStopEndsEarlyOnlyAfterAQuietTime(t *testing.T) {
+	handled := time.Unix(100, 0)
+	s := Stop{Sent: handled, Handled: handled, Within: 7500 * time.Millisecond}
+	assert.Assert(t, !s.MayEnd(handled.Add(MinDrain), handled))
+	assert.Assert(t, s.MayEnd(handled.Add(MinDrain+1), handled))
+	at := handled.Add(2 * MinDrain)
+	assert.Assert(t, !s.MayEnd(at, at.Add(-quietPeriod)))
+	assert.Assert(t, s.MayEnd(at, at.Add(-quietPeriod-1)))
+}
