Expired connections to servers are closed, not only when they are asked for

Cause: an idle connection was closed only when a later exchange with its address took it. Nobody asks for the address of a server that has ended, so that each of its connections, up to 16, kept its descriptor for as long as the gateway ran. Class: clean-up that only the next use triggers.

The fix: as a connection becomes idle, at most once a second, all that are too old for a further request are closed. They would have been discarded on use, so no further connection is opened.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,8 @@
 	// it.
 	keepAliveMargin  = 500 * time.Millisecond
 	maxIdlePerServer = 16
+	// sweepInterval is the least time between two searches for expired connections.
+	sweepInterval = time.Second
 )
 
 // Options of a Pool.
@@ -44,9 +46,10 @@
 	dialer net.Dialer
 
 	mu sync.Mutex
-	// idle has the idle connections by address, the most recently used last. It is
-	// guarded by mu.
-	idle map[string][]*conn
+	// idle has the idle connections by address, the most recently used last, and swept is
+	// when the expired ones were last closed. Both are guarded by mu.
+	idle  map[string][]*conn
+	swept time.Time
 }
 
 // NewPool returns an empty pool.
@@ -202,6 +205,7 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweepLocked(c.idleSince)
 	if len(p.idle[c.addr]) >= maxIdlePerServer {
 		go c.close()
 		return
@@ -209,6 +213,25 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// sweepLocked closes the connections that are too old for a further request. Nobody asks for
+// those to a server that has ended, and each would keep its descriptor.
+func (p *Pool) sweepLocked(now time.Time) {
+	if now.Sub(p.swept) < sweepInterval {
+		return
+	}
+	p.swept = now
+	for addr, list := range p.idle {
+		expired := 0
+		for expired < len(list) && now.Sub(list[expired].idleSince) >= list[expired].idleLimit(p.opts.IdleTimeout) {
+			go list[expired].close()
+			expired++
+		}
+		if p.idle[addr] = list[expired:]; expired == len(list) {
+			delete(p.idle, addr)
+		}
+	}
+}
+
 // CloseIdle closes the idle connections to an address, for a server that was removed
 // or whose connections may be dead.
 func (p *Pool) CloseIdle(addr string) {
