--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -162,14 +161,14 @@
 		if !c.answered() {
 			f.opts.Availability.failed(time.Now())
 			f.failed(c.err)
-			wait.Sleep(ctx, jittered(retryDelay))
+			wait.Sleep(ctx, wait.Jittered(retryDelay))
 			continue
 		}
 		f.answered(c.startedAt)
 		switch changed := f.apply(c); {
 		case c.err != nil:
 			// The next watch may find its history gone again.
-			wait.Sleep(ctx, jittered(retryDelay))
+			wait.Sleep(ctx, wait.Jittered(retryDelay))
 		case changed:
 			wait.Sleep(ctx, batchDelay)
 		}
@@ -177,11 +176,6 @@
 	return nil
 }
 
-// jittered returns a random duration whose mean is d.
-func jittered(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(d))
-}
-
 // callPlatform makes the next call: a list, a watch, or a watch with probes during an
 // outage.
 func (f *Follower) callPlatform(ctx context.Context) call {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -11,6 +11,7 @@
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/limit"
 	"jayford.example/jayford/internal/verdict"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -236,5 +237,5 @@
 func rateLimitedError(next time.Duration) *verdict.Error {
 	return verdict.New(
 		verdict.NotRun, verdict.Overloaded, "Each server of the service has as many requests as it takes.",
-	).WithRetryAfter(min(next, limitRetryAfter) + jittered(limitSpread))
+	).WithRetryAfter(min(next, limitRetryAfter) + wait.Jittered(limitSpread))
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -198,18 +197,13 @@
 		if g.allEnginesPause(j) {
 			return reservation{}, false
 		}
-		pause := jittered(interval)
+		pause := wait.Jittered(interval)
 		if time.Now().Add(pause).After(until) || !wait.Sleep(ctx, pause) {
 			return reservation{}, false
 		}
 	}
 }
 
-// jittered returns a random duration of mean d.
-func jittered(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(d))
-}
-
 // reserveLate waits for spare capacity. The late requests of a gateway take turns, and only
 // the one whose turn it is sends reservation requests: while memory is short, each slot that a
 // late request takes makes another one late that could have been in time.
@@ -229,7 +223,7 @@
 		if g.allEnginesPause(j) {
 			return reservation{}, false
 		}
-		if !wait.Sleep(ctx, jittered(lateInterval)) {
+		if !wait.Sleep(ctx, wait.Jittered(lateInterval)) {
 			return reservation{}, false
 		}
 	}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -32,7 +32,8 @@
 type softwareVersions struct {
 	// onChange is called when a version came or went; it is set before use.
 	onChange func()
-	mu       sync.Mutex
+
+	mu sync.Mutex
 	// All below is guarded by mu. names has the names behind the hashes.
 	history *origin.History
 	listed  map[origin.Served]int
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,8 +1,9 @@
-// Package wait provides a sleep that ends early with its context.
+// Package wait provides a sleep that ends early with its context, and random pauses.
 package wait
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -20,3 +21,9 @@
 		return true
 	}
 }
+
+// Jittered returns a random duration between half of d and one and a half of it, so that those
+// that wait for the same event don't act together.
+func Jittered(d time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(d))
+}
