The simulated gateways drop answers that the follower drops

Cause: the fault is the simulation's. Its gateways list again at drawn moments, and the listing may be of an earlier revision than the copy. The answer to a call that began at the copy before then advanced the new copy past changes that neither had. The follower drops such an answer (follow/copy.go, applyChangesLocked: the call's revision is beyond the copy's position); the simulation didn't.

Change: the simulated gateway drops it too. The check, its bound and all that is drawn are as before; nothing of the product changes.

--- a/internal/policy/confirm/fleet_test.go
+++ b/internal/policy/confirm/fleet_test.go
@@ -200,6 +200,10 @@
 		// The store served the call before it saw the copy's position: no such answer.
 		return
 	}
+	if c.listed && c.after > g.copy.Position {
+		// The kind was listed again meanwhile, at an earlier revision.
+		return
+	}
 	if !c.listed {
 		if g.listed && c.at < g.copy.Position {
 			return
