Gateways bound the age of their copies of servers and configuration

Callers saw calls lost that aren't idempotent: gateways sent them to a server up to 4.3 s after the store had acknowledged that it leaves (3 s are allowed), and the server ended with them.

A follower that is cut off notices that only as its watch times out, after 4 s. So the statement "my copy is complete" was passed on without a bound on when the store itself had last said so.

Evidence: in the case's logs the relayed gateways list the leaving server in the same millisecond in which they stop relying on the followers (2.8 to 3.4 s after its write), or when the followers' links heal. They could have asked before.

Ruled out: that the followers knew of the change and passed it on late (they list the server when their links heal), and that a gateway knew and went on sending (no late request follows its line "server listed").

Change: each gateway keeps for servers and configuration the moment as of which its copy lacks no change, as it did for keys (policy/confirm), by its own calls and by other gateways' answers, which tell an age. Once half of the bound has passed it polls the store itself, whatever others say. So that this is rare, the fleet shares polls: the gateway that polled last goes on, followers of all zones ask each other, and others take over at a doubling rate if its polls stop. An answer of a gateway that doesn't follow the store, or isn't answered, still tells ages, but is marked, and nobody relies on it for changes. A follower's answer counts up to half of the bound, no longer 8 s.

Why it works: the bound holds by the gateway's own clock and its own call, without trust in how fast others notice anything; others can only spare the call.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,11 +2,13 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -81,7 +83,32 @@
 
 type gatewayCommand struct {
 	roleCommand
-	run GatewayRunner
+	MaxServerAge milliseconds `long:"max-server-age-ms" value-name:"MS" description:"following.maxServerAge, in place of that in the settings"`
+	MaxConfigAge milliseconds `long:"max-config-age-ms" value-name:"MS" description:"following.maxConfigAge, in place of that in the settings"`
+	run          GatewayRunner
+}
+
+// milliseconds is the value of an option that takes the place of a setting, 0 if it isn't given or
+// empty.
+type milliseconds time.Duration
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (m *milliseconds) UnmarshalFlag(text string) error {
+	if text == "" {
+		return nil
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	d := time.Duration(n) * time.Millisecond
+	if err != nil || d < settings.MinCopyAge || d > settings.MaxCopyAge {
+		return fmt.Errorf("expected %d to %d, got %q", settings.MinCopyAge.Milliseconds(), settings.MaxCopyAge.Milliseconds(), text)
+	}
+	*m = milliseconds(d)
+	return nil
+}
+
+// or returns the option's value, or the setting if it isn't given.
+func (m milliseconds) or(setting settings.Duration) settings.Duration {
+	return cmp.Or(settings.Duration(m), setting)
 }
 
 // Execute runs a gateway.
@@ -98,6 +125,8 @@
 	}
 	return runRole(s.LogLevel, func(ctx context.Context, log *logrus.Logger) error {
 		go watchSettings(ctx, c.Settings, s, read, hup, log)
+		f := s.Following
+		s.Following.MaxServerAge, s.Following.MaxConfigAge = c.MaxServerAge.or(f.MaxServerAge), c.MaxConfigAge.or(f.MaxConfigAge)
 		return c.run(ctx, s, log)
 	})
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -39,7 +39,8 @@
 	b := board.New()
 	g := gateway.New(gateway.Options{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Backend: deps.Backend, Board: b,
-		Budget: gateway.Budget{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window.D()}, KeyExpiry: s.Keys.Expiry.D(), FollowersPerZone: s.Following.PerZone, Log: log,
+		Budget: gateway.Budget{Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window.D()}, KeyExpiry: s.Keys.Expiry.D(), FollowersPerZone: s.Following.PerZone,
+		MaxServerAge: s.Following.MaxServerAge.D(), MaxConfigAge: s.Following.MaxConfigAge.D(), Log: log,
 	})
 	server := gateway.NewServer(g, gateway.ServerOptions{
 		Listen: s.Listen, Ready: s.Ready, ReadyPath: deps.ReadyPath,
@@ -52,6 +53,7 @@
 	log.WithFields(logrus.Fields{
 		"part": "gateway", "id": s.ID, "availabilityZone": s.AvailabilityZone, "platform": s.Platform, "build": build(),
 		"budgetRatio": s.Budget.Ratio, "budgetSlack": s.Budget.Slack, "prefillShare": s.Stages.PrefillShare, "maxPrefillShare": s.Stages.MaxPrefillShare,
+		"maxServerAge": s.Following.MaxServerAge.D().String(), "maxConfigAge": s.Following.MaxConfigAge.D().String(),
 	}).Info("gateway: starting.")
 	ops := operator.New(b, func() operator.Status {
 		return operator.Status{
@@ -82,7 +84,7 @@
 	g.AnnounceStageChanges(exchange.ReportStageChange)
 	g.ShareStore(gateway.StoreSharing{
 		Peers: func() []string { return otherAddresses(members.Known(), s.ID) }, Send: exchange.SendStore,
-		Self: s.Peer, Zone: func() []string { return zoneAddresses(members.Known(), s.AvailabilityZone) },
+		Self: s.Peer, Zones: func() map[string][]string { return zoneAddresses(members.Known()) },
 	})
 	members.ShareSoftware(g.SoftwareDigest, g.SetSoftwareDigests)
 	g.OnSoftwareChange(members.RequestRenewal)
@@ -172,10 +174,13 @@
 	return append(near, far...)
 }
 
-// zoneAddresses returns the addresses of all gateways of an availability zone.
-func zoneAddresses(list []peers.Peer, zone string) []string {
-	near, _ := addresses(list, "", zone)
-	return near
+// zoneAddresses returns the addresses of all gateways by availability zone.
+func zoneAddresses(list []peers.Peer) map[string][]string {
+	out := map[string][]string{}
+	for _, p := range list {
+		out[p.AvailabilityZone] = append(out[p.AvailabilityZone], p.Address)
+	}
+	return out
 }
 
 // peerAddresses returns the addresses of all gateways of the list.
--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -329,7 +329,7 @@
 	f.g[id], f.logs[id] = g, log
 	f.mu.Unlock()
 	g.ShareStore(StoreSharing{
-		Self: id, Zone: f.zone, Peers: func() []string { return f.others(id) },
+		Self: id, Zones: func() map[string][]string { return map[string][]string{"z": f.zone()} }, Peers: func() []string { return f.others(id) },
 		Send: func(to string, m *pb.StoreMessage) bool { return f.send(id, to, m) },
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,11 @@
 	// FollowersPerZone is how many gateways of an availability zone follow the store and pass
 	// changes on to the others; with 0 each follows it by itself.
 	FollowersPerZone int
-	Log              *logrus.Logger
+	// MaxServerAge and MaxConfigAge are for how long the gateway's copies of the servers and of
+	// the configuration may lack a change that the platform has acknowledged, while it reaches
+	// the platform. 0 stands for DefaultMaxAge.
+	MaxServerAge, MaxConfigAge time.Duration
+	Log                        *logrus.Logger
 }
 
 // Gateway routes requests to backend servers.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/follow"
@@ -29,20 +30,20 @@
 	if c.relay == nil {
 		return
 	}
-	zone, all := c.sharing.Zone(), len(c.sharing.Peers())+1
 	c.mu.Lock()
 	now := c.now()
-	c.relay.SetMembers(c.zone, zone)
+	c.relay.SetMembers(c.zone, c.members.zone)
 	for _, to := range c.relay.Tick(now) {
 		c.sendLocked([]confirm.Envelope{c.machine.Ask(now, to)})
 	}
 	relayed := c.relay.Relayed(now, failing)
 	if relayed != c.relayed {
-		c.log.WithField("relayed", relayed).WithField("follower", c.relay.IsChosen()).Info("gateway: who follows the store changed.")
+		c.log.WithFields(logrus.Fields{
+			"relayed": relayed, "follower": c.relay.IsChosen(), "serversAge": c.ageLocked(c.sources.ServerKind).String(),
+		}).Info("gateway: who follows the store changed.")
 	}
 	c.relayed = relayed
-	// Each zone has about as many followers for its gateways as this one.
-	c.machine.SetPollers(max(1, all*min(c.perZone, len(zone))/max(1, len(zone))), !relayed)
+	c.machine.SetPollers(c.pollersLocked(), !relayed)
 	c.mu.Unlock()
 	storeRelayed.Set(0)
 	if relayed {
@@ -53,23 +54,20 @@
 	}
 }
 
-// direct leaves out of answers what this gateway says of servers unless it follows the store
-// itself and is answered: others rely on that.
-func (c *confirmations) direct(list []confirm.Envelope) []confirm.Envelope {
-	if !c.relayed && !c.failing {
-		return list
+// pollersLocked returns how many gateways poll in turn. One that follows the store in place of its
+// zone's followers may be one of many.
+func (c *confirmations) pollersLocked() int {
+	if c.relay.IsChosen() {
+		return len(c.members.followers) + 1
 	}
+	return len(c.members.all) + 1
+}
+
+// markIndirect marks answers of a gateway that doesn't follow the store itself, or isn't answered:
+// others mustn't rely on it for changes.
+func (c *confirmations) markIndirect(list []confirm.Envelope) []confirm.Envelope {
 	for i := range list {
-		var kept []confirm.Answer
-		for _, a := range list[i].Message.Copies {
-			if a.Kind != c.sources.ServerKind {
-				kept = append(kept, a)
-			}
-		}
-		list[i].Message.Copies = kept
-		if len(kept) == 0 {
-			return list[:i]
-		}
+		list[i].Message.Indirect = c.relayed || c.failing
 	}
 	return list
 }
@@ -87,7 +85,7 @@
 			age = max(age, x.Age)
 		}
 	}
-	c.relay.Answered(a.AskedAt, a.From, complete == 2, age)
+	c.relay.Answered(a.AskedAt, a.From, complete == 2 && !a.Indirect, age)
 }
 
 // passOn returns the function that passes changes of a kind on to the gateways of the zone
@@ -175,7 +173,7 @@
 }
 
 func encodeStore(x confirm.Message) *pb.StoreMessage {
-	out := &pb.StoreMessage{Question: x.Question, Answers: x.Answers}
+	out := &pb.StoreMessage{Question: x.Question, Answers: x.Answers, Indirect: x.Indirect}
 	for _, a := range x.Copies {
 		// The age is rounded up: it must not be too small.
 		age := (a.Age + time.Microsecond - 1) / time.Microsecond
@@ -187,7 +185,7 @@
 // decodeStore converts a message. An age that is out of range becomes a negative one, with
 // which the message isn't valid.
 func decodeStore(m *pb.StoreMessage) confirm.Message {
-	out := confirm.Message{Question: m.Question, Answers: m.Answers}
+	out := confirm.Message{Question: m.Question, Answers: m.Answers, Indirect: m.Indirect}
 	for _, x := range m.Copies {
 		age := time.Duration(-1)
 		if x.AgeUs <= math.MaxInt64/uint64(time.Microsecond) {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -123,6 +123,37 @@
 	assert.Assert(t, 2*calls < each, "%d calls, %d where each follows by itself", calls, each)
 }
 
+// Guards against gateways that send to a server long after it announced that it leaves, as the
+// followers of their zone are cut off from the store, while they themselves aren't.
+func TestCutOffFollowersDontHideLeavingServers(t *testing.T) {
+	t.Parallel()
+	f := prepareFleet(t, 5, 2, 0)
+	f.startAll()
+	f.awaitRelayed(t)
+	f.awaitWatches()
+	leaving := testServers()[0]
+	for round := range 3 {
+		// The cuts begin at different moments of the followers' watches.
+		time.Sleep(time.Duration(round) * 900 * time.Millisecond)
+		for _, id := range f.followers() {
+			f.store.silence(true, id)
+		}
+		leaving.Leaving = !leaving.Leaving
+		began := time.Now()
+		f.store.put("servers", leaving.ID, leaving, false)
+		assertSoon(t, DefaultMaxAge, "a gateway that reaches the store doesn't know that a server leaves", func() bool {
+			return !slices.ContainsFunc(f.ids, func(id string) bool {
+				return !slices.Contains(f.followers(), id) && !f.lists(id, leaving.ID, leaving.Leaving)
+			})
+		})
+		t.Logf("known after %v", time.Since(began))
+		for _, id := range f.followers() {
+			f.store.silence(false, id)
+		}
+		f.awaitRelayed(t)
+	}
+}
+
 // Guards against gateways that wait for followers that are frozen, cut off from the store,
 // or gone from the list.
 func TestGatewaysOutliveTheirZonesFollowers(t *testing.T) {
--- a/internal/policy/confirm/confirm_test.go
+++ b/internal/policy/confirm/confirm_test.go
@@ -12,7 +12,7 @@
 
 func newMachine(position, changed, newest uint64) *Machine {
 	m := New(rand.New(rand.NewPCG(1, 2)))
-	m.Keep(simKind, 5*time.Second)
+	m.Keep(simKind, ForExpiry(5*time.Second))
 	m.Applied(simKind, Copy{Position: position, Changed: changed, Newest: newest})
 	return m
 }
@@ -158,7 +158,7 @@
 // Guards against a confirmation that counts from the answer rather than the question.
 func TestAnswerCountsFromItsQuestion(t *testing.T) {
 	m := newMachine(10, 7, 7)
-	q := m.Tick(5*time.Second, []string{"a"})
+	q := m.Tick(5*time.Second, []string{"a"}, []string{"a"})
 	assert.Equal(t, len(q), 1)
 	m.Receive(6500*time.Millisecond, "a", answerOf(q[0].Message.Question, 7, 100*time.Millisecond))
 	assertConfirmed(t, m, 4900*time.Millisecond)
@@ -169,7 +169,7 @@
 func TestOnlyAnOpenQuestionConfirms(t *testing.T) {
 	m := newMachine(10, 7, 7)
 	now := 5 * time.Second
-	q := m.Tick(now, []string{"a", "b"})
+	q := m.Tick(now, []string{"a", "b"}, []string{"a", "b"})
 	number := q[0].Message.Question
 	m.Receive(now, "c", answerOf(number, 7, 0))
 	m.Receive(now, q[1].To, answerOf(number, 7, 0))
@@ -192,7 +192,7 @@
 	m := newMachine(10, 7, 7)
 	now := 5 * time.Second
 	m.Confirmed(simKind, now-time.Second)
-	q := m.Tick(now, []string{"a", "b"})
+	q := m.Tick(now, []string{"a", "b"}, []string{"a", "b"})
 	m.Due()
 	m.Receive(now, q[0].To, answerOf(q[0].Message.Question, 11, 0))
 	assertConfirmed(t, m, now-time.Second)
@@ -207,7 +207,7 @@
 // after its own newest one.
 func TestCopyBehindConfirmsNothing(t *testing.T) {
 	m := newMachine(10, 9, 9)
-	q := m.Tick(5*time.Second, []string{"a"})
+	q := m.Tick(5*time.Second, []string{"a"}, []string{"a"})
 	m.Receive(5*time.Second, "a", answerOf(q[0].Message.Question, 7, 0))
 	_, confirmed := m.ConfirmedAt(simKind)
 	assert.Assert(t, !confirmed)
@@ -220,7 +220,7 @@
 	listed := newMachine(20, 20, 7)
 	listed.Confirmed(simKind, time.Second)
 	older := newMachine(18, 7, 7)
-	q := older.Tick(2*time.Second, []string{"a"})
+	q := older.Tick(2*time.Second, []string{"a"}, []string{"a"})
 	a := listed.Receive(9*time.Second, "b", q[0].Message)
 	assert.Equal(t, a[0].Message.Copies[0].Changed, uint64(20))
 	assert.Equal(t, a[0].Message.Copies[0].Age, 8*time.Second)
@@ -229,7 +229,7 @@
 	assert.Assert(t, !confirmed)
 
 	// The other way round, the listing has all that the older copy has.
-	q = listed.Tick(9*time.Second, []string{"b"})
+	q = listed.Tick(9*time.Second, []string{"b"}, []string{"b"})
 	listed.Receive(9*time.Second, "b", answerOf(q[0].Message.Question, 7, 0))
 	assertConfirmed(t, listed, 9*time.Second)
 }
@@ -249,7 +249,7 @@
 func TestMalformedMessagesChangeNothing(t *testing.T) {
 	m := newMachine(10, 7, 7)
 	now := 5 * time.Second
-	q := m.Tick(now, []string{"a"})[0].Message.Question
+	q := m.Tick(now, []string{"a"}, []string{"a"})[0].Message.Question
 	two := answerOf(q, 7, 0)
 	two.Copies = append(two.Copies, two.Copies[0])
 	many := Message{Answers: q, Copies: make([]Answer, maxCopies+1)}
@@ -274,9 +274,9 @@
 // Guards against answers from a gateway that has no confirmed copy yet.
 func TestStartingGatewayAnswersNothing(t *testing.T) {
 	m := New(rand.New(rand.NewPCG(1, 2)))
-	m.Keep(simKind, 5*time.Second)
+	m.Keep(simKind, ForExpiry(5*time.Second))
 	assert.Equal(t, len(m.Receive(time.Second, "a", Message{Question: 1})), 0)
-	assert.Equal(t, len(m.Tick(time.Second, []string{"a"})), 0, "a gateway without a copy asks nobody")
+	assert.Equal(t, len(m.Tick(time.Second, []string{"a"}, []string{"a"})), 0, "a gateway without a copy asks nobody")
 	m.Applied(simKind, Copy{Position: 10, Changed: 7, Newest: 7})
 	assert.Equal(t, len(m.Receive(time.Second, "a", Message{Question: 1})), 0)
 }
--- a/internal/policy/confirm/fleet_test.go
+++ b/internal/policy/confirm/fleet_test.go
@@ -53,6 +53,10 @@
 	frozenUntil, cutUntil time.Duration
 	nextTick, nextWatch   time.Duration
 	peers                 []string
+	// followers are set at a gateway that holds no watch and asks these every askInterval; near
+	// are the gateways that it asks by itself.
+	followers, near []string
+	nextAsk         time.Duration
 }
 
 type simEvent struct {
@@ -86,31 +90,59 @@
 	loss, repeats float64
 	// links reports whether datagrams pass between two gateways.
 	links func(a, b int) bool
+	// keep is what all gateways are told to keep fresh, askInterval how often followers are asked.
+	keep        Ages
+	askInterval time.Duration
 	// bytes and sent count what gateways sent, polls their calls beside their watches.
-	bytes, sent, polls int
+	bytes, sent, polls, relayedPolls int
 }
 
 func newFleet(seed uint64, n int) *fleet {
 	f := &fleet{
-		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, hold: 1800 * time.Millisecond,
+		keep: ForExpiry(5 * time.Second),
+		rnd:  rand.New(rand.NewPCG(seed, 1)), now: time.Hour, hold: 1800 * time.Millisecond,
 		queue: map[time.Duration][]simEvent{}, delay: 2 * time.Millisecond, call: 4 * time.Millisecond, links: func(int, int) bool { return true },
 	}
 	f.store.changes = []change{{at: 0, ofKind: true}}
 	for i := range n {
 		g := &simGateway{m: New(rand.New(rand.NewPCG(f.rnd.Uint64(), 2))), offset: time.Duration(f.rnd.Int64N(int64(time.Hour)))}
-		g.m.Keep(simKind, 5*time.Second)
-		g.nextTick = f.now + f.draw(TickInterval)
+		g.m.Keep(simKind, f.keep)
+		g.nextTick = f.now + f.draw(g.m.TickInterval())
 		g.nextWatch = f.now + f.draw(time.Second)
 		for j := range n {
 			if j != i {
 				g.peers = append(g.peers, f.address(j))
 			}
 		}
+		g.near = g.peers
 		f.gateways = append(f.gateways, g)
 	}
 	return f
 }
 
+// newZonedFleet returns a fleet in which perZone gateways of each zone follow the store, and keep
+// their copies within a bound of it.
+func newZonedFleet(seed uint64, zones, gateways, perZone int, bound time.Duration) *fleet {
+	f := newFleet(seed, zones*gateways)
+	f.keep, f.askInterval, f.hold = ForStaleness(bound), bound/8, 3*time.Second
+	var near []string
+	for i := range f.gateways {
+		if i/zones < perZone {
+			near = append(near, f.address(i))
+		}
+	}
+	for i, g := range f.gateways {
+		self := f.address(i)
+		g.near = slices.DeleteFunc(slices.Clone(near), func(a string) bool { return a == self })
+		follows := i/zones < perZone
+		g.m.SetPollers(len(near), follows)
+		for j := i % zones; !follows && j < zones*perZone; j += zones {
+			g.followers = append(g.followers, f.address(j))
+		}
+	}
+	return f
+}
+
 // schedule queues an event for the step at or after its time, the next one at the earliest.
 func (f *fleet) schedule(e simEvent) {
 	step := max(f.now/simStep+1, (e.at+simStep-1)/simStep)
@@ -154,12 +186,18 @@
 
 func (f *fleet) run(i int, g *simGateway) {
 	if g.nextTick <= f.now {
-		g.m.Keep(simKind, 5*time.Second)
-		g.nextTick = f.now + TickInterval
-		f.post(i, g.m.Tick(f.now+g.offset, g.peers))
+		g.m.Keep(simKind, f.keep)
+		g.nextTick = f.now + g.m.TickInterval()
+		f.post(i, g.m.Tick(f.now+g.offset, g.near, g.peers))
 		f.poll(i)
 	}
-	if g.nextWatch <= f.now {
+	if len(g.followers) > 0 && g.nextAsk <= f.now {
+		g.nextAsk = f.now + f.askInterval
+		for _, to := range g.followers {
+			f.post(i, []Envelope{g.m.Ask(f.now+g.offset, to)})
+		}
+	}
+	if (len(g.followers) == 0 || !g.listed) && g.nextWatch <= f.now {
 		g.nextWatch = f.now + f.hold
 		f.callStore(i, f.hold)
 	}
@@ -168,6 +206,9 @@
 func (f *fleet) poll(i int) {
 	for range f.gateways[i].m.Due() {
 		f.polls++
+		if len(f.gateways[i].followers) > 0 {
+			f.relayedPolls++
+		}
 		f.callStore(i, 0)
 	}
 }
--- a/internal/policy/confirm/machine.go
+++ b/internal/policy/confirm/machine.go
@@ -8,26 +8,8 @@
 )
 
 const (
-	// TickInterval is how often Tick is to be called.
-	TickInterval = 250 * time.Millisecond
-	// askAge is the age of a confirmation from which peers are asked, and staleAge that from
-	// which more of them are: in a fleet that is in contact with the store ages stay below it.
-	askAge   = 500 * time.Millisecond
-	staleAge = 1200 * time.Millisecond
-	// askCount and askCountStale are how many peers are asked in a tick. With four, the
-	// freshest confirmation of 370 gateways reaches all but a few within five ticks.
-	askCount      = 2
-	askCountStale = 4
 	// questionTTL is how long an answer counts.
 	questionTTL = 2 * time.Second
-	// pollsPerTick is how many gateways of a fleet poll the store in a tick. With eight polls
-	// a second, an outage begins with a confirmation of at most 0.3 s in nine of ten cases.
-	pollsPerTick = 2
-	// pollAge is the age from which a gateway polls the store in its turn, and maxOwnPollAge
-	// that from which it does so in any case, as its peers don't help: at the latest halfway to
-	// the expiry of what is confirmed.
-	pollAge       = 250 * time.Millisecond
-	maxOwnPollAge = 2500 * time.Millisecond
 	// behindInterval is how often the store is asked because of the same missing change.
 	behindInterval = 500 * time.Millisecond
 	// maxAge and maxCopies bound what a message may say.
@@ -50,6 +32,8 @@
 	// answered; the other one is 0.
 	Question, Answers uint64
 	Copies            []Answer
+	// Indirect: the answerer doesn't follow the store itself, or its calls fail.
+	Indirect bool
 }
 
 // Answer is what an answer says of one kind: Age before it was made, the answerer's copy
@@ -76,11 +60,15 @@
 // state is what is known of one kind.
 type state struct {
 	copy Copy
-	// kept: Tick keeps the confirmation fresh.
-	kept bool
+	// ages is nil unless Tick keeps the confirmation fresh.
+	ages *Ages
 	// at is the moment as of which the copy lacks no change, if confirmed is set.
 	at        time.Duration
 	confirmed bool
+	// leads: this gateway polled last, as far as it knows. Otherwise source is the peer whose
+	// answer last made the confirmation fresher, "" for none.
+	leads  bool
+	source string
 	// newer is the highest revision that a peer's copy has, and behind is set while the
 	// store should be asked because of it. behindAt is when it was last set.
 	newer    uint64
@@ -100,8 +88,7 @@
 	kinds     map[string]*state
 	questions map[uint64]question
 	// polls has the kinds that are due for a poll in their turn.
-	polls      map[string]bool
-	ownPollAge time.Duration
+	polls map[string]bool
 	// pollers is how many gateways poll in their turn, 0 for all, and polling is set if this is
 	// one.
 	pollers int
@@ -116,11 +103,13 @@
 	From    string
 	AskedAt time.Duration
 	Copies  []Answer
+	// Indirect is Message.Indirect.
+	Indirect bool
 }
 
 // New returns a Machine that draws from random.
 func New(random *rand.Rand) *Machine {
-	return &Machine{random: random, kinds: map[string]*state{}, questions: map[uint64]question{}, polls: map[string]bool{}, polling: true, ownPollAge: maxOwnPollAge}
+	return &Machine{random: random, kinds: map[string]*state{}, questions: map[uint64]question{}, polls: map[string]bool{}, polling: true}
 }
 
 func (m *Machine) state(kind string) *state {
@@ -132,11 +121,18 @@
 	return s
 }
 
-// Keep makes Tick keep the confirmation of a kind fresh, which is of no use once it is as old as
-// the expiry.
-func (m *Machine) Keep(kind string, expiry time.Duration) {
-	m.state(kind).kept = true
-	m.ownPollAge = min(maxOwnPollAge, expiry/2)
+// Keep makes Tick keep the confirmation of a kind fresh.
+func (m *Machine) Keep(kind string, a Ages) { m.state(kind).ages = &a }
+
+// TickInterval returns how often Tick is to be called.
+func (m *Machine) TickInterval() time.Duration {
+	out := maxTick
+	for _, s := range m.kinds {
+		if s.ages != nil {
+			out = min(out, s.ages.Tick)
+		}
+	}
+	return out
 }
 
 // SetPollers sets how many gateways poll the store in their turn, 0 for all, and whether this
@@ -151,7 +147,7 @@
 func (m *Machine) Applied(kind string, c Copy) {
 	s := m.state(kind)
 	if c.Position < s.copy.Position {
-		*s = state{kept: s.kept}
+		*s = state{ages: s.ages}
 	}
 	s.copy = c
 	if s.newer <= c.Position {
@@ -180,19 +176,11 @@
 // Counts returns the counts of events.
 func (m *Machine) Counts() Counts { return m.counts }
 
-// age returns the age of the oldest confirmation of the kinds that are kept, 0 if none was
-// applied. A kind that was never confirmed counts as stale.
-func (m *Machine) age(now time.Duration) time.Duration {
-	var out time.Duration
-	for _, s := range m.kinds {
-		out = max(out, s.age(now))
-	}
-	return out
-}
-
+// age returns the age of a kind's confirmation, 0 if no copy was applied. A kind that was never
+// confirmed counts as stale.
 func (s *state) age(now time.Duration) time.Duration {
 	switch {
-	case s.copy.Position == 0 || !s.kept:
+	case s.copy.Position == 0:
 		return 0
 	case !s.confirmed:
 		return maxAge
@@ -200,21 +188,31 @@
 	return now - s.at
 }
 
-// Tick returns questions to peers if the confirmation is old. It is called every TickInterval
-// with the addresses of the other gateways.
-func (m *Machine) Tick(now time.Duration, peers []string) []Envelope {
+// Tick returns questions to peers if a confirmation is old. It is called each TickInterval with
+// the addresses of other gateways: near are those to ask, and all those to ask if near don't help.
+func (m *Machine) Tick(now time.Duration, near, all []string) []Envelope {
 	maps.DeleteFunc(m.questions, func(_ uint64, q question) bool { return now-q.at > questionTTL })
-	m.drawPolls(now, len(peers))
-	age := m.age(now)
-	if age <= askAge {
-		return nil
-	}
-	n := askCount
-	if age > staleAge {
-		n = askCountStale
+	m.drawPolls(now, len(all))
+	peers, n := near, 0
+	// The peers that helped last: each leads back to the gateway that polls.
+	var sources []string
+	for _, s := range m.kinds {
+		switch age := s.age(now); {
+		case s.ages == nil:
+		case age > s.ages.Stale:
+			peers, n = all, askCountStale
+		case age > s.ages.Ask, m.polling && age > s.ages.PollerAsk:
+			n = max(n, askCount)
+			if s.source != "" && !slices.Contains(sources, s.source) && slices.Contains(near, s.source) {
+				sources = append(sources, s.source)
+			}
+		}
 	}
 	var out []Envelope
-	for _, to := range m.draw(peers, n) {
+	if len(sources) > 0 {
+		n = max(n, len(sources)+1)
+	}
+	for _, to := range m.draw(peers, n, sources) {
 		out = append(out, m.Ask(now, to))
 	}
 	return out
@@ -228,17 +226,21 @@
 		pollers = m.pollers
 	}
 	for kind, s := range m.kinds {
+		if s.ages == nil {
+			continue
+		}
 		age := s.age(now)
-		if age > m.ownPollAge || m.polling && age > pollAge && m.random.IntN(pollers) < pollsPerTick {
+		if age > s.ages.OwnPoll || m.polling && s.ages.takesTurn(age, s.leads, m.random.Float64()*float64(pollers)) {
 			m.polls[kind] = true
+			s.leads = true
 		}
 	}
 }
 
-// draw returns n different peers at random, or all of fewer.
-func (m *Machine) draw(peers []string, n int) []string {
+// draw returns n peers, or all of fewer: those of first, and others at random.
+func (m *Machine) draw(peers []string, n int, first []string) []string {
 	n = min(n, len(peers))
-	out := make([]string, 0, n)
+	out := first[:min(n, len(first))]
 	for len(out) < n {
 		if p := peers[m.random.IntN(len(peers))]; !slices.Contains(out, p) {
 			out = append(out, p)
@@ -326,16 +328,16 @@
 		return
 	}
 	delete(m.questions, x.Answers)
-	m.accepted = &Accepted{From: from, AskedAt: q.at, Copies: x.Copies}
+	m.accepted = &Accepted{From: from, AskedAt: q.at, Copies: x.Copies, Indirect: x.Indirect}
 	for _, c := range x.Copies {
 		if s := m.kinds[c.Kind]; s != nil && s.copy.Position > 0 {
-			m.compare(now, s, c, q.at-c.Age)
+			m.compare(now, s, c, q.at-c.Age, from)
 		}
 	}
 }
 
 // compare applies what a peer says of its copy, which lacked no change at a moment.
-func (m *Machine) compare(now time.Duration, s *state, c Answer, at time.Duration) {
+func (m *Machine) compare(now time.Duration, s *state, c Answer, at time.Duration, from string) {
 	switch {
 	case c.Changed > s.copy.Position:
 		m.counts.Newer++
@@ -347,6 +349,7 @@
 		// The peer's copy lacks a change that this one has.
 	case !s.confirmed || at > s.at:
 		s.at, s.confirmed = at, true
+		s.leads, s.source = false, from
 		m.counts.Confirmations++
 	}
 }
--- a/internal/policy/relay/relay.go
+++ b/internal/policy/relay/relay.go
@@ -7,7 +7,8 @@
 // It guarantees:
 //   - A gateway is relayed, and so doesn't follow the store by itself, only while one of the
 //     zone's followers has answered its question completely within AnswerTTL: a follower
-//     answers completely while its own calls to the store don't fail.
+//     answers completely while its own calls to the store don't fail, and the store
+//     confirmed its copies lately.
 //   - Gateways that see the same members of a zone choose the same followers; with different
 //     views there are more or fewer of them, and who gets no answer follows by itself.
 //
@@ -22,20 +23,19 @@
 )
 
 const (
-	// askInterval is how often a gateway asks its zone's followers. It bounds how late a lost
+	// maxAskInterval bounds how often a gateway asks its zone's followers, and so how late a lost
 	// change is noticed.
-	askInterval = 500 * time.Millisecond
+	maxAskInterval = 500 * time.Millisecond
 	// AnswerTTL is how long a gateway relies on an answer.
 	AnswerTTL = time.Second
-	// maxAge is the age of a follower's copy up to which its answer counts: it holds watches
-	// for up to 4 s, and a dead connection is noticed at the end of one.
-	maxAge = 8 * time.Second
 )
 
 // Machine is the state of one gateway. All times are of its own clock.
 type Machine struct {
 	perZone int
 	self    string
+	// maxAge is the age of a follower's copy up to which its answer counts.
+	maxAge time.Duration
 	// followers are the zone's, and others its other gateways. Both lack this gateway.
 	followers, others []string
 	// chosen: this gateway is a follower, as far as it knows.
@@ -48,18 +48,24 @@
 	relayed   bool
 }
 
-// New returns the Machine of the gateway with an address, in a zone with perZone followers. It
-// follows by itself at first.
-func New(self string, perZone int) *Machine {
-	return &Machine{perZone: perZone, self: self, chosen: true}
+// New returns the Machine of the gateway with an address, in a zone with perZone followers,
+// which counts a follower's answer if its copies are at most maxAge old. It follows by itself at
+// first.
+func New(self string, perZone int, maxAge time.Duration) *Machine {
+	return &Machine{perZone: perZone, self: self, maxAge: maxAge, chosen: true}
+}
+
+// Followers returns the followers among the gateways of a zone: perZone of them, or all for 0.
+func Followers(zone string, gateways []string, perZone int) []string {
+	if perZone == 0 || len(gateways) <= perZone {
+		return gateways
+	}
+	return place.Subset(zone, gateways, perZone)
 }
 
 // SetMembers sets the gateways of the zone, this one among them.
 func (m *Machine) SetMembers(zone string, gateways []string) {
-	chosen := gateways
-	if m.perZone > 0 && len(gateways) > m.perZone {
-		chosen = place.Subset(zone, gateways, m.perZone)
-	}
+	chosen := Followers(zone, gateways, m.perZone)
 	m.chosen = len(chosen) == len(gateways) || slices.Contains(chosen, m.self)
 	m.followers, m.others = nil, nil
 	for _, g := range gateways {
@@ -84,17 +90,21 @@
 
 // Tick returns the followers to ask now.
 func (m *Machine) Tick(now time.Duration) []string {
-	if m.chosen || m.asked && now-m.askedAt < askInterval {
+	if m.chosen || m.asked && now-m.askedAt < m.askInterval() {
 		return nil
 	}
 	m.askedAt, m.asked = now, true
 	return m.followers
 }
 
+// askInterval leaves a copy that is passed on with an answer time to get old, so that not each
+// lost answer makes it too old.
+func (m *Machine) askInterval() time.Duration { return min(maxAskInterval, m.maxAge/4) }
+
 // Answered records an answer to a question that was asked at a time. isComplete: it speaks of
 // all kinds, and so the gateway follows the store itself; age is that of its oldest copy.
 func (m *Machine) Answered(askedAt time.Duration, from string, isComplete bool, age time.Duration) {
-	if isComplete && age <= maxAge && slices.Contains(m.followers, from) {
+	if isComplete && age <= m.maxAge && slices.Contains(m.followers, from) {
 		m.answered, m.hasAnswer = max(m.answered, askedAt), true
 	}
 }
--- a/internal/policy/relay/relay_test.go
+++ b/internal/policy/relay/relay_test.go
@@ -10,6 +10,9 @@
 	"pgregory.net/rapid"
 )
 
+// maxAge is the age up to which answers count in these tests.
+const maxAge = 2 * time.Second
+
 func zone(n int) []string {
 	var out []string
 	for i := range n {
@@ -26,7 +29,7 @@
 		perZone := rapid.IntRange(0, 5).Draw(t, "perZone")
 		chosen, passed := 0, map[string]int{}
 		for _, g := range gateways {
-			m := New(g, perZone)
+			m := New(g, perZone, maxAge)
 			m.SetMembers("z", gateways)
 			if m.IsChosen() {
 				chosen++
@@ -54,7 +57,7 @@
 func relayedMachine(t *testing.T) (*Machine, string) {
 	t.Helper()
 	for _, g := range zone(10) {
-		m := New(g, 2)
+		m := New(g, 2, maxAge)
 		m.SetMembers("z", zone(10))
 		if !m.IsChosen() {
 			return m, m.Tick(0)[0]
@@ -95,11 +98,11 @@
 // still asked.
 func TestFollowersAreAskedTwiceASecond(t *testing.T) {
 	m, follower := relayedMachine(t)
-	assert.Equal(t, len(m.Tick(askInterval-1)), 0)
-	assert.Equal(t, len(m.Tick(askInterval)), 2)
+	assert.Equal(t, len(m.Tick(maxAskInterval-1)), 0)
+	assert.Equal(t, len(m.Tick(maxAskInterval)), 2)
 	left := slices.DeleteFunc(zone(10), func(g string) bool { return g == follower })
 	m.SetMembers("z", left)
-	assert.Assert(t, !slices.Contains(m.Tick(2*askInterval), follower))
+	assert.Assert(t, !slices.Contains(m.Tick(2*maxAskInterval), follower))
 	m.Answered(time.Hour, follower, true, 0)
 	assert.Assert(t, !m.Relayed(time.Hour, false))
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -27,6 +27,11 @@
 	// PerZone is how many gateways of an availability zone do, and pass changes on to its
 	// others; 0 for all.
 	PerZone int `json:"perZone"`
+	// MaxServerAge and MaxConfigAge are for how long the gateway's copies of the servers and of
+	// the configuration may lack a change that the platform has acknowledged, while the gateway
+	// reaches the platform.
+	MaxServerAge Duration `json:"maxServerAge"`
+	MaxConfigAge Duration `json:"maxConfigAge"`
 }
 
 // Quota holds the settings of organisations' quotas.
@@ -96,9 +101,10 @@
 			IdleTimeout:    Duration(15 * time.Second),
 			WriteTimeout:   Duration(10 * time.Second),
 		},
-		Budget: Budget{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
-		Stages: Stages{LeaseTerm: Duration(4 * time.Second)},
-		Quota:  Quota{Window: Duration(10 * time.Second)},
+		Budget:    Budget{Ratio: 0.2, Slack: 50, Window: Duration(10 * time.Second)},
+		Stages:    Stages{LeaseTerm: Duration(4 * time.Second)},
+		Quota:     Quota{Window: Duration(10 * time.Second)},
+		Following: Following{MaxServerAge: Duration(2 * time.Second), MaxConfigAge: Duration(2 * time.Second)},
 	}
 	g.StopWithin = Duration(7500 * time.Millisecond)
 	return g
@@ -127,6 +133,12 @@
 	return g, nil
 }
 
+// Bounds of Following.MaxServerAge and Following.MaxConfigAge.
+const (
+	MinCopyAge = minTick
+	MaxCopyAge = maxWait
+)
+
 // maxFollowersPerZone is far above what is of use.
 const maxFollowersPerZone = 100
 
@@ -159,6 +171,8 @@
 	strictjson.Range(d, "quota.slack", g.Quota.Slack, 0, maxQuotaSlack)
 	duration(d, "quota.window", g.Quota.Window, minTerm, maxWait)
 	strictjson.Range(d, "following.perZone", g.Following.PerZone, 0, maxFollowersPerZone)
+	duration(d, "following.maxServerAge", g.Following.MaxServerAge, MinCopyAge, MaxCopyAge)
+	duration(d, "following.maxConfigAge", g.Following.MaxConfigAge, MinCopyAge, MaxCopyAge)
 	if g.Keys.Expiry != 0 {
 		duration(d, "keys.expiry", g.Keys.Expiry, minTerm, maxWait)
 	}
