A watch isn't begun once a poll has failed

A poll that fails ends the watch that Run holds, so that Run looks for the recovery. A watch that Run was about to begin at that moment was missed, and hung to its end: found by reading, not seen. Run now begins none while calls fail.

A poll that stands for one where the store has none (a short watch) is repeated as well, as the context of the call tells that it wasn't answered in time, and not a time that is read apart from it.

--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	c := f.poll(ctx, after, pollTimeout)
-	if !c.answered() && ctx.Err() == nil && time.Since(c.startedAt) >= pollTimeout {
+	if c.timedOut {
 		// The connection may have gone silent, and that of the watch with it.
 		f.interruptWatch()
 		c = f.poll(ctx, after, pollRetryTimeout)
@@ -122,6 +122,7 @@
 	c := newCall()
 	c.after = after
 	c.page.Listing, c.err = poller.Poll(ctx, f.opts.Kind, after)
+	c.setTimedOut(ctx)
 	return c
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,7 +3,8 @@
 // lists it again when the platform has compacted the history in between.
 //
 // A copy is at most as old as the last answer to a watch, plus the time until a
-// hung watch is detected (Options.Wait) and one call's timeout.
+// hung watch is detected (Options.Wait) and one call's timeout. Poll makes it younger, and finds
+// that a connection went silent sooner.
 package follow
 
 import (
@@ -124,8 +125,8 @@
 	after  uint64
 	page   platform.Page
 	err    error
-	// interrupted: the call was ended before its answer was expected.
-	interrupted bool
+	// timedOut: there was no answer within the call's timeout. interrupted: the call was ended before.
+	timedOut, interrupted bool
 }
 
 func newCall() call { return call{startedAt: time.Now(), bootAt: boottime.Now()} }
@@ -134,6 +135,11 @@
 // the history.
 func (c call) answered() bool { return c.err == nil || errors.Is(c.err, platform.ErrCompacted) }
 
+// setTimedOut is called behind a call with a context that has its timeout.
+func (c *call) setTimedOut(ctx context.Context) {
+	c.timedOut = !c.answered() && errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // New returns a follower; Run starts it.
 func New(o Options) *Follower {
 	if o.Availability == nil {
@@ -201,17 +207,30 @@
 func (f *Follower) holdWatch(ctx context.Context, revision uint64) call {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f.setEndWatch(cancel)
-	defer f.setEndWatch(nil)
+	if !f.beginWatch(cancel) {
+		return call{interrupted: true}
+	}
+	defer f.endedWatch()
 	c := f.watch(ctx, revision, f.opts.Wait)
 	c.interrupted = ctx.Err() != nil
 	return c
 }
 
-func (f *Follower) setEndWatch(end context.CancelFunc) {
+// beginWatch reports whether a watch may be held: not if calls fail by now.
+func (f *Follower) beginWatch(end context.CancelFunc) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.failingSince.IsZero() {
+		return false
+	}
 	f.endWatch = end
+	return true
+}
+
+func (f *Follower) endedWatch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endWatch = nil
 }
 
 // interruptWatch makes Run call the platform anew: the watch that it holds may never be answered.
@@ -231,6 +250,7 @@
 	c := newCall()
 	c.after = revision
 	c.page.Listing, c.err = f.opts.Store.Watch(ctx, f.opts.Kind, revision)
+	c.setTimedOut(ctx)
 	return c
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -13,8 +13,7 @@
 	"jayford.example/jayford/internal/platform"
 )
 
-// watchTimeout bounds one watch. A dead connection is detected within it and one
-// call's timeout, well before a draining server stops accepting work.
+// watchTimeout bounds one watch. Polls bound the age of copies in the meantime.
 const watchTimeout = 4 * time.Second
 
 // keyWatchFraction is the longest duration of a watch of the configuration as a fraction
