Draws for polls count the ticks that are made

Where servers and configuration have different bounds, ticks come as often as the lesser one needs, and the other kind drew for polls more often than its rate says: found by reading. The draw takes the interval of the ticks. Equal bounds, as on all deployments of our users, draw as before.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -64,11 +64,12 @@
 type confirmations struct {
 	log *logrus.Entry
 	// expiry is Options.KeyExpiry, perZone is Options.FollowersPerZone, now reads the boot time.
-	expiry                     time.Duration
+	expiry  time.Duration
+	perZone int
+	zone    string
+	now     func() time.Duration
+	// Options.MaxServerAge and Options.MaxConfigAge, or the default.
 	maxServerAge, maxConfigAge time.Duration
-	perZone                    int
-	zone                       string
-	now                        func() time.Duration
 
 	mu sync.Mutex
 	// All below is guarded by mu. rely and followers are set by run.
@@ -94,8 +95,8 @@
 // members are the gateways to exchange what the store holds with.
 type members struct {
 	readAt time.Duration
-	// zone has the gateways of this one's zone, itself among them, all all others, and
-	// followers those others that follow the store.
+	// zone has the gateways of this one's zone, itself among them. all has all others of the
+	// fleet, and followers those of them that follow the store.
 	zone, all, followers []string
 }
 
@@ -190,7 +191,7 @@
 	c.mu.Lock()
 	c.rely, c.followers = s.rely, followers
 	if c.perZone > 0 {
-		// The copies would be polled for at that age.
+		// At that age this gateway would poll the store itself.
 		c.relay = relay.New(c.sharing.Self, c.perZone, min(c.maxServerAge, c.maxConfigAge)/2)
 	}
 	interval := c.machine.TickInterval()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,7 +39,7 @@
 	relayed := c.relay.Relayed(now, failing)
 	if relayed != c.relayed {
 		c.log.WithFields(logrus.Fields{
-			"relayed": relayed, "follower": c.relay.IsChosen(), "serversAge": c.ageLocked(c.sources.ServerKind).String(),
+			"relayed": relayed, "follower": c.relay.IsChosen(), "serversAge": c.ageLocked(c.sources.ServerKind).Round(time.Millisecond).String(),
 		}).Info("gateway: who follows the store changed.")
 	}
 	c.relayed = relayed
--- a/internal/policy/confirm/ages.go
+++ b/internal/policy/confirm/ages.go
@@ -18,7 +18,7 @@
 	Lead time.Duration
 	// OwnPoll is the age from which a gateway polls the store in any case.
 	OwnPoll time.Duration
-	// Tick is the longest time between two calls of Machine.Tick.
+	// Tick is the longest time between two calls of Machine.Tick that these ages allow.
 	Tick time.Duration
 }
 
@@ -67,16 +67,16 @@
 	return a
 }
 
-// takesTurn reports whether a gateway polls whose confirmation has an age. leads: it polled
-// last. draw is drawn evenly from 0 up to the number of gateways that poll in turn.
-func (a *Ages) takesTurn(age time.Duration, leads bool, draw float64) bool {
+// takesTurn reports whether a gateway polls in a tick, whose confirmation has an age. leads: it
+// polled last. draw is drawn evenly from 0 up to the number of gateways that poll in turn.
+func (a *Ages) takesTurn(age, tick time.Duration, leads bool, draw float64) bool {
 	if leads && a.Lead > 0 && age > a.Lead {
 		return true
 	}
 	if age <= a.Turn {
 		return false
 	}
-	polls := a.TurnRate * a.Tick.Seconds()
+	polls := a.TurnRate * tick.Seconds()
 	if a.TurnDoubling > 0 {
 		polls *= math.Exp2(float64((age - a.Turn) / a.TurnDoubling))
 	}
--- a/internal/policy/confirm/machine.go
+++ b/internal/policy/confirm/machine.go
@@ -225,12 +225,13 @@
 	if m.pollers > 0 {
 		pollers = m.pollers
 	}
+	tick := m.TickInterval()
 	for kind, s := range m.kinds {
 		if s.ages == nil {
 			continue
 		}
 		age := s.age(now)
-		if age > s.ages.OwnPoll || m.polling && s.ages.takesTurn(age, s.leads, m.random.Float64()*float64(pollers)) {
+		if age > s.ages.OwnPoll || m.polling && s.ages.takesTurn(age, tick, s.leads, m.random.Float64()*float64(pollers)) {
 			m.polls[kind] = true
 			s.leads = true
 		}
