A poll that fails says nothing, and is followed by a pause

Logs of each poll show gateways polling with each tick of an outage until their watches end.

Only a poll whose repetition on a new connection is answered ends the watch: that shows that the watch's connection may be silent, while the store is in reach. Without an answer the watch goes on, as its timeout tells of an outage.

--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/wait"
 )
 
 const (
@@ -13,6 +14,8 @@
 	// slow store may need.
 	pollTimeout      = 400 * time.Millisecond
 	pollRetryTimeout = time.Second
+	// maxPollPause bounds the pause after polls that failed. It doubles from retryDelay.
+	maxPollPause = time.Second
 	// shortWatchTimeout bounds the watch that stands for a poll, where the store has none: it
 	// is held for half of that.
 	shortWatchTimeout = 300 * time.Millisecond
@@ -69,8 +72,9 @@
 }
 
 // Poll asks the store once whether there are changes behind the copy, beside the watch that
-// Run holds. It does nothing before the first listing, while calls fail, and during another
-// poll, and reports whether it asked. If it isn't answered, calls count as failing.
+// Run holds. It does nothing before the first listing, while calls fail, during another poll and
+// for a while after polls that failed, and reports whether it asked. A poll that isn't answered is
+// repeated once, on a new connection. Its failure says nothing, as that of a watch does.
 func (f *Follower) Poll(ctx context.Context) bool {
 	after, ok := f.beginPoll()
 	if !ok {
@@ -78,19 +82,16 @@
 	}
 	c := f.poll(ctx, after, pollTimeout)
 	if c.timedOut {
-		// The connection may have gone silent, and that of the watch with it.
-		f.interruptWatch()
 		c = f.poll(ctx, after, pollRetryTimeout)
-	}
-	if !c.answered() && ctx.Err() == nil {
-		f.opts.Availability.failed(time.Now())
-		f.failed(c.err)
-		// Run detects the recovery, which it can't while its watch hangs.
-		f.interruptWatch()
+		if c.answered() {
+			// The first connection was silent, and the watch's may be, too.
+			f.interruptWatch()
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.polling = false
+	f.pauseLocked(!c.answered())
 	switch {
 	case c.err == nil && f.listed:
 		f.applyChangesLocked(c)
@@ -105,13 +106,24 @@
 func (f *Follower) beginPoll() (after uint64, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || f.polling || !f.failingSince.IsZero() {
+	if !f.listed || f.polling || !f.failingSince.IsZero() || time.Now().Before(f.pollAfter) {
 		return 0, false
 	}
 	f.polling = true
 	return f.copy.Position, true
 }
 
+// pauseLocked sets when the next poll may begin: polls come with each tick of a caller, and at all
+// processes in an outage.
+func (f *Follower) pauseLocked(failed bool) {
+	if !failed {
+		f.pollPause, f.pollAfter = 0, time.Time{}
+		return
+	}
+	f.pollPause = min(maxPollPause, max(retryDelay, 2*f.pollPause))
+	f.pollAfter = time.Now().Add(wait.Jittered(f.pollPause))
+}
+
 func (f *Follower) poll(ctx context.Context, after uint64, timeout time.Duration) call {
 	poller, ok := f.opts.Store.(platform.Poller)
 	if !ok {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -87,6 +87,10 @@
 	// passed to Apply yet. All are guarded by mu, as are calls of Apply, Applied and Confirmed.
 	copy            Copy
 	listed, polling bool
+	// pollPause is the pause after the last poll, 0 if it was answered, and pollAfter its end.
+	// Both are guarded by mu.
+	pollPause time.Duration
+	pollAfter time.Time
 	// relayed is set while others pass changes on, guarded by mu.
 	relayed       bool
 	failingSince  time.Time
@@ -207,41 +211,26 @@
 func (f *Follower) holdWatch(ctx context.Context, revision uint64) call {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !f.beginWatch(cancel) {
-		return call{interrupted: true}
-	}
-	defer f.endedWatch()
+	f.setEndWatch(cancel)
+	defer f.setEndWatch(nil)
 	c := f.watch(ctx, revision, f.opts.Wait)
 	c.interrupted = ctx.Err() != nil
 	return c
 }
 
-// beginWatch reports whether a watch may be held: not if calls fail by now.
-func (f *Follower) beginWatch(end context.CancelFunc) bool {
+func (f *Follower) setEndWatch(end context.CancelFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.failingSince.IsZero() {
-		return false
-	}
 	f.endWatch = end
-	return true
-}
-
-func (f *Follower) endedWatch() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endWatch = nil
 }
 
-// interruptWatch makes Run call the platform anew: the watch that it holds may never be answered.
+// interruptWatch makes Run hold its watch anew: the one that it holds may never be answered.
 func (f *Follower) interruptWatch() {
 	f.mu.Lock()
-	end := f.endWatch
-	f.mu.Unlock()
-	if end != nil {
-		end()
+	defer f.mu.Unlock()
+	if f.endWatch != nil {
+		f.endWatch()
 	}
-	f.signal()
 }
 
 func (f *Follower) watch(ctx context.Context, revision uint64, timeout time.Duration) call {
