One gateway polls for the fleet also while servers change

Besides, others took their turn one tick after the poll that they should have heard of.

Change: a gateway leads while its confirmation is by a call of its own, of whatever kind, and so the latest one that it knows of. Those that lead ask more of the others, and poll a tick sooner half of the time, so that of two side by side one hears of the other. The ages lie between ticks: 3 or 4 ticks for the one that leads, 7 for turns, 8 to ask all, 9 to poll in any case. A gateway that knows no other takes no turns.

--- a/internal/policy/confirm/ages.go
+++ b/internal/policy/confirm/ages.go
@@ -14,7 +14,8 @@
 	// second. If TurnDoubling is set, the rate doubles with each TurnDoubling beyond Turn.
 	Turn, TurnDoubling time.Duration
 	TurnRate           float64
-	// Lead, if set, is the age from which a gateway polls that polled last, as far as it knows.
+	// Lead, if set, is the age from which a gateway polls whose own call to the store is the latest that
+	// it knows of.
 	Lead time.Duration
 	// OwnPoll is the age from which a gateway polls the store in any case.
 	OwnPoll time.Duration
@@ -49,14 +50,13 @@
 // that polled last goes on, and others take over if its polls stop. They are few, as the rate of
 // turns begins low, and hear of each other's polls before it is high.
 //
-// Half of the bound is left for a poll of the gateway's own: a tick, a call that isn't answered,
-// and the next one.
+// A tick is a sixteenth of the bound, and the ages lie between two ticks. Seven of sixteen are left for
+// a poll of the gateway's own: a tick's delay, a call that isn't answered, and the next one.
 func ForStaleness(bound time.Duration) Ages {
 	tick := min(maxTick, max(minTick, bound/16))
 	return Ages{
-		PollerAsk: bound / 8, Lead: bound * 3 / 16,
-		Turn: bound*3/16 + 2*tick, TurnDoubling: tick, TurnRate: 1 / tick.Seconds(),
-		Ask: bound * 7 / 16, Stale: bound * 7 / 16, OwnPoll: bound / 2, Tick: tick,
+		PollerAsk: bound * 5 / 32, Lead: bound * 7 / 32, Turn: bound * 13 / 32, TurnDoubling: tick, TurnRate: 1 / tick.Seconds(),
+		Ask: bound * 15 / 32, Stale: bound * 15 / 32, OwnPoll: bound * 17 / 32, Tick: tick,
 	}
 }
 
@@ -67,11 +67,13 @@
 	return a
 }
 
-// takesTurn reports whether a gateway polls in a tick, whose confirmation has an age. leads: it
-// polled last. draw is drawn evenly from 0 up to the number of gateways that poll in turn.
-func (a *Ages) takesTurn(age, tick time.Duration, leads bool, draw float64) bool {
-	if leads && a.Lead > 0 && age > a.Lead {
-		return true
+// takesTurn reports whether a gateway polls in a tick, whose confirmation has an age. leads: it is
+// by the gateway's own call. draw is drawn evenly from 0 up to 1, and pollers is how many gateways
+// poll in turn.
+func (a *Ages) takesTurn(age, tick time.Duration, leads bool, draw float64, pollers int) bool {
+	if leads && a.Lead > 0 {
+		// Some polls come a tick sooner: of two gateways that lead, one hears of the other's then.
+		return age > a.Lead || age > a.Lead-tick && draw < 0.5
 	}
 	if age <= a.Turn {
 		return false
@@ -80,5 +82,5 @@
 	if a.TurnDoubling > 0 {
 		polls *= math.Exp2(float64((age - a.Turn) / a.TurnDoubling))
 	}
-	return draw < polls
+	return draw*float64(pollers) < polls
 }
--- a/internal/policy/confirm/machine.go
+++ b/internal/policy/confirm/machine.go
@@ -65,8 +65,8 @@
 	// at is the moment as of which the copy lacks no change, if confirmed is set.
 	at        time.Duration
 	confirmed bool
-	// leads: this gateway polled last, as far as it knows. Otherwise source is the peer whose
-	// answer last made the confirmation fresher, "" for none.
+	// leads: the confirmation is by a call of this gateway, and so the freshest one that it knows of.
+	// Otherwise source is the peer whose answer last made it fresher, "" for none.
 	leads  bool
 	source string
 	// newer is the highest revision that a peer's copy has, and behind is set while the
@@ -160,7 +160,7 @@
 func (m *Machine) Confirmed(kind string, at time.Duration) {
 	s := m.state(kind)
 	if !s.confirmed || at > s.at {
-		s.at, s.confirmed = at, true
+		s.at, s.confirmed, s.leads = at, true, true
 	}
 }
 
@@ -201,6 +201,9 @@
 		case s.ages == nil:
 		case age > s.ages.Stale:
 			peers, n = all, askCountStale
+		case m.polling && s.leads && s.ages.Lead > 0 && age > s.ages.PollerAsk:
+			// Of several gateways that lead all but one give way.
+			n = askCountStale
 		case age > s.ages.Ask, m.polling && age > s.ages.PollerAsk:
 			n = max(n, askCount)
 			if s.source != "" && !slices.Contains(sources, s.source) && slices.Contains(near, s.source) {
@@ -231,9 +234,10 @@
 			continue
 		}
 		age := s.age(now)
-		if age > s.ages.OwnPoll || m.polling && s.ages.takesTurn(age, tick, s.leads, m.random.Float64()*float64(pollers)) {
+		// A gateway that knows no other spares nobody a call by polling sooner than it must.
+		takesTurns := m.polling && (peers > 0 || s.ages.Lead == 0)
+		if age > s.ages.OwnPoll || takesTurns && s.ages.takesTurn(age, tick, s.leads, m.random.Float64(), pollers) {
 			m.polls[kind] = true
-			s.leads = true
 		}
 	}
 }
