--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	connectedAt time.Time
 	// unresponsive servers don't answer reservation requests.
 	unresponsive map[string]bool
+	// hangs: requests that are sent get no answer.
+	hangs atomic.Bool
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -49,10 +52,14 @@
 	call   Call
 }
 
-func (f *fakeBackend) Send(_ context.Context, s catalog.Server, c Call) (*Answer, *verdict.Error) {
+func (f *fakeBackend) Send(ctx context.Context, s catalog.Server, c Call) (*Answer, *verdict.Error) {
 	f.mu.Lock()
 	f.sent = append(f.sent, sending{s.ID, c})
 	f.mu.Unlock()
+	if f.hangs.Load() {
+		<-ctx.Done()
+		return nil, lost()
+	}
 	began := time.Now()
 	a, err := f.send(s, c)
 	f.answered(s, began, err)
