Times belong to an attempt, no longer to its request

A request keeps the times of its last attempt only.

Change: type attempt has when it was sent, when its first event came and whether it was recorded to run well. A prefill server that is lost while a stream is resumed is no longer taken for one that had written events: its loss had the time of the decode attempt before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -132,14 +132,15 @@
 	if err != nil {
 		end()
 		if isLoss(ctx, err) {
-			g.recordLoss(j, s, j.sentAt, err)
+			g.recordLoss(j, s, j.last, err)
 		}
 		return nil, err
 	}
-	observe(callSeconds, j.sentAt)
+	observe(callSeconds, j.last.sentAt)
 	g.crashes.endTrial(j, true)
 	g.view.recordOutcome(s, doubt.Success)
-	reply.Body = &endHookBody{ReadCloser: reply.Body, left: reply.Length, onEnd: func(err error) { g.replyEnded(ctx, j, s, reply, err) }}
+	last := j.last
+	reply.Body = &endHookBody{ReadCloser: reply.Body, left: reply.Length, onEnd: func(err error) { g.replyEnded(ctx, j, s, last, reply, err) }}
 	reply.Body = &closeHookBody{ReadCloser: reply.Body, onClose: end}
 	return reply, nil
 }
@@ -150,7 +151,7 @@
 		return nil, stoppingError()
 	}
 	j.sends++
-	j.sentAt = time.Now()
+	j.last = &attempt{sentAt: time.Now()}
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
 	g.countRun(j, err)
@@ -165,15 +166,15 @@
 }
 
 // replyEnded records how the body of a server's reply ended.
-func (g *Gateway) replyEnded(ctx context.Context, j *job, s catalog.Server, r *Reply, err error) {
+func (g *Gateway) replyEnded(ctx context.Context, j *job, s catalog.Server, a *attempt, r *Reply, err error) {
 	switch {
 	case errors.Is(err, io.EOF):
 		if r.Status < http.StatusInternalServerError {
-			g.crashes.recordRun(j)
+			g.crashes.recordRun(j, a)
 			g.crashes.recordSuccess(j.fingerprint)
 		}
 	case ctx.Err() == nil && !isWrongAnswer(err):
-		g.recordLoss(j, s, j.sentAt, err)
+		g.recordLoss(j, s, a, err)
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -252,22 +252,22 @@
 	return false
 }
 
-// recordLoss records that the server was lost while it ran the job's request, which it
-// was sent at began, and reports it to the peers.
-func (g *Gateway) recordLoss(j *job, s catalog.Server, began time.Time, cause error) {
+// recordLoss records that the server was lost under an attempt of the job's request, and reports it
+// to the peers.
+func (g *Gateway) recordLoss(j *job, s catalog.Server, a *attempt, cause error) {
 	x := blame.Loss{
 		Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), ID: blame.NewLossID(),
-		Began: began, Lost: time.Now(), Prompt: isPrompt(cause),
+		Began: a.sentAt, Lost: time.Now(), Prompt: isPrompt(cause),
 	}
-	if x.Prompt && j.writingTime(x.Lost) < blame.ProvenTime {
+	if x.Prompt && a.writingTime(x.Lost) < blame.ProvenTime {
 		x.Model, x.Parts = j.model, j.parts
 		g.crashes.name(j)
 	}
-	x.Wrote = j.writingTime(x.Lost) >= blame.ProvenTime
+	x.Wrote = a.writingTime(x.Lost) >= blame.ProvenTime
 	isNew := g.crashes.record(x)
 	g.logRequest(j, "gateway: server lost under a request.", logrus.Fields{
 		"server": serverKey(s), "serverHash": formatHash(x.Server), "fingerprint": formatHash(j.fingerprint), "new": isNew,
-		"ran": milliseconds(x.Lost.Sub(began)), "prompt": x.Prompt, "wrote": milliseconds(j.writingTime(x.Lost)), "parts": j.sharedParts(),
+		"ran": milliseconds(x.Lost.Sub(a.sentAt)), "prompt": x.Prompt, "wrote": milliseconds(a.writingTime(x.Lost)), "parts": j.sharedParts(),
 		"lastPart": j.lastPart(),
 	})
 	if x.Prompt {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -68,7 +68,7 @@
 		Timeout: time.Until(j.until), MaxIdle: maxIdleRepeatable, IsRanked: j.isRanked, Rank: j.rank,
 	}
 	j.sends++
-	j.sentAt, j.wroteAt = time.Now(), time.Time{}
+	j.last = &attempt{sentAt: time.Now()}
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
@@ -87,7 +87,7 @@
 	}
 	p.end()
 	if isLoss(ctx, err) {
-		g.recordLoss(j, p.server, j.sentAt, err)
+		g.recordLoss(j, p.server, j.last, err)
 	}
 	g.logRequest(j, "gateway: decode failed.", logrus.Fields{"server": serverKey(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": result.from.ID})
 	if err.Verdict == verdict.NotRun {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -40,10 +40,8 @@
 	sends, runs int
 	// arrivals has the attempts that reached servers, prefills included.
 	arrivals retry.Arrivals
-	// sentAt is when the last attempt began, wroteAt when its first event came, zero before.
-	sentAt, wroteAt time.Time
-	// provenSend is the number of the attempt that was last recorded to run well.
-	provenSend int
+	// last is the last attempt, nil before the first.
+	last *attempt
 	// prefillState is the progress of the prompt's prefill.
 	prefillState prefill.Attempts
 	// reserveWait is the time from the request's arrival to its reservation.
@@ -58,6 +56,23 @@
 	avoid map[string]bool
 }
 
+// attempt is one sending of a request to a server.
+type attempt struct {
+	// sentAt is when it began, wroteAt when its first event came, zero before.
+	sentAt, wroteAt time.Time
+	// proven: it was recorded to run well.
+	proven bool
+}
+
+// writingTime returns for how long the attempt had written events at a time, 0 if it had
+// written none.
+func (a *attempt) writingTime(at time.Time) time.Duration {
+	if a.wroteAt.IsZero() {
+		return 0
+	}
+	return max(0, at.Sub(a.wroteAt))
+}
+
 // logRequest logs a decision about a request, with its inputs as fields.
 func (g *Gateway) logRequest(j *job, msg string, fields logrus.Fields) {
 	all := logrus.Fields{
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -112,27 +112,18 @@
 	return j.r.Generation.LastPart
 }
 
-// writingTime returns for how long the last attempt had written events at a time, 0 if it had
-// written none.
-func (j *job) writingTime(at time.Time) time.Duration {
-	if j.wroteAt.IsZero() {
-		return 0
-	}
-	return max(0, at.Sub(j.wroteAt))
-}
-
-// recordRun records that the last attempt has written events for a while, or is complete, which
+// recordRun records that an attempt has written events for a while, or is complete, which
 // clears the parts of its prompt. It does so once an attempt.
-func (c *crashes) recordRun(j *job) {
-	if j.provenSend == j.sends {
+func (c *crashes) recordRun(j *job, a *attempt) {
+	if a.proven {
 		return
 	}
-	j.provenSend = j.sends
+	a.proven = true
 	c.endTrial(j, true)
 	if len(j.parts) == 0 {
 		return
 	}
-	began := j.wroteAt
+	began := a.wroteAt
 	if began.IsZero() {
 		began = time.Now()
 	}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -30,9 +30,9 @@
 func losePrompts(g *Gateway, ids ...string) {
 	j := &job{r: prompt(0, ids...)}
 	j.setSuspects()
-	sound := &job{r: prompt(0, "ff"), sends: 1}
+	sound := &job{r: prompt(0, "ff")}
 	sound.setSuspects()
-	g.crashes.recordRun(sound)
+	g.crashes.recordRun(sound, &attempt{})
 	for i := range uint64(3) {
 		lost := time.Now().Add(-time.Duration(10-i) * time.Second)
 		g.RecordPeerLoss(blame.Loss{
@@ -109,10 +109,11 @@
 			g := newGateway(t, &fakeBackend{})
 			j, err := g.plan(prompt(1, "a1"))
 			assert.Assert(t, err == nil)
+			a := &attempt{sentAt: time.Now().Add(-time.Second)}
 			if c.wrote > 0 {
-				j.wroteAt = time.Now().Add(-c.wrote)
+				a.wroteAt = time.Now().Add(-c.wrote)
 			}
-			g.recordLoss(j, testServers()[3], time.Now().Add(-time.Second), c.cause)
+			g.recordLoss(j, testServers()[3], a, c.cause)
 			assert.Equal(t, len(g.crashes.ledger.PartRecords()), c.want)
 		})
 	}
@@ -166,9 +167,9 @@
 		assert.Equal(t, err.Code, verdict.Crashes)
 	}
 	refuse()
-	sound := &job{r: prompt(0, "a1"), sends: 1}
+	sound := &job{r: prompt(0, "a1")}
 	sound.setSuspects()
-	g.crashes.recordRun(sound)
+	g.crashes.recordRun(sound, &attempt{})
 	refuse()
 	assert.Equal(t, len(told), 2)
 	assert.Assert(t, told[0] != told[1])
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -118,7 +118,7 @@
 	countSending("prefill", err)
 	if err != nil {
 		if isLoss(ctx, err) {
-			g.recordLoss(j, s, began, err)
+			g.recordLoss(j, s, &attempt{sentAt: began}, err)
 		}
 		g.prefillFailed(ctx, j, s, err)
 		g.logRequest(j, "gateway: prefill failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(took)})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -104,7 +104,7 @@
 		s.ended = true
 		s.g.logRequest(s.j, "gateway: stream ended.", s.fields())
 		s.g.view.recordOutcome(s.reservation.server, doubt.Success)
-		s.g.crashes.recordRun(s.j)
+		s.g.crashes.recordRun(s.j, s.j.last)
 		s.g.crashes.recordSuccess(s.j.fingerprint)
 		s.reservation.completed()
 		s.g.queues.recordOutput(s.reservation.key, s.reservation.outputPace())
@@ -151,11 +151,11 @@
 func (s *stream) observe() {
 	s.j.progress.countEvent()
 	now := time.Now()
-	if s.j.wroteAt.IsZero() {
-		s.j.wroteAt = now
+	if a := s.j.last; a.wroteAt.IsZero() {
+		a.wroteAt = now
 	}
-	if s.j.writingTime(now) >= blame.ProvenTime {
-		s.g.crashes.recordRun(s.j)
+	if s.j.last.writingTime(now) >= blame.ProvenTime {
+		s.g.crashes.recordRun(s.j, s.j.last)
 	}
 	step := eventTokens(s.j.service.Engine)
 	written := eventNumber(s.lastID) * step
@@ -261,7 +261,7 @@
 	s.g.recordFailure(s.ctx, s.reservation.server, verdict.New(verdict.Ran, code, "The stream was interrupted."))
 	s.j.avoid[serverKey(s.reservation.server)] = true
 	if !isWrongAnswer(cause) {
-		s.g.recordLoss(s.j, s.reservation.server, s.j.sentAt, cause)
+		s.g.recordLoss(s.j, s.reservation.server, s.j.last, cause)
 	}
 	brokenStreams.Inc()
 	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -85,9 +85,9 @@
 		if err.Code == verdict.Crashes {
 			refused++
 		}
-		sound := &job{r: prompt(100+n, fmt.Sprint("a", n%3)), sends: 1}
+		sound := &job{r: prompt(100+n, fmt.Sprint("a", n%3))}
 		sound.setSuspects()
-		g.crashes.recordRun(sound)
+		g.crashes.recordRun(sound, &attempt{})
 	}
 	assert.Assert(t, refused > 0)
 	assert.Assert(t, len(f.sends()) <= 2*blame.DefaultCrashes, "%d attempts", len(f.sends()))
