A request in progress may run at several servers

A stop gives up on requests that no server runs. What goes on for a request was one state: looking for another place for a stream replaced the server that still runs it, and the stop would end it.

Change: progress has the servers that run the request, and beside them the one that prefills its prompt. A stop ends the request once none runs it. The log line of an aborted request names all of them.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,7 +35,6 @@
 	var kept *Reply
 	var last *verdict.Error
 	for {
-		j.progress.wait()
 		if err := g.recheck(ctx, j); err != nil {
 			last = err
 			break
@@ -62,6 +61,7 @@
 		if err == nil && reply.Status < http.StatusInternalServerError || !g.mayRetry(ctx, j, ran) {
 			break
 		}
+		j.progress.leave(serverKey(s))
 	}
 	if kept != nil {
 		return kept, nil
@@ -131,6 +131,7 @@
 	reply, err := g.sendCall(ctx, j, s, c)
 	if err != nil {
 		end()
+		j.progress.leave(serverKey(s))
 		if isLoss(ctx, err) {
 			g.recordLoss(j, s, j.last, err)
 		}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -20,7 +20,6 @@
 	g.prompts.count(time.Now(), j.r.Generation.Prompt)
 	var last *verdict.Error
 	for {
-		j.progress.wait()
 		if err := g.recheck(ctx, j); err != nil {
 			return nil, err
 		}
@@ -95,7 +94,7 @@
 		g.releaseAsync(p, result)
 	}
 	g.recordFailure(ctx, p.server, err)
-	j.progress.wait()
+	j.progress.leave(serverKey(p.server))
 	return nil, err
 }
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,14 +30,15 @@
 	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
-	// All below is guarded by mu. server is the key of the server that works on the request, ""
-	// if it waits; events counts the events that were passed on to the caller, the last one at
-	// lastEventAt. ending: the request is given up on unless a server runs it.
-	activity    activity
-	server      string
-	events      int
-	lastEventAt time.Time
-	ending      bool
+	// All below is guarded by mu. runningAt has the keys of the servers that run the request,
+	// prefillingAt that of the one that prefills its prompt, "" if none does; events counts the
+	// events that were passed on to the caller, the last one at lastEventAt. ending: the request is
+	// given up on unless a server runs it.
+	runningAt    []string
+	prefillingAt string
+	events       int
+	lastEventAt  time.Time
+	ending       bool
 }
 
 // errStopped is the cause of the context of a request that a graceful stop has given up on.
@@ -49,34 +52,48 @@
 	if p.ending {
 		return false
 	}
-	p.activity, p.server = running, server
+	p.runningAt = append(p.runningAt, server)
 	return true
 }
 
-// wait records that no server runs the request.
-func (p *progress) wait() { p.setIdle(waiting, "") }
-
-// prefill records that a server prefills the request's prompt, which doesn't run it yet.
-func (p *progress) prefill(server string) { p.setIdle(prefilling, server) }
+// leave records that a server no longer runs the request.
+func (p *progress) leave(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runningAt = slices.DeleteFunc(p.runningAt, func(s string) bool { return s == server })
+	p.endIdleLocked()
+}
 
-func (p *progress) setIdle(a activity, server string) {
+// prefill records that a server prefills the request's prompt, which doesn't run it yet, or with ""
+// that none does.
+func (p *progress) prefill(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.activity, p.server = a, server
-	if p.ending {
+	p.prefillingAt = server
+	p.endIdleLocked()
+}
+
+// endIdleLocked ends the request's context if the request is given up on and no server runs it.
+func (p *progress) endIdleLocked() {
+	if p.ending && len(p.runningAt) == 0 {
 		p.cancel(errStopped)
 	}
 }
 
+// isEnding reports whether the request may be sent to no further server.
+func (p *progress) isEnding() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ending
+}
+
 // giveUpWaiting ends the request's context unless a server runs it; in that case it ends as soon
 // as none does.
 func (p *progress) giveUpWaiting() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ending = true
-	if p.activity != running {
-		p.cancel(errStopped)
-	}
+	p.endIdleLocked()
 }
 
 // countEvent records that an event is passed on to the caller.
@@ -95,7 +112,13 @@
 	defer p.mu.Unlock()
 	out := logrus.Fields{
 		"request": p.id, "age": milliseconds(now.Sub(p.arrived)), "sinceStop": milliseconds(p.arrived.Sub(stopped)),
-		"activity": string(p.activity), "server": p.server, "events": p.events,
+		"activity": string(waiting), "server": p.prefillingAt, "events": p.events,
+	}
+	switch {
+	case len(p.runningAt) > 0:
+		out["activity"], out["server"] = string(running), strings.Join(p.runningAt, " ")
+	case p.prefillingAt != "":
+		out["activity"] = string(prefilling)
 	}
 	if !p.lastEventAt.IsZero() {
 		out["sinceEvent"] = milliseconds(now.Sub(p.lastEventAt))
@@ -114,7 +137,7 @@
 // begin accepts a request, or returns nil once close has been called: after it, only requests
 // that are counted can be in progress. cancel ends the request's context.
 func (f *inFlight) begin(r *Request, cancel context.CancelCauseFunc) *progress {
-	p := &progress{id: r.ID, arrived: r.Arrived, cancel: cancel, activity: waiting}
+	p := &progress{id: r.ID, arrived: r.Arrived, cancel: cancel}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -107,7 +107,7 @@
 	end := g.loads.begin(s, tokens)
 	defer end()
 	j.progress.prefill(serverKey(s))
-	defer j.progress.wait()
+	defer j.progress.prefill("")
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -250,7 +250,7 @@
 func (s *stream) resume(cause error) error {
 	_ = s.answer.Body.Close()
 	s.reservation.end()
-	s.j.progress.wait()
+	s.j.progress.leave(serverKey(s.reservation.server))
 	if s.ctx.Err() != nil {
 		return context.Cause(s.ctx)
 	}
