A server's silence ends no stream

Cause: a stream without an event for 1.5 s counted as broken. Its gateway closed the connection to the server, which ends the run there, and only then sought another: for 1 s if others were full, not at all if none had the stream's version, its runs were used up or the budget was empty. The answer was cut, or refused before its first event, though the server would have gone on. In a stop such a stream counted as one that no server runs, and was given up on 0.1 s before the end. Class: an irreversible step on a suspicion, before its replacement is there.

Fix: a silent server goes on running its request while another is sought; a goroutine for each server reads its events, and the first that has the next one goes on, the other run is ended. The search waits for room without asking engines that have just refused others, ends at once with an event of the silent server, and takes from the budget only for what is sent. What silence tells others stays; it counts as a loss of the server only where another one goes on. A timer that fires late tells of a process that stood still, not of silent servers.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -252,9 +252,16 @@
 	return false
 }
 
-// recordLoss records that the server was lost under an attempt of the job's request, and reports it
-// to the peers.
+// recordLoss records that the server was lost under an attempt of the job's request, which has ended
+// with it.
 func (g *Gateway) recordLoss(j *job, s catalog.Server, a *attempt, cause error) {
+	g.reportLoss(j, s, a, cause)
+	g.crashes.endTrial(j, false)
+}
+
+// reportLoss records that the server was lost under an attempt of the job's request, and reports it
+// to the peers.
+func (g *Gateway) reportLoss(j *job, s catalog.Server, a *attempt, cause error) {
 	x := blame.Loss{
 		Request: j.fingerprint, Server: gossip.ServerKey(serverKey(s)), ID: blame.NewLossID(),
 		Began: a.sentAt, Lost: time.Now(), Prompt: isPrompt(cause),
@@ -277,7 +284,6 @@
 		g.crashes.report(x)
 		g.judgeLater(x.Request, x.Parts)
 	}
-	g.crashes.endTrial(j, false)
 }
 
 const (
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -18,6 +18,8 @@
 //     whose prompts have a part that does.
 //   - What is read from a server is bounded in bytes and time.
 //   - A stream that has begun goes on only at the software version that began it.
+//   - A server's silence ends no stream: a server runs its request until it has broken off, the
+//     request's deadline has passed, its caller has left, or another server has the next event.
 //
 // All state is in memory and can be lost at any time, except which requests and parts of prompts
 // crash servers: that is part of the gateways' objects in the platform.
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -34,6 +34,9 @@
 // that the request is refused.
 func (g *Gateway) prefill(ctx context.Context, j *job, p reservation, after string) (prefillResult, *verdict.Error) {
 	out, err := g.tryPrefill(ctx, j, p, after)
+	if err == nil && ctx.Err() != nil {
+		err = verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.Cancelled, "Nobody waits for the request any more.")
+	}
 	if err == nil && !g.takeRetries(j, j.arrivals.OwedForRun()) {
 		err = budgetEmptyError()
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -188,9 +188,9 @@
 // passed on. It fixes the version of a stream that begins, and returns an error if one that goes
 // on does so at another: between the choice and now, the server may have started again under its
 // id.
-func (s *stream) admitFirstEvent() error {
+func (s *stream) admitFirstEvent(x *source) error {
 	j := s.j
-	software := s.g.view.softwareOf(s.reservation.server)
+	software := s.g.view.softwareOf(x.server())
 	way := withinAnswer
 	if s.lastEventAt.IsZero() {
 		way = byCaller
--- /dev/null
+++ b/internal/gateway/silence.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"jayford.example/jayford/internal/verdict"
+)
+
+const (
+	// stallTimeout is how long a resumable stream may be silent until another server is sought.
+	// Such a pause already misses the objective; callers disconnect after two seconds or more.
+	stallTimeout = 1500 * time.Millisecond
+	// maxTimerDelay is the delay of a timer from which on this process has stood still itself, and
+	// events may wait at its sockets.
+	maxTimerDelay = 100 * time.Millisecond
+)
+
+var errStalled = errors.New("gateway: stream stalled")
+
+// Ends of a server's silence, in logs and metrics.
+const (
+	silenceOver     = "went-on"
+	silenceReplaced = "replaced"
+	silenceLost     = "lost"
+	silenceLeft     = "left"
+)
+
+// handleSilence is called while no server has sent anything for stallTimeout. A silent server
+// goes on running the request until another one has the next event.
+func (s *stream) handleSilence() {
+	if !s.j.route.Resume {
+		return
+	}
+	for _, x := range s.sources {
+		s.recordSilence(x)
+	}
+	s.seek(s.reserveMeanwhile)
+}
+
+// recordSilence records that a server has sent nothing for stallTimeout.
+func (s *stream) recordSilence(x *source) {
+	since := s.waitingSince
+	if x.attempt.sentAt.After(since) {
+		since = x.attempt.sentAt
+	}
+	if !x.silentSince.IsZero() || time.Since(since) < stallTimeout {
+		return
+	}
+	x.silentSince = since
+	s.j.avoid[x.key()] = true
+	s.g.recordFailure(s.ctx, x.server(), verdict.Wrap(errStalled, verdict.Ran, verdict.Deadline, "The stream was interrupted."))
+	s.g.logRequest(s.j, "gateway: stream stalled.", logrus.Fields{"server": x.key(), "last": s.lastID})
+}
+
+// endSilence records how a server's silence has ended, if it was silent.
+func (s *stream) endSilence(x *source, end string) {
+	if x.silentSince.IsZero() {
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("jayford_gateway_silences_total{end=%q}", end)).Inc()
+	s.g.logRequest(s.j, "gateway: server's silence ended.", logrus.Fields{
+		"server": x.key(), "end": end, "silent": milliseconds(time.Since(x.silentSince)), "last": s.lastID,
+	})
+	x.silentSince = time.Time{}
+}
+
+// goOnWith makes the server that has the next event the only one.
+func (s *stream) goOnWith(x *source) {
+	s.endSilence(x, silenceOver)
+	for _, y := range slices.Clone(s.sources) {
+		if y == x {
+			continue
+		}
+		if !y.silentSince.IsZero() {
+			s.g.reportLoss(s.j, y.server(), y.attempt, errStalled)
+		}
+		s.endSilence(y, silenceReplaced)
+		s.drop(y)
+	}
+	if x == s.current {
+		return
+	}
+	s.current = x
+	resumesTotal.Inc()
+	s.g.logRequest(s.j, "gateway: stream resumed.", logrus.Fields{"server": x.key(), "last": s.lastID})
+}
+
+// reserveMeanwhile waits for a reservation while silent servers may go on. As such a stream isn't
+// in need of another server, it doesn't ask those that have just refused others.
+func (s *stream) reserveMeanwhile(ctx context.Context) (reservation, bool) {
+	g, j := s.g, s.j
+	return g.retryReserve(ctx, j, j.until, lateInterval, func() (reservation, bool) {
+		return g.reserveAtAny(ctx, j, g.sizeReservation(j, eventNumber(s.lastID)), g.loads.isFull)
+	})
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/upstream"
@@ -166,3 +171,246 @@
 		assert.Equal(t, x.logged("gateway: drained.")["end"], "complete")
 	}
 }
+
+// closable records when the body of an answer is closed.
+type closable struct {
+	io.ReadCloser
+	closed *atomic.Bool
+}
+
+func (c closable) Close() error {
+	c.closed.Store(true)
+	return c.ReadCloser.Close()
+}
+
+func closableAnswer(a *Answer, closed *atomic.Bool) *Answer {
+	a.Body = closable{a.Body, closed}
+	return a
+}
+
+// Guards against a stream of two runs, and against a run that goes on at a server whose stream
+// another one has taken over.
+func TestFirstToGoOnHasTheStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		// first and second are how long the servers are silent.
+		first, second time.Duration
+		want          string
+	}{
+		"second": {longSilence, 100 * time.Millisecond, "second"},
+		"first":  {stallTimeout + 200*time.Millisecond, time.Second, "first"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(scriptEnd)
+				var ended [2]atomic.Bool
+				f := &fakeBackend{}
+				f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) {
+					if x.LastEventID == "" {
+						return closableAnswer(silentAfterTwo(c.first), &ended[0]), nil
+					}
+					return closableAnswer(scripted(nil, step{c.second, []string{"3", "4", "5"}}), &ended[1]), nil
+				}
+				g := newGateway(t, f)
+				reply, err := g.Serve(t.Context(), generation("/stream/x"))
+				assert.Assert(t, err == nil, "%v", err)
+				defer reply.discard()
+				buf := make([]byte, 1024)
+				var got []byte
+				for len(got) < len(eventsOf("1", "2", "3")) {
+					n, err := reply.Body.Read(buf)
+					assert.NilError(t, err)
+					got = append(got, buf[:n]...)
+				}
+				assert.Equal(t, len(f.sends()), 2)
+				assert.Equal(t, f.sends()[1].call.LastEventID, "2")
+				assert.Equal(t, ended[0].Load(), c.want == "second")
+				assert.Equal(t, ended[1].Load(), c.want == "first")
+				assert.Equal(t, len(g.loads.own()), 1, "load of the run that was ended")
+				rest, readErr := io.ReadAll(reply.Body)
+				assert.NilError(t, readErr)
+				want := eventsOf("1", "2", "3", "4")
+				if c.want == "second" {
+					want = eventsOf("1", "2", "3", "4", "5")
+				}
+				assert.Equal(t, string(got)+string(rest), want)
+			})
+		})
+	}
+}
+
+// Guards against a retry that is taken from the budget for a second server that wasn't asked, and
+// against a second run, a reservation or a prefill's result that is of no use any more.
+func TestServerThatGoesOnEndsTheSearch(t *testing.T) {
+	for _, prefills := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			defer time.Sleep(scriptEnd)
+			f := &fakeBackend{}
+			f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+				return silentAfterTwo(stallTimeout + 500*time.Millisecond), nil
+			}
+			f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
+				if len(f.sends()) > 0 && !prefills {
+					return "", full()
+				}
+				return "hold", nil
+			}
+			f.prefill = func(catalog.Server) (Prefilled, *verdict.Error) {
+				if len(f.sends()) > 0 {
+					time.Sleep(time.Second)
+				}
+				return Prefilled{Result: "kv", Tokens: 10}, nil
+			}
+			g := newGateway(t, f)
+			c := testConfig()
+			c.Version++
+			for i := range c.Routes {
+				c.Routes[i].MaxEventGap = 300 * time.Millisecond
+			}
+			assert.Assert(t, g.SetConfig(c))
+			reply, err := g.Serve(t.Context(), generation("/stream/x"))
+			assert.Assert(t, err == nil, "%v", err)
+			defer reply.discard()
+			body, readErr := io.ReadAll(reply.Body)
+			assert.NilError(t, readErr)
+			assert.Equal(t, string(body), eventsOf("1", "2", "3", "4"))
+			assert.Equal(t, len(f.sends()), 1)
+			synctest.Wait()
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if prefills {
+				assert.Equal(t, len(f.prefills), 2)
+				assert.DeepEqual(t, f.discarded, []string{"kv"})
+				assert.DeepEqual(t, f.released, []string{"hold"})
+				return
+			}
+			assert.Equal(t, g.budget.window.Usage(modelService).Retries, 0.0)
+		})
+	}
+}
+
+// Guards against many silent streams that ask full engines in turn as long as the silence lasts.
+func TestSilentStreamsAskFullEnginesRarely(t *testing.T) {
+	const streams = 100
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(scriptEnd)
+		f := &fakeBackend{}
+		var sent, asked atomic.Int64
+		f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+			sent.Add(1)
+			return silentAfterTwo(longSilence), nil
+		}
+		f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
+			if sent.Load() < streams {
+				return "hold", nil
+			}
+			asked.Add(1)
+			time.Sleep(2 * time.Millisecond)
+			return "", full()
+		}
+		g := newGateway(t, f)
+		var all sync.WaitGroup
+		for n := range streams {
+			r := generation("/stream/x")
+			r.ID, r.Generation.Prompt, r.Generation.MaxOutput, r.Generation.Hint = fmt.Sprint("s", n), 1, 1, 1
+			all.Go(func() {
+				reply, err := g.Serve(t.Context(), r)
+				assert.Check(t, err == nil, "%v", err)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, reply.Body)
+					reply.discard()
+				}
+			})
+		}
+		all.Wait()
+		rounds := int64((longSilence-stallTimeout)/fullBackoff) + 1
+		t.Logf("%d calls", asked.Load())
+		assert.Assert(t, asked.Load() > 0)
+		assert.Assert(t, asked.Load() < 3*(streams+4*rounds), "%d calls", asked.Load())
+	})
+}
+
+// Guards against a server that is held against its stream, though it went on by itself.
+func TestServerThatGoesOnIsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(scriptEnd)
+		f := &fakeBackend{send: func(catalog.Server, Call) (*Answer, *verdict.Error) { return silentAfterTwo(longSilence), nil }}
+		g := newGateway(t, f)
+		g.SetServers(testServers()[3:4])
+		reply, err := g.Serve(t.Context(), generation("/stream/x"))
+		assert.Assert(t, err == nil, "%v", err)
+		defer reply.discard()
+		_, readErr := io.ReadAll(reply.Body)
+		assert.NilError(t, readErr)
+		assert.Assert(t, g.crashes.ledger.Empty(time.Now()))
+		assert.Assert(t, !g.view.suspects(g.view.list().usable(modelService, catalog.Decode), time.Now())[0])
+	})
+}
+
+// Guards against pieces of two runs that overlap, events that are missing, and streams that are
+// cut though a server that was asked goes on, in drawn orders of silences and breaks.
+func TestDrawnSilencesKeepStreamsWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const events = 6
+		scripts := make([][]time.Duration, 3)
+		breaks := make([]int, len(scripts))
+		for n := range scripts {
+			for range events {
+				ms := rapid.OneOf(rapid.IntRange(0, 50), rapid.IntRange(0, 6000)).Draw(r, "silence")
+				scripts[n] = append(scripts[n], time.Duration(ms)*time.Millisecond)
+			}
+			breaks[n] = rapid.IntRange(0, 2*events).Draw(r, "breaks")
+		}
+		othersFull := rapid.Bool().Draw(r, "others are full")
+		synctest.Test(t, func(t *testing.T) {
+			defer time.Sleep(5 * scriptEnd)
+			f := &fakeBackend{}
+			var sends atomic.Int64
+			broke := false
+			f.send = func(_ catalog.Server, x Call) (*Answer, *verdict.Error) {
+				n := int(sends.Add(1)) - 1
+				from := eventNumber(x.LastEventID)
+				var steps []step
+				end := error(nil)
+				for i, silence := range scripts[n][from:] {
+					if i >= breaks[n] {
+						end, broke = io.ErrUnexpectedEOF, true
+						break
+					}
+					steps = append(steps, step{silence, []string{strconv.Itoa(from + i + 1)}})
+				}
+				return scripted(end, steps...), nil
+			}
+			f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
+				if othersFull && sends.Load() > 0 {
+					return "", full()
+				}
+				return "hold", nil
+			}
+			g := newGateway(t, f)
+			c := testConfig()
+			c.Version++
+			for i := range c.Routes {
+				c.Routes[i].Timeout, c.Routes[i].MaxAttempts = time.Minute, len(scripts)
+			}
+			assert.Assert(t, g.SetConfig(c))
+			request := generation("/stream/x")
+			request.CallerTimeout = time.Minute
+			reply, err := g.Serve(t.Context(), request)
+			if err != nil {
+				assert.Assert(t, broke, "%v", err)
+				return
+			}
+			body, readErr := io.ReadAll(reply.Body)
+			reply.discard()
+			whole := eventsOf("1", "2", "3", "4", "5", "6")
+			if readErr == nil {
+				assert.Equal(t, string(body), whole)
+			} else {
+				assert.Assert(t, broke, "cut though no server broke off: %v", readErr)
+				assert.Assert(t, strings.HasPrefix(whole, string(body)))
+			}
+			assert.Equal(t, len(g.loads.own()), 0)
+			assert.Equal(t, g.InFlight(), int64(0))
+		})
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,54 +4,51 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"jayford.example/jayford/internal/catalog"
 	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/doubt"
 	"jayford.example/jayford/internal/verdict"
 )
 
-// stallTimeout is how long a resumable stream may pause before it is resumed at
-// another server. Such a pause already misses the objective; callers disconnect after
-// two seconds or more.
-const stallTimeout = 1500 * time.Millisecond
-
-var errStalled = errors.New("gateway: stream stalled")
-
-// stream is the body of a streamed reply. If the route allows it, it resumes at
-// another server after the last event, so that the caller sees one continuous answer.
+// stream is the body of a streamed reply. If the route allows it, it goes on at another server
+// after the last event once its server has broken off, or another one has the next event while its
+// own is silent. The caller sees one continuous answer.
 type stream struct {
 	g   *Gateway
 	ctx context.Context
 	j   *job
 
-	reservation reservation
-	answer      *Answer
-	events      *events
+	// sources are the servers that run the request, current the one that the stream comes from.
+	sources []*source
+	current *source
+	inbox   *inbox
 	// pending is the rest of the last event that is still to be delivered.
 	pending []byte
 	lastID  string
-	// lastEventAt is when the last event arrived, zero before the first.
-	lastEventAt time.Time
+	// lastEventAt is when the last event arrived, zero before the first; waitingSince is since when
+	// the stream waits for the next one.
+	lastEventAt, waitingSince time.Time
 	// firstEventTime is the time from the request's arrival to the first event,
 	// longestPause the longest interval between events after it.
 	firstEventTime, longestPause time.Duration
-	ended                        bool
-	// admitted: the server's first event has been checked.
-	admitted  bool
+	// ended: the stream is complete. failure is why it can't go on, nil if it can.
+	ended     bool
+	failure   error
 	closeOnce sync.Once
 }
 
 // startStream returns the reply once the first event has arrived. Until then a failure
 // can be reported to the caller; later a broken stream can only be cut off.
 func (g *Gateway) startStream(ctx context.Context, j *job, p reservation, a *Answer) (*Reply, *verdict.Error) {
-	s := &stream{g: g, ctx: ctx, j: j, reservation: p, answer: a, events: newEvents(a.Body), lastID: j.r.Generation.LastEventID}
+	s := &stream{g: g, ctx: ctx, j: j, inbox: newInbox(), lastID: j.r.Generation.LastEventID}
+	s.current = newSource(p, a, j.last, func() {})
+	s.add(s.current)
 	if err := s.advance(); err != nil {
 		_ = s.Close()
 		if errors.Is(err, errOtherSoftware) {
@@ -77,71 +74,120 @@
 	return n, nil
 }
 
+// advance waits for the next event, or the end of the stream.
 func (s *stream) advance() error {
-	ev, err := s.nextEvent()
-	if errors.Is(err, io.EOF) && s.answer.Unframed && s.lastID == "" && s.lastEventAt.IsZero() {
-		// The end of the connection alone doesn't make a stream without events complete.
-		err = io.ErrUnexpectedEOF
+	a, err := s.next()
+	if err != nil {
+		s.failure = err
+		return err
 	}
-	switch {
-	case err == nil:
-		if s.isDuplicate(ev.ID) {
-			return nil
-		}
-		if !s.admitted {
-			if err := s.admitFirstEvent(); err != nil {
-				return err
+	if a.err != nil {
+		s.complete()
+		return nil
+	}
+	if a.event.ID != "" {
+		s.lastID = a.event.ID
+	}
+	s.observe()
+	s.pending = a.event.Raw
+	s.current.next()
+	return nil
+}
+
+// complete records that the stream has reached its end.
+func (s *stream) complete() {
+	s.ended = true
+	s.g.logRequest(s.j, "gateway: stream ended.", s.fields())
+	s.g.view.recordOutcome(s.current.server(), doubt.Success)
+	s.g.crashes.recordRun(s.j, s.current.attempt)
+	s.g.crashes.recordSuccess(s.j.fingerprint)
+	s.current.reservation.completed()
+	s.g.queues.recordOutput(s.current.reservation.key, s.current.reservation.outputPace())
+}
+
+// next returns the next event, of whichever server has it first, or the end of the stream. It
+// fails once no server runs the request and none takes it over.
+func (s *stream) next() (arrival, error) {
+	s.waitingSince = time.Now()
+	due := s.waitingSince.Add(stallTimeout)
+	silence := time.NewTimer(stallTimeout)
+	defer silence.Stop()
+	for {
+		for a, ok := s.inbox.take(); ok; a, ok = s.inbox.take() {
+			if accepted, err := s.accept(&a); accepted || err != nil {
+				return a, err
 			}
-			s.admitted = true
 		}
-		if ev.ID != "" {
-			s.lastID = ev.ID
+		select {
+		case <-s.ctx.Done():
+			return arrival{}, context.Cause(s.ctx)
+		case <-s.inbox.ready:
+		case <-silence.C:
+			pause := maxTimerDelay
+			if time.Since(due) <= maxTimerDelay {
+				s.handleSilence()
+				pause = stallTimeout
+			}
+			due = time.Now().Add(pause)
+			silence.Reset(pause)
 		}
-		s.observe()
-		s.pending = ev.Raw
-		return nil
-	case errors.Is(err, io.EOF):
-		s.ended = true
-		s.g.logRequest(s.j, "gateway: stream ended.", s.fields())
-		s.g.view.recordOutcome(s.reservation.server, doubt.Success)
-		s.g.crashes.recordRun(s.j, s.j.last)
-		s.g.crashes.recordSuccess(s.j.fingerprint)
-		s.reservation.completed()
-		s.g.queues.recordOutput(s.reservation.key, s.reservation.outputPace())
-		return nil
 	}
-	if err = s.resume(err); err != nil {
-		s.logCut(err)
+}
+
+// accept handles an arrival, and reports whether the stream goes on with it. An error means that
+// the stream can't go on.
+func (s *stream) accept(a *arrival) (bool, error) {
+	x := a.from
+	if errors.Is(a.err, io.EOF) && x.answer.Unframed && s.lastID == "" && s.lastEventAt.IsZero() {
+		// The end of the connection alone doesn't make a stream without events complete.
+		a.err = io.ErrUnexpectedEOF
 	}
-	return err
+	switch {
+	case !a.goesOn():
+		return false, s.replace(x, a.err)
+	case a.err == nil && s.isDuplicate(a.event.ID):
+		x.next()
+		return false, nil
+	case a.err == nil && !x.admitted:
+		if err := s.admitFirstEvent(x); err != nil {
+			s.drop(x)
+			if len(s.sources) > 0 {
+				return false, nil
+			}
+			return false, err
+		}
+		x.admitted = true
+	}
+	s.goOnWith(x)
+	return true, nil
 }
 
-// logCut logs a stream that ends early, with who ended it.
-func (s *stream) logCut(cause error) {
-	by := endedByServer
+// recordCut records who ended the stream early.
+func (s *stream) recordCut() {
+	message, by, cause := "gateway: stream left.", endedByCaller, context.Cause(s.ctx)
 	switch {
 	case errors.Is(cause, errStopped):
 		by = endedByStop
-	case errors.Is(s.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded):
 		by = endedByDeadline
-	case s.ctx.Err() != nil:
-		by = endedByCaller
-	case errors.Is(cause, errStalled):
-		by = endedBySilence
+	case cause == nil && s.failure != nil:
+		message, by, cause = "gateway: stream cut off.", endedByServer, s.failure
 	}
 	fields := s.fields()
-	fields["cause"], fields["by"], fields["stopping"] = cause.Error(), by, s.g.Stopping()
+	fields["by"], fields["stopping"] = by, s.g.Stopping()
+	if cause != nil {
+		fields["cause"] = cause.Error()
+	}
 	if !s.lastEventAt.IsZero() {
 		fields["sinceEvent"] = milliseconds(time.Since(s.lastEventAt))
 	}
 	countCut(by)
-	s.g.logRequest(s.j, "gateway: stream cut off.", fields)
+	s.g.logRequest(s.j, message, fields)
 }
 
 // Who ended a stream early, in logs and metrics.
 const (
 	endedByServer   = "server"
-	endedBySilence  = "silence"
 	endedByDeadline = "deadline"
 	endedByCaller   = "caller"
 	endedByStop     = "stop"
@@ -151,22 +197,23 @@
 func (s *stream) observe() {
 	s.j.progress.countEvent()
 	now := time.Now()
-	if a := s.j.last; a.wroteAt.IsZero() {
-		a.wroteAt = now
+	x := s.current
+	if x.attempt.wroteAt.IsZero() {
+		x.attempt.wroteAt = now
 	}
-	if s.j.last.writingTime(now) >= blame.ProvenTime {
-		s.g.crashes.recordRun(s.j, s.j.last)
+	if x.attempt.writingTime(now) >= blame.ProvenTime {
+		s.g.crashes.recordRun(s.j, x.attempt)
 	}
 	step := eventTokens(s.j.service.Engine)
 	written := eventNumber(s.lastID) * step
 	if s.lastEventAt.IsZero() {
 		s.firstEventTime = now.Sub(s.j.r.Arrived)
 		observe(firstEventSeconds, s.j.r.Arrived)
-		s.reservation.recordOutput(written, step, 0)
+		x.reservation.recordOutput(written, step, 0)
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 		observe(betweenEventsSeconds, s.lastEventAt)
-		s.reservation.recordOutput(written, step, now.Sub(s.lastEventAt))
+		x.reservation.recordOutput(written, step, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
 }
@@ -184,7 +231,7 @@
 // fields returns the fields of the stream's last log line.
 func (s *stream) fields() logrus.Fields {
 	return logrus.Fields{
-		"server": serverKey(s.reservation.server), "last": s.lastID, "first": milliseconds(s.firstEventTime),
+		"server": s.current.key(), "last": s.lastID, "first": milliseconds(s.firstEventTime),
 		"pause": milliseconds(s.longestPause), "late": s.lateReason(),
 	}
 }
@@ -224,95 +271,30 @@
 	return errA == nil && errB == nil && a <= b
 }
 
-// nextEvent reads the next event. On a resumable route it fails after stallTimeout
-// without one.
-func (s *stream) nextEvent() (event, error) {
-	if !s.j.route.Resume {
-		return s.events.next()
-	}
-	body := s.answer.Body
-	stalled := make(chan struct{})
-	timer := time.AfterFunc(stallTimeout, func() {
-		close(stalled)
-		_ = body.Close()
-	})
-	ev, err := s.events.next()
-	if !timer.Stop() {
-		<-stalled
-		if err != nil {
-			return event{}, errStalled
-		}
-	}
-	return ev, err
+// add makes a server that runs the request one of the sources.
+func (s *stream) add(x *source) {
+	s.sources = append(s.sources, x)
+	go x.read(s.inbox)
 }
 
-// resume continues the stream at another server after the last event.
-func (s *stream) resume(cause error) error {
-	_ = s.answer.Body.Close()
-	s.reservation.end()
-	s.j.progress.leave(serverKey(s.reservation.server))
-	if s.ctx.Err() != nil {
-		return context.Cause(s.ctx)
-	}
-	code := verdict.ServerLost
-	if errors.Is(cause, errStalled) {
-		code = verdict.Deadline
-	}
-	s.g.recordFailure(s.ctx, s.reservation.server, verdict.New(verdict.Ran, code, "The stream was interrupted."))
-	s.j.avoid[serverKey(s.reservation.server)] = true
-	if !isWrongAnswer(cause) {
-		s.g.recordLoss(s.j, s.reservation.server, s.j.last, cause)
-	}
-	brokenStreams.Inc()
-	s.g.logRequest(s.j, "gateway: stream broke off.", logrus.Fields{"server": serverKey(s.reservation.server), "last": s.lastID, "cause": cause.Error(), "resumable": s.j.route.Resume})
-	for s.g.refuseCrashing(s.ctx, s.j) == nil && s.g.mayRetry(s.ctx, s.j, verdict.Ran) && s.g.canRetry(s.j) {
-		if s.j.begun && len(s.g.usable(s.j, catalog.Decode)) == 0 {
-			s.g.logNotResumed(s.j, withinAnswer, resumeNoServer)
-			break
-		}
-		p, ok := s.g.reserveUntil(s.ctx, s.j, eventNumber(s.lastID), time.Now().Add(resumeTimeout))
-		if !ok {
-			break
-		}
-		// A request whose answer has begun is never refused for want of a prefill.
-		result, err := s.g.prefill(s.ctx, s.j, p, s.lastID)
-		if err == nil {
-			err = s.g.recheck(s.ctx, s.j)
-		}
-		if err != nil {
-			s.g.abandon(p, result)
-			break
-		}
-		a, err := s.g.decode(s.ctx, s.j, p, result, s.lastID)
-		if err == nil && a.Status == http.StatusOK {
-			s.reservation, s.answer, s.events, s.admitted = p, a, newEvents(a.Body), false
-			resumesTotal.Inc()
-			s.g.logRequest(s.j, "gateway: stream resumed.", logrus.Fields{"server": serverKey(p.server), "last": s.lastID})
-			return nil
-		}
-		if err == nil {
-			_ = a.Body.Close()
-			p.end()
-		}
-		s.j.avoid[serverKey(p.server)] = true
-	}
-	return cause
+// drop ends the run at a source.
+func (s *stream) drop(x *source) {
+	s.sources = slices.DeleteFunc(s.sources, func(y *source) bool { return y == x })
+	x.close()
+	s.j.progress.leave(x.key())
 }
 
-// resumeTimeout bounds the wait for a reservation to resume a stream.
-const resumeTimeout = time.Second
-
 // Close ends the stream. If it is incomplete, the generation is cancelled at its
 // server.
 func (s *stream) Close() error {
 	s.closeOnce.Do(func() {
-		if !s.ended && s.ctx.Err() != nil {
-			fields := s.fields()
-			fields["cause"] = context.Cause(s.ctx).Error()
-			s.g.logRequest(s.j, "gateway: stream left.", fields)
+		if !s.ended {
+			s.recordCut()
+		}
+		for _, x := range slices.Clone(s.sources) {
+			s.endSilence(x, silenceLeft)
+			s.drop(x)
 		}
-		_ = s.answer.Body.Close()
-		s.reservation.end()
 	})
 	return nil
 }
