--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// next asks for the event after the one that was taken.
-func (x *source) next() { x.wanted <- struct{}{} }
+// readNext has the reader go on after an event was taken.
+func (x *source) readNext() { x.wanted <- struct{}{} }
 
 func (x *source) isClosed() bool {
 	select {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,7 +90,7 @@
 	}
 	s.observe()
 	s.pending = a.event.Raw
-	s.current.next()
+	s.current.readNext()
 	return nil
 }
 
@@ -146,7 +146,7 @@
 	case !a.goesOn():
 		return false, s.replace(x, a.err)
 	case a.err == nil && s.isDuplicate(a.event.ID):
-		x.next()
+		x.readNext()
 		return false, nil
 	case a.err == nil && !x.admitted:
 		if err := s.admitFirstEvent(x); err != nil {
