An end without framing completes no stream that another server still runs

What callers would see: a stream that looks whole and isn't. An answer with neither length nor chunks ends with its connection. A second server that is asked while the first is silent, and ends so before its first event, completed the stream, though the first would have gone on.

Found by reading the fix of silent servers, which lets two servers run a stream. The new case "second ends unframed" of TestSilentServerKeepsItsStream fails without this change (the answer ends after two of four events) and passes with it. Without another server it stays as it was: such an end completes a stream that has events.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -65,7 +65,12 @@
 		"second is silent too":  func() (*Answer, *verdict.Error) { return scripted(nil, step{time.Second * 20, nil}), nil },
 		"second breaks off":     func() (*Answer, *verdict.Error) { return scripted(io.ErrUnexpectedEOF), nil },
 		"second doesn't answer": nil,
-		"second refuses":        func() (*Answer, *verdict.Error) { return nil, full() },
+		"second ends unframed": func() (*Answer, *verdict.Error) {
+			a := scripted(nil)
+			a.Unframed = true
+			return a, nil
+		},
+		"second refuses": func() (*Answer, *verdict.Error) { return nil, full() },
 	}
 	for name, answerOfSecond := range second {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,8 +138,7 @@
 // the stream can't go on.
 func (s *stream) accept(a *arrival) (bool, error) {
 	x := a.from
-	if errors.Is(a.err, io.EOF) && x.answer.Unframed && s.lastID == "" && s.lastEventAt.IsZero() {
-		// The end of the connection alone doesn't make a stream without events complete.
+	if errors.Is(a.err, io.EOF) && !s.isComplete(x) {
 		a.err = io.ErrUnexpectedEOF
 	}
 	switch {
@@ -162,6 +161,16 @@
 	return true, nil
 }
 
+// isComplete reports whether the stream is complete at the end of a source's answer. The end of the
+// connection alone, without an event before it, doesn't show that: neither in a stream without events
+// nor while another server runs the request.
+func (s *stream) isComplete(x *source) bool {
+	if !x.answer.Unframed || x.admitted {
+		return true
+	}
+	return (s.lastID != "" || !s.lastEventAt.IsZero()) && len(s.sources) == 1
+}
+
 // recordCut records who ended the stream early.
 func (s *stream) recordCut() {
 	message, by, cause := "gateway: stream left.", endedByCaller, context.Cause(s.ctx)
