Silent servers whose stream's prefill elsewhere fails or hangs

The table of TestSilentServerKeepsItsStream had no second server whose prompt isn't prefilled, one of the ways in which a search ends without another server.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -54,6 +54,17 @@
 	return scripted(nil, step{0, []string{"1", "2"}}, step{silence, []string{"3", "4"}})
 }
 
+// setMaxEventGap bounds the gaps between events, so that prompts of streams that go on are prefilled.
+func setMaxEventGap(t *testing.T, g *Gateway) {
+	t.Helper()
+	c := testConfig()
+	c.Version++
+	for i := range c.Routes {
+		c.Routes[i].MaxEventGap = 300 * time.Millisecond
+	}
+	assert.Assert(t, g.SetConfig(c))
+}
+
 // Guards against a stream that is cut as its server is silent, though the server goes on and no
 // other has the next event first.
 func TestSilentServerKeepsItsStream(t *testing.T) {
@@ -71,6 +82,8 @@
 			return a, nil
 		},
 		"second refuses": func() (*Answer, *verdict.Error) { return nil, full() },
+		"prefill fails":  func() (*Answer, *verdict.Error) { return nil, full() },
+		"prefill hangs":  func() (*Answer, *verdict.Error) { return nil, full() },
 	}
 	for name, answerOfSecond := range second {
 		t.Run(name, func(t *testing.T) {
@@ -100,6 +113,17 @@
 						}
 						return "hold", nil
 					}
+				case "prefill fails", "prefill hangs":
+					setMaxEventGap(t, g)
+					f.prefill = func(catalog.Server) (Prefilled, *verdict.Error) {
+						if sends.Load() == 0 {
+							return Prefilled{Result: "kv", Tokens: 10}, nil
+						}
+						if name == "prefill hangs" {
+							time.Sleep(prefillTimeout)
+						}
+						return Prefilled{}, lost()
+					}
 				case "no other server":
 					g.SetServers(testServers()[3:4])
 				case "other version":
@@ -266,12 +290,7 @@
 				return Prefilled{Result: "kv", Tokens: 10}, nil
 			}
 			g := newGateway(t, f)
-			c := testConfig()
-			c.Version++
-			for i := range c.Routes {
-				c.Routes[i].MaxEventGap = 300 * time.Millisecond
-			}
-			assert.Assert(t, g.SetConfig(c))
+			setMaxEventGap(t, g)
 			reply, err := g.Serve(t.Context(), generation("/stream/x"))
 			assert.Assert(t, err == nil, "%v", err)
 			defer reply.discard()
