--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -65,82 +65,96 @@
 	assert.Assert(t, g.SetConfig(c))
 }
 
+// silentCase is a way in which no other server takes over the stream of a silent one. before is
+// called at the start, during while the first server runs the request, second answers for any other.
+type silentCase struct {
+	before func(t *testing.T, f *fakeBackend, g *Gateway, sends *atomic.Int64)
+	during func(f *fakeBackend, g *Gateway)
+	second func() (*Answer, *verdict.Error)
+}
+
+func refuse() (*Answer, *verdict.Error) { return nil, full() }
+
+// failPrefills has all prefills but the first one fail after a time.
+func failPrefills(after time.Duration) silentCase {
+	return silentCase{second: refuse, before: func(t *testing.T, f *fakeBackend, g *Gateway, sends *atomic.Int64) {
+		setMaxEventGap(t, g)
+		f.prefill = func(catalog.Server) (Prefilled, *verdict.Error) {
+			if sends.Load() == 0 {
+				return Prefilled{Result: "kv", Tokens: 10}, nil
+			}
+			time.Sleep(after)
+			return Prefilled{}, lost()
+		}
+	}}
+}
+
+func listOnly(list []catalog.Server) silentCase {
+	return silentCase{before: func(_ *testing.T, _ *fakeBackend, g *Gateway, _ *atomic.Int64) { g.SetServers(list) }}
+}
+
+var silentCases = map[string]silentCase{
+	"others are full": {before: func(_ *testing.T, f *fakeBackend, _ *Gateway, sends *atomic.Int64) {
+		f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
+			if sends.Load() > 0 {
+				return "", full()
+			}
+			return "hold", nil
+		}
+	}},
+	"no other server": listOnly(testServers()[3:4]),
+	"other version":   listOnly(serversOf("v1", "v2", "v3")),
+	"no retry budget": {during: func(_ *fakeBackend, g *Gateway) {
+		for g.budget.takeRetry(modelService) {
+		}
+	}},
+	"second doesn't answer": {during: func(f *fakeBackend, _ *Gateway) { f.hangs.Store(true) }},
+	"second is silent too":  {second: func() (*Answer, *verdict.Error) { return scripted(nil, step{20 * time.Second, nil}), nil }},
+	"second breaks off":     {second: func() (*Answer, *verdict.Error) { return scripted(io.ErrUnexpectedEOF), nil }},
+	"second ends unframed": {second: func() (*Answer, *verdict.Error) {
+		a := scripted(nil)
+		a.Unframed = true
+		return a, nil
+	}},
+	"second refuses": {second: refuse},
+	"prefill fails":  failPrefills(0),
+	"prefill hangs":  failPrefills(prefillTimeout),
+}
+
 // Guards against a stream that is cut as its server is silent, though the server goes on and no
 // other has the next event first.
 func TestSilentServerKeepsItsStream(t *testing.T) {
-	second := map[string]func() (*Answer, *verdict.Error){
-		"others are full":       nil,
-		"no other server":       nil,
-		"other version":         nil,
-		"no retry budget":       nil,
-		"second is silent too":  func() (*Answer, *verdict.Error) { return scripted(nil, step{time.Second * 20, nil}), nil },
-		"second breaks off":     func() (*Answer, *verdict.Error) { return scripted(io.ErrUnexpectedEOF), nil },
-		"second doesn't answer": nil,
-		"second ends unframed": func() (*Answer, *verdict.Error) {
-			a := scripted(nil)
-			a.Unframed = true
-			return a, nil
-		},
-		"second refuses": func() (*Answer, *verdict.Error) { return nil, full() },
-		"prefill fails":  func() (*Answer, *verdict.Error) { return nil, full() },
-		"prefill hangs":  func() (*Answer, *verdict.Error) { return nil, full() },
+	for name, c := range silentCases {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, c.run) })
 	}
-	for name, answerOfSecond := range second {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				defer time.Sleep(scriptEnd)
-				f := &fakeBackend{}
-				g := newGateway(t, f)
-				var sends atomic.Int64
-				f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
-					if sends.Add(1) > 1 {
-						return answerOfSecond()
-					}
-					switch name {
-					case "no retry budget":
-						for g.budget.takeRetry(modelService) {
-						}
-					case "second doesn't answer":
-						f.hangs.Store(true)
-					}
-					return silentAfterTwo(longSilence), nil
-				}
-				switch name {
-				case "others are full":
-					f.reserve = func(catalog.Server, int) (string, *verdict.Error) {
-						if sends.Load() > 0 {
-							return "", full()
-						}
-						return "hold", nil
-					}
-				case "prefill fails", "prefill hangs":
-					setMaxEventGap(t, g)
-					f.prefill = func(catalog.Server) (Prefilled, *verdict.Error) {
-						if sends.Load() == 0 {
-							return Prefilled{Result: "kv", Tokens: 10}, nil
-						}
-						if name == "prefill hangs" {
-							time.Sleep(prefillTimeout)
-						}
-						return Prefilled{}, lost()
-					}
-				case "no other server":
-					g.SetServers(testServers()[3:4])
-				case "other version":
-					g.SetServers(serversOf("v1", "v2", "v3"))
-				}
-				reply, err := g.Serve(t.Context(), generation("/stream/x"))
-				assert.Assert(t, err == nil, "%v", err)
-				defer reply.discard()
-				body, readErr := io.ReadAll(reply.Body)
-				assert.NilError(t, readErr)
-				assert.Equal(t, string(body), eventsOf("1", "2", "3", "4"))
-				assert.NilError(t, reply.Body.Close())
-				assert.Equal(t, g.InFlight(), int64(0))
-				assert.Equal(t, len(g.loads.own()), 0, "load of runs that have ended")
-			})
-		})
+}
+
+func (c silentCase) run(t *testing.T) {
+	defer time.Sleep(scriptEnd)
+	f := &fakeBackend{}
+	g := newGateway(t, f)
+	var sends atomic.Int64
+	f.send = func(catalog.Server, Call) (*Answer, *verdict.Error) {
+		if sends.Add(1) > 1 {
+			return c.second()
+		}
+		if c.during != nil {
+			c.during(f, g)
+		}
+		return silentAfterTwo(longSilence), nil
+	}
+	if c.before != nil {
+		c.before(t, f, g, &sends)
 	}
+	reply, err := g.Serve(t.Context(), generation("/stream/x"))
+	assert.Assert(t, err == nil, "%v", err)
+	defer reply.discard()
+	body, readErr := io.ReadAll(reply.Body)
+	assert.NilError(t, readErr)
+	assert.Equal(t, string(body), eventsOf("1", "2", "3", "4"))
+	assert.NilError(t, reply.Body.Close())
+	assert.Equal(t, g.InFlight(), int64(0))
+	assert.Equal(t, len(g.loads.own()), 0, "load of runs that have ended")
 }
 
 // Guards against an error to a caller whose server is silent before its first event, and would
