--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -107,7 +107,7 @@
 	return g.retryReserve(ctx, j, j.until, lateInterval, round)
 }
 
-// maxAskedServers bounds the servers that a servers' pace keeps beyond those asked just now.
+// maxAskedServers is the number of servers from which on a serverPace drops those not asked just now.
 const maxAskedServers = 64
 
 // serverPace lets each server be asked once in reserveInterval, by whichever stream comes first.
