One account of memory bounds what callers make a gateway hold

Callers that sent unfinished bodies, announced lengths, heads of thousands of short lines, or nothing but idle connections made a gateway take several times the memory of its machine, and the platform ended it with all its streams. The HTTP library allocates an announced length at the head, doubles chunked bodies, parses a line of four bytes into a hundred, and keeps both the parsed head and a read buffer of 32 KiB with each idle connection; maxHeldBytes counted whole bodies alone.

Each byte is charged now before it is allocated (internal/memory), to limits that follow from the machine's memory: one for requests that arrive, one for those that are served. What takes long to arrive gives way, the most bytes times age first, so unfinished requests can't displace ordinary ones; a request that has arrived is admitted or refused at once, as not run. A connection is handed to the HTTP library only when a whole head has arrived and is taken back with the answer, which removes the buffers of idle connections and the work of parsing a head again for each piece. Handlers read bodies as streams into buffers of their own. A receive buffer of the kernel has 64 KiB, and what waits in it during a request is charged. The runtime's soft limit is set beside it. No bound on lines or on one body: requests of legal size are served in calm.

Empty lines end a connection after 16.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -3,14 +3,11 @@
 package callers
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,15 +20,15 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
-	// pipelinedPollInterval is how often a connection with unread bytes is polled.
-	// While there are such bytes, a peek can't detect that the caller closed it.
-	pipelinedPollInterval = 100 * time.Millisecond
 	// lingerTimeout and maxLingerBytes limit what is read and discarded from a
 	// caller whose request was refused before it was fully sent.
 	lingerTimeout  = 2 * time.Second
 	maxLingerBytes = 64 << 20
 	// maxLingering limits the number of concurrently lingering connections.
 	maxLingering = 64
+	// receiveBuffer is the size of the kernel's buffer for what a caller has sent and nobody has
+	// read, in bytes; the kernel doubles it for its own use. By default it grows to megabytes.
+	receiveBuffer = 64 << 10
 )
 
 // Listener accepts callers' connections. It sets a timeout for each write and
@@ -99,33 +96,37 @@
 	}
 }
 
-var refusedConnections = metrics.NewCounter("jayford_callers_refused_connections_total")
-
-// Conn is a caller's connection. Each write has its own deadline: one deadline for
-// the whole response would cut off long streams, and without any a caller that
-// doesn't read could block its request forever.
-type Conn struct {
-	*net.TCPConn
-	writeTimeout time.Duration
-	idleTimeout  func() time.Duration
-	// Idle: the connection is idle between two requests.
-	Idle atomic.Bool
-	// Linger: the request was refused before the caller had sent all of it.
-	Linger atomic.Bool
-	// OnClose, if not nil, is called by each Close.
-	OnClose func()
-	// release gives the connection's place at its listener back.
-	release func()
+// LimitReceiveBuffer bounds the kernel's buffers of connections that are accepted from now on.
+func (l *Listener) LimitReceiveBuffer() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.Join(err, failed)
 }
 
-// lingering is the number of lingering connections.
+var refusedConnections = metrics.NewCounter("jayford_callers_refused_connections_total")
+
 var lingering atomic.Int64
 
 // Close closes the connection. If Linger is set, it first closes the write side and
 // discards the rest of the request, within limits. Otherwise the kernel would send
 // a reset because of the unread bytes, and the caller could lose the response that
 // it hasn't read yet.
+//
+// A connection of a Server that is idle stays open and waits for its next request.
 func (c *Conn) Close() error {
+	if c.parked.CompareAndSwap(true, false) {
+		go c.server.await(c)
+		return nil
+	}
+	if claim := c.claim.Load(); claim != nil {
+		claim.Close()
+	}
 	if c.release != nil {
 		c.release()
 	}
@@ -149,143 +150,3 @@
 	}()
 	return nil
 }
-
-// SetReadDeadline sets the read deadline. On an idle connection the listener's IdleTimeout
-// replaces the HTTP library's idle timeout, which can't be changed once the server
-// runs.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	if c.idleTimeout != nil && c.Idle.Load() {
-		if d := c.idleTimeout(); d > 0 {
-			t = time.Now().Add(d)
-		}
-	}
-	return c.TCPConn.SetReadDeadline(t)
-}
-
-// Write writes b with the write timeout.
-func (c *Conn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.TCPConn.Write(b)
-}
-
-// Watch returns a context that ends when the caller closes its connection.
-//
-// The HTTP library doesn't notify handlers of closed connections, so a request
-// would keep its queue position, slot and engine memory after its caller has
-// disconnected. The watching goroutine is parked in the network poller and peeks
-// at the socket when it becomes readable, so an idle watch uses no CPU time. stop
-// ends the watch and must be called before the connection is read again.
-func Watch(parent context.Context, c net.Conn) (ctx context.Context, stop func()) {
-	ctx, cancel := context.WithCancelCause(parent)
-	cc, ok := c.(*Conn)
-	if !ok {
-		return ctx, func() { cancel(nil) }
-	}
-	raw, err := cc.SyscallConn()
-	if err != nil {
-		return ctx, func() { cancel(nil) }
-	}
-	_ = cc.SetReadDeadline(time.Time{})
-	quit := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		if waitClosed(raw, quit) {
-			cancel(ErrDisconnected)
-		}
-	}()
-	var once sync.Once
-	return ctx, func() {
-		once.Do(func() {
-			close(quit)
-			// A deadline in the past unblocks the peek.
-			_ = cc.SetReadDeadline(time.Unix(1, 0))
-			wg.Wait()
-			_ = cc.SetReadDeadline(time.Time{})
-			cancel(nil)
-		})
-	}
-}
-
-// ErrDisconnected is the cause of a context that ended because the caller closed its
-// connection.
-var ErrDisconnected = errors.New("callers: connection closed by caller")
-
-// waitClosed returns true when the caller closes its connection, and false when
-// quit is closed.
-func waitClosed(raw syscall.RawConn, quit <-chan struct{}) bool {
-	for {
-		state := peek(raw)
-		switch state {
-		case peekClosed:
-			return true
-		case peekData:
-			if pollClosed(raw, quit) {
-				return true
-			}
-			return false
-		case peekInterrupted:
-		}
-		select {
-		case <-quit:
-			return false
-		case <-time.After(time.Millisecond):
-		}
-	}
-}
-
-type peekResult int
-
-const (
-	peekInterrupted peekResult = iota
-	peekClosed
-	peekData
-)
-
-// peek waits until the socket is readable and returns the reason.
-func peek(raw syscall.RawConn) peekResult {
-	result := peekInterrupted
-	var buf [1]byte
-	err := raw.Read(func(fd uintptr) bool {
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
-			return false
-		case err != nil || n == 0:
-			result = peekClosed
-		default:
-			result = peekData
-		}
-		return true
-	})
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return peekClosed
-	}
-	return result
-}
-
-// pollClosed polls whether the caller has closed its side of a connection that has
-// unread bytes, such as a pipelined request.
-func pollClosed(raw syscall.RawConn, quit <-chan struct{}) bool {
-	tick := time.NewTicker(pipelinedPollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-quit:
-			return false
-		case <-tick.C:
-		}
-		closed := false
-		err := raw.Control(func(fd uintptr) {
-			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-			n, err := unix.Poll(fds, 0)
-			closed = err == nil && n > 0
-		})
-		if closed || err != nil {
-			return true
-		}
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/feed"
 	"jayford.example/jayford/internal/identity"
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/settings"
@@ -28,6 +29,20 @@
 // platformTimeout is the timeout of one call to the platform.
 const platformTimeout = 2 * time.Second
 
+// boundMemory returns the limits that follow from the machine's memory, and sets that of the runtime.
+// maxBody is the bound of one body in bytes.
+func boundMemory(p settings.Process, maxBody int, log *logrus.Logger) memory.Limits {
+	limits := memory.Detect(p.MachineBytes())
+	limits.Apply()
+	log.WithFields(logrus.Fields{
+		"machine": limits.Machine, "runtime": limits.Runtime, "arriving": limits.Arriving, "serving": limits.Serving, "connections": limits.Connections,
+	}).Info("daemon: memory bounded.")
+	if !limits.FitsBody(maxBody) {
+		log.WithField("maxBodyBytes", maxBody).Warn("daemon: the largest bodies don't fit into this machine's memory.")
+	}
+	return limits
+}
+
 // Roles of a process.
 const (
 	RoleEntry = "entry"
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -36,6 +36,7 @@
 // RunGateway runs a gateway until ctx ends and it has stopped gracefully.
 func RunGateway(ctx context.Context, s settings.Gateway, deps Dependencies, log *logrus.Logger) error {
 	monitor := pulse.NewMonitor()
+	limits := boundMemory(s.Process, s.Limits.MaxBodyBytes, log)
 	b := board.New()
 	g := gateway.New(gateway.Options{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Backend: deps.Backend, Board: b,
@@ -47,7 +48,7 @@
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes, MaxBodyBytes: s.Limits.MaxBodyBytes, MaxHeldBytes: s.Limits.MaxHeldBytes,
 		HeaderTimeout: s.Limits.HeaderTimeout.D(), BodyTimeout: s.Limits.BodyTimeout.D(),
 		IdleTimeout: s.Limits.IdleTimeout.D(), WriteTimeout: s.Limits.WriteTimeout.D(),
-		StopWithin: s.StopWithin.D(), EarliestSent: monitor.EarliestSent, Protocol: deps.Protocol,
+		Memory: limits, StopWithin: s.StopWithin.D(), EarliestSent: monitor.EarliestSent, Protocol: deps.Protocol,
 	})
 	started := time.Now()
 	log.WithFields(logrus.Fields{
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,13 +17,14 @@
 
 	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/callers"
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/verdict"
 )
 
 // Protocol translates between HTTP and the gateway's types. It makes no routing
 // decisions.
 type Protocol interface {
-	// Decode returns the request, or an error if it is invalid.
+	// Decode returns the request without its body, or an error if it is invalid.
 	Decode(ctx *fasthttp.RequestCtx) (*Request, *verdict.Error)
 	// Reply writes the status and headers of a server's answer.
 	Reply(resp *fasthttp.Response, r *Reply)
@@ -47,6 +48,8 @@
 	WriteTimeout time.Duration
 	// MaxHeldBytes bounds the bodies of all running requests together.
 	MaxHeldBytes int64
+	// Memory bounds what callers take up; its zero value stands for what the process finds out.
+	Memory memory.Limits
 	// StopWithin bounds a graceful stop.
 	StopWithin time.Duration
 	// EarliestSent returns the earliest time at which a signal can have been sent that was
@@ -62,7 +65,7 @@
 type Server struct {
 	g    *Gateway
 	opts ServerOptions
-	http *fasthttp.Server
+	http *callers.Server
 	// held counts the bytes of the bodies of requests in progress.
 	held byteBudget
 	// ready is the answer to the last readiness check.
@@ -71,23 +74,30 @@
 
 // NewServer returns a server; Run starts it.
 func NewServer(g *Gateway, o ServerOptions) *Server {
+	if o.Memory.Machine == 0 {
+		o.Memory = memory.Detect(0)
+	}
 	s := &Server{g: g, opts: o}
-	s.http = &fasthttp.Server{
+	s.http = callers.NewServer(callers.ServerOptions{
+		HTTP: s.newHTTP, MaxHeaderBytes: o.MaxHeaderBytes, HeaderTimeout: o.HeaderTimeout, IdleTimeout: o.IdleTimeout, Limits: o.Memory,
+	})
+	g.opts.Board.AddView("memory", func() any { return s.http.Usage() })
+	return s
+}
+
+func (s *Server) newHTTP() *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseMalformed,
 		HeaderReceived:               s.headerReceived,
-		ConnState:                    trackIdle,
-		ReadBufferSize:               o.MaxHeaderBytes,
-		MaxRequestBodySize:           o.MaxBodyBytes,
-		ReadTimeout:                  o.HeaderTimeout,
-		IdleTimeout:                  o.IdleTimeout,
+		ReadTimeout:                  s.opts.HeaderTimeout,
+		IdleTimeout:                  s.opts.IdleTimeout,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       httpLog{g.log},
+		Logger:                       httpLog{s.g.log},
 	}
-	return s
 }
 
 // httpLog takes the HTTP library's log lines. Their text contains addresses, so it is
@@ -112,12 +122,6 @@
 	return 0
 }
 
-func trackIdle(c net.Conn, state fasthttp.ConnState) {
-	if cc, ok := c.(*callers.Conn); ok {
-		cc.Idle.Store(state == fasthttp.StateIdle)
-	}
-}
-
 // Run serves until ctx ends, then stops gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	l, err := net.Listen("tcp", s.opts.Listen)
@@ -133,8 +137,11 @@
 		return eris.New("gateway: listener for callers isn't TCP")
 	}
 	failed := make(chan error, 2)
-	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout, IdleTimeout: s.idleTimeout, MaxOpen: maxConnections(s.g.log), Retrier: accept.Retrier{Log: s.g.log}}
-	go func() { failed <- s.http.Serve(listener) }()
+	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: s.opts.WriteTimeout, IdleTimeout: s.idleTimeout, MaxOpen: s.maxConnections(), Retrier: accept.Retrier{Log: s.g.log}}
+	if err := listener.LimitReceiveBuffer(); err != nil {
+		s.g.log.WithError(err).Warn("gateway: the kernel's buffers for callers aren't bounded.")
+	}
+	go func() { failed <- s.http.Serve(listener.AcceptConn) }()
 	probe := &fasthttp.Server{Handler: s.handleReady, NoDefaultServerHeader: true, Logger: httpLog{s.g.log}}
 	go func() {
 		failed <- probe.Serve(&accept.Listener{Listener: ready, Retrier: accept.Retrier{Log: s.g.log}})
@@ -153,14 +160,15 @@
 // others are for servers, the platform and peers.
 const callersPart = 0.75
 
-// maxConnections returns how many connections of callers may be open, 0 if that isn't known.
-func maxConnections(log *logrus.Entry) int64 {
+// maxConnections returns how many connections of callers may be open: those for which there are
+// descriptors and memory.
+func (s *Server) maxConnections() int64 {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		log.WithError(err).Warn("gateway: the number of connections isn't bounded.")
-		return 0
+		s.g.log.WithError(err).Warn("gateway: the number of descriptors isn't known.")
+		return s.opts.Memory.Connections
 	}
-	return int64(callersPart * float64(min(limit.Cur, math.MaxInt32)))
+	return min(s.opts.Memory.Connections, int64(callersPart*float64(min(limit.Cur, math.MaxInt32))))
 }
 
 func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
@@ -182,31 +190,47 @@
 		// Makes the caller reconnect to another gateway before this one refuses its requests.
 		ctx.Response.SetConnectionClose()
 	}
-	size := int64(len(ctx.Request.Body()))
+	received, err := callers.Receive(ctx, s.opts.MaxBodyBytes)
+	if err != nil {
+		s.refuseMalformed(ctx, err)
+		return
+	}
+	size := int64(len(received.Body))
 	if !s.held.acquire(size, s.opts.MaxHeldBytes) {
-		s.refuse(ctx, nil, verdict.New(verdict.NotRun, verdict.Overloaded, "This gateway holds as many requests as it can.").WithRetryAfter(heldRetryAfter))
+		received.Release()
+		s.refuse(ctx, nil, heldError())
 		return
 	}
-	r, err := s.opts.Protocol.Decode(ctx)
-	if err != nil {
+	end := func() {
 		s.held.release(size)
-		s.refuse(ctx, nil, err)
+		received.Release()
+	}
+	r, refusal := s.opts.Protocol.Decode(ctx)
+	received.Decoded(ctx)
+	if refusal != nil {
+		end()
+		s.refuse(ctx, nil, refusal)
 		return
 	}
+	r.Body = received.Body
 	watched, stop := callers.Watch(context.Background(), ctx.Conn())
-	reply, err := s.g.Serve(watched, r)
-	if err != nil {
+	reply, refusal := s.g.Serve(watched, r)
+	if refusal != nil {
 		stop()
-		s.held.release(size)
-		s.refuse(ctx, r, err)
+		end()
+		s.refuse(ctx, r, refusal)
 		return
 	}
 	s.opts.Protocol.Reply(&ctx.Response, reply)
-	end := func() {
+	ctx.Response.SetBodyStream(&closeHookBody{ReadCloser: reply.Body, onClose: func() {
 		stop()
-		s.held.release(size)
-	}
-	ctx.Response.SetBodyStream(&closeHookBody{ReadCloser: reply.Body, onClose: end}, int(reply.Length))
+		end()
+	}}, int(reply.Length))
+}
+
+// heldError refuses a request for which there is no memory.
+func heldError() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Overloaded, "This gateway holds as many requests as it can.").WithRetryAfter(heldRetryAfter)
 }
 
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *Request, e *verdict.Error) {
@@ -217,22 +241,28 @@
 	s.opts.Protocol.Refuse(&ctx.Response, r, e)
 }
 
-// refuseMalformed answers a request that can't be parsed.
+// refuseMalformed answers a request that can't be received.
 func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
-	e := verdict.New(verdict.NotRun, verdict.Invalid, "The request can't be read: %v.", err)
+	callers.Refuse(ctx)
+	e := receiveError(err)
+	countRefusal(e)
+	s.g.log.WithFields(logrus.Fields{"code": e.Code, "cause": err.Error()}).Info("gateway: request wasn't received.")
+	s.opts.Protocol.Refuse(&ctx.Response, nil, e)
+}
+
+// receiveError returns the refusal of a request that can't be received.
+func receiveError(err error) *verdict.Error {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
-		e = verdict.New(verdict.NotRun, verdict.TooLarge, "The request is too large.")
+	case callers.IsShortage(err):
+		return heldError()
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, callers.ErrLargeHead), errors.As(err, &small):
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "The request is too large.")
 	case errors.As(err, &timeout) && timeout.Timeout():
-		e = verdict.New(verdict.NotRun, verdict.Deadline, "The request took too long to arrive.")
-	}
-	ctx.Response.SetConnectionClose()
-	if c, ok := ctx.Conn().(*callers.Conn); ok {
-		c.Linger.Store(true)
+		return verdict.New(verdict.NotRun, verdict.Deadline, "The request took too long to arrive.")
 	}
-	s.opts.Protocol.Refuse(&ctx.Response, nil, e)
+	return verdict.New(verdict.NotRun, verdict.Invalid, "The request can't be read: %v.", err)
 }
 
 // byteBudget counts the bytes held by requests.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -27,6 +27,8 @@
 	minLapse       = 100 * time.Millisecond
 	minTerm        = time.Second
 	minTick        = 100 * time.Millisecond
+	minMachineMB   = 80
+	maxMachineMB   = 1 << 24
 )
 
 func checkEntry(d *strictjson.Document, e Entry) {
@@ -60,6 +62,9 @@
 	if t := p.TLS; t != (TLS{}) && (t.Certificate == "" || t.Key == "" || t.Authority == "") {
 		d.Reject("tls", "expected certificate, key and authority, or none of them")
 	}
+	if p.MachineMB != 0 {
+		strictjson.Range(d, "machineMB", p.MachineMB, minMachineMB, maxMachineMB)
+	}
 	d.OneOf("logLevel", p.LogLevel, "debug", "info", "warn", "error")
 	duration(d, "stopWithin", p.StopWithin, minWait, maxWait)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,9 @@
 // D returns the duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
+// MachineBytes returns the memory of the machine in bytes, 0 if it isn't set.
+func (p Process) MachineBytes() int64 { return int64(p.MachineMB) << 20 }
+
 // Process holds the settings that entry, agent and gateway share.
 type Process struct {
 	// ID is the instance ID in the platform's list.
@@ -31,6 +34,9 @@
 	// TLS secures the connections between jayford processes. Either all of its
 	// fields are set or none.
 	TLS TLS `json:"tls"`
+	// MachineMB is the memory of the machine in units of 2^20 bytes. With 0 it follows from the
+	// runtime's limit that the process was started with (GOMEMLIMIT), or else from the kernel.
+	MachineMB int `json:"machineMB"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"logLevel"`
 	// StopWithin is the timeout of a graceful stop.
