An entry bounds what its callers make it hold

Unfinished bodies, announced lengths and heads of short lines took an entry's memory as they took a gateway's: its server of the HTTP library had the same defaults, and maxHeldBytes counted whole bodies alone. It also wrote the library's errors as messages of their own, so that the log's bound on a kind of line held for none of them.

The entry's callers have the account and the server of callers' connections now that the gateway's have. A generation is charged seven times its body before it is parsed, as its prompt is copied so often. The library's errors are a field of one message.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"jayford.example/jayford/internal/memory"
@@ -19,6 +21,18 @@
 	refusedRequests = metrics.NewCounter("jayford_callers_refused_requests_total")
 )
 
+// HTTPLog takes the HTTP library's log lines. Their text contains addresses, so it is
+// logged as a field and the log's rate limit counts them as one message.
+type HTTPLog struct {
+	Log     *logrus.Entry
+	Message string
+}
+
+// Printf logs one line.
+func (l HTTPLog) Printf(format string, args ...any) {
+	l.Log.WithField("detail", fmt.Sprintf(format, args...)).Info(l.Message)
+}
+
 // ServerOptions of a Server.
 type ServerOptions struct {
 	// HTTP returns a new server of the HTTP library with its handlers. The Server sets how it reads.
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -29,7 +29,7 @@
 	e := entry.New(entry.Options{
 		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
 		Incarnation: c.incarnation, Ready: c.canPlace, Log: log,
-		Dial: c.identity.DialOption(RoleAgent),
+		Dial: c.identity.DialOption(RoleAgent), Memory: boundMemory(s.Process, s.Limits.MaxBodyBytes, log),
 	})
 	c.load = e.ProcessLoad
 	leader := control.New(control.Options{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"jayford.example/jayford/internal/claim"
 	"jayford.example/jayford/internal/config"
 	"jayford.example/jayford/internal/identity"
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/platform"
 	"jayford.example/jayford/internal/policy/admit"
 	"jayford.example/jayford/internal/policy/blame"
@@ -50,12 +51,16 @@
 	// Dial sets the transport credentials for connections to agents. If nil,
 	// they are plain text.
 	Dial grpc.DialOption
-	Log  *logrus.Logger
+	// Memory bounds what callers take up; its zero value stands for what follows from Settings.
+	Memory memory.Limits
+	Log    *logrus.Logger
 }
 
 // Entry is one entry process. Its methods are safe for concurrent use.
 type Entry struct {
 	settings    settings.Entry
+	memory      memory.Limits
+	board       *board.Board
 	log         *logrus.Entry
 	routing     *routing
 	agents      *agents.Pool
@@ -88,11 +93,16 @@
 		o.Dial = identity.Identity{}.DialOption("agent")
 	}
 	log := o.Log.WithField("part", "entry")
+	if o.Memory.Machine == 0 {
+		o.Memory = memory.Detect(o.Settings.MachineBytes())
+	}
 	m := newMembers(log)
 	e := &Entry{
 		members:     m,
 		routing:     &routing{store: o.Config, members: m, ranking: ranking{o.Settings.ID, o.Settings.Policy.Subset}},
 		settings:    o.Settings,
+		memory:      o.Memory,
+		board:       o.Board,
 		log:         log,
 		agents:      agents.NewPool(fmt.Sprintf("%s#%d", o.Settings.ID, o.Incarnation), o.Dial, o.Log),
 		claims:      claim.New(o.Store, o.Settings.ID),
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -52,7 +52,7 @@
 			if isGeneration(r.path) {
 				err = r.parseGeneration(ctx.PostBody())
 			} else {
-				r.parseCall(&ctx)
+				r.parseCall(&ctx, ctx.Request.Body())
 			}
 		}
 		switch {
--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -50,10 +50,10 @@
 	return &limitListener{Listener: l, limit: int64(limit), refusal: e, answer: rawRefusal(e)}
 }
 
-// Accept returns the next connection within the limit.
-func (l *limitListener) Accept() (net.Conn, error) {
+// AcceptConn returns the next connection within the limit.
+func (l *limitListener) AcceptConn() (*callers.Conn, error) {
 	for {
-		c, err := l.AcceptConn()
+		c, err := l.Listener.AcceptConn()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -237,15 +237,15 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 }
 
-// parseCall copies the headers and body to forward to a plain service.
-func (r *request) parseCall(ctx *fasthttp.RequestCtx) {
+// parseCall copies the headers to forward to a plain service, and takes the body.
+func (r *request) parseCall(ctx *fasthttp.RequestCtx, body []byte) {
 	for k, v := range ctx.Request.Header.All() {
 		key := string(k)
 		if !hopByHopHeaders[key] {
 			r.headers = append(r.headers, header{key, string(v)})
 		}
 	}
-	r.body = append([]byte(nil), ctx.Request.Body()...)
+	r.body = body
 	d := xxhash.New()
 	_, _ = d.WriteString(r.method + "\x00" + r.uri + "\x00")
 	_, _ = d.Write(r.body)
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -112,17 +112,17 @@
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
+	case callers.IsShortage(err):
+		e = heldError()
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		e = verdict.New(verdict.NotRun, verdict.TooLarge, "The body is over %d bytes.", s.e.settings.Limits.MaxBodyBytes)
-	case errors.As(err, &small):
+	case errors.As(err, &small), errors.Is(err, callers.ErrLargeHead):
 		e = verdict.New(verdict.NotRun, verdict.TooLarge, "The headers are over %d bytes.", s.e.settings.Limits.MaxHeaderBytes)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		e = verdict.New(verdict.NotRun, verdict.Deadline, "The request took over %s to arrive.", readTimeout)
 	}
-	ctx.Response.SetConnectionClose()
-	if c, ok := ctx.Conn().(*callers.Conn); ok {
-		c.Linger.Store(true)
-	}
+	callers.Refuse(ctx)
+	s.e.log.WithFields(logrus.Fields{"code": e.Code, "cause": err.Error()}).Info("entry: request wasn't received.")
 	s.refuse(ctx, nil, 0, e)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -37,12 +37,15 @@
 	// heldBytesRetryAfter is the retry delay for callers refused because running
 	// requests hold too much memory.
 	heldBytesRetryAfter = time.Second
+	// generationCopies is how many times the size of its body a generation takes besides it: the
+	// parsed body, the prompt and the messages to agents.
+	generationCopies = 7
 )
 
 // server is the HTTP server of an entry.
 type server struct {
 	e        *Entry
-	http     *fasthttp.Server
+	http     *callers.Server
 	inFlight atomic.Int64
 	// heldBytes is the total size of the bodies of running requests.
 	heldBytes atomic.Int64
@@ -52,25 +55,30 @@
 func newServer(e *Entry) *server {
 	s := &server{e: e}
 	lim := e.settings.Limits
-	s.http = &fasthttp.Server{
-		Handler:            s.handle,
-		ErrorHandler:       s.malformed,
-		ExpectHandler:      s.expect,
-		Name:               "jayford",
-		ReadBufferSize:     lim.MaxHeaderBytes,
-		MaxRequestBodySize: lim.MaxBodyBytes,
+	s.http = callers.NewServer(callers.ServerOptions{
+		HTTP: s.newHTTP, MaxHeaderBytes: lim.MaxHeaderBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout, Limits: e.memory,
+	})
+	e.board.AddView("memory", func() any { return s.http.Usage() })
+	return s
+}
+
+func (s *server) newHTTP() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:       s.handle,
+		ErrorHandler:  s.malformed,
+		ExpectHandler: s.expect,
+		Name:          "jayford",
 		// Higher than the limit of limitListener, which counts a connection as
 		// closed before the library's worker is free again.
-		Concurrency:                  2 * lim.MaxConnections,
+		Concurrency:                  2 * s.e.settings.Limits.MaxConnections,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		NoDefaultContentType:         true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
-		Logger:                       e.log,
+		Logger:                       callers.HTTPLog{Log: s.e.log, Message: "entry: connection ended with an error."},
 	}
-	return s
 }
 
 // run serves until ctx ends, then shuts down gracefully: readiness fails first,
@@ -83,7 +91,11 @@
 	failed := make(chan error, 1)
 	lim := s.e.settings.Limits
 	listener := &callers.Listener{TCPListener: tcp, WriteTimeout: lim.WriteTimeout.D(), Retrier: accept.Retrier{Log: s.e.log}}
-	go func() { failed <- s.http.Serve(newLimitListener(listener, lim.MaxConnections)) }()
+	if err := listener.LimitReceiveBuffer(); err != nil {
+		s.e.log.WithError(err).Warn("entry: the kernel's buffers for callers aren't bounded.")
+	}
+	limited := newLimitListener(listener, min(lim.MaxConnections, int(s.e.memory.Connections)))
+	go func() { failed <- s.http.Serve(limited.AcceptConn) }()
 	select {
 	case err := <-failed:
 		return err
@@ -98,7 +110,7 @@
 	s.drain(s.e.settings.StopWithin.D())
 	limit, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	err := s.http.ShutdownWithContext(limit)
+	err := s.http.Shutdown(limit)
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -133,12 +145,16 @@
 }
 
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
-	size := int64(len(ctx.Request.Body()))
-	s.begin(size)
+	received, err := callers.Receive(ctx, s.e.settings.Limits.MaxBodyBytes)
+	if err != nil {
+		s.malformed(ctx, err)
+		return
+	}
+	s.begin(received)
 	streaming := false
 	defer func() {
 		if !streaming {
-			s.end(size)
+			s.end(received)
 		}
 	}()
 	if s.stopping.Load() {
@@ -153,20 +169,21 @@
 	case pathModels:
 		s.models(ctx)
 	case pathCompletions, pathChat:
-		streaming = s.generation(ctx)
+		streaming = s.generation(ctx, received)
 	default:
-		s.call(ctx)
+		s.call(ctx, received)
 	}
 }
 
-func (s *server) begin(size int64) {
+func (s *server) begin(q *callers.Request) {
 	s.inFlight.Add(1)
-	s.heldBytes.Add(size)
+	s.heldBytes.Add(int64(len(q.Body)))
 }
 
-func (s *server) end(size int64) {
-	s.heldBytes.Add(-size)
+func (s *server) end(q *callers.Request) {
+	s.heldBytes.Add(-int64(len(q.Body)))
 	s.inFlight.Add(-1)
+	q.Release()
 }
 
 func (s *server) ready(ctx *fasthttp.RequestCtx) {
@@ -180,14 +197,18 @@
 
 // generation handles a completion request. It reports whether the response is
 // streamed after the handler returns.
-func (s *server) generation(ctx *fasthttp.RequestCtx) bool {
+func (s *server) generation(ctx *fasthttp.RequestCtx, q *callers.Request) bool {
 	r, err := s.parse(ctx)
 	if err == nil && !ctx.IsPost() {
 		err = invalid("Use POST.")
 	}
+	if err == nil && !q.Charge(generationCopies*int64(len(q.Body))) {
+		err = heldError()
+	}
 	if err == nil {
-		err = r.parseGeneration(ctx.PostBody())
+		err = r.parseGeneration(q.Body)
 	}
+	q.Decoded(ctx)
 	if err != nil {
 		s.refuse(ctx, r, 0, err)
 		return false
@@ -214,32 +235,37 @@
 		return false
 	}
 	s.startStream(ctx, first.attempts)
-	size := int64(len(ctx.PostBody()))
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.end(size)
+		defer s.end(q)
 		defer end()
 		writeStream(watched, w, r, out)
 	})
 	return true
 }
 
+// heldError refuses a request for which there is no memory.
+func heldError() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Overloaded, "This entry holds as many requests as it can.").WithRetryAfter(heldBytesRetryAfter)
+}
+
 func (s *server) parse(ctx *fasthttp.RequestCtx) (*request, *verdict.Error) {
 	id := s.e.nextID()
 	ctx.Response.Header.Set(HeaderRequest, id)
 	if s.heldBytes.Load() > s.e.settings.Limits.MaxHeldBytes {
-		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "This entry holds as many requests as it can.").WithRetryAfter(heldBytesRetryAfter)
+		return nil, heldError()
 	}
 	return parseCommon(ctx, id, time.Now(), s.e.settings.Limits)
 }
 
 // call forwards any other request to a plain service.
-func (s *server) call(ctx *fasthttp.RequestCtx) {
+func (s *server) call(ctx *fasthttp.RequestCtx, q *callers.Request) {
 	r, err := s.parse(ctx)
 	if err != nil {
 		s.refuse(ctx, r, 0, err)
 		return
 	}
-	r.parseCall(ctx)
+	r.parseCall(ctx, q.Body)
+	q.Decoded(ctx)
 	base, cancel := context.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
 	watched, stop := callers.Watch(base, ctx.Conn())
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math"
 	"net"
 	"sync"
@@ -58,6 +57,9 @@
 	Protocol     Protocol
 }
 
+// endedWithError is the message of the HTTP library's lines in the log.
+const endedWithError = "gateway: connection ended with an error."
+
 // heldRetryAfter is the Retry-After when the memory for request bodies is used up.
 const heldRetryAfter = time.Second
 
@@ -96,19 +98,10 @@
 		NoDefaultContentType:         true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       httpLog{s.g.log},
+		Logger:                       callers.HTTPLog{Log: s.g.log, Message: endedWithError},
 	}
 }
 
-// httpLog takes the HTTP library's log lines. Their text contains addresses, so it is
-// logged as a field and the log's rate limit counts them as one message.
-type httpLog struct{ log *logrus.Entry }
-
-// Printf logs one line.
-func (l httpLog) Printf(format string, args ...any) {
-	l.log.WithField("detail", fmt.Sprintf(format, args...)).Info("gateway: connection ended with an error.")
-}
-
 func (s *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	return fasthttp.RequestConfig{ReadTimeout: s.opts.BodyTimeout}
 }
@@ -142,7 +135,7 @@
 		s.g.log.WithError(err).Warn("gateway: the kernel's buffers for callers aren't bounded.")
 	}
 	go func() { failed <- s.http.Serve(listener.AcceptConn) }()
-	probe := &fasthttp.Server{Handler: s.handleReady, NoDefaultServerHeader: true, Logger: httpLog{s.g.log}}
+	probe := &fasthttp.Server{Handler: s.handleReady, NoDefaultServerHeader: true, Logger: callers.HTTPLog{Log: s.g.log, Message: endedWithError}}
 	go func() {
 		failed <- probe.Serve(&accept.Listener{Listener: ready, Retrier: accept.Retrier{Log: s.g.log}})
 	}()
