Readiness and operators' listeners bound their connections and bodies

Forty unfinished bodies of 4 MB at the readiness or the operators' listener took a gateway 188 MiB each, more than twice its machine's memory: both listeners had the HTTP library's default of 4 MiB a body, and no bound on open connections; readiness had none on time either.

They take bodies of 1 KiB and 64 KiB now, and 64 and 32 open connections. Reads, writes and idle connections have bounds of time.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -135,10 +135,7 @@
 		s.g.log.WithError(err).Warn("gateway: the kernel's buffers for callers aren't bounded.")
 	}
 	go func() { failed <- s.http.Serve(listener.AcceptConn) }()
-	probe := &fasthttp.Server{Handler: s.handleReady, NoDefaultServerHeader: true, Logger: callers.HTTPLog{Log: s.g.log, Message: endedWithError}}
-	go func() {
-		failed <- probe.Serve(&accept.Listener{Listener: ready, Retrier: accept.Retrier{Log: s.g.log}})
-	}()
+	go func() { failed <- s.serveReady(ready) }()
 	s.g.log.WithFields(logrus.Fields{"address": s.opts.Listen, "ready": s.opts.Ready}).Info("gateway: listening.")
 	select {
 	case err := <-failed:
@@ -149,6 +146,23 @@
 	return nil
 }
 
+// Bounds of the listener for readiness checks, which have no bodies.
+const (
+	maxReadyConnections = 64
+	maxReadyBody        = 1 << 10
+	readyTimeout        = 3 * time.Second
+	readyIdleTimeout    = 30 * time.Second
+)
+
+// serveReady answers readiness checks.
+func (s *Server) serveReady(l net.Listener) error {
+	probe := &fasthttp.Server{
+		Handler: s.handleReady, NoDefaultServerHeader: true, Logger: callers.HTTPLog{Log: s.g.log, Message: endedWithError},
+		MaxRequestBodySize: maxReadyBody, ReadTimeout: readyTimeout, WriteTimeout: readyTimeout, IdleTimeout: readyIdleTimeout,
+	}
+	return probe.Serve(&accept.Bounded{Listener: &accept.Listener{Listener: l, Retrier: accept.Retrier{Log: s.g.log}}, Most: maxReadyConnections})
+}
+
 // callersPart is the part of the process's descriptors that connections of callers may have. The
 // others are for servers, the platform and peers.
 const callersPart = 0.75
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,7 +29,15 @@
 	PathClearPart = "/parts/clear"
 )
 
-const shutdownTimeout = time.Second
+const (
+	shutdownTimeout = time.Second
+	// maxBody bounds the body of an order, in bytes.
+	maxBody        = 64 << 10
+	maxConnections = 32
+	readTimeout    = 10 * time.Second
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = time.Minute
+)
 
 // Status is the response to PathStatus.
 type Status struct {
@@ -83,10 +91,13 @@
 
 // Serve serves on l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	srv := &fasthttp.Server{Handler: s.handle, Name: "jayford", CloseOnShutdown: true, ReadTimeout: time.Minute, Logger: s.log}
+	srv := &fasthttp.Server{
+		Handler: s.handle, Name: "jayford", CloseOnShutdown: true, Logger: s.log,
+		MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+	}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- srv.Serve(&accept.Listener{Listener: l, Retrier: accept.Retrier{Log: s.log}})
+		failed <- srv.Serve(&accept.Bounded{Listener: &accept.Listener{Listener: l, Retrier: accept.Retrier{Log: s.log}}, Most: maxConnections})
 	}()
 	select {
 	case err := <-failed:
