--- a/internal/standin/crowd/kinds.go
+++ b/internal/standin/crowd/kinds.go
@@ -169,6 +169,19 @@
 	return b.String()
 }
 
+var errLeft = errors.New("crowd: the caller has left")
+
+// Mixed has each connection do one of several kinds in turn and leave some time after it.
+func Mixed(stay time.Duration, kinds ...Kind) Kind {
+	return func(c *Caller) error {
+		if err := kinds[(c.N+c.Try)%len(kinds)](c); err != nil {
+			return err
+		}
+		sleep(c.Done, stay)
+		return errLeft
+	}
+}
+
 // Once sends one request with further header lines and a body of a length, in one piece or in chunks,
 // and returns the status of its answer.
 func Once(address string, t Target, lines string, length int, chunked bool) (int, error) {
