Answers are buffered within the memory of requests

A plain answer is buffered up to 64 KiB, so that one that breaks off by then can be retried, and the buffer grew to twice that: hundreds of callers who don't read what they asked for held some 100 KB each that counted nowhere.

The buffer begins with 4 KiB and grows by the factor 4, which is charged to the request. Without memory for more, the answer is passed on from there: it is delivered as before, but can't be retried if it breaks off later. A request that has ended charges nothing.

--- a/internal/callers/receive.go
+++ b/internal/callers/receive.go
@@ -24,9 +24,10 @@
 
 	mu   sync.Mutex
 	pool *memory.Serving
-	// charged and cost are guarded by mu: what the request takes, and the part of it for its parsed
-	// head.
+	// All below is guarded by mu: what the request takes, the part of it for its parsed head, and
+	// whether the request has ended.
 	charged, cost int64
+	released      bool
 }
 
 // Receive reads the body of the request that a handler has got, up to a size. The request must be
@@ -99,10 +100,13 @@
 	r.giveLocked(r.cost / 2)
 }
 
-// Charge charges n more bytes, and reports whether they were free.
+// Charge charges n more bytes, and reports whether they were free and the request hasn't ended.
 func (r *Request) Charge(n int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.released {
+		return false
+	}
 	if !r.pool.Take(n) {
 		refusedRequests.Inc()
 		return false
@@ -115,6 +119,7 @@
 func (r *Request) Release() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.released = true
 	r.giveLocked(r.charged)
 }
 
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -38,8 +38,13 @@
 	CallerTimeout time.Duration
 	// Generation is nil for a request that isn't a generation.
 	Generation *Generation
+	// Charge asks for more memory in bytes until the request ends, and reports whether there is
+	// some; nil if that isn't bounded.
+	Charge func(bytes int64) bool
 }
 
+func (r *Request) charge(n int64) bool { return r.Charge == nil || r.Charge(n) }
+
 // Generation has the parameters of a generation request.
 type Generation struct {
 	// Prompt and MaxOutput are in tokens.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -20,6 +20,10 @@
 	// gets any of it, so that one that breaks off by then can be retried. Answers of
 	// plain services are about a kilobyte.
 	retryBufferBytes = 64 << 10
+	// firstReplyBytes is the size of the first buffer, replyGrowth the factor by which a full one
+	// grows.
+	firstReplyBytes = 4 << 10
+	replyGrowth     = 4
 	// maxIdleOnce bounds the idle time of a pooled connection that carries a request
 	// which must not run twice. If the server has silently dropped the connection, the
 	// request is answered by a reset, and it is unknown whether it ran.
@@ -163,7 +167,7 @@
 		_ = a.Body.Close()
 		return nil, err
 	}
-	return bufferReply(a)
+	return bufferReply(a, j.r.charge)
 }
 
 // replyEnded records how the body of a server's reply ended.
@@ -220,19 +224,31 @@
 	return nil
 }
 
-// bufferReply reads up to retryBufferBytes of a plain answer, in most cases all of it.
-func bufferReply(a *Answer) (*Reply, *verdict.Error) {
-	head, err := io.ReadAll(io.LimitReader(a.Body, retryBufferBytes))
-	if err != nil {
-		_ = a.Body.Close()
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ServerLost, "The server broke its answer off.")
-	}
+// bufferReply reads up to retryBufferBytes of a plain answer, in most cases all of it. Beyond
+// firstReplyBytes charge is asked for the memory; without it less is buffered.
+func bufferReply(a *Answer, charge func(int64) bool) (*Reply, *verdict.Error) {
 	r := &Reply{Status: a.Status, Headers: a.Header, Length: a.Length}
-	if len(head) < retryBufferBytes {
-		_ = a.Body.Close()
-		r.Length = int64(len(head))
-		r.Body = io.NopCloser(bytes.NewReader(head))
-		return r, nil
+	head := make([]byte, 0, firstReplyBytes)
+	for {
+		if len(head) == cap(head) {
+			larger := min(replyGrowth*cap(head), retryBufferBytes)
+			if len(head) == larger || !charge(int64(larger)) {
+				break
+			}
+			head = append(make([]byte, 0, larger), head...)
+		}
+		n, err := a.Body.Read(head[len(head):cap(head)])
+		head = head[:len(head)+n]
+		if errors.Is(err, io.EOF) {
+			_ = a.Body.Close()
+			r.Length = int64(len(head))
+			r.Body = io.NopCloser(bytes.NewReader(head))
+			return r, nil
+		}
+		if err != nil {
+			_ = a.Body.Close()
+			return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ServerLost, "The server broke its answer off.")
+		}
 	}
 	r.Body = struct {
 		io.Reader
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -43,7 +43,7 @@
 		if err == nil && a.Status != http.StatusOK {
 			// An error response of the server's own is passed on unchanged.
 			p.end()
-			return bufferReply(a)
+			return bufferReply(a, j.r.charge)
 		}
 		if err == nil {
 			return g.startStream(ctx, j, p, a)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -219,7 +219,7 @@
 		s.refuse(ctx, nil, refusal)
 		return
 	}
-	r.Body = received.Body
+	r.Body, r.Charge = received.Body, received.Charge
 	watched, stop := callers.Watch(context.Background(), ctx.Conn())
 	reply, refusal := s.g.Serve(watched, r)
 	if refusal != nil {
