Thousands of small unfinished requests don't keep ordinary ones out

Each such request took a place of some 30 KiB; a request that had to wait twice lost its second place in the queue to others that needed less, and the time that it waited counted as time to arrive, so it gave way itself.

A body that has room behind its head is awaited in the head's first buffer, so such a request takes 4 KiB. Requests that have begun are first in the queue, small ones are admitted in their order, and the time of a wait doesn't count. The more requests wait, the sooner others give way.

TestTheMoreWaitTheSoonerOthersGiveWay and TestRoomGoesToWhoeverWaits are the pool's.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -1,5 +1,11 @@
-// Package callers handles callers' TCP connections: write timeouts, closing without
-// losing the response, and detection of callers that disconnect.
+// Package callers handles callers' TCP connections: reading requests within an account of memory,
+// write timeouts, closing without losing the response, and detection of callers that disconnect.
+//
+// It guarantees:
+//   - A connection has no buffer and no parsed request while it is idle.
+//   - The HTTP library gets a head only when it has arrived, and its bytes as the caller sent them.
+//   - A body that is cut off is never taken for a whole one.
+//   - What a request takes is charged before it is allocated (package memory).
 package callers
 
 import (
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
 	"sync"
 )
 
@@ -29,7 +30,17 @@
 	headCommaCost  = 24
 )
 
-var transferEncoding = []byte("transfer-encoding")
+// Beginnings of header lines that are looked for. What they say decides only when and with
+// which buffers the HTTP library gets the request.
+var (
+	transferEncoding = []byte("transfer-encoding")
+	contentLength    = []byte("content-length:")
+	expect           = []byte("expect:")
+)
+
+func hasPrefixFold(text, prefix []byte) bool {
+	return len(text) >= len(prefix) && bytes.EqualFold(text[:len(prefix)], prefix)
+}
 
 // head is the head of a request as it arrives. Each byte is looked at once, however many there are
 // in a piece. What is found serves to bound what the HTTP library gets; it parses the head itself.
@@ -41,8 +52,10 @@
 	// line is where the line begins that is arriving, scanned how far the search for its end has come.
 	line, scanned int
 	lines, empty  int
-	// isChunked: the body seems to come in chunks.
-	isChunked bool
+	// isChunked: the body seems to come in chunks. expects: its caller seems to wait for a first answer
+	// before the body, whose announced length seems to be bodyLength.
+	isChunked, expects bool
+	bodyLength         int
 }
 
 var headBuffers = sync.Pool{New: func() any { return new([headBuffer]byte) }}
@@ -94,7 +107,7 @@
 		switch {
 		case len(text) > 0:
 			h.lines++
-			h.isChunked = h.isChunked || len(text) > len(transferEncoding) && bytes.EqualFold(text[:len(transferEncoding)], transferEncoding)
+			h.note(text)
 		case h.lines > 0:
 			h.end = next
 		case h.empty >= maxEmptyLines:
@@ -107,6 +120,26 @@
 	return nil
 }
 
+// note looks at a line of the head.
+func (h *head) note(text []byte) {
+	switch {
+	case hasPrefixFold(text, transferEncoding):
+		h.isChunked = true
+	case hasPrefixFold(text, expect):
+		h.expects = true
+	case hasPrefixFold(text, contentLength):
+		n, err := strconv.Atoi(string(bytes.TrimSpace(text[len(contentLength):])))
+		if err == nil && n > 0 {
+			h.bodyLength = n
+		}
+	}
+}
+
+// hasSmallBody reports whether the body will have room behind the head, and will come by itself.
+func (h *head) hasSmallBody() bool {
+	return !h.isChunked && !h.expects && h.bodyLength > 0 && h.bodyLength <= len(h.buf)-h.end
+}
+
 // bytes returns the head that has arrived, rest what came behind it.
 func (h *head) bytes() []byte { return h.buf[h.start:h.end] }
 func (h *head) rest() []byte  { return h.buf[h.end:h.n] }
--- a/internal/callers/incoming.go
+++ b/internal/callers/incoming.go
@@ -106,7 +106,7 @@
 	case hasLines && in.reads > quietReads:
 		n, err = in.collect(c, p)
 	default:
-		in.head.release()
+		in.releaseHead()
 		n, err = c.receive(p)
 	}
 	if hasLines {
@@ -119,6 +119,14 @@
 	return n, err
 }
 
+// releaseHead returns the buffer of the head.
+func (in *incoming) releaseHead() {
+	if size := len(in.head.buf); size > 0 && in.claim != nil {
+		in.claim.Shrink(int64(size))
+	}
+	in.head.release()
+}
+
 // collect reads as much again as has come since the last progress, or to an empty line, which ends a
 // head, a trailer and so a chunked body.
 func (in *incoming) collect(c *Conn, p []byte) (n int, err error) {
@@ -238,10 +246,37 @@
 		}
 		h.n += n
 	}
+	if err := in.readSmallBody(c); err != nil {
+		return err
+	}
 	in.cost, in.worker = h.cost(), c.server.queueFor(h).worker
 	return in.claim.Grow(in.cost + in.worker)
 }
 
+// readSmallBody waits for a body that has room behind its head. Until then the request needs no more
+// than that buffer.
+func (in *incoming) readSmallBody(c *Conn) error {
+	h := &in.head
+	if !h.hasSmallBody() {
+		return nil
+	}
+	if h.n < h.end+h.bodyLength {
+		_ = c.SetReadDeadline(time.Now().Add(c.server.opts.BodyTimeout))
+	}
+	for h.n < h.end+h.bodyLength {
+		n, err := c.receive(h.buf[h.n:])
+		h.n += n
+		if errors.Is(err, io.EOF) {
+			// The handler finds that the body is cut off.
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (in *incoming) growHead(most int) error {
 	size := len(in.head.buf)
 	if size >= most {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -39,9 +39,10 @@
 	HTTP func() *fasthttp.Server
 	// MaxHeaderBytes bounds a head.
 	MaxHeaderBytes int
-	// HeaderTimeout bounds the arrival of a head, IdleTimeout the time between two requests of a
+	// HeaderTimeout bounds the arrival of a head, BodyTimeout that of a small body behind it, which is
+	// read before the HTTP library has the request, and IdleTimeout the time between two requests of a
 	// connection whose listener has none.
-	HeaderTimeout, IdleTimeout time.Duration
+	HeaderTimeout, BodyTimeout, IdleTimeout time.Duration
 	// Limits bound the memory of requests.
 	Limits memory.Limits
 }
@@ -75,7 +76,7 @@
 
 // workerBytes is what the HTTP library takes for a request besides its read buffer: the buffer for
 // writing, the request's context and the stacks of its goroutines.
-const workerBytes = 20 << 10
+const workerBytes = 12 << 10
 
 // maxIdleWorker is how long a goroutine of the HTTP library waits for another connection, with the
 // stack that it has grown.
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -43,7 +43,7 @@
 		HTTP: func() *fasthttp.Server {
 			return &fasthttp.Server{Handler: s.handle, ErrorHandler: refuse, ReadTimeout: time.Second, Logger: log.New(io.Discard, "", 0)}
 		},
-		MaxHeaderBytes: 32 << 10, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second, Limits: limits,
+		MaxHeaderBytes: 32 << 10, HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: 2 * time.Second, Limits: limits,
 	})
 	l := &Listener{TCPListener: tcp, WriteTimeout: time.Second}
 	go func() { _ = s.Serve(l.AcceptConn) }()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -56,7 +56,7 @@
 	s := &server{e: e}
 	lim := e.settings.Limits
 	s.http = callers.NewServer(callers.ServerOptions{
-		HTTP: s.newHTTP, MaxHeaderBytes: lim.MaxHeaderBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout, Limits: e.memory,
+		HTTP: s.newHTTP, MaxHeaderBytes: lim.MaxHeaderBytes, HeaderTimeout: readTimeout, BodyTimeout: readTimeout, IdleTimeout: idleTimeout, Limits: e.memory,
 	})
 	e.board.AddView("memory", func() any { return s.http.Usage() })
 	return s
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -17,6 +17,8 @@
 //   - A request that crashes the servers that run it is refused by all gateways, and so are those
 //     whose prompts have a part that does.
 //   - What is read from a server is bounded in bytes and time.
+//   - What callers make it hold is charged to an account before it is allocated, which follows from
+//     the memory of its machine.
 //   - A stream that has begun goes on only at the software version that began it.
 //   - A server's silence ends no stream: a server runs its request until it has broken off, the
 //     request's deadline has passed, its caller has left, or another server has the next event.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,7 +81,7 @@
 	}
 	s := &Server{g: g, opts: o}
 	s.http = callers.NewServer(callers.ServerOptions{
-		HTTP: s.newHTTP, MaxHeaderBytes: o.MaxHeaderBytes, HeaderTimeout: o.HeaderTimeout, IdleTimeout: o.IdleTimeout, Limits: o.Memory,
+		HTTP: s.newHTTP, MaxHeaderBytes: o.MaxHeaderBytes, HeaderTimeout: o.HeaderTimeout, BodyTimeout: o.BodyTimeout, IdleTimeout: o.IdleTimeout, Limits: o.Memory,
 	})
 	g.opts.Board.AddView("memory", func() any { return s.http.Usage() })
 	return s
--- a/internal/memory/arriving.go
+++ b/internal/memory/arriving.go
@@ -19,10 +19,13 @@
 	// growTimeout bounds the wait for memory.
 	growTimeout = time.Second
 	// arrivalTime is how long a request may take to arrive before it has to give way. Most take a few
-	// milliseconds, so that it is better to wait for them.
-	arrivalTime = 200 * time.Millisecond
-	// retryInterval is the time between two looks for requests that have to give way.
-	retryInterval = 50 * time.Millisecond
+	// milliseconds, so that it is better to wait for them. The more requests wait, the shorter it is:
+	// it is halved at manyWaiting of them, and minArrivalTime at the least.
+	arrivalTime    = 200 * time.Millisecond
+	minArrivalTime = 100 * time.Millisecond
+	manyWaiting    = 64
+	// lookInterval is the time between two looks for requests that have to give way.
+	lookInterval = 10 * time.Millisecond
 	// largeArriving is the size from which on an arriving request is large.
 	largeArriving = 64 << 10
 )
@@ -40,24 +43,30 @@
 	waiting []*waiter
 	// leaving are the bytes of the claims that have been evicted and are still open.
 	leaving int64
+	// looking: a look for claims that have to give way is due.
+	looking bool
 }
 
 // Claim is the memory of one arriving request.
 type Claim struct {
 	pool  *Arriving
 	evict func()
-	since time.Time
 
-	// All below is guarded by pool.mu.
+	// All below is guarded by pool.mu. since is when the claim was opened, later by the time that it
+	// has waited for memory.
+	since           time.Time
 	bytes           int64
 	index           int
 	evicted, closed bool
+	// wait is its current wait, nil if there is none.
+	wait *waiter
 }
 
 // waiter is a claim that waits for n bytes.
 type waiter struct {
 	claim *Claim
 	n     int64
+	began time.Time
 	done  chan error
 }
 
@@ -93,17 +102,11 @@
 	}
 	timeout := time.NewTimer(growTimeout)
 	defer timeout.Stop()
-	again := time.NewTicker(retryInterval)
-	defer again.Stop()
-	for {
-		select {
-		case err := <-w.done:
-			return err
-		case <-timeout.C:
-			return c.pool.giveUp(w)
-		case <-again.C:
-			c.pool.makeRoom()
-		}
+	select {
+	case err := <-w.done:
+		return err
+	case <-timeout.C:
+		return c.pool.giveUp(w)
 	}
 }
 
@@ -118,19 +121,49 @@
 		return nil, ErrEvicted
 	case c.bytes+n > a.limitLocked(w):
 		return nil, ErrFull
-	case a.used+n <= a.limitLocked(w):
+	case a.used+n <= a.limitLocked(w) && (c.bytes > 0 || !a.smallWaitLocked()):
 		a.chargeLocked(c, n)
 		return nil, nil
 	}
-	w.done = make(chan error, 1)
-	a.waiting = append(a.waiting, w)
-	a.makeRoomLocked()
+	w.began, w.done = a.now(), make(chan error, 1)
+	a.enqueueLocked(w)
+	if !a.looking {
+		a.makeRoomLocked()
+	}
 	return w, nil
 }
 
+// smallWaitLocked reports whether a small request waits, before which none may begin.
+func (a *Arriving) smallWaitLocked() bool {
+	return slices.ContainsFunc(a.waiting, func(w *waiter) bool { return !w.isLarge() })
+}
+
+// enqueueLocked adds a waiter. Requests that hold something already go before those that haven't begun.
+func (a *Arriving) enqueueLocked(w *waiter) {
+	w.claim.wait = w
+	at := len(a.waiting)
+	if w.claim.bytes > 0 {
+		if i := slices.IndexFunc(a.waiting, func(x *waiter) bool { return x.claim.bytes == 0 }); i >= 0 {
+			at = i
+		}
+	}
+	a.waiting = slices.Insert(a.waiting, at, w)
+}
+
+// ageLocked returns for how long a request has been arriving, without what it has waited for memory.
+func (c *Claim) ageLocked(now time.Time) time.Duration {
+	if c.wait != nil {
+		now = c.wait.began
+	}
+	return now.Sub(c.since)
+}
+
+// isLarge reports whether the request will be large. pool.mu must be held.
+func (w *waiter) isLarge() bool { return w.claim.bytes+w.n >= largeArriving }
+
 // limitLocked returns the limit for a waiter. Large requests can't use up the memory of small ones.
 func (a *Arriving) limitLocked(w *waiter) int64 {
-	if w.claim.bytes+w.n >= largeArriving {
+	if w.isLarge() {
 		return int64(largeShare * float64(a.limit))
 	}
 	return a.limit
@@ -142,24 +175,30 @@
 	arrivingBytes.AddInt64(n)
 }
 
-func (a *Arriving) makeRoom() {
+func (a *Arriving) look() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.looking = false
 	a.makeRoomLocked()
 }
 
-// makeRoomLocked evicts claims until those that wait will have room.
+// makeRoomLocked evicts claims until those that wait will have room. If there are too few that are
+// late, it is called again.
 func (a *Arriving) makeRoomLocked() {
 	for a.missingLocked() > 0 {
 		victim := a.victimLocked()
 		if victim == nil {
-			return
+			break
 		}
 		victim.evicted = true
 		a.leaving += victim.bytes
 		a.dropWaitersLocked(victim)
 		victim.evict()
 	}
+	if len(a.waiting) > 0 && !a.looking {
+		a.looking = true
+		time.AfterFunc(lookInterval, a.look)
+	}
 }
 
 // missingLocked returns how many bytes those that wait lack, besides what is about to come free.
@@ -177,9 +216,10 @@
 	var victim *Claim
 	worst := 0.0
 	now := a.now()
+	late := max(minArrivalTime, arrivalTime*manyWaiting/time.Duration(manyWaiting+len(a.waiting)))
 	for _, c := range a.claims {
-		age := now.Sub(c.since)
-		if held := float64(c.bytes) * float64(age); !c.evicted && age >= arrivalTime && held > worst {
+		age := c.ageLocked(now)
+		if held := float64(c.bytes) * float64(age); !c.evicted && age >= late && held > worst {
 			victim, worst = c, held
 		}
 	}
@@ -190,6 +230,7 @@
 func (a *Arriving) dropWaitersLocked(c *Claim) {
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
 		if w.claim == c {
+			c.wait = nil
 			w.done <- ErrEvicted
 		}
 		return w.claim == c
@@ -205,6 +246,7 @@
 		return <-w.done
 	}
 	a.waiting = slices.Delete(a.waiting, i, i+1)
+	w.claim.wait = nil
 	return ErrFull
 }
 
@@ -228,15 +270,18 @@
 	a.admitLocked()
 }
 
-// admitLocked gives what is free to those who wait, in their order. One that needs more than is free
+// admitLocked gives what is free to those who wait, in their order. A large request that needs more
 // doesn't hold up those behind it.
 func (a *Arriving) admitLocked() {
+	blocked := false
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
-		fits := a.used+w.n <= a.limitLocked(w)
+		fits := !blocked && a.used+w.n <= a.limitLocked(w)
 		if fits {
+			w.claim.since, w.claim.wait = w.claim.since.Add(a.now().Sub(w.began)), nil
 			a.chargeLocked(w.claim, w.n)
 			w.done <- nil
 		}
+		blocked = blocked || !fits && !w.isLarge()
 		return fits
 	})
 }
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// Guards against thousands of small unfinished requests that keep an ordinary one waiting.
+func TestTheMoreWaitTheSoonerOthersGiveWay(t *testing.T) {
+	c := &clock{at: time.Unix(1000, 0)}
+	pool := NewArriving(1<<20, c.now)
+	evicted := 0
+	for range 1 << 10 {
+		claim := pool.Open(func() { evicted++ })
+		pool.chargeLocked(claim, 1<<10)
+	}
+	c.at = c.at.Add(minArrivalTime)
+	for range 20 * manyWaiting {
+		pool.waiting = append(pool.waiting, &waiter{claim: pool.Open(func() {}), n: 100, done: make(chan error, 1)})
+	}
+	pool.look()
+	assert.Equal(t, evicted, 20*manyWaiting*100/(1<<10))
+}
+
 func TestRoomGoesToWhoeverWaits(t *testing.T) {
 	c := &clock{at: time.Unix(1000, 0)}
 	pool := NewArriving(1<<20, c.now)
@@ -78,8 +95,11 @@
 	waits(large, "large", 400<<10)
 	// A small request doesn't wait behind a large one.
 	assert.NilError(t, small.Grow(60<<10))
+	c.at = c.at.Add(time.Second)
 	holder.Close()
 	assert.Equal(t, <-grown, "large")
+	// The wait doesn't count as a part of its arrival.
+	assert.Equal(t, large.since, c.at)
 	assert.Equal(t, pool.Used(), int64(460<<10))
 	assert.Assert(t, errors.Is(holder.Grow(1), ErrEvicted))
 	assert.Assert(t, errors.Is(large.Grow(2<<20), ErrFull))
