--- a/internal/callers/receive.go
+++ b/internal/callers/receive.go
@@ -10,7 +10,7 @@
 	"jayford.example/jayford/internal/memory"
 )
 
-// ErrBusy: the requests that are being served use up the memory for them.
+// ErrBusy is the error of a request for which those that are being served leave no memory.
 var ErrBusy = errors.New("callers: no memory for another request")
 
 // IsShortage reports whether a request has to end for lack of memory, through no fault of its own.
