--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -22,7 +22,7 @@
 // streamProtocol decodes each HTTP request whose path is that of a stream as a generation.
 type streamProtocol struct{ bareProtocol }
 
-func (streamProtocol) Decode(ctx *fasthttp.RequestCtx) (*Request, *verdict.Error) {
+func (streamProtocol) Decode(ctx *fasthttp.RequestCtx, _ []byte) (*Request, *verdict.Error) {
 	path := string(ctx.Path())
 	r := call(path)
 	if strings.HasPrefix(path, "/stream") {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,8 +23,8 @@
 // Protocol translates between HTTP and the gateway's types. It makes no routing
 // decisions.
 type Protocol interface {
-	// Decode returns the request without its body, or an error if it is invalid.
-	Decode(ctx *fasthttp.RequestCtx) (*Request, *verdict.Error)
+	// Decode returns the request of ctx, whose body has been read, or an error if it is invalid.
+	Decode(ctx *fasthttp.RequestCtx, body []byte) (*Request, *verdict.Error)
 	// Reply writes the status and headers of a server's answer.
 	Reply(resp *fasthttp.Response, r *Reply)
 	// Refuse writes an error answer of the gateway. r is nil if the request couldn't
@@ -212,14 +212,14 @@
 		s.held.release(size)
 		received.Release()
 	}
-	r, refusal := s.opts.Protocol.Decode(ctx)
+	r, refusal := s.opts.Protocol.Decode(ctx, received.Body)
 	received.Decoded(ctx)
 	if refusal != nil {
 		end()
 		s.refuse(ctx, nil, refusal)
 		return
 	}
-	r.Body, r.Charge = received.Body, received.Charge
+	r.Charge = received.Charge
 	watched, stop := callers.Watch(context.Background(), ctx.Conn())
 	reply, refusal := s.g.Serve(watched, r)
 	if refusal != nil {
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -21,7 +21,7 @@
 // bareProtocol decodes each HTTP request as a plain call.
 type bareProtocol struct{}
 
-func (bareProtocol) Decode(ctx *fasthttp.RequestCtx) (*Request, *verdict.Error) {
+func (bareProtocol) Decode(ctx *fasthttp.RequestCtx, _ []byte) (*Request, *verdict.Error) {
 	return call(string(ctx.Path())), nil
 }
 
