The operators' listener logs the library's errors as one kind of line

The text is a field of one message now. No test showed a flood. vet, the linter and the package's tests with the race detector pass.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 
 	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/board"
+	"jayford.example/jayford/internal/callers"
 )
 
 // Paths of the operators' listener.
@@ -92,7 +93,8 @@
 // Serve serves on l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	srv := &fasthttp.Server{
-		Handler: s.handle, Name: "jayford", CloseOnShutdown: true, Logger: s.log,
+		Handler: s.handle, Name: "jayford", CloseOnShutdown: true,
+		Logger:             callers.HTTPLog{Log: s.log, Message: "operator: connection ended with an error."},
 		MaxRequestBodySize: maxBody, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 	}
 	failed := make(chan error, 1)
