A status that no response has is no answer, at every client

What callers saw: a server's answer with the status 000, 001, 099 or 101 held them until their deadline where the connection stayed open (1.97 s of 2 s), or brought them the answer whose text was in its body; 600 was passed on. At an agent 000 became a 200 with the body, 001 and 099 the statuses 1 and 99. The store's client took 000 for success, of a write too, and so did the clients of engines and of operators' listeners.

Cause: there are two readers of responses, net/http and fasthttp, and each takes more than the grammar allows. The first has any number of three characters, so a head below 200 counted as an interim response and the next one was awaited; the second reads 000 as 200. Nothing else said what a response is.

Change: internal/response says so for all clients: HTTP/1.0 or 1.1, three digits, a final status of 200 to 599, interim ones but 101, which no request asks for. It checks a head line by line before a library gets it; what begins otherwise fails with its first bytes. Gateways' connections use its reader, and the clients that leave the reading to fasthttp its connection. Interim responses are bounded by their bytes, as heads are, in place of four. 600 and above has no meaning (RFC 9110, section 15), so it is no answer either.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -15,6 +15,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/response"
 	"jayford.example/jayford/internal/settings"
 )
 
@@ -56,9 +57,10 @@
 func exchange(ctx context.Context, conn net.Conn, q *fasthttp.Request, out *fasthttp.Response) error {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
+	checked := response.NewConn(conn)
 	client := &fasthttp.HostClient{
 		Addr:                      conn.RemoteAddr().String(),
-		Dial:                      dialOnce(conn),
+		Dial:                      dialOnce(checked),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxResponseBodySize:       maxAnswerBytes,
@@ -66,7 +68,10 @@
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
 	}
-	return client.Do(q, out)
+	if err := client.Do(q, out); err != nil {
+		return checked.Cause(err)
+	}
+	return nil
 }
 
 var errDialled = errors.New("a call has one connection")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/platform"
+	"jayford.example/jayford/internal/standin/broken"
 	standin "jayford.example/jayford/internal/standin/platform"
 )
 
@@ -323,6 +324,15 @@
 	assert.Assert(t, strings.Contains(out, "entry-1"), out)
 }
 
+// Guards against a status that no response has being taken for success: the HTTP library reads 000
+// as 200.
+func TestMalformedStatusLinesOfAProcess(t *testing.T) {
+	b := newFixture(t)
+	for _, line := range broken.StatusLines {
+		b.run(ExitUnreachable, "dump", broken.Serve(t, broken.WithStatusLine(line)).Address())
+	}
+}
+
 func TestDumpAndExplain(t *testing.T) {
 	b := newFixture(t)
 	address := serveOperator(t)
--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/url"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"jayford.example/jayford/internal/response"
 	"jayford.example/jayford/internal/strictjson"
 )
 
@@ -45,7 +47,7 @@
 	}
 	host := &fasthttp.HostClient{
 		Addr: address, MaxResponseBodySize: maxDump, NoDefaultUserAgentHeader: true, Name: "jayfordctl",
-		MaxIdemponentCallAttempts: 1,
+		MaxIdemponentCallAttempts: 1, Dial: c.dialOperator,
 	}
 	defer host.CloseIdleConnections()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -68,6 +70,14 @@
 	return body, nil
 }
 
+func (c *client) dialOperator(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, c.options.Timeout)
+	if err != nil {
+		return nil, err
+	}
+	return response.NewConn(conn), nil
+}
+
 // printJSON prints a JSON response with indentation.
 func (c *client) printJSON(answer json.RawMessage) error {
 	return c.print(answer, func(w io.Writer) error {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/response"
 )
 
 // Default timeouts and size limits of the client.
@@ -178,9 +180,10 @@
 // for a retry is closed by then.
 func (h *HTTP) exchange(conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response, idle time.Duration) error {
 	neverRetry := func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+	checked := response.NewConn(readTimeoutConn{conn, idle})
 	c := fasthttp.HostClient{
 		Addr:                      h.addr,
-		Dial:                      func(string) (net.Conn, error) { return readTimeoutConn{conn, idle}, nil },
+		Dial:                      func(string) (net.Conn, error) { return checked, nil },
 		MaxConns:                  1,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
@@ -190,7 +193,10 @@
 		MaxResponseBodySize: maxResponseBytes,
 		StreamResponseBody:  idle > 0,
 	}
-	return c.Do(req, resp)
+	if err := c.Do(req, resp); err != nil {
+		return checked.Cause(err)
+	}
+	return nil
 }
 
 // readTimeoutConn sets a timeout for each read. Without it, reading a stream from
--- /dev/null
+++ b/internal/engine/malformed_test.go
@@ -0,0 +1,32 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/standin/broken"
+)
+
+// assertLost checks that a call and a stream whose answer is no response fail at once, as ones that
+// may have run.
+func assertLost(t *testing.T, answer string) {
+	t.Helper()
+	t.Parallel()
+	s := broken.Serve(t, answer)
+	h := NewHTTP(s.Address())
+	began := time.Now()
+	assert.ErrorIs(t, h.Order(t.Context(), Order{}), ErrLost)
+	assert.ErrorIs(t, h.Decode(t.Context(), DecodeRequest{}, func(Event) error { return nil }), ErrLost)
+	assert.Assert(t, time.Since(began) < time.Second)
+	assert.Equal(t, s.Requests.Load(), int32(2))
+}
+
+// Guards against a status that no response has being taken for success: the HTTP library reads 000
+// as 200.
+func TestMalformedStatusLinesOfAnEngine(t *testing.T) {
+	for _, line := range broken.StatusLines {
+		t.Run(line, func(t *testing.T) { assertLost(t, broken.WithStatusLine(line)) })
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -14,6 +14,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"jayford.example/jayford/internal/response"
 )
 
 const (
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	return c, nil
+	return response.NewConn(c), nil
 }
 
 // Call is one exchange with the platform.
--- /dev/null
+++ b/internal/response/head.go
@@ -0,0 +1,97 @@
+package response
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// ErrMalformed marks bytes from a server that are no response: not HTTP, or without end. The
+// server runs, but is faulty.
+var ErrMalformed = errors.New("malformed response")
+
+var malformed = metrics.NewCounter("jayford_malformed_responses_total")
+
+// Malformed returns and counts an ErrMalformed.
+func Malformed(reason string) error {
+	malformed.Inc()
+	return fmt.Errorf("%w: %s", ErrMalformed, reason)
+}
+
+// versionPrefix begins every status line. Its rest is a minor version, a space, a status of
+// statusDigits and, behind another space, a reason.
+const (
+	versionPrefix = "HTTP/1."
+	statusDigits  = 3
+	minStatusLine = len(versionPrefix) + len("1 ") + statusDigits
+)
+
+const (
+	minStatus          = 100
+	switchingProtocols = 101
+	minFinalStatus     = 200
+	maxStatus          = 599
+)
+
+// head is the head of a response of which some lines have been read.
+type head struct {
+	status int
+}
+
+// add checks the next line and reports whether it ends the head.
+func (h *head) add(line []byte) (end bool, err error) {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	switch {
+	case h.status == 0:
+		return false, h.readStatusLine(line)
+	case len(line) == 0:
+		return true, nil
+	}
+	return false, nil
+}
+
+// isInterim reports whether another response follows, without a body in between.
+func (h *head) isInterim() bool { return h.status < minFinalStatus }
+
+func (h *head) readStatusLine(line []byte) error {
+	if len(line) < minStatusLine || !mayBeginResponse(line) {
+		return Malformed("no status line")
+	}
+	version, rest := line[len(versionPrefix)], line[len(versionPrefix)+1:]
+	status, reason := rest[1:1+statusDigits], rest[1+statusDigits:]
+	if version != '0' && version != '1' || rest[0] != ' ' {
+		return Malformed("not HTTP/1.0 or HTTP/1.1")
+	}
+	for _, c := range status {
+		if c < '0' || c > '9' {
+			return Malformed("the status isn't a number of three digits")
+		}
+		h.status = 10*h.status + int(c-'0')
+	}
+	if len(reason) > 0 && (reason[0] != ' ' || !isText(reason)) {
+		return Malformed("an invalid reason")
+	}
+	// No request asks for another protocol, so no connection may switch to one.
+	if h.status < minStatus || h.status > maxStatus || h.status == switchingProtocols {
+		return Malformed("no status of a response")
+	}
+	return nil
+}
+
+// mayBeginResponse reports whether the first bytes of a response can be these.
+func mayBeginResponse(b []byte) bool {
+	n := min(len(b), len(versionPrefix))
+	return string(b[:n]) == versionPrefix[:n]
+}
+
+// isText reports whether a field value or a reason may have these bytes.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/broken/broken.go
@@ -0,0 +1,81 @@
+// Package broken is a stand-in of a server in trouble: what it sends is no response.
+package broken
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// IDHeader is the header whose value in a request replaces ID in the response.
+const (
+	IDHeader = "X-Id"
+	ID       = "{id}"
+)
+
+// body is JSON, so that it would be taken by every reader.
+const body = "{}"
+
+// StatusLines are first lines that no response has.
+var StatusLines = []string{
+	"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
+	"HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 \u0662\u0660\u0660 OK",
+	"HTTP/1.1 200\tOK", "HTTP/1.1\t200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 ", "HTTP/1.1", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK",
+	"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/9.9 200 OK", "HTTP/1.10 200 OK", "HTTP/1. 200 OK", "http/1.1 200 OK", "HTTPS/1.1 200 OK", "ICY 200 OK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK", "200 OK", "{}", "\x00",
+}
+
+// WithStatusLine returns bytes that would be a whole response but for their first line.
+func WithStatusLine(line string) string {
+	return line + "\r\n" + IDHeader + ": " + ID + "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n" + body
+}
+
+// Server gives every request the same answer and leaves the connection open.
+type Server struct {
+	net.Listener
+	// Requests counts the requests that were read.
+	Requests atomic.Int32
+}
+
+// Serve starts a server on loopback that ends with the test.
+func Serve(t testing.TB, answer string) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &Server{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *Server) serve(c net.Conn, answer string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		s.Requests.Add(1)
+		if _, err := io.WriteString(c, strings.ReplaceAll(answer, ID, q.Header.Get(IDHeader))); err != nil {
+			return
+		}
+	}
+}
+
+// Address returns the server's "ip:port".
+func (s *Server) Address() string { return s.Listener.Addr().String() }
--- /dev/null
+++ b/internal/upstream/malformed_test.go
@@ -0,0 +1,42 @@
+package upstream
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/standin/broken"
+)
+
+// atOnce is far below any deadline of a request.
+const atOnce = time.Second
+
+// assertMalformed checks that an answer is no response, and that this is known at once although the
+// connection stays open.
+func assertMalformed(t *testing.T, answer string) {
+	t.Helper()
+	t.Parallel()
+	s := broken.Serve(t, answer)
+	began := time.Now()
+	body, err := do(t, newPool(), s.Address(), "1")
+	var e *Error
+	assert.Assert(t, errors.As(err, &e), "taken as a response with the body %q", body)
+	assert.Assert(t, errors.Is(err, ErrMalformed) && e.Sent, "%v", err)
+	assert.Assert(t, time.Since(began) < atOnce)
+}
+
+// Guards against a status that no response has being passed on, or taken for an interim response so
+// that the caller waits for the next one until its deadline.
+func TestMalformedStatusLines(t *testing.T) {
+	for _, line := range broken.StatusLines {
+		t.Run(line, func(t *testing.T) { assertMalformed(t, broken.WithStatusLine(line)) })
+	}
+}
+
+// Guards against the text of a response in a body being taken for the response.
+func TestResponseInTheBodyOfAMalformedOne(t *testing.T) {
+	inner := broken.WithStatusLine("HTTP/1.1 200 OK")
+	assertMalformed(t, "HTTP/1.1 000 OK\r\n"+broken.IDHeader+": "+broken.ID+"\r\n\r\n"+inner)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -11,10 +10,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"jayford.example/jayford/internal/response"
 )
 
 const (
-	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
 	// keepAliveMargin is how long before the server's keep-alive timeout a
 	// connection is discarded, so that no request is sent while the server closes
@@ -79,7 +79,7 @@
 type conn struct {
 	net.Conn
 	addr string
-	r    *bufio.Reader
+	r    *response.Reader
 	// connectedAt is when the connection was established.
 	connectedAt time.Time
 	// uses counts the exchanges before the current one.
@@ -88,11 +88,8 @@
 	wrote            bool
 	keepAlive        bool
 	keepAliveTimeout time.Duration
-	// headLeft is how many more bytes may be read until the head of a response has ended,
-	// noHeadLimit outside of one.
-	headLeft  int
-	idleSince time.Time
-	once      sync.Once
+	idleSince        time.Time
+	once             sync.Once
 }
 
 // Write writes b and records whether any byte was written.
@@ -104,23 +101,6 @@
 	return n, err
 }
 
-const noHeadLimit = -1
-
-// Read reads from the socket. In the head of a response it fails at its limit.
-func (c *conn) Read(b []byte) (int, error) {
-	switch c.headLeft {
-	case noHeadLimit:
-		return c.Conn.Read(b)
-	case 0:
-		return 0, errLargeHead
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
-	c.headLeft -= n
-	return n, err
-}
-
-var errLargeHead = errors.New("the head is too large")
-
 func (c *conn) close() { c.once.Do(func() { _ = c.Close() }) }
 
 var (
@@ -150,8 +130,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, connectedAt: time.Now(), headLeft: noHeadLimit}
-	c.r = bufio.NewReaderSize(c, readBuffer)
+	c := &conn{Conn: nc, addr: addr, connectedAt: time.Now()}
+	c.r = response.NewReader(c)
 	return c, nil
 }
 
@@ -202,6 +182,7 @@
 		c.close()
 		return
 	}
+	c.r.Trim()
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,7 +10,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net"
@@ -21,6 +20,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"jayford.example/jayford/internal/response"
 )
 
 // Response is a backend server's response. Body must be closed.
@@ -51,19 +52,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// ErrMalformed marks bytes from a server that are no response: not HTTP, or without end. The
-// server runs, but is faulty.
-var ErrMalformed = errors.New("malformed response")
-
-var errTooManyMismatched = fmt.Errorf("%w: too many responses to other requests", ErrMalformed)
+// ErrMalformed marks bytes from a server that are no response.
+var ErrMalformed = response.ErrMalformed
 
 const (
 	// maxMismatched limits the responses to other requests that one exchange drops.
 	maxMismatched = 4
-	// maxHeadBytes bounds the head of a response, headTimeout the time from its first byte to
-	// its last.
-	maxHeadBytes = 64 << 10
-	headTimeout  = 2 * time.Second
+	// headTimeout bounds the time from the first byte of a head to its last.
+	headTimeout = 2 * time.Second
 	// maxBodyBytes bounds a body of unknown length.
 	maxBodyBytes = 64 << 20
 	// maxDiscardBytes and discardTimeout bound what is read of a body that nobody wants, so that
@@ -113,12 +109,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
 			if !c.discard(resp.Body, headTimeout) {
-				return nil, fmt.Errorf("%w: a response to another request has no end", ErrMalformed)
+				return nil, response.Malformed("a response to another request has no end")
 			}
 			continue
 		}
@@ -129,27 +122,40 @@
 			Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		}, nil
 	}
-	return nil, errTooManyMismatched
+	return nil, response.Malformed("too many responses to other requests")
 }
 
-// readHead reads the head of a response, which is bounded in bytes and, from its first byte on,
-// in time.
+// readHead reads the head of the next final response, which is bounded in bytes and, from its
+// first byte on, in time.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	if _, err := c.r.Peek(1); err != nil {
-		return nil, eris.Wrap(err, "read response")
+	for isInterim := true; isInterim; {
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, eris.Wrap(err, "read response")
+		}
+		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
+		var err error
+		isInterim, err = c.r.NextHead()
+		_ = c.SetReadDeadline(time.Time{})
+		if err != nil {
+			return nil, headError(err)
+		}
+	}
+	resp, err := http.ReadResponse(c.r.Reader, req)
+	if err != nil {
+		return nil, headError(err)
 	}
-	_ = c.SetReadDeadline(time.Now().Add(headTimeout))
-	c.headLeft = maxHeadBytes
-	resp, err := http.ReadResponse(c.r, req)
-	c.headLeft = noHeadLimit
-	_ = c.SetReadDeadline(time.Time{})
+	return resp, nil
+}
+
+// headError returns the error of a head that couldn't be read.
+func headError(err error) error {
 	switch {
-	case err == nil:
-		return resp, nil
+	case errors.Is(err, ErrMalformed):
+		return err
 	case isConnectionError(err):
-		return nil, eris.Wrap(err, "read response")
+		return eris.Wrap(err, "read response")
 	}
-	return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	return response.Malformed(err.Error())
 }
 
 // isConnectionError reports whether reading failed as the connection was closed or reset, and
@@ -219,7 +225,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if b.left -= int64(n); b.left < 0 {
 		b.conn.close()
-		return 0, fmt.Errorf("%w: the body has no end", ErrMalformed)
+		return 0, response.Malformed("the body has no end")
 	}
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
