A line that is no header field makes a response malformed, at every client

What callers saw: an answer whose head had a blank in or behind the name of a field came as an answer, with the line passed on. With "Content-Encoding : gzip" a body came that callers can't use, with "Transfer-Encoding : chunked" one whose chunks weren't taken off, and with "Content Length: 5" one that ended with its connection. A line that begins with a blank became part of the value before it, also of the server's proof.

Cause: both HTTP libraries take blanks in names, fasthttp drops those behind one, and both join folded lines; only control bytes were refused.

Change: internal/response checks each line behind the status line: a name that is a token, a colon, and a value without control bytes but tabs. A folded line is refused, which RFC 9112, section 5.2, leaves to a gateway.

Lines with control bytes were refused before and keep their tests.

--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -32,3 +32,10 @@
 		t.Run(line, func(t *testing.T) { assertNoAnswer(t, broken.WithStatusLine(line)) })
 	}
 }
+
+// Guards against a line that is no header field reaching a caller, or deciding how long the body is.
+func TestMalformedFieldLinesOfAService(t *testing.T) {
+	for _, line := range broken.FieldLines {
+		t.Run(line, func(t *testing.T) { assertNoAnswer(t, broken.WithFieldLine(line)) })
+	}
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -333,6 +333,14 @@
 	}
 }
 
+// Guards against an answer whose head has a line that is no header field.
+func TestMalformedFieldLinesOfAProcess(t *testing.T) {
+	b := newFixture(t)
+	for _, line := range broken.FieldLines {
+		b.run(ExitUnreachable, "dump", broken.Serve(t, broken.WithFieldLine(line)).Address())
+	}
+}
+
 func TestDumpAndExplain(t *testing.T) {
 	b := newFixture(t)
 	address := serveOperator(t)
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -30,3 +30,10 @@
 		t.Run(line, func(t *testing.T) { assertLost(t, broken.WithStatusLine(line)) })
 	}
 }
+
+// Guards against an answer whose head has a line that is no header field.
+func TestMalformedFieldLinesOfAnEngine(t *testing.T) {
+	for _, line := range broken.FieldLines {
+		t.Run(line, func(t *testing.T) { assertLost(t, broken.WithFieldLine(line)) })
+	}
+}
--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -32,3 +32,10 @@
 		t.Run(line, func(t *testing.T) { assertNoReply(t, broken.WithStatusLine(line)) })
 	}
 }
+
+// Guards against a reply whose head has a line that is no header field.
+func TestMalformedFieldLinesOfThePlatform(t *testing.T) {
+	for _, line := range broken.FieldLines {
+		t.Run(line, func(t *testing.T) { assertNoReply(t, broken.WithFieldLine(line)) })
+	}
+}
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -49,7 +50,7 @@
 	case len(line) == 0:
 		return true, nil
 	}
-	return false, nil
+	return false, checkField(line)
 }
 
 // isInterim reports whether another response follows, without a body in between.
@@ -80,6 +81,29 @@
 	return nil
 }
 
+// checkField checks a header field. A folded line is refused, as RFC 9112, section 5.2, allows.
+func checkField(line []byte) error {
+	colon := bytes.IndexByte(line, ':')
+	if colon <= 0 || !isToken(line[:colon]) {
+		return Malformed("no header field")
+	}
+	if !isText(line[colon+1:]) {
+		return Malformed("an invalid value of a header field")
+	}
+	return nil
+}
+
+// isToken reports whether a name of a field may have these bytes.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		isAlphanumeric := c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z'
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // mayBeginResponse reports whether the first bytes of a response can be these.
 func mayBeginResponse(b []byte) bool {
 	n := min(len(b), len(versionPrefix))
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -39,7 +39,14 @@
 // Guards against a verdict on a head that depends on how its bytes arrive.
 func TestMalformedHeadsInPieces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		text := broken.WithStatusLine(rapid.SampledFrom(broken.StatusLines).Draw(t, "line"))
+		var texts []string
+		for _, line := range broken.StatusLines {
+			texts = append(texts, broken.WithStatusLine(line))
+		}
+		for _, line := range broken.FieldLines {
+			texts = append(texts, broken.WithFieldLine(line))
+		}
+		text := rapid.SampledFrom(texts).Draw(t, "response")
 		assert.ErrorIs(t, readFinal(NewReader(inPieces(t, text))), ErrMalformed)
 	})
 }
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -33,6 +33,16 @@
 	return line + "\r\n" + IDHeader + ": " + ID + "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n" + body
 }
 
+// FieldLines are lines that no head has.
+var FieldLines = []string{
+	"X A: b", "X-A : b", "X-A\t: b", "X\tA: b", " X-A: b", "\tX-A: b", "X-\x01A: b", "X-\x00A: b", "X-\x7fA: b", "X-\xffA: b", "X-\u00c4: b", "X(A): b", "X/A: b", "X-A\rX-B: b",
+	": b", ":", "X-A", "X-A b", "Content Length: 1", "Content-Length : 1", " Content-Length: 1", "Transfer-Encoding : chunked", "Content-Encoding : gzip",
+	"X-A: \x00", "X-A: b\x01", "X-A: b\x7f", "X-A: b\rX-B: c", "X-A: b\r",
+}
+
+// WithFieldLine returns bytes that would be a whole response but for a line of its head.
+func WithFieldLine(line string) string { return WithStatusLine("HTTP/1.1 200 OK\r\n" + line) }
+
 // Server gives every request the same answer and leaves the connection open.
 type Server struct {
 	net.Listener
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -40,3 +40,11 @@
 	inner := broken.WithStatusLine("HTTP/1.1 200 OK")
 	assertMalformed(t, "HTTP/1.1 000 OK\r\n"+broken.IDHeader+": "+broken.ID+"\r\n\r\n"+inner)
 }
+
+// Guards against a line that is no header field being passed on as one, or deciding how long the
+// body is.
+func TestMalformedFieldLines(t *testing.T) {
+	for _, line := range broken.FieldLines {
+		t.Run(line, func(t *testing.T) { assertMalformed(t, broken.WithFieldLine(line)) })
+	}
+}
