Chunks in HTTP/1.0, or a body behind an interim response, make it malformed

What callers saw: a server that answered HTTP/1.0 with "Transfer-Encoding: chunked" had the sizes of its chunks passed on as a part of the body, with the server's proof, by gateways and agents alike; where the connection stayed open, the caller was held. An interim response with a length (199, 103) was dropped and the next head waited for.

Cause: both HTTP libraries ignore chunks in HTTP/1.0 and read up to the end of the connection. RFC 9112, section 6.1, calls such framing faulty. Found while looking for the cause of the answers with blanks in names: clients that read one head differently.

Change: internal/response decides by the head whether the body has one clear length: at most one value of Content-Length, of digits only; chunks as the only transfer encoding, once, in HTTP/1.1 only; none of both for an interim response.

Evidence: TestMalformedFramings* fail before for both answers in HTTP/1.0 at a gateway's client and an agent, for one at the platform's client (20 s) and without end at an engine's; the other 22 framings were refused before and keep their tests. With the change all pass.

--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -39,3 +39,10 @@
 		t.Run(line, func(t *testing.T) { assertNoAnswer(t, broken.WithFieldLine(line)) })
 	}
 }
+
+// Guards against a response without one clear length reaching a caller with a body that isn't the service's.
+func TestMalformedFramingsOfAService(t *testing.T) {
+	for _, answer := range broken.Framings {
+		t.Run(answer, func(t *testing.T) { assertNoAnswer(t, answer) })
+	}
+}
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -37,3 +37,10 @@
 		t.Run(line, func(t *testing.T) { assertLost(t, broken.WithFieldLine(line)) })
 	}
 }
+
+// Guards against a response without one clear length being taken for one.
+func TestMalformedFramingsOfAnEngine(t *testing.T) {
+	for _, answer := range broken.Framings {
+		t.Run(answer, func(t *testing.T) { assertLost(t, answer) })
+	}
+}
--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -39,3 +39,10 @@
 		t.Run(line, func(t *testing.T) { assertNoReply(t, broken.WithFieldLine(line)) })
 	}
 }
+
+// Guards against a response without one clear length being taken for one.
+func TestMalformedFramingsOfThePlatform(t *testing.T) {
+	for _, answer := range broken.Framings {
+		t.Run(answer, func(t *testing.T) { assertNoReply(t, answer) })
+	}
+}
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -39,6 +39,9 @@
 // head is the head of a response of which some lines have been read.
 type head struct {
 	status int
+	// isHTTP10: the version is HTTP/1.0, which has no chunks.
+	isHTTP10 bool
+	framing  framing
 }
 
 // add checks the next line and reports whether it ends the head.
@@ -48,9 +51,13 @@
 	case h.status == 0:
 		return false, h.readStatusLine(line)
 	case len(line) == 0:
-		return true, nil
+		return true, h.framing.check(h)
 	}
-	return false, checkField(line)
+	name, value, err := splitField(line)
+	if err != nil {
+		return false, err
+	}
+	return false, h.framing.add(name, value)
 }
 
 // isInterim reports whether another response follows, without a body in between.
@@ -65,6 +72,7 @@
 	if version != '0' && version != '1' || rest[0] != ' ' {
 		return Malformed("not HTTP/1.0 or HTTP/1.1")
 	}
+	h.isHTTP10 = version == '0'
 	for _, c := range status {
 		if c < '0' || c > '9' {
 			return Malformed("the status isn't a number of three digits")
@@ -81,16 +89,18 @@
 	return nil
 }
 
-// checkField checks a header field. A folded line is refused, as RFC 9112, section 5.2, allows.
-func checkField(line []byte) error {
+// splitField returns the name and the value of a header field. A folded line is refused, as RFC
+// 9112, section 5.2, allows.
+func splitField(line []byte) (name, value []byte, err error) {
 	colon := bytes.IndexByte(line, ':')
 	if colon <= 0 || !isToken(line[:colon]) {
-		return Malformed("no header field")
+		return nil, nil, Malformed("no header field")
 	}
-	if !isText(line[colon+1:]) {
-		return Malformed("an invalid value of a header field")
+	name, value = line[:colon], bytes.Trim(line[colon+1:], " \t")
+	if !isText(value) {
+		return nil, nil, Malformed("an invalid value of a header field")
 	}
-	return nil
+	return name, value, nil
 }
 
 // isToken reports whether a name of a field may have these bytes.
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -46,6 +46,7 @@
 		for _, line := range broken.FieldLines {
 			texts = append(texts, broken.WithFieldLine(line))
 		}
+		texts = append(texts, broken.Framings...)
 		text := rapid.SampledFrom(texts).Draw(t, "response")
 		assert.ErrorIs(t, readFinal(NewReader(inPieces(t, text))), ErrMalformed)
 	})
@@ -58,6 +59,9 @@
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 	strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nX-A:\r\nX-B:b\r\nX-C: \t c d \t\r\n!#$%&'*+-.^_`|~09: \xff\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "HTTP/1.0 200 OK\r\ncontent-length:004 \r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n",
+	"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\t\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 None\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("l", 60_000) + "\r\n\r\n",
 }
 
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -43,6 +43,28 @@
 // WithFieldLine returns bytes that would be a whole response but for a line of its head.
 func WithFieldLine(line string) string { return WithStatusLine("HTTP/1.1 200 OK\r\n" + line) }
 
+// framed returns a response whose head has lines that say how long its body is.
+func framed(version, lines, body string) string {
+	return "HTTP/" + version + " 200 OK\r\n" + IDHeader + ": " + ID + "\r\nContent-Type: application/json\r\n" + lines + "\r\n\r\n" + body
+}
+
+// chunked is the body in chunks.
+const chunked = "2\r\n" + body + "\r\n0\r\n\r\n"
+
+// Framings are responses whose heads contradict themselves on how long the body is, or don't say it
+// in a way that every client reads alike.
+var Framings = []string{
+	framed("1.1", "Content-Length: +2", body), framed("1.1", "Content-Length: -2", body), framed("1.1", "Content-Length: 0x2", body),
+	framed("1.1", "Content-Length:", body), framed("1.1", "Content-Length: 2.0", body), framed("1.1", "Content-Length: 2 2", body), framed("1.1", "Content-Length: 2, 3", body),
+	framed("1.1", "Content-Length: 1\r\nContent-Length: 2", body), framed("1.1", "Content-Length: 2\r\nContent-Length: 1", body),
+	framed("1.1", "Content-Length: 18446744073709551618", body), framed("1.1", "Content-Length: 99999999999999999999999999", body),
+	framed("1.1", "Transfer-Encoding: gzip", chunked), framed("1.1", "Transfer-Encoding: identity", body), framed("1.1", "Transfer-Encoding:", body), framed("1.1", "Transfer-Encoding: chunked, chunked", chunked),
+	framed("1.1", "Transfer-Encoding: gzip, chunked", chunked), framed("1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunked), framed("1.1", "Transfer-Encoding: xchunked", chunked),
+	framed("1.0", "Transfer-Encoding: chunked", chunked), framed("1.0", "Transfer-Encoding: chunked\r\nContent-Length: 12", chunked),
+	"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" + body, "HTTP/1.1 199 Odd\r\n" + IDHeader + ": " + ID + "\r\nContent-Length: 2\r\n\r\n" + body,
+	"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, "HTTP/1.1 100 Continue\r\n\r\n" + body,
+}
+
 // Server gives every request the same answer and leaves the connection open.
 type Server struct {
 	net.Listener
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"context"
 	"errors"
+	"io"
 	"testing"
 	"time"
 
@@ -20,10 +22,16 @@
 	t.Parallel()
 	s := broken.Serve(t, answer)
 	began := time.Now()
-	body, err := do(t, newPool(), s.Address(), "1")
+	ctx, cancel := context.WithTimeout(t.Context(), 4*atOnce)
+	defer cancel()
+	resp, err := newPool().Do(ctx, s.Address(), request("1"))
+	if err == nil {
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		t.Fatalf("taken as a response with the body %q: %v", body, err)
+	}
 	var e *Error
-	assert.Assert(t, errors.As(err, &e), "taken as a response with the body %q", body)
-	assert.Assert(t, errors.Is(err, ErrMalformed) && e.Sent, "%v", err)
+	assert.Assert(t, errors.Is(err, ErrMalformed) && errors.As(err, &e) && e.Sent, "%v", err)
 	assert.Assert(t, time.Since(began) < atOnce)
 }
 
@@ -48,3 +56,10 @@
 		t.Run(line, func(t *testing.T) { assertMalformed(t, broken.WithFieldLine(line)) })
 	}
 }
+
+// Guards against a response without one clear length being passed on with a body that isn't the server's.
+func TestMalformedFramings(t *testing.T) {
+	for _, answer := range broken.Framings {
+		t.Run(answer, func(t *testing.T) { assertMalformed(t, answer) })
+	}
+}
