Tests of answers that are reset while the request is still being written

The users saw on other systems that a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection, and that the part counted as complete. It is handled here: a response is read only after the whole request was written, so a write that takes the reset from the socket ends the exchange, and a reset behind it is the read's error. Nothing of the code changes.

--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -9,6 +9,9 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"jayford.example/jayford/internal/standin/faultnet"
 )
 
 // IDHeader is the header whose value in a request replaces ID in the response.
@@ -111,3 +114,33 @@
 
 // Address returns the server's "ip:port".
 func (s *Server) Address() string { return s.Listener.Addr().String() }
+
+// ServeEarly starts a server on loopback that answers a request before it has read its body, with a
+// response whose body ends with its connection, and resets the connection after a delay.
+func ServeEarly(t testing.TB, part string, delay time.Duration) net.Listener {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := faultnet.New(tcp)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer faultnet.Reset(c)
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+IDHeader+": "+q.Header.Get(IDHeader)+"\r\n\r\n"+part)
+				time.Sleep(delay)
+			}()
+		}
+	}()
+	return l
+}
