Answers at an agent stay within the memory of its machine

What callers saw: a service that sent bodies without end, or only announced large ones, made its agent keep up to 32 MB for each call, in buffers of twice that, and copies. 32 calls took 1.0 to 1.4 GB of heap; on a machine of 256 MB the agent ends, with the calls of all others. Engines' answers had 64 MB each.

Cause: only one answer was bounded, not all together, and an announced length was allocated before a byte had come.

Change: an agent has an account of memory for answers, a share of its machine's like that for callers, with the same rules on who gives way. A body is charged twice as it comes, since the message to the entry holds it again, and read as a stream; the copy between is gone. The engine's client reads within the same account. A malformed answer, or one without room, no longer counts as a crash of the server under its request: it is reported as a server that is down, which blames no request.

The largest answer, 32 MB, is whole in calm as before, with a length, in chunks and without either; bodies cut short are errors.

Open: answers aren't charged at the entry that gets them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/board"
 	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/settings"
 	"jayford.example/jayford/internal/transport"
 )
@@ -68,6 +69,9 @@
 	// If nil, the agent refuses all orders.
 	ReadFence func(ctx context.Context, scope string) (uint64, error)
 	Log       logrus.FieldLogger
+	// Answers is the memory of the backend server's answers; nil stands for a share of
+	// the machine's.
+	Answers *memory.Arriving
 	// ServerOptions holds additional gRPC server options, such as credentials.
 	ServerOptions []grpc.ServerOption
 	// Incarnation differs after each start; 0 derives it from the clock.
@@ -79,6 +83,7 @@
 type Agent struct {
 	cfg         settings.Agent
 	engine      engine.Client
+	answers     *memory.Arriving
 	lease       func(ctx context.Context, scope string) (uint64, error)
 	log         logrus.FieldLogger
 	incarnation uint64
@@ -121,8 +126,11 @@
 	if o.Incarnation == 0 {
 		o.Incarnation = uint64(time.Now().UnixNano())
 	}
+	if o.Answers == nil {
+		o.Answers = memory.NewArriving(memory.Detect(0).Answers, time.Now)
+	}
 	a := &Agent{
-		cfg: o.Settings, engine: o.Engine, lease: o.ReadFence,
+		cfg: o.Settings, engine: o.Engine, lease: o.ReadFence, answers: o.Answers,
 		log:         o.Log,
 		incarnation: o.Incarnation,
 		startedAt:   time.Now(),
--- a/internal/agent/cancel.go
+++ b/internal/agent/cancel.go
@@ -10,6 +10,8 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/memory"
+	"jayford.example/jayford/internal/response"
 )
 
 const (
@@ -206,6 +208,14 @@
 		return pb.Reason_REASON_TRANSFER, false
 	case errors.Is(err, errSilent), errors.Is(err, errIdle):
 		return pb.Reason_REASON_CONNECTION_LOST, false
+	case isUnusable(err):
+		return pb.Reason_REASON_SERVER_DOWN, false
 	}
 	return pb.Reason_REASON_SERVER_LOST, true
 }
+
+// isUnusable reports whether the server answered, and the answer is malformed or too
+// large for this machine. Its request didn't crash it.
+func isUnusable(err error) bool {
+	return errors.Is(err, response.ErrMalformed) || errors.Is(err, memory.ErrFull) || errors.Is(err, memory.ErrEvicted)
+}
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/agent/grant"
 	"jayford.example/jayford/internal/engine"
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/response"
 	"jayford.example/jayford/internal/settings"
 )
@@ -23,8 +25,11 @@
 const headerRequest = "Jayford-Request"
 
 const (
-	dialTimeout    = time.Second
+	dialTimeout = time.Second
+	// maxAnswerBytes bounds the body of an answer. It is there twice: as it is read, and in the
+	// message to the entry.
 	maxAnswerBytes = 32 << 20
+	answerCopies   = 2
 )
 
 // hopHeaders are not forwarded: they concern one connection only, or are set
@@ -47,23 +52,20 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", a.cfg.Backend)
 }
 
-// exchange sends q over conn and reads the answer. The end of ctx closes the
-// connection, which bounds the call and tells the service that the caller is
-// gone.
+// exchange sends q over conn and reads the head of the answer. The body is left
+// for the caller to read.
 //
 // By default fasthttp retries a GET whose connection closed without an answer
 // up to five times, and the service would run it each time. Both of its retry
 // options are off, and a second dial fails.
-func exchange(ctx context.Context, conn net.Conn, q *fasthttp.Request, out *fasthttp.Response) error {
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
+func exchange(conn net.Conn, q *fasthttp.Request, out *fasthttp.Response) error {
 	checked := response.NewConn(conn)
 	client := &fasthttp.HostClient{
 		Addr:                      conn.RemoteAddr().String(),
 		Dial:                      dialOnce(checked),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxAnswerBytes,
+		StreamResponseBody:        true,
 		MaxConns:                  1,
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
@@ -144,7 +146,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { a.release(k, entry) })
 	defer stop()
-	if err := a.forwardCall(r, q, reply); err != nil {
+	// An answer that gives way to others ends with its run.
+	claim := a.answers.Open(func() { r.abort(memory.ErrEvicted) })
+	defer claim.Close()
+	if err := a.forwardCall(r, q, reply, claim); err != nil {
 		a.failRun(r, err)
 		return r.watch(0).refusal
 	}
@@ -152,9 +157,10 @@
 	return nil
 }
 
-// forwardCall sends the request to the service and fills reply. Nothing has run
-// at the service until the core has marked r as sent.
-func (a *Agent) forwardCall(r *run, q *pb.CallRequest, reply *pb.CallReply) error {
+// forwardCall sends the request to the service and fills reply, whose body claim
+// is charged for. Nothing has run at the service until the core has marked r as
+// sent.
+func (a *Agent) forwardCall(r *run, q *pb.CallRequest, reply *pb.CallReply, claim *memory.Claim) error {
 	req, out := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(out)
@@ -167,17 +173,44 @@
 		return eris.Wrap(engine.ErrUnreachable, err.Error())
 	}
 	defer conn.Close()
+	// This bounds the call, and tells the service that the caller is gone.
+	stop := context.AfterFunc(r.ctx, func() { conn.Close() })
+	defer stop()
 	if !a.send(r) {
 		return engine.ErrCancelled
 	}
-	if err := exchange(r.ctx, conn, req, out); err != nil {
-		return eris.Wrap(errNoAnswer, err.Error())
+	if err := exchange(conn, req, out); err != nil {
+		return noAnswer(r, err)
+	}
+	body, err := readAnswer(out, claim)
+	if err != nil {
+		return noAnswer(r, err)
 	}
 	a.recordPause(out)
-	fillReply(reply, out)
+	fillReply(reply, out, body)
 	return nil
 }
 
+// noAnswer returns the error of a call that may have run.
+func noAnswer(r *run, err error) error {
+	if errors.Is(context.Cause(r.ctx), memory.ErrEvicted) {
+		err = memory.ErrEvicted
+	}
+	return eris.Wrap(fmt.Errorf("%w: %w", errNoAnswer, err), "call")
+}
+
+// readAnswer reads the body of an answer within the memory of claim.
+func readAnswer(out *fasthttp.Response, claim *memory.Claim) ([]byte, error) {
+	if out.BodyStream() == nil {
+		return nil, nil
+	}
+	body, err := claim.ReadAll(out.BodyStream(), int64(out.Header.ContentLength()), maxAnswerBytes, answerCopies)
+	if errors.Is(err, memory.ErrTooLarge) {
+		return nil, response.Malformed("the body has no end")
+	}
+	return body, err
+}
+
 func fillRequest(req *fasthttp.Request, q *pb.CallRequest, backend string) error {
 	req.Header.DisableNormalizing()
 	req.Header.SetMethod(q.GetMethod())
@@ -198,9 +231,9 @@
 	return req.URI().Parse(req.Header.Host(), req.Header.RequestURI())
 }
 
-func fillReply(reply *pb.CallReply, out *fasthttp.Response) {
+func fillReply(reply *pb.CallReply, out *fasthttp.Response, body []byte) {
 	reply.Status = uint32(out.StatusCode())
-	reply.Body = append([]byte(nil), out.Body()...)
+	reply.Body = body
 	var all []*pb.Header
 	for k, v := range out.Header.All() {
 		all = append(all, &pb.Header{Key: string(k), Value: string(v)})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,13 +30,18 @@
 const platformTimeout = 2 * time.Second
 
 // boundMemory returns the limits that follow from the machine's memory, and sets that of the runtime.
-// maxBody is the bound of one body in bytes.
-func boundMemory(p settings.Process, maxBody int, log *logrus.Logger) memory.Limits {
+func boundMemory(p settings.Process, log *logrus.Logger) memory.Limits {
 	limits := memory.Detect(p.MachineBytes())
 	limits.Apply()
 	log.WithFields(logrus.Fields{
-		"machine": limits.Machine, "runtime": limits.Runtime, "arriving": limits.Arriving, "serving": limits.Serving, "connections": limits.Connections,
+		"machine": limits.Machine, "runtime": limits.Runtime, "arriving": limits.Arriving, "serving": limits.Serving, "connections": limits.Connections, "answers": limits.Answers,
 	}).Info("daemon: memory bounded.")
+	return limits
+}
+
+// boundCallers is boundMemory for a process with callers, whose bodies have maxBody bytes at most.
+func boundCallers(p settings.Process, maxBody int, log *logrus.Logger) memory.Limits {
+	limits := boundMemory(p, log)
 	if !limits.FitsBody(maxBody) {
 		log.WithField("maxBodyBytes", maxBody).Warn("daemon: the largest bodies don't fit into this machine's memory.")
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -36,7 +36,7 @@
 // RunGateway runs a gateway until ctx ends and it has stopped gracefully.
 func RunGateway(ctx context.Context, s settings.Gateway, deps Dependencies, log *logrus.Logger) error {
 	monitor := pulse.NewMonitor()
-	limits := boundMemory(s.Process, s.Limits.MaxBodyBytes, log)
+	limits := boundCallers(s.Process, s.Limits.MaxBodyBytes, log)
 	b := board.New()
 	g := gateway.New(gateway.Options{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Backend: deps.Backend, Board: b,
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,7 @@
 	"jayford.example/jayford/internal/control"
 	"jayford.example/jayford/internal/engine"
 	"jayford.example/jayford/internal/entry"
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/object"
 	"jayford.example/jayford/internal/operator"
 	"jayford.example/jayford/internal/platform"
@@ -29,7 +31,7 @@
 	e := entry.New(entry.Options{
 		Settings: s, Board: c.board, Config: c.config, Store: c.platform,
 		Incarnation: c.incarnation, Ready: c.canPlace, Log: log,
-		Dial: c.identity.DialOption(RoleAgent), Memory: boundMemory(s.Process, s.Limits.MaxBodyBytes, log),
+		Dial: c.identity.DialOption(RoleAgent), Memory: boundCallers(s.Process, s.Limits.MaxBodyBytes, log),
 	})
 	c.load = e.ProcessLoad
 	leader := control.New(control.Options{
@@ -60,12 +62,13 @@
 	if err != nil {
 		return err
 	}
+	answers := memory.NewArriving(boundMemory(s.Process, log).Answers, time.Now)
 	opts := agent.Options{
-		Settings: s, Board: c.board, ReadFence: leaseReader(c.platform), Log: log, Incarnation: c.incarnation,
+		Settings: s, Answers: answers, Board: c.board, ReadFence: leaseReader(c.platform), Log: log, Incarnation: c.incarnation,
 		ServerOptions: c.identity.ServerOptions(RoleEntry),
 	}
 	if s.BackendKind == settings.BackendEngine {
-		opts.Engine = engine.NewHTTP(s.Backend)
+		opts.Engine = engine.NewHTTP(s.Backend, engine.WithMemory(answers))
 	}
 	a := agent.New(opts)
 	c.load = a.ProcessLoad
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"jayford.example/jayford/internal/memory"
 	"jayford.example/jayford/internal/response"
 )
 
@@ -36,6 +37,7 @@
 	dialTimeout time.Duration
 	callTimeout time.Duration
 	streamIdle  time.Duration
+	memory      *memory.Arriving
 }
 
 var _ Client = (*HTTP)(nil)
@@ -52,6 +54,10 @@
 // WithStreamIdle bounds the wait for the next bytes of a decode stream.
 func WithStreamIdle(d time.Duration) Option { return func(h *HTTP) { h.streamIdle = d } }
 
+// WithMemory sets the memory that the responses are charged to while they are read.
+// Without it, a client has a share of the machine's.
+func WithMemory(m *memory.Arriving) Option { return func(h *HTTP) { h.memory = m } }
+
 // NewHTTP returns a client of the engine at addr, "ip:port".
 func NewHTTP(addr string, opts ...Option) *HTTP {
 	h := &HTTP{
@@ -63,6 +69,9 @@
 	for _, o := range opts {
 		o(h)
 	}
+	if h.memory == nil {
+		h.memory = memory.NewArriving(memory.Detect(0).Answers, time.Now)
+	}
 	return h
 }
 
@@ -119,15 +128,33 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	if err := h.decode(resp, done, out); err != nil {
 		return wrapLost(ctx, err)
 	}
 	return nil
 }
 
-// send opens a connection, sends the request and reads the response. If idle is
-// set, it is the read timeout of a stream, and the body is left for the caller to
-// read. done closes the connection.
+// decode reads the body of a response and decodes it into out. Under a lack of
+// memory it is ended by closing the connection.
+func (h *HTTP) decode(resp *fasthttp.Response, closeConn func(), out any) error {
+	if resp.BodyStream() == nil {
+		return io.ErrUnexpectedEOF
+	}
+	claim := h.memory.Open(func() { go closeConn() })
+	defer claim.Close()
+	body, err := claim.ReadAll(resp.BodyStream(), int64(resp.Header.ContentLength()), maxResponseBytes, 1)
+	if errors.Is(err, memory.ErrTooLarge) {
+		return response.Malformed("the body has no end")
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, out)
+}
+
+// send opens a connection, sends the request and reads the head of the response.
+// The body is left for the caller to read, with the read timeout idle unless that
+// is 0. done closes the connection.
 func (h *HTTP) send(ctx context.Context, method, uri string, in any, resp *fasthttp.Response, idle time.Duration) (done func(), err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -190,8 +217,7 @@
 		RetryIfErrUpstream: func(r *fasthttp.Request, n int, err error, _ string) (bool, bool) {
 			return neverRetry(r, n, err)
 		},
-		MaxResponseBodySize: maxResponseBytes,
-		StreamResponseBody:  idle > 0,
+		StreamResponseBody: true,
 	}
 	if err := c.Do(req, resp); err != nil {
 		return checked.Cause(err)
--- a/internal/memory/doc.go
+++ b/internal/memory/doc.go
@@ -1,5 +1,6 @@
-// Package memory accounts for the memory that callers take up in a process. Bytes are charged
-// before they are allocated.
+// Package memory accounts for the memory that callers, or the answers of servers, take up in a
+// process. Bytes are charged before they are allocated. For answers that arrive holds what is said
+// of requests.
 //
 // It guarantees:
 //   - The requests that are still arriving and those that are being served never hold more than
--- a/internal/memory/limits.go
+++ b/internal/memory/limits.go
@@ -18,6 +18,8 @@
 	Serving  int64 `json:"serving"`
 	// Connections is how many open connections fit.
 	Connections int64 `json:"connections"`
+	// Answers bounds the answers of servers in a process that has no callers.
+	Answers int64 `json:"answers"`
 }
 
 const (
@@ -30,6 +32,7 @@
 	arrivingShare    = 0.12
 	servingShare     = 0.25
 	connectionsShare = 0.42
+	answersShare     = 0.5
 	// connectionBytes is what an open connection costs without a request: a goroutine that waits, the
 	// connection itself and its descriptor.
 	connectionBytes = 8 << 10
@@ -44,7 +47,7 @@
 	share := func(x float64) int64 { return int64(x * float64(machine-programBytes)) }
 	return Limits{
 		Machine: machine, Runtime: share(runtimeShare), Arriving: share(arrivingShare), Serving: share(servingShare),
-		Connections: share(connectionsShare) / connectionBytes,
+		Connections: share(connectionsShare) / connectionBytes, Answers: share(answersShare),
 	}
 }
 
