A stopping entry refuses at once what can't end before its process does

What callers saw: requests that came late in an entry's stop, over connections that callers had kept, were taken and passed on, and cut off without an answer as the process ended, among them ones that may not be repeated.

Cause: the entry took every request until its stop had run out, and nothing ended those in progress before the exit.

Change: the entry uses the same rules. Generations come in for the first 2.5 s, or two fifths of a short stop; a plain call as long as its deadline is within the stop; others are refused as not run, to go to another entry. stopWithin counts from the signal. 0.1 s before its end the requests in progress get their final answer, streams as an event, with the verdict that is true of each. Then all requests are refused until the connections have closed.

Evidence: TestEntryStopAnswersLateRequests, two entries, stopWithin 6 s, 240 kept connections with a request each 50 ms, half of them generations of some 3 s, half of these streams, and two generations longer than the stop.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -109,6 +110,9 @@
 	}
 	if g.dispatched || g.out.len() > 0 {
 		changed := *err
+		if errors.Is(context.Cause(ctx), errStopped) {
+			changed = *stoppedError(verdict.MayHaveRun)
+		}
 		changed.Verdict = verdict.MayHaveRun
 		err = &changed
 	}
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -279,5 +279,8 @@
 	if errors.Is(context.Cause(ctx), callers.ErrDisconnected) {
 		return verdict.New(verdict.NotRun, verdict.Cancelled, "The caller left.")
 	}
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return stoppedError(verdict.NotRun)
+	}
 	return verdict.New(verdict.NotRun, verdict.Deadline, "The deadline passed before a server was free.").WithRetryAfter(time.Second)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 
 	"jayford.example/jayford/internal/accept"
 	"jayford.example/jayford/internal/callers"
+	"jayford.example/jayford/internal/policy/stop"
 	"jayford.example/jayford/internal/verdict"
 )
 
@@ -28,12 +28,6 @@
 const (
 	readTimeout = 30 * time.Second
 	idleTimeout = 75 * time.Second
-	// drainDelay is how long a stopping entry still accepts connections, so that
-	// the load balancer sees the failing readiness check first.
-	drainDelay = 2 * time.Second
-	// closeLinger is how long idle connections stay open after the listener has
-	// closed, so that a request already in transit is served.
-	closeLinger = time.Second
 	// heldBytesRetryAfter is the retry delay for callers refused because running
 	// requests hold too much memory.
 	heldBytesRetryAfter = time.Second
@@ -49,11 +43,18 @@
 	inFlight atomic.Int64
 	// heldBytes is the total size of the bodies of running requests.
 	heldBytes atomic.Int64
-	stopping  atomic.Bool
+	// stop is the graceful stop in progress, nil before it.
+	stop atomic.Pointer[stop.Stop]
+	// closed is set when no further request is taken.
+	closed atomic.Bool
+	// life ends when the requests in progress must get their final answer.
+	life   context.Context
+	giveUp context.CancelFunc
 }
 
 func newServer(e *Entry) *server {
 	s := &server{e: e}
+	s.life, s.giveUp = context.WithCancel(context.Background())
 	lim := e.settings.Limits
 	s.http = callers.NewServer(callers.ServerOptions{
 		HTTP: s.newHTTP, MaxHeaderBytes: lim.MaxHeaderBytes, HeaderTimeout: readTimeout, BodyTimeout: readTimeout, IdleTimeout: idleTimeout, Limits: e.memory,
@@ -101,37 +102,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	s.stopping.Store(true)
-	s.e.log.Info("entry: stopping; the readiness check fails from now on.")
-	time.Sleep(min(drainDelay, s.e.settings.StopWithin.D()/4))
-	if err := listener.Drain(); err != nil {
-		s.e.log.WithError(err).Warn("entry: listener didn't drain, new connections may have been reset.")
-	}
-	s.drain(s.e.settings.StopWithin.D())
-	limit, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	err := s.http.Shutdown(limit)
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
-// drain waits until no request has been running for closeLinger, or until limit
-// has passed.
-func (s *server) drain(limit time.Duration) {
-	end := time.Now().Add(limit)
-	quiet := time.Now()
-	for time.Now().Before(end) {
-		if s.inFlight.Load() > 0 {
-			quiet = time.Now()
-		}
-		if time.Since(quiet) > closeLinger {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	s.e.log.WithField("requests", s.inFlight.Load()).Warn("entry: stop timeout reached, closing connections with running requests.")
+	return s.shutDown(listener)
 }
 
 // expect handles "Expect: 100-continue". A body over the size limit is refused
@@ -157,10 +128,14 @@
 			s.end(received)
 		}
 	}()
-	if s.stopping.Load() {
+	if s.stop.Load() != nil {
 		// The caller moves to another entry before this connection closes.
 		ctx.Response.SetConnectionClose()
 	}
+	if s.closed.Load() {
+		s.refuse(ctx, nil, 0, stoppedError(verdict.NotRun))
+		return
+	}
 	switch string(ctx.Path()) {
 	case pathLive:
 		ctx.SetBodyString("ok\n")
@@ -187,7 +162,7 @@
 }
 
 func (s *server) ready(ctx *fasthttp.RequestCtx) {
-	if s.stopping.Load() || !s.e.ready() {
+	if s.stop.Load() != nil || !s.e.ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.SetBodyString("not ready\n")
 		return
@@ -198,7 +173,7 @@
 // generation handles a completion request. It reports whether the response is
 // streamed after the handler returns.
 func (s *server) generation(ctx *fasthttp.RequestCtx, q *callers.Request) bool {
-	r, err := s.parse(ctx)
+	r, err := s.parse(ctx, true)
 	if err == nil && !ctx.IsPost() {
 		err = invalid("Use POST.")
 	}
@@ -217,12 +192,15 @@
 	// streamed.
 	base, cancel := context.WithDeadline(context.Background(), r.deadline)
 	watched, stop := callers.Watch(base, ctx.Conn())
+	// The answer is awaited until its end, which tells whether the request may have run.
+	running, release := s.untilStopped(watched)
 	end := func() {
+		release()
 		stop()
 		cancel()
 	}
 	out := newOutput()
-	go s.e.generate(watched, r, out)
+	go s.e.generate(running, r, out)
 	if !r.stream {
 		defer end()
 		s.answerWhole(ctx, r, out.waitEnd(watched))
@@ -248,18 +226,24 @@
 	return verdict.New(verdict.NotRun, verdict.Overloaded, "This entry holds as many requests as it can.").WithRetryAfter(heldBytesRetryAfter)
 }
 
-func (s *server) parse(ctx *fasthttp.RequestCtx) (*request, *verdict.Error) {
+// parse parses the parts that all requests have, and refuses one that may not end before the
+// process does.
+func (s *server) parse(ctx *fasthttp.RequestCtx, isGeneration bool) (*request, *verdict.Error) {
 	id := s.e.nextID()
 	ctx.Response.Header.Set(HeaderRequest, id)
 	if s.heldBytes.Load() > s.e.settings.Limits.MaxHeldBytes {
 		return nil, heldError()
 	}
-	return parseCommon(ctx, id, time.Now(), s.e.settings.Limits)
+	r, err := parseCommon(ctx, id, time.Now(), s.e.settings.Limits)
+	if st := s.stop.Load(); err == nil && st != nil && !st.Accepts(time.Now(), r.deadline, isGeneration) {
+		err = stoppedError(verdict.NotRun)
+	}
+	return r, err
 }
 
 // call forwards any other request to a plain service.
 func (s *server) call(ctx *fasthttp.RequestCtx, q *callers.Request) {
-	r, err := s.parse(ctx)
+	r, err := s.parse(ctx, false)
 	if err != nil {
 		s.refuse(ctx, r, 0, err)
 		return
@@ -270,7 +254,9 @@
 	defer cancel()
 	watched, stop := callers.Watch(base, ctx.Conn())
 	defer stop()
-	reply, attempts, err := s.e.callService(watched, r)
+	running, release := s.untilStopped(watched)
+	defer release()
+	reply, attempts, err := s.e.callService(running, r)
 	if err != nil {
 		s.refuse(ctx, r, attempts, err)
 		return
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -111,9 +112,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			err := contextVerdict(ctx)
-			err.Verdict = verdict.MayHaveRun
-			return nil, err
+			return nil, endedError(ctx, verdict.MayHaveRun)
 		case <-hedge.C:
 			delay := c.e.latency.hedgeDelay()
 			c.recordOverdue(overdueFactor * delay)
@@ -141,6 +140,16 @@
 	}
 }
 
+// endedError returns the error of a call whose ctx has ended.
+func endedError(ctx context.Context, v verdict.Verdict) *verdict.Error {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return stoppedError(v)
+	}
+	err := contextVerdict(ctx)
+	err.Verdict = v
+	return err
+}
+
 // logResult logs the result of a try.
 func (c *serviceCall) logResult(res callResult) {
 	log := c.e.log.WithFields(logrus.Fields{
@@ -204,7 +213,9 @@
 	if !d.Retry || c.exhausted() {
 		return withRetryAfter(&err)
 	}
-	wait.Sleep(ctx, d.Delay)
+	if !wait.Sleep(ctx, d.Delay) {
+		return endedError(ctx, worst)
+	}
 	refusal := c.start(ctx)
 	switch {
 	case refusal == nil:
--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -21,6 +21,8 @@
 	stream    bool
 	headers   map[string]string
 	timeout   time.Duration
+	// client sends the request, httpClient if it is nil.
+	client *http.Client
 }
 
 // answer is the caller's view of the outcome of its request.
@@ -78,9 +80,13 @@
 	for k, v := range a.headers {
 		req.Header.Set(k, v)
 	}
-	resp, err := httpClient.Do(req)
+	client := httpClient
+	if a.client != nil {
+		client = a.client
+	}
+	resp, err := client.Do(req)
 	if err != nil {
-		out.err = err
+		out.err, out.took = err, time.Since(out.sent)
 		return out
 	}
 	defer resp.Body.Close()
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/settings"
+	enginestandin "jayford.example/jayford/internal/standin/engine"
+	servicestandin "jayford.example/jayford/internal/standin/service"
 )
 
 // An entry gets SIGTERM under load, as in a rolling restart. Callers whose requests
@@ -37,6 +45,94 @@
 	assert.Equal(t, h.tally(), tally{whole: 100}, "%s", h.describe())
 }
 
+// keptConnection returns a client with one idle connection to an entry.
+func keptConnection(t *testing.T, n *node) *http.Client {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	t.Cleanup(client.CloseIdleConnections)
+	resp, err := client.Get("http://" + n.listen + "/livez")
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return client
+}
+
+// Guards against a stopping entry that takes requests so late that they can't end before its
+// process does, and cuts them off without an answer: callers go on to use the connections that they
+// have, and some of their requests may not be repeated.
+func TestEntryStopAnswersLateRequests(t *testing.T) {
+	const (
+		within = 6 * time.Second
+		pause  = 50 * time.Millisecond
+		late   = time.Second // how late the end of the process may be noticed
+	)
+	c := newCluster(t, topology{
+		entries: 2, prefill: 1, decode: 2, services: 2,
+		engine:  enginestandin.Options{TokenTime: 80 * time.Millisecond},
+		service: servicestandin.Options{Delay: 2 * time.Second},
+		entry:   func(e *settings.Entry) { e.StopWithin = settings.Duration(within) },
+	})
+	stopping := c.entries[0]
+	var clients []*http.Client
+	for range 2 * within / pause {
+		clients = append(clients, keptConnection(t, stopping))
+	}
+	completions, calls := &history{}, &history{}
+	var wg sync.WaitGroup
+	var ended atomic.Bool
+	// These take longer than the stop.
+	for _, stream := range []bool{true, false} {
+		wg.Go(func() {
+			a := complete(context.Background(), request{entry: stopping, prompt: fmt.Sprint("long ", stream), maxTokens: 200, stream: stream})
+			assert.Check(t, a.verdict == "may-have-run" && a.code == "server-lost", "%d %s %s: %v", a.status, a.verdict, a.code, a.err)
+			completions.add(a)
+		})
+	}
+	time.Sleep(time.Second)
+	began := time.Now()
+	wg.Go(func() {
+		assert.Check(t, stopping.terminate(2*within), "the entry didn't stop")
+		ended.Store(true)
+	})
+	for i := 0; !ended.Load() && i < len(clients); i++ {
+		a := request{entry: stopping, client: clients[i], prompt: fmt.Sprint("late ", i), maxTokens: 30, stream: i%4 < 2, headers: map[string]string{headerIdempotent: strconv.FormatBool(i%8 < 4)}}
+		wg.Go(func() {
+			if i%2 == 0 {
+				completions.add(complete(context.Background(), a))
+				return
+			}
+			a.prompt = ""
+			if i%4 == 1 {
+				a.headers[headerDeadline] = "2.5s"
+			}
+			calls.add(exchange(context.Background(), a, http.MethodPost, fmt.Sprint("/late/", i), nil))
+		})
+		time.Sleep(pause)
+	}
+	wg.Wait()
+	took := time.Since(began)
+	report(t, "entry stopped after %s; completions: %v, calls: %v", took.Round(time.Millisecond), completions.tally(), calls.tally())
+	assert.Check(t, took <= within+late, "%s", took)
+	c.checkHistory(completions)
+	unanswered := 0
+	for _, a := range append(completions.all(), calls.all()...) {
+		sent := a.sent.Sub(began)
+		if errors.Is(a.err, syscall.ECONNREFUSED) {
+			continue
+		}
+		if a.err != nil || a.status == http.StatusOK && !a.whole && a.code == "" {
+			unanswered++
+			t.Errorf("sent after %s: no answer after %s: %v", sent, a.took, a.err)
+		}
+		// What can't end is refused at once.
+		if !a.whole && a.verdict == "not-run" && a.code == "leaving" {
+			assert.Check(t, a.took < time.Second, "sent after %s: refused after %s", sent, a.took)
+		}
+	}
+	assert.Equal(t, unanswered, 0)
+}
+
 func isReady(n *node) bool {
 	client := http.Client{Timeout: 200 * time.Millisecond}
 	resp, err := client.Get("http://" + n.listen + "/readyz")
