An answer that the platform sends twice isn't taken for the next call's

What callers saw: where the platform sent an answer a second time, late, the next call over that connection got it as its own: a read of one object returned another.

Cause: the client of the platform uses connections again without a look at them; the HTTP library takes the first bytes behind a request for its response, whenever they came. Gateways' connections to servers are looked at before each use. Found while looking for bytes that are no answer and become one, at every client.

Change: a checked connection refuses to send a further request if the other end has closed it or has sent bytes behind its last response, with the look that gateways' connections had. Nothing was sent then, so a write has certainly had no effect.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -201,7 +201,7 @@
 // unless it certainly had no effect.
 func (c Call) outcome(r Reply) error {
 	switch {
-	case errors.Is(r.err, errNotSent), errors.Is(r.err, fasthttp.ErrNoFreeConns):
+	case errors.Is(r.err, errNotSent), errors.Is(r.err, response.ErrNotIdle), errors.Is(r.err, fasthttp.ErrNoFreeConns):
 		return fmt.Errorf("%w: %w", ErrUnavailable, r.err)
 	case c.Watch && errors.Is(r.err, fasthttp.ErrBodyTooLarge):
 		return fmt.Errorf("%w: %w", ErrCompacted, r.err)
--- /dev/null
+++ b/internal/platform/surplus_test.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an answer that comes a second time, late, being taken for that of the next call on
+// the connection: an object, or all of a kind, would be another's.
+func TestRepeatedReplyIsNotTheNextCalls(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body := fmt.Sprintf(`{"kind":"k","name":%q,"version":1}`, path.Base(q.URL.Path))
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					_, _ = io.WriteString(c, answer)
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	h := NewHTTP(l.Addr().String(), time.Second)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		o, err := h.Get(t.Context(), "k", name)
+		if err == nil {
+			assert.Equal(t, o.Name, name)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	_, err = h.Put(t.Context(), Object{Kind: "k", Name: "e"})
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = h.Put(t.Context(), Object{Kind: "k", Name: "e"})
+	assert.ErrorIs(t, err, ErrUnavailable, "nothing was sent")
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -144,26 +144,7 @@
 
 // isReusable reports whether the server has neither closed the connection nor sent
 // unexpected bytes.
-func (c *conn) isReusable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = errors.Is(err, unix.EAGAIN)
-	})
-	return err == nil && silent
-}
+func (c *conn) isReusable() bool { return c.r.Buffered() == 0 && response.IsSilent(c.Conn) }
 
 func (p *Pool) take(addr string) *conn {
 	p.mu.Lock()
