--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -40,7 +40,7 @@
 var FieldLines = []string{
 	"X A: b", "X-A : b", "X-A\t: b", "X\tA: b", " X-A: b", "\tX-A: b", "X-\x01A: b", "X-\x00A: b", "X-\x7fA: b", "X-\xffA: b", "X-\u00c4: b", "X(A): b", "X/A: b", "X-A\rX-B: b",
 	": b", ":", "X-A", "X-A b", "Content Length: 1", "Content-Length : 1", " Content-Length: 1", "Transfer-Encoding : chunked", "Content-Encoding : gzip",
-	"X-A: \x00", "X-A: b\x01", "X-A: b\x7f", "X-A: b\rX-B: c", "X-A: b\r",
+	"X-A: \x00", "X-A: b\x01", "X-A: b\x7f", "X-A: b\rX-B: c", "X-A: b\r", "X-A: b\r\n c", "X-A: b\r\n\tc",
 }
 
 // WithFieldLine returns bytes that would be a whole response but for a line of its head.
