--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -128,15 +128,15 @@
 	if out == nil {
 		return nil
 	}
-	if err := h.decode(resp, done, out); err != nil {
+	if err := h.readJSON(resp, done, out); err != nil {
 		return wrapLost(ctx, err)
 	}
 	return nil
 }
 
-// decode reads the body of a response and decodes it into out. Under a lack of
-// memory it is ended by closing the connection.
-func (h *HTTP) decode(resp *fasthttp.Response, closeConn func(), out any) error {
+// readJSON reads the body of a response and decodes it into out. If the body has
+// to give way to others, closeConn ends it.
+func (h *HTTP) readJSON(resp *fasthttp.Response, closeConn func(), out any) error {
 	if resp.BodyStream() == nil {
 		return io.ErrUnexpectedEOF
 	}
