--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	pb "jayford.example/jayford/api/jayfordv1"
 	"jayford.example/jayford/internal/standin/broken"
@@ -23,6 +24,7 @@
 	assert.Equal(t, reply.GetRefusal().GetVerdict(), pb.Verdict_VERDICT_MAY_HAVE_RUN)
 	assert.Assert(t, time.Since(began) < time.Second)
 	assert.Equal(t, s.Requests.Load(), int32(1))
+	poll.WaitOn(t, s.IsClosed, poll.WithTimeout(time.Second), poll.WithDelay(time.Millisecond))
 }
 
 // Guards against a status that no response has reaching a caller, above all 000, which the HTTP
@@ -46,3 +48,15 @@
 		t.Run(answer, func(t *testing.T) { assertNoAnswer(t, answer) })
 	}
 }
+
+// Guards against checks that turn away what a service may send, or change it.
+func TestLegalAnswersOfAServiceAreWhole(t *testing.T) {
+	for _, x := range broken.Legal {
+		t.Run(x.Answer, func(t *testing.T) {
+			reply := launchService(t, broken.Serve(t, x.Answer)).call(t, "a")
+			assert.Assert(t, reply.GetRefusal() == nil, "%v", reply.GetRefusal())
+			assert.Equal(t, reply.GetStatus(), uint32(x.Status))
+			assert.Equal(t, string(reply.GetBody()), x.Body)
+		})
+	}
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -341,6 +341,14 @@
 	}
 }
 
+// Guards against an answer without one clear length.
+func TestMalformedFramingsOfAProcess(t *testing.T) {
+	b := newFixture(t)
+	for _, answer := range broken.Framings {
+		b.run(ExitUnreachable, "dump", broken.Serve(t, answer).Address())
+	}
+}
+
 func TestDumpAndExplain(t *testing.T) {
 	b := newFixture(t)
 	address := serveOperator(t)
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayford.example/jayford/internal/memory"
+	"jayford.example/jayford/internal/standin/broken"
 )
 
 // Guards against an engine whose responses have no end and take all memory of the machine.
@@ -23,27 +24,15 @@
 		room   = 4 << 20
 		inWire = 16 << 20 // what the buffers of a connection's sockets may hold
 	)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
 	var sent atomic.Int64
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, err := http.ReadRequest(bufio.NewReader(c))
-				for text := "HTTP/1.1 200 OK\r\n\r\n"; err == nil; text = strings.Repeat(" ", 64<<10) {
-					var n int
-					n, err = io.WriteString(c, text)
-					sent.Add(int64(n))
-				}
-			}()
+	l := broken.Listen(t, func(c net.Conn) {
+		_, err := http.ReadRequest(bufio.NewReader(c))
+		for text := "HTTP/1.1 200 OK\r\n\r\n"; err == nil; text = strings.Repeat(" ", 64<<10) {
+			var n int
+			n, err = io.WriteString(c, text)
+			sent.Add(int64(n))
 		}
-	}()
+	})
 	pool := memory.NewArriving(room, time.Now)
 	h := NewHTTP(l.Addr().String(), WithMemory(pool))
 	var all sync.WaitGroup
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"jayford.example/jayford/internal/standin/broken"
 )
@@ -21,6 +23,7 @@
 	assert.ErrorIs(t, h.Decode(t.Context(), DecodeRequest{}, func(Event) error { return nil }), ErrLost)
 	assert.Assert(t, time.Since(began) < time.Second)
 	assert.Equal(t, s.Requests.Load(), int32(2))
+	poll.WaitOn(t, s.IsClosed, poll.WithTimeout(time.Second), poll.WithDelay(time.Millisecond))
 }
 
 // Guards against a status that no response has being taken for success: the HTTP library reads 000
@@ -44,3 +47,13 @@
 		t.Run(answer, func(t *testing.T) { assertLost(t, answer) })
 	}
 }
+
+// Guards against checks that turn away what an engine may send.
+func TestLegalResponsesOfAnEngineAreWhole(t *testing.T) {
+	for _, x := range broken.Legal {
+		if x.Status == http.StatusOK {
+			_, err := NewHTTP(broken.Serve(t, x.Answer).Address()).Load(t.Context())
+			assert.NilError(t, err, "%q", x.Answer)
+		}
+	}
+}
--- a/internal/platform/surplus_test.go
+++ b/internal/platform/surplus_test.go
@@ -11,37 +11,27 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jayford.example/jayford/internal/standin/broken"
 )
 
 // Guards against an answer that comes a second time, late, being taken for that of the next call on
 // the connection: an object, or all of a kind, would be another's.
 func TestRepeatedReplyIsNotTheNextCalls(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	go func() {
+	l := broken.Listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			q, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					body := fmt.Sprintf(`{"kind":"k","name":%q,"version":1}`, path.Base(q.URL.Path))
-					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-					_, _ = io.WriteString(c, answer)
-					time.Sleep(20 * time.Millisecond)
-					_, _ = io.WriteString(c, answer)
-				}
-			}()
+			body := fmt.Sprintf(`{"kind":"k","name":%q,"version":1}`, path.Base(q.URL.Path))
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_, _ = io.WriteString(c, answer)
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, answer)
 		}
-	}()
+	})
 	h := NewHTTP(l.Addr().String(), time.Second)
 	for _, name := range []string{"a", "b", "c", "d"} {
 		o, err := h.Get(t.Context(), "k", name)
@@ -50,7 +40,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	_, err = h.Put(t.Context(), Object{Kind: "k", Name: "e"})
+	_, err := h.Put(t.Context(), Object{Kind: "k", Name: "e"})
 	assert.NilError(t, err)
 	time.Sleep(50 * time.Millisecond)
 	_, err = h.Put(t.Context(), Object{Kind: "k", Name: "e"})
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -1,4 +1,5 @@
-// Package broken is a stand-in of a server in trouble: what it sends is no response.
+// Package broken has stand-ins of faulty servers, and the responses that they send. To show that a
+// client takes no more for malformed than it should, there are legal ones too.
 package broken
 
 import (
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/poll"
+
 	"jayford.example/jayford/internal/standin/faultnet"
 )
 
@@ -68,36 +71,77 @@
 	"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, "HTTP/1.1 100 Continue\r\n\r\n" + body,
 }
 
+// Response is a legal response.
+type Response struct {
+	Answer string
+	// Status and Body are what the answer says.
+	Status int
+	Body   string
+}
+
+// Legal are unusual responses.
+var Legal = []Response{
+	{"HTTP/1.1 100 Continue\r\n\r\n" + framed("1.1", "Content-Length: 2", body), http.StatusOK, body},
+	{"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + IDHeader + ": " + ID + "\r\n\r\n" + framed("1.1", "Content-Length: 2", body), http.StatusOK, body},
+	{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + framed("1.1", "Content-Length: 2", body), http.StatusOK, body},
+	{framed("1.1", "Transfer-Encoding: chunked", "2;name=value;other\r\n"+body+"\r\n0;last\r\n\r\n"), http.StatusOK, body},
+	{framed("1.1", "Transfer-Encoding: chunked\r\nTrailer: X-Sum", "1\r\n{\r\n01\r\n}\r\n0\r\nX-Sum: 2\r\nX-Other: 3\r\n\r\n"), http.StatusOK, body},
+	{framed("1.1", "transfer-encoding: Chunked", chunked), http.StatusOK, body},
+	{framed("1.0", "Content-Length: 2", body), http.StatusOK, body},
+	{framed("1.1", "X-Empty:\r\nX-Blanks: \t a  b \t\r\n!#$%&'*+-.^_`|~: 1\r\nContent-Length: 2", body), http.StatusOK, body},
+	{framed("1.1", "X-Long: "+strings.Repeat("l", 3000)+"\r\nContent-Length: 2", body), http.StatusOK, body},
+	{"HTTP/1.1 204\r\n" + IDHeader + ": " + ID + "\r\n\r\n", http.StatusNoContent, ""},
+	{"HTTP/1.1 204 No Content\r\n" + IDHeader + ": " + ID + "\r\nContent-Length: 0\r\n\r\n", http.StatusNoContent, ""},
+	{"HTTP/1.1 304 Not Modified\r\n" + IDHeader + ": " + ID + "\r\nContent-Length: 2\r\n\r\n", http.StatusNotModified, ""},
+	{"HTTP/1.1 599 Odd\r\n" + IDHeader + ": " + ID + "\r\nContent-Length: 2\r\n\r\n" + body, 599, body},
+}
+
 // Server gives every request the same answer and leaves the connection open.
 type Server struct {
 	net.Listener
-	// Requests counts the requests that were read.
-	Requests atomic.Int32
+	// Requests counts the requests that were read, Open the connections that its clients
+	// haven't closed.
+	Requests, Open atomic.Int32
 }
 
 // Serve starts a server on loopback that ends with the test.
 func Serve(t testing.TB, answer string) *Server {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &Server{}
+	s.Listener = Listen(t, func(c net.Conn) {
+		s.Open.Add(1)
+		defer s.Open.Add(-1)
+		s.serve(c, answer)
+	})
+	return s
+}
+
+// Listen starts a server on loopback that ends with the test. It calls serve with each connection,
+// which it closes afterwards.
+func Listen(t testing.TB, serve func(net.Conn)) net.Listener {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	l := faultnet.New(tcp)
 	t.Cleanup(func() { _ = l.Close() })
-	s := &Server{Listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(c, answer)
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
 		}
 	}()
-	return s
+	return l
 }
 
 func (s *Server) serve(c net.Conn, answer string) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
 		q, err := http.ReadRequest(r)
@@ -112,6 +156,14 @@
 	}
 }
 
+// IsClosed is a check for poll.WaitOn that the server's clients have closed all connections.
+func (s *Server) IsClosed(poll.LogT) poll.Result {
+	if n := s.Open.Load(); n > 0 {
+		return poll.Continue("%d connections are open", n)
+	}
+	return poll.Success()
+}
+
 // Address returns the server's "ip:port".
 func (s *Server) Address() string { return s.Listener.Addr().String() }
 
@@ -119,28 +171,13 @@
 // response whose body ends with its connection, and resets the connection after a delay.
 func ServeEarly(t testing.TB, part string, delay time.Duration) net.Listener {
 	t.Helper()
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := faultnet.New(tcp)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer faultnet.Reset(c)
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+IDHeader+": "+q.Header.Get(IDHeader)+"\r\n\r\n"+part)
-				time.Sleep(delay)
-			}()
+	return Listen(t, func(c net.Conn) {
+		defer faultnet.Reset(c)
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return l
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+IDHeader+": "+q.Header.Get(IDHeader)+"\r\n\r\n"+part)
+		time.Sleep(delay)
+	})
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"jayford.example/jayford/internal/standin/broken"
 )
@@ -16,7 +17,7 @@
 const atOnce = time.Second
 
 // assertMalformed checks that an answer is no response, and that this is known at once although the
-// connection stays open.
+// server leaves the connection open, and ends the connection.
 func assertMalformed(t *testing.T, answer string) {
 	t.Helper()
 	t.Parallel()
@@ -33,6 +34,7 @@
 	var e *Error
 	assert.Assert(t, errors.Is(err, ErrMalformed) && errors.As(err, &e) && e.Sent, "%v", err)
 	assert.Assert(t, time.Since(began) < atOnce)
+	poll.WaitOn(t, s.IsClosed, poll.WithTimeout(atOnce), poll.WithDelay(time.Millisecond))
 }
 
 // Guards against a status that no response has being passed on, or taken for an interim response so
@@ -63,3 +65,18 @@
 		t.Run(answer, func(t *testing.T) { assertMalformed(t, answer) })
 	}
 }
+
+// Guards against checks that turn away what a server may send, or change it.
+func TestLegalResponsesAreWhole(t *testing.T) {
+	for _, x := range broken.Legal {
+		t.Run(x.Answer, func(t *testing.T) {
+			resp, err := newPool().Do(t.Context(), broken.Serve(t, x.Answer).Address(), request("1"))
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.Status, x.Status)
+			assert.Equal(t, string(body), x.Body)
+		})
+	}
+}
