A head whose lines end with LF alone is read alike by all clients

What callers saw: a response whose head has bare LF as line ends was whole at gateways, and held a call at an agent, an engine's or the platform's client until its timeout (60 s, 1 s in the test), which then may have run.

Cause: net/http takes a bare LF, as RFC 9112, section 2.2, allows; fasthttp waits for CRLF. The check of heads took both and handed them on as they came. Ruled out: refusing them, since gateways' callers have such answers whole today.

Change: the head of a final response is handed on with lines that end with CRLF. Only heads with a bare LF are copied for it.

--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -41,12 +41,15 @@
 	status int
 	// isHTTP10: the version is HTTP/1.0, which has no chunks.
 	isHTTP10 bool
-	framing  framing
+	// hasBareLF: a line ends with LF alone, which RFC 9112, section 2.2, allows to take.
+	hasBareLF bool
+	framing   framing
 }
 
 // add checks the next line and reports whether it ends the head.
 func (h *head) add(line []byte) (end bool, err error) {
-	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	h.hasBareLF = h.hasBareLF || !bytes.HasSuffix(line, []byte("\r\n"))
+	line = trimLineEnd(line)
 	switch {
 	case h.status == 0:
 		return false, h.readStatusLine(line)
@@ -60,6 +63,10 @@
 	return false, h.framing.add(name, value)
 }
 
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
 // isInterim reports whether another response follows, without a body in between.
 func (h *head) isInterim() bool { return h.status < minFinalStatus }
 
--- a/internal/response/reader.go
+++ b/internal/response/reader.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// bufferSize suffices for most heads; the buffer grows up to maxHeadBytes for others.
+	// bufferSize is the size of the buffer; for a larger head it grows up to maxHeadBytes.
 	bufferSize = 4 << 10
 	// maxHeadBytes bounds a head, and also the interim responses before a final one.
 	maxHeadBytes = 64 << 10
@@ -28,8 +28,8 @@
 }
 
 // NextHead checks the head of the next response, which must begin with the next byte. That of a
-// final response stays unread, in the buffer as a whole; an interim response is dropped. The error
-// is ErrMalformed, or that of the source: io.EOF only before the first byte.
+// final response stays unread, with lines that end with CRLF; an interim response is dropped. The
+// error is ErrMalformed, or that of the source: io.EOF only before the first byte.
 func (r *Reader) NextHead() (isInterim bool, err error) {
 	var h head
 	size := 0
@@ -45,6 +45,9 @@
 	}
 	if !h.isInterim() {
 		r.interim = 0
+		if h.hasBareLF {
+			r.endLinesWithCRLF(size)
+		}
 		return false, nil
 	}
 	if r.interim += size; r.interim > maxHeadBytes {
@@ -74,7 +77,7 @@
 			if r.Size() >= maxHeadBytes {
 				return nil, Malformed("the head is too large")
 			}
-			r.resize(maxHeadBytes)
+			r.replaceBuffer(maxHeadBytes, r.held())
 		case errors.Is(err, io.EOF) && seen > 0:
 			return nil, io.ErrUnexpectedEOF
 		default:
@@ -86,12 +89,29 @@
 // Trim gives back the memory that a large head took, if the buffer is empty.
 func (r *Reader) Trim() {
 	if r.Buffered() == 0 && r.Size() > bufferSize {
-		r.resize(bufferSize)
+		r.replaceBuffer(bufferSize, nil)
+	}
+}
+
+// endLinesWithCRLF changes the line ends of the head in the first size bytes, as not all HTTP
+// libraries read others.
+func (r *Reader) endLinesWithCRLF(size int) {
+	held := r.held()
+	var head []byte
+	for line := range bytes.Lines(held[:size]) {
+		head = append(append(head, trimLineEnd(line)...), '\r', '\n')
 	}
+	r.replaceBuffer(r.Size(), append(head, held[size:]...))
+}
+
+// held returns a copy of what is in the buffer.
+func (r *Reader) held() []byte {
+	b, _ := r.Peek(r.Buffered())
+	return bytes.Clone(b)
 }
 
-// resize replaces the buffer.
-func (r *Reader) resize(size int) {
-	held, _ := r.Peek(r.Buffered())
-	r.Reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(held)), r.src), size)
+// replaceBuffer replaces the buffer by one of a size. What it held is to be read as held.
+func (r *Reader) replaceBuffer(size int, held []byte) {
+	r.src = io.MultiReader(bytes.NewReader(held), r.src)
+	r.Reader = bufio.NewReaderSize(r.src, size)
 }
