Values of headers that aren't UTF-8 pass between entries and agents

What callers saw: a call whose header has such a value got 502, "The server's agent gave no answer.", as one that may have run, though it was never sent; a service's answer with one was lost after the call had run.

Cause: the message's field for values was a text, which the encoding refuses unless it is UTF-8. HTTP allows any bytes but control bytes there (RFC 9110, section 5.5).

Change: the field holds bytes, as a body does.

Names of headers, and a call's URI, are still texts.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -219,9 +220,9 @@
 	for _, h := range q.GetHeaders() {
 		switch {
 		case strings.EqualFold(h.GetKey(), fasthttp.HeaderHost):
-			req.Header.SetHost(h.GetValue())
+			req.Header.SetHostBytes(h.GetValue())
 		case forwardable(h.GetKey(), named):
-			req.Header.Add(h.GetKey(), h.GetValue())
+			req.Header.AddBytesV(h.GetKey(), h.GetValue())
 		}
 	}
 	req.SetRequestURI(q.GetUri())
@@ -236,7 +237,7 @@
 	reply.Body = body
 	var all []*pb.Header
 	for k, v := range out.Header.All() {
-		all = append(all, &pb.Header{Key: string(k), Value: string(v)})
+		all = append(all, &pb.Header{Key: string(k), Value: bytes.Clone(v)})
 	}
 	named := connectionHeaders(all)
 	for _, h := range all {
@@ -253,7 +254,7 @@
 		if !strings.EqualFold(h.GetKey(), fasthttp.HeaderConnection) {
 			continue
 		}
-		for name := range strings.SplitSeq(h.GetValue(), ",") {
+		for name := range strings.SplitSeq(string(h.GetValue()), ",") {
 			out = append(out, strings.TrimSpace(name))
 		}
 	}
--- a/internal/agent/service_test.go
+++ b/internal/agent/service_test.go
@@ -127,9 +127,9 @@
 	})
 	b := launchService(t, l)
 	r := b.call(t, "req-1",
-		&pb.Header{Key: "Host", Value: "gallery.example"}, &pb.Header{Key: "X-Ask", Value: "1"},
-		&pb.Header{Key: "X-Mine", Value: "1"}, &pb.Header{Key: "Connection", Value: "X-Mine"},
-		&pb.Header{Key: "jayford-request", Value: "forged"}, &pb.Header{Key: "Content-Length", Value: "9"})
+		&pb.Header{Key: "Host", Value: []byte("gallery.example")}, &pb.Header{Key: "X-Ask", Value: []byte("1")},
+		&pb.Header{Key: "X-Mine", Value: []byte("1")}, &pb.Header{Key: "Connection", Value: []byte("X-Mine")},
+		&pb.Header{Key: "jayford-request", Value: []byte("forged")}, &pb.Header{Key: "Content-Length", Value: []byte("9")})
 	assert.Equal(t, r.GetStatus(), uint32(201))
 	assert.Equal(t, string(r.GetBody()), "ok")
 	assert.Equal(t, got.Host, "gallery.example")
@@ -139,7 +139,7 @@
 	assert.Equal(t, got.Header.Get("X-Mine"), "")
 	names := map[string]string{}
 	for _, h := range r.GetHeaders() {
-		names[h.GetKey()] = h.GetValue()
+		names[h.GetKey()] = string(h.GetValue())
 	}
 	assert.Equal(t, names["X-Answer"], "1")
 	assert.Equal(t, names["X-Hop"]+names["Connection"], "")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -263,7 +263,7 @@
 	}
 	ctx.SetStatusCode(int(reply.Status))
 	for _, h := range reply.Headers {
-		ctx.Response.Header.Add(h.Key, h.Value)
+		ctx.Response.Header.AddBytesV(h.Key, h.Value)
 	}
 	setAttempts(ctx, attempts)
 	ctx.SetBody(reply.Body)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -404,7 +404,7 @@
 		Exclusive: e.blameState(r.fingerprint) == blame.Suspect,
 	}
 	for _, h := range r.headers {
-		req.Headers = append(req.Headers, &pb.Header{Key: h.key, Value: h.value})
+		req.Headers = append(req.Headers, &pb.Header{Key: h.key, Value: []byte(h.value)})
 	}
 	if r.idempotent {
 		// Another server can answer. A call that can't be repeated waits on the old
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -89,7 +89,7 @@
 	{framed("1.1", "transfer-encoding: Chunked", chunked), http.StatusOK, body},
 	{framed("1.0", "Content-Length: 2", body), http.StatusOK, body},
 	{strings.ReplaceAll(framed("1.1", "content-length:2", ""), "\r\n", "\n") + body, http.StatusOK, body},
-	{framed("1.1", "X-Empty:\r\nX-Blanks: \t a  b \t\r\n!#$%&'*+-.^_`|~: 1\r\nContent-Length: 2", body), http.StatusOK, body},
+	{framed("1.1", "X-Empty:\r\nX-Blanks: \t a  b \t\r\n!#$%&'*+-.^_`|~: 1\r\nX-Latin: \xe4\r\nContent-Length: 2", body), http.StatusOK, body},
 	{framed("1.1", "X-Long: "+strings.Repeat("l", 3000)+"\r\nContent-Length: 2", body), http.StatusOK, body},
 	{"HTTP/1.1 204\r\n" + IDHeader + ": " + ID + "\r\n\r\n", http.StatusNoContent, ""},
 	{"HTTP/1.1 204 No Content\r\n" + IDHeader + ": " + ID + "\r\nContent-Length: 0\r\n\r\n", http.StatusNoContent, ""},
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -38,3 +39,16 @@
 	assert.Equal(t, echo.Method+" "+echo.Path+"?"+echo.Query+" "+echo.Body, "PUT /faces/7?size=2 body")
 	assert.Equal(t, len(c.services[0].calls()), 1)
 }
+
+// Guards against a call that is refused, or runs without an answer, as a header's value isn't UTF-8:
+// HTTP allows it, and the messages between entries and agents didn't.
+func TestHeaderThatIsNotUTF8IsForwarded(t *testing.T) {
+	c := newCluster(t, topology{entries: 1, prefill: 1, decode: 1, services: 1, service: servicestandin.Options{EchoHeaders: []string{"X-Place"}}})
+	a := request{entry: c.entries[0], headers: map[string]string{"X-Place": "Z\xfcrich"}}
+	got := exchange(context.Background(), a, http.MethodGet, "/faces/7", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.text)
+	var echo servicestandin.Echo
+	assert.NilError(t, json.Unmarshal([]byte(got.text), &echo))
+	assert.Assert(t, slices.ContainsFunc(echo.Headers, func(h servicestandin.Header) bool { return h.Key == "X-Place" && len([]rune(h.Value)) == len("Zurich") }), "%v", echo.Headers)
+}
