Entry: one place for the error of a request whose context ended; refusing all is its own step

Read as a newcomer: three places chose between the errors of a stop and of a deadline, drain had two jobs (waiting for quiet, and ending what is left), and a context was named life.

Change: endedError serves generations and calls; refuseAll is separate from drain; the context is lifetime. Ruled out: a change of behaviour; the verdicts of a generation are chosen by the same conditions as before.

Figures: the tests of internal/entry, and TestEntryStopCutsNothing and TestEntryStopAnswersLateRequests, pass with the race detector, one run each.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -46,7 +46,7 @@
 // progress. release frees it.
 func (s *server) untilStopped(parent context.Context) (ctx context.Context, release func()) {
 	ctx, cancel := context.WithCancelCause(parent)
-	stop := context.AfterFunc(s.life, func() { cancel(errStopped) })
+	stop := context.AfterFunc(s.lifetime, func() { cancel(errStopped) })
 	return ctx, func() {
 		stop()
 		cancel(nil)
@@ -65,6 +65,7 @@
 		s.e.log.WithError(err).Warn("entry: listener didn't drain, new connections may have been reset.")
 	}
 	s.drain(st)
+	s.refuseAll(st)
 	limit, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	err := s.http.Shutdown(limit)
@@ -75,7 +76,7 @@
 }
 
 // drain waits until no request has been running for closeLinger, or until those that still run
-// must get their final answer. Then it refuses all others.
+// must get their final answer.
 func (s *server) drain(st *stop.Stop) {
 	quiet := time.Now()
 	for now := quiet; now.Before(st.AnswerBy()) && now.Sub(quiet) <= closeLinger; now = time.Now() {
@@ -84,6 +85,10 @@
 		}
 		time.Sleep(drainInterval)
 	}
+}
+
+// refuseAll refuses new requests and lets those in progress end, by their final answer if need be.
+func (s *server) refuseAll(st *stop.Stop) {
 	s.closed.Store(true)
 	if n := s.waitIdle(st.AnswerBy()); n > 0 {
 		s.e.log.WithField("requests", n).Warn("entry: stop timeout reached, giving up on running requests.")
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -105,14 +104,14 @@
 // finalError returns the error to report for err. Once the request was sent to an
 // engine, the verdict is that it may have run.
 func (g *generation) finalError(ctx context.Context, err *verdict.Error) *verdict.Error {
-	if ctx.Err() != nil {
+	mayHaveRun := g.dispatched || g.out.len() > 0
+	switch {
+	case ctx.Err() != nil && mayHaveRun:
+		err = endedError(ctx, verdict.MayHaveRun)
+	case ctx.Err() != nil:
 		err = contextVerdict(ctx)
-	}
-	if g.dispatched || g.out.len() > 0 {
+	case mayHaveRun:
 		changed := *err
-		if errors.Is(context.Cause(ctx), errStopped) {
-			changed = *stoppedError(verdict.MayHaveRun)
-		}
 		changed.Verdict = verdict.MayHaveRun
 		err = &changed
 	}
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -284,3 +284,13 @@
 	}
 	return verdict.New(verdict.NotRun, verdict.Deadline, "The deadline passed before a server was free.").WithRetryAfter(time.Second)
 }
+
+// endedError returns the error for a request with a verdict because ctx ended.
+func endedError(ctx context.Context, v verdict.Verdict) *verdict.Error {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return stoppedError(v)
+	}
+	err := contextVerdict(ctx)
+	err.Verdict = v
+	return err
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -47,14 +47,14 @@
 	stop atomic.Pointer[stop.Stop]
 	// closed is set when no further request is taken.
 	closed atomic.Bool
-	// life ends when the requests in progress must get their final answer.
-	life   context.Context
-	giveUp context.CancelFunc
+	// lifetime ends, by giveUp, when the requests in progress must get their final answer.
+	lifetime context.Context
+	giveUp   context.CancelFunc
 }
 
 func newServer(e *Entry) *server {
 	s := &server{e: e}
-	s.life, s.giveUp = context.WithCancel(context.Background())
+	s.lifetime, s.giveUp = context.WithCancel(context.Background())
 	lim := e.settings.Limits
 	s.http = callers.NewServer(callers.ServerOptions{
 		HTTP: s.newHTTP, MaxHeaderBytes: lim.MaxHeaderBytes, HeaderTimeout: readTimeout, BodyTimeout: readTimeout, IdleTimeout: idleTimeout, Limits: e.memory,
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -140,16 +139,6 @@
 	}
 }
 
-// endedError returns the error of a call whose ctx has ended.
-func endedError(ctx context.Context, v verdict.Verdict) *verdict.Error {
-	if errors.Is(context.Cause(ctx), errStopped) {
-		return stoppedError(v)
-	}
-	err := contextVerdict(ctx)
-	err.Verdict = v
-	return err
-}
-
 // logResult logs the result of a try.
 func (c *serviceCall) logResult(res callResult) {
 	log := c.e.log.WithFields(logrus.Fields{
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -13,7 +13,7 @@
 	"jayford.example/jayford/internal/standin/broken"
 )
 
-// atOnce is far below any deadline of a request.
+// atOnce bounds the time until an answer is known to be malformed.
 const atOnce = time.Second
 
 // assertMalformed checks that an answer is no response, and that this is known at once although the
