Logs and metrics tell which connection an attempt went over, and answers that weren't due

The log of a request that ran twice couldn't tell the hypotheses apart: no line said which connection an attempt went over, how often that had been used, or what was read there that wasn't its answer. No decision changes; tests of the packages pass.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -86,6 +86,8 @@
 	LastEventID string
 	// MaxIdle is how long a pooled connection may have been idle to be used for the call.
 	MaxIdle time.Duration
+	// Trace is set by the call, also if that fails; nil if it isn't wanted.
+	Trace *upstream.Trace
 }
 
 // Reservation describes a decode slot and memory to reserve.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,16 +82,16 @@
 
 func (g *Gateway) logCall(j *job, s catalog.Server, reply *Reply, err *verdict.Error) {
 	if err != nil {
-		g.logRequest(j, "gateway: call failed.", logrus.Fields{
+		g.logRequest(j, "gateway: call failed.", j.last.logConnection(logrus.Fields{
 			"server": serverKey(s), "fingerprint": formatHash(j.fingerprint), "cause": err.Error(), "verdict": err.Verdict.String(),
-		})
+		}))
 		return
 	}
 	late := ""
 	if o := j.route.LatencyObjective; o > 0 && time.Since(j.r.Arrived) > o {
 		late = lateAnswer
 	}
-	g.logRequest(j, "gateway: call answered.", logrus.Fields{"server": serverKey(s), "status": reply.Status, "late": late})
+	g.logRequest(j, "gateway: call answered.", j.last.logConnection(logrus.Fields{"server": serverKey(s), "status": reply.Status, "late": late}))
 }
 
 // pick returns the server to send the request to next and counts it against the
@@ -157,6 +157,7 @@
 	}
 	j.sends++
 	j.last = &attempt{sentAt: time.Now()}
+	c.Trace = &j.last.trace
 	a, err := g.backend.Send(ctx, s, c)
 	countSending("call", err)
 	g.countRun(j, err)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -68,6 +68,7 @@
 	}
 	j.sends++
 	j.last = &attempt{sentAt: time.Now()}
+	c.Trace = &j.last.trace
 	a, err := g.backend.Send(ctx, p.server, c)
 	countSending("decode", err)
 	g.countRun(j, err)
@@ -78,17 +79,19 @@
 	}
 	if err == nil {
 		g.loads.recordAccepted(p.server)
-		g.logRequest(j, "gateway: decode answered.", logrus.Fields{
+		g.logRequest(j, "gateway: decode answered.", j.last.logConnection(logrus.Fields{
 			"server": serverKey(p.server), "software": loggedSoftware(p.server.Software), "status": a.Status, "from": result.from.ID,
 			"after": after, "firstAttempt": j.r.Generation.FirstAttemptID, "parts": j.r.Generation.SharedParts,
-		})
+		}))
 		return a, nil
 	}
 	p.end()
 	if isLoss(ctx, err) {
 		g.recordLoss(j, p.server, j.last, err)
 	}
-	g.logRequest(j, "gateway: decode failed.", logrus.Fields{"server": serverKey(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": result.from.ID})
+	g.logRequest(j, "gateway: decode failed.", j.last.logConnection(logrus.Fields{
+		"server": serverKey(p.server), "cause": err.Error(), "verdict": err.Verdict.String(), "from": result.from.ID,
+	}))
 	if err.Verdict == verdict.NotRun {
 		g.loads.recordRefusal(p.server, time.Now())
 		g.releaseAsync(p, result)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -11,6 +11,7 @@
 	"jayford.example/jayford/internal/policy/blame"
 	"jayford.example/jayford/internal/policy/prefill"
 	"jayford.example/jayford/internal/policy/retry"
+	"jayford.example/jayford/internal/upstream"
 )
 
 // job is one request in progress.
@@ -62,6 +63,17 @@
 	sentAt, wroteAt time.Time
 	// proven: it was recorded to run well.
 	proven bool
+	// trace says over which connection it went.
+	trace upstream.Trace
+}
+
+// logConnection adds to the fields of a log line over which connection an attempt went.
+func (a *attempt) logConnection(fields logrus.Fields) logrus.Fields {
+	if a == nil || a.trace.Connection == 0 {
+		return fields
+	}
+	fields["connection"], fields["use"] = a.trace.Connection, a.trace.Use
+	return fields
 }
 
 // writingTime returns for how long the attempt had written events at a time, 0 if it had
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -112,19 +112,20 @@
 	j.progress.prefill(serverKey(s))
 	defer j.progress.prefill("")
 	began := time.Now()
+	at := &attempt{sentAt: began}
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
 	r, err := g.backend.Prefill(ctx, s, Call{
-		Request: j.r, Organisation: j.organisationName(), IsRanked: j.isRanked, Rank: j.rank, Timeout: time.Until(j.until),
+		Request: j.r, Organisation: j.organisationName(), IsRanked: j.isRanked, Rank: j.rank, Timeout: time.Until(j.until), Trace: &at.trace,
 	})
 	took := time.Since(began)
 	countSending("prefill", err)
 	if err != nil {
 		if isLoss(ctx, err) {
-			g.recordLoss(j, s, &attempt{sentAt: began}, err)
+			g.recordLoss(j, s, at, err)
 		}
 		g.prefillFailed(ctx, j, s, err)
-		g.logRequest(j, "gateway: prefill failed.", logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(took)})
+		g.logRequest(j, "gateway: prefill failed.", at.logConnection(logrus.Fields{"server": serverKey(s), "cause": err.Error(), "took": milliseconds(took)}))
 		return prefillResult{}, false
 	}
 	j.prefillState.Done()
@@ -134,7 +135,7 @@
 	g.prefillSpeed.record(queued, took)
 	g.queues.recordPrefill(serverKey(s), unread, took)
 	g.recordPromptTime(queued, tokens, took)
-	g.logRequest(j, "gateway: prefill finished.", logrus.Fields{"server": serverKey(s), "queued": queued, "unread": unread, "took": milliseconds(took)})
+	g.logRequest(j, "gateway: prefill finished.", at.logConnection(logrus.Fields{"server": serverKey(s), "queued": queued, "unread": unread, "took": milliseconds(took)}))
 	g.view.recordOutcome(s, doubt.Success)
 	return prefillResult{from: s, id: r.Result}, true
 }
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -61,19 +61,31 @@
 // IsSilent reports whether the other end has neither closed a connection nor sent bytes that are
 // still unread.
 func IsSilent(c net.Conn) bool {
+	_, err := peek(c)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// HasUnread reports whether the other end has sent bytes that are still unread.
+func HasUnread(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek looks for the next byte of a connection without waiting. Its error is EAGAIN if there is none,
+// and n is 0 at the end of the connection.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	silent := false
+	var failed error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = errors.Is(err, unix.EAGAIN)
+		n, _, failed = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && silent
+	return n, errors.Join(err, failed)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -80,6 +81,8 @@
 	net.Conn
 	addr string
 	r    *response.Reader
+	// number numbers the connections of the process, from 1.
+	number uint64
 	// connectedAt is when the connection was established.
 	connectedAt time.Time
 	// uses counts the exchanges before the current one.
@@ -104,24 +107,34 @@
 func (c *conn) close() { c.once.Do(func() { _ = c.Close() }) }
 
 var (
-	dials  = metrics.NewCounter("jayford_upstream_dials_total")
-	reuses = metrics.NewCounter("jayford_upstream_reuses_total")
-	stale  = metrics.NewCounter("jayford_upstream_stale_connections_total")
+	dials   = metrics.NewCounter("jayford_upstream_dials_total")
+	reuses  = metrics.NewCounter("jayford_upstream_reuses_total")
+	stale   = metrics.NewCounter("jayford_upstream_stale_connections_total")
+	surplus = metrics.NewCounter("jayford_upstream_surplus_connections_total")
+	dropped = metrics.NewCounter("jayford_upstream_dropped_responses_total")
 )
 
-func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
+// connections counts the connections of the process.
+var connections atomic.Uint64
+
+// get returns a connection for r.
+func (p *Pool) get(ctx context.Context, addr string, r *Request, t *Trace) (*conn, error) {
 	for {
 		c := p.take(addr)
 		if c == nil {
 			break
 		}
 		idleFor := time.Since(c.idleSince)
-		if idleFor < c.idleLimit(p.opts.IdleTimeout) && (maxIdle == 0 || idleFor < maxIdle) && c.isReusable() {
+		if idleFor < c.idleLimit(p.opts.IdleTimeout) && (r.MaxIdle == 0 || idleFor < r.MaxIdle) && c.isReusable() {
 			c.uses++
 			c.wrote, c.keepAlive = false, false
 			reuses.Inc()
 			return c, nil
 		}
+		if c.hasSurplus() {
+			t.Surplus++
+			surplus.Inc()
+		}
 		stale.Inc()
 		c.close()
 	}
@@ -130,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, connectedAt: time.Now()}
+	c := &conn{Conn: nc, addr: addr, number: connections.Add(1), connectedAt: time.Now()}
 	c.r = response.NewReader(c)
 	return c, nil
 }
@@ -146,6 +159,9 @@
 // unexpected bytes.
 func (c *conn) isReusable() bool { return c.r.Buffered() == 0 && response.IsSilent(c.Conn) }
 
+// hasSurplus reports whether the server has sent bytes behind its last response.
+func (c *conn) hasSurplus() bool { return c.r.Buffered() > 0 || response.HasUnread(c.Conn) }
+
 func (p *Pool) take(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,6 +176,7 @@
 
 func (p *Pool) put(c *conn) {
 	if c.r.Buffered() > 0 {
+		surplus.Inc()
 		c.close()
 		return
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -26,6 +26,21 @@
 	// MaxIdle is how long a reused connection may have been idle before the
 	// request; 0 means any time within the pool's idle timeout.
 	MaxIdle time.Duration
+	// Trace is set by Pool.Do, also if that fails; nil if it isn't wanted.
+	Trace *Trace
+}
+
+// Trace says over which connection an exchange went, and what was there that isn't its response.
+type Trace struct {
+	// Connection numbers the connections of the process, from 1. It is 0 if none was established.
+	Connection uint64
+	// Use counts the exchanges over the connection, with this one.
+	Use int
+	// Dropped counts the responses to other requests that were read before its own.
+	Dropped int
+	// Surplus counts the idle connections that were closed before it, as the server had sent bytes
+	// behind its last response there.
+	Surplus int
 }
 
 // send writes the request. It doesn't use http.Request.Write, since the path and
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -72,12 +72,17 @@
 // the whole exchange including the body: when it ends, the connection is closed,
 // which tells the server to cancel the work.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, addr, r.MaxIdle)
+	t := r.Trace
+	if t == nil {
+		t = &Trace{}
+	}
+	c, err := p.get(ctx, addr, r, t)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	t.Connection, t.Use = c.number, c.uses+1
 	stop := context.AfterFunc(ctx, c.close)
-	resp, err := c.exchange(r)
+	resp, err := c.exchange(r, t)
 	if err != nil {
 		stop()
 		c.close()
@@ -94,15 +99,15 @@
 	return resp, nil
 }
 
-func (c *conn) exchange(r *Request) (*Response, error) {
+func (c *conn) exchange(r *Request, t *Trace) (*Response, error) {
 	if err := r.send(bufio.NewWriterSize(c, writeBuffer)); err != nil {
 		return nil, err
 	}
-	return c.readResponse(r)
+	return c.readResponse(r, t)
 }
 
 // readResponse reads responses until one carries the request's id.
-func (c *conn) readResponse(r *Request) (*Response, error) {
+func (c *conn) readResponse(r *Request, t *Trace) (*Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxMismatched {
 		resp, err := c.readHead(req) //nolint:bodyclose // the caller closes it with the connection
@@ -110,6 +115,8 @@
 			return nil, err
 		}
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
+			t.Dropped++
+			dropped.Inc()
 			if !c.discard(resp.Body, headTimeout) {
 				return nil, response.Malformed("a response to another request has no end")
 			}
