--- a/internal/standin/faultnet/listener.go
+++ b/internal/standin/faultnet/listener.go
@@ -26,6 +26,8 @@
 	open map[*conn]struct{}
 	// partitioned makes new connections silent. It is guarded by mu.
 	partitioned bool
+	// repeat is the function of Repeat; nil for none. It is guarded by mu.
+	repeat func(answers [][]byte) [][]byte
 }
 
 // New wraps ln.
@@ -141,11 +143,15 @@
 	silent       atomic.Bool
 	dropsReplies atomic.Bool
 	cut          chan struct{}
+	answers      answers
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.repeatAnswers()
+	}
 	if c.silent.Load() {
 		<-c.cut
 		return 0, net.ErrClosed
@@ -162,6 +168,7 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
+	c.answers.record(p)
 	return c.Conn.Write(p)
 }
 
