A connection to a server carries a request's id once

Callers saw: a request that must run at most once ran twice, or was answered 503 though it ran. Cause: a response is matched to an exchange by its request's id, which all attempts of a request share. A refused request that went out again over the same connection, as the address had a new server, or as its prefill came before its run, took the copy of its refusal for its answer. Evidence: the line of each attempt (TestRefusalSentAgainIsNotTheAnswer on: 'not run' twice over connection 3, uses 14 and 15, 0.2 ms apart), and the server's record of a run. Ruled out: silent streams (the route is a plain one), and a connection that broke (the cause is a refusal). Now a connection keeps the hashes of the ids that it has carried, and the pool passes it over for a further exchange under one of them: any response with the id then belongs to the one exchange that had it there, however late a copy comes, and whether the attempts are of one request or a caller uses its id twice. After 256 ids a connection is closed.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +24,8 @@
 	// it.
 	keepAliveMargin  = 500 * time.Millisecond
 	maxIdlePerServer = 16
+	// maxIDs is how many ids a connection may carry.
+	maxIDs = 256
 	// sweepInterval is the least time between two searches for expired connections.
 	sweepInterval = time.Second
 )
@@ -38,6 +42,8 @@
 	// IdleTimeout is the idle timeout of connections whose server sends no keep-alive
 	// timeout.
 	IdleTimeout time.Duration
+	// IDHeader is the header that carries a request's id in both directions.
+	IDHeader string
 }
 
 // Pool is a pool of keep-alive connections to backend servers. It is safe for
@@ -79,14 +85,16 @@
 // conn is a connection that carries one exchange at a time.
 type conn struct {
 	net.Conn
-	addr string
-	r    *response.Reader
+	addr     string
+	idHeader string
+	r        *response.Reader
 	// number numbers the connections of the process, from 1.
 	number uint64
 	// connectedAt is when the connection was established.
 	connectedAt time.Time
-	// uses counts the exchanges before the current one.
+	// uses counts the exchanges with the current one, and ids has the hashes of their ids.
 	uses int
+	ids  []uint64
 	// wrote: at least one byte of the current request was written to the socket.
 	wrote            bool
 	keepAlive        bool
@@ -111,22 +119,26 @@
 	reuses  = metrics.NewCounter("jayford_upstream_reuses_total")
 	stale   = metrics.NewCounter("jayford_upstream_stale_connections_total")
 	surplus = metrics.NewCounter("jayford_upstream_surplus_connections_total")
+	passed  = metrics.NewCounter("jayford_upstream_passed_connections_total")
 	dropped = metrics.NewCounter("jayford_upstream_dropped_responses_total")
 )
 
 // connections counts the connections of the process.
 var connections atomic.Uint64
 
+// idSeed is the seed of the hashes of ids.
+var idSeed = maphash.MakeSeed()
+
 // get returns a connection for r.
 func (p *Pool) get(ctx context.Context, addr string, r *Request, t *Trace) (*conn, error) {
 	for {
-		c := p.take(addr)
+		c := p.take(addr, r.ID)
 		if c == nil {
 			break
 		}
 		idleFor := time.Since(c.idleSince)
 		if idleFor < c.idleLimit(p.opts.IdleTimeout) && (r.MaxIdle == 0 || idleFor < r.MaxIdle) && c.isReusable() {
-			c.uses++
+			c.begin(r.ID)
 			c.wrote, c.keepAlive = false, false
 			reuses.Inc()
 			return c, nil
@@ -143,7 +155,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, number: connections.Add(1), connectedAt: time.Now()}
+	c := &conn{Conn: nc, addr: addr, idHeader: p.opts.IDHeader, number: connections.Add(1), connectedAt: time.Now()}
+	c.begin(r.ID)
 	c.r = response.NewReader(c)
 	return c, nil
 }
@@ -162,16 +175,34 @@
 // hasSurplus reports whether the server has sent bytes behind its last response.
 func (c *conn) hasSurplus() bool { return c.r.Buffered() > 0 || response.HasUnread(c.Conn) }
 
-func (p *Pool) take(addr string) *conn {
+// take returns the idle connection to addr that was used last, of those that haven't carried id. A
+// copy of the response to the earlier exchange couldn't be told from that to the next one.
+func (p *Pool) take(addr, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.hasCarried(id) {
+			passed.Inc()
+			continue
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
+	}
+	return nil
+}
+
+// begin begins an exchange under an id, "" for none.
+func (c *conn) begin(id string) {
+	c.uses++
+	if id != "" {
+		c.ids = append(c.ids, maphash.String(idSeed, id))
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+}
+
+// hasCarried reports whether an earlier exchange had the id. It may do so of another id, too.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.ids, maphash.String(idSeed, id))
 }
 
 func (p *Pool) put(c *conn) {
@@ -180,6 +211,10 @@
 		c.close()
 		return
 	}
+	if len(c.ids) >= maxIDs {
+		c.close()
+		return
+	}
 	c.r.Trim()
 	c.idleSince = time.Now()
 	p.mu.Lock()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -20,9 +20,8 @@
 	Host    string
 	Headers []Header
 	Body    []byte
-	// IDHeader is the header that carries the request id in both directions, and
-	// ID is its value. Responses with another id are dropped.
-	IDHeader, ID string
+	// ID is the request's id, which Headers have too; "" if it has none.
+	ID string
 	// MaxIdle is how long a reused connection may have been idle before the
 	// request; 0 means any time within the pool's idle timeout.
 	MaxIdle time.Duration
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,9 +1,10 @@
 // Package upstream sends HTTP/1.1 requests to backend servers over pooled
 // connections, and reports with each error whether the request may have run.
 //
-// A server may respond late or twice on a connection. So each response must carry
-// the id of its request, and others are dropped. A connection with unexpected
-// bytes on it is not reused.
+// A server may respond late or twice on a connection, any number of exchanges later. So each
+// response must carry the id of its request, and others are dropped. A connection carries an id
+// once: a copy of an earlier response is never taken for that of a later request. A connection
+// with unexpected bytes on it is not reused.
 package upstream
 
 import (
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
-	t.Connection, t.Use = c.number, c.uses+1
+	t.Connection, t.Use = c.number, c.uses
 	stop := context.AfterFunc(ctx, c.close)
 	resp, err := c.exchange(r, t)
 	if err != nil {
@@ -114,7 +115,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
+		if r.ID != "" && resp.Header.Get(c.idHeader) != r.ID {
 			t.Dropped++
 			dropped.Inc()
 			if !c.discard(resp.Body, headTimeout) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -37,14 +37,13 @@
 }
 
 func newPool() *Pool {
-	return NewPool(Options{DialTimeout: time.Second, AckTimeout: 3 * time.Second, IdleTimeout: time.Minute})
+	return NewPool(Options{DialTimeout: time.Second, AckTimeout: 3 * time.Second, IdleTimeout: time.Minute, IDHeader: "X-Id"})
 }
 
 func request(id string) *Request {
 	return &Request{
 		Method: http.MethodPost, URI: "/a%20b?c=d", Host: "h", Body: []byte("body"),
-		Headers:  []Header{{Name: "X-Id", Value: id}},
-		IDHeader: "X-Id", ID: id,
+		Headers: []Header{{Name: "X-Id", Value: id}}, ID: id,
 	}
 }
 
