--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -92,9 +92,10 @@
 	number uint64
 	// connectedAt is when the connection was established.
 	connectedAt time.Time
-	// uses counts the exchanges with the current one, and ids has the hashes of their ids.
+	// uses counts the exchanges, with the current one.
 	uses int
-	ids  []uint64
+	// ids has the hashes of the ids of requests.
+	ids []uint64
 	// wrote: at least one byte of the current request was written to the socket.
 	wrote            bool
 	keepAlive        bool
@@ -132,12 +133,11 @@
 // get returns a connection for r.
 func (p *Pool) get(ctx context.Context, addr string, r *Request, t *Trace) (*conn, error) {
 	for {
-		c := p.take(addr, r.ID)
+		c := p.take(addr, r)
 		if c == nil {
 			break
 		}
-		idleFor := time.Since(c.idleSince)
-		if idleFor < c.idleLimit(p.opts.IdleTimeout) && (r.MaxIdle == 0 || idleFor < r.MaxIdle) && c.isReusable() {
+		if time.Since(c.idleSince) < c.idleLimit(p.opts.IdleTimeout) && c.isReusable() {
 			c.begin(r.ID)
 			c.wrote, c.keepAlive = false, false
 			reuses.Inc()
@@ -175,17 +175,21 @@
 // hasSurplus reports whether the server has sent bytes behind its last response.
 func (c *conn) hasSurplus() bool { return c.r.Buffered() > 0 || response.HasUnread(c.Conn) }
 
-// take returns the idle connection to addr that was used last, of those that haven't carried id. A
-// copy of the response to the earlier exchange couldn't be told from that to the next one.
-func (p *Pool) take(addr, id string) *conn {
+// take returns the idle connection to addr that was used last, of those that haven't carried r's id,
+// unless it was idle for too long for r. A copy of the response to the earlier exchange couldn't be
+// told from that to r.
+func (p *Pool) take(addr string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	for i, c := range slices.Backward(list) {
-		if c.hasCarried(id) {
+		if c.hasCarried(r.ID) {
 			passed.Inc()
 			continue
 		}
+		if r.MaxIdle > 0 && time.Since(c.idleSince) >= r.MaxIdle {
+			return nil
+		}
 		p.idle[addr] = slices.Delete(list, i, i+1)
 		return c
 	}
@@ -200,7 +204,7 @@
 	}
 }
 
-// hasCarried reports whether an earlier exchange had the id. It may do so of another id, too.
+// hasCarried reports whether an earlier exchange had the id. Another one with the same hash counts, too.
 func (c *conn) hasCarried(id string) bool {
 	return id != "" && slices.Contains(c.ids, maphash.String(idSeed, id))
 }
--- a/internal/upstream/repeat_test.go
+++ b/internal/upstream/repeat_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -60,3 +61,26 @@
 	}
 	assert.Equal(t, connections.Load(), int32(3))
 }
+
+// Guards against the loss of sound connections that are too old for one request alone.
+func TestConnectionsTooOldForOneRequestAreKept(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for reply(t, r, c, "", "x") {
+		}
+	})
+	p := newPool()
+	for _, id := range []string{"1", "1", "1"} {
+		_, err := do(t, p, addr, id)
+		assert.NilError(t, err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	r := request("2")
+	r.MaxIdle = 10 * time.Millisecond
+	resp, err := p.Do(t.Context(), addr, r)
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Discard())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, len(p.idle[addr]), 4)
+}
