Copies of answers aren't taken for those of calls that bear no id

What callers would see: requests refused for want of room that there was, or sent to a server that is down. The client of backend servers took any response for that of a reservation, release, health check, report or order, so a copy of an earlier one counted: a request's refusal as 'no room', a request's answer as a sound health check, one reservation for two calls, a report as an accepted order. Class: an answer matched to a call by something that doesn't name the call. Now a response with the id of an earlier request on its connection is no answer to a call without one; a reservation's id that came before on the connection is a copy, and the next server is asked; reports and orders have a connection of their own. What remains: a copied refusal of a reservation or health check, which nothing distinguishes; it costs a reservation that expires.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -94,7 +94,7 @@
 	connectedAt time.Time
 	// uses counts the exchanges, with the current one.
 	uses int
-	// ids has the hashes of the ids of requests.
+	// ids has the hashes of the ids of requests, and of the unique ids in responses without one.
 	ids []uint64
 	// wrote: at least one byte of the current request was written to the socket.
 	wrote            bool
@@ -132,7 +132,7 @@
 
 // get returns a connection for r.
 func (p *Pool) get(ctx context.Context, addr string, r *Request, t *Trace) (*conn, error) {
-	for {
+	for r.mayShare() {
 		c := p.take(addr, r)
 		if c == nil {
 			break
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -22,6 +22,10 @@
 	Body    []byte
 	// ID is the request's id, which Headers have too; "" if it has none.
 	ID string
+	// Shared lets a request without an id share connections with others. Any copy of a response
+	// without an id then passes for its own, so what a wrong one costs must be less than a
+	// connection for each request.
+	Shared bool
 	// MaxIdle is how long a reused connection may have been idle before the
 	// request; 0 means any time within the pool's idle timeout.
 	MaxIdle time.Duration
@@ -42,6 +46,9 @@
 	Surplus int
 }
 
+// mayShare reports whether other exchanges may come before and after the request on its connection.
+func (r *Request) mayShare() bool { return r.ID != "" || r.Shared }
+
 // send writes the request. It doesn't use http.Request.Write, since the path and
 // the headers must reach the server exactly as the caller sent them.
 func (r *Request) send(w *bufio.Writer) error {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -2,15 +2,16 @@
 // connections, and reports with each error whether the request may have run.
 //
 // A server may respond late or twice on a connection, any number of exchanges later. So each
-// response must carry the id of its request, and others are dropped. A connection carries an id
-// once: a copy of an earlier response is never taken for that of a later request. A connection
-// with unexpected bytes on it is not reused.
+// response must carry the id of its request, or no earlier one's if that has none, and others are
+// dropped. A connection carries an id once: a copy of an earlier response is never taken for that of
+// a later request with an id. A connection with unexpected bytes on it is not reused.
 package upstream
 
 import (
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -107,7 +108,7 @@
 	return c.readResponse(r, t)
 }
 
-// readResponse reads responses until one carries the request's id.
+// readResponse reads responses until one can be that to the request.
 func (c *conn) readResponse(r *Request, t *Trace) (*Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxMismatched {
@@ -115,7 +116,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.ID != "" && resp.Header.Get(c.idHeader) != r.ID {
+		if !c.isDue(r, resp.Header.Get(c.idHeader)) {
 			t.Dropped++
 			dropped.Inc()
 			if !c.discard(resp.Body, headTimeout) {
@@ -123,7 +124,7 @@
 			}
 			continue
 		}
-		c.keepAlive = !resp.Close
+		c.keepAlive = !resp.Close && r.mayShare()
 		c.keepAliveTimeout = parseKeepAlive(resp.Header.Get("Keep-Alive"))
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, ConnectedAt: c.connectedAt,
@@ -133,6 +134,11 @@
 	return nil, response.Malformed("too many responses to other requests")
 }
 
+// isDue reports whether a response with an id, "" for none, can be that to r.
+func (c *conn) isDue(r *Request, id string) bool {
+	return id == r.ID || r.ID == "" && !c.hasCarried(id)
+}
+
 // readHead reads the head of the next final response, which is bounded in bytes and, from its
 // first byte on, in time.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
@@ -195,6 +201,25 @@
 	return ended
 }
 
+// IsRepeated reports whether an earlier response over the connection had an id that servers give
+// once. The response is then a copy of that, and the connection, over which its own is still due,
+// is closed. It must be called before Body is closed.
+func (r *Response) IsRepeated(id string) bool {
+	b, ok := r.Body.(*body)
+	if !ok || id == "" {
+		return false
+	}
+	c := b.conn
+	if c.hasCarried(id) {
+		dropped.Inc()
+		c.close()
+		c.keepAlive = false
+		return true
+	}
+	c.ids = append(c.ids, maphash.String(idSeed, id))
+	return false
+}
+
 // parseKeepAlive returns the timeout of a Keep-Alive header, 0 if it has none.
 func parseKeepAlive(v string) time.Duration {
 	const key = "timeout="
