A connection to the platform carries one call

Callers would see: a lease held by two processes, or let go though it was renewed; a claim, an order or a configuration write that counts as accepted, refused or in conflict though the store did otherwise; an object, a listing or a watch of another name or kind; a list of instances that counts as unchanged. Cause: a reply is matched to a call by its place on a kept connection, which doesn't name the call. The client refused to write while unread bytes stood on the connection, but a copy that came once the next call was written was its reply. Checking names and operation ids in replies wouldn't do: conflicts, refusals, 404, 304 and empty listings name nothing. Now each call has a connection of its own, which is closed after its reply: what comes there can only be for that call, however late a copy comes. So a dead idle connection no longer costs a call either, CloseIdleConnections and the idle timeout have no use, nor has ErrNotIdle: all four users of response.Conn (platform, agent, engine, ctl) send one request over a connection. As every call dials, a dial now ends with its call's timeout, at most 1 s as before; a call without a connection counts as not sent, as before.

The count of connections to the store wasn't measured: it is that of calls now.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -28,7 +28,6 @@
 	maxResponseBytes = 4 << 20
 	maxConnections   = 64
 	dialTimeout      = time.Second
-	idleTimeout      = 10 * time.Second
 	fetchTimeout     = 30 * time.Minute
 )
 
@@ -36,7 +35,9 @@
 var errNotSent = errors.New("platform: not sent")
 
 // HTTP is a client of the platform's services. It implements Store, Directory
-// and Weights, and never retries.
+// and Weights, and never retries. Each call has a connection of its own: a reply
+// doesn't name its call, so on a kept connection a repeated one would count as the
+// reply to a later call.
 type HTTP struct {
 	base    string
 	timeout time.Duration
@@ -59,9 +60,8 @@
 			Addr:                     addr,
 			Name:                     "jayford",
 			NoDefaultUserAgentHeader: true,
-			Dial:                     dial,
+			DialTimeout:              dial,
 			MaxConns:                 maxConnections,
-			MaxIdleConnDuration:      idleTimeout,
 			MaxResponseBodySize:      maxResponseBytes,
 			// By default fasthttp retries a GET or PUT whose connection closed
 			// without a reply. The retry of a write that had taken effect would
@@ -72,8 +72,9 @@
 	}
 }
 
-func dial(addr string) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", addr, dialTimeout)
+// dial opens a connection for a call that ends after timeout.
+func dial(addr string, timeout time.Duration) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", addr, min(timeout, dialTimeout))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
@@ -159,10 +160,6 @@
 	case r = <-replies:
 	case <-ctx.Done():
 		r = Reply{err: ctx.Err()}
-		if errors.Is(r.err, context.DeadlineExceeded) {
-			// As after a timeout of the exchange, which may be later than the next call.
-			h.client.CloseIdleConnections()
-		}
 	}
 	err := c.outcome(r)
 	if err != nil {
@@ -175,6 +172,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	req.SetConnectionClose()
 	req.Header.SetMethod(c.Method)
 	req.SetRequestURI(h.base + c.Path + "?" + c.Query.Encode())
 	req.SetBodyRaw(c.Body)
@@ -184,9 +182,6 @@
 		req.Header.Set(fasthttp.HeaderIfNoneMatch, c.IfNoneMatch)
 	}
 	if err := h.client.DoTimeout(req, resp, timeout); err != nil {
-		// The other idle connections may be dead too, and each would make one
-		// more call time out.
-		h.client.CloseIdleConnections()
 		return Reply{err: err}
 	}
 	body, err := resp.BodyUncompressedWithLimit(maxResponseBytes)
@@ -201,7 +196,7 @@
 // unless it certainly had no effect.
 func (c Call) outcome(r Reply) error {
 	switch {
-	case errors.Is(r.err, errNotSent), errors.Is(r.err, response.ErrNotIdle), errors.Is(r.err, fasthttp.ErrNoFreeConns):
+	case errors.Is(r.err, errNotSent), errors.Is(r.err, fasthttp.ErrNoFreeConns):
 		return fmt.Errorf("%w: %w", ErrUnavailable, r.err)
 	case c.Watch && errors.Is(r.err, fasthttp.ErrBodyTooLarge):
 		return fmt.Errorf("%w: %w", ErrCompacted, r.err)
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -8,10 +8,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrNotIdle is the error of a write of a further request over a connection that its server has
-// closed, or on which it has sent bytes behind its last response. Nothing was sent.
-var ErrNotIdle = errors.New("the connection isn't idle")
-
 // Conn is a connection whose reads fail where its server sends something else than responses. It is
 // for clients that leave the reading to an HTTP library, which must write a whole request before it
 // reads.
@@ -20,20 +16,14 @@
 	r *Reader
 	// awaiting: the head of a response is due. Reads and writes don't overlap.
 	awaiting bool
-	// used: a response has come.
-	used bool
-	err  error
+	err      error
 }
 
 // NewConn returns c with checked reads.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, r: NewReader(c)} }
 
-// Write implements net.Conn. A response is due after it; bytes that are there before belong to no
-// request, and would be taken for that response.
+// Write implements net.Conn. A response is due after it.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.used && !c.awaiting && (c.r.Buffered() > 0 || !IsSilent(c.Conn)) {
-		return 0, ErrNotIdle
-	}
 	c.awaiting = true
 	return c.Conn.Write(b)
 }
@@ -46,7 +36,6 @@
 	if c.err != nil {
 		return 0, c.err
 	}
-	c.used = true
 	return c.r.Read(b)
 }
 
