Soak: backend servers send answers again

Cause: the soak couldn't find a request that ran twice by the copy of a refusal. Its servers never sent an answer again, and no earlier server stayed listed at the address of another.

The invariants are those that exist. A connection of a stand-in that is silent or drops replies drops the copies too.

--- a/internal/standin/faultnet/listener.go
+++ b/internal/standin/faultnet/listener.go
@@ -160,9 +160,11 @@
 	return n, err
 }
 
+func (c *conn) dropsWrites() bool { return c.silent.Load() || c.dropsReplies.Load() }
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.silent.Load() || c.dropsReplies.Load() {
+	if c.dropsWrites() {
 		return len(p), nil
 	}
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -175,7 +177,7 @@
 // Close implements net.Conn. The socket of a connection that is silent or drops
 // replies stays open until Cut, as the client would otherwise see the close.
 func (c *conn) Close() error {
-	if c.silent.Load() || c.dropsReplies.Load() {
+	if c.dropsWrites() {
 		return nil
 	}
 	c.listener.remove(c)
--- a/internal/standin/faultnet/repeat.go
+++ b/internal/standin/faultnet/repeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"slices"
 	"sync"
 )
@@ -22,6 +23,18 @@
 	s.repeat = pick
 }
 
+// RepeatNow sends the last answer of a connection that a Listener accepted again at once. No request
+// may be under way on the connection.
+func RepeatNow(accepted net.Conn) {
+	c, ok := accepted.(*conn)
+	if !ok {
+		return
+	}
+	if sent := c.answers.next(); len(sent) > 0 {
+		c.sendAgain(sent[len(sent)-1:])
+	}
+}
+
 // answers are the last answers that were written to a connection.
 type answers struct {
 	mu sync.Mutex
@@ -39,8 +52,7 @@
 	}
 }
 
-// next ends the current answer as a request arrives. It returns the last answers, nil if there is
-// no new one.
+// next ends the current answer. It returns the last answers, nil if there is no new one.
 func (a *answers) next() [][]byte {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -64,5 +76,11 @@
 	if pick == nil || len(sent) == 0 {
 		return
 	}
-	_, _ = c.Conn.Write(bytes.Join(pick(sent), nil))
+	c.sendAgain(pick(sent))
+}
+
+func (c *conn) sendAgain(answers [][]byte) {
+	if !c.dropsWrites() {
+		_, _ = c.Conn.Write(bytes.Join(answers, nil))
+	}
 }
