A second server of a stream whose first event stays incomplete ends the first one's run

Callers saw nothing; servers did: a silent server and a second one, which stops in the middle of its first event, both ran a stream until its caller left, which rule TWICE bounds to 0.4 s. Cause: the first one is ended by the second one's first whole event, and a part of one isn't seen by the stream. The price: if the second one then ends without completing the event, a first one that would have gone on has been given up. It is no cause of the users' case: only streams that may be resumed have two servers.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -27,6 +27,9 @@
 
 func newEvents(r io.Reader) *events { return &events{bufio.NewReader(r)} }
 
+// awaitFirst waits for the first byte or the end of the stream.
+func (e *events) awaitFirst() { _, _ = e.r.Peek(1) }
+
 // next returns the next complete event. It returns io.EOF only if the stream ends
 // between two events.
 func (e *events) next() (event, error) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -94,6 +94,18 @@
 	s.g.logRequest(s.j, "gateway: stream resumed.", logrus.Fields{"server": x.key(), "last": s.lastID})
 }
 
+// keepBegun makes a server that has begun to write its first event the only one. The event may never be
+// complete, and the other servers would work on the request for as long.
+func (s *stream) keepBegun(x *source) {
+	switch {
+	case x.admitted || len(s.sources) == 1:
+	case s.j.begun && s.g.view.softwareOf(x.server()) != s.j.software:
+		s.drop(x)
+	default:
+		s.goOnWith(x)
+	}
+}
+
 // reserveMeanwhile waits for a reservation while silent servers may go on. It is as eager as for a
 // broken stream at first, since the server may be dark; later its caller has most likely left.
 func (s *stream) reserveMeanwhile(ctx context.Context) (reservation, bool) {
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -10,6 +10,10 @@
 	"jayford.example/jayford/internal/catalog"
 )
 
+// partialEventTimeout is how long a server's first event may be incomplete until the server counts as
+// running the request.
+const partialEventTimeout = 200 * time.Millisecond
+
 // source is one server's run of a streamed request. Its own goroutine reads the server's events;
 // all else belongs to the goroutine of the stream.
 type source struct {
@@ -40,8 +44,11 @@
 // read puts the events into the inbox, each once the one before is taken.
 func (x *source) read(in *inbox) {
 	events := newEvents(x.answer.Body)
+	events.awaitFirst()
+	begun := time.AfterFunc(partialEventTimeout, func() { in.put(arrival{from: x, begun: true}) })
 	for {
 		ev, err := events.next()
+		begun.Stop()
 		in.put(arrival{from: x, event: ev, err: err})
 		if err != nil {
 			return
@@ -74,11 +81,13 @@
 	x.reservation.end()
 }
 
-// arrival is an event of a source, or how its stream ended: io.EOF for a complete one.
+// arrival is an event of a source, or how its stream ended: io.EOF for a complete one. begun: it is
+// neither, but the source's first event has been incomplete for partialEventTimeout.
 type arrival struct {
 	from  *source
 	event event
 	err   error
+	begun bool
 }
 
 // goesOn reports whether the arrival continues the stream, as an event or its end.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,6 +138,10 @@
 // the stream can't go on.
 func (s *stream) accept(a *arrival) (bool, error) {
 	x := a.from
+	if a.begun {
+		s.keepBegun(x)
+		return false, nil
+	}
 	if errors.Is(a.err, io.EOF) && !s.isComplete(x) {
 		a.err = io.ErrUnexpectedEOF
 	}
