A gateway's successor doesn't take answers to its predecessor's questions

Found in review, the same class: questions for the version that began a stream are numbered from 1 at each start, so an answer to the process before, at the same address, counts for the successor's question with that number. What callers would see: a stream that could go on refused as unknown (503). Evidence: the review's scratch test ('no gateway knows the stream' before the true answer came); a wrong record was never taken, as the stream is compared. Now the numbers begin anywhere in 32 bits. TestSuccessorNumbersItsQuestionsAnew failed before; the package's tests pass.

--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -40,7 +41,9 @@
 	// All below is guarded by mu.
 	table     *Table
 	questions map[uint32]chan answer
-	last      uint32
+	// last is the number of the last question. It begins anywhere, so that a late answer to the process
+	// before, at the same address, isn't one to this process.
+	last uint32
 }
 
 // answer is what one gateway knows of a stream.
@@ -52,7 +55,7 @@
 
 // NewExchange returns an Exchange without records.
 func NewExchange(o Options) *Exchange {
-	return &Exchange{opts: o, table: NewTable(DefaultLimit), questions: map[uint32]chan answer{}}
+	return &Exchange{opts: o, table: NewTable(DefaultLimit), questions: map[uint32]chan answer{}, last: rand.Uint32()}
 }
 
 // holders returns the gateways that come first for a stream.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -193,3 +193,18 @@
 	assert.Equal(t, h.Sole([]uint64{1}, within, first.Add(within+time.Second)), uint64(7))
 	assert.Equal(t, h.Sole([]uint64{1}, HistoryTTL+time.Second, first.Add(24*time.Hour)), uint64(0))
 }
+
+// Guards against an answer to the first question of a process that has ended being taken for that to
+// the first one of its successor.
+func TestSuccessorNumbersItsQuestionsAnew(t *testing.T) {
+	firstQuestion := func() (number uint32) {
+		e := NewExchange(Options{
+			Self: "a:1", Gateways: func() []string { return []string{"a:1", "b:1"} },
+			Send: func(_ string, m *pb.OriginMessage) { number = m.Question },
+		})
+		_, err := e.Ask(t.Context(), 7)
+		assert.Assert(t, err != nil)
+		return number
+	}
+	assert.Assert(t, firstQuestion() != firstQuestion())
+}
