--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -206,5 +206,6 @@
 		assert.Assert(t, err != nil)
 		return number
 	}
-	assert.Assert(t, firstQuestion() != firstQuestion())
+	process, successor := firstQuestion(), firstQuestion()
+	assert.Assert(t, process != successor)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,7 +42,8 @@
 	// IdleTimeout is the idle timeout of connections whose server sends no keep-alive
 	// timeout.
 	IdleTimeout time.Duration
-	// IDHeader is the header that carries a request's id in both directions.
+	// IDHeader is the header that carries a request's id in both directions. It must be set if
+	// requests have ids.
 	IDHeader string
 }
 
