--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -201,11 +201,13 @@
 func (c *conn) begin(id string) {
 	c.uses++
 	if id != "" {
-		c.ids = append(c.ids, maphash.String(idSeed, id))
+		c.remember(id)
 	}
 }
 
-// hasCarried reports whether an earlier exchange had the id. Another one with the same hash counts, too.
+func (c *conn) remember(id string) { c.ids = append(c.ids, maphash.String(idSeed, id)) }
+
+// hasCarried reports whether an id was remembered. Another one with the same hash counts, too.
 func (c *conn) hasCarried(id string) bool {
 	return id != "" && slices.Contains(c.ids, maphash.String(idSeed, id))
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,7 +11,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -216,7 +215,7 @@
 		c.keepAlive = false
 		return true
 	}
-	c.ids = append(c.ids, maphash.String(idSeed, id))
+	c.remember(id)
 	return false
 }
 
